--- /dev/null
+++ b/bench/check/check.go
@@ -0,0 +1,112 @@
+// Package check compares what callers were told with what upstreams ran.
+package check
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/rockcroft/rockcroft/bench/load"
+	"github.com/rockcroft/rockcroft/protocol/answer"
+	"github.com/rockcroft/rockcroft/standin/upstream"
+)
+
+// Rule names a promise that a history can break.
+type Rule string
+
+// The rules.
+const (
+	// RanTwice: a non-idempotent request ran more than once.
+	RanTwice Rule = "ran twice"
+	// NotRunRan: a request that callers were told was not run did run.
+	NotRunRan Rule = "told not run, but ran"
+	// AnsweredNotRun: a request was answered, but nobody ran it.
+	AnsweredNotRun Rule = "answered, but not run"
+	// WrongAnswer: a caller got the answer to another request.
+	WrongAnswer Rule = "answer of another request"
+	// EpochFell: a key ran under an older epoch after a newer one.
+	EpochFell Rule = "older epoch after a newer one"
+	// TwoOwners: two upstreams ran a key under one epoch.
+	TwoOwners Rule = "two owners in one epoch"
+)
+
+// Violation is one broken promise.
+type Violation struct {
+	Rule   Rule
+	Detail string
+}
+
+// Report counts what was compared.
+type Report struct {
+	Outcomes   int
+	Runs       int
+	Violations []Violation
+}
+
+// History checks outcomes against the oracle logs of all upstreams.
+func History(outcomes []load.Outcome, runs []upstream.Run) Report {
+	r := Report{Outcomes: len(outcomes), Runs: len(runs)}
+	r.checkRequests(outcomes, runs)
+	r.checkKeys(runs)
+	return r
+}
+
+func (r *Report) add(rule Rule, format string, args ...any) {
+	r.Violations = append(r.Violations, Violation{rule, fmt.Sprintf(format, args...)})
+}
+
+func (r *Report) checkRequests(outcomes []load.Outcome, runs []upstream.Run) {
+	ran := make(map[string]int)
+	for _, run := range runs {
+		ran[run.RequestID]++
+		if !run.Idempotent && ran[run.RequestID] == 2 {
+			r.add(RanTwice, "request %s, key %s, by %s", run.RequestID, run.Key, run.Upstream)
+		}
+	}
+	notRun := make(map[string]bool)
+	for _, o := range outcomes {
+		if o.OK() {
+			r.checkAnswer(o, ran)
+		}
+		told := o.Ran == string(answer.NotRun)
+		before, seen := notRun[o.RequestID]
+		notRun[o.RequestID] = told && (before || !seen)
+	}
+	for id, told := range notRun {
+		if told && ran[id] > 0 {
+			r.add(NotRunRan, "request %s", id)
+		}
+	}
+}
+
+func (r *Report) checkAnswer(o load.Outcome, ran map[string]int) {
+	if o.AnswerID != o.RequestID || o.AnswerKey != o.Key {
+		r.add(WrongAnswer, "request %s got the answer of %s", o.RequestID, o.AnswerID)
+	}
+	if ran[o.RequestID] == 0 {
+		r.add(AnsweredNotRun, "request %s", o.RequestID)
+	}
+}
+
+// checkKeys follows each key through the runs in order of time.
+func (r *Report) checkKeys(runs []upstream.Run) {
+	byKey := make(map[string][]upstream.Run)
+	for _, run := range runs {
+		byKey[run.Key] = append(byKey[run.Key], run)
+	}
+	for key, list := range byKey {
+		slices.SortStableFunc(list, func(a, b upstream.Run) int { return int(a.At - b.At) })
+		r.checkKey(key, list)
+	}
+}
+
+func (r *Report) checkKey(key string, list []upstream.Run) {
+	for i := 1; i < len(list); i++ {
+		a, b := list[i-1], list[i]
+		if b.Epoch < a.Epoch {
+			r.add(EpochFell, "key %s: %s at epoch %d after %s at %d", key, b.Upstream, b.Epoch, a.Upstream, a.Epoch)
+		}
+		if b.Epoch == a.Epoch && b.Upstream != a.Upstream {
+			r.add(TwoOwners, "key %s: %s and %s at epoch %d", key, a.Upstream, b.Upstream, b.Epoch)
+		}
+	}
+}
--- /dev/null
+++ b/bench/deploy/deploy.go
@@ -0,0 +1,316 @@
+// Package deploy writes the settings of a deployment on the loopback interface:
+// entries, stand-in upstreams and the stand-in platform. Scripts start the
+// processes that it lists.
+package deploy
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/rockcroft/rockcroft/state/intent"
+	"github.com/rockcroft/rockcroft/state/jsonc"
+	"github.com/rockcroft/rockcroft/state/service"
+)
+
+// ServiceShape describes a service of a deployment.
+type ServiceShape struct {
+	Name      string
+	Instances int
+	Slots     int
+	ReadTime  time.Duration
+	WriteTime time.Duration
+	Weights   service.Weights
+	Rebalance bool
+}
+
+// Shape describes a deployment.
+type Shape struct {
+	Name             string
+	Domains          int
+	EntriesPerDomain int
+	Connections      int
+	// Distance is the delay between domains and upstreams.
+	Distance time.Duration
+	Services []ServiceShape
+	Unfenced bool
+}
+
+// Weights of the two users.
+var (
+	addisWeights     = service.Weights{Imbalance: 1, Churn: 1, Unavailable: 2}
+	merrimackWeights = service.Weights{Imbalance: 3, Churn: 1, Unavailable: 1}
+)
+
+func svc(name string, instances, slots int, w service.Weights) ServiceShape {
+	return ServiceShape{
+		Name: name, Instances: instances, Slots: slots, Weights: w, Rebalance: true,
+		ReadTime: 4 * time.Millisecond, WriteTime: 12 * time.Millisecond,
+	}
+}
+
+// Shapes are the known deployments.
+func Shapes() []Shape {
+	return []Shape{
+		{
+			Name: "demo", Domains: 2, EntriesPerDomain: 2, Connections: 130,
+			Services: []ServiceShape{svc("status", 6, 4, merrimackWeights)},
+		},
+		{
+			Name: "addis", Domains: 3, EntriesPerDomain: 3, Connections: 130,
+			Distance: 500 * time.Microsecond,
+			Services: []ServiceShape{
+				svc("activation-status", 10, 4, addisWeights),
+				svc("activation", 7, 4, addisWeights),
+				svc("billing", 6, 4, addisWeights),
+				svc("registration", 10, 4, addisWeights),
+			},
+		},
+		{
+			Name: "merrimack", Domains: 4, EntriesPerDomain: 2, Connections: 110,
+			Distance: time.Millisecond,
+			Services: []ServiceShape{
+				svc("inventory", 9, 6, merrimackWeights),
+				svc("booking", 8, 6, merrimackWeights),
+				svc("billing", 8, 6, merrimackWeights),
+				svc("routes", 8, 6, merrimackWeights),
+			},
+		},
+	}
+}
+
+// Find returns the named shape.
+func Find(name string) (Shape, error) {
+	var names []string
+	for _, s := range Shapes() {
+		if s.Name == name {
+			return s, nil
+		}
+		names = append(names, s.Name)
+	}
+	return Shape{}, fmt.Errorf("no deployment %q; there are %s", name, strings.Join(names, ", "))
+}
+
+// Processes returns the number of processes of the deployment.
+func (s Shape) Processes() int {
+	n := 1 + s.Domains*s.EntriesPerDomain
+	for _, svc := range s.Services {
+		n += svc.Instances
+	}
+	return n
+}
+
+// Process is one process of a deployment.
+type Process struct {
+	Name    string
+	Program string
+	// Ready is the address and path that answers 200 when it is ready.
+	Ready string
+}
+
+// EntryAddrs are the addresses of one entry.
+type EntryAddrs struct {
+	Name    string     `json:"name"`
+	Domain  string     `json:"domain"`
+	Callers jsonc.Addr `json:"callers"`
+	Peers   jsonc.Addr `json:"peers"`
+	Admin   jsonc.Addr `json:"admin"`
+}
+
+// UpstreamAddr is the address of one stand-in upstream.
+type UpstreamAddr struct {
+	Name    string     `json:"name"`
+	Service string     `json:"service"`
+	Domain  string     `json:"domain"`
+	Addr    jsonc.Addr `json:"addr"`
+	Oracle  string     `json:"oracle"`
+}
+
+// Map lists the addresses of a written deployment.
+type Map struct {
+	Shape     string         `json:"shape"`
+	Platform  jsonc.Addr     `json:"platform"`
+	Entries   []EntryAddrs   `json:"entries"`
+	Upstreams []UpstreamAddr `json:"upstreams"`
+}
+
+// ports hands out free ports chosen by the kernel. They stay bound until all
+// are chosen, so that none is given twice.
+type ports struct{ held []net.Listener }
+
+func (p *ports) next() (jsonc.Addr, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return jsonc.Addr{}, fmt.Errorf("choose a port: %w", err)
+	}
+	p.held = append(p.held, l)
+	return jsonc.Addr{AddrPort: netip.MustParseAddrPort(l.Addr().String())}, nil
+}
+
+func (p *ports) release() {
+	for _, l := range p.held {
+		_ = l.Close()
+	}
+}
+
+// Choose assigns addresses to all processes of a shape.
+func Choose(s Shape, dir string) (Map, error) {
+	var p ports
+	defer p.release()
+	m := Map{Shape: s.Name}
+	var err error
+	if m.Platform, err = p.next(); err != nil {
+		return m, err
+	}
+	for d := range s.Domains {
+		for e := range s.EntriesPerDomain {
+			addrs := EntryAddrs{Name: fmt.Sprintf("entry-%c%d", 'a'+d, e+1), Domain: domainName(d)}
+			for _, a := range []*jsonc.Addr{&addrs.Callers, &addrs.Peers, &addrs.Admin} {
+				if *a, err = p.next(); err != nil {
+					return m, err
+				}
+			}
+			m.Entries = append(m.Entries, addrs)
+		}
+	}
+	for _, svc := range s.Services {
+		for i := range svc.Instances {
+			addr, err := p.next()
+			if err != nil {
+				return m, err
+			}
+			name := fmt.Sprintf("%s-%d", svc.Name, i+1)
+			m.Upstreams = append(m.Upstreams, UpstreamAddr{
+				Name: name, Service: svc.Name, Domain: domainName(i % s.Domains), Addr: addr,
+				Oracle: filepath.Join(dir, name+".oracle"),
+			})
+		}
+	}
+	return m, nil
+}
+
+func domainName(d int) string { return "domain-" + string(rune('a'+d)) }
+
+// Write chooses addresses and writes the settings of every process, the map,
+// and the list of processes to start.
+func Write(s Shape, dir string) (Map, error) {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return Map{}, fmt.Errorf("deploy: %w", err)
+	}
+	m, err := Choose(s, dir)
+	if err != nil {
+		return m, err
+	}
+	w := writer{dir: dir}
+	w.file("platform", map[string]any{"listen": m.Platform}, "standin-platform", m.Platform.String()+"/ready")
+	for _, e := range m.Entries {
+		w.file(e.Name, map[string]any{
+			"id": e.Name, "domain": e.Domain, "callers": e.Callers, "peers": e.Peers,
+			"admin": e.Admin, "platform": m.Platform, "seeds": seeds(m, e),
+		}, "rockcroft-entry", e.Admin.String()+"/health")
+	}
+	for _, u := range m.Upstreams {
+		shape := s.service(u.Service)
+		w.file(u.Name, map[string]any{
+			"id": u.Name, "listen": u.Addr, "slots": shape.Slots, "connections": s.Connections,
+			"read_time": jsonc.Duration(shape.ReadTime), "write_time": jsonc.Duration(shape.WriteTime),
+			"distance_delay": jsonc.Duration(s.Distance), "oracle_file": u.Oracle,
+			"checks_fences": !s.Unfenced,
+		}, "standin-upstream", u.Addr.String()+"/ready")
+	}
+	w.plain("deployment.json", m)
+	for _, svc := range s.Services {
+		w.plain("create-"+svc.Name+".json", createSpec(s, svc, m))
+	}
+	w.list()
+	return m, w.err
+}
+
+func (s Shape) service(name string) ServiceShape {
+	i := slices.IndexFunc(s.Services, func(v ServiceShape) bool { return v.Name == name })
+	return s.Services[i]
+}
+
+func seeds(m Map, self EntryAddrs) []jsonc.Addr {
+	var out []jsonc.Addr
+	for _, e := range m.Entries {
+		if e.Name != self.Name {
+			out = append(out, e.Peers)
+		}
+	}
+	return out
+}
+
+// createSpec is the intent that brings a service with all its upstreams.
+func createSpec(s Shape, svc ServiceShape, m Map) intent.Spec {
+	conf := service.Default()
+	conf.Name = svc.Name
+	conf.ChecksFences = !s.Unfenced
+	conf.Slots = svc.Slots
+	conf.Connections = s.Connections
+	conf.Weights = svc.Weights
+	conf.Rebalance = svc.Rebalance
+	spec := intent.Spec{Kind: intent.CreateService, Service: &conf}
+	for _, u := range m.Upstreams {
+		if u.Service == svc.Name {
+			spec.Upstreams = append(spec.Upstreams, intent.Upstream{
+				ID: u.Name, Service: u.Service, Addr: u.Addr, Cell: u.Domain,
+			})
+		}
+	}
+	return spec
+}
+
+// writer writes files and keeps the first error.
+type writer struct {
+	dir       string
+	processes []Process
+	err       error
+}
+
+func (w *writer) plain(name string, v any) {
+	if w.err != nil {
+		return
+	}
+	data, err := json.MarshalIndent(v, "", "  ")
+	if err == nil {
+		err = os.WriteFile(filepath.Join(w.dir, name), append(data, '\n'), 0o644)
+	}
+	w.err = err
+}
+
+func (w *writer) file(name string, v any, program, ready string) {
+	w.plain(name+".json", v)
+	w.processes = append(w.processes, Process{Name: name, Program: program, Ready: ready})
+}
+
+// list writes one line a process: name, program, ready address.
+func (w *writer) list() {
+	if w.err != nil {
+		return
+	}
+	var b strings.Builder
+	for _, p := range w.processes {
+		fmt.Fprintf(&b, "%s %s %s\n", p.Name, p.Program, p.Ready)
+	}
+	w.err = os.WriteFile(filepath.Join(w.dir, "processes"), []byte(b.String()), 0o644)
+}
+
+// Load reads the map of a written deployment.
+func Load(dir string) (Map, error) {
+	var m Map
+	data, err := os.ReadFile(filepath.Join(dir, "deployment.json"))
+	if err != nil {
+		return m, fmt.Errorf("deployment: %w", err)
+	}
+	if err := json.Unmarshal(data, &m); err != nil {
+		return m, fmt.Errorf("deployment: %w", err)
+	}
+	return m, nil
+}
--- /dev/null
+++ b/bench/rockload/cluster.go
@@ -0,0 +1,256 @@
+package rockload
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/rockcroft/rockcroft/bench/deploy"
+	"github.com/rockcroft/rockcroft/protocol/operatorpb"
+	"github.com/rockcroft/rockcroft/standin/platform"
+	"github.com/rockcroft/rockcroft/standin/upstream"
+	"github.com/rockcroft/rockcroft/state/intent"
+)
+
+// pollInterval is the time between looks at something awaited.
+const pollInterval = 50 * time.Millisecond
+
+// cluster is a running deployment.
+type cluster struct {
+	dir  string
+	m    deploy.Map
+	http *http.Client
+}
+
+func openCluster(dir string) (*cluster, error) {
+	m, err := deploy.Load(dir)
+	if err != nil {
+		return nil, err
+	}
+	return &cluster{dir: dir, m: m, http: &http.Client{Timeout: 3 * time.Second}}, nil
+}
+
+func (c *cluster) operator(entry int) operatorpb.Operator {
+	return operatorpb.NewOperatorProtobufClient("http://"+c.m.Entries[entry].Admin.String(), c.http)
+}
+
+// await polls until f returns nil, or returns its last error at the limit.
+func await(ctx context.Context, limit time.Duration, f func() error) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	for {
+		err := f()
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("not within %s: %w", limit, err)
+		case <-time.After(pollInterval):
+		}
+	}
+}
+
+func (c *cluster) get(url string) error {
+	resp, err := c.http.Get("http://" + url)
+	if err != nil {
+		return err
+	}
+	_, _ = io.Copy(io.Discard, resp.Body)
+	_ = resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s answered %d", url, resp.StatusCode)
+	}
+	return nil
+}
+
+// waitReady waits until every process answers.
+func (c *cluster) waitReady(ctx context.Context) error {
+	data, err := os.ReadFile(filepath.Join(c.dir, "processes"))
+	if err != nil {
+		return err
+	}
+	for line := range strings.Lines(string(data)) {
+		fields := strings.Fields(line)
+		if len(fields) != 3 {
+			continue
+		}
+		if err := await(ctx, 15*time.Second, func() error { return c.get(fields[2]) }); err != nil {
+			return fmt.Errorf("%s: %w", fields[0], err)
+		}
+	}
+	return nil
+}
+
+// createServices states and confirms the intents that bring all services, once
+// every cell has all its entries.
+func (c *cluster) createServices(ctx context.Context) error {
+	if err := await(ctx, 20*time.Second, func() error { return c.allVoting(ctx) }); err != nil {
+		return err
+	}
+	files, err := filepath.Glob(filepath.Join(c.dir, "create-*.json"))
+	if err != nil {
+		return err
+	}
+	for _, f := range files {
+		data, err := os.ReadFile(f)
+		if err != nil {
+			return err
+		}
+		if err := c.enact(ctx, data); err != nil {
+			return fmt.Errorf("%s: %w", filepath.Base(f), err)
+		}
+	}
+	return await(ctx, 20*time.Second, func() error { return c.allOwned(ctx) })
+}
+
+// enact creates an intent and confirms its plan.
+func (c *cluster) enact(ctx context.Context, spec []byte) error {
+	resp, err := c.operator(0).CreateIntent(ctx, &operatorpb.CreateIntentRequest{Spec: spec, By: "rockload"})
+	if err != nil {
+		return err
+	}
+	i, err := intent.Decode(resp.Intent)
+	if err != nil {
+		return err
+	}
+	return await(ctx, 5*time.Second, func() error {
+		_, err := c.operator(0).ConfirmIntent(ctx, &operatorpb.IntentRequest{Id: i.ID, By: "rockload"})
+		return err
+	})
+}
+
+func (c *cluster) enactSpec(ctx context.Context, spec intent.Spec) error {
+	data, err := json.Marshal(spec)
+	if err != nil {
+		return err
+	}
+	return c.enact(ctx, data)
+}
+
+func (c *cluster) status(ctx context.Context) (*operatorpb.StatusResponse, error) {
+	var errs []error
+	for i := range c.m.Entries {
+		s, err := c.operator(i).Status(ctx, &operatorpb.StatusRequest{})
+		if err == nil {
+			return s, nil
+		}
+		errs = append(errs, err)
+	}
+	return nil, errors.Join(errs...)
+}
+
+// allVoting reports an error until every entry is a voter of its cell.
+func (c *cluster) allVoting(ctx context.Context) error {
+	s, err := c.status(ctx)
+	if err != nil {
+		return err
+	}
+	voters := 0
+	for _, cell := range s.Cells {
+		voters += len(cell.Members)
+	}
+	if voters < len(c.m.Entries) {
+		return fmt.Errorf("%d of %d entries vote", voters, len(c.m.Entries))
+	}
+	return nil
+}
+
+// allOwned reports an error until the hash space of every service is owned.
+func (c *cluster) allOwned(ctx context.Context) error {
+	s, err := c.status(ctx)
+	if err != nil {
+		return err
+	}
+	share := make(map[string]float64)
+	for _, cell := range s.Cells {
+		for _, u := range cell.Upstreams {
+			share[u.Service] += u.Share
+		}
+	}
+	for _, u := range c.m.Upstreams {
+		if share[u.Service] < 0.9999 {
+			return fmt.Errorf("%.4f of service %s is owned", share[u.Service], u.Service)
+		}
+	}
+	return nil
+}
+
+// pid returns the process id that the scripts noted for a process.
+func (c *cluster) pid(name string) (int, error) {
+	data, err := os.ReadFile(filepath.Join(c.dir, name+".pid"))
+	if err != nil {
+		return 0, err
+	}
+	return strconv.Atoi(strings.TrimSpace(string(data)))
+}
+
+// signal sends a signal to a process that the scripts started.
+func (c *cluster) signal(name string, sig syscall.Signal) error {
+	pid, err := c.pid(name)
+	if err != nil {
+		return err
+	}
+	return syscall.Kill(pid, sig)
+}
+
+// restart asks the script that runs the deployment to start a process again.
+func (c *cluster) restart(name string) error {
+	return os.WriteFile(filepath.Join(c.dir, name+".start"), nil, 0o644)
+}
+
+// platformFaults changes the failures of the stand-in platform.
+func (c *cluster) platformFaults(f platform.Faults) error {
+	return c.put(c.m.Platform.String()+"/faults", f)
+}
+
+// upstreamFaults changes the failures of a stand-in upstream.
+func (c *cluster) upstreamFaults(name string, f upstream.Faults) error {
+	for _, u := range c.m.Upstreams {
+		if u.Name == name {
+			return c.put(u.Addr.String()+"/faults", f)
+		}
+	}
+	return fmt.Errorf("no upstream %q", name)
+}
+
+func (c *cluster) put(url string, v any) error {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequest(http.MethodPut, "http://"+url, bytes.NewReader(data))
+	if err != nil {
+		return err
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return err
+	}
+	_ = resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s answered %d", url, resp.StatusCode)
+	}
+	return nil
+}
+
+// metrics reads the counters of an entry.
+func (c *cluster) metrics(entry int) (map[string]map[string]float64, error) {
+	resp, err := c.http.Get("http://" + c.m.Entries[entry].Admin.String() + "/metrics")
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var out map[string]map[string]float64
+	return out, json.NewDecoder(resp.Body).Decode(&out)
+}
--- /dev/null
+++ b/bench/rockload/summary.go
@@ -0,0 +1,72 @@
+package rockload
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/rockcroft/rockcroft/bench/load"
+)
+
+// Bounds of recorded latencies in microseconds, and their digits.
+const (
+	maxLatency = 60_000_000
+	digits     = 3
+)
+
+// Summary is what a load run showed.
+type Summary struct {
+	Total      int
+	Answered   int
+	NotOffered int64
+	Kinds      map[string]int
+	latency    *hdrhistogram.Histogram
+}
+
+// Summarize counts outcomes by kind and records latencies from the time each
+// request was due.
+func Summarize(r load.Result) Summary {
+	s := Summary{
+		NotOffered: r.NotOffered,
+		Kinds:      make(map[string]int),
+		latency:    hdrhistogram.New(1, maxLatency, digits),
+	}
+	for _, o := range r.Outcomes {
+		s.Total++
+		if o.OK() {
+			s.Answered++
+			_ = s.latency.RecordValue(min(max((o.End-o.Due)/1000, 1), maxLatency))
+			continue
+		}
+		s.Kinds[o.Kind]++
+	}
+	return s
+}
+
+// Quantile returns the latency at a percentile.
+func (s Summary) Quantile(p float64) time.Duration {
+	return time.Duration(s.latency.ValueAtQuantile(p)) * time.Microsecond
+}
+
+// Print writes the summary as a table.
+func (s Summary) Print(out io.Writer) error {
+	t := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	_, _ = fmt.Fprintf(t, "requests\t%d\nanswered\t%d\nnot offered\t%d\n", s.Total, s.Answered, s.NotOffered)
+	kinds := make([]string, 0, len(s.Kinds))
+	for k := range s.Kinds {
+		kinds = append(kinds, k)
+	}
+	slices.Sort(kinds)
+	for _, k := range kinds {
+		_, _ = fmt.Fprintf(t, "  %s\t%d\n", k, s.Kinds[k])
+	}
+	for _, p := range []float64{50, 90, 99, 99.9} {
+		_, _ = fmt.Fprintf(t, "p%g\t%s\n", p, s.Quantile(p))
+	}
+	_, _ = fmt.Fprintf(t, "max\t%s\n", time.Duration(s.latency.Max())*time.Microsecond)
+	return t.Flush()
+}
--- /dev/null
+++ b/coordination/controller/command.go
@@ -0,0 +1,86 @@
+package controller
+
+import (
+	"time"
+
+	"github.com/rockcroft/rockcroft/coordination/fence"
+	"github.com/rockcroft/rockcroft/protocol/control"
+	"github.com/rockcroft/rockcroft/state/cell"
+)
+
+// Command is something the process around the core has to do. Each ends with
+// exactly one call of the matching On method, also when it fails.
+type Command interface{ key() string }
+
+// Write stores the document by a conditional update. Answer: OnWritten.
+type Write struct {
+	Doc *cell.Cell
+	// Expect is the platform version to replace; zero creates the object.
+	Expect uint64
+}
+
+// Apply hands the document to a voter of the cell. Answer: OnApplied.
+type Apply struct {
+	To  cell.Member
+	Doc *cell.Cell
+	// DrainWait bounds how long the voter waits for requests in flight.
+	DrainWait time.Duration
+}
+
+// Raise tells a witness to follow the fence. Answer: OnApplied.
+type Raise struct {
+	To    cell.Member
+	Fence uint64
+}
+
+// SendGrants gives ranges to an upstream. Answer: OnGranted.
+type SendGrants struct {
+	Upstream cell.Upstream
+	Grants   []control.Grant
+}
+
+// SendRevocations takes ranges back from an upstream. Answer: OnRevoked.
+type SendRevocations struct {
+	Upstream    cell.Upstream
+	Revocations []control.Revocation
+}
+
+// Reset makes an upstream drop all grants and take a new boot id. Answer:
+// OnReset.
+type Reset struct{ Upstream cell.Upstream }
+
+// Redirect records an exported range in the directory of its service. Answer:
+// OnRedirected.
+type Redirect struct {
+	Service string
+	Range   cell.Range
+}
+
+// Publish stores the member list of the cell. Answer: OnPublished.
+type Publish struct{ Roster cell.Roster }
+
+func (c Publish) key() string         { return "publish" }
+func (c Write) key() string           { return "write" }
+func (c Apply) key() string           { return "apply/" + c.To.ID }
+func (c Raise) key() string           { return "raise/" + c.To.ID }
+func (c SendGrants) key() string      { return "grant/" + c.Upstream.ID }
+func (c SendRevocations) key() string { return "revoke/" + c.Upstream.ID }
+func (c Reset) key() string           { return "reset/" + c.Upstream.ID }
+func (c Redirect) key() string        { return "redirect/" + c.Service + "/" + c.Range.Span.String() }
+
+// Applied is the answer of a voter to Apply or Raise.
+type Applied struct {
+	Ack fence.Ack
+	// Version is the cell version that the voter holds; zero for witnesses.
+	Version uint64
+	// Drained says that no request to a released range is in flight.
+	Drained bool
+	// Leases are the longest leases that the voter gave to upstreams.
+	Leases []LeaseLeft
+}
+
+// LeaseLeft is the time until a lease of an upstream has lapsed.
+type LeaseLeft struct {
+	Upstream  string
+	Remaining time.Duration
+}
--- /dev/null
+++ b/coordination/controller/core.go
@@ -0,0 +1,436 @@
+// Package controller decides what happens in one cell: who votes, which
+// upstreams count, and how ranges pass from owner to owner.
+//
+// Core is deterministic: events and the time come in, commands go out. Any
+// entry of the cell may run one. The conditional update of the cell document
+// serializes them, so that two at once are wasteful but harmless, and all steps
+// can be resumed from the document alone.
+package controller
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/rockcroft/rockcroft/coordination/detect"
+	"github.com/rockcroft/rockcroft/coordination/fence"
+	"github.com/rockcroft/rockcroft/coordination/handover"
+	"github.com/rockcroft/rockcroft/state/cell"
+	"github.com/rockcroft/rockcroft/state/keyspace"
+)
+
+// Limits are the times and sizes a controller works with.
+type Limits struct {
+	Fence  fence.Limits
+	Detect detect.Limits
+	// LeaseTTL bounds the lease of an upstream.
+	LeaseTTL time.Duration
+	// DrainWait is how long one Apply waits for requests in flight.
+	DrainWait time.Duration
+	// MaxDeadline is the longest deadline of a request.
+	MaxDeadline time.Duration
+	// WideAfter is how long the local voters have to acknowledge a fence
+	// before the witnesses are asked too.
+	WideAfter time.Duration
+	// MemberTTL is the silence after which a voter is replaced.
+	MemberTTL time.Duration
+	// RetryAfter is the pause before a failed command is sent again.
+	RetryAfter time.Duration
+	// ReleasesPerFence bounds how many ranges are taken from their owners at
+	// once by planned moves.
+	ReleasesPerFence int
+	// PartsPerUpstream is the number of ranges per upstream of a new span.
+	PartsPerUpstream int
+}
+
+// DefaultLimits returns the limits for a budget of four seconds from the loss
+// of an upstream to the next owner.
+func DefaultLimits() Limits {
+	return Limits{
+		Fence: fence.Limits{TTL: 1200 * time.Millisecond, DriftPercent: 2},
+		Detect: detect.Limits{
+			SuspectAfter: 1000 * time.Millisecond,
+			RefusedAfter: 400 * time.Millisecond,
+			ReportTTL:    1500 * time.Millisecond,
+		},
+		LeaseTTL:         1200 * time.Millisecond,
+		DrainWait:        2 * time.Second,
+		MaxDeadline:      10 * time.Second,
+		WideAfter:        150 * time.Millisecond,
+		MemberTTL:        1500 * time.Millisecond,
+		RetryAfter:       100 * time.Millisecond,
+		ReleasesPerFence: 16,
+		PartsPerUpstream: 16,
+	}
+}
+
+// Placer chooses owners for ranges that need one.
+type Placer interface {
+	// Place returns an active upstream of the cell for each span, or "" when
+	// there is none. Avoid is never chosen.
+	Place(doc *cell.Cell, service string, spans []keyspace.Span, avoid string) []string
+}
+
+// Services tells the core what it must know of a service's configuration.
+type Services interface {
+	// ChecksFences reports whether upstreams of the service refuse requests
+	// without a valid lease and epoch.
+	ChecksFences(service string) bool
+}
+
+// Core is the state of one controller. It is not safe for concurrent use.
+type Core struct {
+	self     cell.Member
+	limits   Limits
+	placer   Placer
+	services Services
+	newID    func() string
+
+	doc     *cell.Cell
+	version uint64
+
+	settler   *fence.Settler
+	fenceSeen time.Time
+	settled   bool
+	applied   map[string]Applied
+	leases    map[string]time.Time
+	revoked   map[rangeID]bool
+	granted   map[rangeID]bool
+	prepared  map[prepareID]time.Time
+	reset     map[string]string
+
+	detector    *detect.Detector
+	heard       map[string]heardMember
+	rosters     map[string]*cell.Roster
+	directories map[string]*cell.Directory
+	upstreams   map[string]cell.Upstream
+	draining    map[string]bool
+	evicted     map[string]bool
+	dead        map[string]bool
+	missing     bool
+	moves       []handover.Move
+	splits      []handover.Move
+	busy        map[string]bool
+	retryAt     map[string]time.Time
+}
+
+// rangeID names one grant of one range.
+type rangeID struct {
+	service string
+	span    keyspace.Span
+	epoch   uint64
+	holder  string
+}
+
+type prepareID struct {
+	service string
+	span    keyspace.Span
+	to      string
+}
+
+type heardMember struct {
+	member cell.Member
+	at     time.Time
+}
+
+// NewCore returns a controller for the cell of self. NewID returns a fresh
+// write id with each call.
+func NewCore(self cell.Member, limits Limits, placer Placer, services Services, newID func() string) *Core {
+	return &Core{
+		self:        self,
+		limits:      limits,
+		placer:      placer,
+		services:    services,
+		newID:       newID,
+		applied:     make(map[string]Applied),
+		leases:      make(map[string]time.Time),
+		revoked:     make(map[rangeID]bool),
+		granted:     make(map[rangeID]bool),
+		prepared:    make(map[prepareID]time.Time),
+		reset:       make(map[string]string),
+		detector:    detect.New(limits.Detect),
+		heard:       make(map[string]heardMember),
+		rosters:     make(map[string]*cell.Roster),
+		directories: make(map[string]*cell.Directory),
+		upstreams:   make(map[string]cell.Upstream),
+		draining:    make(map[string]bool),
+		evicted:     make(map[string]bool),
+		dead:        make(map[string]bool),
+		busy:        make(map[string]bool),
+		retryAt:     make(map[string]time.Time),
+	}
+}
+
+// Doc returns the newest cell document known, or nil.
+func (c *Core) Doc() *cell.Cell { return c.doc }
+
+// OnDocument takes a cell document read from the platform at the given object
+// version. Older documents than the one known are ignored.
+func (c *Core) OnDocument(now time.Time, doc *cell.Cell, version uint64) {
+	if doc.Name != c.self.Cell || c.doc != nil && doc.Version < c.doc.Version {
+		return
+	}
+	// A document from a peer comes without its platform version; the first
+	// write then conflicts and the document is read again.
+	if version != 0 || c.doc == nil || doc.Version > c.doc.Version {
+		c.version = version
+	}
+	if c.doc != nil && doc.Version == c.doc.Version {
+		return
+	}
+	c.trim()
+	sameFence := c.doc != nil && c.doc.Fence == doc.Fence
+	c.doc = doc
+	if sameFence {
+		return
+	}
+	c.settler = fence.NewSettler(doc, c.limits.Fence, c.silentGrace())
+	c.fenceSeen = now
+	c.settled = false
+	c.applied = make(map[string]Applied)
+	for id := range c.dead {
+		c.settler.Record(now, fence.Ack{Voter: id, Fence: doc.Fence})
+	}
+}
+
+// maxRemembered bounds the acknowledgements kept. Forgotten ones are asked for
+// again, which is harmless: grants and revocations are idempotent.
+const maxRemembered = 1 << 16
+
+func (c *Core) trim() {
+	if len(c.granted) > maxRemembered {
+		clear(c.granted)
+	}
+	if len(c.revoked) > maxRemembered {
+		clear(c.revoked)
+	}
+	if len(c.prepared) > maxRemembered {
+		clear(c.prepared)
+	}
+}
+
+// OnMissing notes that the platform has no document of the cell yet.
+func (c *Core) OnMissing() { c.missing = c.doc == nil }
+
+// OnDead notes that an entry process has certainly ended: a later incarnation
+// of it was heard, or the platform no longer lists its VM.
+func (c *Core) OnDead(now time.Time, id string) {
+	if c.dead[id] {
+		return
+	}
+	c.dead[id] = true
+	delete(c.heard, id)
+	if c.settler != nil {
+		c.settler.Record(now, fence.Ack{Voter: id, Fence: c.settler.Fence()})
+	}
+}
+
+// silentGrace is added to the wait for silent entries when some service in the
+// cell has upstreams that do not check epochs.
+func (c *Core) silentGrace() time.Duration {
+	for _, s := range c.doc.Services {
+		if !c.services.ChecksFences(s.Name) {
+			return c.limits.MaxDeadline
+		}
+	}
+	return 0
+}
+
+// OnDirectory takes a directory document.
+func (c *Core) OnDirectory(d *cell.Directory) {
+	if known := c.directories[d.Service]; known == nil || known.Version < d.Version {
+		c.directories[d.Service] = d
+	}
+}
+
+// OnRoster takes the member list of a cell.
+func (c *Core) OnRoster(r *cell.Roster) {
+	if known := c.rosters[r.Cell]; known == nil || known.Version < r.Version {
+		c.rosters[r.Cell] = r
+	}
+}
+
+// OnBeat notes that a member of any cell is alive.
+func (c *Core) OnBeat(now time.Time, m cell.Member) {
+	if c.dead[m.ID] || m.Cell != c.self.Cell && (c.doc == nil || !c.isWide(m.ID)) {
+		return
+	}
+	c.heard[m.ID] = heardMember{member: m, at: now}
+	for _, old := range c.voters() {
+		if old.ID != m.ID && sameProcessSlot(old.ID, m.ID) {
+			c.OnDead(now, old.ID)
+		}
+	}
+}
+
+// sameProcessSlot reports whether two member IDs are incarnations of the same
+// configured entry, which cannot run twice at once.
+func sameProcessSlot(a, b string) bool {
+	nameA, _, okA := strings.Cut(a, IncarnationMark)
+	nameB, _, okB := strings.Cut(b, IncarnationMark)
+	return okA && okB && nameA == nameB
+}
+
+// IncarnationMark separates the configured name of an entry from the
+// incarnation in a member ID.
+const IncarnationMark = "#"
+
+func (c *Core) isWide(id string) bool {
+	if c.doc.Quorum.HasWide(id) {
+		return true
+	}
+	return slices.ContainsFunc(c.doc.Previous, func(q cell.Quorum) bool { return q.HasWide(id) })
+}
+
+// OnObservation notes what an entry saw of an upstream.
+func (c *Core) OnObservation(now time.Time, entry, upstream string, o detect.Observation) {
+	c.detector.Report(now, entry, upstream, o)
+}
+
+// Wants is what the unfinished intents ask of the cell.
+type Wants struct {
+	// Upstreams are to be active.
+	Upstreams []cell.Upstream
+	// Drain names upstreams that give up their ranges and leave.
+	Drain []string
+	// Evict names upstreams that have ended on an operator's word. For those
+	// that do not check epochs nothing else proves it when they are silent.
+	Evict []string
+	// Moves are changes of owner.
+	Moves []handover.Move
+}
+
+// SetWants replaces what is asked of the cell. Moves that are pending already
+// are kept.
+func (c *Core) SetWants(w Wants) {
+	clear(c.upstreams)
+	clear(c.draining)
+	clear(c.evicted)
+	for _, u := range w.Upstreams {
+		c.upstreams[u.ID] = u
+	}
+	for _, id := range append(slices.Clone(w.Drain), w.Evict...) {
+		c.draining[id] = true
+		delete(c.upstreams, id)
+	}
+	for _, id := range w.Evict {
+		c.evicted[id] = true
+	}
+	c.AddMoves(w.Moves)
+}
+
+// AddMoves asks for changes of owner once. A move that is pending already is
+// not added again.
+func (c *Core) AddMoves(moves []handover.Move) {
+	for _, m := range moves {
+		if !slices.Contains(c.moves, m) {
+			c.moves = append(c.moves, m)
+		}
+	}
+}
+
+// AddSplits asks that ranges are cut at the ends of spans.
+func (c *Core) AddSplits(service string, spans []keyspace.Span) {
+	for _, s := range spans {
+		c.splits = append(c.splits, handover.Move{Service: service, Span: s})
+	}
+}
+
+// PendingMoves returns the moves that have not been started.
+func (c *Core) PendingMoves() []handover.Move { return slices.Clone(c.moves) }
+
+// OnWritten ends a Write. Version is the platform version of the document.
+func (c *Core) OnWritten(now time.Time, cmd Write, version uint64, err error) {
+	c.done(now, cmd, err)
+	if err == nil {
+		c.OnDocument(now, cmd.Doc, version)
+	}
+}
+
+// OnApplied ends an Apply or a Raise.
+func (c *Core) OnApplied(now time.Time, cmd Command, a Applied, err error) {
+	c.done(now, cmd, err)
+	if err != nil || c.settler == nil || a.Ack.Fence < c.settler.Fence() {
+		return
+	}
+	c.settler.Record(now, a.Ack)
+	if _, raise := cmd.(Raise); raise {
+		return
+	}
+	c.applied[a.Ack.Voter] = a
+	for _, l := range a.Leases {
+		until := now.Add(l.Remaining + c.drift(l.Remaining))
+		if until.After(c.leases[l.Upstream]) {
+			c.leases[l.Upstream] = until
+		}
+	}
+}
+
+func (c *Core) drift(d time.Duration) time.Duration {
+	return d * time.Duration(c.limits.Fence.DriftPercent) / 100
+}
+
+// OnGranted ends a SendGrants.
+func (c *Core) OnGranted(now time.Time, cmd SendGrants, err error) {
+	c.done(now, cmd, err)
+	if err != nil {
+		return
+	}
+	for _, g := range cmd.Grants {
+		if g.Prepare {
+			c.prepared[prepareID{g.Service, g.Span, cmd.Upstream.ID}] = now
+			continue
+		}
+		c.granted[rangeID{g.Service, g.Span, g.Epoch, cmd.Upstream.ID}] = true
+	}
+}
+
+// OnRevoked ends a SendRevocations.
+func (c *Core) OnRevoked(now time.Time, cmd SendRevocations, err error) {
+	c.done(now, cmd, err)
+	if err != nil {
+		return
+	}
+	for _, r := range cmd.Revocations {
+		c.revoked[rangeID{r.Service, r.Span, r.Epoch, cmd.Upstream.ID}] = true
+	}
+}
+
+// OnReset ends a Reset with the new boot id of the upstream.
+func (c *Core) OnReset(now time.Time, cmd Reset, boot string, err error) {
+	c.done(now, cmd, err)
+	if err == nil {
+		c.reset[cmd.Upstream.ID] = boot
+		c.detector.Forget(now, cmd.Upstream.ID)
+		for id := range c.granted {
+			if id.holder == cmd.Upstream.ID {
+				delete(c.granted, id)
+			}
+		}
+	}
+}
+
+// OnRedirected ends a Redirect with the directory as it is now.
+func (c *Core) OnRedirected(now time.Time, cmd Redirect, d *cell.Directory, err error) {
+	c.done(now, cmd, err)
+	if err == nil {
+		c.OnDirectory(d)
+	}
+}
+
+// OnPublished ends a Publish.
+func (c *Core) OnPublished(now time.Time, cmd Publish, err error) {
+	c.done(now, cmd, err)
+	if err == nil {
+		c.OnRoster(&cmd.Roster)
+	}
+}
+
+func (c *Core) done(now time.Time, cmd Command, err error) {
+	delete(c.busy, cmd.key())
+	if err != nil {
+		c.retryAt[cmd.key()] = now.Add(c.limits.RetryAfter)
+	} else {
+		delete(c.retryAt, cmd.key())
+	}
+}
--- /dev/null
+++ b/coordination/controller/members.go
@@ -0,0 +1,153 @@
+package controller
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/rockcroft/rockcroft/state/cell"
+)
+
+// Sizes of the witness set: few, because each is asked at every unsettled
+// fence, and spread, because a domain may be cut off whole.
+const (
+	maxWitnesses     = 5
+	witnessesPerCell = 2
+)
+
+// Leads reports whether this entry runs the controller of its cell: it has the
+// lowest ID of the voters heard lately. Two may believe so for a while.
+func (c *Core) Leads(now time.Time) bool {
+	if c.doc == nil {
+		return c.lowest(now, func(string) bool { return true })
+	}
+	if c.lowest(now, c.doc.Quorum.HasLocal) {
+		return true
+	}
+	if c.doc.Quorum.HasLocal(c.self.ID) || c.anyVoterAlive(now) {
+		return false
+	}
+	return c.lowest(now, func(string) bool { return true })
+}
+
+func (c *Core) lowest(now time.Time, among func(string) bool) bool {
+	if !among(c.self.ID) {
+		return false
+	}
+	for id, h := range c.heard {
+		if h.member.Cell == c.self.Cell && id < c.self.ID && among(id) && c.fresh(now, h) {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *Core) anyVoterAlive(now time.Time) bool {
+	for _, m := range c.doc.Quorum.Local {
+		if h, ok := c.heard[m.ID]; ok && c.fresh(now, h) {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Core) fresh(now time.Time, h heardMember) bool {
+	return now.Sub(h.at) < c.limits.MemberTTL
+}
+
+// voters returns everyone who votes in the known document, in any quorum.
+func (c *Core) voters() []cell.Member {
+	if c.settler == nil {
+		return nil
+	}
+	return c.settler.Voters()
+}
+
+// canSettle reports whether enough voters are in contact for a new fence to
+// become settled. Without that, a controller that is cut off would only take
+// votes and ranges away that nobody can hand out again.
+func (c *Core) canSettle(now time.Time) bool {
+	for _, q := range append(slices.Clone(c.doc.Previous), c.doc.Quorum) {
+		if !c.reachesHalf(now, q.Local) || !c.reachesHalf(now, q.Wide) {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *Core) reachesHalf(now time.Time, set []cell.Member) bool {
+	count := 0
+	for _, m := range set {
+		h, ok := c.heard[m.ID]
+		if m.ID == c.self.ID || c.dead[m.ID] || ok && c.fresh(now, h) {
+			count++
+		}
+	}
+	return 2*count >= len(set)
+}
+
+// wantedQuorum returns the live entries of the cell, and the witnesses.
+func (c *Core) wantedQuorum(now time.Time) cell.Quorum {
+	q := cell.Quorum{Local: []cell.Member{c.self}}
+	for _, h := range c.heard {
+		if h.member.Cell == c.self.Cell && h.member.ID != c.self.ID && c.fresh(now, h) {
+			q.Local = append(q.Local, h.member)
+		}
+	}
+	slices.SortFunc(q.Local, compareMembers)
+	witnesses := c.witnesses()
+	if len(witnesses) > 0 {
+		q.Wide = append(slices.Clone(q.Local), witnesses...)
+	}
+	return q
+}
+
+func compareMembers(a, b cell.Member) int { return strings.Compare(a.ID, b.ID) }
+
+// witnesses picks voters of other cells. Current witnesses that still stand in
+// their own cell's document are kept, so that the set changes rarely.
+func (c *Core) witnesses() []cell.Member {
+	var out []cell.Member
+	perCell := make(map[string]int)
+	add := func(m cell.Member) {
+		known := slices.ContainsFunc(out, func(o cell.Member) bool { return o.ID == m.ID })
+		if known || len(out) >= maxWitnesses || perCell[m.Cell] >= witnessesPerCell {
+			return
+		}
+		perCell[m.Cell]++
+		out = append(out, m)
+	}
+	if c.doc != nil {
+		for _, m := range c.doc.Quorum.Wide {
+			if other := c.rosters[m.Cell]; other != nil && slices.Contains(other.Members, m) {
+				add(m)
+			}
+		}
+	}
+	for round := range witnessesPerCell {
+		for _, name := range sortedKeys(c.rosters) {
+			members := c.rosters[name].Members
+			if name != c.self.Cell && round < len(members) {
+				add(members[round])
+			}
+		}
+	}
+	slices.SortFunc(out, compareMembers)
+	return out
+}
+
+func sameQuorum(a, b cell.Quorum) bool {
+	return slices.Equal(a.Local, b.Local) && sameSet(a.Wide, b.Wide)
+}
+
+func sameSet(a, b []cell.Member) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for _, m := range a {
+		if !slices.Contains(b, m) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/coordination/controller/step.go
@@ -0,0 +1,490 @@
+package controller
+
+import (
+	"slices"
+	"time"
+
+	"github.com/rockcroft/rockcroft/coordination/detect"
+	"github.com/rockcroft/rockcroft/coordination/handover"
+	"github.com/rockcroft/rockcroft/protocol/control"
+	"github.com/rockcroft/rockcroft/state/cell"
+	"github.com/rockcroft/rockcroft/state/keyspace"
+)
+
+// prepareTTL is how long a prepared owner counts as warm before the release.
+const prepareTTL = 30 * time.Second
+
+// Step returns the commands to carry out now. It is called after events and at
+// regular intervals.
+func (c *Core) Step(now time.Time) []Command {
+	if !c.Leads(now) {
+		return nil
+	}
+	if c.doc == nil {
+		return c.bootstrap(now)
+	}
+	if c.settler != nil && !c.settled {
+		c.settled = c.settler.Settled(now)
+	}
+	var out []Command
+	if c.canSettle(now) && c.free(now, Write{}) {
+		if doc := c.edit(now); doc != nil {
+			out = c.issue(out, Write{Doc: doc, Expect: c.version})
+			return out
+		}
+	}
+	out = c.distribute(now, out)
+	out = c.revoke(now, out)
+	out = c.grant(now, out)
+	out = c.prepare(now, out)
+	out = c.resets(now, out)
+	out = c.redirects(now, out)
+	return c.roster(now, out)
+}
+
+func (c *Core) free(now time.Time, cmd Command) bool {
+	return !c.busy[cmd.key()] && !now.Before(c.retryAt[cmd.key()])
+}
+
+func (c *Core) issue(out []Command, cmd Command) []Command {
+	c.busy[cmd.key()] = true
+	return append(out, cmd)
+}
+
+func (c *Core) issueFree(now time.Time, out []Command, cmd Command) []Command {
+	if !c.free(now, cmd) {
+		return out
+	}
+	return c.issue(out, cmd)
+}
+
+func (c *Core) bootstrap(now time.Time) []Command {
+	if !c.missing || !c.free(now, Write{}) {
+		return nil
+	}
+	doc := &cell.Cell{
+		Name:    c.self.Cell,
+		Domain:  c.self.Domain,
+		Version: 1,
+		Fence:   1,
+		WriteID: c.newID(),
+		Quorum:  cell.Quorum{Local: []cell.Member{c.self}},
+	}
+	return c.issue(nil, Write{Doc: doc})
+}
+
+// edit returns the next document, or nil when nothing is to change.
+func (c *Core) edit(now time.Time) *cell.Cell {
+	e := handover.Edit(c.doc, c.settled)
+	c.editUpstreams(now, e)
+	c.editDirectories(e)
+	if c.settled {
+		c.editReleased(now, e)
+		c.editMembers(now, e)
+		c.wantDrains()
+		c.editMoves(now, e)
+	}
+	for _, m := range c.splits {
+		e.Split(m.Service, m.Span)
+	}
+	c.splits = nil
+	c.editVacant(now, e)
+	return e.Finish(c.newID())
+}
+
+func (c *Core) editMembers(now time.Time, e *handover.Editor) {
+	want := c.wantedQuorum(now)
+	if !sameQuorum(want, e.Doc().Quorum) {
+		e.SetQuorum(want)
+	}
+}
+
+func (c *Core) editUpstreams(now time.Time, e *handover.Editor) {
+	for _, u := range sortedUpstreams(c.upstreams) {
+		if e.Doc().Upstream(u.ID) == nil {
+			e.Doc().Upstreams = append(e.Doc().Upstreams, cell.Upstream{
+				ID: u.ID, Service: u.Service, Addr: u.Addr, State: cell.Active,
+			})
+			e.Touch()
+		}
+	}
+	for _, u := range slices.Clone(e.Doc().Upstreams) {
+		c.editUpstream(now, e, u)
+	}
+}
+
+func (c *Core) editUpstream(now time.Time, e *handover.Editor, u cell.Upstream) {
+	v := c.detector.Judge(now, u.ID, u.Boot)
+	current := e.Doc().Upstream(u.ID)
+	switch {
+	case c.evicted[u.ID] && u.State != cell.Lost:
+		e.Lose(u.ID)
+	case u.State == cell.Lost && c.draining[u.ID] && !holds(e.Doc(), u.ID):
+		c.removeUpstream(e, u.ID)
+	case u.State == cell.Lost && v.Health == detect.Alive && c.reset[u.ID] != "":
+		current.State = cell.Active
+		current.Boot = c.reset[u.ID]
+		delete(c.reset, u.ID)
+		e.Touch()
+	case u.State == cell.Lost:
+	case u.Boot == "" && c.reset[u.ID] != "":
+		current.Boot = c.reset[u.ID]
+		delete(c.reset, u.ID)
+		e.Touch()
+	case u.Boot != "" && (v.Health == detect.Silent || v.Health == detect.Gone):
+		e.Lose(u.ID)
+	case u.State == cell.Active && (c.draining[u.ID] || v.Leaving):
+		current.State = cell.Draining
+		e.Touch()
+	case u.State == cell.Draining && c.draining[u.ID] && !holds(e.Doc(), u.ID):
+		c.removeUpstream(e, u.ID)
+	}
+}
+
+func (c *Core) removeUpstream(e *handover.Editor, id string) {
+	doc := e.Doc()
+	doc.Upstreams = slices.DeleteFunc(doc.Upstreams, func(u cell.Upstream) bool { return u.ID == id })
+	e.Touch()
+}
+
+// holds reports whether the upstream owns a range or is about to.
+func holds(doc *cell.Cell, id string) bool {
+	for _, s := range doc.Services {
+		for _, r := range s.Ranges {
+			if r.Owner == id && r.Phase != cell.Exported || r.Next == id {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// editDirectories adopts spans that a directory gave to this cell and drops
+// exported ranges that another cell has now.
+func (c *Core) editDirectories(e *handover.Editor) {
+	for _, name := range sortedKeys(c.directories) {
+		for _, seg := range c.directories[name].Segments {
+			if seg.Cell == c.self.Cell {
+				c.adopt(e, name, seg)
+				continue
+			}
+			// The directory may have moved on while this cell was cut off:
+			// what it still owns there it has to give up.
+			e.Release(handover.Move{Service: name, Span: seg.Span, ToCell: seg.Cell})
+			e.Drop(name, seg.Span)
+		}
+	}
+}
+
+func (c *Core) adopt(e *handover.Editor, service string, seg cell.Segment) {
+	s := e.Doc().Service(service)
+	var gaps []keyspace.Span
+	if s == nil {
+		gaps = []keyspace.Span{seg.Span}
+	} else {
+		gaps = c.gapsOf(e, service, s, seg)
+	}
+	parts := c.limits.PartsPerUpstream * max(1, len(e.Doc().UpstreamsOf(service, cell.Active)))
+	for _, g := range gaps {
+		n := int(float64(parts) * g.Width() / seg.Width())
+		e.Adopt(service, g, seg.Epoch, max(n, 1))
+	}
+}
+
+// gapsOf returns the parts of the segment that no range covers. An exported
+// range that came back by a newer directory is replaced.
+func (c *Core) gapsOf(e *handover.Editor, service string, s *cell.Service, seg cell.Segment) []keyspace.Span {
+	var returned []keyspace.Span
+	for _, r := range s.Ranges {
+		if r.Phase == cell.Exported && seg.Covers(r.Span) && seg.Epoch > r.Epoch {
+			returned = append(returned, r.Span)
+		}
+	}
+	for _, span := range returned {
+		e.Drop(service, span)
+	}
+	var gaps []keyspace.Span
+	next, open := seg.First, true
+	for _, r := range e.Doc().Service(service).Ranges {
+		if !r.Overlaps(seg.Span) {
+			continue
+		}
+		if r.First > next {
+			gaps = append(gaps, keyspace.Span{First: next, Last: r.First - 1})
+		}
+		open = r.Last < seg.Last
+		next = r.Last + 1
+	}
+	if open {
+		gaps = append(gaps, keyspace.Span{First: next, Last: seg.Last})
+	}
+	return gaps
+}
+
+// editReleased completes or passes on every range whose release is proven.
+func (c *Core) editReleased(now time.Time, e *handover.Editor) {
+	for _, s := range c.doc.Services {
+		for _, r := range s.Ranges {
+			if r.Phase == cell.Releasing && c.released(now, s.Name, r) {
+				c.finish(e, s.Name, r)
+			}
+			if r.Phase == cell.Vacant && r.Next != "" {
+				c.finish(e, s.Name, r)
+			}
+		}
+	}
+}
+
+func (c *Core) finish(e *handover.Editor, service string, r cell.Range) {
+	if r.Next != "" {
+		next := e.Doc().Upstream(r.Next)
+		if next == nil || next.State == cell.Lost {
+			e.Skip(service, r.Span)
+			return
+		}
+		if !c.granted[rangeID{service, r.Span, r.Epoch + 1, r.Next}] {
+			return
+		}
+	}
+	e.Complete(service, r.Span, r.Epoch)
+}
+
+// entriesClear reports whether no entry can send to a range that is being
+// released, and none has a request to it in flight.
+func (c *Core) entriesClear() bool {
+	if !c.settled {
+		return false
+	}
+	for _, a := range c.applied {
+		if !a.Drained {
+			return false
+		}
+	}
+	return true
+}
+
+// released reports whether the owner of a releasing range certainly holds it
+// no more.
+func (c *Core) released(now time.Time, service string, r cell.Range) bool {
+	if !c.settled {
+		return false
+	}
+	u := c.doc.Upstream(r.Owner)
+	if u == nil || u.State == cell.Lost {
+		return c.lapsed(now, service, r.Owner)
+	}
+	return c.entriesClear() && c.revoked[rangeID{service, r.Span, r.Epoch, r.Owner}]
+}
+
+// lapsed reports whether a lost upstream certainly serves nothing any more.
+func (c *Core) lapsed(now time.Time, service, upstream string) bool {
+	if c.evicted[upstream] || c.reset[upstream] != "" {
+		return true
+	}
+	if !c.services.ChecksFences(service) {
+		return c.detector.Judge(now, upstream, "").Health == detect.Gone
+	}
+	return !now.Before(c.leases[upstream])
+}
+
+// wantDrains plans moves for the ranges of draining upstreams.
+func (c *Core) wantDrains() {
+	for _, u := range c.doc.Upstreams {
+		if u.State != cell.Draining {
+			continue
+		}
+		var spans []keyspace.Span
+		for _, r := range rangesOf(c.doc, u.Service) {
+			if r.Owner == u.ID && r.Phase == cell.Owned && !c.hasMove(u.Service, r.Span) {
+				spans = append(spans, r.Span)
+			}
+		}
+		for i, to := range c.placer.Place(c.doc, u.Service, spans, u.ID) {
+			if to != "" {
+				c.moves = append(c.moves, handover.Move{Service: u.Service, Span: spans[i], To: to})
+			}
+		}
+	}
+}
+
+func (c *Core) hasMove(service string, span keyspace.Span) bool {
+	return slices.ContainsFunc(c.moves, func(m handover.Move) bool {
+		return m.Service == service && m.Covers(span)
+	})
+}
+
+// editMoves starts the wanted moves whose new owner is prepared.
+func (c *Core) editMoves(now time.Time, e *handover.Editor) {
+	kept := c.moves[:0]
+	started := 0
+	for _, m := range c.moves {
+		switch {
+		case m.To != "" && !c.usable(m.To):
+		case m.To != "" && !c.isPrepared(now, m) || started >= c.limits.ReleasesPerFence:
+			kept = append(kept, m)
+		default:
+			started += e.Release(m)
+		}
+	}
+	c.moves = kept
+}
+
+func (c *Core) usable(id string) bool {
+	u := c.doc.Upstream(id)
+	return u != nil && u.State == cell.Active && u.Boot != ""
+}
+
+func (c *Core) isPrepared(now time.Time, m handover.Move) bool {
+	at, ok := c.prepared[prepareID{m.Service, m.Span, m.To}]
+	return ok && now.Sub(at) < prepareTTL
+}
+
+// editVacant reserves an owner for vacant ranges.
+func (c *Core) editVacant(_ time.Time, e *handover.Editor) {
+	for _, s := range slices.Clone(e.Doc().Services) {
+		var spans []keyspace.Span
+		for _, r := range s.Ranges {
+			if r.Phase == cell.Vacant && r.Next == "" {
+				spans = append(spans, r.Span)
+			}
+		}
+		if len(spans) == 0 {
+			continue
+		}
+		for i, to := range c.placer.Place(e.Doc(), s.Name, spans, "") {
+			if to != "" {
+				e.Reserve(s.Name, spans[i], to)
+			}
+		}
+	}
+}
+
+// distribute hands the document to the voters of the cell, and the fence to
+// the witnesses when the voters alone do not settle it.
+func (c *Core) distribute(now time.Time, out []Command) []Command {
+	for _, m := range c.voters() {
+		if c.dead[m.ID] {
+			continue
+		}
+		if m.Cell == c.self.Cell {
+			a := c.applied[m.ID]
+			if a.Version < c.doc.Version || !a.Drained {
+				out = c.issueFree(now, out, Apply{To: m, Doc: c.doc, DrainWait: c.limits.DrainWait})
+			}
+			continue
+		}
+		if !c.settled && !c.settler.Acked(m.ID) && now.Sub(c.fenceSeen) >= c.limits.WideAfter {
+			out = c.issueFree(now, out, Raise{To: m, Fence: c.doc.Fence})
+		}
+	}
+	return out
+}
+
+// revoke takes ranges back from living owners once no entry sends to them.
+func (c *Core) revoke(now time.Time, out []Command) []Command {
+	if !c.entriesClear() {
+		return out
+	}
+	for _, u := range c.doc.Upstreams {
+		if u.State == cell.Lost {
+			continue
+		}
+		var list []control.Revocation
+		for _, r := range rangesOf(c.doc, u.Service) {
+			id := rangeID{u.Service, r.Span, r.Epoch, u.ID}
+			if r.Phase == cell.Releasing && r.Owner == u.ID && !c.revoked[id] {
+				list = append(list, control.Revocation{Service: u.Service, Span: r.Span, Epoch: r.Epoch})
+			}
+		}
+		if len(list) > 0 {
+			out = c.issueFree(now, out, SendRevocations{Upstream: u, Revocations: list})
+		}
+	}
+	return out
+}
+
+func rangesOf(doc *cell.Cell, service string) []cell.Range {
+	if s := doc.Service(service); s != nil {
+		return s.Ranges
+	}
+	return nil
+}
+
+// grant sends the grants of ranges whose former owner has released them.
+func (c *Core) grant(now time.Time, out []Command) []Command {
+	for _, u := range c.doc.Upstreams {
+		if u.State == cell.Lost || u.Boot == "" {
+			continue
+		}
+		var list []control.Grant
+		for _, r := range rangesOf(c.doc, u.Service) {
+			if r.Next != u.ID || c.granted[rangeID{u.Service, r.Span, r.Epoch + 1, u.ID}] {
+				continue
+			}
+			if r.Phase == cell.Vacant || r.Phase == cell.Releasing && c.released(now, u.Service, r) {
+				list = append(list, control.Grant{Service: u.Service, Span: r.Span, Epoch: r.Epoch + 1})
+			}
+		}
+		if len(list) > 0 {
+			out = c.issueFree(now, out, SendGrants{Upstream: u, Grants: list})
+		}
+	}
+	return out
+}
+
+// prepare warms up the new owners of wanted moves.
+func (c *Core) prepare(now time.Time, out []Command) []Command {
+	byOwner := make(map[string][]control.Grant)
+	for _, m := range c.moves {
+		if m.To == "" || !c.usable(m.To) || c.isPrepared(now, m) {
+			continue
+		}
+		byOwner[m.To] = append(byOwner[m.To], control.Grant{Service: m.Service, Span: m.Span, Prepare: true})
+	}
+	for _, id := range sortedKeys(byOwner) {
+		out = c.issueFree(now, out, SendGrants{Upstream: *c.doc.Upstream(id), Grants: byOwner[id]})
+	}
+	return out
+}
+
+// resets clears upstreams that join or come back, before they count.
+func (c *Core) resets(now time.Time, out []Command) []Command {
+	for _, u := range c.doc.Upstreams {
+		if u.Boot != "" || c.reset[u.ID] != "" || c.draining[u.ID] {
+			continue
+		}
+		if u.State == cell.Lost && c.detector.Judge(now, u.ID, "").Health != detect.Alive {
+			continue
+		}
+		out = c.issueFree(now, out, Reset{Upstream: u})
+	}
+	return out
+}
+
+// redirects records exported ranges in their directory.
+func (c *Core) redirects(now time.Time, out []Command) []Command {
+	for _, s := range c.doc.Services {
+		for _, r := range s.Ranges {
+			if r.Phase == cell.Exported {
+				out = c.issueFree(now, out, Redirect{Service: s.Name, Range: r})
+			}
+		}
+	}
+	return out
+}
+
+// roster publishes the members of the cell for the entries of other cells.
+func (c *Core) roster(now time.Time, out []Command) []Command {
+	known := c.rosters[c.self.Cell]
+	if known != nil && slices.Equal(known.Members, c.doc.Quorum.Local) {
+		return out
+	}
+	next := cell.Roster{
+		Cell:    c.self.Cell,
+		Domain:  c.self.Domain,
+		Version: c.doc.Version,
+		WriteID: c.newID(),
+		Members: c.doc.Quorum.Local,
+	}
+	return c.issueFree(now, out, Publish{Roster: next})
+}
--- /dev/null
+++ b/coordination/detect/detect.go
@@ -0,0 +1,134 @@
+// Package detect judges whether an upstream is alive from what the entries of
+// a cell observed. One entry that still reaches an upstream keeps it alive: the
+// others are then cut off from it, and it must not be declared lost.
+package detect
+
+import "time"
+
+// Observation is what one entry saw of one upstream.
+type Observation struct {
+	// Boot is the process that answered last.
+	Boot string
+	// Silent is the time since the last answer.
+	Silent time.Duration
+	// Refused says that the last connection attempt was actively refused,
+	// which a frozen process does not do.
+	Refused bool
+	// Leaving says that the upstream announced its stop.
+	Leaving bool
+}
+
+// Health is the verdict on an upstream.
+type Health int
+
+// The verdicts.
+const (
+	// Unknown: nobody has reported.
+	Unknown Health = iota
+	// Alive: at least one entry heard from it.
+	Alive
+	// Silent: no entry heard from it; it may be dead, frozen or cut off.
+	Silent
+	// Gone: its process has ended.
+	Gone
+)
+
+// Verdict is the judgement on one upstream.
+type Verdict struct {
+	Health  Health
+	Leaving bool
+	// Boot is the process that answered last; empty when none did.
+	Boot string
+}
+
+// Limits are the times of detection.
+type Limits struct {
+	// SuspectAfter is the silence after which an upstream counts as silent.
+	SuspectAfter time.Duration
+	// RefusedAfter is the silence that suffices when connections are refused.
+	RefusedAfter time.Duration
+	// ReportTTL is how long the report of an entry counts.
+	ReportTTL time.Duration
+}
+
+type report struct {
+	at time.Time
+	Observation
+}
+
+// Detector collects reports. It is not safe for concurrent use.
+type Detector struct {
+	limits  Limits
+	reports map[string]map[string]report
+	since   map[string]time.Time
+}
+
+// New returns a detector without reports.
+func New(limits Limits) *Detector {
+	return &Detector{limits: limits, reports: make(map[string]map[string]report), since: make(map[string]time.Time)}
+}
+
+// Report notes what an entry saw of an upstream. Of an answer from before the
+// last Forget only the silence since then counts.
+func (d *Detector) Report(now time.Time, entry, upstream string, o Observation) {
+	if since := d.since[upstream]; now.Add(-o.Silent).Before(since) {
+		o = Observation{Silent: now.Sub(since)}
+	}
+	byEntry := d.reports[upstream]
+	if byEntry == nil {
+		byEntry = make(map[string]report)
+		d.reports[upstream] = byEntry
+	}
+	byEntry[entry] = report{at: now, Observation: o}
+}
+
+// Forget drops all evidence on an upstream from before now.
+func (d *Detector) Forget(now time.Time, upstream string) {
+	delete(d.reports, upstream)
+	d.since[upstream] = now
+}
+
+// Judge gives the verdict on an upstream whose grants belong to process boot.
+// An empty boot accepts any process.
+func (d *Detector) Judge(now time.Time, upstream, boot string) Verdict {
+	var v Verdict
+	silent, gone, fresh := 0, 0, 0
+	latest := d.limits.SuspectAfter
+	for entry, r := range d.reports[upstream] {
+		age := now.Sub(r.at)
+		if age > d.limits.ReportTTL {
+			delete(d.reports[upstream], entry)
+			continue
+		}
+		fresh++
+		silence := r.Silent + age
+		switch {
+		case r.Refused && silence >= d.limits.RefusedAfter:
+			gone++
+		case silence >= d.limits.SuspectAfter:
+			silent++
+		default:
+			if r.Boot != "" && silence < latest {
+				v.Boot = r.Boot
+				latest = silence
+			}
+			v.Leaving = v.Leaving || r.Leaving
+		}
+	}
+	v.Health = d.health(fresh, silent, gone, v.Boot, boot)
+	return v
+}
+
+func (d *Detector) health(fresh, silent, gone int, seen, boot string) Health {
+	switch {
+	case fresh == 0:
+		return Unknown
+	case gone == fresh:
+		return Gone
+	case gone+silent == fresh:
+		return Silent
+	case boot != "" && seen != "" && seen != boot:
+		return Gone
+	}
+	return Alive
+}
--- /dev/null
+++ b/coordination/fence/fence.go
@@ -0,0 +1,294 @@
+// Package fence decides when an entry may send requests to upstreams and when
+// a controller may rely on every other entry having stopped.
+//
+// An entry sends only while a strict majority of the local voters, or of the
+// wide voters, of its cell have promised within the last TTL that they have
+// acknowledged no newer fence. A controller that raises the fence collects
+// acknowledgements until the silent voters can no longer form either majority,
+// and then waits one TTL. The platform is not involved: it serializes the cell
+// document, and entries keep their right to send while it is down.
+//
+// Promises live in memory. A restarted process has a new member ID, is no
+// voter until the cell document names it, and so cannot break the promise of
+// its predecessor.
+package fence
+
+import (
+	"slices"
+	"time"
+
+	"github.com/rockcroft/rockcroft/state/cell"
+)
+
+// Limits are the times of the protocol.
+type Limits struct {
+	// TTL is how long a promise holds, by the clock of the entry that asked.
+	TTL time.Duration
+	// DriftPercent bounds how much two clocks differ in rate, in percent.
+	DriftPercent int
+}
+
+// holderTTL is the time an entry relies on a promise.
+func (l Limits) holderTTL() time.Duration { return l.TTL }
+
+// voterTTL is the time after which a promise given is certain to have lapsed.
+func (l Limits) voterTTL() time.Duration {
+	return l.TTL + l.TTL*time.Duration(l.DriftPercent)/100
+}
+
+// Promise is a voter's answer to an entry.
+type Promise struct {
+	// Granted is false when the voter acknowledged a newer fence.
+	Granted bool
+	// Floor is the highest fence that the voter acknowledged.
+	Floor uint64
+}
+
+// Ack is a voter's answer to a controller that raised the fence.
+type Ack struct {
+	Voter string
+	// Fence is the fence that the voter follows now; it may be newer.
+	Fence uint64
+	// GuestWait is how long promises to entries outside of the local quorum
+	// may still hold; zero when there are none.
+	GuestWait time.Duration
+}
+
+// Voter keeps what one process promised, for every cell it votes in.
+type Voter struct {
+	id     string
+	limits Limits
+	cells  map[string]*ballot
+}
+
+type ballot struct {
+	floor      uint64
+	guestUntil time.Time
+}
+
+// NewVoter returns a voter without promises.
+func NewVoter(id string, limits Limits) *Voter {
+	return &Voter{id: id, limits: limits, cells: make(map[string]*ballot)}
+}
+
+func (v *Voter) ballot(name string) *ballot {
+	b := v.cells[name]
+	if b == nil {
+		b = &ballot{}
+		v.cells[name] = b
+	}
+	return b
+}
+
+// Promise answers an entry that knows version of the named cell. Guest says
+// that the entry is not a local voter.
+func (v *Voter) Promise(now time.Time, name string, version uint64, guest bool) Promise {
+	b := v.ballot(name)
+	if version < b.floor {
+		return Promise{Floor: b.floor}
+	}
+	if guest {
+		b.guestUntil = now.Add(v.limits.voterTTL())
+	}
+	return Promise{Granted: true, Floor: b.floor}
+}
+
+// Raise acknowledges a fence of the named cell. The floor never sinks.
+func (v *Voter) Raise(now time.Time, name string, fence uint64) Ack {
+	b := v.ballot(name)
+	b.floor = max(b.floor, fence)
+	ack := Ack{Voter: v.id, Fence: b.floor}
+	if b.guestUntil.After(now) {
+		ack.GuestWait = b.guestUntil.Sub(now)
+	}
+	return ack
+}
+
+// Floor returns the highest fence acknowledged for the named cell.
+func (v *Voter) Floor(name string) uint64 { return v.ballot(name).floor }
+
+// Holder decides whether one entry may send to the upstreams of its cell.
+type Holder struct {
+	id       string
+	limits   Limits
+	quorum   cell.Quorum
+	promises map[string]time.Time
+	scratch  []time.Time
+}
+
+// NewHolder returns a holder without a right.
+func NewHolder(id string, limits Limits) *Holder {
+	return &Holder{id: id, limits: limits, promises: make(map[string]time.Time)}
+}
+
+// Adopt sets the quorum of the version in use.
+func (h *Holder) Adopt(q cell.Quorum) {
+	h.quorum = q
+	for id := range h.promises {
+		if !q.Has(id) {
+			delete(h.promises, id)
+		}
+	}
+}
+
+// Record notes a promise of a voter to a question asked at the given time.
+func (h *Holder) Record(voter string, askedAt time.Time) {
+	if !h.quorum.Has(voter) {
+		return
+	}
+	until := askedAt.Add(h.limits.holderTTL())
+	if until.After(h.promises[voter]) {
+		h.promises[voter] = until
+	}
+}
+
+// Until returns the time up to which the entry may send. A time not after now
+// means that it must not. The entry's own vote counts as promised now.
+func (h *Holder) Until(now time.Time) time.Time {
+	if h.quorum.Has(h.id) {
+		h.promises[h.id] = now.Add(h.limits.holderTTL())
+	}
+	until := h.majorityUntil(h.quorum.Local)
+	// An entry outside of the local quorum is a guest: only local voters
+	// report guests to the controller, so only their promises count.
+	if h.quorum.HasLocal(h.id) {
+		if wide := h.majorityUntil(h.quorum.Wide); wide.After(until) {
+			until = wide
+		}
+	}
+	return until
+}
+
+func (h *Holder) majorityUntil(voters []cell.Member) time.Time {
+	if len(voters) == 0 {
+		return time.Time{}
+	}
+	h.scratch = h.scratch[:0]
+	for _, m := range voters {
+		h.scratch = append(h.scratch, h.promises[m.ID])
+	}
+	slices.SortFunc(h.scratch, func(a, b time.Time) int { return b.Compare(a) })
+	return h.scratch[len(voters)/2]
+}
+
+// Settler tells a controller when a fence is settled: no entry that knows only
+// older versions may send any more.
+type Settler struct {
+	fence  uint64
+	limits Limits
+	// grace is added to the wait for silent entries, for requests they may
+	// have in flight towards upstreams that do not check epochs.
+	grace    time.Duration
+	quorums  []cell.Quorum
+	acks     map[string]time.Time
+	guestsTo time.Time
+}
+
+// NewSettler starts settling the fence of the given document.
+func NewSettler(doc *cell.Cell, limits Limits, grace time.Duration) *Settler {
+	return &Settler{
+		fence:   doc.Fence,
+		limits:  limits,
+		grace:   grace,
+		quorums: append(slices.Clone(doc.Previous), doc.Quorum),
+		acks:    make(map[string]time.Time),
+	}
+}
+
+// Fence returns the fence being settled.
+func (s *Settler) Fence() uint64 { return s.fence }
+
+// Voters returns everyone whose acknowledgement counts.
+func (s *Settler) Voters() []cell.Member {
+	var out []cell.Member
+	seen := make(map[string]bool)
+	for _, q := range s.quorums {
+		for _, m := range q.Voters() {
+			if !seen[m.ID] {
+				out = append(out, m)
+			}
+			seen[m.ID] = true
+		}
+	}
+	return out
+}
+
+// Record notes an acknowledgement received at now.
+func (s *Settler) Record(now time.Time, ack Ack) {
+	if ack.Fence < s.fence {
+		return
+	}
+	if _, ok := s.acks[ack.Voter]; !ok {
+		s.acks[ack.Voter] = now
+	}
+	if ack.GuestWait <= 0 {
+		return
+	}
+	if until := now.Add(ack.GuestWait + s.grace); until.After(s.guestsTo) {
+		s.guestsTo = until
+	}
+}
+
+// Acked reports whether the voter has acknowledged.
+func (s *Settler) Acked(id string) bool {
+	_, ok := s.acks[id]
+	return ok
+}
+
+// Settled reports whether every right given under an older fence is over.
+func (s *Settler) Settled(now time.Time) bool {
+	if now.Before(s.guestsTo) {
+		return false
+	}
+	if s.allLocalAcked() {
+		return true
+	}
+	blocked, ok := s.blockedAt()
+	return ok && !now.Before(blocked.Add(s.limits.voterTTL()+s.grace))
+}
+
+func (s *Settler) allLocalAcked() bool {
+	for _, q := range s.quorums {
+		for _, m := range q.Local {
+			if !s.Acked(m.ID) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// blockedAt returns when the silent voters could no longer form a majority.
+func (s *Settler) blockedAt() (time.Time, bool) {
+	var at time.Time
+	for _, q := range s.quorums {
+		for _, set := range [][]cell.Member{q.Local, q.Wide} {
+			t, ok := s.setBlockedAt(set)
+			if !ok {
+				return time.Time{}, false
+			}
+			if t.After(at) {
+				at = t
+			}
+		}
+	}
+	return at, true
+}
+
+func (s *Settler) setBlockedAt(set []cell.Member) (time.Time, bool) {
+	var times []time.Time
+	for _, m := range set {
+		if at, ok := s.acks[m.ID]; ok {
+			times = append(times, at)
+		}
+	}
+	need := (len(set) + 1) / 2
+	if len(times) < need {
+		return time.Time{}, false
+	}
+	if need == 0 {
+		return time.Time{}, true
+	}
+	slices.SortFunc(times, func(a, b time.Time) int { return a.Compare(b) })
+	return times[need-1], true
+}
--- /dev/null
+++ b/coordination/load/book.go
@@ -0,0 +1,155 @@
+package load
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/rockcroft/rockcroft/state/keyspace"
+)
+
+const (
+	// smoothing is the weight of a new report against what was known.
+	smoothing = 0.3
+	// reportTTL is the age at which the report of an entry counts no more.
+	reportTTL = 5 * time.Second
+)
+
+// RangeRate is the traffic of one range as one entry saw it.
+type RangeRate struct {
+	Service string
+	keyspace.Span
+	// Rate is in requests a second.
+	Rate float64
+}
+
+// Book merges the reports of all entries of a cell. It is not safe for
+// concurrent use.
+type Book struct {
+	entries map[string]*entryReport
+}
+
+type entryReport struct {
+	at     time.Time
+	ranges map[string][]RangeRate
+	keys   map[string]map[keyspace.Hash]float64
+}
+
+// NewBook returns an empty book.
+func NewBook() *Book { return &Book{entries: make(map[string]*entryReport)} }
+
+// Report takes the traffic that one entry saw over an interval. Rates are
+// smoothed over reports; a range that was split starts from its share.
+func (b *Book) Report(now time.Time, entry string, ranges []RangeRate, keys []KeyRate, interval time.Duration) {
+	old := b.entries[entry]
+	next := &entryReport{
+		at:     now,
+		ranges: make(map[string][]RangeRate),
+		keys:   make(map[string]map[keyspace.Hash]float64),
+	}
+	for _, r := range ranges {
+		if old != nil {
+			before := rateOf(old.ranges[r.Service], r.Span)
+			r.Rate = before + smoothing*(r.Rate-before)
+		}
+		next.ranges[r.Service] = append(next.ranges[r.Service], r)
+	}
+	for name := range next.ranges {
+		slices.SortFunc(next.ranges[name], func(a, b RangeRate) int {
+			if a.First < b.First {
+				return -1
+			}
+			return 1
+		})
+	}
+	next.addKeys(old, keys, interval)
+	b.entries[entry] = next
+	for id, r := range b.entries {
+		if now.Sub(r.at) > reportTTL {
+			delete(b.entries, id)
+		}
+	}
+}
+
+// addKeys smooths the rates of hot keys. A key that is not reported any more
+// fades out.
+func (r *entryReport) addKeys(old *entryReport, keys []KeyRate, interval time.Duration) {
+	const gone = 0.5
+	put := func(service string, h keyspace.Hash, rate float64) {
+		if r.keys[service] == nil {
+			r.keys[service] = make(map[keyspace.Hash]float64)
+		}
+		r.keys[service][h] = rate
+	}
+	if old != nil {
+		for service, rates := range old.keys {
+			for h, rate := range rates {
+				if rate*(1-smoothing) > gone {
+					put(service, h, rate*(1-smoothing))
+				}
+			}
+		}
+	}
+	for _, k := range keys {
+		rate := float64(k.Requests) / interval.Seconds()
+		if old != nil {
+			rate = r.keys[k.Service][k.Hash] + smoothing*rate
+		}
+		put(k.Service, k.Hash, rate)
+	}
+}
+
+// rateOf returns the rate of a span from an ordered list, by the share of each
+// overlapping range.
+func rateOf(list []RangeRate, span keyspace.Span) float64 {
+	sum := 0.0
+	i := sort.Search(len(list), func(i int) bool { return list[i].Last >= span.First })
+	for ; i < len(list) && list[i].First <= span.Last; i++ {
+		r := list[i]
+		if span.Covers(r.Span) {
+			sum += r.Rate
+			continue
+		}
+		common := keyspace.Span{First: max(r.First, span.First), Last: min(r.Last, span.Last)}
+		sum += r.Rate * common.Width() / r.Width()
+	}
+	return sum
+}
+
+// Rate returns the requests a second to a span, over all entries.
+func (b *Book) Rate(service string, span keyspace.Span) float64 {
+	sum := 0.0
+	for _, r := range b.entries {
+		sum += rateOf(r.ranges[service], span)
+	}
+	return sum
+}
+
+// Hot returns the rates of the hot keys of a service, merged over all entries,
+// the hottest first.
+func (b *Book) Hot(service string) []KeyLoad {
+	rates := make(map[keyspace.Hash]float64)
+	for _, r := range b.entries {
+		for h, rate := range r.keys[service] {
+			rates[h] += rate
+		}
+	}
+	out := make([]KeyLoad, 0, len(rates))
+	for h, rate := range rates {
+		out = append(out, KeyLoad{Hash: h, Rate: rate})
+	}
+	slices.SortFunc(out, func(a, b KeyLoad) int {
+		switch {
+		case a.Rate != b.Rate && a.Rate > b.Rate, a.Rate == b.Rate && a.Hash < b.Hash:
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// KeyLoad is the rate of one hot key, in requests a second.
+type KeyLoad struct {
+	Hash keyspace.Hash
+	Rate float64
+}
--- /dev/null
+++ b/coordination/placement/placement.go
@@ -0,0 +1,307 @@
+// Package placement decides which upstream should own which range. All
+// functions are deterministic: typed inputs, typed moves out.
+package placement
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/rockcroft/rockcroft/state/keyspace"
+)
+
+// Node is an upstream that can own ranges.
+type Node struct {
+	ID string
+	// Weight is the capacity relative to the others. Default 1.
+	Weight float64
+}
+
+// Item is a range with its present owner and load.
+type Item struct {
+	keyspace.Span
+	// Owner is "" when the range needs one.
+	Owner string
+	// Load is in requests a second.
+	Load float64
+}
+
+// Move gives a range to an upstream.
+type Move struct {
+	keyspace.Span
+	From, To string
+	Load     float64
+}
+
+// Options bound what a plan may do.
+type Options struct {
+	// MaxMoves bounds the number of moves.
+	MaxMoves int
+	// Band is the imbalance, busiest over mean, above which ranges move, and
+	// Target the one at which moving stops. Target < Band gives hysteresis.
+	Band, Target float64
+	// MinGain is the least fall in imbalance that a move must bring, per
+	// share of load moved.
+	MinGain float64
+}
+
+// Bounds of the band of rebalancing.
+const (
+	narrowBand = 1.10
+	widestBand = 1.40
+	// targetShare is how much of the band's excess a plan leaves standing.
+	targetShare  = 0.5
+	movesPerPlan = 8
+)
+
+// OptionsFor derives options from a service's weights. The more churn and
+// unavailable time weigh against imbalance, the wider the band in which nothing
+// moves, and the more a move has to gain.
+func OptionsFor(imbalance, churn, unavailable float64) Options {
+	caution := 1.0
+	if sum := imbalance + churn + unavailable; sum > 0 {
+		caution = (churn + unavailable) / sum
+	}
+	band := narrowBand + (widestBand-narrowBand)*caution*caution/2
+	return Options{
+		MaxMoves: movesPerPlan,
+		Band:     band,
+		Target:   1 + (band-1)*targetShare,
+		MinGain:  caution,
+	}
+}
+
+// Imbalance returns the load of the busiest upstream over the mean, in terms
+// of weights. Without load it is 1.
+func Imbalance(nodes []Node, items []Item) float64 {
+	l := newLedger(nodes, items)
+	if l.total == 0 || len(nodes) == 0 {
+		return 1
+	}
+	busiest := 0.0
+	for _, n := range l.nodes {
+		busiest = max(busiest, n.load/n.weight)
+	}
+	return busiest / l.mean()
+}
+
+// ledger keeps the load of each node while a plan is made.
+type ledger struct {
+	nodes  []*account
+	byID   map[string]*account
+	total  float64
+	weight float64
+}
+
+type account struct {
+	id     string
+	weight float64
+	load   float64
+	items  []Item
+}
+
+func newLedger(nodes []Node, items []Item) *ledger {
+	l := &ledger{byID: make(map[string]*account, len(nodes))}
+	for _, n := range nodes {
+		w := n.Weight
+		if w <= 0 {
+			w = 1
+		}
+		a := &account{id: n.ID, weight: w}
+		l.nodes = append(l.nodes, a)
+		l.byID[n.ID] = a
+		l.weight += w
+	}
+	slices.SortFunc(l.nodes, func(a, b *account) int { return cmp.Compare(a.id, b.id) })
+	for _, it := range items {
+		l.total += it.Load
+		if a := l.byID[it.Owner]; a != nil {
+			a.load += it.Load
+			a.items = append(a.items, it)
+		}
+	}
+	return l
+}
+
+// mean returns the load per unit of weight.
+func (l *ledger) mean() float64 { return l.total / l.weight }
+
+// relative returns a node's load per unit of weight.
+func (a *account) relative() float64 { return a.load / a.weight }
+
+// lightest returns the node with the least relative load; ties go to fewer
+// items, then to the lower ID.
+func (l *ledger) lightest(avoid string) *account {
+	var best *account
+	for _, n := range l.nodes {
+		if n.id == avoid {
+			continue
+		}
+		if best == nil || less(n, best) {
+			best = n
+		}
+	}
+	return best
+}
+
+func less(a, b *account) bool {
+	if a.relative() != b.relative() {
+		return a.relative() < b.relative()
+	}
+	return float64(len(a.items))/a.weight < float64(len(b.items))/b.weight
+}
+
+func (l *ledger) heaviest() *account {
+	var worst *account
+	for _, n := range l.nodes {
+		if worst == nil || n.relative() > worst.relative() {
+			worst = n
+		}
+	}
+	return worst
+}
+
+// baseLoad stands for the load of ranges that show none, so that they spread
+// evenly too.
+func baseLoad(items []Item) float64 {
+	total := 0.0
+	for _, it := range items {
+		total += it.Load
+	}
+	if total == 0 {
+		return 1
+	}
+	const share = 0.01
+	return share * total / float64(len(items))
+}
+
+// Place chooses owners for items that have none, the heaviest first, each to
+// the node with the least load. It returns one move per such item, in the order
+// of the items; To is "" when there is no node.
+func Place(nodes []Node, items []Item, avoid string) []Move {
+	base := baseLoad(items)
+	padded := slices.Clone(items)
+	for i := range padded {
+		padded[i].Load += base
+	}
+	l := newLedger(nodes, padded)
+	var orphans []int
+	for i, it := range padded {
+		if it.Owner == "" {
+			orphans = append(orphans, i)
+		}
+	}
+	slices.SortStableFunc(orphans, func(a, b int) int { return cmp.Compare(padded[b].Load, padded[a].Load) })
+	chosen := make(map[int]string, len(orphans))
+	for _, i := range orphans {
+		n := l.lightest(avoid)
+		if n == nil {
+			continue
+		}
+		n.load += padded[i].Load
+		n.items = append(n.items, padded[i])
+		chosen[i] = n.id
+	}
+	var out []Move
+	for i, it := range items {
+		if it.Owner == "" {
+			out = append(out, Move{Span: it.Span, To: chosen[i], Load: it.Load})
+		}
+	}
+	return out
+}
+
+// Join returns the moves that give a new node its share of ranges and load,
+// taking from the heaviest nodes. It moves no more than the share needs.
+func Join(nodes []Node, items []Item, id string) []Move {
+	base := baseLoad(items)
+	padded := slices.Clone(items)
+	for i := range padded {
+		padded[i].Load += base
+	}
+	l := newLedger(nodes, padded)
+	to := l.byID[id]
+	if to == nil {
+		return nil
+	}
+	var out []Move
+	for {
+		from := l.heaviest()
+		if from == to {
+			return out
+		}
+		i := bestFit(from, to, l.mean())
+		if i < 0 {
+			return out
+		}
+		it := from.items[i]
+		l.shift(from, to, i)
+		out = append(out, Move{Span: it.Span, From: from.id, To: id, Load: it.Load - base})
+	}
+}
+
+// bestFit returns the item of from that brings to nearest to the mean without
+// passing it by more than half of the item, or -1.
+func bestFit(from, to *account, mean float64) int {
+	room := mean*to.weight - to.load
+	best, bestLoad := -1, 0.0
+	for i, it := range from.items {
+		if it.Load <= room*1.05 && it.Load > bestLoad {
+			best, bestLoad = i, it.Load
+		}
+	}
+	return best
+}
+
+func (l *ledger) shift(from, to *account, i int) {
+	it := from.items[i]
+	from.items = slices.Delete(from.items, i, i+1)
+	from.load -= it.Load
+	it.Owner = to.id
+	to.items = append(to.items, it)
+	to.load += it.Load
+}
+
+// Rebalance returns moves that lower the imbalance when it lies above the
+// band, until it reaches the target or no move gains enough.
+func Rebalance(nodes []Node, items []Item, o Options) []Move {
+	l := newLedger(nodes, items)
+	if l.total == 0 || len(nodes) < 2 || l.heaviest().relative() <= o.Band*l.mean() {
+		return nil
+	}
+	moved := make(map[keyspace.Span]bool)
+	var out []Move
+	for len(out) < o.MaxMoves {
+		from := l.heaviest()
+		if from.relative() <= o.Target*l.mean() {
+			break
+		}
+		i, to := l.bestMove(from, moved, o.MinGain)
+		if i < 0 {
+			break
+		}
+		it := from.items[i]
+		moved[it.Span] = true
+		l.shift(from, to, i)
+		out = append(out, Move{Span: it.Span, From: from.id, To: to.id, Load: it.Load})
+	}
+	return out
+}
+
+// bestMove finds the item of from that, given to the lightest node, lowers the
+// higher of the two loads most.
+func (l *ledger) bestMove(from *account, moved map[keyspace.Span]bool, minGain float64) (int, *account) {
+	to := l.lightest(from.id)
+	before := from.relative()
+	best, bestPeak := -1, before
+	for i, it := range from.items {
+		if moved[it.Span] || it.Load <= 0 {
+			continue
+		}
+		peak := max((from.load-it.Load)/from.weight, (to.load+it.Load)/to.weight)
+		gain := (before - peak) / l.mean()
+		if peak < bestPeak && gain >= minGain*it.Load/l.total {
+			best, bestPeak = i, peak
+		}
+	}
+	return best, to
+}
--- /dev/null
+++ b/ctl/ctl.go
@@ -0,0 +1,127 @@
+// Package ctl is the operators' command line.
+package ctl
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os/user"
+	"time"
+
+	"github.com/spf13/cobra"
+	"github.com/twitchtv/twirp"
+
+	"github.com/rockcroft/rockcroft/protocol/answer"
+	"github.com/rockcroft/rockcroft/protocol/operatorpb"
+	"github.com/rockcroft/rockcroft/state/jsonc"
+)
+
+// Exit codes of the command line.
+const (
+	ExitOK          = 0
+	ExitFailure     = 1
+	ExitUsage       = 2
+	ExitConflict    = 3
+	ExitUnavailable = 4
+)
+
+// callTimeout bounds one call to an entry.
+const callTimeout = 5 * time.Second
+
+// options are the flags that all commands share.
+type options struct {
+	entry  jsonc.Addr
+	output string
+	out    io.Writer
+}
+
+func (o *options) client() operatorpb.Operator {
+	return operatorpb.NewOperatorProtobufClient("http://"+o.entry.String(), &http.Client{Timeout: callTimeout})
+}
+
+func (o *options) json() bool { return o.output == "json" }
+
+// Command returns the root command, which writes to out.
+func Command(out io.Writer) *cobra.Command {
+	o := &options{out: out}
+	var entry string
+	root := &cobra.Command{
+		Use:           "rockcroftctl",
+		Short:         "State intents, look at plans, confirm them, and see what is in force",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		PersistentPreRunE: func(cmd *cobra.Command, _ []string) error {
+			if o.output != "table" && o.output != "json" {
+				return usageError{fmt.Errorf("--output must be table or json")}
+			}
+			if cmd.Name() == "check" {
+				return nil
+			}
+			if err := o.entry.UnmarshalText([]byte(entry)); err != nil {
+				return usageError{fmt.Errorf("--entry: %w", err)}
+			}
+			return nil
+		},
+	}
+	root.SetOut(out)
+	root.PersistentFlags().StringVar(&entry, "entry", "127.0.0.1:7002", "admin address of any entry")
+	root.PersistentFlags().StringVarP(&o.output, "output", "o", "table", "table or json")
+	root.AddCommand(
+		createCommand(o), listCommand(o), showCommand(o), confirmCommand(o), cancelCommand(o),
+		statusCommand(o), checkCommand(o), leaveCommand(o), evictCommand(o), moveCommand(o),
+	)
+	return root
+}
+
+type usageError struct{ error }
+
+func (e usageError) Unwrap() error { return e.error }
+
+// ExitCode maps an error to the exit code that scripts can use.
+func ExitCode(err error) int {
+	if err == nil {
+		return ExitOK
+	}
+	var usage usageError
+	var findings jsonc.Findings
+	if errors.As(err, &usage) || errors.As(err, &findings) {
+		return ExitUsage
+	}
+	var rpc twirp.Error
+	if !errors.As(err, &rpc) {
+		return ExitFailure
+	}
+	switch answer.Kind(rpc.Meta("kind")) {
+	case answer.Conflict, answer.StalePlan:
+		return ExitConflict
+	case answer.BadRequest, answer.NotFound:
+		return ExitUsage
+	case answer.PlatformDown:
+		return ExitUnavailable
+	}
+	if rpc.Code() == twirp.Unavailable || rpc.Code() == twirp.Internal {
+		return ExitUnavailable
+	}
+	return ExitFailure
+}
+
+func callContext(cmd *cobra.Command) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(cmd.Context(), callTimeout)
+}
+
+// operatorName is recorded with intents.
+func operatorName() string {
+	if u, err := user.Current(); err == nil {
+		return u.Username
+	}
+	return ""
+}
+
+func writeJSON(w io.Writer, v any) error {
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", "  ")
+	return enc.Encode(v)
+}
--- /dev/null
+++ b/entry/beats.go
@@ -0,0 +1,244 @@
+package entry
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rockcroft/rockcroft/coordination/controller"
+	"github.com/rockcroft/rockcroft/protocol/peerpb"
+	"github.com/rockcroft/rockcroft/state/cell"
+	"github.com/rockcroft/rockcroft/transport/telemetry"
+)
+
+// gossipInterval is the time between comparisons of documents with an entry
+// of any cell, chosen at random.
+const gossipInterval = time.Second
+
+// beatTimeout bounds one beat. It leaves room for the next one within the
+// lifetime of a promise.
+const beatTimeout = 400 * time.Millisecond
+
+// beatLoop asks the voters of the cell for promises.
+func (e *Entry) beatLoop(ctx context.Context) {
+	e.every(ctx, e.conf.BeatInterval.D(), func(ctx context.Context) {
+		for _, t := range e.beatTargets() {
+			go e.beat(ctx, t)
+		}
+	})
+}
+
+// target is an entry to beat. ID is empty when only its address is known.
+type target struct {
+	id   string
+	peer string
+}
+
+// beatTargets returns the local voters; the witnesses too while the local
+// voters alone do not support the right to send; and the seeds and the members
+// of the roster when this entry is no voter yet.
+func (e *Entry) beatTargets() []target {
+	doc := e.gate.Doc()
+	var out []target
+	add := func(m cell.Member) {
+		known := slices.ContainsFunc(out, func(t target) bool { return t.peer == m.Peer })
+		if m.ID != e.self.ID && m.Peer != e.self.Peer && !known {
+			out = append(out, target{id: m.ID, peer: m.Peer})
+		}
+	}
+	if doc != nil {
+		for _, m := range doc.Quorum.Local {
+			add(m)
+		}
+		if e.gate.RightUntil().Sub(e.clock()) < e.limits.Fence.TTL/2 {
+			for _, m := range doc.Quorum.Wide {
+				add(m)
+			}
+		}
+	}
+	if doc == nil || !doc.Quorum.HasLocal(e.self.ID) {
+		if r := e.library.Roster(e.self.Cell); r != nil {
+			for _, m := range r.Members {
+				add(m)
+			}
+		}
+		for _, s := range e.conf.Seeds {
+			add(cell.Member{Peer: s.String()})
+		}
+	}
+	return out
+}
+
+func (e *Entry) beat(ctx context.Context, t target) {
+	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
+	defer cancel()
+	req := e.beatRequest(t)
+	askedAt := e.clock()
+	version := e.gate.Version()
+	resp, err := e.peers.Client(t.peer).Beat(ctx, req)
+	if err != nil {
+		telemetry.Counter(e.registry, "beats.failed").Inc(1)
+		return
+	}
+	telemetry.Counter(e.registry, "beats.answered").Inc(1)
+	if resp.Granted && version == req.Version {
+		e.gate.Promised(resp.Responder.GetId(), askedAt)
+	}
+	e.heard(memberFrom(resp.Responder))
+	if e.behind(resp) {
+		e.pull(ctx, t.peer)
+	}
+}
+
+func (e *Entry) beatRequest(t target) *peerpb.BeatRequest {
+	req := &peerpb.BeatRequest{
+		To:     t.id,
+		Cell:   e.self.Cell,
+		Sender: memberTo(e.self),
+		Digest: e.library.Digest(),
+	}
+	if doc := e.gate.Doc(); doc != nil {
+		req.Version = doc.Version
+		req.Guest = !doc.Quorum.HasLocal(e.self.ID)
+		req.Observations = e.watched.report(e.clock())
+	}
+	return req
+}
+
+// behind reports whether the responder knows newer documents, or others.
+func (e *Entry) behind(resp *peerpb.BeatResponse) bool {
+	if resp.Responder.GetCell() == e.self.Cell && max(resp.Version, resp.Floor) > e.gate.Version() {
+		return true
+	}
+	return resp.Digest != e.library.Digest()
+}
+
+// pull takes all documents that another entry holds. Older ones are ignored,
+// so the order of pulls does not matter.
+func (e *Entry) pull(ctx context.Context, peer string) {
+	resp, err := e.peers.Client(peer).State(ctx, &peerpb.StateRequest{From: e.self.ID})
+	if err == nil {
+		e.takeState(resp.Documents)
+	}
+}
+
+// heard notes that an entry is alive.
+func (e *Entry) heard(m cell.Member) {
+	if m.ID == "" || m.ID == e.self.ID {
+		return
+	}
+	e.control.note(func(core *controller.Core, now time.Time) { core.OnBeat(now, m) })
+}
+
+// gossipLoop compares documents with one entry of any cell, so that changes
+// reach cells whose controller is cut off from the platform.
+func (e *Entry) gossipLoop(ctx context.Context) {
+	e.every(ctx, gossipInterval, func(ctx context.Context) {
+		peer := e.randomPeer()
+		if peer == "" {
+			return
+		}
+		ctx, cancel := context.WithTimeout(ctx, beatTimeout)
+		defer cancel()
+		resp, err := e.peers.Client(peer).Beat(ctx, &peerpb.BeatRequest{
+			Sender: memberTo(e.self), Digest: e.library.Digest(),
+		})
+		if err != nil {
+			e.peers.Bad(peer)
+			return
+		}
+		e.heard(memberFrom(resp.Responder))
+		if e.behind(resp) {
+			e.pull(ctx, peer)
+		}
+	})
+}
+
+func (e *Entry) randomPeer() string {
+	var all []string
+	for _, d := range e.library.All() {
+		if d.Roster == nil {
+			continue
+		}
+		for _, m := range d.Roster.Members {
+			if m.Peer != e.self.Peer {
+				all = append(all, m.Peer)
+			}
+		}
+	}
+	for _, s := range e.conf.Seeds {
+		if s.String() != e.self.Peer && !slices.Contains(all, s.String()) {
+			all = append(all, s.String())
+		}
+	}
+	if len(all) == 0 {
+		return ""
+	}
+	e.rngMu.Lock()
+	defer e.rngMu.Unlock()
+	return all[e.rng.IntN(len(all))]
+}
+
+func memberTo(m cell.Member) *peerpb.Member {
+	return &peerpb.Member{Id: m.ID, Domain: m.Domain, Cell: m.Cell, Peer: m.Peer}
+}
+
+func memberFrom(m *peerpb.Member) cell.Member {
+	return cell.Member{ID: m.GetId(), Domain: m.GetDomain(), Cell: m.GetCell(), Peer: m.GetPeer()}
+}
+
+// loadReports counts one interval of traffic.
+const loadInterval = time.Second
+
+// loadLoop reports the traffic of this entry to the controller of its cell.
+func (e *Entry) loadLoop(ctx context.Context) {
+	e.every(ctx, loadInterval, func(ctx context.Context) {
+		req := e.loadRequest()
+		if e.control.isLeader() {
+			e.takeLoad(req)
+			return
+		}
+		doc := e.gate.Doc()
+		if doc == nil {
+			return
+		}
+		var wait sync.WaitGroup
+		for _, m := range doc.Quorum.Local {
+			// Only the lowest living voter leads; the next one is told too,
+			// so that it knows the load when it takes over.
+			if m.ID >= e.self.ID {
+				break
+			}
+			wait.Add(1)
+			go func() {
+				defer wait.Done()
+				ctx, cancel := context.WithTimeout(ctx, beatTimeout)
+				defer cancel()
+				_, _ = e.peers.Client(m.Peer).Beat(ctx, req)
+			}()
+		}
+		wait.Wait()
+	})
+}
+
+func (e *Entry) loadRequest() *peerpb.BeatRequest {
+	req := &peerpb.BeatRequest{
+		Sender:     memberTo(e.self),
+		IntervalMs: loadInterval.Milliseconds(),
+		Digest:     e.library.Digest(),
+	}
+	for _, s := range e.gate.Slots() {
+		requests, busy := s.Traffic()
+		if requests == 0 && s.Phase != cell.Owned {
+			continue
+		}
+		req.Ranges = append(req.Ranges, &peerpb.RangeLoad{
+			Service: s.Service, First: uint64(s.First), Last: uint64(s.Last), Requests: requests, BusyUs: busy,
+		})
+	}
+	for _, k := range e.tracker.Take() {
+		req.Keys = append(req.Keys, &peerpb.KeyLoad{Service: k.Service, Hash: uint64(k.Hash), Requests: k.Requests})
+	}
+	return req
+}
--- /dev/null
+++ b/entry/control.go
@@ -0,0 +1,314 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/rockcroft/rockcroft/coordination/controller"
+	"github.com/rockcroft/rockcroft/coordination/fence"
+	"github.com/rockcroft/rockcroft/protocol/answer"
+	ctlmsg "github.com/rockcroft/rockcroft/protocol/control"
+	"github.com/rockcroft/rockcroft/protocol/peerpb"
+	"github.com/rockcroft/rockcroft/state/cell"
+	"github.com/rockcroft/rockcroft/transport/platform"
+	"github.com/rockcroft/rockcroft/transport/telemetry"
+)
+
+// stepInterval is the time between looks at what is to be done when no event
+// asks for one.
+const stepInterval = 50 * time.Millisecond
+
+// commandTimeout bounds one command beyond its own wait.
+const commandTimeout = time.Second
+
+// control runs the deterministic core: it feeds events in, one at a time, and
+// carries out the commands that come out.
+type control struct {
+	e     *Entry
+	mu    sync.Mutex
+	core  *controller.Core
+	leads bool
+	// term counts how often this entry became the controller.
+	term    int
+	intents intentBook
+}
+
+func newControl(e *Entry) *control {
+	return &control{
+		e:    e,
+		core: controller.NewCore(e.self, e.limits, e.placer(), e, newID),
+	}
+}
+
+// event feeds one event to the core and carries out what follows.
+func (c *control) event(feed func(core *controller.Core, now time.Time)) {
+	c.mu.Lock()
+	feed(c.core, c.e.clock())
+	c.mu.Unlock()
+	c.step()
+}
+
+// note feeds an event that needs no immediate step.
+func (c *control) note(feed func(core *controller.Core, now time.Time)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	feed(c.core, c.e.clock())
+}
+
+func (c *control) step() {
+	c.mu.Lock()
+	now := c.e.clock()
+	commands := c.core.Step(now)
+	leads := c.core.Leads(now)
+	changed := leads != c.leads
+	c.leads = leads
+	if changed && leads {
+		c.term++
+		c.intents = intentBook{}
+		c.core.SetWants(controller.Wants{})
+	}
+	c.mu.Unlock()
+	if changed {
+		c.e.log.Info("controller", "leads", leads, "cell", c.e.self.Cell)
+	}
+	for _, cmd := range commands {
+		go c.execute(cmd)
+	}
+}
+
+// isLeader reports whether this entry runs the controller of its cell.
+func (c *control) isLeader() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.leads
+}
+
+// leaderTerm returns how often this entry became the controller, and whether it
+// is now.
+func (c *control) leaderTerm() (int, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.term, c.leads
+}
+
+func (e *Entry) stepLoop(ctx context.Context) {
+	e.every(ctx, stepInterval, func(context.Context) {
+		e.gate.Refresh()
+		e.control.step()
+	})
+}
+
+func (e *Entry) pursueLoop(ctx context.Context) {
+	e.every(ctx, pursueInterval, func(context.Context) { e.control.pursue() })
+}
+
+// every calls f at once and then at the interval until ctx ends.
+func (e *Entry) every(ctx context.Context, interval time.Duration, f func(context.Context)) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		f(ctx)
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (c *control) execute(cmd controller.Command) {
+	ctx, cancel := context.WithTimeout(context.Background(), commandTimeout+c.e.limits.DrainWait)
+	defer cancel()
+	switch cmd := cmd.(type) {
+	case controller.Write:
+		c.write(ctx, cmd)
+	case controller.Apply:
+		a, err := c.e.apply(ctx, cmd)
+		c.event(func(core *controller.Core, now time.Time) { core.OnApplied(now, cmd, a, err) })
+	case controller.Raise:
+		a, err := c.e.raise(ctx, cmd)
+		c.event(func(core *controller.Core, now time.Time) { core.OnApplied(now, cmd, a, err) })
+	case controller.SendGrants:
+		err := c.e.sendGrants(ctx, cmd)
+		c.event(func(core *controller.Core, now time.Time) { core.OnGranted(now, cmd, err) })
+	case controller.SendRevocations:
+		err := c.e.sendRevocations(ctx, cmd)
+		c.event(func(core *controller.Core, now time.Time) { core.OnRevoked(now, cmd, err) })
+	case controller.Reset:
+		boot, err := c.e.reset(ctx, cmd)
+		c.event(func(core *controller.Core, now time.Time) { core.OnReset(now, cmd, boot, err) })
+	case controller.Redirect:
+		d, err := c.e.redirect(ctx, cmd)
+		c.event(func(core *controller.Core, now time.Time) { core.OnRedirected(now, cmd, d, err) })
+	case controller.Publish:
+		err := c.e.publish(ctx, cmd)
+		c.event(func(core *controller.Core, now time.Time) { core.OnPublished(now, cmd, err) })
+	}
+}
+
+func (c *control) write(ctx context.Context, cmd controller.Write) {
+	version, err := platform.PutOwn(ctx, c.e.store, platform.KindCell, cmd.Doc.Name, cmd.Doc, cmd.Expect)
+	if err != nil {
+		telemetry.Counter(c.e.registry, "platform.writes_failed").Inc(1)
+	}
+	if errors.Is(err, platform.ErrConflict) {
+		c.e.readOwnCell(ctx)
+	}
+	c.event(func(core *controller.Core, now time.Time) { core.OnWritten(now, cmd, version, err) })
+}
+
+func (e *Entry) apply(ctx context.Context, cmd controller.Apply) (controller.Applied, error) {
+	if cmd.To.ID == e.self.ID {
+		return e.applyHere(ctx, cmd.Doc, cmd.DrainWait), nil
+	}
+	doc, err := encodeCell(cmd.Doc)
+	if err != nil {
+		return controller.Applied{}, err
+	}
+	resp, err := e.peers.Client(cmd.To.Peer).Apply(ctx, &peerpb.ApplyRequest{
+		To:          cmd.To.ID,
+		Cell:        cmd.Doc.Name,
+		Fence:       cmd.Doc.Fence,
+		Documents:   []*peerpb.Document{doc},
+		DrainWaitMs: cmd.DrainWait.Milliseconds(),
+	})
+	if err != nil {
+		return controller.Applied{}, answer.Wrap(answer.Unreachable, err)
+	}
+	return appliedFrom(resp, cmd.Doc.Version), nil
+}
+
+func (e *Entry) raise(ctx context.Context, cmd controller.Raise) (controller.Applied, error) {
+	resp, err := e.peers.Client(cmd.To.Peer).Apply(ctx, &peerpb.ApplyRequest{
+		To: cmd.To.ID, Cell: e.self.Cell, Fence: cmd.Fence,
+	})
+	if err != nil {
+		return controller.Applied{}, answer.Wrap(answer.Unreachable, err)
+	}
+	return appliedFrom(resp, 0), nil
+}
+
+func appliedFrom(resp *peerpb.ApplyResponse, version uint64) controller.Applied {
+	a := controller.Applied{
+		Ack: fence.Ack{
+			Voter:     resp.Voter,
+			Fence:     resp.Fence,
+			GuestWait: time.Duration(resp.GuestWaitMs) * time.Millisecond,
+		},
+		Version: version,
+		Drained: resp.Drained,
+	}
+	for _, l := range resp.Leases {
+		a.Leases = append(a.Leases, controller.LeaseLeft{
+			Upstream:  l.Upstream,
+			Remaining: time.Duration(l.RemainingMs) * time.Millisecond,
+		})
+	}
+	return a
+}
+
+// applyHere takes a cell document into use and waits until no request is in
+// flight on ranges that were taken away, for the given time at most.
+func (e *Entry) applyHere(ctx context.Context, doc *cell.Cell, wait time.Duration) controller.Applied {
+	e.takeCell(doc)
+	const look = 2 * time.Millisecond
+	until := e.clock().Add(wait)
+	for !e.gate.Drained() && e.clock().Before(until) && ctx.Err() == nil {
+		time.Sleep(look)
+	}
+	return controller.Applied{
+		Ack:     e.gate.Raise(e.self.Cell, doc.Fence),
+		Version: doc.Version,
+		Drained: e.gate.Drained(),
+		Leases:  e.watched.leases(e.clock()),
+	}
+}
+
+func (e *Entry) sendGrants(ctx context.Context, cmd controller.SendGrants) error {
+	u := e.pool.Get(cmd.Upstream.ID)
+	if u == nil {
+		return answer.New(answer.NotFound, "upstream %s is not known here", cmd.Upstream.ID)
+	}
+	_, err := u.Grant(ctx, ctlmsg.Grants{Boot: cmd.Upstream.Boot, Grants: cmd.Grants})
+	return err
+}
+
+func (e *Entry) sendRevocations(ctx context.Context, cmd controller.SendRevocations) error {
+	u := e.pool.Get(cmd.Upstream.ID)
+	if u == nil {
+		return answer.New(answer.NotFound, "upstream %s is not known here", cmd.Upstream.ID)
+	}
+	_, err := u.Revoke(ctx, ctlmsg.Revocations{Revocations: cmd.Revocations})
+	return err
+}
+
+func (e *Entry) reset(ctx context.Context, cmd controller.Reset) (string, error) {
+	u := e.pool.Get(cmd.Upstream.ID)
+	if u == nil {
+		return "", answer.New(answer.NotFound, "upstream %s is not known here", cmd.Upstream.ID)
+	}
+	st, err := u.Reset(ctx)
+	if err != nil {
+		return "", err
+	}
+	return st.Boot, nil
+}
+
+// redirect records an exported range in the directory. Another writer may have
+// done so before.
+func (e *Entry) redirect(ctx context.Context, cmd controller.Redirect) (*cell.Directory, error) {
+	obj, err := e.store.Get(ctx, platform.KindDirectory, cmd.Service)
+	if err != nil {
+		return nil, answer.Wrap(answer.PlatformDown, err)
+	}
+	d, err := cell.DecodeDirectory(obj.Value)
+	if err != nil {
+		return nil, err
+	}
+	seg := d.Find(cmd.Range.First)
+	if seg == nil || seg.Cell != e.self.Cell {
+		return d, nil
+	}
+	next := d.Clone()
+	next.Version++
+	next.WriteID = newID()
+	next.Assign(cmd.Range.Span, cmd.Range.NextCell, cmd.Range.Epoch)
+	if _, err := platform.PutOwn(ctx, e.store, platform.KindDirectory, next.Service, next, obj.Version); err != nil {
+		return nil, answer.Wrap(answer.PlatformDown, err)
+	}
+	e.shelve(next)
+	return next, nil
+}
+
+// publish stores the member list of the cell.
+func (e *Entry) publish(ctx context.Context, cmd controller.Publish) error {
+	r := cmd.Roster
+	var expect uint64
+	obj, err := e.store.Get(ctx, platform.KindRoster, r.Cell)
+	switch {
+	case errors.Is(err, platform.ErrNotFound):
+	case err != nil:
+		return answer.Wrap(answer.PlatformDown, err)
+	default:
+		known, err := cell.DecodeRoster(obj.Value)
+		if err == nil && known.Version >= r.Version {
+			e.shelve(known)
+			return nil
+		}
+		expect = obj.Version
+	}
+	if _, err := platform.PutOwn(ctx, e.store, platform.KindRoster, r.Cell, r, expect); err != nil {
+		return answer.Wrap(answer.PlatformDown, err)
+	}
+	e.shelve(&r)
+	return nil
+}
+
+// ChecksFences implements controller.Services. A service whose configuration is
+// not known yet counts as one whose upstreams check nothing.
+func (e *Entry) ChecksFences(name string) bool {
+	conf := e.library.Service(name)
+	return conf != nil && conf.ChecksFences
+}
--- /dev/null
+++ b/entry/documents.go
@@ -0,0 +1,244 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/rockcroft/rockcroft/coordination/admission"
+	"github.com/rockcroft/rockcroft/coordination/controller"
+	"github.com/rockcroft/rockcroft/protocol/peerpb"
+	"github.com/rockcroft/rockcroft/state/cell"
+	"github.com/rockcroft/rockcroft/state/intent"
+	"github.com/rockcroft/rockcroft/state/library"
+	"github.com/rockcroft/rockcroft/state/service"
+	"github.com/rockcroft/rockcroft/transport/platform"
+	"github.com/rockcroft/rockcroft/transport/telemetry"
+	"github.com/rockcroft/rockcroft/transport/upstreams"
+)
+
+// watchedKinds are followed by the controller of a cell. The others of the cell
+// hear of changes from it.
+var watchedKinds = []string{
+	platform.KindService, platform.KindDirectory, platform.KindRoster, platform.KindIntent,
+}
+
+const (
+	// watchWait is how long one watch waits for a change.
+	watchWait = 5 * time.Second
+	// ownCellInterval is the time between reads of the cell's own document,
+	// which finds out about writes by another controller.
+	ownCellInterval = 2 * time.Second
+	// idlePause is the time between looks while another entry leads.
+	idlePause = 200 * time.Millisecond
+	// failurePause is the time between tries while the platform fails.
+	failurePause = 300 * time.Millisecond
+)
+
+// shelve adds a shared document in its typed form to the library.
+func (e *Entry) shelve(doc any) {
+	data, err := json.Marshal(doc)
+	if err != nil {
+		return
+	}
+	var kind library.Kind
+	switch doc.(type) {
+	case *cell.Directory:
+		kind = library.Directory
+	case *cell.Roster:
+		kind = library.Roster
+	case *service.Config:
+		kind = library.Service
+	}
+	e.shelveData(kind, data)
+}
+
+func (e *Entry) shelveData(kind library.Kind, data []byte) {
+	d, err := library.Parse(kind, data)
+	if err != nil {
+		telemetry.Counter(e.registry, "documents.malformed").Inc(1)
+		e.log.Warn("malformed document ignored", "kind", kind, "err", err)
+		return
+	}
+	e.library.Add(d)
+}
+
+// onDocument takes a shared document into use.
+func (e *Entry) onDocument(d *library.Document) {
+	switch d.Kind {
+	case library.Directory:
+		e.gate.Direct(d.Directory)
+		e.control.note(func(core *controller.Core, _ time.Time) { core.OnDirectory(d.Directory) })
+	case library.Roster:
+		e.control.note(func(core *controller.Core, _ time.Time) { core.OnRoster(d.Roster) })
+	case library.Service:
+		e.log.Info("configuration in force", "service", d.Name, "version", d.Version)
+	}
+}
+
+// takeCell takes a document of the entry's own cell into use: at the gate, at
+// the controller, and for the clients of upstreams.
+func (e *Entry) takeCell(doc *cell.Cell) {
+	named := make(map[string]bool, len(doc.Upstreams))
+	for _, u := range doc.Upstreams {
+		named[u.ID] = true
+		e.pool.Ensure(u, e.options(u.Service, len(doc.Quorum.Local)))
+	}
+	e.applyMu.Lock()
+	defer e.applyMu.Unlock()
+	old := e.gate.Doc()
+	if old != nil && doc.Version <= old.Version {
+		return
+	}
+	e.gate.Apply(doc)
+	e.outages.compare(old, doc, e.clock(), e.watched.lastSeen, e.registry)
+	for _, u := range doc.Upstreams {
+		if u.State == cell.Lost && e.watched.markLost(u.ID) {
+			e.pool.Get(u.ID).Abort()
+			e.log.Warn("upstream lost", "upstream", u.ID, "version", doc.Version)
+		}
+		if u.State != cell.Lost {
+			e.watched.markUsed(u.ID)
+		}
+	}
+	e.pool.Keep(named)
+	e.control.note(func(core *controller.Core, now time.Time) { core.OnDocument(now, doc, 0) })
+}
+
+// options returns the bounds for one upstream, its share among the entries of
+// the cell.
+func (e *Entry) options(name string, entries int) upstreams.Options {
+	conf := e.library.Service(name)
+	if conf == nil {
+		c := service.Default()
+		conf = &c
+	}
+	entries = max(entries, 1)
+	connections := max(conf.Connections/max(entries, 4), 2)
+	return upstreams.Options{
+		Connections: connections,
+		Admission: admission.Limits{
+			MinInflight:   1,
+			MaxInflight:   min(2*conf.Slots, connections),
+			StartInflight: max((conf.Slots+entries-1)/entries, 1),
+			MaxWaiting:    conf.QueueLength,
+		},
+	}
+}
+
+// readOwnCell reads the document of the cell from the platform.
+func (e *Entry) readOwnCell(ctx context.Context) {
+	obj, err := e.store.Get(ctx, platform.KindCell, e.self.Cell)
+	if errors.Is(err, platform.ErrNotFound) {
+		e.control.event(func(core *controller.Core, _ time.Time) { core.OnMissing() })
+		return
+	}
+	if err != nil {
+		telemetry.Counter(e.registry, "platform.reads_failed").Inc(1)
+		return
+	}
+	doc, err := cell.Decode(obj.Value)
+	if err != nil {
+		telemetry.Counter(e.registry, "documents.malformed").Inc(1)
+		return
+	}
+	e.control.event(func(core *controller.Core, now time.Time) { core.OnDocument(now, doc, obj.Version) })
+}
+
+func (e *Entry) ownCellLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		wait := idlePause
+		if e.control.isLeader() {
+			e.readOwnCell(ctx)
+			wait = ownCellInterval
+		}
+		sleep(ctx, wait)
+	}
+}
+
+// watchLoop follows one kind of objects while this entry leads.
+func (e *Entry) watchLoop(ctx context.Context, kind string) {
+	var after uint64
+	seen := 0
+	down := false
+	for ctx.Err() == nil {
+		term, leads := e.control.leaderTerm()
+		if !leads {
+			sleep(ctx, idlePause)
+			continue
+		}
+		if term != seen {
+			seen, after = term, 0
+		}
+		batch, err := e.store.Watch(ctx, kind, after, watchWait)
+		if err != nil && ctx.Err() == nil {
+			if !down {
+				e.log.Warn("platform does not answer", "kind", kind, "err", err)
+			}
+			down = true
+			telemetry.Counter(e.registry, "platform.watches_failed").Inc(1)
+			sleep(ctx, failurePause)
+			continue
+		}
+		if down {
+			e.log.Info("platform answers again", "kind", kind)
+			down = false
+		}
+		after = batch.Revision
+		for _, obj := range batch.Objects {
+			e.takeObject(kind, obj)
+		}
+	}
+}
+
+func (e *Entry) takeObject(kind string, obj platform.Object) {
+	switch kind {
+	case platform.KindIntent:
+		i, err := intent.Decode(obj.Value)
+		if err != nil {
+			telemetry.Counter(e.registry, "documents.malformed").Inc(1)
+			return
+		}
+		e.control.takeIntent(i, obj.Version)
+	default:
+		e.shelveData(library.Kind(kind), obj.Value)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// encodeCell wraps a cell document for a message between entries.
+func encodeCell(doc *cell.Cell) (*peerpb.Document, error) {
+	data, err := json.Marshal(doc)
+	if err != nil {
+		return nil, fmt.Errorf("cell document: %w", err)
+	}
+	return &peerpb.Document{Kind: platform.KindCell, Name: doc.Name, Version: doc.Version, Data: data}, nil
+}
+
+// takeState takes documents that another entry sent.
+func (e *Entry) takeState(docs []*peerpb.Document) {
+	for _, d := range docs {
+		if d.Kind != platform.KindCell {
+			e.shelveData(library.Kind(d.Kind), d.Data)
+			continue
+		}
+		doc, err := cell.Decode(d.Data)
+		if err != nil {
+			telemetry.Counter(e.registry, "documents.malformed").Inc(1)
+			continue
+		}
+		if doc.Name == e.self.Cell {
+			e.takeCell(doc)
+		}
+	}
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,274 @@
+// Package entry is the process on an entry VM: it serves callers, votes, and
+// runs the controller of its cell when it is its turn.
+//
+// The lifecycle is Provision, Serve, Drain. Settings are validated before.
+package entry
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/tls"
+	"encoding/binary"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"log/slog"
+	mathrand "math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/rockcroft/rockcroft/coordination/controller"
+	"github.com/rockcroft/rockcroft/coordination/gate"
+	"github.com/rockcroft/rockcroft/coordination/load"
+	"github.com/rockcroft/rockcroft/state/cell"
+	"github.com/rockcroft/rockcroft/state/library"
+	"github.com/rockcroft/rockcroft/state/settings"
+	"github.com/rockcroft/rockcroft/transport/front"
+	"github.com/rockcroft/rockcroft/transport/peers"
+	"github.com/rockcroft/rockcroft/transport/platform"
+	"github.com/rockcroft/rockcroft/transport/telemetry"
+	"github.com/rockcroft/rockcroft/transport/tlsfiles"
+	"github.com/rockcroft/rockcroft/transport/upstreams"
+)
+
+// Entry is one entry process.
+type Entry struct {
+	conf     settings.Entry
+	self     cell.Member
+	clock    func() time.Time
+	log      *slog.Logger
+	registry metrics.Registry
+	limits   controller.Limits
+
+	store   platform.Store
+	library *library.Library
+	gate    *gate.Gate
+	pool    *upstreams.Pool
+	peers   *peers.Pool
+	proxy   *front.Proxy
+	control *control
+	watched *observations
+	tracker *load.Tracker
+	book    *load.Book
+
+	flushSpans func(context.Context) error
+	draining   atomic.Bool
+	listeners  listeners
+	background sync.WaitGroup
+
+	// applyMu orders the documents of the cell taken into use.
+	applyMu sync.Mutex
+	outages outages
+
+	rngMu sync.Mutex
+	rng   *mathrand.Rand
+}
+
+type listeners struct {
+	callers, peers, admin net.Listener
+}
+
+// Provision builds an entry from checked settings and opens its listeners.
+// Store is the platform; tests pass a fake.
+func Provision(ctx context.Context, conf settings.Entry, store platform.Store, log *slog.Logger) (*Entry, error) {
+	e := &Entry{
+		conf:     conf,
+		clock:    time.Now,
+		log:      log,
+		registry: metrics.NewRegistry(),
+		limits:   controller.DefaultLimits(),
+		store:    store,
+		rng:      newRand(conf.Seed),
+	}
+	if err := e.listen(); err != nil {
+		return nil, err
+	}
+	e.self = cell.Member{
+		ID:     conf.ID + controller.IncarnationMark + incarnation(),
+		Domain: conf.Domain,
+		Cell:   conf.Cell,
+		Peer:   e.listeners.peers.Addr().String(),
+	}
+	peerTLS, err := tlsfiles.Mutual(conf.PeerTLS)
+	if err != nil {
+		return nil, err
+	}
+	tracer, flush, err := telemetry.Tracer(ctx, conf.Trace, "rockcroft-entry")
+	if err != nil {
+		return nil, err
+	}
+	e.flushSpans = flush
+	e.gate = gate.New(e.self, e.limits.Fence, e.clock)
+	e.library = library.New(e.onDocument)
+	e.pool = upstreams.NewPool(e.clock)
+	e.peers = peers.NewPool(peerTLS, e.clock)
+	e.watched = newObservations()
+	e.tracker = load.NewTracker()
+	e.book = load.NewBook()
+	e.control = newControl(e)
+	e.proxy = front.New(front.Parts{
+		Self:    e.self,
+		Clock:   e.clock,
+		Gate:    e.gate,
+		Library: e.library,
+		Pool:    e.pool,
+		Peers:   e.peers,
+		Tracer:  tracer,
+		Meters:  telemetry.NewRequests(e.registry),
+		Rand:    newRand(conf.Seed),
+		Observe: e.tracker.Saw,
+	})
+	return e, nil
+}
+
+func newRand(seed uint64) *mathrand.Rand {
+	if seed == 0 {
+		var b [8]byte
+		_, _ = rand.Read(b[:])
+		seed = binary.LittleEndian.Uint64(b[:])
+	}
+	return mathrand.New(mathrand.NewPCG(seed, seed))
+}
+
+// incarnation returns an id that no other start of the process has.
+func incarnation() string {
+	var b [6]byte
+	_, _ = rand.Read(b[:])
+	return hex.EncodeToString(b[:])
+}
+
+// newID returns an id for writes and intents.
+func newID() string {
+	var b [12]byte
+	_, _ = rand.Read(b[:])
+	return hex.EncodeToString(b[:])
+}
+
+func (e *Entry) listen() error {
+	open := func(addr fmt.Stringer) (net.Listener, error) {
+		l, err := net.Listen("tcp", addr.String())
+		if err != nil {
+			return nil, fmt.Errorf("listen: %w", err)
+		}
+		return l, nil
+	}
+	var err error
+	if e.listeners.callers, err = open(e.conf.Callers); err != nil {
+		return err
+	}
+	if e.listeners.peers, err = open(e.conf.Peers); err != nil {
+		return err
+	}
+	e.listeners.admin, err = open(e.conf.Admin)
+	return err
+}
+
+// Addresses of the open listeners, for settings that let the kernel choose.
+func (e *Entry) Addresses() (callers, peers, admin string) {
+	return e.listeners.callers.Addr().String(), e.listeners.peers.Addr().String(), e.listeners.admin.Addr().String()
+}
+
+// Self returns the identity of this process.
+func (e *Entry) Self() cell.Member { return e.self }
+
+// Serve runs until ctx ends, then drains and returns.
+func (e *Entry) Serve(ctx context.Context) error {
+	callerTLS, err := tlsfiles.Server(e.conf.CallerTLS)
+	if err != nil {
+		return err
+	}
+	peerTLS, err := tlsfiles.Mutual(e.conf.PeerTLS)
+	if err != nil {
+		return err
+	}
+	life, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	failed := make(chan error, 3)
+	servers := []*http.Server{
+		e.start(e.listeners.callers, callerTLS, e.proxy.Callers(), failed),
+		e.start(e.listeners.peers, peerTLS, e.peerHandler(), failed),
+		e.start(e.listeners.admin, nil, e.adminHandler(), failed),
+	}
+	e.run(life)
+	e.log.Info("serving", "id", e.self.ID, "domain", e.self.Domain, "cell", e.self.Cell)
+	select {
+	case <-ctx.Done():
+	case err = <-failed:
+	}
+	e.drain(servers)
+	stop()
+	e.background.Wait()
+	return err
+}
+
+// start serves a handler on a listener.
+func (e *Entry) start(l net.Listener, conf *tls.Config, h http.Handler, failed chan<- error) *http.Server {
+	if conf != nil {
+		l = tls.NewListener(l, conf)
+	}
+	s := &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: 5 * time.Second,
+		IdleTimeout:       60 * time.Second,
+		MaxHeaderBytes:    32 << 10,
+		ErrorLog:          slog.NewLogLogger(e.log.Handler(), slog.LevelDebug),
+	}
+	go func() {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			failed <- err
+		}
+	}()
+	return s
+}
+
+// run starts the loops of the process.
+func (e *Entry) run(ctx context.Context) {
+	for _, loop := range []func(context.Context){
+		e.beatLoop, e.renewLoop, e.gossipLoop, e.stepLoop, e.ownCellLoop, e.pursueLoop, e.loadLoop, e.balanceLoop,
+	} {
+		e.spawn(ctx, loop)
+	}
+	for _, kind := range watchedKinds {
+		e.spawn(ctx, func(ctx context.Context) { e.watchLoop(ctx, kind) })
+	}
+}
+
+func (e *Entry) spawn(ctx context.Context, loop func(context.Context)) {
+	e.background.Add(1)
+	go func() {
+		defer e.background.Done()
+		loop(ctx)
+	}()
+}
+
+// drain ends the process without cutting off a request. The entry first turns
+// unready, so that the balancer sends nothing new, then finishes what is in
+// flight. It goes on voting and beating until all is done.
+func (e *Entry) drain(servers []*http.Server) {
+	began := e.clock()
+	e.draining.Store(true)
+	limit, cancel := context.WithTimeout(context.Background(), e.conf.DrainLimit.D())
+	defer cancel()
+	cut := 0
+	for _, s := range servers {
+		if err := s.Shutdown(limit); err != nil {
+			cut++
+			_ = s.Close()
+		}
+	}
+	if err := e.flushSpans(limit); err != nil {
+		e.log.Warn("spans not flushed", "err", err)
+	}
+	e.log.Info("drained", "took", e.clock().Sub(began).Round(time.Millisecond), "listeners_cut", cut)
+}
+
+// ready reports whether callers can be served: documents are there and the
+// entry may send.
+func (e *Entry) ready() bool {
+	return !e.draining.Load() && e.gate.Version() > 0 && e.gate.MaySend()
+}
--- /dev/null
+++ b/entry/operator.go
@@ -0,0 +1,371 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/http/pprof"
+	"slices"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/twitchtv/twirp"
+
+	"github.com/rockcroft/rockcroft/coordination/planner"
+	"github.com/rockcroft/rockcroft/protocol/answer"
+	"github.com/rockcroft/rockcroft/protocol/operatorpb"
+	"github.com/rockcroft/rockcroft/state/cell"
+	"github.com/rockcroft/rockcroft/state/intent"
+	"github.com/rockcroft/rockcroft/state/keyspace"
+	"github.com/rockcroft/rockcroft/state/service"
+	"github.com/rockcroft/rockcroft/transport/platform"
+	"github.com/rockcroft/rockcroft/transport/telemetry"
+)
+
+// adminHandler serves operators, readiness, health, counters and profiles.
+func (e *Entry) adminHandler() http.Handler {
+	r := mux.NewRouter()
+	rpc := operatorpb.NewOperatorServer(operator{e})
+	r.PathPrefix(rpc.PathPrefix()).Handler(rpc)
+	r.Handle("/metrics", telemetry.Handler(e.registry)).Methods(http.MethodGet)
+	r.HandleFunc("/health", func(http.ResponseWriter, *http.Request) {}).Methods(http.MethodGet)
+	r.HandleFunc("/ready", e.serveReady).Methods(http.MethodGet)
+	r.HandleFunc("/debug/pprof/profile", pprof.Profile)
+	r.HandleFunc("/debug/pprof/heap", pprof.Handler("heap").ServeHTTP)
+	return r
+}
+
+func (e *Entry) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !e.ready() {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+	}
+}
+
+// operator implements operatorpb.Operator.
+type operator struct{ e *Entry }
+
+// twirpError carries the kind of an error in its metadata.
+func twirpError(err error) error {
+	if err == nil {
+		return nil
+	}
+	kind := answer.KindOf(err)
+	code := twirp.Internal
+	switch kind {
+	case answer.BadRequest:
+		code = twirp.InvalidArgument
+	case answer.NotFound, answer.UnknownService:
+		code = twirp.NotFound
+	case answer.Conflict, answer.StalePlan:
+		code = twirp.FailedPrecondition
+	case answer.PlatformDown:
+		code = twirp.Unavailable
+	}
+	return twirp.NewError(code, err.Error()).WithMeta("kind", string(kind))
+}
+
+// platformError gives errors of the store their kind.
+func platformError(err error) error {
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, platform.ErrNotFound):
+		return answer.Wrap(answer.NotFound, err)
+	case errors.Is(err, platform.ErrConflict):
+		return answer.Wrap(answer.Conflict, err)
+	}
+	return answer.Wrap(answer.PlatformDown, err)
+}
+
+// view reads what plans are computed from.
+func (e *Entry) view(ctx context.Context) (planner.View, error) {
+	v := planner.View{
+		Cells:       make(map[string]*cell.Cell),
+		Directories: make(map[string]*cell.Directory),
+		Services:    make(map[string]*service.Config),
+		Rate: func(name string, span keyspace.Span) float64 {
+			e.control.mu.Lock()
+			defer e.control.mu.Unlock()
+			return e.book.Rate(name, span)
+		},
+	}
+	cells, err := e.store.List(ctx, platform.KindCell)
+	if err != nil {
+		return v, platformError(err)
+	}
+	for _, obj := range cells.Objects {
+		if c, err := cell.Decode(obj.Value); err == nil {
+			v.Cells[c.Name] = c
+		}
+	}
+	directories, err := e.store.List(ctx, platform.KindDirectory)
+	if err != nil {
+		return v, platformError(err)
+	}
+	for _, obj := range directories.Objects {
+		if d, err := cell.DecodeDirectory(obj.Value); err == nil {
+			v.Directories[d.Service] = d
+		}
+	}
+	services, err := e.store.List(ctx, platform.KindService)
+	if err != nil {
+		return v, platformError(err)
+	}
+	for _, obj := range services.Objects {
+		if c, err := service.Decode(obj.Value); err == nil {
+			v.Services[c.Name] = c
+		}
+	}
+	return v, nil
+}
+
+// CreateIntent implements operatorpb.Operator.
+func (o operator) CreateIntent(ctx context.Context, req *operatorpb.CreateIntentRequest) (*operatorpb.IntentResponse, error) {
+	var spec intent.Spec
+	if err := json.Unmarshal(req.Spec, &spec); err != nil {
+		return nil, twirpError(answer.Wrap(answer.BadRequest, err))
+	}
+	if findings := spec.Check(); len(findings) > 0 {
+		return nil, twirpError(answer.New(answer.BadRequest, "%s", findings[0].String()))
+	}
+	view, err := o.e.view(ctx)
+	if err != nil {
+		return nil, twirpError(err)
+	}
+	plan, err := planner.Plan(spec, view)
+	if err != nil {
+		return nil, twirpError(err)
+	}
+	i := &intent.Intent{
+		ID:      "i-" + newID()[:10],
+		WriteID: newID(),
+		Created: o.e.clock().UTC(),
+		By:      req.By,
+		State:   intent.Planned,
+		Spec:    spec,
+		Plan:    plan,
+	}
+	if _, err := platform.PutOwn(ctx, o.e.store, platform.KindIntent, i.ID, i, 0); err != nil {
+		return nil, twirpError(platformError(err))
+	}
+	o.e.log.Info("intent created", "intent", i.ID, "kind", spec.Kind, "by", req.By)
+	return &operatorpb.IntentResponse{Intent: encode(i)}, nil
+}
+
+func (o operator) load(ctx context.Context, id string) (storedIntent, error) {
+	obj, err := o.e.store.Get(ctx, platform.KindIntent, id)
+	if err != nil {
+		return storedIntent{}, platformError(err)
+	}
+	i, err := intent.Decode(obj.Value)
+	return storedIntent{i, obj.Version}, err
+}
+
+// ConfirmIntent implements operatorpb.Operator. Confirming twice has no further
+// effect.
+func (o operator) ConfirmIntent(ctx context.Context, req *operatorpb.IntentRequest) (*operatorpb.IntentResponse, error) {
+	s, err := o.load(ctx, req.Id)
+	if err != nil {
+		return nil, twirpError(err)
+	}
+	i := s.intent
+	switch i.State {
+	case intent.Confirmed, intent.Done:
+		return &operatorpb.IntentResponse{Intent: encode(i)}, nil
+	case intent.Cancelled:
+		return nil, twirpError(answer.New(answer.Conflict, "intent %s is cancelled", i.ID))
+	}
+	if err := o.refresh(ctx, s); err != nil {
+		return nil, twirpError(err)
+	}
+	if err := o.e.enact(ctx, i); err != nil {
+		return nil, twirpError(err)
+	}
+	i.State = intent.Confirmed
+	if len(i.Cells()) == 0 {
+		i.State = intent.Done
+	}
+	i.WriteID = newID()
+	if _, err := platform.PutOwn(ctx, o.e.store, platform.KindIntent, i.ID, i, s.version); err != nil {
+		return nil, twirpError(platformError(err))
+	}
+	o.e.log.Info("intent confirmed", "intent", i.ID, "kind", i.Spec.Kind, "by", req.By)
+	return &operatorpb.IntentResponse{Intent: encode(i)}, nil
+}
+
+// refresh computes the plan again. When it comes out otherwise, the new plan is
+// stored for another look and the confirm is refused.
+func (o operator) refresh(ctx context.Context, s storedIntent) error {
+	view, err := o.e.view(ctx)
+	if err != nil {
+		return err
+	}
+	plan, err := planner.Plan(s.intent.Spec, view)
+	if err != nil {
+		return err
+	}
+	if slices.Equal(plan.Steps, s.intent.Plan.Steps) {
+		s.intent.Plan.Basis = plan.Basis
+		return nil
+	}
+	old := s.intent.Plan
+	s.intent.Plan = plan
+	s.intent.WriteID = newID()
+	if _, err := platform.PutOwn(ctx, o.e.store, platform.KindIntent, s.intent.ID, s.intent, s.version); err != nil {
+		return platformError(err)
+	}
+	return answer.New(answer.StalePlan, "%s; the new plan has %d steps instead of %d: look at it and confirm again",
+		changedBasis(old.Basis, plan.Basis), len(plan.Steps), len(old.Steps))
+}
+
+// changedBasis says which documents changed between two plans.
+func changedBasis(old, now []intent.Basis) string {
+	for _, b := range now {
+		for _, a := range old {
+			if a.Kind == b.Kind && a.Name == b.Name && a.Version != b.Version {
+				return b.Kind + " " + b.Name + " has changed"
+			}
+		}
+	}
+	return "the state has changed"
+}
+
+// CancelIntent implements operatorpb.Operator.
+func (o operator) CancelIntent(ctx context.Context, req *operatorpb.IntentRequest) (*operatorpb.IntentResponse, error) {
+	s, err := o.load(ctx, req.Id)
+	if err != nil {
+		return nil, twirpError(err)
+	}
+	i := s.intent
+	if i.State == intent.Confirmed || i.State == intent.Done {
+		return nil, twirpError(answer.New(answer.Conflict, "intent %s is %s already", i.ID, i.State))
+	}
+	i.State = intent.Cancelled
+	i.WriteID = newID()
+	if _, err := platform.PutOwn(ctx, o.e.store, platform.KindIntent, i.ID, i, s.version); err != nil {
+		return nil, twirpError(platformError(err))
+	}
+	return &operatorpb.IntentResponse{Intent: encode(i)}, nil
+}
+
+// GetIntent implements operatorpb.Operator.
+func (o operator) GetIntent(ctx context.Context, req *operatorpb.IntentRequest) (*operatorpb.IntentResponse, error) {
+	s, err := o.load(ctx, req.Id)
+	if err != nil {
+		return nil, twirpError(err)
+	}
+	return &operatorpb.IntentResponse{Intent: encode(s.intent)}, nil
+}
+
+// ListIntents implements operatorpb.Operator.
+func (o operator) ListIntents(ctx context.Context, req *operatorpb.ListIntentsRequest) (*operatorpb.ListIntentsResponse, error) {
+	list, err := o.e.listIntents(ctx)
+	if err != nil {
+		return nil, twirpError(platformError(err))
+	}
+	resp := &operatorpb.ListIntentsResponse{}
+	for _, s := range list {
+		if req.State == "" || string(s.intent.State) == req.State {
+			resp.Intents = append(resp.Intents, encode(s.intent))
+		}
+	}
+	return resp, nil
+}
+
+// enact writes the shared documents that a plan changes. Each write is made
+// once: a repeat finds it done.
+func (e *Entry) enact(ctx context.Context, i *intent.Intent) error {
+	for _, s := range i.Plan.Steps {
+		var err error
+		switch s.Action {
+		case planner.ActionConfigure:
+			err = e.configure(ctx, i.Spec.Service)
+		case planner.ActionDirect:
+			err = e.direct(ctx, s)
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// configure stores the next version of a service's configuration.
+func (e *Entry) configure(ctx context.Context, conf *service.Config) error {
+	next := *conf
+	next.Version = 1
+	next.WriteID = newID()
+	obj, err := e.store.Get(ctx, platform.KindService, conf.Name)
+	switch {
+	case errors.Is(err, platform.ErrNotFound):
+	case err != nil:
+		return platformError(err)
+	default:
+		known, err := service.Decode(obj.Value)
+		if err != nil {
+			return err
+		}
+		next.Version = known.Version + 1
+	}
+	if _, err := platform.PutOwn(ctx, e.store, platform.KindService, next.Name, &next, obj.Version); err != nil {
+		return platformError(err)
+	}
+	e.shelve(&next)
+	return nil
+}
+
+// direct gives a span of the directory to a cell. The first step of a new
+// service covers the whole space, so that the directory has no gap.
+func (e *Entry) direct(ctx context.Context, s intent.Step) error {
+	obj, err := e.store.Get(ctx, platform.KindDirectory, s.Service)
+	next := &cell.Directory{Service: s.Service}
+	switch {
+	case errors.Is(err, platform.ErrNotFound):
+		next.Segments = []cell.Segment{{Span: keyspace.Whole(), Cell: s.ToCell}}
+	case err != nil:
+		return platformError(err)
+	default:
+		known, err := cell.DecodeDirectory(obj.Value)
+		if err != nil {
+			return err
+		}
+		next = known.Clone()
+		epoch, err := e.epochBeyond(ctx, s)
+		if err != nil {
+			return err
+		}
+		next.Assign(s.Span, s.ToCell, epoch)
+	}
+	next.Version++
+	next.WriteID = newID()
+	if _, err := platform.PutOwn(ctx, e.store, platform.KindDirectory, next.Service, next, obj.Version); err != nil {
+		return platformError(err)
+	}
+	e.shelve(next)
+	return nil
+}
+
+// epochBeyond returns an epoch above all that the cell losing the span may have
+// granted: reserved grants are one above the epoch in its document.
+func (e *Entry) epochBeyond(ctx context.Context, s intent.Step) (uint64, error) {
+	if s.From == "" {
+		return 0, nil
+	}
+	obj, err := e.store.Get(ctx, platform.KindCell, s.From)
+	if err != nil {
+		return 0, platformError(err)
+	}
+	c, err := cell.Decode(obj.Value)
+	if err != nil {
+		return 0, err
+	}
+	var epoch uint64
+	for _, r := range rangesIn(c, s) {
+		epoch = max(epoch, r.Epoch+2)
+	}
+	return epoch, nil
+}
+
+// statusTimeout bounds the question to one other entry.
+const statusTimeout = 300 * time.Millisecond
--- /dev/null
+++ b/entry/peerserver.go
@@ -0,0 +1,154 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/twitchtv/twirp"
+
+	"github.com/rockcroft/rockcroft/coordination/controller"
+	"github.com/rockcroft/rockcroft/coordination/detect"
+	"github.com/rockcroft/rockcroft/coordination/load"
+	"github.com/rockcroft/rockcroft/protocol/peerpb"
+	"github.com/rockcroft/rockcroft/state/cell"
+	"github.com/rockcroft/rockcroft/state/keyspace"
+	"github.com/rockcroft/rockcroft/transport/peers"
+	"github.com/rockcroft/rockcroft/transport/platform"
+	"github.com/rockcroft/rockcroft/transport/telemetry"
+)
+
+// peerHandler serves the other entries.
+func (e *Entry) peerHandler() http.Handler {
+	r := mux.NewRouter().SkipClean(true).UseEncodedPath()
+	rpc := peerpb.NewPeerServer(peerServer{e})
+	r.PathPrefix(rpc.PathPrefix()).Handler(rpc)
+	r.PathPrefix(peers.ForwardPrefix + "/").Handler(e.proxy.Forwarded())
+	return r
+}
+
+// peerServer implements peerpb.Peer.
+type peerServer struct{ e *Entry }
+
+// Beat implements peerpb.Peer.
+func (s peerServer) Beat(_ context.Context, req *peerpb.BeatRequest) (*peerpb.BeatResponse, error) {
+	e := s.e
+	if req.Sender == nil || req.Sender.Id == "" {
+		return nil, twirp.RequiredArgumentError("sender")
+	}
+	sender := memberFrom(req.Sender)
+	resp := &peerpb.BeatResponse{
+		Version:   e.gate.Version(),
+		Responder: memberTo(e.self),
+		Digest:    e.library.Digest(),
+	}
+	e.control.note(func(core *controller.Core, now time.Time) {
+		core.OnBeat(now, sender)
+		if sender.Cell != e.self.Cell {
+			return
+		}
+		for _, o := range req.Observations {
+			core.OnObservation(now, sender.ID, o.Upstream, detect.Observation{
+				Boot:    o.Boot,
+				Silent:  time.Duration(o.SilentMs) * time.Millisecond,
+				Refused: o.Refused,
+				Leaving: o.Leaving,
+			})
+		}
+	})
+	if req.IntervalMs > 0 && sender.Cell == e.self.Cell {
+		e.takeLoad(req)
+	}
+	// A beat to an earlier incarnation asks for a promise that this process
+	// must not give in its name.
+	if req.Cell != "" && req.To == e.self.ID {
+		p := e.gate.Promise(req.Cell, req.Version, req.Guest)
+		resp.Granted = p.Granted
+		resp.Floor = p.Floor
+	}
+	return resp, nil
+}
+
+// takeLoad notes the traffic that an entry of the cell saw.
+func (e *Entry) takeLoad(req *peerpb.BeatRequest) {
+	interval := time.Duration(req.IntervalMs) * time.Millisecond
+	ranges := make([]load.RangeRate, 0, len(req.Ranges))
+	for _, r := range req.Ranges {
+		span := keyspace.Span{First: keyspace.Hash(r.First), Last: keyspace.Hash(r.Last)}
+		ranges = append(ranges, load.RangeRate{
+			Service: r.Service, Span: span, Rate: float64(r.Requests) / interval.Seconds(),
+		})
+	}
+	keys := make([]load.KeyRate, 0, len(req.Keys))
+	for _, k := range req.Keys {
+		keys = append(keys, load.KeyRate{Service: k.Service, Hash: keyspace.Hash(k.Hash), Requests: k.Requests})
+	}
+	e.control.note(func(_ *controller.Core, now time.Time) {
+		e.book.Report(now, req.Sender.Id, ranges, keys, interval)
+	})
+}
+
+// Apply implements peerpb.Peer.
+func (s peerServer) Apply(ctx context.Context, req *peerpb.ApplyRequest) (*peerpb.ApplyResponse, error) {
+	e := s.e
+	if req.To != e.self.ID {
+		return nil, twirp.NewErrorf(twirp.FailedPrecondition, "this is %s", e.self.ID)
+	}
+	for _, d := range req.Documents {
+		if d.Kind != platform.KindCell {
+			continue
+		}
+		doc, err := cell.Decode(d.Data)
+		if err != nil {
+			telemetry.Counter(e.registry, "documents.malformed").Inc(1)
+			return nil, twirp.InvalidArgumentError("documents", err.Error())
+		}
+		if doc.Name != e.self.Cell {
+			return nil, twirp.InvalidArgumentError("documents", "the document is of another cell")
+		}
+		a := e.applyHere(ctx, doc, time.Duration(req.DrainWaitMs)*time.Millisecond)
+		return applyResponse(a), nil
+	}
+	if req.Fence == 0 {
+		return nil, twirp.RequiredArgumentError("fence")
+	}
+	return applyResponse(controller.Applied{Ack: e.gate.Raise(req.Cell, req.Fence)}), nil
+}
+
+func applyResponse(a controller.Applied) *peerpb.ApplyResponse {
+	resp := &peerpb.ApplyResponse{
+		Voter:       a.Ack.Voter,
+		Fence:       a.Ack.Fence,
+		GuestWaitMs: roundUp(a.Ack.GuestWait),
+		Drained:     a.Drained,
+	}
+	for _, l := range a.Leases {
+		resp.Leases = append(resp.Leases, &peerpb.Lease{Upstream: l.Upstream, RemainingMs: roundUp(l.Remaining)})
+	}
+	return resp
+}
+
+// roundUp returns whole milliseconds, never less than d.
+func roundUp(d time.Duration) int64 {
+	return int64((d + time.Millisecond - 1) / time.Millisecond)
+}
+
+// State implements peerpb.Peer.
+func (s peerServer) State(context.Context, *peerpb.StateRequest) (*peerpb.StateResponse, error) {
+	e := s.e
+	resp := &peerpb.StateResponse{}
+	for _, d := range e.library.All() {
+		resp.Documents = append(resp.Documents, &peerpb.Document{
+			Kind: string(d.Kind), Name: d.Name, Version: d.Version, Data: d.Data,
+		})
+	}
+	if doc := e.gate.Doc(); doc != nil {
+		d, err := encodeCell(doc)
+		if err != nil {
+			return nil, twirp.InternalErrorWith(err)
+		}
+		resp.Documents = append(resp.Documents, d)
+	}
+	return resp, nil
+}
--- /dev/null
+++ b/standin/platform/settings.go
@@ -0,0 +1,43 @@
+// Package platform is a stand-in for the platform's object service. It keeps
+// objects in memory and can be told to fail: outage, latency, lost answers.
+package platform
+
+import (
+	"github.com/rockcroft/rockcroft/state/jsonc"
+)
+
+// Settings configure the stand-in.
+type Settings struct {
+	// Listen is the address of the object API.
+	Listen jsonc.Addr `json:"listen"`
+	// Latency is added to each call. Default 2ms.
+	Latency jsonc.Duration `json:"latency"`
+	// WritesPerSecond bounds writes; zero means 400.
+	WritesPerSecond int `json:"writes_per_second"`
+	// ReadsPerSecond bounds reads and watches; zero means 2000.
+	ReadsPerSecond int `json:"reads_per_second"`
+	// VMLag is the delay of the machine list. Default 30s.
+	VMLag jsonc.Duration `json:"vm_lag"`
+}
+
+// DefaultSettings returns the defaults.
+func DefaultSettings() Settings {
+	return Settings{
+		Latency:         jsonc.Duration(2e6),
+		WritesPerSecond: 400,
+		ReadsPerSecond:  2000,
+		VMLag:           jsonc.Duration(30e9),
+	}
+}
+
+// Check implements jsonc.Checker.
+func (s *Settings) Check() []jsonc.Finding {
+	var out []jsonc.Finding
+	if !s.Listen.IsValid() {
+		out = append(out, jsonc.Finding{Path: "listen", Message: "is required"})
+	}
+	if s.WritesPerSecond <= 0 || s.ReadsPerSecond <= 0 {
+		out = append(out, jsonc.Finding{Path: "writes_per_second", Message: "rates must be positive"})
+	}
+	return out
+}
--- /dev/null
+++ b/standin/upstream/serve.go
@@ -0,0 +1,50 @@
+package upstream
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/rockcroft/rockcroft/process"
+)
+
+// leaveLimit bounds the wait for grants to be taken back at a planned stop.
+const leaveLimit = 10 * time.Second
+
+// NewBoot returns a boot id that no other start has.
+func NewBoot() string { return fmt.Sprintf("%016x", rand.Uint64()) }
+
+// Serve runs until ctx ends. It then announces its stop and goes on serving
+// until its ranges are taken back.
+func (s *Server) Serve(ctx context.Context) error {
+	l, err := net.Listen("tcp", s.settings.Listen.String())
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	return s.ServeListener(ctx, l)
+}
+
+// ServeListener is Serve on an open listener.
+func (s *Server) ServeListener(ctx context.Context, l net.Listener) error {
+	var open atomic.Int64
+	server := &http.Server{
+		Handler:           s.Handler(),
+		ReadHeaderTimeout: 5 * time.Second,
+		ConnContext:       s.ConnContext,
+		ConnState:         s.ConnState(&open),
+	}
+	life, stop := context.WithCancel(context.Background())
+	defer stop()
+	go func() {
+		<-ctx.Done()
+		limit, cancel := context.WithTimeout(context.Background(), leaveLimit)
+		defer cancel()
+		s.Leave(limit)
+		stop()
+	}()
+	return process.ServeListener(life, l, server)
+}
--- /dev/null
+++ b/state/keyspace/keyspace.go
@@ -0,0 +1,109 @@
+// Package keyspace maps keys to points of a 64-bit hash space and describes
+// contiguous spans of that space.
+package keyspace
+
+import (
+	"fmt"
+	"math"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Max is the last point of the hash space.
+const Max Hash = math.MaxUint64
+
+// Hash is a point of a service's hash space.
+type Hash uint64
+
+// Of returns the point of key.
+func Of(key string) Hash { return Hash(xxhash.Sum64String(key)) }
+
+// MarshalText encodes the point as sixteen hexadecimal digits.
+func (h Hash) MarshalText() ([]byte, error) {
+	return fmt.Appendf(nil, "%016x", uint64(h)), nil
+}
+
+// UnmarshalText decodes hexadecimal digits.
+func (h *Hash) UnmarshalText(text []byte) error {
+	v, err := strconv.ParseUint(string(text), 16, 64)
+	if err != nil {
+		return fmt.Errorf("hash point %q: %w", text, err)
+	}
+	*h = Hash(v)
+	return nil
+}
+
+// String returns the point as sixteen hexadecimal digits.
+func (h Hash) String() string { return fmt.Sprintf("%016x", uint64(h)) }
+
+// Span is a contiguous part of the hash space; both ends are included.
+type Span struct {
+	First Hash `json:"first"`
+	Last  Hash `json:"last"`
+}
+
+// Whole is the complete hash space.
+func Whole() Span { return Span{First: 0, Last: Max} }
+
+// Contains reports whether h lies within the span.
+func (s Span) Contains(h Hash) bool { return s.First <= h && h <= s.Last }
+
+// Covers reports whether every point of o lies within the span.
+func (s Span) Covers(o Span) bool { return s.First <= o.First && o.Last <= s.Last }
+
+// Overlaps reports whether the spans share a point.
+func (s Span) Overlaps(o Span) bool { return s.First <= o.Last && o.First <= s.Last }
+
+// Valid reports whether the span holds at least one point.
+func (s Span) Valid() bool { return s.First <= s.Last }
+
+// Width returns the share of the whole hash space, between 0 and 1.
+func (s Span) Width() float64 {
+	return (float64(s.Last-s.First) + 1) / math.Exp2(64)
+}
+
+// String returns "first-last" in hexadecimal digits.
+func (s Span) String() string { return s.First.String() + "-" + s.Last.String() }
+
+// Split divides the span into n parts of nearly equal width, in order.
+// Fewer parts are returned when the span has fewer than n points.
+func (s Span) Split(n int) []Span {
+	if n < 1 {
+		n = 1
+	}
+	points := uint64(s.Last - s.First)
+	if points < uint64(n)-1 {
+		n = int(points) + 1
+	}
+	step := points/uint64(n) + 1
+	parts := make([]Span, 0, n)
+	first := s.First
+	for i := 1; i < n; i++ {
+		last := first + Hash(step) - 1
+		if last >= s.Last || last < first {
+			break
+		}
+		parts = append(parts, Span{First: first, Last: last})
+		first = last + 1
+	}
+	return append(parts, Span{First: first, Last: s.Last})
+}
+
+// Cut returns the parts of s before, inside and after the point range of o.
+// Parts that would be empty are left out.
+func (s Span) Cut(o Span) []Span {
+	if !s.Overlaps(o) {
+		return []Span{s}
+	}
+	var parts []Span
+	first, last := max(s.First, o.First), min(s.Last, o.Last)
+	if s.First < first {
+		parts = append(parts, Span{First: s.First, Last: first - 1})
+	}
+	parts = append(parts, Span{First: first, Last: last})
+	if last < s.Last {
+		parts = append(parts, Span{First: last + 1, Last: s.Last})
+	}
+	return parts
+}
--- /dev/null
+++ b/state/library/library.go
@@ -0,0 +1,166 @@
+// Package library keeps the newest version of each shared document that a
+// process has seen. A version never goes back: an older document is ignored, in
+// whatever order and from whomever documents arrive.
+package library
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/rockcroft/rockcroft/state/cell"
+	"github.com/rockcroft/rockcroft/state/service"
+)
+
+// Kind is the kind of a shared document.
+type Kind string
+
+// The kinds of shared documents.
+const (
+	Directory Kind = "directory"
+	Service   Kind = "service"
+	Roster    Kind = "roster"
+)
+
+// Document is one version of a shared document, in its JSON form and parsed.
+type Document struct {
+	Kind    Kind
+	Name    string
+	Version uint64
+	Data    []byte
+
+	// Exactly one of these is set, by the kind.
+	Directory *cell.Directory
+	Service   *service.Config
+	Roster    *cell.Roster
+}
+
+// Parse reads a document of the given kind and checks it.
+func Parse(kind Kind, data []byte) (*Document, error) {
+	d := &Document{Kind: kind, Data: data}
+	var err error
+	switch kind {
+	case Directory:
+		d.Directory, err = cell.DecodeDirectory(data)
+		if err == nil {
+			d.Name, d.Version = d.Directory.Service, d.Directory.Version
+		}
+	case Service:
+		d.Service, err = service.Decode(data)
+		if err == nil {
+			d.Name, d.Version = d.Service.Name, d.Service.Version
+		}
+	case Roster:
+		d.Roster, err = cell.DecodeRoster(data)
+		if err == nil {
+			d.Name, d.Version = d.Roster.Cell, d.Roster.Version
+		}
+	default:
+		err = fmt.Errorf("unknown document kind %q", kind)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return d, nil
+}
+
+type docID struct {
+	kind Kind
+	name string
+}
+
+// Library holds documents. It is safe for concurrent use.
+type Library struct {
+	mu       sync.Mutex
+	docs     map[docID]*Document
+	digest   uint64
+	onChange func(*Document)
+}
+
+// New returns an empty library. OnChange is called with each document that
+// replaced an older one, one at a time and in order.
+func New(onChange func(*Document)) *Library {
+	return &Library{docs: make(map[docID]*Document), onChange: onChange}
+}
+
+// Add takes a document unless a version at least as new is known.
+func (l *Library) Add(d *Document) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	id := docID{d.Kind, d.Name}
+	if known := l.docs[id]; known != nil && known.Version >= d.Version {
+		return false
+	}
+	l.docs[id] = d
+	l.digest = l.sum()
+	l.onChange(d)
+	return true
+}
+
+// Digest identifies the set of versions. Two libraries with equal digests hold
+// the same versions.
+func (l *Library) Digest() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.digest
+}
+
+func (l *Library) sum() uint64 {
+	lines := make([]string, 0, len(l.docs))
+	for id, d := range l.docs {
+		lines = append(lines, string(id.kind)+"/"+id.name+"@"+strconv.FormatUint(d.Version, 10))
+	}
+	slices.Sort(lines)
+	return xxhash.Sum64String(strings.Join(lines, "\n"))
+}
+
+// All returns the documents, ordered by kind and name.
+func (l *Library) All() []*Document {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make([]*Document, 0, len(l.docs))
+	for _, d := range l.docs {
+		out = append(out, d)
+	}
+	slices.SortFunc(out, func(a, b *Document) int {
+		if c := strings.Compare(string(a.Kind), string(b.Kind)); c != 0 {
+			return c
+		}
+		return strings.Compare(a.Name, b.Name)
+	})
+	return out
+}
+
+func (l *Library) get(kind Kind, name string) *Document {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.docs[docID{kind, name}]
+}
+
+// Service returns the configuration in force, or nil.
+func (l *Library) Service(name string) *service.Config {
+	if d := l.get(Service, name); d != nil {
+		return d.Service
+	}
+	return nil
+}
+
+// Directory returns the directory in force, or nil.
+func (l *Library) Directory(name string) *cell.Directory {
+	if d := l.get(Directory, name); d != nil {
+		return d.Directory
+	}
+	return nil
+}
+
+// Roster returns the member list of a cell, or nil.
+func (l *Library) Roster(name string) *cell.Roster {
+	if d := l.get(Roster, name); d != nil {
+		return d.Roster
+	}
+	return nil
+}
--- /dev/null
+++ b/transport/front/headers.go
@@ -0,0 +1,49 @@
+package front
+
+import (
+	"net/http"
+	"strings"
+)
+
+// hopByHop are headers that belong to one connection only. The idempotency
+// headers are dropped because net/http repeats requests that carry them.
+var hopByHop = map[string]bool{
+	"Connection":          true,
+	"Keep-Alive":          true,
+	"Proxy-Authenticate":  true,
+	"Proxy-Authorization": true,
+	"Proxy-Connection":    true,
+	"Te":                  true,
+	"Trailer":             true,
+	"Transfer-Encoding":   true,
+	"Upgrade":             true,
+	"Idempotency-Key":     true,
+	"X-Idempotency-Key":   true,
+	"Rockcroft-Hops":      true,
+	"Rockcroft-Epoch":     true,
+	"Rockcroft-Refused":   true,
+	"Rockcroft-Kind":      true,
+}
+
+// copyHeader copies end-to-end headers. Headers that the Connection header
+// names are left out too.
+func copyHeader(to, from http.Header) {
+	named := from["Connection"]
+	for name, values := range from {
+		if hopByHop[name] || len(named) > 0 && namedIn(named, name) {
+			continue
+		}
+		to[name] = values
+	}
+}
+
+func namedIn(list []string, name string) bool {
+	for _, line := range list {
+		for token := range strings.SplitSeq(line, ",") {
+			if strings.EqualFold(strings.TrimSpace(token), name) {
+				return true
+			}
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/transport/front/proxy.go
@@ -0,0 +1,459 @@
+// Package front serves callers: it parses requests, routes each to the one
+// owner of its key, and streams the answer back. Requests to keys of another
+// cell pass through an entry of that cell.
+package front
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+	"golang.org/x/time/rate"
+
+	"github.com/rockcroft/rockcroft/coordination/admission"
+	"github.com/rockcroft/rockcroft/coordination/gate"
+	"github.com/rockcroft/rockcroft/coordination/retry"
+	"github.com/rockcroft/rockcroft/protocol/answer"
+	"github.com/rockcroft/rockcroft/protocol/header"
+	"github.com/rockcroft/rockcroft/state/cell"
+	"github.com/rockcroft/rockcroft/state/library"
+	"github.com/rockcroft/rockcroft/transport/peers"
+	"github.com/rockcroft/rockcroft/transport/telemetry"
+	"github.com/rockcroft/rockcroft/transport/upstreams"
+)
+
+// Limits of the proxy as a whole.
+const (
+	// maxPending bounds the requests that wait for a change of owner.
+	maxPending = 4096
+	// retryBurst is the number of retries saved up per service.
+	retryBurst = 50
+	// maxCallers bounds the callers whose rate is tracked.
+	maxCallers = 10000
+)
+
+// Proxy serves requests of callers and of other entries.
+type Proxy struct {
+	self    cell.Member
+	clock   func() time.Time
+	gate    *gate.Gate
+	library *library.Library
+	pool    *upstreams.Pool
+	peers   *peers.Pool
+	backoff retry.Backoff
+	tracer  trace.Tracer
+	meters  *telemetry.Requests
+	// Observe is called for each request sent to an upstream of this cell.
+	observe func(service string, r gate.Route, key string)
+
+	pending atomic.Int64
+
+	mu      sync.Mutex
+	rng     *rand.Rand
+	budgets map[string]*retry.Budget
+	callers map[string]*rate.Limiter
+}
+
+// Parts are what a Proxy works with.
+type Parts struct {
+	Self    cell.Member
+	Clock   func() time.Time
+	Gate    *gate.Gate
+	Library *library.Library
+	Pool    *upstreams.Pool
+	Peers   *peers.Pool
+	Tracer  trace.Tracer
+	Meters  *telemetry.Requests
+	Rand    *rand.Rand
+	Observe func(service string, r gate.Route, key string)
+}
+
+// New returns a proxy.
+func New(p Parts) *Proxy {
+	return &Proxy{
+		self:    p.Self,
+		clock:   p.Clock,
+		gate:    p.Gate,
+		library: p.Library,
+		pool:    p.Pool,
+		peers:   p.Peers,
+		backoff: retry.Backoff{First: 5 * time.Millisecond, Max: 200 * time.Millisecond},
+		tracer:  p.Tracer,
+		meters:  p.Meters,
+		observe: p.Observe,
+		rng:     p.Rand,
+		budgets: make(map[string]*retry.Budget),
+		callers: make(map[string]*rate.Limiter),
+	}
+}
+
+// Callers returns the handler for callers.
+func (p *Proxy) Callers() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		name, rest := splitPath(r.URL.Path)
+		p.serve(w, r, name, rest, false)
+	})
+}
+
+// Forwarded returns the handler for requests from other entries, to be mounted
+// at peers.ForwardPrefix.
+func (p *Proxy) Forwarded() http.Handler {
+	return http.StripPrefix(peers.ForwardPrefix, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		name, rest := splitPath(r.URL.Path)
+		p.serve(w, r, name, rest, true)
+	}))
+}
+
+func (p *Proxy) serve(w http.ResponseWriter, r *http.Request, name, path string, internal bool) {
+	began := p.clock()
+	q, err := p.parse(r, name, path, internal)
+	if err == nil && !internal {
+		err = p.limitCaller(q)
+	}
+	if err == nil {
+		err = q.readBody(r)
+	}
+	if err != nil {
+		p.fail(w, name, err)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
+	defer cancel()
+	ctx, span := p.startSpan(ctx, r, q)
+	defer span.End()
+	p.budget(name).Earn()
+	resp, err := p.deliver(ctx, r, q, w.Header())
+	if err != nil {
+		span.SetAttributes(attribute.String("rockcroft.kind", string(answer.KindOf(err))))
+		p.fail(w, name, err)
+		return
+	}
+	defer resp.done()
+	p.copyAnswer(w, resp)
+	p.meters.Answered(name, p.clock().Sub(began))
+}
+
+func (p *Proxy) startSpan(ctx context.Context, r *http.Request, q *request) (context.Context, trace.Span) {
+	ctx = telemetry.Extract(ctx, r.Header)
+	ctx, span := p.tracer.Start(ctx, "entry", trace.WithSpanKind(trace.SpanKindServer))
+	if span.IsRecording() {
+		span.SetAttributes(
+			attribute.String("rockcroft.service", q.service.Name),
+			attribute.String("rockcroft.entry", p.self.ID),
+			attribute.Int("rockcroft.hops", q.hops),
+		)
+	}
+	return ctx, span
+}
+
+func (p *Proxy) fail(w http.ResponseWriter, service string, err error) {
+	p.meters.Failed(service, answer.KindOf(err))
+	answer.Write(w, err)
+}
+
+// limitCaller bounds the rate of one caller, so that a flood of one takes no
+// room from others.
+func (p *Proxy) limitCaller(q *request) error {
+	if q.service.CallerRate <= 0 || q.caller == "" {
+		return nil
+	}
+	id := q.service.Name + "/" + q.caller
+	p.mu.Lock()
+	l := p.callers[id]
+	if l == nil {
+		if len(p.callers) >= maxCallers {
+			clear(p.callers)
+		}
+		l = rate.NewLimiter(rate.Limit(q.service.CallerRate), int(q.service.CallerRate)+1)
+		p.callers[id] = l
+	}
+	p.mu.Unlock()
+	if !l.AllowN(p.clock(), 1) {
+		return answer.New(answer.CallerLimited, "caller %q sends more than %g requests a second", q.caller, q.service.CallerRate)
+	}
+	return nil
+}
+
+func (p *Proxy) budget(service string) *retry.Budget {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	b := p.budgets[service]
+	if b == nil {
+		share := 0.1
+		if conf := p.library.Service(service); conf != nil {
+			share = conf.RetryShare
+		}
+		b = retry.NewBudget(share, retryBurst)
+		p.budgets[service] = b
+	}
+	return b
+}
+
+// reply is an upstream's answer with what has to be done after it.
+type reply struct {
+	*http.Response
+	done func()
+}
+
+// deliver tries until the request has its answer, its fate is decided, or its
+// deadline has passed.
+func (p *Proxy) deliver(ctx context.Context, r *http.Request, q *request, h http.Header) (*reply, error) {
+	for try := 1; ; try++ {
+		route := p.gate.Route(q.service.Name, q.hash)
+		resp, err := p.attempt(ctx, r, q, route, h)
+		if err == nil {
+			return resp, nil
+		}
+		again, wait := p.again(q, err, try)
+		if !again {
+			return nil, err
+		}
+		if !p.pause(ctx, route, wait) {
+			return nil, err
+		}
+	}
+}
+
+func (p *Proxy) attempt(ctx context.Context, r *http.Request, q *request, route gate.Route, h http.Header) (*reply, error) {
+	switch route.Where {
+	case gate.Local:
+		if !p.gate.MaySend() {
+			return p.viaSibling(ctx, r, q, h, answer.New(answer.NoRight, "this entry may not send at the moment"))
+		}
+		return p.local(ctx, r, q, route, h)
+	case gate.Remote:
+		return p.viaCell(ctx, r, q, route.Cell, h)
+	case gate.Pending:
+		return p.pendingRoute(ctx, route)
+	}
+	return nil, answer.New(answer.NoOwner, "no cell is named for the key")
+}
+
+// pendingRoute waits for the key's next owner, within the bound on such
+// requests.
+func (p *Proxy) pendingRoute(ctx context.Context, route gate.Route) (*reply, error) {
+	if p.pending.Add(1) > maxPending {
+		p.pending.Add(-1)
+		return nil, answer.New(answer.Overloaded, "too many requests wait for a change of owner")
+	}
+	defer p.pending.Add(-1)
+	select {
+	case <-route.Changed():
+		return nil, errMoved
+	case <-ctx.Done():
+		return nil, p.contextError(ctx, false)
+	}
+}
+
+// errMoved says that the route changed before anything was sent.
+var errMoved = answer.New(answer.NoOwner, "the key is changing owner")
+
+// contextError tells a passed deadline from a caller that left.
+func (p *Proxy) contextError(ctx context.Context, sent bool) error {
+	timedOut := errors.Is(ctx.Err(), context.DeadlineExceeded)
+	switch {
+	case timedOut && sent:
+		return answer.New(answer.TimedOut, "the deadline passed after the request was sent")
+	case timedOut:
+		return answer.New(answer.DeadlinePassed, "the deadline passed before the request was sent")
+	}
+	return answer.New(answer.Cancelled, "the caller left")
+}
+
+// again decides whether another try is allowed and after which pause. Only
+// what certainly did not run, or is idempotent, is ever sent again.
+func (p *Proxy) again(q *request, err error, try int) (bool, time.Duration) {
+	if err == errMoved {
+		return true, 0
+	}
+	if err == errShed {
+		// Not run, but another try is more load for an owner that sheds.
+		return q.canSendAgain() && p.budget(q.service.Name).Spend(), p.nextPause(try)
+	}
+	kind := answer.KindOf(err)
+	switch kind {
+	case answer.NotOwner, answer.Unreachable, answer.NoRight, answer.WrongCell, answer.NoOwner, answer.Stopping:
+		// Not run: these end when ownership has settled. The pause grows and
+		// the deadline ends it.
+	case answer.Broken:
+		if !q.idempotent {
+			return false, 0
+		}
+	default:
+		return false, 0
+	}
+	if !q.canSendAgain() || !p.budget(q.service.Name).Spend() && kind == answer.Broken {
+		return false, 0
+	}
+	return true, p.nextPause(try)
+}
+
+func (p *Proxy) nextPause(try int) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.backoff.Pause(try, p.rng)
+}
+
+// errShed says that the owner refused for overload before any work.
+var errShed = answer.New(answer.Overloaded, "the owner sheds load")
+
+// pause waits for the given time or until the route may have changed. It
+// returns false when the deadline comes first.
+func (p *Proxy) pause(ctx context.Context, route gate.Route, wait time.Duration) bool {
+	if wait <= 0 {
+		return ctx.Err() == nil
+	}
+	if deadline, ok := ctx.Deadline(); ok && p.clock().Add(wait).After(deadline) {
+		return false
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-route.Changed():
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// local sends to the owner in this cell.
+func (p *Proxy) local(ctx context.Context, r *http.Request, q *request, route gate.Route, h http.Header) (*reply, error) {
+	slot := route.Slot
+	if q.repeat != 0 && q.repeat != slot.Epoch {
+		h.Set(header.Epoch, strconv.FormatUint(q.repeat, 10))
+		return nil, answer.New(answer.RepeatUnsafe, "the key has a new owner, which does not know the first try")
+	}
+	u := p.pool.Get(slot.Owner)
+	if u == nil {
+		return nil, answer.New(answer.NoOwner, "the owner %s is not known here", slot.Owner)
+	}
+	if err := u.Limiter.Acquire(ctx, q.importance, q.deadline); err != nil {
+		return nil, err
+	}
+	switch p.gate.Enter(route) {
+	case gate.Moved:
+		u.Limiter.Release(admission.Outcome{Unsent: true})
+		return nil, errMoved
+	case gate.NoRight:
+		u.Limiter.Release(admission.Outcome{Unsent: true})
+		return nil, answer.New(answer.NoRight, "this entry may not send at the moment")
+	}
+	return p.send(ctx, r, q, route, u, h)
+}
+
+func (p *Proxy) send(ctx context.Context, r *http.Request, q *request, route gate.Route, u *upstreams.Upstream, h http.Header) (*reply, error) {
+	began := p.clock()
+	slot := route.Slot
+	p.observe(q.service.Name, route, q.key)
+	ctx, span := p.tracer.Start(ctx, "upstream", trace.WithSpanKind(trace.SpanKindClient))
+	out := p.outgoing(ctx, r, q, "http://"+u.Addr+requestURI(q.path, r))
+	out.Header.Set(header.Epoch, strconv.FormatUint(slot.Epoch, 10))
+	resp, end, sent, err := u.Send(out)
+	finish := func(o admission.Outcome) {
+		end()
+		o.Took = p.clock().Sub(began)
+		u.Limiter.Release(o)
+		p.gate.Leave(slot)
+		slot.Took(uint64(o.Took.Microseconds()))
+		span.End()
+	}
+	if err != nil {
+		finish(admission.Outcome{Unsent: !sent})
+		return nil, p.sendError(ctx, q, slot, sent, err, h)
+	}
+	if reason := resp.Header.Get(header.Refused); reason != "" {
+		_ = resp.Body.Close()
+		finish(admission.Outcome{Shed: reason == header.RefusedOverloaded})
+		return nil, refusal(reason)
+	}
+	resp.Header.Set(header.Owner, u.ID)
+	return &reply{Response: resp, done: func() {
+		_ = resp.Body.Close()
+		finish(admission.Outcome{})
+	}}, nil
+}
+
+// sendError classifies a failed try. Where bytes may have reached the upstream
+// the outcome is unknown, and the epoch tells the caller how to ask again.
+func (p *Proxy) sendError(ctx context.Context, q *request, slot *gate.Slot, sent bool, err error, h http.Header) error {
+	if sent {
+		h.Set(header.Epoch, strconv.FormatUint(slot.Epoch, 10))
+	}
+	if ctx.Err() != nil {
+		return p.contextError(ctx, sent)
+	}
+	if sent {
+		return answer.New(answer.Broken, "the connection to %s broke: %v", slot.Owner, err)
+	}
+	return answer.New(answer.Unreachable, "%s cannot be reached: %v", slot.Owner, err)
+}
+
+// refusal maps the reason of an upstream that refused before any work.
+func refusal(reason string) error {
+	switch reason {
+	case header.RefusedOverloaded:
+		return errShed
+	case header.RefusedDeadline:
+		return answer.New(answer.DeadlinePassed, "the owner had no time left")
+	case header.RefusedStopping:
+		return answer.New(answer.Stopping, "the owner is stopping")
+	}
+	return answer.New(answer.NotOwner, "the owner does not hold the key at this epoch")
+}
+
+func requestURI(path string, r *http.Request) string {
+	if r.URL.RawQuery == "" {
+		return path
+	}
+	return path + "?" + r.URL.RawQuery
+}
+
+// outgoing builds one try from the caller's request.
+func (p *Proxy) outgoing(ctx context.Context, r *http.Request, q *request, url string) *http.Request {
+	out, err := http.NewRequestWithContext(ctx, r.Method, url, nil)
+	if err != nil {
+		// The URL is built from parsed parts; only a broken method gets here.
+		out, _ = http.NewRequestWithContext(ctx, http.MethodPost, url, nil)
+	}
+	copyHeader(out.Header, r.Header)
+	out.Header.Set(header.Idempotent, strconv.FormatBool(q.idempotent))
+	out.Header.Set(header.Timeout, q.deadline.Sub(p.clock()).String())
+	telemetry.Inject(ctx, out.Header)
+	q.attach(out)
+	return out
+}
+
+// copyAnswer streams the answer. A source that breaks off makes the answer to
+// the caller break off too, so that it cannot look whole.
+func (p *Proxy) copyAnswer(w http.ResponseWriter, resp *reply) {
+	copyHeader(w.Header(), resp.Header)
+	w.WriteHeader(resp.StatusCode)
+	buf := buffers.Get().(*[]byte)
+	defer buffers.Put(buf)
+	if _, err := io.CopyBuffer(onlyWriter{w}, onlyReader{resp.Body}, *buf); err != nil {
+		resp.done()
+		panic(http.ErrAbortHandler)
+	}
+}
+
+const bufferSize = 16 << 10
+
+var buffers = sync.Pool{New: func() any {
+	b := make([]byte, bufferSize)
+	return &b
+}}
+
+// onlyWriter and onlyReader hide other methods, so that the pooled buffer is
+// used.
+type onlyWriter struct{ io.Writer }
+type onlyReader struct{ io.Reader }
--- /dev/null
+++ b/transport/peers/peers.go
@@ -0,0 +1,101 @@
+// Package peers reaches the other entries: by twirp for control, and by plain
+// HTTP for requests that another cell has to serve.
+package peers
+
+import (
+	"crypto/tls"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rockcroft/rockcroft/protocol/peerpb"
+)
+
+// Times and sizes of connections between entries.
+const (
+	dialTimeout  = 300 * time.Millisecond
+	idleTimeout  = 30 * time.Second
+	idlePerPeer  = 64
+	controlConns = 2
+)
+
+// ForwardPrefix is the path under which an entry takes forwarded requests.
+const ForwardPrefix = "/forward"
+
+// Pool holds the connections to other entries. It is safe for concurrent use.
+type Pool struct {
+	scheme  string
+	control *http.Client
+	data    *http.Transport
+
+	mu      sync.Mutex
+	clients map[string]peerpb.Peer
+	bad     map[string]time.Time
+	clock   func() time.Time
+}
+
+// badFor is how long a peer that failed is passed over.
+const badFor = time.Second
+
+// NewPool returns an empty pool. Config is nil for plain TCP.
+func NewPool(config *tls.Config, clock func() time.Time) *Pool {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	scheme := "http"
+	if config != nil {
+		scheme = "https"
+	}
+	return &Pool{
+		scheme: scheme,
+		control: &http.Client{Transport: &http.Transport{
+			DialContext:         dialer.DialContext,
+			TLSClientConfig:     config,
+			MaxIdleConnsPerHost: controlConns,
+			IdleConnTimeout:     idleTimeout,
+		}},
+		data: &http.Transport{
+			DialContext:         dialer.DialContext,
+			TLSClientConfig:     config,
+			MaxIdleConnsPerHost: idlePerPeer,
+			IdleConnTimeout:     idleTimeout,
+			DisableCompression:  true,
+		},
+		clients: make(map[string]peerpb.Peer),
+		bad:     make(map[string]time.Time),
+		clock:   clock,
+	}
+}
+
+// Client returns the control client of the entry at addr.
+func (p *Pool) Client(addr string) peerpb.Peer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c := p.clients[addr]
+	if c == nil {
+		c = peerpb.NewPeerProtobufClient(p.scheme+"://"+addr, p.control)
+		p.clients[addr] = c
+	}
+	return c
+}
+
+// URL returns the address of a forwarded request at the entry.
+func (p *Pool) URL(addr, pathAndQuery string) string {
+	return p.scheme + "://" + addr + ForwardPrefix + pathAndQuery
+}
+
+// Forward returns the transport for forwarded requests.
+func (p *Pool) Forward() http.RoundTripper { return p.data }
+
+// Bad marks a peer as failing, so that others are preferred for a while.
+func (p *Pool) Bad(addr string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.bad[addr] = p.clock().Add(badFor)
+}
+
+// Good reports whether the peer has not failed lately.
+func (p *Pool) Good(addr string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.clock().Before(p.bad[addr])
+}
--- /dev/null
+++ b/transport/platform/client.go
@@ -0,0 +1,118 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+)
+
+// maxObject is the largest answer read from the platform, in bytes. A value
+// has at most one megabyte; lists hold several.
+const maxObject = 64 << 20
+
+// Client reaches the platform over HTTP.
+type Client struct {
+	base    string
+	timeout time.Duration
+	http    *http.Client
+}
+
+// NewClient returns a client for the platform at addr, an IP number with port.
+// Each call ends after timeout; a watch after its wait and timeout.
+func NewClient(addr string, timeout time.Duration) *Client {
+	return &Client{
+		base:    "http://" + addr,
+		timeout: timeout,
+		http:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}},
+	}
+}
+
+// Get implements Store.
+func (c *Client) Get(ctx context.Context, kind, name string) (Object, error) {
+	var obj Object
+	err := c.call(ctx, c.timeout, http.MethodGet, objectPath(kind, name), nil, nil, &obj)
+	return obj, err
+}
+
+// List implements Store.
+func (c *Client) List(ctx context.Context, kind string) (Batch, error) {
+	var b Batch
+	err := c.call(ctx, c.timeout, http.MethodGet, "/objects/"+url.PathEscape(kind), nil, nil, &b)
+	return b, err
+}
+
+// Put implements Store.
+func (c *Client) Put(ctx context.Context, obj Object, expect uint64) (uint64, error) {
+	h := http.Header{}
+	if expect == 0 {
+		h.Set("If-None-Match", "*")
+	} else {
+		h.Set("If-Match", strconv.FormatUint(expect, 10))
+	}
+	var out Object
+	err := c.call(ctx, c.timeout, http.MethodPut, objectPath(obj.Kind, obj.Name), h, obj.Value, &out)
+	return out.Version, err
+}
+
+// Watch implements Store.
+func (c *Client) Watch(ctx context.Context, kind string, after uint64, wait time.Duration) (Batch, error) {
+	q := url.Values{}
+	q.Set("after", strconv.FormatUint(after, 10))
+	q.Set("wait", wait.String())
+	var b Batch
+	err := c.call(ctx, wait+c.timeout, http.MethodGet, "/watch/"+url.PathEscape(kind)+"?"+q.Encode(), nil, nil, &b)
+	return b, err
+}
+
+// VMs implements Store.
+func (c *Client) VMs(ctx context.Context) ([]VM, error) {
+	var out []VM
+	err := c.call(ctx, c.timeout, http.MethodGet, "/vms", nil, nil, &out)
+	return out, err
+}
+
+func objectPath(kind, name string) string {
+	return "/objects/" + url.PathEscape(kind) + "/" + url.PathEscape(name)
+}
+
+func (c *Client) call(ctx context.Context, limit time.Duration, method, path string, h http.Header, body []byte, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return fmt.Errorf("platform request: %w", err)
+	}
+	for name, values := range h {
+		req.Header[name] = values
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return fmt.Errorf("platform: %w", err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxObject))
+	if err != nil {
+		return fmt.Errorf("platform answer: %w", err)
+	}
+	switch resp.StatusCode {
+	case http.StatusOK:
+	case http.StatusNotFound:
+		return ErrNotFound
+	case http.StatusPreconditionFailed:
+		return ErrConflict
+	case http.StatusTooManyRequests:
+		return ErrBusy
+	default:
+		return fmt.Errorf("platform answered %d", resp.StatusCode)
+	}
+	if err := json.Unmarshal(data, out); err != nil {
+		return fmt.Errorf("platform answer: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/transport/platform/platform.go
@@ -0,0 +1,109 @@
+// Package platform is the client side of the platform's object service: the
+// store interface, its HTTP client, and an in-memory twin for tests.
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/rockcroft/rockcroft/protocol/answer"
+)
+
+// Kinds of objects that the system keeps.
+const (
+	KindCell      = "cell"
+	KindDirectory = "directory"
+	KindService   = "service"
+	KindIntent    = "intent"
+	KindRoster    = "roster"
+)
+
+// Object is one versioned value.
+type Object struct {
+	Kind string `json:"kind"`
+	Name string `json:"name"`
+	// Version is set by the platform and rises with each write.
+	Version uint64          `json:"version"`
+	Value   json.RawMessage `json:"value"`
+}
+
+// Batch is the result of a watch: the objects that changed after a revision.
+type Batch struct {
+	Revision uint64   `json:"revision"`
+	Objects  []Object `json:"objects"`
+}
+
+// VM is a line of the platform's machine list, which lags.
+type VM struct {
+	ID     string `json:"id"`
+	Domain string `json:"domain"`
+	// State is "live" or "leaving".
+	State string `json:"state"`
+}
+
+// Errors of the store. Any other error leaves the fate of a write unknown.
+var (
+	ErrNotFound = errors.New("object not found")
+	ErrConflict = errors.New("object has another version")
+	ErrBusy     = errors.New("platform refused the call by its rate limit")
+)
+
+// Store is the platform's object service.
+type Store interface {
+	// Get returns the current object or ErrNotFound.
+	Get(ctx context.Context, kind, name string) (Object, error)
+	// List returns all objects of a kind and the revision of the list.
+	List(ctx context.Context, kind string) (Batch, error)
+	// Put stores the value when the current version equals expect; zero
+	// expects that the object does not exist. It returns the new version.
+	Put(ctx context.Context, obj Object, expect uint64) (uint64, error)
+	// Watch waits until objects of the kind change after the revision, or
+	// for the given time, and returns the changes.
+	Watch(ctx context.Context, kind string, after uint64, wait time.Duration) (Batch, error)
+	// VMs returns the machine list.
+	VMs(ctx context.Context) ([]VM, error)
+}
+
+type stamped struct {
+	WriteID string `json:"write_id"`
+}
+
+// PutOwn stores a document that carries a write id, and recognizes its own
+// write when the answer was lost. It returns the platform version.
+func PutOwn(ctx context.Context, s Store, kind, name string, doc any, expect uint64) (uint64, error) {
+	value, err := json.Marshal(doc)
+	if err != nil {
+		return 0, answer.Wrap(answer.Internal, err)
+	}
+	version, err := s.Put(ctx, Object{Kind: kind, Name: name, Value: value}, expect)
+	if err == nil {
+		return version, nil
+	}
+	if errors.Is(err, ErrBusy) || errors.Is(err, ErrNotFound) {
+		return 0, err
+	}
+	// A conflict may be the echo of an earlier try of the same write, and
+	// any other error may hide a write that took effect.
+	current, getErr := s.Get(ctx, kind, name)
+	if getErr != nil {
+		return 0, fmt.Errorf("%w (read back: %w)", err, getErr)
+	}
+	if sameWrite(current.Value, value) {
+		return current.Version, nil
+	}
+	if current.Version != expect {
+		return 0, ErrConflict
+	}
+	return 0, err
+}
+
+func sameWrite(a, b json.RawMessage) bool {
+	var x, y stamped
+	if json.Unmarshal(a, &x) != nil || json.Unmarshal(b, &y) != nil {
+		return false
+	}
+	return x.WriteID != "" && x.WriteID == y.WriteID
+}
--- /dev/null
+++ b/transport/upstreams/upstreams.go
@@ -0,0 +1,204 @@
+// Package upstreams reaches the servers that own keys: it sends requests to
+// them, and the orders by which they take and give up ranges.
+package upstreams
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rockcroft/rockcroft/coordination/admission"
+	"github.com/rockcroft/rockcroft/protocol/control"
+	"github.com/rockcroft/rockcroft/state/cell"
+)
+
+// Times of connections towards upstreams.
+const (
+	dialTimeout    = 500 * time.Millisecond
+	controlTimeout = 500 * time.Millisecond
+	// idleTimeout closes idle connections before upstreams do, so that no
+	// request meets a connection that is just being closed.
+	idleTimeout = 20 * time.Second
+	maxStatus   = 64 << 10
+)
+
+// Options bound the use of one upstream.
+type Options struct {
+	Admission   admission.Limits
+	Connections int
+}
+
+// Upstream is the client of one server.
+type Upstream struct {
+	ID      string
+	Addr    string
+	Limiter *admission.Limiter
+
+	data    *http.Transport
+	control *http.Client
+
+	mu    sync.Mutex
+	life  context.Context
+	abort context.CancelFunc
+}
+
+// Abort ends all requests in flight: the upstream was given up, and waiting
+// for their answers has no point.
+func (u *Upstream) Abort() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.abort()
+	u.life, u.abort = context.WithCancel(context.Background())
+}
+
+func (u *Upstream) lifetime() context.Context {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.life
+}
+
+// Pool holds the clients of all upstreams. It is safe for concurrent use.
+type Pool struct {
+	clock func() time.Time
+
+	mu      sync.Mutex
+	clients map[string]*Upstream
+}
+
+// NewPool returns an empty pool.
+func NewPool(clock func() time.Time) *Pool {
+	return &Pool{clock: clock, clients: make(map[string]*Upstream)}
+}
+
+// Get returns the client of an upstream by its ID, or nil.
+func (p *Pool) Get(id string) *Upstream {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.clients[id]
+}
+
+// Ensure returns the client of u, made with the options when it is new or its
+// address has changed.
+func (p *Pool) Ensure(u cell.Upstream, o Options) *Upstream {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c := p.clients[u.ID]; c != nil && c.Addr == u.Addr {
+		return c
+	}
+	c := &Upstream{
+		ID:      u.ID,
+		Addr:    u.Addr,
+		Limiter: admission.NewLimiter(o.Admission, p.clock),
+		data: &http.Transport{
+			DialContext:         dialCounted(dialTimeout),
+			MaxConnsPerHost:     o.Connections,
+			MaxIdleConnsPerHost: o.Connections,
+			IdleConnTimeout:     idleTimeout,
+			DisableCompression:  true,
+		},
+		control: &http.Client{
+			Timeout:   controlTimeout,
+			Transport: &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: idleTimeout},
+		},
+	}
+	c.life, c.abort = context.WithCancel(context.Background())
+	p.clients[u.ID] = c
+	return c
+}
+
+// Keep drops the clients of upstreams that are not named.
+func (p *Pool) Keep(named map[string]bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, c := range p.clients {
+		if !named[id] {
+			c.data.CloseIdleConnections()
+			delete(p.clients, id)
+		}
+	}
+}
+
+// All returns the clients at this moment.
+func (p *Pool) All() []*Upstream {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := make([]*Upstream, 0, len(p.clients))
+	for _, c := range p.clients {
+		out = append(out, c)
+	}
+	return out
+}
+
+// Send performs one request. Sent reports whether any byte of it may have
+// reached the upstream. End must be called once the answer has been read.
+func (u *Upstream) Send(req *http.Request) (resp *http.Response, end func(), sent bool, err error) {
+	var counter sentCounter
+	ctx, cancel := context.WithCancel(req.Context())
+	unhook := context.AfterFunc(u.lifetime(), cancel)
+	end = func() {
+		unhook()
+		cancel()
+	}
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { counter.gotConn(info.Conn) },
+	})
+	resp, err = u.data.RoundTrip(req.WithContext(ctx))
+	return resp, end, counter.sent(), err
+}
+
+// Refused reports whether err says that the host actively refused a connection,
+// so that no process listens there.
+func Refused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
+// Renew extends the lease, or only asks for the status when r is empty.
+func (u *Upstream) Renew(ctx context.Context, r control.Renewal) (control.Status, error) {
+	return u.order(ctx, control.PathRenew, r)
+}
+
+// Grant gives ranges.
+func (u *Upstream) Grant(ctx context.Context, g control.Grants) (control.Status, error) {
+	return u.order(ctx, control.PathGrant, g)
+}
+
+// Revoke takes ranges back. It returns once the upstream has ended what it ran.
+func (u *Upstream) Revoke(ctx context.Context, r control.Revocations) (control.Status, error) {
+	return u.order(ctx, control.PathRevoke, r)
+}
+
+// Reset makes the upstream drop all grants and take a new boot id.
+func (u *Upstream) Reset(ctx context.Context) (control.Status, error) {
+	return u.order(ctx, control.PathReset, struct{}{})
+}
+
+func (u *Upstream) order(ctx context.Context, path string, body any) (control.Status, error) {
+	var st control.Status
+	data, err := json.Marshal(body)
+	if err != nil {
+		return st, fmt.Errorf("upstream %s: %w", u.ID, err)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+u.Addr+path, bytes.NewReader(data))
+	if err != nil {
+		return st, fmt.Errorf("upstream %s: %w", u.ID, err)
+	}
+	resp, err := u.control.Do(req)
+	if err != nil {
+		return st, fmt.Errorf("upstream %s: %w", u.ID, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxStatus))
+		return st, fmt.Errorf("upstream %s answered %d to %s", u.ID, resp.StatusCode, path)
+	}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxStatus)).Decode(&st); err != nil {
+		return st, fmt.Errorf("upstream %s: %w", u.ID, err)
+	}
+	return st, nil
+}
