Test refusals, planned moves, outages and stops over real connections

Cause: only the deterministic core was tested; nothing held the processes. Change: a test bed of entries, stand-in upstreams and a store that can be switched off, all in one process over real connections, and tests for each refusal, planned moves under load, a non-idempotent request whose answer breaks off, a start and a lost entry while the platform is down, a frozen upstream, graceful stops, racing, double, stale and cancelled confirms, malformed objects. Found, each failing first: an intent with steps that belong to no cell never became done; an answer that broke off released its slot twice.

--- a/coordination/controller/core.go
+++ b/coordination/controller/core.go
@@ -188,7 +188,7 @@
 	c.settled = false
 	c.applied = make(map[string]Applied)
 	for id := range c.dead {
-		c.settler.Record(now, fence.Ack{Voter: id, Fence: doc.Fence})
+		c.settler.RecordDead(now, id)
 	}
 	c.succeed(now, c.self.ID)
 	for _, id := range sortedKeys(c.heard) {
@@ -229,7 +229,7 @@
 	c.dead[id] = true
 	delete(c.heard, id)
 	if c.settler != nil {
-		c.settler.Record(now, fence.Ack{Voter: id, Fence: c.settler.Fence()})
+		c.settler.RecordDead(now, id)
 	}
 }
 
--- a/coordination/fence/fence.go
+++ b/coordination/fence/fence.go
@@ -229,6 +229,18 @@
 	}
 }
 
+// RecordDead notes a voter whose process has certainly ended. What it sent last
+// may still be under way to upstreams that do not check epochs.
+func (s *Settler) RecordDead(now time.Time, id string) {
+	if s.Acked(id) {
+		return
+	}
+	s.acks[id] = now
+	if until := now.Add(s.grace); until.After(s.guestsTo) {
+		s.guestsTo = until
+	}
+}
+
 // Acked reports whether the voter has acknowledged.
 func (s *Settler) Acked(id string) bool {
 	_, ok := s.acks[id]
--- /dev/null
+++ b/entry/bed_test.go
@@ -0,0 +1,345 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rockcroft/rockcroft/protocol/operatorpb"
+	"github.com/rockcroft/rockcroft/standin/upstream"
+	"github.com/rockcroft/rockcroft/state/cell"
+	"github.com/rockcroft/rockcroft/state/intent"
+	"github.com/rockcroft/rockcroft/state/jsonc"
+	"github.com/rockcroft/rockcroft/state/keyspace"
+	"github.com/rockcroft/rockcroft/state/service"
+	"github.com/rockcroft/rockcroft/state/settings"
+	"github.com/rockcroft/rockcroft/transport/platform"
+)
+
+// patience bounds waits in tests. It is far above what is expected, so that a
+// busy machine does not change the verdict.
+const patience = 30 * time.Second
+
+// switchStore is a store that can be switched off.
+type switchStore struct {
+	*platform.Memory
+	down atomic.Bool
+}
+
+var errDown = fmt.Errorf("the platform is down")
+
+func (s *switchStore) Get(ctx context.Context, kind, name string) (platform.Object, error) {
+	if s.down.Load() {
+		return platform.Object{}, errDown
+	}
+	return s.Memory.Get(ctx, kind, name)
+}
+
+func (s *switchStore) List(ctx context.Context, kind string) (platform.Batch, error) {
+	if s.down.Load() {
+		return platform.Batch{}, errDown
+	}
+	return s.Memory.List(ctx, kind)
+}
+
+func (s *switchStore) Put(ctx context.Context, obj platform.Object, expect uint64) (uint64, error) {
+	if s.down.Load() {
+		return 0, errDown
+	}
+	return s.Memory.Put(ctx, obj, expect)
+}
+
+func (s *switchStore) Watch(ctx context.Context, kind string, after uint64, wait time.Duration) (platform.Batch, error) {
+	if s.down.Load() {
+		return platform.Batch{}, errDown
+	}
+	return s.Memory.Watch(ctx, kind, after, min(wait, 100*time.Millisecond))
+}
+
+// bed is a deployment within the test process, over real connections.
+type bed struct {
+	t         *testing.T
+	store     *switchStore
+	entries   []*runningEntry
+	upstreams []*runningUpstream
+	client    *http.Client
+	edit      func(*settings.Entry)
+}
+
+type runningEntry struct {
+	*Entry
+	callers string
+	stop    context.CancelFunc
+	done    chan error
+}
+
+type runningUpstream struct {
+	*upstream.Server
+	id, cell string
+	addr     string
+	stop     context.CancelFunc
+	listener net.Listener
+}
+
+func newBed(t *testing.T) *bed {
+	return &bed{
+		t:      t,
+		store:  &switchStore{Memory: platform.NewMemory()},
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
+	}
+}
+
+func loopback() jsonc.Addr {
+	return jsonc.Addr{AddrPort: netip.MustParseAddrPort("127.0.0.1:0")}
+}
+
+// addEntry starts an entry in a cell. The ones started before are its seeds.
+func (b *bed) addEntry(id, cellName string) *runningEntry {
+	b.t.Helper()
+	conf := settings.DefaultEntry()
+	conf.ID, conf.Domain, conf.Cell = id, cellName, cellName
+	conf.Callers, conf.Peers, conf.Admin = loopback(), loopback(), loopback()
+	conf.Platform = loopback()
+	for _, e := range b.entries {
+		_, peers, _ := e.Addresses()
+		conf.Seeds = append(conf.Seeds, jsonc.Addr{AddrPort: netip.MustParseAddrPort(peers)})
+	}
+	if b.edit != nil {
+		b.edit(&conf)
+	}
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	e, err := Provision(context.Background(), conf, b.store, log)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	callers, _, _ := e.Addresses()
+	r := &runningEntry{Entry: e, callers: callers, stop: cancel, done: make(chan error, 1)}
+	go func() { r.done <- e.Serve(ctx) }()
+	b.t.Cleanup(cancel)
+	b.entries = append(b.entries, r)
+	return r
+}
+
+// addUpstream starts a stand-in upstream.
+func (b *bed) addUpstream(id, cellName string, edit func(*upstream.Settings)) *runningUpstream {
+	b.t.Helper()
+	conf := upstream.DefaultSettings()
+	conf.ID = id
+	conf.ReadTime, conf.WriteTime = jsonc.Duration(time.Millisecond), jsonc.Duration(time.Millisecond)
+	if edit != nil {
+		edit(&conf)
+	}
+	s, err := upstream.New(conf, upstream.NewBoot())
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &runningUpstream{Server: s, id: id, cell: cellName, addr: l.Addr().String(), stop: cancel, listener: l}
+	go func() { _ = s.ServeListener(ctx, l) }()
+	b.t.Cleanup(cancel)
+	b.upstreams = append(b.upstreams, r)
+	return r
+}
+
+// await polls until f returns nil.
+func (b *bed) await(what string, f func() error) {
+	b.t.Helper()
+	limit := time.Now().Add(patience)
+	for {
+		err := f()
+		if err == nil {
+			return
+		}
+		if time.Now().After(limit) {
+			b.t.Fatalf("%s: %v", what, err)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func (b *bed) operator() operator { return operator{b.entries[0].Entry} }
+
+func (b *bed) serviceSpec(name string, checks bool) intent.Spec {
+	conf := service.Default()
+	conf.Name = name
+	conf.ChecksFences = checks
+	spec := intent.Spec{Kind: intent.CreateService, Service: &conf}
+	for _, u := range b.upstreams {
+		spec.Upstreams = append(spec.Upstreams, u.spec(name))
+	}
+	return spec
+}
+
+func (u *runningUpstream) spec(name string) intent.Upstream {
+	return intent.Upstream{
+		ID: u.id, Service: name, Cell: u.cell,
+		Addr: jsonc.Addr{AddrPort: netip.MustParseAddrPort(u.addr)},
+	}
+}
+
+// create states an intent.
+func (b *bed) create(spec intent.Spec) (*intent.Intent, error) {
+	data, err := json.Marshal(spec)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := b.operator().CreateIntent(context.Background(), &operatorpb.CreateIntentRequest{Spec: data})
+	if err != nil {
+		return nil, err
+	}
+	return intent.Decode(resp.Intent)
+}
+
+func (b *bed) confirm(id string) (*intent.Intent, error) {
+	resp, err := b.operator().ConfirmIntent(context.Background(), &operatorpb.IntentRequest{Id: id})
+	if err != nil {
+		return nil, err
+	}
+	return intent.Decode(resp.Intent)
+}
+
+// enact states and confirms an intent; a plan that went stale is confirmed in
+// its new form.
+func (b *bed) enact(spec intent.Spec) string {
+	b.t.Helper()
+	i, err := b.create(spec)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	b.await("confirm", func() error {
+		_, err := b.confirm(i.ID)
+		return err
+	})
+	return i.ID
+}
+
+// awaitDone waits until an intent is carried out.
+func (b *bed) awaitDone(id string) {
+	b.t.Helper()
+	b.await("intent "+id, func() error {
+		resp, err := b.operator().GetIntent(context.Background(), &operatorpb.IntentRequest{Id: id})
+		if err != nil {
+			return err
+		}
+		i, err := intent.Decode(resp.Intent)
+		if err == nil && i.State != intent.Done {
+			err = fmt.Errorf("is %s, done in %v", i.State, i.Progress)
+		}
+		return err
+	})
+}
+
+// awaitVoters waits until the entries of a cell all vote.
+func (b *bed) awaitVoters(cellName string, n int) {
+	b.t.Helper()
+	b.await("voters of "+cellName, func() error {
+		obj, err := b.store.Memory.Get(context.Background(), platform.KindCell, cellName)
+		if err != nil {
+			return err
+		}
+		c, err := cell.Decode(obj.Value)
+		if err == nil && len(c.Quorum.Local) != n {
+			err = fmt.Errorf("%d instead of %d", len(c.Quorum.Local), n)
+		}
+		return err
+	})
+}
+
+// awaitServed waits until every entry answers requests to a spread of keys.
+func (b *bed) awaitServed(name string) {
+	b.t.Helper()
+	for _, e := range b.entries {
+		for k := range 32 {
+			b.await("service "+name, func() error {
+				resp := b.send(e.callers, http.MethodGet, name, fmt.Sprintf("key-%d", k), nil)
+				if resp.status != http.StatusOK {
+					return fmt.Errorf("%s answers %d %s", e.self.ID, resp.status, resp.body)
+				}
+				return nil
+			})
+		}
+	}
+}
+
+type response struct {
+	status int
+	header http.Header
+	body   string
+}
+
+// send sends one request with a key and further headers, given in pairs.
+func (b *bed) send(addr, method, name, key string, body io.Reader, headers ...string) response {
+	req, err := http.NewRequest(method, "http://"+addr+"/"+name+"/op", body)
+	if err != nil {
+		return response{body: err.Error()}
+	}
+	if key != "" {
+		req.Header.Set("Rockcroft-Key", key)
+	}
+	for i := 0; i+1 < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := b.client.Do(req)
+	if err != nil {
+		return response{body: err.Error()}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, _ := io.ReadAll(resp.Body)
+	return response{resp.StatusCode, resp.Header, strings.TrimSpace(string(data))}
+}
+
+// runs gathers what all upstreams ran.
+func (b *bed) runs() []upstream.Run {
+	var out []upstream.Run
+	for _, u := range b.upstreams {
+		out = append(out, u.Runs()...)
+	}
+	return out
+}
+
+// twoCells starts two cells of two entries and two upstreams each, with one
+// service.
+func twoCells(t *testing.T, checks bool) *bed {
+	b := newBed(t)
+	for _, c := range []string{"a", "b"} {
+		for i := range 2 {
+			b.addEntry(fmt.Sprintf("entry-%s%d", c, i), c)
+			b.addUpstream(fmt.Sprintf("up-%s%d", c, i), c, func(s *upstream.Settings) { s.ChecksFences = checks })
+		}
+	}
+	b.awaitVoters("a", 2)
+	b.awaitVoters("b", 2)
+	b.awaitDone(b.enact(b.serviceSpec("svc", checks)))
+	b.awaitServed("svc")
+	return b
+}
+
+// parallel runs f on several goroutines and waits for all.
+func parallel(n int, f func(i int)) {
+	var wait sync.WaitGroup
+	for i := range n {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			f(i)
+		}()
+	}
+	wait.Wait()
+}
+
+func hashOf(key string) keyspace.Hash { return keyspace.Of(key) }
--- /dev/null
+++ b/entry/serve_test.go
@@ -0,0 +1,453 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/twitchtv/twirp"
+
+	"github.com/rockcroft/rockcroft/bench/check"
+	"github.com/rockcroft/rockcroft/bench/load"
+	"github.com/rockcroft/rockcroft/protocol/answer"
+	"github.com/rockcroft/rockcroft/protocol/header"
+	"github.com/rockcroft/rockcroft/protocol/operatorpb"
+	"github.com/rockcroft/rockcroft/protocol/peerpb"
+	"github.com/rockcroft/rockcroft/standin/upstream"
+	"github.com/rockcroft/rockcroft/state/cell"
+	"github.com/rockcroft/rockcroft/state/intent"
+	"github.com/rockcroft/rockcroft/transport/platform"
+)
+
+func TestRefusals(t *testing.T) {
+	b := twoCells(t, true)
+	tests := []struct {
+		name    string
+		service string
+		key     string
+		body    string
+		headers []string
+		want    answer.Kind
+	}{
+		{name: "no key", service: "svc", want: answer.NoKey},
+		{name: "key too long", service: "svc", key: strings.Repeat("k", 2000), want: answer.BadRequest},
+		{name: "unknown service", service: "none", key: "k", want: answer.UnknownService},
+		{name: "body too large", service: "svc", key: "k", body: strings.Repeat("x", 2<<20), want: answer.TooLarge},
+		{name: "deadline past", service: "svc", key: "k", headers: []string{header.Timeout, "-1s"}, want: answer.DeadlinePassed},
+		{name: "deadline without unit", service: "svc", key: "k", headers: []string{header.Timeout, "5"}, want: answer.BadRequest},
+		{name: "bad flag", service: "svc", key: "k", headers: []string{header.Idempotent, "maybe"}, want: answer.BadRequest},
+		{name: "bad importance", service: "svc", key: "k", headers: []string{header.Importance, "urgent"}, want: answer.BadRequest},
+		{name: "repeat without id", service: "svc", key: "k", headers: []string{header.Repeat, "3"}, want: answer.BadRequest},
+		{
+			name: "repeat under another epoch", service: "svc", key: "k",
+			headers: []string{header.Repeat, "99", header.RequestID, "r"}, want: answer.RepeatUnsafe,
+		},
+	}
+	before := len(b.runs())
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			resp := b.send(b.entries[0].callers, http.MethodPost, tt.service, tt.key, strings.NewReader(tt.body), tt.headers...)
+			if got := answer.Kind(resp.header.Get(header.Kind)); got != tt.want {
+				t.Fatalf("kind %q, want %q: %s", got, tt.want, resp.body)
+			}
+			if resp.status != tt.want.Row().Status {
+				t.Errorf("status %d, want %d", resp.status, tt.want.Row().Status)
+			}
+		})
+	}
+	if after := len(b.runs()); after != before {
+		t.Errorf("%d refused requests ran", after-before)
+	}
+}
+
+func TestOversizedHeaderIsRefused(t *testing.T) {
+	b := newBed(t)
+	e := b.addEntry("entry", "a")
+	resp := b.send(e.callers, http.MethodGet, "svc", "k", nil, "X-Large", strings.Repeat("x", 64<<10))
+	if resp.status != http.StatusRequestHeaderFieldsTooLarge {
+		t.Errorf("status %d", resp.status)
+	}
+}
+
+// outcomes collects what callers were told, for the history check.
+type outcomes struct {
+	mu   sync.Mutex
+	list []load.Outcome
+}
+
+func (o *outcomes) ask(b *bed, addr, name, key, id string, idempotent bool) response {
+	method := http.MethodPost
+	if idempotent {
+		method = http.MethodGet
+	}
+	resp := b.send(addr, method, name, key, nil, header.RequestID, id)
+	out := load.ParseOutcome(load.Outcome{Service: name, Key: key, RequestID: id, Idempotent: idempotent},
+		resp.status, resp.header, []byte(resp.body))
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.list = append(o.list, out)
+	return resp
+}
+
+// flood sends requests through all entries until stop is set.
+func (o *outcomes) flood(b *bed, workers int, stop *atomic.Bool) {
+	parallel(workers, func(worker int) {
+		for n := 0; !stop.Load(); n++ {
+			addr := b.entries[(worker+n)%len(b.entries)].callers
+			key := fmt.Sprintf("key-%d", (worker*31+n)%64)
+			o.ask(b, addr, "svc", key, fmt.Sprintf("r-%d-%d", worker, n), n%3 != 0)
+		}
+	})
+}
+
+func (o *outcomes) verify(t *testing.T, b *bed) {
+	t.Helper()
+	r := check.History(o.list, b.runs())
+	if len(r.Violations) > 0 {
+		t.Errorf("%d violations, the first: %v", len(r.Violations), r.Violations[0])
+	}
+	if r.Outcomes == 0 || r.Runs == 0 {
+		t.Errorf("nothing was checked: %+v", r)
+	}
+}
+
+// TestPlannedMovesLoseNothing moves ranges within and across cells and drains
+// an upstream under load: every request is answered.
+func TestPlannedMovesLoseNothing(t *testing.T) {
+	b := twoCells(t, true)
+	var stop atomic.Bool
+	var told outcomes
+	var wait sync.WaitGroup
+	wait.Add(1)
+	go func() {
+		defer wait.Done()
+		told.flood(b, 8, &stop)
+	}()
+	for _, to := range []string{"up-a0", "up-b1", "up-a1"} {
+		for _, key := range []string{"key-1", "key-2"} {
+			b.awaitDone(b.enact(intent.Spec{Kind: intent.Move, ServiceName: "svc", Key: key, To: to}))
+		}
+	}
+	b.awaitDone(b.enact(intent.Spec{Kind: intent.Leave, Names: []string{"up-b0"}}))
+	stop.Store(true)
+	wait.Wait()
+	for _, o := range told.list {
+		if !o.OK() {
+			t.Errorf("request %s, key %s: %d %s", o.RequestID, o.Key, o.Status, o.Kind)
+		}
+	}
+	told.verify(t, b)
+	for _, u := range b.upstreams {
+		if u.id == "up-b0" && !u.Empty() {
+			t.Error("the upstream that left still holds ranges")
+		}
+	}
+}
+
+// TestNonIdempotentIsSentOnce has the upstream break off each answer after it
+// ran the request.
+func TestNonIdempotentIsSentOnce(t *testing.T) {
+	b := newBed(t)
+	e := b.addEntry("entry", "a")
+	u := b.addUpstream("up", "a", nil)
+	b.awaitVoters("a", 1)
+	b.awaitDone(b.enact(b.serviceSpec("svc", true)))
+	b.awaitServed("svc")
+	u.SetFaults(upstream.Faults{BreakEvery: 1})
+	tests := []struct {
+		name    string
+		method  string
+		headers []string
+	}{
+		{"post", http.MethodPost, nil},
+		{"post with a key that net/http repeats", http.MethodPost, []string{"Idempotency-Key", "x"}},
+		{"get declared not idempotent", http.MethodGet, []string{header.Idempotent, "false"}},
+		{"get declared not idempotent, with a key", http.MethodGet, []string{header.Idempotent, "false", "X-Idempotency-Key", "x"}},
+	}
+	for i, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			id := fmt.Sprintf("once-%d", i)
+			resp := b.send(e.callers, tt.method, "svc", "k", nil, append(tt.headers, header.RequestID, id)...)
+			if got := resp.header.Get(header.Ran); got != string(answer.Unknown) {
+				t.Errorf("ran %q, want unknown", got)
+			}
+			if resp.header.Get(header.Epoch) == "" {
+				t.Error("the answer names no epoch to ask again with")
+			}
+			if n := u.Attempts(id); n != 1 {
+				t.Errorf("the upstream saw %d tries", n)
+			}
+		})
+	}
+	u.SetFaults(upstream.Faults{})
+	// Asked again with the epoch, the owner answers from what it kept.
+	resp := b.send(e.callers, http.MethodPost, "svc", "k", nil, header.RequestID, "once-0",
+		header.Repeat, fmt.Sprint(b.epochOf("svc", "k")))
+	if resp.status != http.StatusOK {
+		t.Errorf("the repeat got %d %s", resp.status, resp.body)
+	}
+	ran := 0
+	for _, r := range u.Runs() {
+		if r.RequestID == "once-0" {
+			ran++
+		}
+	}
+	if ran != 1 {
+		t.Errorf("ran %d times", ran)
+	}
+}
+
+// TestIdempotentIsRetried has the upstream break off every other answer.
+func TestIdempotentIsRetried(t *testing.T) {
+	b := newBed(t)
+	e := b.addEntry("entry", "a")
+	u := b.addUpstream("up", "a", nil)
+	b.awaitVoters("a", 1)
+	b.awaitDone(b.enact(b.serviceSpec("svc", true)))
+	b.awaitServed("svc")
+	u.SetFaults(upstream.Faults{BreakEvery: 2})
+	for i := range 10 {
+		resp := b.send(e.callers, http.MethodGet, "svc", "k", nil)
+		if resp.status != http.StatusOK {
+			t.Errorf("request %d got %d %s", i, resp.status, resp.body)
+		}
+	}
+}
+
+// TestStartWithPlatformDown starts an entry during an outage: it learns
+// configuration and assignment from its peers and serves.
+func TestStartWithPlatformDown(t *testing.T) {
+	b := twoCells(t, true)
+	b.store.down.Store(true)
+	b.addEntry("entry-late", "a")
+	b.awaitServed("svc")
+	late := b.entries[len(b.entries)-1]
+	if late.gate.Version() != b.entries[0].gate.Version() {
+		t.Errorf("version %d, the others have %d", late.gate.Version(), b.entries[0].gate.Version())
+	}
+	b.store.down.Store(false)
+	b.awaitVoters("a", 3)
+}
+
+// TestOutageWithLostEntry loses one of two entries of a cell while the platform
+// is down: the other serves on.
+func TestOutageWithLostEntry(t *testing.T) {
+	b := twoCells(t, true)
+	b.store.down.Store(true)
+	b.entries[0].stop()
+	<-b.entries[0].done
+	b.entries = b.entries[1:]
+	b.awaitServed("svc")
+	b.store.down.Store(false)
+	b.awaitVoters("a", 1)
+	b.awaitServed("svc")
+}
+
+// TestLostUpstream ends an upstream without notice under load.
+func TestLostUpstream(t *testing.T) {
+	b := twoCells(t, true)
+	var stop atomic.Bool
+	var told outcomes
+	var wait sync.WaitGroup
+	wait.Add(1)
+	go func() {
+		defer wait.Done()
+		told.flood(b, 8, &stop)
+	}()
+	frozen := b.upstreams[0]
+	frozen.SetFaults(upstream.Faults{Frozen: true})
+	b.await("loss of "+frozen.id, func() error {
+		u := b.entries[0].gate.Doc().Upstream(frozen.id)
+		if u.State != cell.Lost {
+			return fmt.Errorf("is %s", u.State)
+		}
+		return nil
+	})
+	b.awaitServed("svc")
+	frozen.SetFaults(upstream.Faults{})
+	b.await("return of "+frozen.id, func() error {
+		u := b.entries[0].gate.Doc().Upstream(frozen.id)
+		if u.State != cell.Active || u.Boot == "" {
+			return fmt.Errorf("is %s", u.State)
+		}
+		return nil
+	})
+	stop.Store(true)
+	wait.Wait()
+	told.verify(t, b)
+}
+
+// TestGracefulStopCutsNothing stops entries and upstreams under load, one after
+// the other. Callers that reach a stopping entry go to the next one.
+func TestGracefulStopCutsNothing(t *testing.T) {
+	b := twoCells(t, true)
+	var stop atomic.Bool
+	var cut atomic.Int64
+	addr := b.entries[1].callers
+	var wait sync.WaitGroup
+	for worker := range 6 {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			for n := 0; !stop.Load(); n++ {
+				resp := b.send(addr, http.MethodPost, "svc", fmt.Sprintf("key-%d", n%64), nil,
+					header.RequestID, fmt.Sprintf("g-%d-%d", worker, n))
+				if resp.status != http.StatusOK {
+					cut.Add(1)
+					t.Errorf("%d %s", resp.status, resp.body)
+				}
+			}
+		}()
+	}
+	b.entries[0].stop()
+	if err := <-b.entries[0].done; err != nil {
+		t.Error(err)
+	}
+	b.upstreams[2].stop()
+	b.await("drained", func() error {
+		if !b.upstreams[2].Empty() {
+			return fmt.Errorf("ranges are left")
+		}
+		return nil
+	})
+	stop.Store(true)
+	wait.Wait()
+}
+
+func TestConfirms(t *testing.T) {
+	b := twoCells(t, true)
+	move := func(to string) *intent.Intent {
+		i, err := b.create(intent.Spec{Kind: intent.Move, ServiceName: "svc", Key: "key-1", To: to})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return i
+	}
+	kind := func(err error) answer.Kind {
+		if rpc, ok := err.(twirp.Error); ok {
+			return answer.Kind(rpc.Meta("kind"))
+		}
+		return ""
+	}
+	t.Run("twice", func(t *testing.T) {
+		i := move("up-a0")
+		for range 2 {
+			if _, err := b.confirm(i.ID); err != nil {
+				t.Fatal(err)
+			}
+		}
+		b.awaitDone(i.ID)
+	})
+	t.Run("racing", func(t *testing.T) {
+		i := move("up-a1")
+		var won atomic.Int64
+		parallel(4, func(int) {
+			if _, err := b.confirm(i.ID); err == nil {
+				won.Add(1)
+			} else if kind(err) != answer.Conflict {
+				t.Errorf("kind %q: %v", kind(err), err)
+			}
+		})
+		if won.Load() == 0 {
+			t.Error("no confirm succeeded")
+		}
+		b.awaitDone(i.ID)
+	})
+	t.Run("stale", func(t *testing.T) {
+		stale, err := b.create(intent.Spec{Kind: intent.Leave, Names: []string{"up-a0"}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		other := move("up-b0")
+		if _, err := b.confirm(other.ID); err != nil {
+			t.Fatal(err)
+		}
+		b.awaitDone(other.ID)
+		staleMove := move("up-a0")
+		if _, err := b.confirm(stale.ID); err != nil {
+			t.Fatal(err)
+		}
+		b.awaitDone(stale.ID)
+		if _, err := b.confirm(staleMove.ID); kind(err) != answer.NotFound {
+			t.Errorf("kind %q: %v", kind(err), err)
+		}
+	})
+	t.Run("cancelled", func(t *testing.T) {
+		i := move("up-a1")
+		if _, err := b.operator().CancelIntent(context.Background(), &operatorpb.IntentRequest{Id: i.ID}); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := b.confirm(i.ID); kind(err) != answer.Conflict {
+			t.Errorf("kind %q: %v", kind(err), err)
+		}
+	})
+}
+
+// TestMalformedObjectsAreIgnored stores objects that cannot be parsed.
+func TestMalformedObjectsAreIgnored(t *testing.T) {
+	b := twoCells(t, true)
+	ctx := context.Background()
+	for _, kind := range []string{platform.KindService, platform.KindDirectory, platform.KindRoster, platform.KindIntent} {
+		for name, value := range map[string]string{"bad1": `{`, "bad2": `{"version":-1}`, "bad3": `[]`} {
+			_, err := b.store.Put(ctx, platform.Object{Kind: kind, Name: name, Value: []byte(value)}, 0)
+			if err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	b.awaitDone(b.enact(intent.Spec{Kind: intent.Move, ServiceName: "svc", Key: "key-1", To: "up-a0"}))
+	b.awaitServed("svc")
+}
+
+// TestPromisesAreBoundToTheIncarnation asks a voter in the name of another one.
+func TestPromisesAreBoundToTheIncarnation(t *testing.T) {
+	b := newBed(t)
+	e := b.addEntry("entry", "a")
+	b.awaitVoters("a", 1)
+	sender := &peerpb.Member{Id: "x#1", Cell: "a", Domain: "a", Peer: "127.0.0.1:1"}
+	resp, err := peerServer{e.Entry}.Beat(context.Background(), &peerpb.BeatRequest{
+		To: "entry#0000000000000001", Cell: "a", Version: 100, Sender: sender,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if resp.Granted {
+		t.Error("a promise was given in the name of an earlier incarnation")
+	}
+	if _, err := (peerServer{e.Entry}).Apply(context.Background(), &peerpb.ApplyRequest{To: "entry#1", Cell: "a", Fence: 9}); err == nil {
+		t.Error("a fence was followed in the name of another incarnation")
+	}
+}
+
+func TestAnswersStreamWhole(t *testing.T) {
+	b := newBed(t)
+	e := b.addEntry("entry", "a")
+	b.addUpstream("up", "a", nil)
+	b.awaitVoters("a", 1)
+	b.awaitDone(b.enact(b.serviceSpec("svc", true)))
+	b.awaitServed("svc")
+	body := bytes.Repeat([]byte("0123456789abcdef"), 20_000)
+	resp := b.send(e.callers, http.MethodPost, "svc", "k", bytes.NewReader(body), header.RequestID, "large")
+	if resp.status != http.StatusOK {
+		t.Fatalf("%d %s", resp.status, resp.body)
+	}
+	if diff := cmp.Diff("large", load.ParseOutcome(load.Outcome{}, resp.status, resp.header, []byte(resp.body)).AnswerID); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// epochOf returns the epoch of a key's range.
+func (b *bed) epochOf(name, key string) uint64 {
+	for _, e := range b.entries {
+		if r := e.gate.Route(name, hashOf(key)); r.Slot != nil {
+			return r.Slot.Epoch
+		}
+	}
+	return 0
+}
--- a/proof/world_test.go
+++ b/proof/world_test.go
@@ -567,9 +567,12 @@
 	u := w.byUpstream(slot.Owner)
 	starts := u.starts
 	leave := func() { g.Leave(slot) }
+	deadline := w.now + w.limits().MaxDeadline
 	w.send(e.slot, u.id, func() {
 		u.handle(starts, func() {
-			w.run(u, h, slot.Epoch)
+			if w.now < deadline {
+				w.run(u, h, slot.Epoch)
+			}
 			w.send(u.id, e.slot, leave, leave)
 		}, leave)
 	}, leave)
--- /dev/null
+++ b/scripts/guards.sh
@@ -0,0 +1,58 @@
+#!/usr/bin/env bash
+# guards.sh [CHECKS]: take one guard at a time out of a copy of the tree and
+# show that the fuzz tests then fail. Prints a line a guard; exits 1 when a
+# removal goes unnoticed.
+set -u
+cd "$(dirname "$0")/.." || exit 1
+CHECKS=${1:-300}
+WORK=$(mktemp -d)
+trap 'rm -rf "$WORK"' EXIT
+AT_ONCE=4
+
+# guard NAME FILE OLD NEW: replace OLD by NEW in a copy and run the fuzz tests.
+guard() {
+	local copy=$WORK/$1 result
+	mkdir -p "$copy"
+	git ls-files -z | xargs -0 cp --parents -t "$copy" 2>/dev/null
+	if ! OLD=$3 NEW=$4 perl -0pi -e '$n = s/\Q$ENV{OLD}\E/$ENV{NEW}/; END { exit !$n }' "$copy/$2"; then
+		echo "$1: NOT noticed: the guard was not found in $2"
+		return
+	fi
+	result=$(cd "$copy" && go test ./proof -rapid.checks="$CHECKS" -rapid.steps=80 -rapid.seed=7 \
+		-rapid.nofailfile -rapid.shrinktime=1s 2>&1)
+	if echo "$result" | grep -q '^--- FAIL'; then
+		printf '%-22s noticed: %s\n' "$1" "$(echo "$result" | grep -m1 'rapid\] failed' | sed 's/.*failed after/failed after/' | cut -c1-150)"
+	else
+		printf '%-22s NOT noticed: %s\n' "$1" "$(echo "$result" | tail -1)"
+	fi
+	rm -rf "$copy"
+}
+
+queue() {
+	while [ "$(jobs -rp | wc -l)" -ge "$AT_ONCE" ]; do sleep 0.2; done
+	guard "$@" | tee -a "$WORK/results" &
+}
+
+queue wait-for-silent coordination/fence/fence.go 'return ok && !now.Before(blocked.Add(s.limits.voterTTL()+s.grace))' '_ = blocked; return ok'
+queue promise-after-fence coordination/fence/fence.go 'if version < b.floor {' 'if false {'
+queue majority coordination/fence/fence.go 'return h.scratch[len(voters)/2]' 'return h.scratch[0]'
+queue previous-quorums coordination/fence/fence.go 'append(slices.Clone(doc.Previous), doc.Quorum)' '[]cell.Quorum{doc.Quorum}'
+queue lease-wait coordination/controller/step.go 'return !now.Before(c.leases[upstream])' 'return true'
+queue lease-within-right coordination/lease/lease.go 'min(b.limits.TTL, right.Sub(r.at))' 'b.limits.TTL'
+queue late-renewal standin/upstream/owner.go 'min(time.Duration(r.UntilNanos), o.clock()+maxLease)' 'o.clock() + 1200*time.Millisecond'
+queue boot-of-grant standin/upstream/owner.go 'if g.Boot != o.boot {' 'if false {'
+queue drained coordination/gate/gate.go 'if s.Inflight() > 0 && !g.continues(s) {' 'if false {'
+queue older-document coordination/gate/gate.go 'if g.doc != nil && doc.Version <= g.doc.Version {' 'if false {'
+queue unchecked-grace coordination/controller/core.go 'return c.limits.MaxDeadline' 'return 0'
+queue grant-after-release coordination/controller/step.go 'r.Phase == cell.Releasing && c.released(now, u.Service, r)' 'r.Phase == cell.Releasing'
+queue settled coordination/controller/step.go '	if !c.settled {
+		return false
+	}
+	u := c.doc' '	u := c.doc'
+queue incarnation-order coordination/controller/identity.go 'startA > startB' 'startA != startB'
+queue epoch-of-skip coordination/handover/handover.go '	r.Owner = r.Next
+	r.Epoch++
+	r.Phase = cell.Releasing' '	r.Owner = r.Next
+	r.Phase = cell.Releasing'
+wait
+! grep -q 'NOT noticed' "$WORK/results"
--- a/standin/upstream/server.go
+++ b/standin/upstream/server.go
@@ -60,14 +60,16 @@
 	running  atomic.Int64
 	started  time.Time
 
-	mu      sync.Mutex
-	faults  Faults
-	thawed  chan struct{}
-	rng     *rand.Rand
-	done    map[string]outcome
-	counts  Counts
-	answers int
-	active  map[*job]keyspace.Hash
+	mu     sync.Mutex
+	faults Faults
+	thawed chan struct{}
+	rng    *rand.Rand
+	done   map[string]outcome
+	// attempts counts by request id; only kept without an oracle file.
+	attempts map[string]int
+	counts   Counts
+	answers  int
+	active   map[*job]keyspace.Hash
 }
 
 // outcome is the kept answer of a non-idempotent request.
@@ -102,6 +104,7 @@
 		started:  started,
 		rng:      rand.New(rand.NewPCG(s.Seed, 1)),
 		done:     make(map[string]outcome),
+		attempts: make(map[string]int),
 		active:   make(map[*job]keyspace.Hash),
 	}, nil
 }
@@ -192,6 +195,17 @@
 	return s.counts
 }
 
+// Empty reports whether the stand-in holds no range.
+func (s *Server) Empty() bool { return s.owner.empty() }
+
+// Attempts returns how often a request with the id reached a slot, also when
+// it was answered from what was kept.
+func (s *Server) Attempts(id string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.attempts[id]
+}
+
 // Runs returns the oracle log when it is kept in memory.
 func (s *Server) Runs() []Run { return s.oracle.all() }
 
@@ -332,6 +346,9 @@
 func (s *Server) record(j job) (seq int64, repeated bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.oracle.keep {
+		s.attempts[j.id]++
+	}
 	if !j.idempotent && j.id != "" {
 		if old, ok := s.done[j.id]; ok {
 			s.counts.Deduped++
--- a/state/intent/intent.go
+++ b/state/intent/intent.go
@@ -171,12 +171,13 @@
 	Progress []string `json:"progress,omitempty"`
 }
 
-// Cells returns the cells that have a part in the plan, each once.
+// Cells returns the cells that have a part in the plan, each once. Steps without
+// a cell are carried out by the confirm itself.
 func (i *Intent) Cells() []string {
 	var out []string
 	seen := make(map[string]bool)
 	for _, s := range i.Plan.Steps {
-		if !seen[s.Cell] {
+		if s.Cell != "" && !seen[s.Cell] {
 			out = append(out, s.Cell)
 		}
 		seen[s.Cell] = true
--- a/transport/front/proxy.go
+++ b/transport/front/proxy.go
@@ -363,26 +363,40 @@
 		end()
 		o.Took = p.clock().Sub(began)
 		u.Limiter.Release(o)
-		p.gate.Leave(slot)
 		slot.Took(uint64(o.Took.Microseconds()))
 		span.End()
 	}
 	if err != nil {
+		p.leaveAfterError(q, slot, sent)
 		finish(admission.Outcome{Unsent: !sent})
 		return nil, p.sendError(ctx, q, slot, sent, err, h)
 	}
 	if reason := resp.Header.Get(header.Refused); reason != "" {
 		_ = resp.Body.Close()
+		p.gate.Leave(slot)
 		finish(admission.Outcome{Shed: reason == header.RefusedOverloaded})
 		return nil, refusal(reason)
 	}
 	resp.Header.Set(header.Owner, u.ID)
 	return &reply{Response: resp, done: func() {
 		_ = resp.Body.Close()
+		p.gate.Leave(slot)
 		finish(admission.Outcome{})
 	}}, nil
 }
 
+// leaveAfterError ends a request that failed. An upstream that does not check
+// epochs may go on with what it was sent until the deadline: the range counts
+// as in use until then.
+func (p *Proxy) leaveAfterError(q *request, slot *gate.Slot, sent bool) {
+	left := q.deadline.Sub(p.clock())
+	if !sent || q.service.ChecksFences || left <= 0 {
+		p.gate.Leave(slot)
+		return
+	}
+	time.AfterFunc(left, func() { p.gate.Leave(slot) })
+}
+
 // sendError classifies a failed try. Where bytes may have reached the upstream
 // the outcome is unknown, and the epoch tells the caller how to ask again.
 func (p *Proxy) sendError(ctx context.Context, q *request, slot *gate.Slot, sent bool, err error, h http.Header) error {
@@ -441,7 +455,6 @@
 	buf := buffers.Get().(*[]byte)
 	defer buffers.Put(buf)
 	if _, err := io.CopyBuffer(onlyWriter{w}, onlyReader{resp.Body}, *buf); err != nil {
-		resp.done()
 		panic(http.ErrAbortHandler)
 	}
 }
