Balance load between cells; compare with rendezvous hashing in the same run

Change: controllers spread the load of their cell by gossip; the heaviest cell gives ranges to the lightest, less than half of the difference at once, then waits for reports. The report compares with rendezvous hashing on the same requests, and with the least that the hottest key allows. TLS between entries and replacing of certificates are tested.

--- a/bench/deploy/deploy.go
+++ b/bench/deploy/deploy.go
@@ -51,16 +51,23 @@
 func svc(name string, instances, slots int, w service.Weights) ServiceShape {
 	return ServiceShape{
 		Name: name, Instances: instances, Slots: slots, Weights: w, Rebalance: true,
-		ReadTime: 4 * time.Millisecond, WriteTime: 12 * time.Millisecond,
+		ReadTime: 20 * time.Millisecond, WriteTime: 50 * time.Millisecond,
 	}
 }
 
+// quick shortens run times, so that a small deployment shows a lot in a short
+// time.
+func quick(s ServiceShape) ServiceShape {
+	s.ReadTime, s.WriteTime = 4*time.Millisecond, 12*time.Millisecond
+	return s
+}
+
 // Shapes are the known deployments.
 func Shapes() []Shape {
 	return []Shape{
 		{
 			Name: "demo", Domains: 2, EntriesPerDomain: 2, Connections: 130,
-			Services: []ServiceShape{svc("status", 6, 4, merrimackWeights)},
+			Services: []ServiceShape{quick(svc("status", 6, 4, merrimackWeights))},
 		},
 		{
 			Name: "addis", Domains: 3, EntriesPerDomain: 3, Connections: 130,
--- a/bench/rockload/experiment.go
+++ b/bench/rockload/experiment.go
@@ -257,6 +257,9 @@
 	return cmd
 }
 
+// ownersLimit bounds the check of what callers saw.
+const ownersLimit = 30 * time.Second
+
 // errViolations makes the command fail when a promise was broken.
 var errViolations = errors.New("promises were broken")
 
@@ -281,7 +284,7 @@
 			if err := report.print(out); err != nil {
 				return err
 			}
-			if len(report.history.Violations) > 0 {
+			if len(report.history.Violations) > 0 || report.owners == check.Violated {
 				return errViolations
 			}
 			return nil
@@ -332,6 +335,7 @@
 		began:      began,
 		summary:    Summarize(result),
 		history:    check.History(result.Outcomes, since(runs, began)),
+		owners:     check.Owners(result.Outcomes, ownersLimit),
 		outcomes:   result.Outcomes,
 		runs:       since(runs, began),
 		before:     before,
--- a/bench/rockload/report.go
+++ b/bench/rockload/report.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"text/tabwriter"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/rockcroft/rockcroft/bench/load"
 	"github.com/rockcroft/rockcroft/protocol/operatorpb"
 	"github.com/rockcroft/rockcroft/standin/upstream"
+	"github.com/rockcroft/rockcroft/state/keyspace"
 )
 
 // imbalanceWindow is the time over which load is compared between upstreams.
@@ -26,6 +28,7 @@
 	began       time.Time
 	summary     Summary
 	history     check.Report
+	owners      check.Verdict
 	outcomes    []load.Outcome
 	runs        []upstream.Run
 	before      map[string]string
@@ -85,38 +88,81 @@
 
 func micros(v float64) time.Duration { return time.Duration(v) * time.Microsecond }
 
-// imbalances returns busiest over mean for each window of a service. Upstreams
-// that ran nothing in a window count unless they ran nothing at all.
-func imbalances(runs []upstream.Run, owners map[string]bool, window time.Duration) []float64 {
-	byWindow := make(map[int64]map[string]int)
+// window is the load of one stretch of time.
+type window struct {
+	counts map[string]int
+	total  int
+	most   int
+}
+
+func (w *window) add(name string) {
+	w.counts[name]++
+	w.total++
+	w.most = max(w.most, w.counts[name])
+}
+
+// windows counts the runs of a service's upstreams by name in each window. The
+// last one is cut short and left out.
+func windows(runs []upstream.Run, owners map[string]bool, length time.Duration, name func(upstream.Run) string) []*window {
+	byTime := make(map[int64]*window)
 	var last int64
 	for _, r := range runs {
 		if !owners[r.Upstream] {
 			continue
 		}
-		w := r.At / int64(window)
-		last = max(last, w)
-		if byWindow[w] == nil {
-			byWindow[w] = make(map[string]int)
+		at := r.At / int64(length)
+		last = max(last, at)
+		if byTime[at] == nil {
+			byTime[at] = &window{counts: make(map[string]int)}
 		}
-		byWindow[w][r.Upstream]++
+		byTime[at].add(name(r))
 	}
+	delete(byTime, last)
+	return slices.Collect(maps.Values(byTime))
+}
+
+// imbalances returns busiest over mean for each window, in rising order, when
+// requests are owned as the function says.
+func imbalances(runs []upstream.Run, owners map[string]bool, length time.Duration, owner func(upstream.Run) string) []float64 {
 	var out []float64
-	for w, counts := range byWindow {
-		if w == last {
-			continue
-		}
-		busiest, total := 0, 0
-		for _, n := range counts {
-			busiest = max(busiest, n)
-			total += n
-		}
-		out = append(out, float64(busiest)*float64(len(owners))/float64(total))
+	for _, w := range windows(runs, owners, length, owner) {
+		out = append(out, float64(w.most)*float64(len(owners))/float64(w.total))
+	}
+	slices.Sort(out)
+	return out
+}
+
+// leastImbalances returns what no placement can go below, as a key has one
+// owner: the share of the hottest key times the number of upstreams.
+func leastImbalances(runs []upstream.Run, owners map[string]bool, length time.Duration) []float64 {
+	var out []float64
+	for _, w := range windows(runs, owners, length, func(r upstream.Run) string { return r.Key }) {
+		out = append(out, max(1, float64(w.most)*float64(len(owners))/float64(w.total)))
 	}
 	slices.Sort(out)
 	return out
 }
 
+// rendezvous owns each key by the highest hash of key and upstream: the static
+// baseline.
+func rendezvous(owners map[string]bool) func(upstream.Run) string {
+	names := slices.Sorted(maps.Keys(owners))
+	known := make(map[string]string)
+	return func(r upstream.Run) string {
+		if owner, ok := known[r.Key]; ok {
+			return owner
+		}
+		best, highest := "", keyspace.Hash(0)
+		for _, name := range names {
+			if h := keyspace.Of(name + "/" + r.Key); best == "" || h > highest {
+				best, highest = name, h
+			}
+		}
+		known[r.Key] = best
+		return best
+	}
+}
+
 func quantile(sorted []float64, p float64) float64 {
 	if len(sorted) == 0 {
 		return 0
@@ -131,9 +177,20 @@
 	}
 	t := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
 	for _, service := range services(r.runs) {
-		list := imbalances(r.runs, service.owners, imbalanceWindow)
-		_, _ = fmt.Fprintf(t, "imbalance %s\tp50 %.3f\tp99 %.3f\tmax %.3f\n",
-			service.name, quantile(list, 0.5), quantile(list, 0.99), quantile(list, 1))
+		for _, way := range []struct {
+			name  string
+			owner func(upstream.Run) string
+		}{
+			{"", func(run upstream.Run) string { return run.Upstream }},
+			{" by rendezvous hashing", rendezvous(service.owners)},
+		} {
+			list := imbalances(r.runs, service.owners, imbalanceWindow, way.owner)
+			_, _ = fmt.Fprintf(t, "imbalance %s%s\tp50 %.3f\tp99 %.3f\tmax %.3f\n",
+				service.name, way.name, quantile(list, 0.5), quantile(list, 0.99), quantile(list, 1))
+		}
+		bounds := leastImbalances(r.runs, service.owners, imbalanceWindow)
+		_, _ = fmt.Fprintf(t, "imbalance %s, least for its hottest key\tp50 %.3f\tp99 %.3f\t\n",
+			service.name, quantile(bounds, 0.5), quantile(bounds, 0.99))
 	}
 	changed := 0
 	for id, was := range r.before {
@@ -146,6 +203,7 @@
 		_, _ = fmt.Fprintf(t, "unavailable %s\t%d ranges\tp50 %s\tp99 %s\tmax %s\n", u.name, u.count, u.p50, u.p99, u.max)
 	}
 	_, _ = fmt.Fprintf(t, "history\t%d outcomes against %d runs\n", r.history.Outcomes, r.history.Runs)
+	_, _ = fmt.Fprintf(t, "owners as callers saw them\t%s\n", r.owners)
 	_, _ = fmt.Fprintf(t, "violations\t%d\n", len(r.history.Violations))
 	for i, v := range r.history.Violations {
 		if i < shownViolations {
--- a/coordination/placement/placement_test.go
+++ b/coordination/placement/placement_test.go
@@ -196,3 +196,34 @@
 		})
 	}
 }
+
+func TestExports(t *testing.T) {
+	list := items([]string{"u00", "u00", "u01"}, []float64{50, 30, 20})
+	o := Options{MaxMoves: 4, Band: 1.1}
+	cells := func(a, b, c float64) []CellNode {
+		return []CellNode{{"a", 2, a}, {"b", 2, b}, {"c", 2, c}, {"empty", 0, 0}}
+	}
+	tests := []struct {
+		name  string
+		self  string
+		cells []CellNode
+		want  []string
+	}{
+		{"the heaviest gives to the lightest", "a", cells(200, 100, 60), []string{"30>c"}},
+		{"the second heaviest waits", "b", cells(200, 150, 60), nil},
+		{"inside the band nothing moves", "a", cells(100, 98, 96), nil},
+		{"what is given stays below half of the difference", "a", cells(160, 100, 90), nil},
+		{"a cell alone keeps all", "a", []CellNode{{"a", 2, 100}}, nil},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var got []string
+			for _, x := range Exports(tt.self, tt.cells, list, o) {
+				got = append(got, fmt.Sprintf("%.0f>%s", x.Load, x.ToCell))
+			}
+			if diff := cmp.Diff(tt.want, got); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
--- a/entry/balance.go
+++ b/entry/balance.go
@@ -20,6 +20,10 @@
 const (
 	// splitsPerLook bounds the ranges split at one look.
 	splitsPerLook = 16
+	// exportsPerLook bounds the ranges given to another cell at once, and
+	// exportPause is the time until reports show what it did.
+	exportsPerLook = 4
+	exportPause    = 6 * time.Second
 	// maxRanges bounds the ranges of one service in one cell.
 	maxRanges = 2048
 )
@@ -112,7 +116,11 @@
 }
 
 // moveBudget bounds the moves within the last minute.
-type moveBudget struct{ moved []time.Time }
+type moveBudget struct {
+	moved []time.Time
+	// exported is when ranges were last given to another cell.
+	exported time.Time
+}
 
 func (b *moveBudget) left(now time.Time, perMinute int) int {
 	kept := b.moved[:0]
@@ -147,6 +155,7 @@
 	items := e.items(doc, conf.Name)
 	imbalance := placement.Imbalance(nodes, items)
 	telemetry.Gauge(e.registry, "imbalance_permille."+conf.Name, int64(1000*imbalance))
+	e.reportCell(now, conf.Name, nodes, items)
 	core := e.control.core
 	if len(core.PendingMoves()) > 0 || len(items) == 0 {
 		return
@@ -156,16 +165,49 @@
 	}
 	options := placement.OptionsFor(conf.Weights.Imbalance, conf.Weights.Churn, conf.Weights.Unavailable)
 	options.MaxMoves = min(options.MaxMoves, b.left(now, conf.MovesPerMinute))
-	moves := placement.Rebalance(nodes, items, options)
-	if len(moves) == 0 {
-		return
+	var list []handover.Move
+	for _, m := range placement.Rebalance(nodes, items, options) {
+		list = append(list, handover.Move{Service: conf.Name, Span: m.Span, To: m.To})
+	}
+	if len(list) == 0 && now.Sub(b.exported) >= exportPause {
+		list = e.exports(now, conf.Name, items, options)
+		if len(list) > 0 {
+			b.exported = now
+		}
 	}
-	b.spend(now, len(moves))
-	list := make([]handover.Move, len(moves))
-	for i, m := range moves {
-		list[i] = handover.Move{Service: conf.Name, Span: m.Span, To: m.To}
+	if len(list) == 0 {
+		return
 	}
+	b.spend(now, len(list))
 	core.AddMoves(list)
-	telemetry.Counter(e.registry, "rebalance.moves."+conf.Name).Inc(int64(len(moves)))
-	e.log.Info("rebalancing", "service", conf.Name, "moves", len(moves), "imbalance", imbalance)
+	telemetry.Counter(e.registry, "rebalance.moves."+conf.Name).Inc(int64(len(list)))
+	e.log.Info("rebalancing", "service", conf.Name, "moves", len(list), "imbalance", imbalance, "to_cell", list[0].ToCell)
+}
+
+// reportCell notes the load of this cell for the others.
+func (e *Entry) reportCell(now time.Time, name string, nodes []placement.Node, items []placement.Item) {
+	rate := 0.0
+	for _, it := range items {
+		rate += it.Load
+	}
+	e.cells.Add(now, load.CellLoad{
+		Cell: e.self.Cell, Service: name, Rate: rate, Upstreams: len(nodes), At: now.UnixMilli(),
+	})
+}
+
+// exports returns the moves to other cells that the balance between cells asks
+// for.
+func (e *Entry) exports(now time.Time, name string, items []placement.Item, o placement.Options) []handover.Move {
+	var cells []placement.CellNode
+	for _, c := range e.cells.All(now) {
+		if c.Service == name {
+			cells = append(cells, placement.CellNode{Cell: c.Cell, Upstreams: c.Upstreams, Load: c.Rate})
+		}
+	}
+	o.MaxMoves = min(o.MaxMoves, exportsPerLook)
+	var out []handover.Move
+	for _, x := range placement.Exports(e.self.Cell, cells, items, o) {
+		out = append(out, handover.Move{Service: name, Span: x.Span, ToCell: x.ToCell})
+	}
+	return out
 }
--- a/entry/beats.go
+++ b/entry/beats.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/rockcroft/rockcroft/coordination/controller"
+	"github.com/rockcroft/rockcroft/coordination/load"
 	"github.com/rockcroft/rockcroft/protocol/answer"
 	"github.com/rockcroft/rockcroft/protocol/peerpb"
 	"github.com/rockcroft/rockcroft/state/cell"
@@ -162,19 +163,44 @@
 		ctx, cancel := context.WithTimeout(ctx, beatTimeout)
 		defer cancel()
 		resp, err := e.peers.Client(peer).Beat(ctx, &peerpb.BeatRequest{
-			Sender: memberTo(e.self), Digest: e.library.Digest(),
+			Sender: memberTo(e.self), Digest: e.library.Digest(), Cells: e.cellLoads(),
 		})
 		if err != nil {
 			e.peers.Bad(peer)
 			return
 		}
 		e.heard(memberFrom(resp.Responder))
+		e.takeCells(resp.Cells)
 		if e.behind(resp) {
 			e.pull(ctx, peer)
 		}
 	})
 }
 
+// cellLoads returns the loads of all cells known here.
+func (e *Entry) cellLoads() []*peerpb.CellLoad {
+	e.control.mu.Lock()
+	defer e.control.mu.Unlock()
+	var out []*peerpb.CellLoad
+	for _, c := range e.cells.All(e.clock()) {
+		out = append(out, &peerpb.CellLoad{
+			Cell: c.Cell, Service: c.Service, Rate: c.Rate, Upstreams: int32(c.Upstreams), At: c.At,
+		})
+	}
+	return out
+}
+
+// takeCells notes the loads of cells that another entry knows.
+func (e *Entry) takeCells(list []*peerpb.CellLoad) {
+	e.control.note(func(_ *controller.Core, now time.Time) {
+		for _, c := range list {
+			e.cells.Add(now, load.CellLoad{
+				Cell: c.Cell, Service: c.Service, Rate: c.Rate, Upstreams: int(c.Upstreams), At: c.At,
+			})
+		}
+	})
+}
+
 func (e *Entry) randomPeer() string {
 	var all []string
 	for _, d := range e.library.All() {
@@ -215,6 +241,7 @@
 // to the entry that would be the next one.
 func (e *Entry) loadLoop(ctx context.Context) {
 	e.every(ctx, loadInterval, func(ctx context.Context) {
+		e.updateGauges()
 		req := e.loadRequest()
 		for _, m := range e.control.leaders() {
 			if m.ID == e.self.ID {
--- a/entry/bench_test.go
+++ b/entry/bench_test.go
@@ -20,6 +20,7 @@
 	"github.com/rockcroft/rockcroft/coordination/lease"
 	"github.com/rockcroft/rockcroft/protocol/control"
 	"github.com/rockcroft/rockcroft/protocol/header"
+	"github.com/rockcroft/rockcroft/protocol/peerpb"
 	"github.com/rockcroft/rockcroft/standin/upstream"
 	"github.com/rockcroft/rockcroft/state/cell"
 	"github.com/rockcroft/rockcroft/state/keyspace"
@@ -62,8 +63,9 @@
 	return c.Conn.Write(b)
 }
 
-// BenchmarkBeat measures one beat with the observations of twelve upstreams:
-// processor time of both ends, and bytes of both directions.
+// BenchmarkBeat measures one beat, to a plain voter and to the controller with
+// the observations of twelve upstreams: processor time of both ends, and bytes
+// of both directions.
 func BenchmarkBeat(b *testing.B) {
 	bd := newBed(b)
 	e := bd.addEntry("entry-1", "a")
@@ -82,17 +84,24 @@
 	go func() { _ = server.Serve(countingListener{l, &bytes}) }()
 	defer func() { _ = server.Close() }()
 	client := e.peers.Client(l.Addr().String())
-	req := e.beatRequest(target{id: e.self.ID})
-	ctx := context.Background()
-	b.ReportAllocs()
-	before := cpuMicros()
-	for b.Loop() {
-		if _, err := client.Beat(ctx, req); err != nil {
-			b.Fatal(err)
-		}
+	plain, full := e.beatRequest(target{id: e.self.ID}), e.beatRequest(target{id: e.self.ID})
+	plain.Observations = nil
+	full.Observations = e.watched.report(e.clock())
+	for name, req := range map[string]*peerpb.BeatRequest{"observations=0": plain, "observations=12": full} {
+		b.Run(name, func(b *testing.B) {
+			bytes.Store(0)
+			before := cpuMicros()
+			n := 0
+			for b.Loop() {
+				n++
+				if _, err := client.Beat(context.Background(), req); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric((cpuMicros()-before)/float64(n), "cpu-us/op")
+			b.ReportMetric(float64(bytes.Load())/float64(n), "bytes/op")
+		})
 	}
-	b.ReportMetric((cpuMicros()-before)/float64(b.N), "cpu-us/op")
-	b.ReportMetric(float64(bytes.Load())/float64(b.N), "bytes/op")
 }
 
 // BenchmarkRenew measures one lease renewal, both ends.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -55,7 +55,9 @@
 	control *controlLoop
 	watched *watchedUpstreams
 	tracker *load.Tracker
-	book    *load.Book
+	// book and cells are guarded by the lock of control.
+	book  *load.Book
+	cells *load.Cells
 
 	flushSpans func(context.Context) error
 	draining   atomic.Bool
@@ -117,6 +119,7 @@
 	})}
 	e.tracker = load.NewTracker()
 	e.book = load.NewBook()
+	e.cells = load.NewCells()
 	e.control = newControlLoop(e)
 	e.proxy = front.New(front.Parts{
 		Self:    e.self,
--- a/entry/peerserver.go
+++ b/entry/peerserver.go
@@ -60,6 +60,10 @@
 	if req.IntervalMs > 0 && sender.Cell == e.self.Cell {
 		e.takeLoad(req)
 	}
+	if req.Cell == "" && req.IntervalMs == 0 {
+		e.takeCells(req.Cells)
+		resp.Cells = e.cellLoads()
+	}
 	// A beat to an earlier incarnation asks for a promise that this process
 	// must not give in its name.
 	if req.Cell != "" && req.To == e.self.ID {
--- a/entry/serve_test.go
+++ b/entry/serve_test.go
@@ -9,6 +9,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/twitchtv/twirp"
@@ -86,9 +87,12 @@
 	if idempotent {
 		method = http.MethodGet
 	}
+	begun := time.Now()
 	resp := b.send(addr, method, name, key, nil, header.RequestID, id)
-	out := load.ParseOutcome(load.Outcome{Service: name, Key: key, RequestID: id, Idempotent: idempotent},
-		resp.status, resp.header, []byte(resp.body))
+	out := load.ParseOutcome(load.Outcome{
+		Service: name, Key: key, RequestID: id, Idempotent: idempotent,
+		Start: begun.UnixNano(), End: time.Now().UnixNano(),
+	}, resp.status, resp.header, []byte(resp.body))
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.list = append(o.list, out)
@@ -112,6 +116,9 @@
 	if len(r.Violations) > 0 {
 		t.Errorf("%d violations, the first: %v", len(r.Violations), r.Violations[0])
 	}
+	if got := check.Owners(o.list, patience); got != check.Linearizable {
+		t.Errorf("the owners that callers saw: %s", got)
+	}
 	if r.Outcomes == 0 || r.Runs == 0 {
 		t.Errorf("nothing was checked: %+v", r)
 	}
--- /dev/null
+++ b/entry/tls_test.go
@@ -0,0 +1,159 @@
+package entry
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/rockcroft/rockcroft/protocol/header"
+	"github.com/rockcroft/rockcroft/state/settings"
+	"github.com/rockcroft/rockcroft/transport/peers"
+)
+
+// authority signs certificates for tests.
+type authority struct {
+	t    *testing.T
+	dir  string
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+}
+
+func newAuthority(t *testing.T) *authority {
+	a := &authority{t: t, dir: t.TempDir()}
+	a.cert, a.key = a.sign("ca", &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "ca"}, IsCA: true, BasicConstraintsValid: true,
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour), KeyUsage: x509.KeyUsageCertSign,
+	})
+	return a
+}
+
+// sign writes NAME.crt and NAME.key.
+func (a *authority) sign(name string, c *x509.Certificate) (*x509.Certificate, *ecdsa.PrivateKey) {
+	a.t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	parent, signer := a.cert, a.key
+	if parent == nil {
+		parent, signer = c, key
+	}
+	der, err := x509.CreateCertificate(rand.Reader, c, parent, &key.PublicKey, signer)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	keyDER, err := x509.MarshalECPrivateKey(key)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	a.write(name+".crt", "CERTIFICATE", der)
+	a.write(name+".key", "EC PRIVATE KEY", keyDER)
+	parsed, err := x509.ParseCertificate(der)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	return parsed, key
+}
+
+func (a *authority) write(name, kind string, der []byte) {
+	data := pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der})
+	if err := os.WriteFile(filepath.Join(a.dir, name), data, 0o600); err != nil {
+		a.t.Fatal(err)
+	}
+}
+
+// issue writes a certificate for the loopback address and returns its settings.
+func (a *authority) issue(name string, serial int64) settings.TLS {
+	a.sign(name, &x509.Certificate{
+		SerialNumber: big.NewInt(serial), Subject: pkix.Name{CommonName: name},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		IPAddresses: []net.IP{net.ParseIP("127.0.0.1")},
+	})
+	return settings.TLS{
+		Cert: filepath.Join(a.dir, name+".crt"), Key: filepath.Join(a.dir, name+".key"),
+		Authority: filepath.Join(a.dir, "ca.crt"),
+	}
+}
+
+// TestPeersNeedACertificate runs two cells with TLS between entries: requests
+// pass, and a call without a certificate, or with one of another authority,
+// does not.
+func TestPeersNeedACertificate(t *testing.T) {
+	ca := newAuthority(t)
+	b := newBed(t)
+	b.edit = func(s *settings.Entry) { s.PeerTLS = ca.issue(s.ID, 2) }
+	b.addEntry("entry-a", "a")
+	b.addEntry("entry-b", "b")
+	b.addUpstream("up-a", "a", nil)
+	b.addUpstream("up-b", "b", nil)
+	b.awaitVoters("a", 1)
+	b.awaitVoters("b", 1)
+	b.awaitDone(b.enact(b.serviceSpec("svc", true)))
+	b.awaitServed("svc")
+
+	stranger := newAuthority(t)
+	foreign := stranger.issue("stranger", 3)
+	pair, err := tls.LoadX509KeyPair(foreign.Cert, foreign.Key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, conf := range map[string]*tls.Config{
+		"no certificate":      {InsecureSkipVerify: true},
+		"another authority's": {InsecureSkipVerify: true, Certificates: []tls.Certificate{pair}},
+	} {
+		client := &http.Client{Transport: &http.Transport{TLSClientConfig: conf}}
+		_, addr, _ := b.entries[0].Addresses()
+		req, err := http.NewRequest(http.MethodPost, "https://"+addr+peers.ForwardPrefix+"/svc/op", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Header.Set(header.Key, "key-1")
+		req.Header.Set(header.Hops, "1")
+		resp, err := client.Do(req)
+		if err == nil {
+			_ = resp.Body.Close()
+			t.Errorf("%s: answered %d", name, resp.StatusCode)
+		}
+	}
+}
+
+// TestCertificatesAreReplaced writes a new certificate while the entry runs.
+func TestCertificatesAreReplaced(t *testing.T) {
+	ca := newAuthority(t)
+	b := newBed(t)
+	b.edit = func(s *settings.Entry) { s.CallerTLS = ca.issue("callers", 2) }
+	e := b.addEntry("entry", "a")
+	serial := func() int64 {
+		conn, err := tls.Dial("tcp", e.callers, &tls.Config{InsecureSkipVerify: true})
+		if err != nil {
+			return 0
+		}
+		defer func() { _ = conn.Close() }()
+		return conn.ConnectionState().PeerCertificates[0].SerialNumber.Int64()
+	}
+	if got := serial(); got != 2 {
+		t.Fatalf("serial %d", got)
+	}
+	ca.issue("callers", 9)
+	later := time.Now().Add(time.Minute)
+	if err := os.Chtimes(filepath.Join(ca.dir, "callers.crt"), later, later); err != nil {
+		t.Fatal(err)
+	}
+	b.await("the new certificate", func() error {
+		if got := serial(); got != 9 {
+			return os.ErrNotExist
+		}
+		return nil
+	})
+}
