Create a directory in one write; reset a joining upstream once

Cause: creating a service in two cells named the first cell for the whole space and the second one afterwards, at no higher epoch: the first could have granted what the second granted under the same epoch. Found by a test that looks at epochs after a create; it failed with two writes of the directory. Then the same test showed an upstream lost 0.9 s after it joined: the answer of its reset was forgotten before the write that used it had succeeded, so it was reset twice, and the first boot id looked like a process that had ended. Ruled out: answers under way with the former boot id (now ignored for a while after a reset, with a test, but not the cause). Change: the first directory is one write; a reset is remembered until the document shows it.

--- a/coordination/controller/core.go
+++ b/coordination/controller/core.go
@@ -179,6 +179,13 @@
 		return
 	}
 	c.trim()
+	for _, u := range doc.Upstreams {
+		// Kept until the document shows it: a second reset would make the
+		// boot id of the first one look like a process that has ended.
+		if u.Boot != "" && u.Boot == c.reset[u.ID] {
+			delete(c.reset, u.ID)
+		}
+	}
 	sameFence := c.doc != nil && c.doc.Fence == doc.Fence
 	c.doc = doc
 	if sameFence {
--- a/coordination/controller/step.go
+++ b/coordination/controller/step.go
@@ -142,12 +142,10 @@
 	case u.State == cell.Lost && v.Health == detect.Alive && c.reset[u.ID] != "":
 		current.State = cell.Active
 		current.Boot = c.reset[u.ID]
-		delete(c.reset, u.ID)
 		e.Touch()
 	case u.State == cell.Lost:
 	case u.Boot == "" && c.reset[u.ID] != "":
 		current.Boot = c.reset[u.ID]
-		delete(c.reset, u.ID)
 		e.Touch()
 	case u.Boot != "" && (v.Health == detect.Silent || v.Health == detect.Gone):
 		e.Lose(u.ID)
--- a/coordination/detect/detect.go
+++ b/coordination/detect/detect.go
@@ -116,6 +116,11 @@
 			v.Leaving = v.Leaving || r.Leaving
 		}
 	}
+	if now.Sub(d.since[upstream]) < d.limits.SuspectAfter {
+		// Answers from before the reset may still arrive; their boot says
+		// nothing.
+		boot = ""
+	}
 	v.Health = d.health(fresh, silent, gone, v.Boot, boot)
 	if fresh < need && v.Health != Alive {
 		v.Health = Unknown
--- a/entry/bed_test.go
+++ b/entry/bed_test.go
@@ -343,3 +343,5 @@
 }
 
 func hashOf(key string) keyspace.Hash { return keyspace.Of(key) }
+
+var frozenFaults = upstream.Faults{Frozen: true}
--- a/entry/operator.go
+++ b/entry/operator.go
@@ -282,12 +282,42 @@
 		case planner.ActionConfigure:
 			err = e.configure(ctx, i.Spec.Service)
 		case planner.ActionDirect:
-			err = e.direct(ctx, s)
+			if i.Spec.Kind != intent.CreateService {
+				err = e.direct(ctx, s)
+			}
 		}
 		if err != nil {
 			return err
 		}
 	}
+	if i.Spec.Kind == intent.CreateService {
+		return e.createDirectory(ctx, i.Spec.Service.Name, i.Plan.Steps)
+	}
+	return nil
+}
+
+// createDirectory writes the first directory of a service in one piece: a cell
+// that is named for a span grants it at once, so that no span may be named for
+// another cell first.
+func (e *Entry) createDirectory(ctx context.Context, name string, steps []intent.Step) error {
+	d := &cell.Directory{Service: name, Version: 1, WriteID: newID()}
+	for _, s := range steps {
+		if s.Action == planner.ActionDirect {
+			d.Segments = append(d.Segments, cell.Segment{Span: s.Span, Cell: s.ToCell})
+		}
+	}
+	if err := d.Validate(); err != nil {
+		return answer.Wrap(answer.Internal, err)
+	}
+	_, err := platform.PutOwn(ctx, e.store, platform.KindDirectory, name, d, 0)
+	if errors.Is(err, platform.ErrConflict) {
+		// An earlier try of this confirm wrote it.
+		return nil
+	}
+	if err != nil {
+		return platformError(err)
+	}
+	e.shelve(d)
 	return nil
 }
 
@@ -315,28 +345,22 @@
 	return nil
 }
 
-// direct gives a span of the directory to a cell. The first step of a new
-// service covers the whole space, so that the directory has no gap.
+// direct gives a span of the directory to another cell.
 func (e *Entry) direct(ctx context.Context, s intent.Step) error {
 	obj, err := e.store.Get(ctx, platform.KindDirectory, s.Service)
-	next := &cell.Directory{Service: s.Service}
-	switch {
-	case errors.Is(err, platform.ErrNotFound):
-		next.Segments = []cell.Segment{{Span: keyspace.Whole(), Cell: s.ToCell}}
-	case err != nil:
+	if err != nil {
 		return platformError(err)
-	default:
-		known, err := cell.DecodeDirectory(obj.Value)
-		if err != nil {
-			return err
-		}
-		next = known.Clone()
-		epoch, err := e.epochBeyond(ctx, s)
-		if err != nil {
-			return err
-		}
-		next.Assign(s.Span, s.ToCell, epoch)
 	}
+	known, err := cell.DecodeDirectory(obj.Value)
+	if err != nil {
+		return err
+	}
+	epoch, err := e.epochBeyond(ctx, s)
+	if err != nil {
+		return err
+	}
+	next := known.Clone()
+	next.Assign(s.Span, s.ToCell, epoch)
 	next.Version++
 	next.WriteID = newID()
 	if _, err := platform.PutOwn(ctx, e.store, platform.KindDirectory, next.Service, next, obj.Version); err != nil {
@@ -349,9 +373,6 @@
 // epochBeyond returns an epoch above all that the cell losing the span may have
 // granted: reserved grants are one above the epoch in its document.
 func (e *Entry) epochBeyond(ctx context.Context, s intent.Step) (uint64, error) {
-	if s.From == "" {
-		return 0, nil
-	}
 	obj, err := e.store.Get(ctx, platform.KindCell, s.From)
 	if err != nil {
 		return 0, platformError(err)
--- /dev/null
+++ b/entry/product_test.go
@@ -0,0 +1,180 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync"
+	"testing"
+
+	collector "go.opentelemetry.io/proto/otlp/collector/trace/v1"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/rockcroft/rockcroft/state/intent"
+	"github.com/rockcroft/rockcroft/state/jsonc"
+	"github.com/rockcroft/rockcroft/state/keyspace"
+	"github.com/rockcroft/rockcroft/state/service"
+	"github.com/rockcroft/rockcroft/state/settings"
+	"github.com/rockcroft/rockcroft/transport/platform"
+)
+
+// spanSink stands in for a receiver of traces.
+type spanSink struct {
+	mu    sync.Mutex
+	spans map[string][]string
+}
+
+func (s *spanSink) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	data, _ := io.ReadAll(r.Body)
+	var req collector.ExportTraceServiceRequest
+	if proto.Unmarshal(data, &req) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, rs := range req.ResourceSpans {
+		for _, ss := range rs.ScopeSpans {
+			for _, span := range ss.Spans {
+				id := fmt.Sprintf("%x", span.TraceId)
+				s.spans[id] = append(s.spans[id], span.Name)
+			}
+		}
+	}
+}
+
+// TestTracesHaveASpanForEachHop sends a request with a trace context to the
+// wrong cell: it passes two entries and an upstream.
+func TestTracesHaveASpanForEachHop(t *testing.T) {
+	sink := &spanSink{spans: make(map[string][]string)}
+	server := httptest.NewServer(sink)
+	defer server.Close()
+	b := newBed(t)
+	b.edit = func(s *settings.Entry) {
+		s.Trace = settings.Trace{
+			Exporter: "otlp", SampleShare: 0,
+			Endpoint: jsonc.Addr{AddrPort: netip.MustParseAddrPort(server.Listener.Addr().String())},
+		}
+	}
+	b.addEntry("entry-a", "a")
+	b.addEntry("entry-b", "b")
+	b.addUpstream("up-a", "a", nil)
+	b.awaitVoters("a", 1)
+	b.awaitVoters("b", 1)
+	b.awaitDone(b.enact(b.serviceSpec("svc", true)))
+	b.awaitServed("svc")
+	const id = "0af7651916cd43dd8448eb211c80319c"
+	resp := b.send(b.entries[1].callers, http.MethodGet, "svc", "k", nil,
+		"Traceparent", "00-"+id+"-b7ad6b7169203331-01")
+	if resp.status != http.StatusOK {
+		t.Fatalf("%d %s", resp.status, resp.body)
+	}
+	for _, e := range b.entries {
+		e.stop()
+		<-e.done
+	}
+	sink.mu.Lock()
+	defer sink.mu.Unlock()
+	count := make(map[string]int)
+	for _, name := range sink.spans[id] {
+		count[name]++
+	}
+	if count["entry"] != 2 || count["forward"] != 1 || count["upstream"] != 1 {
+		t.Errorf("spans %v", count)
+	}
+}
+
+// versionAt returns the configuration version in force at an entry.
+func versionAt(e *runningEntry, name string) uint64 {
+	if conf := e.library.Service(name); conf != nil {
+		return conf.Version
+	}
+	return 0
+}
+
+// TestConfigurationReachesAllAndNeverGoesBack changes a configuration, feeds an
+// entry the former one, and starts an entry while the platform is down.
+func TestConfigurationReachesAllAndNeverGoesBack(t *testing.T) {
+	b := twoCells(t, true)
+	conf := service.Default()
+	conf.Name = "svc"
+	conf.QueueLength = 7
+	former := b.entries[0].library.All()
+	b.enact(intent.Spec{Kind: intent.Configure, Service: &conf})
+	everywhere := func() error {
+		for _, e := range b.entries {
+			if v := versionAt(e, "svc"); v != 2 {
+				return fmt.Errorf("%s uses version %d", e.self.ID, v)
+			}
+		}
+		return nil
+	}
+	b.await("configuration everywhere", everywhere)
+	for _, d := range former {
+		b.entries[1].shelveData(d.Kind, d.Data)
+	}
+	b.store.down.Store(true)
+	b.addEntry("entry-late", "b")
+	b.await("configuration at the late entry", everywhere)
+	b.store.down.Store(false)
+}
+
+// TestInvalidConfigurationIsRefused states a configuration that contradicts
+// itself.
+func TestInvalidConfigurationIsRefused(t *testing.T) {
+	b := newBed(t)
+	b.addEntry("entry", "a")
+	b.awaitVoters("a", 1)
+	spec := b.serviceSpec("svc", true)
+	spec.Service.MaxDeadline = 0
+	if _, err := b.create(spec); err == nil {
+		t.Error("accepted")
+	}
+	if _, err := b.store.Get(context.Background(), platform.KindService, "svc"); err == nil {
+		t.Error("stored")
+	}
+}
+
+// TestCreateNamesOneCellPerSpan creates a service in two cells. No span may be
+// with one cell first and with another one later: the first may have granted it.
+func TestCreateNamesOneCellPerSpan(t *testing.T) {
+	b := twoCells(t, true)
+	for _, e := range b.entries {
+		if v := e.library.Directory("svc").Version; v != 1 {
+			t.Errorf("%s: the directory took %d writes", e.self.ID, v)
+		}
+		for _, r := range e.gate.Doc().Service("svc").Ranges {
+			if r.Epoch != 1 {
+				t.Errorf("%s: range %s was granted before, epoch %d", e.self.ID, r.Span, r.Epoch)
+			}
+		}
+	}
+}
+
+// TestEvictedCellIsTakenOver loses a whole cell. Its keys are served by the
+// other one once an operator confirms, at higher epochs.
+func TestEvictedCellIsTakenOver(t *testing.T) {
+	b := twoCells(t, true)
+	half := keyspace.Whole().Split(2)[1]
+	for _, e := range b.entries[2:] {
+		e.stop()
+		<-e.done
+	}
+	for _, u := range b.upstreams[2:] {
+		u.SetFaults(frozenFaults)
+	}
+	b.entries = b.entries[:2]
+	b.enact(intent.Spec{Kind: intent.EvictCell, Names: []string{"b"}})
+	b.awaitServed("svc")
+	if d := b.entries[0].library.Directory("svc"); len(d.Segments) == 0 || d.Segments[0].Cell != "a" {
+		t.Errorf("directory %+v", d)
+	}
+	for _, s := range b.entries[0].gate.Doc().Service("svc").Ranges {
+		if half.Covers(s.Span) && s.Epoch < 3 {
+			t.Errorf("range %s has epoch %d, the lost cell may have granted 2", s.Span, s.Epoch)
+		}
+	}
+}
--- a/proof/fuzz_test.go
+++ b/proof/fuzz_test.go
@@ -3,6 +3,8 @@
 import (
 	"flag"
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -271,7 +273,13 @@
 	return fmt.Sprintf("version %d %s epoch %d owner %q next %q;%s", doc.Version, r.Phase, r.Epoch, r.Owner, r.Next, states)
 }
 
-func fuzz(t *rapid.T, checked bool, entries, witnesses int) {
+// partitions are the actions of the test that looks at partitions alone, so that
+// they meet each other more often than among all actions.
+var partitions = []string{
+	"", "run", "run2", "pass", "partition", "isolate", "strand", "heal", "hold", "request", "move", "pause",
+}
+
+func fuzz(t *rapid.T, checked bool, entries, witnesses int, only ...string) {
 	m := &machine{newWorld(t, checked, entries, witnesses, 3)}
 	m.setWants()
 	for range 25 {
@@ -279,7 +287,11 @@
 		m.settle(3)
 	}
 	m.live(t)
-	t.Repeat(m.actions())
+	actions := m.actions()
+	maps.DeleteFunc(actions, func(name string, _ func(*rapid.T)) bool {
+		return len(only) > 0 && !slices.Contains(only, name)
+	})
+	t.Repeat(actions)
 	m.heal()
 	m.live(t)
 }
@@ -292,6 +304,10 @@
 	rapid.Check(t, func(t *rapid.T) { fuzz(t, true, 2, 3) })
 }
 
+func TestOneOwnerUnderPartitions(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { fuzz(t, true, 3, 2, partitions...) })
+}
+
 // Without checks at the upstreams the entries are the only fence. A frozen
 // upstream that wakes with requests in its queue is not covered; see the claims.
 func TestOneOwnerWithUnfencedUpstreams(t *testing.T) {
