Count the wait for silent entries from what is known now

Ruled out: the witnesses (heard from within 0.8 s) and the platform's version. Change: the wait is computed when it is asked for, and for a voter that ended it counts from its end. Libraries are compared in 64 buckets, and the cell document is sent only to those who lack it: a changed document no longer sends all.

--- a/coordination/controller/core.go
+++ b/coordination/controller/core.go
@@ -106,7 +106,7 @@
 	upstreams   map[string]cell.Upstream
 	draining    map[string]bool
 	evicted     map[string]bool
-	dead        map[string]bool
+	dead        map[string]time.Time
 	missing     bool
 	moves       []handover.Move
 	splits      []handover.Move
@@ -155,7 +155,7 @@
 		upstreams:   make(map[string]cell.Upstream),
 		draining:    make(map[string]bool),
 		evicted:     make(map[string]bool),
-		dead:        make(map[string]bool),
+		dead:        make(map[string]time.Time),
 		busy:        make(map[string]bool),
 		retryAt:     make(map[string]time.Time),
 	}
@@ -191,12 +191,12 @@
 	if sameFence {
 		return
 	}
-	c.settler = fence.NewSettler(doc, c.limits.Fence, c.silentGrace())
+	c.settler = fence.NewSettler(doc, c.limits.Fence)
 	c.fenceSeen = now
 	c.settled = false
 	c.applied = make(map[string]Applied)
-	for id := range c.dead {
-		c.settler.RecordDead(now, id)
+	for id, at := range c.dead {
+		c.settler.RecordDead(at, id)
 	}
 	c.succeed(now, c.self.ID)
 	for _, id := range sortedKeys(c.heard) {
@@ -231,16 +231,21 @@
 // OnDead notes that an entry process has certainly ended: a later incarnation
 // of it was heard, or the platform no longer lists its VM.
 func (c *Core) OnDead(now time.Time, id string) {
-	if c.dead[id] {
+	if c.isDead(id) {
 		return
 	}
-	c.dead[id] = true
+	c.dead[id] = now
 	delete(c.heard, id)
 	if c.settler != nil {
 		c.settler.RecordDead(now, id)
 	}
 }
 
+func (c *Core) isDead(id string) bool {
+	_, ok := c.dead[id]
+	return ok
+}
+
 // silentGrace is added to the wait for silent entries when some service in the
 // cell has upstreams that do not check epochs.
 func (c *Core) silentGrace() time.Duration {
@@ -272,7 +277,7 @@
 
 // OnBeat notes that a member of any cell is alive.
 func (c *Core) OnBeat(now time.Time, m cell.Member) {
-	if c.dead[m.ID] {
+	if c.isDead(m.ID) {
 		return
 	}
 	c.succeed(now, m.ID)
--- a/coordination/controller/members.go
+++ b/coordination/controller/members.go
@@ -108,7 +108,7 @@
 	count := 0
 	for _, m := range set {
 		h, ok := c.heard[m.ID]
-		if m.ID == c.self.ID || c.dead[m.ID] || ok && c.fresh(now, h) {
+		if m.ID == c.self.ID || c.isDead(m.ID) || ok && c.fresh(now, h) {
 			count++
 		}
 	}
--- a/coordination/controller/step.go
+++ b/coordination/controller/step.go
@@ -25,7 +25,7 @@
 		return c.bootstrap(now)
 	}
 	if c.settler != nil && !c.settled {
-		c.settled = c.settler.Settled(now)
+		c.settled = c.settler.Settled(now, c.silentGrace())
 	}
 	var out []Command
 	if c.canSettle(now) && c.free(now, Write{}) {
@@ -401,7 +401,7 @@
 // the witnesses when the voters alone do not settle it.
 func (c *Core) distribute(now time.Time, out []Command) []Command {
 	for _, m := range c.voters() {
-		if c.dead[m.ID] {
+		if c.isDead(m.ID) {
 			continue
 		}
 		if m.Cell == c.self.Cell {
--- a/coordination/fence/fence.go
+++ b/coordination/fence/fence.go
@@ -174,22 +174,21 @@
 // Settler tells a controller when a fence is settled: no entry that knows only
 // older versions may send any more.
 type Settler struct {
-	fence  uint64
-	limits Limits
-	// grace is added to the wait for silent entries, for requests they may
-	// have in flight towards upstreams that do not check epochs.
-	grace    time.Duration
-	quorums  []cell.Quorum
-	acks     map[string]time.Time
+	fence   uint64
+	limits  Limits
+	quorums []cell.Quorum
+	acks    map[string]time.Time
+	// guestsTo is when promises to entries outside of the quorum have lapsed.
 	guestsTo time.Time
+	// deadAt is when the last voter that ended was known to have ended.
+	deadAt time.Time
 }
 
 // NewSettler starts settling the fence of the given document.
-func NewSettler(doc *cell.Cell, limits Limits, grace time.Duration) *Settler {
+func NewSettler(doc *cell.Cell, limits Limits) *Settler {
 	return &Settler{
 		fence:   doc.Fence,
 		limits:  limits,
-		grace:   grace,
 		quorums: append(slices.Clone(doc.Previous), doc.Quorum),
 		acks:    make(map[string]time.Time),
 	}
@@ -221,23 +220,20 @@
 	if _, ok := s.acks[ack.Voter]; !ok {
 		s.acks[ack.Voter] = now
 	}
-	if ack.GuestWait <= 0 {
-		return
-	}
-	if until := now.Add(ack.GuestWait + s.grace); until.After(s.guestsTo) {
+	if until := now.Add(ack.GuestWait); ack.GuestWait > 0 && until.After(s.guestsTo) {
 		s.guestsTo = until
 	}
 }
 
-// RecordDead notes a voter whose process has certainly ended. What it sent last
-// may still be under way to upstreams that do not check epochs.
-func (s *Settler) RecordDead(now time.Time, id string) {
-	if s.Acked(id) {
+// RecordDead notes a voter whose process had certainly ended at the given time.
+// Others than voters do not matter.
+func (s *Settler) RecordDead(at time.Time, id string) {
+	if s.Acked(id) || !slices.ContainsFunc(s.quorums, func(q cell.Quorum) bool { return q.Has(id) }) {
 		return
 	}
-	s.acks[id] = now
-	if until := now.Add(s.grace); until.After(s.guestsTo) {
-		s.guestsTo = until
+	s.acks[id] = at
+	if at.After(s.deadAt) {
+		s.deadAt = at
 	}
 }
 
@@ -247,16 +243,21 @@
 	return ok
 }
 
-// Settled reports whether every right given under an older fence is over.
-func (s *Settler) Settled(now time.Time) bool {
-	if now.Before(s.guestsTo) {
+// Settled reports whether every right given under an older fence is over. Grace
+// is waited for more where entries did not answer themselves, for requests that
+// they may have under way to upstreams that do not check epochs.
+func (s *Settler) Settled(now time.Time, grace time.Duration) bool {
+	if !s.guestsTo.IsZero() && now.Before(s.guestsTo.Add(grace)) {
+		return false
+	}
+	if !s.deadAt.IsZero() && now.Before(s.deadAt.Add(grace)) {
 		return false
 	}
 	if s.allLocalAcked() {
 		return true
 	}
 	blocked, ok := s.blockedAt()
-	return ok && !now.Before(blocked.Add(s.limits.voterTTL()+s.grace))
+	return ok && !now.Before(blocked.Add(s.limits.voterTTL()+grace))
 }
 
 func (s *Settler) allLocalAcked() bool {
--- a/coordination/fence/fence_test.go
+++ b/coordination/fence/fence_test.go
@@ -97,11 +97,11 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			s := NewSettler(doc, limits, tt.grace)
+			s := NewSettler(doc, limits)
 			for _, id := range tt.acks {
 				s.Record(start, Ack{Voter: id, Fence: tt.fence})
 			}
-			if got := s.Settled(tt.at); got != tt.want {
+			if got := s.Settled(tt.at, tt.grace); got != tt.want {
 				t.Errorf("settled %v, want %v", got, tt.want)
 			}
 		})
@@ -116,14 +116,33 @@
 		Previous: []cell.Quorum{{Local: members("a", "b", "c")}},
 		Quorum:   cell.Quorum{Local: members("d")},
 	}
-	s := NewSettler(doc, limits, 0)
+	s := NewSettler(doc, limits)
 	s.Record(start, Ack{Voter: "d", Fence: 2})
-	if s.Settled(start.Add(time.Hour)) {
+	if s.Settled(start.Add(time.Hour), 0) {
 		t.Error("settled while the former voters may still promise each other")
 	}
 	s.Record(start, Ack{Voter: "a", Fence: 2})
 	s.Record(start, Ack{Voter: "b", Fence: 2})
-	if !s.Settled(start.Add(time.Hour)) {
+	if !s.Settled(start.Add(time.Hour), 0) {
 		t.Error("not settled with the majority of both")
 	}
 }
+
+// TestDeadVotersAreWaitedForOnce lets a voter end long ago: a new fence does not
+// wait for its last requests again, and those who never voted do not matter.
+func TestDeadVotersAreWaitedForOnce(t *testing.T) {
+	doc := &cell.Cell{Fence: 2, Quorum: cell.Quorum{Local: members("a", "b")}}
+	s := NewSettler(doc, limits)
+	s.Record(start, Ack{Voter: "a", Fence: 2})
+	s.RecordDead(start.Add(-time.Minute), "b")
+	s.RecordDead(start, "stranger")
+	if !s.Settled(start, 10*time.Second) {
+		t.Error("not settled")
+	}
+	s = NewSettler(doc, limits)
+	s.Record(start, Ack{Voter: "a", Fence: 2})
+	s.RecordDead(start, "b")
+	if s.Settled(start, 10*time.Second) {
+		t.Error("settled while requests of the dead voter may be under way")
+	}
+}
--- a/entry/beats.go
+++ b/entry/beats.go
@@ -121,10 +121,12 @@
 	return resp.Digest != e.library.Digest()
 }
 
-// pull takes all documents that another entry holds. Older ones are ignored,
-// so the order of pulls does not matter.
+// pull takes the documents in which another entry differs. Older ones are
+// ignored, so the order of pulls does not matter.
 func (e *Entry) pull(ctx context.Context, peer string) {
-	resp, err := e.peers.Client(peer).State(ctx, &peerpb.StateRequest{From: e.self.ID})
+	resp, err := e.peers.Client(peer).State(ctx, &peerpb.StateRequest{
+		From: e.self.ID, Cell: e.self.Cell, Version: e.gate.Version(), Buckets: e.library.BucketDigests(),
+	})
 	if err == nil {
 		e.takeState(resp.Documents)
 	}
--- a/entry/bed_test.go
+++ b/entry/bed_test.go
@@ -166,12 +166,23 @@
 			return
 		}
 		if time.Now().After(limit) {
-			b.t.Fatalf("%s: %v", what, err)
+			b.t.Fatalf("%s: %v%s", what, err, b.explain())
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
 }
 
+// explain tells what each controller waits for.
+func (b *bed) explain() string {
+	var out strings.Builder
+	for _, e := range b.entries {
+		e.control.mu.Lock()
+		fmt.Fprintf(&out, "\n%s may_send=%v %s", e.self.ID, e.gate.MaySend(), e.control.core.Explain(e.clock()))
+		e.control.mu.Unlock()
+	}
+	return out.String()
+}
+
 func (b *bed) operator() operator { return operator{b.entries[0].Entry} }
 
 func (b *bed) serviceSpec(name string, checks bool) intent.Spec {
--- a/entry/documents.go
+++ b/entry/documents.go
@@ -28,7 +28,7 @@
 
 const (
 	// watchWait is how long one watch waits for a change.
-	watchWait = 5 * time.Second
+	watchWait = 10 * time.Second
 	// ownCellInterval is the time between reads of the cell's own document,
 	// which finds out about writes by another controller.
 	ownCellInterval = 2 * time.Second
--- a/entry/peerserver.go
+++ b/entry/peerserver.go
@@ -147,15 +147,16 @@
 }
 
 // State implements peerpb.Peer.
-func (s peerServer) State(context.Context, *peerpb.StateRequest) (*peerpb.StateResponse, error) {
+func (s peerServer) State(_ context.Context, req *peerpb.StateRequest) (*peerpb.StateResponse, error) {
 	e := s.e
 	resp := &peerpb.StateResponse{}
-	for _, d := range e.library.All() {
+	for _, d := range e.library.Differing(req.Buckets) {
 		resp.Documents = append(resp.Documents, &peerpb.Document{
 			Kind: string(d.Kind), Name: d.Name, Version: d.Version, Data: d.Data,
 		})
 	}
-	if doc := e.gate.Doc(); doc != nil {
+	doc := e.gate.Doc()
+	if doc != nil && req.Cell == doc.Name && req.Version < doc.Version {
 		d, err := encodeCell(doc)
 		if err != nil {
 			return nil, twirp.InternalErrorWith(err)
--- a/scripts/guards.sh
+++ b/scripts/guards.sh
@@ -7,7 +7,7 @@
 CHECKS=${1:-600}
 WORK=$(mktemp -d)
 trap 'rm -rf "$WORK"' EXIT
-AT_ONCE=4
+AT_ONCE=6
 
 # guard NAME FILE OLD NEW: replace OLD by NEW in a copy and run the fuzz tests.
 guard() {
@@ -33,7 +33,7 @@
 	guard "$@" | tee -a "$WORK/results" &
 }
 
-queue wait-for-silent coordination/fence/fence.go 'return ok && !now.Before(blocked.Add(s.limits.voterTTL()+s.grace))' '_ = blocked; return ok'
+queue wait-for-silent coordination/fence/fence.go 'return ok && !now.Before(blocked.Add(s.limits.voterTTL()+grace))' '_ = blocked; return ok'
 queue promise-after-fence coordination/fence/fence.go 'if version < b.floor {' 'if false {'
 queue majority coordination/fence/fence.go 'return h.scratch[len(voters)/2]' 'return h.scratch[0]'
 queue previous-quorums coordination/fence/fence.go 'append(slices.Clone(doc.Previous), doc.Quorum)' '[]cell.Quorum{doc.Quorum}'
--- a/state/library/library.go
+++ b/state/library/library.go
@@ -73,11 +73,19 @@
 	name string
 }
 
+// Buckets is the number of parts in which two libraries are compared, so that
+// one changed document does not send all.
+const Buckets = 64
+
+func (id docID) bucket() int {
+	return int(xxhash.Sum64String(string(id.kind)+"/"+id.name) % Buckets)
+}
+
 // Library holds documents. It is safe for concurrent use.
 type Library struct {
 	mu       sync.Mutex
 	docs     map[docID]*Document
-	digest   uint64
+	buckets  [Buckets]uint64
 	onChange func(*Document)
 }
 
@@ -95,11 +103,12 @@
 	if known := l.docs[id]; known != nil && known.Version >= d.Version {
 		return false
 	}
-	// The digest is the sum of one hash a document, so that a change costs the
-	// same however many documents there are.
-	l.digest += d.fingerprint()
+	// Digests are sums of one hash a document, so that a change costs the same
+	// however many documents there are.
+	sum := &l.buckets[id.bucket()]
+	*sum += d.fingerprint()
 	if known := l.docs[id]; known != nil {
-		l.digest -= known.fingerprint()
+		*sum -= known.fingerprint()
 	}
 	l.docs[id] = d
 	l.onChange(d)
@@ -118,7 +127,32 @@
 func (l *Library) Digest() uint64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.digest
+	var sum uint64
+	for _, b := range l.buckets {
+		sum += b
+	}
+	return sum
+}
+
+// BucketDigests returns one digest for each bucket of document names.
+func (l *Library) BucketDigests() []uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.buckets[:])
+}
+
+// Differing returns the documents in buckets whose digest is not as given. With
+// another number of digests it returns all.
+func (l *Library) Differing(digests []uint64) []*Document {
+	all := l.All()
+	if len(digests) != Buckets {
+		return all
+	}
+	mine := l.BucketDigests()
+	return slices.DeleteFunc(all, func(d *Document) bool {
+		b := docID{d.Kind, d.Name}.bucket()
+		return mine[b] == digests[b]
+	})
 }
 
 // fingerprint identifies kind, name and version.
