Let grants go before new fences

Ruled out: detection and the number of ranges (130, each released at once). Change: new moves and changes of voters wait for hand-overs under way, 3 s at most. Tests of the controller state a cell, an event and the commands expected; the one for this fails without the change.

--- /dev/null
+++ b/coordination/controller/controller_test.go
@@ -0,0 +1,192 @@
+package controller
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/rockcroft/rockcroft/coordination/detect"
+	"github.com/rockcroft/rockcroft/coordination/fence"
+	"github.com/rockcroft/rockcroft/coordination/handover"
+	"github.com/rockcroft/rockcroft/protocol/control"
+	"github.com/rockcroft/rockcroft/state/cell"
+	"github.com/rockcroft/rockcroft/state/keyspace"
+)
+
+var (
+	start = time.Unix(1000, 0)
+	self  = cell.Member{ID: MemberID("e", start), Cell: "c", Domain: "d", Peer: "p"}
+)
+
+type first struct{}
+
+// Place implements Placer: everything goes to the first usable upstream.
+func (first) Place(doc *cell.Cell, service string, spans []keyspace.Span, avoid string) []string {
+	out := make([]string, len(spans))
+	for _, u := range doc.UpstreamsOf(service, cell.Active) {
+		if u.Boot == "" || u.ID == avoid {
+			continue
+		}
+		for i := range out {
+			out[i] = u.ID
+		}
+		break
+	}
+	return out
+}
+
+type checks struct{}
+
+func (checks) ChecksFences(string) bool { return true }
+
+// newCore returns a controller alone in its cell, with a document of the ranges
+// and the upstreams u and v.
+func newCore(ranges ...cell.Range) *Core {
+	c := NewCore(self, DefaultLimits(), first{}, checks{}, func() string { return "w" })
+	c.OnDocument(start, &cell.Cell{
+		Name: "c", Domain: "d", Version: 5, Fence: 5, Quorum: cell.Quorum{Local: []cell.Member{self}},
+		Upstreams: []cell.Upstream{
+			{ID: "u", Service: "s", State: cell.Active, Boot: "bu"},
+			{ID: "v", Service: "s", State: cell.Active, Boot: "bv"},
+		},
+		Services: []cell.Service{{Name: "s", Ranges: ranges}},
+	}, 9)
+	c.OnRoster(start, &cell.Roster{Cell: "c", Version: 1, Members: []cell.Member{self}})
+	return c
+}
+
+// follow carries out all commands at once, as a network without delay would,
+// and returns what they were.
+func follow(c *Core, now time.Time, rounds int) []string {
+	var out []string
+	for range rounds {
+		for _, cmd := range c.Step(now) {
+			out = append(out, describe(cmd))
+			answer(c, now, cmd)
+		}
+	}
+	return out
+}
+
+func describe(cmd Command) string {
+	switch cmd := cmd.(type) {
+	case Write:
+		r := cmd.Doc.Service("s").Ranges[0]
+		return fmt.Sprintf("write %s %s@%d>%s%s", r.Phase, r.Owner, r.Epoch, r.Next, r.NextCell)
+	case SendGrants:
+		return fmt.Sprintf("grant %s@%d prepare=%v", cmd.Upstream.ID, cmd.Grants[0].Epoch, cmd.Grants[0].Prepare)
+	case SendRevocations:
+		return fmt.Sprintf("revoke %s@%d", cmd.Upstream.ID, cmd.Revocations[0].Epoch)
+	}
+	return cmd.key()
+}
+
+func answer(c *Core, now time.Time, cmd Command) {
+	switch cmd := cmd.(type) {
+	case Write:
+		c.OnWritten(now, cmd, cmd.Doc.Version+100, nil)
+	case Apply:
+		c.OnApplied(now, cmd, Applied{Ack: fence.Ack{Voter: cmd.To.ID, Fence: cmd.Doc.Fence}, Version: cmd.Doc.Version}, nil)
+	case SendGrants:
+		c.OnGranted(now, cmd, nil)
+	case SendRevocations:
+		c.OnRevoked(now, cmd, nil)
+	case Reset:
+		c.OnReset(now, cmd, "new", nil)
+	}
+}
+
+func whole(phase cell.Phase, owner, next string) cell.Range {
+	return cell.Range{Span: keyspace.Whole(), Epoch: 3, Phase: phase, Owner: owner, Next: next}
+}
+
+func equal(t *testing.T, got []string, want ...string) {
+	t.Helper()
+	if fmt.Sprint(got) != fmt.Sprint(want) {
+		t.Errorf("commands\n%v\nwant\n%v", got, want)
+	}
+}
+
+func TestPlannedMove(t *testing.T) {
+	c := newCore(whole(cell.Owned, "u", ""))
+	follow(c, start, 2)
+	c.AddMoves([]handover.Move{{Service: "s", Span: keyspace.Whole(), To: "v"}})
+	apply := "apply/" + self.ID
+	equal(t, follow(c, start, 8),
+		"grant v@0 prepare=true",
+		"write releasing u@3>v", apply,
+		"revoke u@3", "grant v@4 prepare=false",
+		"write owned v@4>", apply)
+}
+
+func TestExport(t *testing.T) {
+	c := newCore(whole(cell.Owned, "u", ""))
+	follow(c, start, 2)
+	c.AddMoves([]handover.Move{{Service: "s", Span: keyspace.Whole(), ToCell: "other"}})
+	apply := "apply/" + self.ID
+	equal(t, follow(c, start, 6),
+		"write releasing u@3>other", apply, "revoke u@3",
+		"write exported @4>other", apply, "redirect/s/"+keyspace.Whole().String())
+}
+
+func TestLostOwner(t *testing.T) {
+	c := newCore(whole(cell.Owned, "u", ""))
+	follow(c, start, 2)
+	c.OnObservation(start, self.ID, "v", detect.Observation{Boot: "bv"})
+	c.OnObservation(start, self.ID, "u", detect.Observation{Boot: "bu", Silent: 2 * time.Second})
+	apply := "apply/" + self.ID
+	equal(t, follow(c, start, 6),
+		"write releasing u@3>v", apply, "grant v@4 prepare=false",
+		"write owned v@4>", apply)
+}
+
+// TestGrantsGoBeforeNewFences has a lost owner's range settled while a move to
+// another cell waits: the grant must not be held up by the fence of the move.
+func TestGrantsGoBeforeNewFences(t *testing.T) {
+	halves := keyspace.Whole().Split(2)
+	lost, other := whole(cell.Releasing, "gone", "v"), whole(cell.Owned, "u", "")
+	lost.Span, other.Span = halves[0], halves[1]
+	c := newCore(lost, other)
+	c.AddMoves([]handover.Move{{Service: "s", Span: halves[1], ToCell: "other"}})
+	apply := "apply/" + self.ID
+	got := follow(c, start, 4)
+	if len(got) < 3 {
+		t.Fatalf("commands %v", got)
+	}
+	equal(t, got[:3], apply, "grant v@4 prepare=false", "write owned v@4>")
+}
+
+func TestFailedCommandsAreSentAgainAfterAPause(t *testing.T) {
+	c := newCore(whole(cell.Releasing, "u", "v"))
+	follow(c, start, 1)
+	c.OnRevoked(start, SendRevocations{Upstream: cell.Upstream{ID: "u"}, Revocations: []control.Revocation{}}, errors.New("lost"))
+	for _, cmd := range c.Step(start) {
+		if cmd.key() == "revoke/u" {
+			t.Error("sent again at once")
+		}
+	}
+	found := false
+	for _, cmd := range c.Step(start.Add(time.Second)) {
+		found = found || cmd.key() == "revoke/u"
+	}
+	if !found {
+		t.Error("not sent again")
+	}
+}
+
+func TestLeadsIsTheLowestLiveVoter(t *testing.T) {
+	lower := cell.Member{ID: MemberID("a", start), Cell: "c", Peer: "q"}
+	c := newCore(whole(cell.Owned, "u", ""))
+	c.doc.Quorum.Local = []cell.Member{lower, self}
+	if !c.Leads(start) {
+		t.Error("does not lead while the lower one was never heard")
+	}
+	c.OnBeat(start, lower)
+	if c.Leads(start) {
+		t.Error("leads beside a live voter with a lower ID")
+	}
+	if !c.Leads(start.Add(2 * time.Second)) {
+		t.Error("does not lead after the lower one fell silent")
+	}
+}
--- a/coordination/controller/step.go
+++ b/coordination/controller/step.go
@@ -82,6 +82,8 @@
 	c.editReserved(e)
 	if c.settled {
 		c.editReleased(now, e)
+	}
+	if c.settled && !c.finishFirst(now, e.Doc()) {
 		c.editMembers(now, e)
 		c.wantDrains()
 		c.editMoves(now, e)
@@ -94,14 +96,16 @@
 	return e.Finish(c.newID())
 }
 
-// memberPatience is how long a change of voters waits for hand-overs: its fence
-// would hold them up.
-const memberPatience = 3 * time.Second
+// handOverPatience is how long new fences wait for hand-overs under way.
+const handOverPatience = 3 * time.Second
+
+// finishFirst reports whether hand-overs are under way that a new fence would
+// hold up: the next owners get their grants only while the fence is settled.
+func (c *Core) finishFirst(now time.Time, doc *cell.Cell) bool {
+	return handingOver(doc) && now.Sub(c.fenceSeen) < handOverPatience
+}
 
 func (c *Core) editMembers(now time.Time, e *handover.Editor) {
-	if handingOver(e.Doc()) && now.Sub(c.fenceSeen) < memberPatience {
-		return
-	}
 	want := c.wantedQuorum(now)
 	if !sameQuorum(want, e.Doc().Quorum) {
 		e.SetQuorum(want)
