--- a/bench/rockload/summary.go
+++ b/bench/rockload/summary.go
@@ -23,8 +23,11 @@
 	Total      int
 	Answered   int
 	NotOffered int64
-	Kinds      map[string]int
-	latency    *hdrhistogram.Histogram
+	// Writes and WritesAnswered count requests that are not idempotent.
+	Writes         int
+	WritesAnswered int
+	Kinds          map[string]int
+	latency        *hdrhistogram.Histogram
 }
 
 // Summarize counts outcomes by kind and records latencies from the time each
@@ -37,6 +40,12 @@
 	}
 	for _, o := range r.Outcomes {
 		s.Total++
+		if !o.Idempotent {
+			s.Writes++
+		}
+		if !o.Idempotent && o.OK() {
+			s.WritesAnswered++
+		}
 		if o.OK() {
 			s.Answered++
 			_ = s.latency.RecordValue(min(max((o.End-o.Due)/1000, 1), maxLatency))
@@ -56,6 +65,7 @@
 func (s Summary) Print(out io.Writer) error {
 	t := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
 	_, _ = fmt.Fprintf(t, "requests\t%d\nanswered\t%d\nnot offered\t%d\n", s.Total, s.Answered, s.NotOffered)
+	_, _ = fmt.Fprintf(t, "not idempotent\t%d, answered %d\n", s.Writes, s.WritesAnswered)
 	kinds := make([]string, 0, len(s.Kinds))
 	for k := range s.Kinds {
 		kinds = append(kinds, k)
--- a/entry/balance.go
+++ b/entry/balance.go
@@ -101,7 +101,7 @@
 			return
 		}
 		for _, s := range doc.Services {
-			conf := e.library.Service(s.Name)
+			conf := e.docs.Service(s.Name)
 			if conf == nil || !conf.Rebalance {
 				continue
 			}
--- a/entry/beats.go
+++ b/entry/beats.go
@@ -60,7 +60,7 @@
 		}
 	}
 	if doc == nil || !doc.Quorum.HasLocal(e.self.ID) {
-		if r := e.library.Roster(e.self.Cell); r != nil {
+		if r := e.docs.Roster(e.self.Cell); r != nil {
 			for _, m := range r.Members {
 				add(m)
 			}
@@ -98,7 +98,7 @@
 		To:     t.id,
 		Cell:   e.self.Cell,
 		Sender: memberTo(e.self),
-		Digest: e.library.Digest(),
+		Digest: e.docs.Digest(),
 	}
 	doc := e.gate.Doc()
 	if doc == nil {
@@ -118,14 +118,14 @@
 	if resp.Responder.GetCell() == e.self.Cell && max(resp.Version, resp.Floor) > e.gate.Version() {
 		return true
 	}
-	return resp.Digest != e.library.Digest()
+	return resp.Digest != e.docs.Digest()
 }
 
 // pull takes the documents in which another entry differs. Older ones are
 // ignored, so the order of pulls does not matter.
 func (e *Entry) pull(ctx context.Context, peer string) {
 	resp, err := e.peers.Client(peer).State(ctx, &peerpb.StateRequest{
-		From: e.self.ID, Cell: e.self.Cell, Version: e.gate.Version(), Buckets: e.library.BucketDigests(),
+		From: e.self.ID, Cell: e.self.Cell, Version: e.gate.Version(), Buckets: e.docs.BucketDigests(),
 	})
 	if err == nil {
 		e.takeState(resp.Documents)
@@ -165,7 +165,7 @@
 		ctx, cancel := context.WithTimeout(ctx, beatTimeout)
 		defer cancel()
 		resp, err := e.peers.Client(peer).Beat(ctx, &peerpb.BeatRequest{
-			Sender: memberTo(e.self), Digest: e.library.Digest(), Cells: e.cellLoads(),
+			Sender: memberTo(e.self), Digest: e.docs.Digest(), Cells: e.cellLoads(),
 		})
 		if err != nil {
 			e.peers.Bad(peer)
@@ -205,7 +205,7 @@
 
 func (e *Entry) randomPeer() string {
 	var all []string
-	for _, d := range e.library.All() {
+	for _, d := range e.docs.All() {
 		if d.Roster == nil {
 			continue
 		}
@@ -265,7 +265,7 @@
 	req := &peerpb.BeatRequest{
 		Sender:     memberTo(e.self),
 		IntervalMs: loadInterval.Milliseconds(),
-		Digest:     e.library.Digest(),
+		Digest:     e.docs.Digest(),
 		Version:    version,
 		Requests:   make([]uint32, len(slots)),
 	}
--- a/entry/bench_test.go
+++ b/entry/bench_test.go
@@ -23,8 +23,8 @@
 	"github.com/rockcroft/rockcroft/protocol/peerpb"
 	"github.com/rockcroft/rockcroft/standin/upstream"
 	"github.com/rockcroft/rockcroft/state/cell"
+	"github.com/rockcroft/rockcroft/state/docstore"
 	"github.com/rockcroft/rockcroft/state/keyspace"
-	"github.com/rockcroft/rockcroft/state/library"
 )
 
 // cpuMicros returns the processor time of this process in microseconds.
@@ -109,16 +109,26 @@
 	bd := newBed(b)
 	e := bd.addEntry("entry-1", "a")
 	u := bd.addUpstream("up", "a", nil)
-	up := cell.Upstream{ID: u.id, Addr: u.addr, Service: "svc", State: cell.Active}
+	var bytes atomic.Int64
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	server := &http.Server{Handler: u.Handler(), ReadHeaderTimeout: time.Second}
+	go func() { _ = server.Serve(countingListener{l, &bytes}) }()
+	defer func() { _ = server.Close() }()
+	up := cell.Upstream{ID: u.id, Addr: l.Addr().String(), Service: "svc", State: cell.Active}
 	c := e.pool.Ensure(up, e.options("svc", 1))
 	ctx := context.Background()
 	before := cpuMicros()
 	for b.Loop() {
-		if _, err := c.Renew(ctx, control.Renewal{}); err != nil {
+		r := control.Renewal{Boot: "0123456789abcdef.1", UntilNanos: 1_000_000_000_000}
+		if _, err := c.Renew(ctx, r); err != nil {
 			b.Fatal(err)
 		}
 	}
 	b.ReportMetric((cpuMicros()-before)/float64(b.N), "cpu-us/op")
+	b.ReportMetric(float64(bytes.Load())/float64(b.N), "bytes/op")
 }
 
 // cellOf returns a cell of n ranges and twelve upstreams.
@@ -219,7 +229,7 @@
 func BenchmarkRosters(b *testing.B) {
 	for _, cells := range []int{83, 663} {
 		b.Run(fmt.Sprintf("cells=%d", cells), func(b *testing.B) {
-			docs := make([]*library.Document, cells)
+			docs := make([]*docstore.Document, cells)
 			size := 0
 			for i := range docs {
 				docs[i] = roster(b, i)
@@ -227,7 +237,7 @@
 			}
 			b.ReportAllocs()
 			for b.Loop() {
-				l := library.New(func(*library.Document) {})
+				l := docstore.New(func(*docstore.Document) {})
 				for _, d := range docs {
 					l.Add(d)
 				}
@@ -237,7 +247,7 @@
 	}
 }
 
-func roster(b *testing.B, i int) *library.Document {
+func roster(b *testing.B, i int) *docstore.Document {
 	r := cell.Roster{Cell: fmt.Sprintf("cell-%d", i), Domain: "d", Version: 1}
 	for m := range 8 {
 		r.Members = append(r.Members, cell.Member{
@@ -248,7 +258,7 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	d, err := library.Parse(library.Roster, data)
+	d, err := docstore.Parse(docstore.Roster, data)
 	if err != nil {
 		b.Fatal(err)
 	}
--- a/entry/control.go
+++ b/entry/control.go
@@ -297,7 +297,7 @@
 	if _, err := platform.PutOwn(ctx, e.store, platform.KindDirectory, next.Service, next, obj.Version); err != nil {
 		return nil, answer.Wrap(answer.PlatformDown, err)
 	}
-	e.shelve(next)
+	e.addDocument(next)
 	return next, nil
 }
 
@@ -313,7 +313,7 @@
 	default:
 		known, err := cell.DecodeRoster(obj.Value)
 		if err == nil && known.Version >= r.Version {
-			e.shelve(known)
+			e.addDocument(known)
 			return nil
 		}
 		expect = obj.Version
@@ -321,13 +321,13 @@
 	if _, err := platform.PutOwn(ctx, e.store, platform.KindRoster, r.Cell, r, expect); err != nil {
 		return answer.Wrap(answer.PlatformDown, err)
 	}
-	e.shelve(&r)
+	e.addDocument(&r)
 	return nil
 }
 
 // ChecksFences implements controller.Services. A service whose configuration is
 // not known yet counts as one whose upstreams check nothing.
 func (e *Entry) ChecksFences(name string) bool {
-	conf := e.library.Service(name)
+	conf := e.docs.Service(name)
 	return conf != nil && conf.ChecksFences
 }
--- a/entry/documents.go
+++ b/entry/documents.go
@@ -12,8 +12,8 @@
 	"github.com/rockcroft/rockcroft/coordination/lease"
 	"github.com/rockcroft/rockcroft/protocol/peerpb"
 	"github.com/rockcroft/rockcroft/state/cell"
+	"github.com/rockcroft/rockcroft/state/docstore"
 	"github.com/rockcroft/rockcroft/state/intent"
-	"github.com/rockcroft/rockcroft/state/library"
 	"github.com/rockcroft/rockcroft/state/service"
 	"github.com/rockcroft/rockcroft/transport/platform"
 	"github.com/rockcroft/rockcroft/transport/telemetry"
@@ -29,52 +29,52 @@
 const (
 	// watchWait is how long one watch waits for a change.
 	watchWait = 10 * time.Second
-	// ownCellInterval is the time between reads of the cell's own document,
-	// which finds out about writes by another controller.
-	ownCellInterval = 2 * time.Second
+	// ownCellInterval is the time between reads of the cell's own document.
+	// Writes by another controller show earlier, by a conflict or a beat.
+	ownCellInterval = 10 * time.Second
 	// idlePause is the time between looks while another entry leads.
 	idlePause = 200 * time.Millisecond
 	// failurePause is the time between tries while the platform fails.
 	failurePause = 300 * time.Millisecond
 )
 
-// shelve adds a shared document in its typed form to the library.
-func (e *Entry) shelve(doc any) {
+// addDocument adds a shared document in its typed form to the store of documents.
+func (e *Entry) addDocument(doc any) {
 	data, err := json.Marshal(doc)
 	if err != nil {
 		return
 	}
-	var kind library.Kind
+	var kind docstore.Kind
 	switch doc.(type) {
 	case *cell.Directory:
-		kind = library.Directory
+		kind = docstore.Directory
 	case *cell.Roster:
-		kind = library.Roster
+		kind = docstore.Roster
 	case *service.Config:
-		kind = library.Service
+		kind = docstore.Service
 	}
-	e.shelveData(kind, data)
+	e.addDocumentData(kind, data)
 }
 
-func (e *Entry) shelveData(kind library.Kind, data []byte) {
-	d, err := library.Parse(kind, data)
+func (e *Entry) addDocumentData(kind docstore.Kind, data []byte) {
+	d, err := docstore.Parse(kind, data)
 	if err != nil {
 		telemetry.Counter(e.registry, "documents.malformed").Inc(1)
 		e.log.Warn("malformed document ignored", "kind", kind, "err", err)
 		return
 	}
-	e.library.Add(d)
+	e.docs.Add(d)
 }
 
 // onDocument takes a shared document into use.
-func (e *Entry) onDocument(d *library.Document) {
+func (e *Entry) onDocument(d *docstore.Document) {
 	switch d.Kind {
-	case library.Directory:
+	case docstore.Directory:
 		e.gate.Direct(d.Directory)
 		e.control.note(func(core *controller.Core, _ time.Time) { core.OnDirectory(d.Directory) })
-	case library.Roster:
+	case docstore.Roster:
 		e.control.note(func(core *controller.Core, now time.Time) { core.OnRoster(now, d.Roster) })
-	case library.Service:
+	case docstore.Service:
 		e.log.Info("configuration in force", "service", d.Name, "version", d.Version)
 	}
 }
@@ -118,7 +118,7 @@
 // options returns the bounds for one upstream, its share among the entries of
 // the cell.
 func (e *Entry) options(name string, entries int) upstreams.Options {
-	conf := e.library.Service(name)
+	conf := e.docs.Service(name)
 	if conf == nil {
 		c := service.Default()
 		conf = &c
@@ -161,6 +161,8 @@
 		wait := idlePause
 		if e.control.isLeader() {
 			e.readOwnCell(ctx)
+		}
+		if e.control.isLeader() && e.gate.Version() > 0 {
 			wait = ownCellInterval
 		}
 		sleep(ctx, wait)
@@ -212,7 +214,7 @@
 		}
 		e.control.takeIntent(i, obj.Version)
 	default:
-		e.shelveData(library.Kind(kind), obj.Value)
+		e.addDocumentData(docstore.Kind(kind), obj.Value)
 	}
 }
 
@@ -238,7 +240,7 @@
 func (e *Entry) takeState(docs []*peerpb.Document) {
 	for _, d := range docs {
 		if d.Kind != platform.KindCell {
-			e.shelveData(library.Kind(d.Kind), d.Data)
+			e.addDocumentData(docstore.Kind(d.Kind), d.Data)
 			continue
 		}
 		doc, err := cell.Decode(d.Data)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -27,7 +27,7 @@
 	"github.com/rockcroft/rockcroft/coordination/lease"
 	"github.com/rockcroft/rockcroft/coordination/load"
 	"github.com/rockcroft/rockcroft/state/cell"
-	"github.com/rockcroft/rockcroft/state/library"
+	"github.com/rockcroft/rockcroft/state/docstore"
 	"github.com/rockcroft/rockcroft/state/settings"
 	"github.com/rockcroft/rockcroft/transport/front"
 	"github.com/rockcroft/rockcroft/transport/peers"
@@ -47,7 +47,7 @@
 	limits   controller.Limits
 
 	store   platform.Store
-	library *library.Library
+	docs    *docstore.Store
 	gate    *gate.Gate
 	pool    *upstreams.Pool
 	peers   *peers.Pool
@@ -110,7 +110,7 @@
 	}
 	e.flushSpans = flush
 	e.gate = gate.New(e.self, e.limits.Fence, e.clock)
-	e.library = library.New(e.onDocument)
+	e.docs = docstore.New(e.onDocument)
 	e.pool = upstreams.NewPool(e.clock)
 	e.peers = peers.NewPool(peerTLS, e.clock)
 	e.watched = &watchedUpstreams{book: lease.NewBook(lease.Limits{
@@ -125,7 +125,7 @@
 		Self:    e.self,
 		Clock:   e.clock,
 		Gate:    e.gate,
-		Library: e.library,
+		Docs:    e.docs,
 		Pool:    e.pool,
 		Peers:   e.peers,
 		Tracer:  tracer,
--- /dev/null
+++ b/entry/faults_test.go
@@ -0,0 +1,187 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/rockcroft/rockcroft/protocol/answer"
+	"github.com/rockcroft/rockcroft/protocol/header"
+	"github.com/rockcroft/rockcroft/protocol/peerpb"
+	"github.com/rockcroft/rockcroft/standin/upstream"
+	"github.com/rockcroft/rockcroft/state/cell"
+	"github.com/rockcroft/rockcroft/state/intent"
+	"github.com/rockcroft/rockcroft/transport/platform"
+)
+
+// TestNonIdempotentIsSentOnce has the upstream break off each answer after it
+// ran the request.
+func TestNonIdempotentIsSentOnce(t *testing.T) {
+	b := newBed(t)
+	e := b.addEntry("entry", "a")
+	u := b.addUpstream("up", "a", nil)
+	b.awaitVoters("a", 1)
+	b.awaitDone(b.enact(b.serviceSpec("svc", true)))
+	b.awaitServed("svc")
+	u.SetFaults(upstream.Faults{BreakEvery: 1})
+	tests := []struct {
+		name    string
+		method  string
+		headers []string
+	}{
+		{"post", http.MethodPost, nil},
+		{"post with a key that net/http repeats", http.MethodPost, []string{"Idempotency-Key", "x"}},
+		{"get declared not idempotent", http.MethodGet, []string{header.Idempotent, "false"}},
+		{"get declared not idempotent, with a key", http.MethodGet, []string{header.Idempotent, "false", "X-Idempotency-Key", "x"}},
+	}
+	for i, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			id := fmt.Sprintf("once-%d", i)
+			resp := b.send(e.callers, tt.method, "svc", "k", nil, append(tt.headers, header.RequestID, id)...)
+			if got := resp.header.Get(header.Ran); got != string(answer.Unknown) {
+				t.Errorf("ran %q, want unknown", got)
+			}
+			if resp.header.Get(header.Epoch) == "" {
+				t.Error("the answer names no epoch to ask again with")
+			}
+			if n := u.Attempts(id); n != 1 {
+				t.Errorf("the upstream saw %d tries", n)
+			}
+		})
+	}
+	u.SetFaults(upstream.Faults{})
+	// Asked again with the epoch, the owner answers from what it kept.
+	resp := b.send(e.callers, http.MethodPost, "svc", "k", nil, header.RequestID, "once-0",
+		header.Repeat, fmt.Sprint(b.epochOf("svc", "k")))
+	if resp.status != http.StatusOK {
+		t.Errorf("the repeat got %d %s", resp.status, resp.body)
+	}
+	ran := 0
+	for _, r := range u.Runs() {
+		if r.RequestID == "once-0" {
+			ran++
+		}
+	}
+	if ran != 1 {
+		t.Errorf("ran %d times", ran)
+	}
+}
+
+// TestIdempotentIsRetried has the upstream break off every other answer.
+func TestIdempotentIsRetried(t *testing.T) {
+	b := newBed(t)
+	e := b.addEntry("entry", "a")
+	u := b.addUpstream("up", "a", nil)
+	b.awaitVoters("a", 1)
+	b.awaitDone(b.enact(b.serviceSpec("svc", true)))
+	b.awaitServed("svc")
+	u.SetFaults(upstream.Faults{BreakEvery: 2})
+	for i := range 10 {
+		resp := b.send(e.callers, http.MethodGet, "svc", "k", nil)
+		if resp.status != http.StatusOK {
+			t.Errorf("request %d got %d %s", i, resp.status, resp.body)
+		}
+	}
+}
+
+// TestStartWithPlatformDown starts an entry during an outage: it learns
+// configuration and assignment from its peers and serves.
+func TestStartWithPlatformDown(t *testing.T) {
+	b := twoCells(t, true)
+	b.store.down.Store(true)
+	b.addEntry("entry-late", "a")
+	b.awaitServed("svc")
+	late := b.entries[len(b.entries)-1]
+	if late.gate.Version() != b.entries[0].gate.Version() {
+		t.Errorf("version %d, the others have %d", late.gate.Version(), b.entries[0].gate.Version())
+	}
+	b.store.down.Store(false)
+	b.awaitVoters("a", 3)
+}
+
+// TestOutageWithLostEntry loses one of two entries of a cell while the platform
+// is down: the other serves on.
+func TestOutageWithLostEntry(t *testing.T) {
+	b := twoCells(t, true)
+	b.store.down.Store(true)
+	b.entries[0].stop()
+	<-b.entries[0].done
+	b.entries = b.entries[1:]
+	b.awaitServed("svc")
+	b.store.down.Store(false)
+	b.awaitVoters("a", 1)
+	b.awaitServed("svc")
+}
+
+// TestLostUpstream ends an upstream without notice under load.
+func TestLostUpstream(t *testing.T) {
+	b := twoCells(t, true)
+	var stop atomic.Bool
+	var told outcomes
+	var wait sync.WaitGroup
+	wait.Add(1)
+	go func() {
+		defer wait.Done()
+		told.flood(b, 8, &stop)
+	}()
+	frozen := b.upstreams[0]
+	frozen.SetFaults(upstream.Faults{Frozen: true})
+	b.await("loss of "+frozen.id, func() error {
+		u := b.entries[0].gate.Doc().Upstream(frozen.id)
+		if u.State != cell.Lost {
+			return fmt.Errorf("is %s", u.State)
+		}
+		return nil
+	})
+	b.awaitServed("svc")
+	frozen.SetFaults(upstream.Faults{})
+	b.await("return of "+frozen.id, func() error {
+		u := b.entries[0].gate.Doc().Upstream(frozen.id)
+		if u.State != cell.Active || u.Boot == "" {
+			return fmt.Errorf("is %s", u.State)
+		}
+		return nil
+	})
+	stop.Store(true)
+	wait.Wait()
+	told.verify(t, b)
+}
+
+// TestMalformedObjectsAreIgnored stores objects that cannot be parsed.
+func TestMalformedObjectsAreIgnored(t *testing.T) {
+	b := twoCells(t, true)
+	ctx := context.Background()
+	for _, kind := range []string{platform.KindService, platform.KindDirectory, platform.KindRoster, platform.KindIntent} {
+		for name, value := range map[string]string{"bad1": `{`, "bad2": `{"version":-1}`, "bad3": `[]`} {
+			_, err := b.store.Put(ctx, platform.Object{Kind: kind, Name: name, Value: []byte(value)}, 0)
+			if err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	b.awaitDone(b.enact(intent.Spec{Kind: intent.Move, ServiceName: "svc", Key: "key-1", To: "up-a0"}))
+	b.awaitServed("svc")
+}
+
+// TestPromisesAreBoundToTheIncarnation asks a voter in the name of another one.
+func TestPromisesAreBoundToTheIncarnation(t *testing.T) {
+	b := newBed(t)
+	e := b.addEntry("entry", "a")
+	b.awaitVoters("a", 1)
+	sender := &peerpb.Member{Id: "x#1", Cell: "a", Domain: "a", Peer: "127.0.0.1:1"}
+	resp, err := peerServer{e.Entry}.Beat(context.Background(), &peerpb.BeatRequest{
+		To: "entry#0000000000000001", Cell: "a", Version: 100, Sender: sender,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if resp.Granted {
+		t.Error("a promise was given in the name of an earlier incarnation")
+	}
+	if _, err := (peerServer{e.Entry}).Apply(context.Background(), &peerpb.ApplyRequest{To: "entry#1", Cell: "a", Fence: 9}); err == nil {
+		t.Error("a fence was followed in the name of another incarnation")
+	}
+}
--- a/entry/operator.go
+++ b/entry/operator.go
@@ -317,7 +317,7 @@
 	if err != nil {
 		return platformError(err)
 	}
-	e.shelve(d)
+	e.addDocument(d)
 	return nil
 }
 
@@ -341,7 +341,7 @@
 	if _, err := platform.PutOwn(ctx, e.store, platform.KindService, next.Name, &next, obj.Version); err != nil {
 		return platformError(err)
 	}
-	e.shelve(&next)
+	e.addDocument(&next)
 	return nil
 }
 
@@ -366,7 +366,7 @@
 	if _, err := platform.PutOwn(ctx, e.store, platform.KindDirectory, next.Service, next, obj.Version); err != nil {
 		return platformError(err)
 	}
-	e.shelve(next)
+	e.addDocument(next)
 	return nil
 }
 
--- a/entry/peerserver.go
+++ b/entry/peerserver.go
@@ -41,7 +41,7 @@
 	resp := &peerpb.BeatResponse{
 		Version:   e.gate.Version(),
 		Responder: memberTo(e.self),
-		Digest:    e.library.Digest(),
+		Digest:    e.docs.Digest(),
 	}
 	e.heard(sender)
 	e.control.note(func(core *controller.Core, now time.Time) {
@@ -150,7 +150,7 @@
 func (s peerServer) State(_ context.Context, req *peerpb.StateRequest) (*peerpb.StateResponse, error) {
 	e := s.e
 	resp := &peerpb.StateResponse{}
-	for _, d := range e.library.Differing(req.Buckets) {
+	for _, d := range e.docs.Differing(req.Buckets) {
 		resp.Documents = append(resp.Documents, &peerpb.Document{
 			Kind: string(d.Kind), Name: d.Name, Version: d.Version, Data: d.Data,
 		})
--- a/entry/product_test.go
+++ b/entry/product_test.go
@@ -89,7 +89,7 @@
 
 // versionAt returns the configuration version in force at an entry.
 func versionAt(e *runningEntry, name string) uint64 {
-	if conf := e.library.Service(name); conf != nil {
+	if conf := e.docs.Service(name); conf != nil {
 		return conf.Version
 	}
 	return 0
@@ -102,7 +102,7 @@
 	conf := service.Default()
 	conf.Name = "svc"
 	conf.QueueLength = 7
-	former := b.entries[0].library.All()
+	former := b.entries[0].docs.All()
 	b.enact(intent.Spec{Kind: intent.Configure, Service: &conf})
 	everywhere := func() error {
 		for _, e := range b.entries {
@@ -114,7 +114,7 @@
 	}
 	b.await("configuration everywhere", everywhere)
 	for _, d := range former {
-		b.entries[1].shelveData(d.Kind, d.Data)
+		b.entries[1].addDocumentData(d.Kind, d.Data)
 	}
 	b.store.down.Store(true)
 	b.addEntry("entry-late", "b")
@@ -143,7 +143,7 @@
 func TestCreateNamesOneCellPerSpan(t *testing.T) {
 	b := twoCells(t, true)
 	for _, e := range b.entries {
-		if v := e.library.Directory("svc").Version; v != 1 {
+		if v := e.docs.Directory("svc").Version; v != 1 {
 			t.Errorf("%s: the directory took %d writes", e.self.ID, v)
 		}
 		for _, r := range e.gate.Doc().Service("svc").Ranges {
@@ -169,7 +169,7 @@
 	b.entries = b.entries[:2]
 	b.enact(intent.Spec{Kind: intent.EvictCell, Names: []string{"b"}})
 	b.awaitServed("svc")
-	if d := b.entries[0].library.Directory("svc"); len(d.Segments) == 0 || d.Segments[0].Cell != "a" {
+	if d := b.entries[0].docs.Directory("svc"); len(d.Segments) == 0 || d.Segments[0].Cell != "a" {
 		t.Errorf("directory %+v", d)
 	}
 	for _, s := range b.entries[0].gate.Doc().Service("svc").Ranges {
--- a/entry/status.go
+++ b/entry/status.go
@@ -7,7 +7,7 @@
 	"github.com/rockcroft/rockcroft/protocol/operatorpb"
 	"github.com/rockcroft/rockcroft/protocol/peerpb"
 	"github.com/rockcroft/rockcroft/state/cell"
-	"github.com/rockcroft/rockcroft/state/library"
+	"github.com/rockcroft/rockcroft/state/docstore"
 )
 
 // Status implements operatorpb.Operator.
@@ -71,7 +71,7 @@
 	var mu sync.Mutex
 	var wait sync.WaitGroup
 	var out []*operatorpb.InForce
-	for _, d := range e.library.All() {
+	for _, d := range e.docs.All() {
 		if d.Roster == nil || len(d.Roster.Members) == 0 {
 			continue
 		}
@@ -99,7 +99,7 @@
 		return []*operatorpb.InForce{{Cell: r.Cell, Domain: r.Domain, Entry: m.ID, Service: "(no answer)"}}
 	}
 	for _, d := range resp.Documents {
-		if d.Kind == string(library.Service) {
+		if d.Kind == string(docstore.Service) {
 			out = append(out, &operatorpb.InForce{
 				Cell: r.Cell, Domain: r.Domain, Entry: m.ID, Service: d.Name, Version: d.Version,
 			})
--- a/state/library/library.go
+++ b/state/docstore/docstore.go
@@ -1,7 +1,7 @@
-// Package library keeps the newest version of each shared document that a
+// Package docstore keeps the newest version of each shared document that a
 // process has seen. A version never goes back: an older document is ignored, in
 // whatever order and from whomever documents arrive.
-package library
+package docstore
 
 import (
 	"fmt"
@@ -73,7 +73,7 @@
 	name string
 }
 
-// Buckets is the number of parts in which two libraries are compared, so that
+// Buckets is the number of parts in which two stores are compared, so that
 // one changed document does not send all.
 const Buckets = 64
 
@@ -81,22 +81,22 @@
 	return int(xxhash.Sum64String(string(id.kind)+"/"+id.name) % Buckets)
 }
 
-// Library holds documents. It is safe for concurrent use.
-type Library struct {
+// Store holds documents. It is safe for concurrent use.
+type Store struct {
 	mu       sync.Mutex
 	docs     map[docID]*Document
 	buckets  [Buckets]uint64
 	onChange func(*Document)
 }
 
-// New returns an empty library. OnChange is called with each document that
+// New returns an empty store. OnChange is called with each document that
 // replaced an older one, one at a time and in order.
-func New(onChange func(*Document)) *Library {
-	return &Library{docs: make(map[docID]*Document), onChange: onChange}
+func New(onChange func(*Document)) *Store {
+	return &Store{docs: make(map[docID]*Document), onChange: onChange}
 }
 
 // Add takes a document unless a version at least as new is known.
-func (l *Library) Add(d *Document) bool {
+func (l *Store) Add(d *Document) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	id := docID{d.Kind, d.Name}
@@ -116,15 +116,15 @@
 }
 
 // Empty reports whether no document is known.
-func (l *Library) Empty() bool {
+func (l *Store) Empty() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return len(l.docs) == 0
 }
 
-// Digest identifies the set of versions. Two libraries with equal digests hold
+// Digest identifies the set of versions. Two stores with equal digests hold
 // the same versions.
-func (l *Library) Digest() uint64 {
+func (l *Store) Digest() uint64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var sum uint64
@@ -135,7 +135,7 @@
 }
 
 // BucketDigests returns one digest for each bucket of document names.
-func (l *Library) BucketDigests() []uint64 {
+func (l *Store) BucketDigests() []uint64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return slices.Clone(l.buckets[:])
@@ -143,7 +143,7 @@
 
 // Differing returns the documents in buckets whose digest is not as given. With
 // another number of digests it returns all.
-func (l *Library) Differing(digests []uint64) []*Document {
+func (l *Store) Differing(digests []uint64) []*Document {
 	all := l.All()
 	if len(digests) != Buckets {
 		return all
@@ -161,7 +161,7 @@
 }
 
 // All returns the documents, ordered by kind and name.
-func (l *Library) All() []*Document {
+func (l *Store) All() []*Document {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	out := make([]*Document, 0, len(l.docs))
@@ -177,14 +177,14 @@
 	return out
 }
 
-func (l *Library) get(kind Kind, name string) *Document {
+func (l *Store) get(kind Kind, name string) *Document {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.docs[docID{kind, name}]
 }
 
 // Service returns the configuration in force, or nil.
-func (l *Library) Service(name string) *service.Config {
+func (l *Store) Service(name string) *service.Config {
 	if d := l.get(Service, name); d != nil {
 		return d.Service
 	}
@@ -192,7 +192,7 @@
 }
 
 // Directory returns the directory in force, or nil.
-func (l *Library) Directory(name string) *cell.Directory {
+func (l *Store) Directory(name string) *cell.Directory {
 	if d := l.get(Directory, name); d != nil {
 		return d.Directory
 	}
@@ -200,7 +200,7 @@
 }
 
 // Roster returns the member list of a cell, or nil.
-func (l *Library) Roster(name string) *cell.Roster {
+func (l *Store) Roster(name string) *cell.Roster {
 	if d := l.get(Roster, name); d != nil {
 		return d.Roster
 	}
--- a/state/library/library_test.go
+++ b/state/docstore/docstore_test.go
@@ -1,4 +1,4 @@
-package library
+package docstore
 
 import (
 	"fmt"
@@ -41,7 +41,7 @@
 		b.Add(roster(t, fmt.Sprint(many-1-i), 1))
 	}
 	if a.Digest() != b.Digest() {
-		t.Fatal("equal libraries differ")
+		t.Fatal("equal stores differ")
 	}
 	a.Add(roster(t, "7", 2))
 	if a.Digest() == b.Digest() {
--- a/transport/front/forward.go
+++ b/transport/front/forward.go
@@ -15,7 +15,7 @@
 
 // viaCell passes a request to an entry of the cell that has authority.
 func (p *Proxy) viaCell(ctx context.Context, r *http.Request, q *request, name string, h http.Header) (*reply, error) {
-	roster := p.library.Roster(name)
+	roster := p.docs.Roster(name)
 	if roster == nil || len(roster.Members) == 0 {
 		return nil, answer.New(answer.NoOwner, "no entry of cell %s is known", name)
 	}
@@ -25,7 +25,7 @@
 // viaSibling passes a request to another entry of the same cell; without one
 // it returns the given error.
 func (p *Proxy) viaSibling(ctx context.Context, r *http.Request, q *request, h http.Header, otherwise error) (*reply, error) {
-	roster := p.library.Roster(p.self.Cell)
+	roster := p.docs.Roster(p.self.Cell)
 	if roster == nil || q.hops > 0 {
 		return nil, otherwise
 	}
--- a/transport/front/proxy.go
+++ b/transport/front/proxy.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -24,7 +23,7 @@
 	"github.com/rockcroft/rockcroft/protocol/answer"
 	"github.com/rockcroft/rockcroft/protocol/header"
 	"github.com/rockcroft/rockcroft/state/cell"
-	"github.com/rockcroft/rockcroft/state/library"
+	"github.com/rockcroft/rockcroft/state/docstore"
 	"github.com/rockcroft/rockcroft/transport/peers"
 	"github.com/rockcroft/rockcroft/transport/telemetry"
 	"github.com/rockcroft/rockcroft/transport/upstreams"
@@ -45,7 +44,7 @@
 	self    cell.Member
 	clock   func() time.Time
 	gate    *gate.Gate
-	library *library.Library
+	docs    *docstore.Store
 	pool    *upstreams.Pool
 	peers   *peers.Pool
 	backoff retry.Backoff
@@ -67,7 +66,7 @@
 	Self    cell.Member
 	Clock   func() time.Time
 	Gate    *gate.Gate
-	Library *library.Library
+	Docs    *docstore.Store
 	Pool    *upstreams.Pool
 	Peers   *peers.Pool
 	Tracer  trace.Tracer
@@ -82,7 +81,7 @@
 		self:    p.Self,
 		clock:   p.Clock,
 		gate:    p.Gate,
-		library: p.Library,
+		docs:    p.Docs,
 		pool:    p.Pool,
 		peers:   p.Peers,
 		backoff: retry.Backoff{First: 5 * time.Millisecond, Max: 200 * time.Millisecond},
@@ -182,46 +181,12 @@
 	return nil
 }
 
-func (p *Proxy) budget(service string) *retry.Budget {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	b := p.budgets[service]
-	if b == nil {
-		share := 0.1
-		if conf := p.library.Service(service); conf != nil {
-			share = conf.RetryShare
-		}
-		b = retry.NewBudget(share, retryBurst)
-		p.budgets[service] = b
-	}
-	return b
-}
-
 // reply is an upstream's answer with what has to be done after it.
 type reply struct {
 	*http.Response
 	done func()
 }
 
-// deliver tries until the request has its answer, its fate is decided, or its
-// deadline has passed.
-func (p *Proxy) deliver(ctx context.Context, r *http.Request, q *request, h http.Header) (*reply, error) {
-	for try := 1; ; try++ {
-		route := p.gate.Route(q.service.Name, q.hash)
-		resp, err := p.attempt(ctx, r, q, route, h)
-		if err == nil {
-			return resp, nil
-		}
-		again, wait := p.again(q, err, try)
-		if !again {
-			return nil, err
-		}
-		if !p.pause(ctx, route, wait) {
-			return nil, err
-		}
-	}
-}
-
 func (p *Proxy) attempt(ctx context.Context, r *http.Request, q *request, route gate.Route, h http.Header) (*reply, error) {
 	switch route.Where {
 	case gate.Local:
@@ -253,79 +218,6 @@
 	}
 }
 
-// errMoved says that the route changed before anything was sent.
-var errMoved = answer.New(answer.NoOwner, "the key is changing owner")
-
-// contextError tells a passed deadline from a caller that left.
-func (p *Proxy) contextError(ctx context.Context, sent bool) error {
-	timedOut := errors.Is(ctx.Err(), context.DeadlineExceeded)
-	switch {
-	case timedOut && sent:
-		return answer.New(answer.TimedOut, "the deadline passed after the request was sent")
-	case timedOut:
-		return answer.New(answer.DeadlinePassed, "the deadline passed before the request was sent")
-	}
-	return answer.New(answer.Cancelled, "the caller left")
-}
-
-// again decides whether another try is allowed and after which pause. Only
-// what certainly did not run, or is idempotent, is ever sent again.
-func (p *Proxy) again(q *request, err error, try int) (bool, time.Duration) {
-	if err == errMoved {
-		return true, 0
-	}
-	if err == errShed {
-		// Not run, but another try is more load for an owner that sheds.
-		return q.canSendAgain() && p.budget(q.service.Name).Spend(), p.nextPause(try)
-	}
-	kind := answer.KindOf(err)
-	switch kind {
-	case answer.NotOwner, answer.Unreachable, answer.NoRight, answer.WrongCell, answer.NoOwner, answer.Stopping:
-		// Not run: these end when ownership has settled. The pause grows and
-		// the deadline ends it.
-	case answer.Broken:
-		if !q.idempotent {
-			return false, 0
-		}
-	default:
-		return false, 0
-	}
-	if !q.canSendAgain() || !p.budget(q.service.Name).Spend() && kind == answer.Broken {
-		return false, 0
-	}
-	return true, p.nextPause(try)
-}
-
-func (p *Proxy) nextPause(try int) time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.backoff.Pause(try, p.rng)
-}
-
-// errShed says that the owner refused for overload before any work.
-var errShed = answer.New(answer.Overloaded, "the owner sheds load")
-
-// pause waits for the given time or until the route may have changed. It
-// returns false when the deadline comes first.
-func (p *Proxy) pause(ctx context.Context, route gate.Route, wait time.Duration) bool {
-	if wait <= 0 {
-		return ctx.Err() == nil
-	}
-	if deadline, ok := ctx.Deadline(); ok && p.clock().Add(wait).After(deadline) {
-		return false
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-route.Changed():
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // local sends to the owner in this cell.
 func (p *Proxy) local(ctx context.Context, r *http.Request, q *request, route gate.Route, h http.Header) (*reply, error) {
 	slot := route.Slot
@@ -385,46 +277,6 @@
 	}}, nil
 }
 
-// leaveAfterError ends a request that failed. An upstream that does not check
-// epochs may go on with what it was sent until the deadline: the range counts
-// as in use until then.
-func (p *Proxy) leaveAfterError(q *request, slot *gate.Slot, sent bool) {
-	left := q.deadline.Sub(p.clock())
-	if !sent || q.service.ChecksFences || left <= 0 {
-		p.gate.Leave(slot)
-		return
-	}
-	time.AfterFunc(left, func() { p.gate.Leave(slot) })
-}
-
-// sendError classifies a failed try. Where bytes may have reached the upstream
-// the outcome is unknown, and the epoch tells the caller how to ask again.
-func (p *Proxy) sendError(ctx context.Context, q *request, slot *gate.Slot, sent bool, err error, h http.Header) error {
-	if sent {
-		h.Set(header.Epoch, strconv.FormatUint(slot.Epoch, 10))
-	}
-	if ctx.Err() != nil {
-		return p.contextError(ctx, sent)
-	}
-	if sent {
-		return answer.New(answer.Broken, "the connection to %s broke: %v", slot.Owner, err)
-	}
-	return answer.New(answer.Unreachable, "%s cannot be reached: %v", slot.Owner, err)
-}
-
-// refusal maps the reason of an upstream that refused before any work.
-func refusal(reason string) error {
-	switch reason {
-	case header.RefusedOverloaded:
-		return errShed
-	case header.RefusedDeadline:
-		return answer.New(answer.DeadlinePassed, "the owner had no time left")
-	case header.RefusedStopping:
-		return answer.New(answer.Stopping, "the owner is stopping")
-	}
-	return answer.New(answer.NotOwner, "the owner does not hold the key at this epoch")
-}
-
 func requestURI(path string, r *http.Request) string {
 	if r.URL.RawQuery == "" {
 		return path
--- a/transport/front/request.go
+++ b/transport/front/request.go
@@ -49,8 +49,8 @@
 
 // parse reads the headers of a request. Hops are believed only from entries.
 func (p *Proxy) parse(r *http.Request, name, path string, internal bool) (*request, error) {
-	conf := p.library.Service(name)
-	if conf == nil && p.library.Empty() {
+	conf := p.docs.Service(name)
+	if conf == nil && p.docs.Empty() {
 		return nil, answer.New(answer.NoRight, "this entry has just started and knows nothing yet")
 	}
 	if conf == nil {
