Send requests all through the fuzz and count its steps

Change: each entry sends a request at each look; the tests print runs, actions, looks, messages and executed requests.

--- a/proof/fuzz_test.go
+++ b/proof/fuzz_test.go
@@ -172,7 +172,10 @@
 			}
 			m.setWants()
 		},
-		"": func(*rapid.T) { m.oneOwner() },
+		"": func(*rapid.T) {
+			effort.actions++
+			m.oneOwner()
+		},
 	}
 }
 
@@ -294,22 +297,42 @@
 	t.Repeat(actions)
 	m.heal()
 	m.live(t)
+	effort.runs++
+	effort.requests += m.runs
+}
+
+// effort counts what the runs of one test did.
+var effort struct {
+	runs, actions, looks, messages, requests int
+}
+
+// logEffort prints the counts when the test ends.
+func logEffort(t *testing.T) {
+	effort.runs, effort.actions, effort.looks, effort.messages, effort.requests = 0, 0, 0, 0, 0
+	t.Cleanup(func() {
+		t.Logf("%d runs: %d actions, %d looks of all entries, %d messages, %d requests run",
+			effort.runs, effort.actions, effort.looks, effort.messages, effort.requests)
+	})
 }
 
 func TestOneOwnerWithFencedUpstreams(t *testing.T) {
+	logEffort(t)
 	rapid.Check(t, func(t *rapid.T) { fuzz(t, true, 3, 2) })
 }
 
 func TestOneOwnerWithTwoEntries(t *testing.T) {
+	logEffort(t)
 	rapid.Check(t, func(t *rapid.T) { fuzz(t, true, 2, 3) })
 }
 
 func TestOneOwnerUnderPartitions(t *testing.T) {
+	logEffort(t)
 	rapid.Check(t, func(t *rapid.T) { fuzz(t, true, 3, 2, partitions...) })
 }
 
 // Without checks at the upstreams the entries are the only fence. A frozen
 // upstream that wakes with requests in its queue is not covered; see the claims.
 func TestOneOwnerWithUnfencedUpstreams(t *testing.T) {
+	logEffort(t)
 	rapid.Check(t, func(t *rapid.T) { fuzz(t, false, 3, 2) })
 }
--- a/proof/world_test.go
+++ b/proof/world_test.go
@@ -139,6 +139,7 @@
 
 // take removes message i and delivers it, or drops it when its ends are cut.
 func (w *world) take(i int, lose bool) {
+	effort.messages++
 	m := w.messages[i]
 	w.messages = append(w.messages[:i], w.messages[i+1:]...)
 	if lose || !w.connected(m.from, m.to) {
@@ -168,6 +169,7 @@
 
 // tick lets every running entry do what its loops do: beat, renew, step.
 func (w *world) tick() {
+	effort.looks++
 	for _, e := range w.entries {
 		if e.dead || e.paused {
 			continue
@@ -179,6 +181,7 @@
 			e.core.OnRoster(e.clock(), w.otherRoster())
 			e.read()
 			e.step()
+			w.request(e, pointOf(effort.looks%points))
 		}
 	}
 }
