Close three ways to two owners that a sharper fuzz found

Also found: members of a cell stood twice in its own wide set of voters. Ruled out: the settling of fences (trace of writes), the entries' right. Change: a reset is proof only until a document shows a boot id; for upstreams that check nothing a reset counts once no entry has requests under way; leases are reported by their whole time; witnesses are of other cells only.

--- a/coordination/controller/controller_test.go
+++ b/coordination/controller/controller_test.go
@@ -190,3 +190,26 @@
 		t.Error("does not lead after the lower one fell silent")
 	}
 }
+
+// TestResetOfAnotherControllerCounts resets an upstream while another controller
+// does so too and writes its own boot id. The answer to the first reset must not
+// serve as proof when the upstream is lost later: its lease has to lapse.
+func TestResetOfAnotherControllerCounts(t *testing.T) {
+	c := newCore(whole(cell.Vacant, "", ""))
+	c.doc.Upstreams[0].Boot = ""
+	c.OnReset(start, Reset{Upstream: cell.Upstream{ID: "u"}}, "mine", nil)
+	theirs := c.doc.Clone()
+	theirs.Version, theirs.Fence = 6, 6
+	theirs.Upstreams[0].Boot = "theirs"
+	theirs.Services[0].Ranges[0] = whole(cell.Owned, "u", "")
+	c.OnDocument(start, theirs, 10)
+	later := start.Add(5 * time.Second)
+	c.OnObservation(later, self.ID, "u", detect.Observation{Boot: "theirs", Silent: 2 * time.Second})
+	c.OnObservation(later, self.ID, "v", detect.Observation{Boot: "bv"})
+	c.leases["u"] = later.Add(time.Minute)
+	for _, got := range follow(c, later, 6) {
+		if got == "grant v@4 prepare=false" {
+			t.Error("granted to the next owner while the lease of the lost one runs")
+		}
+	}
+}
--- a/coordination/controller/core.go
+++ b/coordination/controller/core.go
@@ -180,9 +180,11 @@
 	}
 	c.trim()
 	for _, u := range doc.Upstreams {
-		// Kept until the document shows it: a second reset would make the
-		// boot id of the first one look like a process that has ended.
-		if u.Boot != "" && u.Boot == c.reset[u.ID] {
+		// Kept until the document shows a boot id: a second reset would make
+		// the first one look like a process that has ended. Once it does, by
+		// whichever controller, the upstream may hold grants again and the
+		// reset proves nothing any more.
+		if u.Boot != "" {
 			delete(c.reset, u.ID)
 		}
 	}
--- a/coordination/controller/members.go
+++ b/coordination/controller/members.go
@@ -140,7 +140,7 @@
 	perCell := make(map[string]int)
 	add := func(m cell.Member) {
 		known := slices.ContainsFunc(out, func(o cell.Member) bool { return o.ID == m.ID })
-		if known || len(out) >= maxWitnesses || perCell[m.Cell] >= witnessesPerCell {
+		if known || m.Cell == c.self.Cell || len(out) >= maxWitnesses || perCell[m.Cell] >= witnessesPerCell {
 			return
 		}
 		perCell[m.Cell]++
@@ -156,7 +156,7 @@
 	for round := range witnessesPerCell {
 		for _, name := range sortedKeys(c.rosters) {
 			members := c.rosters[name].Members
-			if name != c.self.Cell && round < len(members) {
+			if round < len(members) {
 				add(members[round])
 			}
 		}
--- a/coordination/controller/step.go
+++ b/coordination/controller/step.go
@@ -95,20 +95,26 @@
 	}
 	u := c.doc.Upstream(r.Owner)
 	if u == nil || u.State == cell.Lost {
-		return c.lapsed(now, service, r.Owner)
+		return c.lapsed(now, service, r)
 	}
 	return c.entriesClear(service, r.Span) && c.revoked[rangeID{service, r.Span, r.Epoch, r.Owner}]
 }
 
-// lapsed reports whether a lost upstream certainly serves nothing any more.
-func (c *Core) lapsed(now time.Time, service, upstream string) bool {
-	if c.evicted[upstream] || c.reset[upstream] != "" {
+// lapsed reports whether a lost upstream certainly serves nothing of the range
+// any more.
+func (c *Core) lapsed(now time.Time, service string, r cell.Range) bool {
+	reset := c.reset[r.Owner] != ""
+	switch {
+	case c.evicted[r.Owner]:
+		return true
+	case c.services.ChecksFences(service):
+		return reset || !now.Before(c.leases[r.Owner])
+	case c.detector.Judge(now, r.Owner, "", c.reportsNeeded(now)).Health == detect.Gone:
 		return true
 	}
-	if !c.services.ChecksFences(service) {
-		return c.detector.Judge(now, upstream, "", c.reportsNeeded(now)).Health == detect.Gone
-	}
-	return !now.Before(c.leases[upstream])
+	// The process lives and does not check what it is sent: a reset does not
+	// stop requests that are under way to it.
+	return reset && c.entriesClear(service, r.Span)
 }
 
 // distribute hands the document to the voters of the cell, and the fence to
--- a/coordination/lease/lease.go
+++ b/coordination/lease/lease.go
@@ -100,12 +100,14 @@
 	if r.lost || u.State == cell.Lost || u.Boot == "" || r.boot != u.Boot || !now.Before(right) {
 		return control.Renewal{}, true
 	}
-	ttl := min(b.limits.TTL, right.Sub(r.at))
-	ttl -= ttl * time.Duration(2*b.limits.DriftPercent) / 100
+	// By this entry's clock the lease may last the whole time: the upstream is
+	// given less, as its clock may be the slower one.
+	whole := min(b.limits.TTL, right.Sub(r.at))
+	ttl := whole - whole*time.Duration(2*b.limits.DriftPercent)/100
 	if ttl <= 0 {
 		return control.Renewal{}, true
 	}
-	if until := r.at.Add(ttl); until.After(r.until) {
+	if until := r.at.Add(whole); until.After(r.until) {
 		r.until = until
 	}
 	return control.Renewal{Boot: u.Boot, UntilNanos: r.clock + int64(ttl)}, true
--- a/proof/world_test.go
+++ b/proof/world_test.go
@@ -87,6 +87,10 @@
 func (w *world) limits() controller.Limits {
 	l := controller.DefaultLimits()
 	l.PartsPerUpstream = 2
+	// Ownership must hold however soon an upstream is thought lost; sooner than
+	// promises and leases end, the guards are needed most.
+	l.Detect.SuspectAfter = 400 * time.Millisecond
+	l.Detect.RefusedAfter = 200 * time.Millisecond
 	return l
 }
 
