--- a/entry/bed_test.go
+++ b/entry/bed_test.go
@@ -110,6 +110,7 @@
 	conf.ID, conf.Domain, conf.Cell = id, cellName, cellName
 	conf.Callers, conf.Peers, conf.Admin = loopback(), loopback(), loopback()
 	conf.Platform = loopback()
+	conf.DrainNotice = 0
 	for _, e := range b.entries {
 		_, peers, _ := e.Addresses()
 		conf.Seeds = append(conf.Seeds, jsonc.Addr{AddrPort: netip.MustParseAddrPort(peers)})
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -251,13 +251,18 @@
 }
 
 // drain ends the process without cutting off a request. The entry first turns
-// unready, so that the balancer sends nothing new, then finishes what is in
-// flight. It goes on voting and beating until all is done.
+// unready and goes on serving until the balancer has noticed, closing each
+// connection after its answer. Then it finishes what is in flight. It goes on
+// voting and beating until all is done.
 func (e *Entry) drain(servers []*http.Server) {
 	began := e.clock()
 	e.draining.Store(true)
 	limit, cancel := context.WithTimeout(context.Background(), e.conf.DrainLimit.D())
 	defer cancel()
+	for _, s := range servers {
+		s.SetKeepAlivesEnabled(false)
+	}
+	sleep(limit, e.conf.DrainNotice.D())
 	cut := 0
 	for _, s := range servers {
 		if err := s.Shutdown(limit); err != nil {
--- a/proof/world_test.go
+++ b/proof/world_test.go
@@ -53,6 +53,7 @@
 	epochs map[keyspace.Hash]uint64
 	owners map[keyspace.Hash]string
 	runs   int
+	looks  int
 }
 
 func newWorld(t *rapid.T, checked bool, entries, witnesses, upstreams int) *world {
@@ -174,6 +175,7 @@
 // tick lets every running entry do what its loops do: beat, renew, step.
 func (w *world) tick() {
 	effort.looks++
+	w.looks++
 	for _, e := range w.entries {
 		if e.dead || e.paused {
 			continue
@@ -185,7 +187,7 @@
 			e.core.OnRoster(e.clock(), w.otherRoster())
 			e.read()
 			e.step()
-			w.request(e, pointOf(effort.looks%points))
+			w.request(e, pointOf(w.looks%points))
 		}
 	}
 }
--- a/state/settings/entry.go
+++ b/state/settings/entry.go
@@ -55,6 +55,9 @@
 	BeatInterval jsonc.Duration `json:"beat_interval"`
 	// RenewInterval is the time between lease renewals. Default 300ms.
 	RenewInterval jsonc.Duration `json:"renew_interval"`
+	// DrainNotice is how long a stopping entry goes on serving after it turned
+	// unready, until the balancer has noticed. Default 1s.
+	DrainNotice jsonc.Duration `json:"drain_notice"`
 	// DrainLimit bounds the graceful stop. Default 15s.
 	DrainLimit jsonc.Duration `json:"drain_limit"`
 	// CallerTLS protects the callers' listener.
@@ -78,6 +81,7 @@
 		PlatformTimeout: jsonc.Duration(time.Second),
 		BeatInterval:    jsonc.Duration(400 * time.Millisecond),
 		RenewInterval:   jsonc.Duration(300 * time.Millisecond),
+		DrainNotice:     jsonc.Duration(time.Second),
 		DrainLimit:      jsonc.Duration(15 * time.Second),
 		Trace:           Trace{Exporter: "off", SampleShare: 0.01},
 		LogLevel:        "info",
@@ -109,7 +113,8 @@
 	add(e.BeatInterval.D()*3 > promiseTTL, "beat_interval", "must fit three times into the promise of 1.2s")
 	add(e.RenewInterval <= 0, "renew_interval", "must be positive")
 	add(e.RenewInterval.D()*3 > promiseTTL, "renew_interval", "must fit three times into the lease of 1.2s")
-	add(e.DrainLimit < 0, "drain_limit", "must not be negative")
+	add(e.DrainNotice < 0, "drain_notice", "must not be negative")
+	add(e.DrainLimit < e.DrainNotice, "drain_limit", "must be at least drain_notice")
 	add(e.Trace.SampleShare < 0 || e.Trace.SampleShare > 1, "trace.sample_share", "must lie between 0 and 1")
 	add(!oneOf(e.Trace.Exporter, "off", "stdout", "otlp"), "trace.exporter", `must be "off", "stdout" or "otlp"`)
 	add(e.Trace.Exporter == "otlp" && !e.Trace.Endpoint.IsValid(), "trace.endpoint", "is required for otlp")
