Report changed documents without the lock that readers need

The store of documents reported a change while it held its lock, and the report waited for the controller's lock; a controller's look held that one and read a service's configuration from the store. Each waited for the other. Change: reports go out under a lock of their own, taken before the readers' one. Measured: the new test hangs before and passes after.

--- a/state/docstore/docstore.go
+++ b/state/docstore/docstore.go
@@ -83,6 +83,8 @@
 
 // Store holds documents. It is safe for concurrent use.
 type Store struct {
+	// changes orders the reports of changes. It is taken before mu.
+	changes  sync.Mutex
 	mu       sync.Mutex
 	docs     map[docID]*Document
 	buckets  [Buckets]uint64
@@ -96,7 +98,21 @@
 }
 
 // Add takes a document unless a version at least as new is known.
+//
+// The change is reported without the lock that readers need: whoever is told may
+// hold locks under which others read documents.
 func (l *Store) Add(d *Document) bool {
+	l.changes.Lock()
+	defer l.changes.Unlock()
+	if !l.put(d) {
+		return false
+	}
+	l.onChange(d)
+	return true
+}
+
+// put replaces an older version and reports whether it did.
+func (l *Store) put(d *Document) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	id := docID{d.Kind, d.Name}
@@ -111,7 +127,6 @@
 		*sum -= known.fingerprint()
 	}
 	l.docs[id] = d
-	l.onChange(d)
 	return true
 }
 
--- a/state/docstore/docstore_test.go
+++ b/state/docstore/docstore_test.go
@@ -58,3 +58,20 @@
 		t.Error("still different after the exchange")
 	}
 }
+
+// TestReadersAreNotHeldUpByReports reads documents while a change is being
+// reported, as a controller does that is told of the change.
+func TestReadersAreNotHeldUpByReports(t *testing.T) {
+	var l *Store
+	l = New(func(d *Document) {
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			if l.Roster("c") == nil {
+				t.Error("the reported document is not there")
+			}
+		}()
+		<-done
+	})
+	l.Add(roster(t, "c", 1))
+}
