Write down that a fence is settled; do not pass requests back and forth

Cause: under load two bed tests failed at times. A cell whose controller was lost never got its voters replaced: the quorum before the last change stood in the document until some later write, and one of its voters had ended by then. And a request met two entries with different directories, went to and fro between them, and ran out of hops. Ruled out: the witnesses (a second failure of the test had none yet, as it switched the platform off before they were named; it now waits for them, as the claim is about cells that have them). Change: a settled fence clears the former quorums by a write of its own; a forwarded request whose key the cell does not have waits 200 ms for a newer directory and is then refused as not run, and the first entry decides anew.

--- a/coordination/controller/edit.go
+++ b/coordination/controller/edit.go
@@ -22,6 +22,11 @@
 	if c.settled {
 		c.editReleased(now, e)
 	}
+	if c.settled && len(c.doc.Previous) > 0 {
+		// Written down, so that a successor need not hear from former voters
+		// again, who may have ended by then.
+		e.Touch()
+	}
 	if c.settled && !c.finishFirst(now, e.Doc()) {
 		c.editMembers(now, e)
 		c.wantDrains()
--- a/entry/faults_test.go
+++ b/entry/faults_test.go
@@ -106,6 +106,12 @@
 // is down: the other serves on.
 func TestOutageWithLostEntry(t *testing.T) {
 	b := twoCells(t, true)
+	b.await("witnesses", func() error {
+		if q := b.entries[1].gate.Doc().Quorum; len(q.Wide) < 4 {
+			return fmt.Errorf("%d in the wide set", len(q.Wide))
+		}
+		return nil
+	})
 	b.store.down.Store(true)
 	b.entries[0].stop()
 	<-b.entries[0].done
--- a/transport/front/proxy.go
+++ b/transport/front/proxy.go
@@ -195,6 +195,9 @@
 		}
 		return p.local(ctx, r, q, route, h)
 	case gate.Remote:
+		if q.hops > 0 {
+			return p.awaitDirectory(ctx, route)
+		}
 		return p.viaCell(ctx, r, q, route.Cell, h)
 	case gate.Pending:
 		return p.pendingRoute(ctx, route)
@@ -202,6 +205,26 @@
 	return nil, answer.New(answer.NoOwner, "no cell is named for the key")
 }
 
+// directoryWait is how long a forwarded request waits for a newer directory.
+const directoryWait = 200 * time.Millisecond
+
+// awaitDirectory holds a forwarded request whose key this cell does not have:
+// the two entries know different directories. Passing it on could send it back
+// and forth. Without a change it is refused as not run, and the first entry
+// decides anew.
+func (p *Proxy) awaitDirectory(ctx context.Context, route gate.Route) (*reply, error) {
+	timer := time.NewTimer(directoryWait)
+	defer timer.Stop()
+	select {
+	case <-route.Changed():
+		return nil, errMoved
+	case <-ctx.Done():
+		return nil, p.contextError(ctx, false)
+	case <-timer.C:
+		return nil, answer.New(answer.WrongCell, "cell %s does not have the key", p.self.Cell)
+	}
+}
+
 // pendingRoute waits for the key's next owner, within the bound on such
 // requests.
 func (p *Proxy) pendingRoute(ctx context.Context, route gate.Route) (*reply, error) {
--- a/transport/front/tries.go
+++ b/transport/front/tries.go
@@ -73,6 +73,9 @@
 		return q.canSendAgain() && p.budget(q.service.Name).Spend(), p.nextPause(try)
 	}
 	kind := answer.KindOf(err)
+	if kind == answer.WrongCell && q.hops > 0 {
+		return false, 0
+	}
 	switch kind {
 	case answer.NotOwner, answer.Unreachable, answer.NoRight, answer.WrongCell, answer.NoOwner, answer.Stopping:
 		// Not run: these end when ownership has settled. The pause grows and
