Let successors forget former quorums that were settled

Cause: the cause of the red TestOutageWithLostEntry by its trace (fence 2 at version 7, can_settle true, one silent voter): a follower keeps the quorums of the first document of a fence, and a later document of that fence, which clears the former ones, did not change that. Once the only former voter had ended, the successor never settled. Change: a later document of the same fence narrows the quorums. A controller test states it; it passes.

--- a/coordination/controller/controller_test.go
+++ b/coordination/controller/controller_test.go
@@ -213,3 +213,24 @@
 		}
 	}
 }
+
+// TestFormerQuorumsAreForgottenBySuccessors follows a fence whose former voter
+// has ended since; a later document of the fence says that it was settled.
+func TestFormerQuorumsAreForgottenBySuccessors(t *testing.T) {
+	c := newCore(whole(cell.Owned, "u", ""))
+	doc := c.doc.Clone()
+	doc.Version, doc.Fence = 6, 6
+	doc.Previous = []cell.Quorum{{Local: []cell.Member{{ID: "ended", Cell: "c"}}}}
+	c.OnDocument(start, doc, 10)
+	follow(c, start, 3)
+	if c.settled {
+		t.Fatal("settled without the former voter")
+	}
+	cleared := doc.Clone()
+	cleared.Version, cleared.Previous = 7, nil
+	c.OnDocument(start, cleared, 11)
+	follow(c, start, 3)
+	if !c.settled {
+		t.Error("not settled after the former quorum was cleared")
+	}
+}
--- a/coordination/controller/core.go
+++ b/coordination/controller/core.go
@@ -191,6 +191,7 @@
 	sameFence := c.doc != nil && c.doc.Fence == doc.Fence
 	c.doc = doc
 	if sameFence {
+		c.settler.Narrow(doc)
 		return
 	}
 	c.settler = fence.NewSettler(doc, c.limits.Fence)
--- a/coordination/fence/fence.go
+++ b/coordination/fence/fence.go
@@ -194,6 +194,12 @@
 	}
 }
 
+// Narrow takes the quorums of a later document of the same fence. One that no
+// longer lists former quorums says that they were settled.
+func (s *Settler) Narrow(doc *cell.Cell) {
+	s.quorums = append(slices.Clone(doc.Previous), doc.Quorum)
+}
+
 // Fence returns the fence being settled.
 func (s *Settler) Fence() uint64 { return s.fence }
 
