--- a/coordination/controller/controller_test.go
+++ b/coordination/controller/controller_test.go
@@ -222,14 +222,15 @@
 	doc.Version, doc.Fence = 6, 6
 	doc.Previous = []cell.Quorum{{Local: []cell.Member{{ID: "ended", Cell: "c"}}}}
 	c.OnDocument(start, doc, 10)
-	follow(c, start, 3)
+	c.settler.Record(start, fence.Ack{Voter: self.ID, Fence: 6})
+	c.Step(start)
 	if c.settled {
 		t.Fatal("settled without the former voter")
 	}
 	cleared := doc.Clone()
 	cleared.Version, cleared.Previous = 7, nil
 	c.OnDocument(start, cleared, 11)
-	follow(c, start, 3)
+	c.Step(start)
 	if !c.settled {
 		t.Error("not settled after the former quorum was cleared")
 	}
