--- /dev/null
+++ b/coordination/leadership/leadership.go
@@ -0,0 +1,90 @@
+// Package leadership decides who may take the role of the leader, the one
+// gateway that gives keys to upstreams, and how long it may act.
+//
+// The role is a lease in the platform's store, replaced by conditional update.
+// The holder acts only while its last successful renewal, counted from when it
+// was sent, is younger than Term. Another takes the role when the lease was
+// given up, when the holder's process is known to have ended, or when it has
+// itself seen the lease unchanged for longer than Term.
+package leadership
+
+import "time"
+
+const (
+	// Term is how long a renewal gives the right to act.
+	Term = 2500 * time.Millisecond
+	// Renewal is the time between renewals: two may be lost within a term.
+	Renewal = 800 * time.Millisecond
+	// clockPercent is added to the wait for another's term to end, for clocks
+	// that run at different speeds; takeMargin for what is on its way.
+	clockPercent = 2
+	takeMargin   = 150 * time.Millisecond
+)
+
+// Lease is the lease as it lies in the store.
+type Lease struct {
+	Node        string `json:"node"`
+	Address     string `json:"address"`
+	Domain      string `json:"domain"`
+	Incarnation string `json:"incarnation"`
+	// Term rises with each new holder.
+	Term uint64 `json:"term"`
+	// Renewals makes each write differ from the one before.
+	Renewals uint64 `json:"renewals"`
+	// Released says that the holder gave it up.
+	Released bool `json:"released,omitempty"`
+}
+
+// Right is the holder's right to act.
+type Right struct{ until time.Time }
+
+// Renewed notes a renewal that succeeded and was sent at the given time.
+func (r *Right) Renewed(sent time.Time) {
+	if until := sent.Add(Term); until.After(r.until) {
+		r.until = until
+	}
+}
+
+// Drop ends the right at once.
+func (r *Right) Drop() { r.until = time.Time{} }
+
+// Valid reports whether the holder may act.
+func (r *Right) Valid(now time.Time) bool { return now.Before(r.until) }
+
+// Left returns how long the right still lasts.
+func (r *Right) Left(now time.Time) time.Duration { return max(r.until.Sub(now), 0) }
+
+// Claim is what a gateway knows of another's lease.
+type Claim struct {
+	revision uint64
+	since    time.Time
+	known    bool
+}
+
+// Observe notes that the lease had the revision at a time.
+func (c *Claim) Observe(now time.Time, revision uint64) {
+	if c.known && revision == c.revision {
+		return
+	}
+	if c.known && revision < c.revision {
+		return
+	}
+	c.revision, c.since, c.known = revision, now, true
+}
+
+// Ends returns when the right of the lease's holder has surely ended, if it is
+// not renewed once more.
+func (c *Claim) Ends() time.Time { return c.since.Add(wait) }
+
+// wait is how long an unchanged lease is left to its holder.
+const wait = Term + Term*clockPercent/100 + takeMargin
+
+// MayTake reports whether the lease may be taken over by the process that
+// serves the address self: a former process at that address has ended. ended
+// says that the holder's process is known to have ended.
+func (c *Claim) MayTake(now time.Time, l Lease, self string, ended bool) bool {
+	if l.Released || ended || l.Address == self {
+		return true
+	}
+	return c.known && now.Sub(c.since) >= wait
+}
--- /dev/null
+++ b/coordination/ownership/heat.go
@@ -0,0 +1,44 @@
+package ownership
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// heatHalf is the time after which a counted request weighs half. Hot keys
+	// come and go within a few seconds.
+	heatHalf = 1500 * time.Millisecond
+	// heatDropped is the rate in requests a second below which a key is
+	// forgotten.
+	heatDropped = 0.02
+)
+
+// Heat estimates requests a second by key. It is not safe for concurrent use.
+type Heat struct {
+	rates map[uint16]float64
+	at    time.Time
+}
+
+// NewHeat returns an estimate without requests.
+func NewHeat(now time.Time) *Heat { return &Heat{rates: make(map[uint16]float64), at: now} }
+
+// Add counts one request for a key.
+func (h *Heat) Add(key uint16) { h.rates[key] += math.Ln2 / heatHalf.Seconds() }
+
+// Rates returns the estimate by key at a time. The map is the caller's.
+func (h *Heat) Rates(now time.Time) map[uint16]float64 {
+	fade := math.Exp2(-float64(now.Sub(h.at)) / float64(heatHalf))
+	h.at = now
+	out := make(map[uint16]float64, len(h.rates))
+	for key, rate := range h.rates {
+		rate *= fade
+		if rate < heatDropped {
+			delete(h.rates, key)
+			continue
+		}
+		h.rates[key] = rate
+		out[key] = rate
+	}
+	return out
+}
--- /dev/null
+++ b/coordination/ownership/plan.go
@@ -0,0 +1,368 @@
+// Package ownership decides which upstream owns which keys of a service: first
+// assignment, replacement of lost and leaving owners, balance of load and the
+// place of hot keys. It only plans: the steps of a move are made elsewhere.
+package ownership
+
+import (
+	"sort"
+
+	"github.com/rockcroft/rockcroft/state/spans"
+)
+
+const (
+	// firstSpans is the number of spans each upstream gets at first. The keys
+	// that are busy lie close to one another, so upstreams alternate.
+	firstSpans = 8
+	// mostSpans bounds the spans of a service, in multiples of its upstreams:
+	// each span is one grant to renew.
+	mostSpans = 28
+	// busyUtilization is the share of its capacity below which an upstream
+	// gives nothing away for balance.
+	busyUtilization = 0.55
+	// unevenness is the difference in utilization that is worth a move.
+	unevenness = 0.12
+	// mostMoves bounds the moves for balance in one plan.
+	mostMoves = 6
+	// coldLoad is the load, in requests a second, that each key counts for
+	// without having been asked for: so cold keys are spread as well.
+	coldLoad = 0.0002
+	// hotShare is the share of its owner's capacity from which a single key is
+	// hot and is placed on its own.
+	hotShare = 0.5
+	// hotGain is how much more capacity another upstream must have for a hot
+	// key to move there.
+	hotGain = 1.25
+)
+
+// Owner is an upstream that can own keys.
+type Owner struct {
+	ID string
+	// Usable says that it may be given keys: it is neither leaving nor
+	// suspected.
+	Usable bool
+	// Keeps says that it may keep the keys it has.
+	Keeps bool
+	// Capacity is how many requests a second it can run.
+	Capacity float64
+}
+
+// Input is what a plan is made from.
+type Input struct {
+	Table *spans.Table
+	// Owners are the upstreams of the service; those missing are lost.
+	Owners []Owner
+	// Load is requests a second by key.
+	Load map[uint16]float64
+}
+
+// First returns the first assignment of a service over the owners.
+func First(service string, owners []Owner) *spans.Table {
+	t := &spans.Table{Service: service}
+	usable := usableIDs(owners)
+	if len(usable) == 0 {
+		t.Spans = []spans.Span{{Keys: spans.Keys{First: 0, Last: spans.MaxKey}}}
+		return t
+	}
+	count := min(firstSpans*len(usable), spans.MaxKey+1)
+	for i := range count {
+		first := i * (spans.MaxKey + 1) / count
+		last := (i+1)*(spans.MaxKey+1)/count - 1
+		t.LastFence++
+		t.Spans = append(t.Spans, spans.Span{
+			Keys: spans.Keys{First: uint16(first), Last: uint16(last)},
+			Next: usable[i%len(usable)], NextFence: t.LastFence,
+		})
+	}
+	return t
+}
+
+func usableIDs(owners []Owner) []string {
+	var out []string
+	for _, o := range owners {
+		if o.Usable {
+			out = append(out, o.ID)
+		}
+	}
+	return out
+}
+
+// plan is a plan in the making.
+type plan struct {
+	table  *spans.Table
+	load   map[uint16]float64
+	sorted []uint16
+	owners map[string]*Owner
+	usable []*Owner
+	loads  map[string]float64
+	moves  int
+}
+
+// Make returns the table with the moves that are due, or nil when there are
+// none. The input's table is not changed.
+func Make(in Input) *spans.Table {
+	p := newPlan(in)
+	if len(p.usable) == 0 {
+		return nil
+	}
+	p.replaceLost()
+	p.fillEmpty()
+	p.placeHot()
+	p.balance()
+	if p.moves == 0 {
+		return nil
+	}
+	return p.table
+}
+
+func newPlan(in Input) *plan {
+	p := &plan{
+		table:  in.Table.Clone(),
+		load:   in.Load,
+		owners: make(map[string]*Owner, len(in.Owners)),
+		loads:  make(map[string]float64, len(in.Owners)),
+	}
+	for key := range in.Load {
+		p.sorted = append(p.sorted, key)
+	}
+	sort.Slice(p.sorted, func(i, j int) bool { return p.sorted[i] < p.sorted[j] })
+	for i := range in.Owners {
+		o := &in.Owners[i]
+		p.owners[o.ID] = o
+		if o.Usable {
+			p.usable = append(p.usable, o)
+		}
+	}
+	for _, s := range p.table.Spans {
+		p.loads[holder(s)] += p.loadOf(s.Keys)
+	}
+	return p
+}
+
+// holder is the upstream that has the keys after the moves under way.
+func holder(s spans.Span) string {
+	if s.Moving() {
+		return s.Next
+	}
+	return s.Owner
+}
+
+// loadOf returns the load of a span of keys.
+func (p *plan) loadOf(k spans.Keys) float64 {
+	sum := coldLoad * float64(k.Count())
+	for i := p.index(k.First); i < len(p.sorted) && p.sorted[i] <= k.Last; i++ {
+		sum += p.load[p.sorted[i]]
+	}
+	return sum
+}
+
+// index returns the position of the first loaded key at or above the key.
+func (p *plan) index(key uint16) int {
+	return sort.Search(len(p.sorted), func(i int) bool { return p.sorted[i] >= key })
+}
+
+func (p *plan) utilization(o *Owner) float64 { return p.loads[o.ID] / max(o.Capacity, 0.001) }
+
+// coldest returns the usable upstream with the lowest utilization after taking
+// the load, other than the one to avoid.
+func (p *plan) coldest(load float64, avoid string) *Owner {
+	var best *Owner
+	lowest := 0.0
+	for _, o := range p.usable {
+		if o.ID == avoid {
+			continue
+		}
+		u := (p.loads[o.ID] + load) / max(o.Capacity, 0.001)
+		if best == nil || u < lowest {
+			best, lowest = o, u
+		}
+	}
+	return best
+}
+
+// move gives the span at index i to the owner with a new fence.
+func (p *plan) move(i int, to *Owner) {
+	s := &p.table.Spans[i]
+	load := p.loadOf(s.Keys)
+	p.loads[holder(*s)] -= load
+	p.loads[to.ID] += load
+	p.table.LastFence++
+	s.Next = to.ID
+	s.NextFence = p.table.LastFence
+	p.moves++
+}
+
+// replaceLost gives the keys of lost and leaving owners to others, the busiest
+// first.
+func (p *plan) replaceLost() {
+	var orphans []int
+	for i, s := range p.table.Spans {
+		if s.Moving() {
+			continue
+		}
+		if o := p.owners[s.Owner]; o == nil || !o.Keeps {
+			orphans = append(orphans, i)
+		}
+	}
+	sort.Slice(orphans, func(a, b int) bool {
+		return p.loadOf(p.table.Spans[orphans[a]].Keys) > p.loadOf(p.table.Spans[orphans[b]].Keys)
+	})
+	for _, i := range orphans {
+		s := p.table.Spans[i]
+		if to := p.coldest(p.loadOf(s.Keys), s.Owner); to != nil {
+			p.move(i, to)
+		}
+	}
+}
+
+// fillEmpty gives keys to upstreams that have none.
+func (p *plan) fillEmpty() {
+	count := make(map[string]int)
+	for _, s := range p.table.Spans {
+		count[holder(s)]++
+	}
+	for _, o := range p.usable {
+		if count[o.ID] > 0 {
+			continue
+		}
+		for range firstSpans / 2 {
+			from := p.hottest(o.ID)
+			if from == nil || !p.shift(from, o) {
+				break
+			}
+			count[o.ID]++
+		}
+	}
+}
+
+// hottest returns the usable upstream with the highest utilization, other than
+// the one to avoid.
+func (p *plan) hottest(avoid string) *Owner {
+	var best *Owner
+	for _, o := range p.usable {
+		if o.ID != avoid && (best == nil || p.utilization(o) > p.utilization(best)) {
+			best = o
+		}
+	}
+	return best
+}
+
+// balance moves load from the most to the least utilized upstreams.
+func (p *plan) balance() {
+	for done := 0; done < mostMoves && len(p.table.Spans) < mostSpans*len(p.usable); done++ {
+		from := p.hottest("")
+		if from == nil {
+			return
+		}
+		to := p.coldest(0, from.ID)
+		if to == nil || p.utilization(from) < busyUtilization ||
+			p.utilization(from)-p.utilization(to) < unevenness || !p.shift(from, to) {
+			return
+		}
+	}
+}
+
+// shift moves about as much load as evens two upstreams out, and reports
+// whether it found a part that fits.
+func (p *plan) shift(from, to *Owner) bool {
+	// The amount after which both have the same utilization.
+	want := (p.loads[from.ID]*to.Capacity - p.loads[to.ID]*from.Capacity) / max(from.Capacity+to.Capacity, 0.001)
+	if want <= 0 {
+		return false
+	}
+	best, bestLoad := -1, 0.0
+	for i, s := range p.table.Spans {
+		if s.Moving() || s.Owner != from.ID {
+			continue
+		}
+		if load := p.loadOf(s.Keys); load > bestLoad {
+			best, bestLoad = i, load
+		}
+	}
+	if best < 0 {
+		return false
+	}
+	if bestLoad <= want*1.1 {
+		p.move(best, to)
+		return true
+	}
+	i, ok := p.cut(best, want)
+	if !ok {
+		return false
+	}
+	p.move(i, to)
+	return true
+}
+
+// cut splits the span so that a part with about the wanted load stands alone,
+// and returns its index. A key that is itself more than that stays.
+func (p *plan) cut(i int, want float64) (int, bool) {
+	k := p.table.Spans[i].Keys
+	begin, sum := int(k.First), 0.0
+	for j := p.index(k.First); j < len(p.sorted) && p.sorted[j] <= k.Last; j++ {
+		key := p.sorted[j]
+		if sum+p.load[key] <= want*1.1 {
+			sum += p.load[key]
+			continue
+		}
+		if sum >= want/2 {
+			return p.isolate(i, begin, int(key)-1), true
+		}
+		// This key alone is too much: look behind it.
+		begin, sum = int(key)+1, 0
+	}
+	if begin > int(k.Last) || begin == int(k.First) {
+		return 0, false
+	}
+	return p.isolate(i, begin, int(k.Last)), true
+}
+
+// isolate splits the span at index i so that the keys from first to last are a
+// span, and returns its index.
+func (p *plan) isolate(i, first, last int) int {
+	if last < int(p.table.Spans[i].Last) {
+		p.table.Split(i, uint16(last+1))
+	}
+	if first > int(p.table.Spans[i].First) {
+		p.table.Split(i, uint16(first))
+		i++
+	}
+	return i
+}
+
+// placeHot puts the hottest single key on an upstream of its own strength: the
+// strongest one when it has clearly more capacity than the present owner. What
+// else that upstream has is moved away by balance.
+func (p *plan) placeHot() {
+	var hot uint16
+	most := 0.0
+	for key, load := range p.load {
+		if load > most {
+			hot, most = key, load
+		}
+	}
+	if most == 0 {
+		return
+	}
+	i := p.table.At(hot)
+	s := p.table.Spans[i]
+	owner := p.owners[s.Owner]
+	if s.Moving() || owner == nil || most < hotShare*owner.Capacity {
+		return
+	}
+	best := p.strongest()
+	if best == nil || best.ID == owner.ID || best.Capacity < hotGain*owner.Capacity {
+		return
+	}
+	i = p.isolate(i, int(hot), int(hot))
+	p.move(i, best)
+}
+
+func (p *plan) strongest() *Owner {
+	var best *Owner
+	for _, o := range p.usable {
+		if best == nil || o.Capacity > best.Capacity {
+			best = o
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/gateway/follow.go
@@ -0,0 +1,185 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rockcroft/rockcroft/platform"
+	"github.com/rockcroft/rockcroft/protocol/syncpb"
+)
+
+const (
+	// reportInterval is the time between reports to the leader, which waits
+	// that long for changes before it answers.
+	reportInterval = 250 * time.Millisecond
+	// reportTimeout is how long the answer to a report may take beyond that.
+	reportTimeout = 400 * time.Millisecond
+	// orphanAfter is how long a gateway hears from no leader before it watches
+	// the store by itself.
+	orphanAfter = 700 * time.Millisecond
+	// orphanPause is the time between looks for a leader.
+	orphanPause = 100 * time.Millisecond
+)
+
+// follower keeps in touch with the leader: it reports what this gateway sees
+// and takes over what the leader knows.
+type follower struct {
+	view    *view
+	cluster *cluster
+	traffic *traffic
+	seeds   []string
+	now     func() time.Time
+	log     *slog.Logger
+
+	mu sync.Mutex
+	// heard is when a leader last answered.
+	heard time.Time
+	// refused says that the leader's address refuses connections.
+	refused bool
+}
+
+// run follows until ctx ends.
+func (f *follower) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if f.cluster.isLeading() {
+			f.noteHeard()
+			pause(ctx, reportInterval)
+			continue
+		}
+		l := f.cluster.knownLeader()
+		if l != nil && f.report(ctx, l.Member.Address, reportInterval) {
+			continue
+		}
+		f.seek(ctx)
+		pause(ctx, orphanPause)
+	}
+}
+
+// report reports to a gateway and takes over its answer. It returns whether
+// that gateway leads.
+func (f *follower) report(ctx context.Context, address string, wait time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, wait+reportTimeout)
+	defer cancel()
+	began := f.now()
+	resp, err := f.cluster.client(address).Sync(ctx, f.request(wait))
+	if err != nil {
+		f.mu.Lock()
+		f.refused = errors.Is(err, syscall.ECONNREFUSED)
+		f.mu.Unlock()
+		return false
+	}
+	f.take(resp)
+	if !resp.Leading {
+		return false
+	}
+	f.mu.Lock()
+	f.heard, f.refused = f.now(), false
+	f.mu.Unlock()
+	others := make(map[string]float64, len(resp.Loads))
+	for _, l := range resp.Loads {
+		others[l.Instance] = float64(l.Inflight)
+	}
+	f.traffic.reported(others)
+	f.traffic.setGateways(int(resp.Gateways))
+	if f.now().Sub(began) < reportInterval/5 {
+		// News came at once; the next report can wait a little.
+		pause(ctx, reportInterval/10)
+	}
+	return true
+}
+
+// request builds a report.
+func (f *follower) request(wait time.Duration) *syncpb.SyncRequest {
+	r := &syncpb.SyncRequest{
+		Member: f.cluster.self, SpansVersions: make(map[string]uint64), WaitMs: uint32(wait.Milliseconds()),
+	}
+	r.ConfigRevision, _, r.InstancesVersion = f.view.encoded()
+	for name, t := range *f.view.owners.Load() {
+		r.SpansVersions[name] = t.Version
+	}
+	_, r.MembersVersion = f.cluster.list()
+	loads, keys := f.traffic.report()
+	r.Loads = loadMessages(loads)
+	for name, list := range keys {
+		k := &syncpb.KeyCounts{Service: name}
+		for _, key := range list {
+			k.Keys = append(k.Keys, uint32(key))
+		}
+		r.Keys = append(r.Keys, k)
+	}
+	return r
+}
+
+// take takes over what is newer than this gateway's own view.
+func (f *follower) take(resp *syncpb.SyncResponse) {
+	if f.cluster.setLeader(resp.Leader) && resp.Leading && len(resp.Members) > 0 {
+		f.cluster.setMembers(resp.MembersVersion, resp.Members)
+	}
+	if c := resp.Configuration; c != nil {
+		decoded, err := platform.DecodeConfiguration(c.Spec)
+		if err != nil {
+			f.log.Error("configuration from another gateway cannot be read", "error", err)
+		} else if f.view.setConfiguration(c.Revision, c.Spec, decoded) {
+			f.log.Info("configuration in force", "version", decoded.Version, "routes", len(decoded.Routes), "from", "gateway")
+		}
+	}
+	if resp.Instances != nil {
+		f.view.setInstances(resp.Instances.Version, instancesView(resp.Instances))
+	}
+	for _, m := range resp.Spans {
+		t := spansTable(m)
+		if err := t.Check(); err != nil {
+			f.log.Error("owners from another gateway are not valid", "error", err)
+			continue
+		}
+		f.view.setSpans(t)
+	}
+}
+
+// seek asks seeds and other gateways for the leader.
+func (f *follower) seek(ctx context.Context) {
+	asked := make(map[string]bool)
+	members, _ := f.cluster.list()
+	addresses := append([]string(nil), f.seeds...)
+	for _, m := range members {
+		addresses = append(addresses, m.Address)
+	}
+	var all sync.WaitGroup
+	for _, a := range addresses {
+		if asked[a] || a == f.cluster.self.Address || len(asked) > mostAsked {
+			continue
+		}
+		asked[a] = true
+		all.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+			defer cancel()
+			resp, err := f.cluster.client(a).Sync(ctx, f.request(0))
+			if err != nil {
+				return
+			}
+			f.take(resp)
+		})
+	}
+	all.Wait()
+}
+
+// mostAsked bounds the gateways that are asked for the leader at once.
+const mostAsked = 4
+
+func (f *follower) noteHeard() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.heard = f.now()
+}
+
+// lostFor returns how long no leader has answered, and whether its address
+// refuses connections, so that its process has ended.
+func (f *follower) lostFor() (time.Duration, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.now().Sub(f.heard), f.refused
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,278 @@
+// Package gateway is the process in front of the upstreams on the users'
+// platform: it serves callers, follows the leader, and leads when it is its
+// turn. Decisions are made in package coordination; this package carries
+// messages and runs the loops.
+package gateway
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"log/slog"
+	mathrand "math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/rockcroft/rockcroft/platform"
+	"github.com/rockcroft/rockcroft/protocol/syncpb"
+	"github.com/rockcroft/rockcroft/state/routing"
+	"github.com/rockcroft/rockcroft/state/settings"
+	"github.com/rockcroft/rockcroft/transport/pool"
+)
+
+const (
+	// memoryShare is the part of the allowed memory that the garbage
+	// collector is told to keep to; the rest is for sockets and stacks.
+	memoryShare = 0.6
+	// megabyte in bytes.
+	megabyte = 1 << 20
+	// stopReserve is kept from the time allowed for a stop, to end before the
+	// process is killed.
+	stopReserve = 300 * time.Millisecond
+	// configurationWait is how long the front waits for a configuration before
+	// it serves without one.
+	configurationWait = 3 * time.Second
+	// defaultIdle is the idle timeout of callers' connections when no
+	// configuration has named one.
+	defaultIdle = 15 * time.Second
+	// headerWait bounds the time for a request's headers.
+	headerWait = 3 * time.Second
+	// expireInterval is the time between looks at idle connections.
+	expireInterval = time.Second
+)
+
+// upstreamLimits are those of connections to upstreams. These close idle
+// connections after ten seconds, or what their answers announce.
+var upstreamLimits = pool.Limits{
+	Dial: 250 * time.Millisecond, MaxIdle: 6 * time.Second, MaxIdleOnce: 3 * time.Second,
+	MaxIdleConns: 8, MaxBody: 16 * megabyte,
+}
+
+// storeLimits are those of connections to the platform's store.
+var storeLimits = pool.Limits{
+	Dial: 300 * time.Millisecond, MaxIdle: 5 * time.Second, MaxIdleOnce: 5 * time.Second,
+	MaxIdleConns: 4, MaxBody: 16 * megabyte,
+}
+
+// Gateway is one gateway process.
+type Gateway struct {
+	conf     settings.Gateway
+	log      *slog.Logger
+	now      func() time.Time
+	meters   *meters
+	view     *view
+	traffic  *traffic
+	cluster  *cluster
+	follower *follower
+	watcher  *watcher
+	calls    *storeCaller
+	steward  *steward
+	leading  *leading
+	front    *front
+	conns    *pool.Pool
+	draining atomic.Bool
+}
+
+// New assembles a gateway.
+func New(conf settings.Gateway, log *slog.Logger) *Gateway {
+	g := &Gateway{conf: conf, log: log, now: time.Now, meters: newMeters(), view: newView()}
+	seeds := [2]uint64{mathrand.Uint64(), mathrand.Uint64()}
+	rng := mathrand.New(mathrand.NewPCG(seeds[0], seeds[1]))
+	g.traffic = newTraffic(conf, g.now, rng)
+	g.view.onInstances = g.traffic.setUpstreams
+	self := &syncpb.Member{
+		Node: conf.Node, Address: conf.Peers.String(), Domain: conf.Domain, Incarnation: incarnation(),
+	}
+	client := &http.Client{Transport: &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: reportTimeout}).DialContext,
+		MaxIdleConnsPerHost: 4, IdleConnTimeout: defaultIdle,
+	}}
+	g.cluster = newCluster(self, client, g.now, mathrand.New(mathrand.NewPCG(seeds[1], seeds[0])))
+	g.calls = &storeCaller{
+		conns: pool.New(storeLimits, g.now), address: conf.Store.String(), relays: g.cluster.some,
+		now: g.now, log: log, meters: g.meters, lastOK: g.now(),
+	}
+	store := platform.NewStore(g.calls)
+	g.watcher = newWatcher(store, g.view, g.now, log)
+	g.calls.onReturn = g.watcher.returned
+	g.follower = &follower{
+		view: g.view, cluster: g.cluster, traffic: g.traffic, now: g.now, log: log, heard: g.now(),
+	}
+	for _, s := range conf.Seeds {
+		g.follower.seeds = append(g.follower.seeds, s.String())
+	}
+	g.conns = pool.New(upstreamLimits, g.now)
+	g.steward = &steward{
+		view: g.view, cluster: g.cluster, traffic: g.traffic, store: store, calls: g.calls,
+		owners: platform.NewOwners(pool.New(upstreamLimits, g.now)), longest: conf.LongestHold.D(),
+		now: g.now, log: log, meters: g.meters,
+	}
+	g.leading = &leading{
+		store: store, calls: g.calls, cluster: g.cluster, follower: g.follower, watcher: g.watcher,
+		steward: g.steward, now: g.now, log: log, firstRank: firstRank(conf),
+	}
+	g.steward.leading = g.leading
+	g.front = &front{
+		view: g.view, traffic: g.traffic, splitter: routing.NewSplitter(), conns: g.conns, now: g.now,
+		log: log, meters: g.meters, drain: conf.UpstreamDrain.D(),
+		maxHeld: int64(conf.Memory) * megabyte / mostBodyShare,
+	}
+	return g
+}
+
+// firstRank is the gateway's place among those that reach for the lease at the
+// first start: the seeds in their order, then all others.
+func firstRank(conf settings.Gateway) int {
+	for i, s := range conf.Seeds {
+		if s == conf.Peers {
+			return i
+		}
+	}
+	return len(conf.Seeds) + 1
+}
+
+// incarnation names this start of the process.
+func incarnation() string {
+	var b [8]byte
+	// The source never fails; see crypto/rand.
+	if _, err := rand.Read(b[:]); err != nil {
+		panic(err)
+	}
+	return hex.EncodeToString(b[:])
+}
+
+// Run serves until ctx ends, then stops gracefully.
+func (g *Gateway) Run(ctx context.Context) error {
+	debug.SetMemoryLimit(int64(memoryShare * float64(g.conf.Memory) * megabyte))
+	signal.Ignore(syscall.SIGHUP)
+	callers, err := net.Listen("tcp", g.conf.Callers.String())
+	if err != nil {
+		return fmt.Errorf("callers: %w", err)
+	}
+	work, stopWork := context.WithCancel(context.Background())
+	defer stopWork()
+	failed := make(chan error, 4)
+	serve := func(name string, addr string, h http.Handler) error {
+		l, err := net.Listen("tcp", addr)
+		if err != nil {
+			return fmt.Errorf("%s: %w", name, err)
+		}
+		s := &http.Server{Handler: h, ReadHeaderTimeout: headerWait}
+		context.AfterFunc(work, func() { _ = s.Close() })
+		go func() { failed <- fmt.Errorf("%s: %w", name, s.Serve(l)) }()
+		return nil
+	}
+	if err := errors.Join(
+		serve("ready", g.conf.Ready.String(), g.readyHandler()),
+		serve("peers", g.conf.Peers.String(), g.peerHandler()),
+	); err != nil {
+		return err
+	}
+	g.log.Info("started", "pid", os.Getpid(), "incarnation", g.cluster.self.Incarnation)
+	var loops sync.WaitGroup
+	loops.Go(func() { g.follower.run(work) })
+	loops.Go(func() { g.leading.run(work) })
+	loops.Go(func() { g.traffic.run(work) })
+	loops.Go(func() { g.expire(work) })
+	server := g.frontServer(ctx)
+	go func() { failed <- fmt.Errorf("callers: %w", server.Serve(callers)) }()
+	select {
+	case err = <-failed:
+		g.log.Error("a listener failed", "error", err)
+	case <-ctx.Done():
+		err = nil
+	}
+	g.stop(server)
+	stopWork()
+	loops.Wait()
+	g.steward.stop()
+	g.steward.wait()
+	return err
+}
+
+// frontServer waits for a configuration, which bounds what callers may do, and
+// returns the server for callers.
+func (g *Gateway) frontServer(ctx context.Context) *http.Server {
+	limit := g.now().Add(configurationWait)
+	for g.view.table.Load() == nil && g.now().Before(limit) && ctx.Err() == nil {
+		pause(ctx, keepInterval)
+	}
+	limits := routing.Limits{HeaderTimeout: headerWait, IdleTimeout: defaultIdle}
+	if t := g.view.table.Load(); t != nil {
+		limits = t.Limits
+	}
+	return &http.Server{
+		Handler: g.front, ReadHeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout,
+		MaxHeaderBytes: limits.MaxHeader, ErrorLog: slog.NewLogLogger(g.log.Handler(), slog.LevelDebug),
+	}
+}
+
+// stop ends the service: not ready at once, the lease given up, and no
+// connection closed before the balancer has noticed and the requests under way
+// have ended.
+func (g *Gateway) stop(server *http.Server) {
+	began := g.now()
+	g.draining.Store(true)
+	g.front.draining.Store(true)
+	g.log.Info("stopping")
+	end := began.Add(g.conf.StopLimit.D() - stopReserve)
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	g.leading.resign(ctx)
+	pause(ctx, began.Add(g.conf.DrainNotice.D()).Sub(g.now()))
+	if err := server.Shutdown(ctx); err != nil {
+		g.log.Warn("requests cut off by the end of the stop", "error", err)
+		_ = server.Close()
+	}
+	g.log.Info("stopped", "took", g.now().Sub(began))
+}
+
+// ready reports whether callers should be sent here.
+func (g *Gateway) ready() bool {
+	table := g.view.table.Load()
+	if g.draining.Load() || table == nil || g.view.inst.Load() == nil {
+		return false
+	}
+	for name, s := range table.Services {
+		if s.Keyed && g.view.spansOf(name) == nil {
+			return false
+		}
+	}
+	return true
+}
+
+func (g *Gateway) readyHandler() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc(platform.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
+		if !g.ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	}).Methods(http.MethodGet)
+	return r
+}
+
+func (g *Gateway) peerHandler() http.Handler {
+	server := &peerServer{
+		view: g.view, cluster: g.cluster, store: g.calls, steward: g.steward, traffic: g.traffic, now: g.now,
+	}
+	return syncpb.NewPeerServer(server)
+}
+
+// expire closes connections that were idle for too long.
+func (g *Gateway) expire(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause(ctx, expireInterval)
+		g.conns.Expire()
+	}
+}
--- /dev/null
+++ b/gateway/grants.go
@@ -0,0 +1,303 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rockcroft/rockcroft/platform"
+	"github.com/rockcroft/rockcroft/state/instances"
+	"github.com/rockcroft/rockcroft/state/spans"
+	"github.com/rockcroft/rockcroft/transport/pool"
+
+	"github.com/rockcroft/rockcroft/protocol/syncpb"
+)
+
+// loadsByID are reports added up by upstream.
+type loadsByID = map[string]*syncpb.Load
+
+// startMoves begins the moves of the table that are not under way.
+func (k *keeper) startMoves(ctx context.Context) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.revision == 0 {
+		// Not stored yet: no grant may carry these fences.
+		return
+	}
+	for _, s := range k.table.Spans {
+		if !s.Moving() || k.moving[s.NextFence] {
+			continue
+		}
+		k.moving[s.NextFence] = true
+		k.moves.Go(func() {
+			k.move(ctx, s)
+			k.mu.Lock()
+			delete(k.moving, s.NextFence)
+			k.mu.Unlock()
+		})
+	}
+}
+
+// move takes keys from their owner and gives them to the next one.
+func (k *keeper) move(ctx context.Context, s spans.Span) {
+	began := k.now()
+	token, free := k.takeBack(ctx, s)
+	if !free || !k.leading.mayAct() {
+		return
+	}
+	taken := k.now()
+	next := k.instance(s.Next)
+	if next == nil || next.Leaving {
+		k.settle(s, "", s.NextFence)
+		return
+	}
+	verdict, err := k.give(ctx, s, next, token)
+	switch {
+	case err == nil && verdict == platform.Granted:
+		k.settle(s, s.Next, s.NextFence)
+		k.log.Info("keys granted", "first", s.First, "last", s.Last, "upstream", s.Next, "fence", s.NextFence,
+			"from", s.Owner, "warm", token != "", "release_took", taken.Sub(began), "took", k.now().Sub(began))
+	case err == nil && verdict == platform.Fenced:
+		k.log.Warn("keys refused, a higher fence was seen", "first", s.First, "upstream", s.Next, "fence", s.NextFence)
+		k.raise(fenceLeap)
+		k.settle(s, "", s.NextFence)
+	case err == nil, errors.Is(err, pool.ErrNotSent):
+		k.log.Warn("keys not granted", "first", s.First, "upstream", s.Next, "error", err)
+		k.fails(s.Next)
+		k.settle(s, "", s.NextFence)
+	default:
+		// The grant may arrive yet: the upstream counts as the owner until
+		// its hold would have ended.
+		k.log.Warn("grant without an answer", "first", s.First, "upstream", s.Next, "error", err)
+		k.fails(s.Next)
+		k.settle(s, s.Next, s.NextFence)
+	}
+}
+
+// takeBack releases keys from their owner, or waits until its hold has ended.
+// It reports whether nobody holds them any more.
+func (k *keeper) takeBack(ctx context.Context, s spans.Span) (token string, free bool) {
+	if s.Owner == "" {
+		return "", true
+	}
+	for ctx.Err() == nil {
+		owner := k.instance(s.Owner)
+		if owner != nil {
+			call, cancel := context.WithTimeout(ctx, releaseTimeout)
+			verdict, token, err := k.owners.Release(call, owner.ID, owner.Address, s.Keys, s.NextFence)
+			cancel()
+			if err == nil && verdict == platform.Granted {
+				return token, true
+			}
+			if err != nil {
+				k.fails(s.Owner)
+			}
+			if err == nil && verdict == platform.Elsewhere {
+				k.log.Info("owner has ended, its address is another's", "upstream", s.Owner)
+				return "", true
+			}
+		}
+		if k.holdEnded(s) {
+			k.log.Info("hold of a lost owner has ended", "upstream", s.Owner, "first", s.First, "last", s.Last)
+			return "", true
+		}
+		if !k.leading.mayAct() {
+			return "", false
+		}
+		pause(ctx, callPause)
+	}
+	return "", false
+}
+
+func (k *keeper) holdEnded(s spans.Span) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.now().After(k.holds[s.First])
+}
+
+// give grants the keys of a move to their next owner.
+func (k *keeper) give(ctx context.Context, s spans.Span, next *instances.Instance, token string) (platform.Verdict, error) {
+	for try := 1; ; try++ {
+		verdict, err := k.grant(ctx, s.Keys, next, s.NextFence, token)
+		if err == nil || !errors.Is(err, pool.ErrNotSent) || try == mostGrantTries || !k.leading.mayAct() {
+			return verdict, err
+		}
+		pause(ctx, callPause)
+	}
+}
+
+// mostGrantTries bounds the tries of a grant that could not be sent.
+const mostGrantTries = 3
+
+// grant makes one call and notes until when its keys may be held. The right to
+// lead is checked last, right before the call.
+func (k *keeper) grant(ctx context.Context, keys spans.Keys, to *instances.Instance, fence uint64, token string) (platform.Verdict, error) {
+	hold := k.hold()
+	call, cancel := context.WithTimeout(ctx, grantTimeout)
+	defer cancel()
+	if !k.leading.mayAct() {
+		return 0, errNoRight
+	}
+	verdict, err := k.owners.Grant(call, to.ID, to.Address, keys, fence, hold, token)
+	if err == nil && verdict == platform.Granted || err != nil && !errors.Is(err, pool.ErrNotSent) {
+		until := k.now().Add(heldFor(hold))
+		k.mu.Lock()
+		if until.After(k.holds[keys.First]) {
+			k.holds[keys.First] = until
+		}
+		k.renewed[keys.First] = k.now()
+		k.mu.Unlock()
+	}
+	return verdict, err
+}
+
+var errNoRight = errors.New("the right to lead has run out")
+
+// hold is how long grants last: longer while the store is not reached, so that
+// owners serve on until it returns.
+func (k *keeper) hold() time.Duration {
+	if k.calls.failing() {
+		return k.longest
+	}
+	return min(holdTime, k.longest)
+}
+
+func (k *keeper) instance(id string) *instances.Instance {
+	v := k.view.inst.Load()
+	if v == nil {
+		return nil
+	}
+	return v.Get(id)
+}
+
+// settle ends a move: the keys have the owner, or none.
+func (k *keeper) settle(s spans.Span, owner string, fence uint64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for i := range k.table.Spans {
+		t := &k.table.Spans[i]
+		if t.NextFence == s.NextFence && t.First == s.First {
+			t.Owner, t.Fence, t.Next, t.NextFence = owner, fence, "", 0
+		}
+	}
+	k.unsaved = true
+	k.publish()
+}
+
+// raise lifts the fence counter.
+func (k *keeper) raise(by uint64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.table.LastFence += by
+}
+
+// fails notes that a call to an upstream failed, works that one succeeded.
+func (k *keeper) fails(id string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if _, ok := k.failing[id]; !ok {
+		k.failing[id] = k.now()
+		k.log.Warn("calls to an upstream fail", "upstream", id)
+	}
+}
+
+func (k *keeper) works(id string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if since, ok := k.failing[id]; ok {
+		delete(k.failing, id)
+		k.log.Info("calls to an upstream succeed again", "upstream", id, "after", k.now().Sub(since))
+	}
+}
+
+// startRenewals renews the grants that are due, one call after the other for
+// each owner.
+func (k *keeper) startRenewals(ctx context.Context) {
+	now := k.now()
+	long := k.calls.failing()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	due := make(map[string][]spans.Span)
+	for _, s := range k.table.Spans {
+		if s.Owner == "" || s.Moving() || k.renewing[s.Owner] {
+			continue
+		}
+		late := now.Sub(k.renewed[s.First]) >= renewInterval
+		// While the store is away each grant is made longer once, before
+		// the right to do so has run out.
+		stretch := long && k.holds[s.First].Sub(now) < k.longest-renewInterval
+		if late || stretch {
+			due[s.Owner] = append(due[s.Owner], s)
+		}
+	}
+	for id, list := range due {
+		k.renewing[id] = true
+		k.moves.Go(func() {
+			k.renew(ctx, id, list)
+			k.mu.Lock()
+			delete(k.renewing, id)
+			k.mu.Unlock()
+		})
+	}
+}
+
+// renew renews the grants of one owner.
+func (k *keeper) renew(ctx context.Context, id string, list []spans.Span) {
+	owner := k.instance(id)
+	if owner == nil {
+		k.fails(id)
+		return
+	}
+	for _, s := range list {
+		if !k.stillOwns(s) {
+			continue
+		}
+		verdict, err := k.grant(ctx, s.Keys, owner, s.Fence, "")
+		switch {
+		case errors.Is(err, errNoRight) || ctx.Err() != nil:
+			return
+		case err != nil:
+			k.fails(id)
+			k.noteRenewed(s)
+			return
+		case verdict == platform.Elsewhere:
+			k.log.Info("owner has ended, its address is another's", "upstream", id)
+			k.mu.Lock()
+			k.dead[id] = true
+			k.mu.Unlock()
+			return
+		case verdict == platform.Fenced:
+			k.log.Warn("renewal refused, a higher fence was seen", "first", s.First, "upstream", id, "fence", s.Fence)
+			k.lose(s)
+		default:
+			k.works(id)
+		}
+	}
+}
+
+// noteRenewed puts the next try of a renewal off.
+func (k *keeper) noteRenewed(s spans.Span) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.renewed[s.First] = k.now().Add(grantTimeout - renewInterval)
+}
+
+// stillOwns reports whether the span is as it was and does not move.
+func (k *keeper) stillOwns(s spans.Span) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.table.Find(s.First) == s
+}
+
+// lose notes that the owner does not hold the keys of the span any more.
+func (k *keeper) lose(s spans.Span) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	i := k.table.At(s.First)
+	if k.table.Spans[i] == s {
+		k.table.Spans[i].Owner = ""
+		k.table.LastFence += fenceLeap
+		k.unsaved = true
+		k.publish()
+	}
+}
--- /dev/null
+++ b/gateway/keeper.go
@@ -0,0 +1,365 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/rockcroft/rockcroft/coordination/ownership"
+	"github.com/rockcroft/rockcroft/platform"
+	"github.com/rockcroft/rockcroft/state/instances"
+	"github.com/rockcroft/rockcroft/state/spans"
+)
+
+const (
+	// holdTime is how long a grant lasts while the store is reached: keys of an
+	// upstream that is lost without a word are free after it.
+	holdTime = 5 * time.Second
+	// renewInterval is the time between renewals of a grant.
+	renewInterval = 1300 * time.Millisecond
+	// clockSlowness is how much slower than ours an upstream's clock may run
+	// that measures a grant.
+	clockSlowness = 1.02
+	// arrivalMargin is added to the end of a grant for calls on their way.
+	arrivalMargin = 200 * time.Millisecond
+	// planInterval is the time between plans.
+	planInterval = 250 * time.Millisecond
+	// saveInterval is how long moves that have ended are collected for one
+	// write while others are under way.
+	saveInterval = 400 * time.Millisecond
+	// keepInterval is the time between looks at what is due.
+	keepInterval = 25 * time.Millisecond
+	// gatherTime is how long the set of upstreams must be unchanged before the
+	// first assignment, gatherMost the longest wait for that.
+	gatherTime = 1200 * time.Millisecond
+	gatherMost = 4 * time.Second
+	// grantTimeout bounds one grant, releaseTimeout one release, which is
+	// answered when the work on the keys has ended.
+	grantTimeout   = 500 * time.Millisecond
+	releaseTimeout = 2500 * time.Millisecond
+	// callPause is the time between tries of a call.
+	callPause = 80 * time.Millisecond
+	// silentOwner is how long an owner's grants must have failed before its
+	// keys are given to others.
+	silentOwner = 900 * time.Millisecond
+	// defaultRate is the assumed number of requests a second that one slot
+	// runs, before any were seen.
+	defaultRate = 15
+	// fenceLeap is how far the fence is raised beyond one that an upstream
+	// has seen from elsewhere.
+	fenceLeap = 64
+)
+
+// keeper keeps the assignment of one service.
+type keeper struct {
+	*steward
+	service string
+	term    uint64
+	log     *slog.Logger
+
+	heatMu sync.Mutex
+	heat   *ownership.Heat
+
+	mu    sync.Mutex
+	table *spans.Table
+	// revision is that of the stored assignment; zero when there is none.
+	revision uint64
+	unsaved  bool
+	savedAt  time.Time
+	writes   int
+	// holds is until when an upstream may hold keys by the grants known here,
+	// by the first key of the span.
+	holds map[uint16]time.Time
+	// renewed is when a span's grant was last renewed.
+	renewed map[uint16]time.Time
+	// moving are the fences of moves under way here.
+	moving map[uint64]bool
+	// renewing are owners whose grants are being renewed.
+	renewing map[string]bool
+	// failing is since when the calls to an owner fail.
+	failing map[string]time.Time
+	// dead are upstreams known to have ended.
+	dead  map[string]bool
+	moves sync.WaitGroup
+}
+
+func newKeeper(s *steward, service string, term uint64) *keeper {
+	return &keeper{
+		steward: s, service: service, term: term, log: s.log.With("service", service),
+		heat: ownership.NewHeat(s.now()), holds: make(map[uint16]time.Time), renewed: make(map[uint16]time.Time),
+		moving: make(map[uint64]bool), renewing: make(map[string]bool),
+		failing: make(map[string]time.Time), dead: make(map[string]bool),
+	}
+}
+
+// asked counts one request for a key.
+func (k *keeper) asked(key uint16) {
+	k.heatMu.Lock()
+	defer k.heatMu.Unlock()
+	k.heat.Add(key)
+}
+
+func (k *keeper) rates() map[uint16]float64 {
+	k.heatMu.Lock()
+	defer k.heatMu.Unlock()
+	return k.heat.Rates(k.now())
+}
+
+// run keeps the service until ctx ends.
+func (k *keeper) run(ctx context.Context) {
+	if !k.begin(ctx) {
+		return
+	}
+	planned := time.Time{}
+	for ctx.Err() == nil {
+		if k.leading.mayAct() {
+			if k.now().Sub(planned) >= planInterval {
+				planned = k.now()
+				k.plan(ctx)
+			}
+			k.startMoves(ctx)
+			k.startRenewals(ctx)
+			k.saveDone(ctx)
+		}
+		pause(ctx, keepInterval)
+	}
+	k.moves.Wait()
+}
+
+// begin loads the assignment, or makes the first one.
+func (k *keeper) begin(ctx context.Context) bool {
+	backoff := firstBackoff
+	for ctx.Err() == nil {
+		table, revision, err := k.load(ctx, k.service)
+		switch {
+		case err != nil:
+			k.log.Warn("owners not loaded", "error", err)
+			pause(ctx, backoff)
+			backoff = min(2*backoff, longestBackoff)
+			continue
+		case table == nil:
+			if table = k.first(ctx); table == nil {
+				return false
+			}
+		}
+		k.adopt(table, revision)
+		return true
+	}
+	return false
+}
+
+// adopt takes over an assignment at the begin of this leader's term. What the
+// leader before may have granted counts as granted until its right ended.
+func (k *keeper) adopt(table *spans.Table, revision uint64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.table = table.Clone()
+	k.revision = revision
+	k.unsaved = revision == 0
+	until := k.leading.formerRight().Add(heldFor(k.longest))
+	for _, s := range k.table.Spans {
+		k.holds[s.First] = until
+	}
+	k.publish()
+	k.log.Info("owners known", "spans", len(table.Spans), "last_fence", table.LastFence, "stored", revision > 0)
+}
+
+// heldFor is how long an upstream may hold keys after a grant for the time has
+// arrived, by this process's clock.
+func heldFor(hold time.Duration) time.Duration {
+	return time.Duration(float64(hold)*clockSlowness) + arrivalMargin
+}
+
+// first waits until the upstreams have registered and assigns the keys to them.
+func (k *keeper) first(ctx context.Context) *spans.Table {
+	began := k.now()
+	count, since := 0, began
+	for ctx.Err() == nil {
+		owners := k.candidates()
+		if len(owners) != count {
+			count, since = len(owners), k.now()
+		}
+		now := k.now()
+		if count > 0 && (now.Sub(since) >= gatherTime || now.Sub(began) >= gatherMost) {
+			return ownership.First(k.service, owners)
+		}
+		pause(ctx, keepInterval)
+	}
+	return nil
+}
+
+// publish gives the present table to the view, and so to the other gateways.
+// The lock is held.
+func (k *keeper) publish() {
+	k.writes++
+	k.table.Version = k.term<<32 | uint64(k.writes)
+	k.table.Writer = fmt.Sprintf("%s/%d", k.cluster.self.Incarnation, k.writes)
+	k.view.setSpans(k.table.Clone())
+}
+
+// candidates describes the upstreams of the service for a plan.
+func (k *keeper) candidates() []ownership.Owner {
+	v := k.view.inst.Load()
+	if v == nil {
+		return nil
+	}
+	loads := k.cluster.loads("", k.ownLoads())
+	var out []ownership.Owner
+	typical := k.typicalWork(loads, v)
+	for _, one := range v.Service(k.service) {
+		work := typical
+		if l := loads[one.ID]; l != nil && l.WorkUs > 0 {
+			work = time.Duration(l.WorkUs) * time.Microsecond
+		}
+		o := ownership.Owner{ID: one.ID, Capacity: float64(one.Slots) / work.Seconds()}
+		o.Keeps = !one.Leaving && !k.isDead(one.ID) && k.failingFor(one.ID) < silentOwner
+		o.Usable = o.Keeps && k.failingFor(one.ID) == 0
+		out = append(out, o)
+	}
+	return out
+}
+
+// typicalWork is the mean work time over the service's upstreams.
+func (k *keeper) typicalWork(loads loadsByID, v *instances.View) time.Duration {
+	sum, n := time.Duration(0), 0
+	for _, one := range v.Service(k.service) {
+		if l := loads[one.ID]; l != nil && l.WorkUs > 0 {
+			sum += time.Duration(l.WorkUs) * time.Microsecond
+			n++
+		}
+	}
+	if n == 0 {
+		return time.Second / defaultRate
+	}
+	return sum / time.Duration(n)
+}
+
+func (k *keeper) isDead(id string) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.dead[id]
+}
+
+// failingFor returns how long the calls to an upstream fail.
+func (k *keeper) failingFor(id string) time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	since, ok := k.failing[id]
+	if !ok {
+		return 0
+	}
+	return max(k.now().Sub(since), time.Millisecond)
+}
+
+// plan makes the moves that are due part of the assignment, in the store
+// first: no grant carries a fence that is not reserved there.
+func (k *keeper) plan(ctx context.Context) {
+	owners := k.candidates()
+	k.mu.Lock()
+	next := ownership.Make(ownership.Input{Table: k.table, Owners: owners, Load: k.rates()})
+	k.mu.Unlock()
+	if next == nil {
+		return
+	}
+	k.store1(ctx, next)
+}
+
+// store1 writes a table with new moves and adopts it when it is stored.
+func (k *keeper) store1(ctx context.Context, next *spans.Table) {
+	if err := next.Check(); err != nil {
+		k.log.Error("plan dropped", "error", err)
+		return
+	}
+	k.mu.Lock()
+	revision := k.revision
+	k.writes++
+	next.Version = k.term<<32 | uint64(k.writes)
+	next.Writer = fmt.Sprintf("%s/%d", k.cluster.self.Incarnation, k.writes)
+	before := k.table
+	k.mu.Unlock()
+	got, err := k.save(ctx, next, revision)
+	if err != nil {
+		k.saveFailed(ctx, err)
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.revision = got
+	k.inheritHolds(before, next)
+	k.table = k.merge(next)
+	k.unsaved = false
+	k.publish()
+}
+
+// merge brings the moves that ended while the table was being written into it.
+// The lock is held.
+func (k *keeper) merge(next *spans.Table) *spans.Table {
+	for i := range next.Spans {
+		s := &next.Spans[i]
+		now := k.table.Find(s.First)
+		if s.Moving() && !now.Moving() && now.Owner == s.Next && now.Fence == s.NextFence {
+			s.Owner, s.Fence, s.Next, s.NextFence = now.Owner, now.Fence, "", 0
+		}
+		if s.Moving() && !now.Moving() && now.Owner == "" && now.Fence == s.NextFence {
+			s.Owner, s.Fence, s.Next, s.NextFence = "", now.Fence, "", 0
+		}
+	}
+	next.LastFence = max(next.LastFence, k.table.LastFence)
+	return next
+}
+
+// inheritHolds gives spans that were split what was known of the whole. The
+// lock is held.
+func (k *keeper) inheritHolds(before, next *spans.Table) {
+	for _, s := range next.Spans {
+		from := before.Find(s.First).First
+		if from == s.First {
+			continue
+		}
+		k.holds[s.First] = k.holds[from]
+		k.renewed[s.First] = k.renewed[from]
+	}
+}
+
+// saveFailed handles a write that was not acknowledged.
+func (k *keeper) saveFailed(ctx context.Context, err error) {
+	if !errors.Is(err, platform.ErrConflict) {
+		k.log.Warn("owners not saved", "error", err)
+		return
+	}
+	table, revision, err := k.load(ctx, k.service)
+	if err != nil || table == nil {
+		k.log.Warn("owners not loaded after a conflict", "error", err)
+		return
+	}
+	k.log.Warn("owners were changed by another write", "writer", table.Writer, "revision", revision)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.revision = revision
+	k.table.LastFence = max(k.table.LastFence, table.LastFence)
+}
+
+// saveDone writes moves that have ended to the store, together.
+func (k *keeper) saveDone(ctx context.Context) {
+	k.mu.Lock()
+	due := k.unsaved && (len(k.moving) == 0 || k.now().Sub(k.savedAt) > saveInterval)
+	next := k.table.Clone()
+	revision := k.revision
+	k.mu.Unlock()
+	if !due {
+		return
+	}
+	got, err := k.save(ctx, next, revision)
+	if err != nil {
+		k.saveFailed(ctx, err)
+		pause(ctx, firstBackoff)
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.revision, k.savedAt = got, k.now()
+	k.unsaved = k.table.Version != next.Version
+}
--- /dev/null
+++ b/gateway/lead.go
@@ -0,0 +1,287 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/rockcroft/rockcroft/coordination/leadership"
+	"github.com/rockcroft/rockcroft/platform"
+	"github.com/rockcroft/rockcroft/protocol/syncpb"
+)
+
+// Where the leader's lease lies in the store.
+const (
+	leaseKind = "rockcroft-leases"
+	leaseName = "leader"
+)
+
+const (
+	// rankPause keeps gateways from reaching for the lease at the same moment:
+	// each waits this much longer than the one before it.
+	rankPause = 120 * time.Millisecond
+	// leadInterval is the time between looks at the lease's state.
+	leadInterval = 50 * time.Millisecond
+	// claimInterval is the time between readings of the lease by a gateway that
+	// would take it.
+	claimInterval = 500 * time.Millisecond
+	// resignTimeout bounds giving the lease up at the end.
+	resignTimeout = 500 * time.Millisecond
+)
+
+// leading runs the part of this process in leadership.
+type leading struct {
+	store    *platform.Store
+	calls    *storeCaller
+	cluster  *cluster
+	follower *follower
+	watcher  *watcher
+	steward  *steward
+	now      func() time.Time
+	log      *slog.Logger
+	// firstRank is this gateway's place while no members are known.
+	firstRank int
+
+	mu       sync.Mutex
+	right    leadership.Right
+	claim    leadership.Claim
+	lease    leadership.Lease
+	revision uint64
+	// formerEnds is when the right of the leader before has surely ended.
+	formerEnds time.Time
+	renewedAt  time.Time
+	resigned   bool
+}
+
+// mayAct reports whether this process leads and its right has not run out.
+func (l *leading) mayAct() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.right.Valid(l.now())
+}
+
+// formerRight returns when the right of the leader before has surely ended.
+func (l *leading) formerRight() time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.formerEnds
+}
+
+// run takes the lease when it is due, keeps it, and watches the store while
+// this gateway leads or hears from no leader.
+func (l *leading) run(ctx context.Context) {
+	var stopWatch context.CancelFunc
+	var watch sync.WaitGroup
+	started := l.now()
+	lastClaim := time.Time{}
+	for ctx.Err() == nil {
+		lost, refused := l.follower.lostFor()
+		wantWatch := l.cluster.isLeading() || lost > orphanAfter
+		switch {
+		case wantWatch && stopWatch == nil:
+			var watchCtx context.Context
+			watchCtx, stopWatch = context.WithCancel(ctx)
+			watch.Go(func() { l.watcher.run(watchCtx) })
+		case !wantWatch && stopWatch != nil:
+			stopWatch()
+			stopWatch = nil
+			watch.Wait()
+		}
+		if l.cluster.isLeading() {
+			l.keep(ctx)
+		} else if l.due(started, lost, refused) && l.now().Sub(lastClaim) > claimInterval {
+			lastClaim = l.now()
+			l.reach(ctx, refused)
+		}
+		pause(ctx, leadInterval)
+	}
+	if stopWatch != nil {
+		stopWatch()
+	}
+	watch.Wait()
+}
+
+// due reports whether this gateway should look whether it can lead.
+func (l *leading) due(started time.Time, lost time.Duration, refused bool) bool {
+	if l.resigned {
+		return false
+	}
+	if l.cluster.knownLeader() == nil {
+		return l.now().Sub(started) > time.Duration(l.firstRank)*2*rankPause
+	}
+	wait := orphanAfter
+	if refused {
+		wait = reportInterval / 2
+	}
+	return lost > wait+time.Duration(l.cluster.rank())*rankPause
+}
+
+// reach reads the lease and takes it if it may.
+func (l *leading) reach(ctx context.Context, refused bool) {
+	ctx, cancel := context.WithTimeout(ctx, 2*storeTimeout)
+	defer cancel()
+	object, err := l.store.Get(ctx, leaseKind, leaseName)
+	switch {
+	case errors.Is(err, platform.ErrNotFound):
+		l.take(ctx, leadership.Lease{}, 0, time.Time{})
+		return
+	case err != nil:
+		return
+	}
+	var lease leadership.Lease
+	if err := platform.Decode(object, &lease); err != nil {
+		l.log.Error("the leader's lease cannot be read", "error", err)
+		return
+	}
+	now := l.now()
+	l.mu.Lock()
+	l.claim.Observe(now, object.Revision)
+	may := l.claim.MayTake(now, lease, l.cluster.self.Address, refused)
+	ends := l.claim.Ends()
+	l.mu.Unlock()
+	if lease.Released || lease.Address == l.cluster.self.Address {
+		ends = now
+	}
+	if may {
+		l.take(ctx, lease, object.Revision, ends)
+		return
+	}
+	l.cluster.setLeader(leaderMessage(lease, object.Revision))
+}
+
+// take writes the lease in this gateway's name.
+func (l *leading) take(ctx context.Context, former leadership.Lease, revision uint64, ends time.Time) {
+	self := l.cluster.self
+	mine := leadership.Lease{
+		Node: self.Node, Address: self.Address, Domain: self.Domain, Incarnation: self.Incarnation,
+		Term: former.Term + 1,
+	}
+	sent := l.now()
+	var object platform.Object
+	var err error
+	if revision == 0 {
+		object, err = l.store.Create(ctx, leaseKind, leaseName, mine)
+	} else {
+		object, err = l.store.Replace(ctx, leaseKind, leaseName, revision, mine)
+	}
+	if err != nil && !l.isMine(object, mine) {
+		l.log.Info("lease not taken", "term", mine.Term, "error", err)
+		return
+	}
+	l.mu.Lock()
+	l.lease, l.revision = mine, object.Revision
+	l.right.Renewed(sent)
+	l.renewedAt = sent
+	l.formerEnds = ends
+	l.mu.Unlock()
+	l.log.Info("leading", "term", mine.Term, "former", former.Node, "released", former.Released)
+	l.cluster.setLeader(leaderMessage(mine, object.Revision))
+	l.cluster.setLeading(true)
+	l.steward.start(mine.Term)
+}
+
+// isMine reports whether the object that a refused write returned is what was
+// to be written: its answer was lost.
+func (l *leading) isMine(o platform.Object, mine leadership.Lease) bool {
+	var there leadership.Lease
+	if len(o.Spec) == 0 || platform.Decode(o, &there) != nil {
+		return false
+	}
+	return there == mine
+}
+
+// keep renews the lease when it is due, and stops leading when it is lost.
+func (l *leading) keep(ctx context.Context) {
+	now := l.now()
+	l.mu.Lock()
+	due := now.Sub(l.renewedAt) >= leadership.Renewal
+	next := l.lease
+	revision := l.revision
+	l.mu.Unlock()
+	if !due {
+		return
+	}
+	next.Renewals++
+	call, cancel := context.WithTimeout(ctx, storeTimeout+relayTimeout)
+	object, err := l.store.Replace(call, leaseKind, leaseName, revision, next)
+	cancel()
+	switch {
+	case err == nil || l.isMine(object, next):
+		l.mu.Lock()
+		l.lease, l.revision = next, object.Revision
+		l.right.Renewed(now)
+		l.renewedAt = now
+		l.mu.Unlock()
+		l.cluster.setLeader(leaderMessage(next, object.Revision))
+	case errors.Is(err, platform.ErrConflict):
+		l.conflict(object)
+	case ctx.Err() == nil:
+		l.log.Warn("lease not renewed", "error", err, "right_left", l.rightLeft())
+	}
+	l.cluster.expire()
+}
+
+func (l *leading) rightLeft() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.right.Left(l.now())
+}
+
+// conflict handles a lease that is not as this leader left it. An own renewal
+// that took effect late is taken over; another holder ends the role.
+func (l *leading) conflict(o platform.Object) {
+	var there leadership.Lease
+	if err := platform.Decode(o, &there); err != nil {
+		l.log.Error("the leader's lease cannot be read", "error", err)
+		return
+	}
+	l.mu.Lock()
+	if there.Incarnation == l.lease.Incarnation && there.Term == l.lease.Term {
+		l.lease, l.revision = there, o.Revision
+		l.mu.Unlock()
+		return
+	}
+	l.right.Drop()
+	l.mu.Unlock()
+	l.log.Info("no longer leading", "leader", there.Node, "term", there.Term)
+	l.stop()
+	l.cluster.setLeader(leaderMessage(there, o.Revision))
+}
+
+func (l *leading) stop() {
+	l.cluster.setLeading(false)
+	l.steward.stop()
+}
+
+// resign gives the lease up, so that another gateway can take it at once.
+func (l *leading) resign(ctx context.Context) {
+	l.mu.Lock()
+	l.resigned = true
+	l.mu.Unlock()
+	if !l.cluster.isLeading() {
+		return
+	}
+	l.stop()
+	l.steward.wait()
+	l.mu.Lock()
+	l.right.Drop()
+	next, revision := l.lease, l.revision
+	l.mu.Unlock()
+	next.Released = true
+	ctx, cancel := context.WithTimeout(ctx, resignTimeout)
+	defer cancel()
+	if _, err := l.store.Replace(ctx, leaseKind, leaseName, revision, next); err != nil {
+		l.log.Warn("lease not given up", "error", err)
+		return
+	}
+	l.log.Info("lease given up", "term", next.Term)
+}
+
+func leaderMessage(l leadership.Lease, revision uint64) *syncpb.Leader {
+	return &syncpb.Leader{
+		Member: &syncpb.Member{Node: l.Node, Address: l.Address, Domain: l.Domain, Incarnation: l.Incarnation},
+		Term:   l.Term, Revision: revision,
+	}
+}
--- /dev/null
+++ b/gateway/peerserver.go
@@ -0,0 +1,125 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"github.com/rockcroft/rockcroft/coordination/dispatch"
+	"github.com/rockcroft/rockcroft/protocol/syncpb"
+)
+
+// mostWait bounds how long a report waits for changes before it is answered.
+const mostWait = time.Second
+
+// peerServer serves the other gateways.
+type peerServer struct {
+	view    *view
+	cluster *cluster
+	store   *storeCaller
+	steward *steward
+	traffic *traffic
+	// started is closed once this process can serve.
+	now func() time.Time
+}
+
+// Sync implements syncpb.Peer.
+func (p *peerServer) Sync(ctx context.Context, r *syncpb.SyncRequest) (*syncpb.SyncResponse, error) {
+	if r.Member == nil || r.Member.Node == "" || r.Member.Address == "" {
+		return nil, twirp.RequiredArgumentError("member")
+	}
+	if p.cluster.isLeading() {
+		p.cluster.reported(r)
+		p.steward.asked(r.Keys)
+	}
+	p.waitForNews(ctx, r)
+	return p.news(r), nil
+}
+
+// waitForNews waits until something has changed that the sender does not know.
+func (p *peerServer) waitForNews(ctx context.Context, r *syncpb.SyncRequest) {
+	timer := time.NewTimer(min(time.Duration(r.WaitMs)*time.Millisecond, mostWait))
+	defer timer.Stop()
+	for {
+		changed := p.view.wait()
+		if !p.cluster.isLeading() || p.knowsMore(r) {
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// knowsMore reports whether this process has a newer view than the sender.
+func (p *peerServer) knowsMore(r *syncpb.SyncRequest) bool {
+	config, _, inst := p.view.encoded()
+	if config > r.ConfigRevision || inst != r.InstancesVersion {
+		return true
+	}
+	for name, t := range *p.view.owners.Load() {
+		if t.Version > r.SpansVersions[name] {
+			return true
+		}
+	}
+	return false
+}
+
+// news builds the answer from what the sender does not know.
+func (p *peerServer) news(r *syncpb.SyncRequest) *syncpb.SyncResponse {
+	resp := &syncpb.SyncResponse{Leader: p.cluster.knownLeader(), Leading: p.cluster.isLeading()}
+	config, spec, inst := p.view.encoded()
+	if config > r.ConfigRevision {
+		resp.Configuration = &syncpb.Configuration{Revision: config, Spec: spec}
+	}
+	if v := p.view.inst.Load(); v != nil && inst != r.InstancesVersion {
+		resp.Instances = instancesMessage(v, inst)
+	}
+	for name, t := range *p.view.owners.Load() {
+		if t.Version > r.SpansVersions[name] {
+			resp.Spans = append(resp.Spans, spansMessage(t))
+		}
+	}
+	if !resp.Leading {
+		return resp
+	}
+	for _, l := range p.cluster.loads(r.Member.Node, p.steward.ownLoads()) {
+		resp.Loads = append(resp.Loads, l)
+	}
+	resp.Gateways = uint32(p.cluster.gateways())
+	if members, version := p.cluster.list(); version != r.MembersVersion {
+		resp.Members, resp.MembersVersion = members, version
+	} else {
+		resp.MembersVersion = version
+	}
+	return resp
+}
+
+// Relay implements syncpb.Peer.
+func (p *peerServer) Relay(ctx context.Context, r *syncpb.RelayRequest) (*syncpb.RelayResponse, error) {
+	c, ok := relayed(r)
+	if !ok {
+		return nil, twirp.InvalidArgumentError("target", "is no path of the store")
+	}
+	status, body, err := p.store.direct(ctx, c)
+	if err != nil {
+		return nil, twirp.NewError(twirp.Unavailable, err.Error())
+	}
+	return &syncpb.RelayResponse{Status: uint32(status), Body: body}, nil
+}
+
+func loadMessages(loads []dispatch.Load) []*syncpb.Load {
+	out := make([]*syncpb.Load, 0, len(loads))
+	for _, l := range loads {
+		out = append(out, &syncpb.Load{
+			Instance: l.Instance, Inflight: float32(l.Inflight), WorkUs: uint32(l.Work.Microseconds()),
+			SilentMs: uint32(l.Silent.Milliseconds()), Refused: l.Refused,
+		})
+	}
+	return out
+}
--- /dev/null
+++ b/gateway/steward.go
@@ -0,0 +1,171 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/rockcroft/rockcroft/platform"
+	"github.com/rockcroft/rockcroft/protocol/syncpb"
+	"github.com/rockcroft/rockcroft/state/spans"
+)
+
+// spansKind is the kind under which assignments lie in the store, by service.
+const spansKind = "rockcroft-spans"
+
+// steward runs, in the leader, one keeper for each keyed service: it plans who
+// owns which keys, makes the moves and renews the grants.
+type steward struct {
+	view    *view
+	cluster *cluster
+	traffic *traffic
+	store   *platform.Store
+	calls   *storeCaller
+	owners  *platform.Owners
+	leading *leading
+	longest time.Duration
+	now     func() time.Time
+	log     *slog.Logger
+	meters  *meters
+
+	mu      sync.Mutex
+	cancel  context.CancelFunc
+	running sync.WaitGroup
+	keepers map[string]*keeper
+	own     []*syncpb.Load
+}
+
+// start begins to keep the services. It is called when this process takes the
+// lead.
+func (s *steward) start(term uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ctx, cancel := context.WithCancel(context.Background())
+	s.cancel = cancel
+	s.keepers = make(map[string]*keeper)
+	s.running.Go(func() { s.run(ctx, term) })
+}
+
+// stop ends the work. It does not wait for it.
+func (s *steward) stop() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.cancel != nil {
+		s.cancel()
+		s.cancel = nil
+	}
+	s.keepers = nil
+}
+
+// wait returns when all work has ended.
+func (s *steward) wait() { s.running.Wait() }
+
+// run starts a keeper for each keyed service of the configuration, and notes
+// this process's own load as the other gateways report theirs.
+func (s *steward) run(ctx context.Context, term uint64) {
+	for ctx.Err() == nil {
+		if table := s.view.table.Load(); table != nil {
+			for name, service := range table.Services {
+				if service.Keyed {
+					s.keep(ctx, name, term)
+				}
+			}
+		}
+		s.noteOwn()
+		pause(ctx, reportInterval)
+	}
+}
+
+func (s *steward) keep(ctx context.Context, service string, term uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.keepers == nil || s.keepers[service] != nil {
+		return
+	}
+	k := newKeeper(s, service, term)
+	s.keepers[service] = k
+	s.running.Go(func() { k.run(ctx) })
+}
+
+func (s *steward) noteOwn() {
+	loads, keys := s.traffic.report()
+	s.mu.Lock()
+	s.own = loadMessages(loads)
+	for name, list := range keys {
+		if k := s.keepers[name]; k != nil {
+			for _, key := range list {
+				k.asked(key)
+			}
+		}
+	}
+	s.mu.Unlock()
+	others := make(map[string]float64)
+	for id, l := range s.cluster.loads(s.cluster.self.Node, nil) {
+		others[id] = float64(l.Inflight)
+	}
+	s.traffic.reported(others)
+	s.traffic.setGateways(s.cluster.gateways())
+}
+
+// ownLoads returns this process's last report.
+func (s *steward) ownLoads() []*syncpb.Load {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.own
+}
+
+// asked notes the keys that another gateway was asked for.
+func (s *steward) asked(counts []*syncpb.KeyCounts) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range counts {
+		k := s.keepers[c.Service]
+		if k == nil {
+			continue
+		}
+		for _, key := range c.Keys {
+			k.asked(uint16(min(key, spans.MaxKey)))
+		}
+	}
+}
+
+// load reads the stored assignment of a service. Without one it returns nil.
+func (s *steward) load(ctx context.Context, service string) (*spans.Table, uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout+relayTimeout)
+	defer cancel()
+	object, err := s.store.Get(ctx, spansKind, service)
+	if errors.Is(err, platform.ErrNotFound) {
+		return nil, 0, nil
+	}
+	if err != nil {
+		return nil, 0, err
+	}
+	t := &spans.Table{}
+	if err := platform.Decode(object, t); err != nil {
+		return nil, 0, err
+	}
+	return t, object.Revision, t.Check()
+}
+
+// save writes an assignment if the stored one still has the revision, and
+// returns the new revision. A write whose answer was lost is recognized.
+func (s *steward) save(ctx context.Context, t *spans.Table, revision uint64) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout+relayTimeout)
+	defer cancel()
+	var object platform.Object
+	var err error
+	if revision == 0 {
+		object, err = s.store.Create(ctx, spansKind, t.Service, t)
+	} else {
+		object, err = s.store.Replace(ctx, spansKind, t.Service, revision, t)
+	}
+	if errors.Is(err, platform.ErrConflict) {
+		there := &spans.Table{}
+		if platform.Decode(object, there) == nil && there.Writer == t.Writer {
+			return object.Revision, nil
+		}
+	}
+	return object.Revision, err
+}
--- /dev/null
+++ b/gateway/traffic.go
@@ -0,0 +1,277 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/rockcroft/rockcroft/coordination/dispatch"
+	"github.com/rockcroft/rockcroft/coordination/retry"
+	"github.com/rockcroft/rockcroft/protocol/answer"
+	"github.com/rockcroft/rockcroft/state/instances"
+	"github.com/rockcroft/rockcroft/state/settings"
+)
+
+const (
+	// tickInterval is the time between looks at requests that wait and at
+	// upstreams that fell silent.
+	tickInterval = 20 * time.Millisecond
+	// budgetShare is the part of the retry budget that is used: gateways count
+	// the same window at slightly different times.
+	budgetShare = 0.75
+	// mostKeys bounds the keys kept for one report.
+	mostKeys = 512
+)
+
+// errSilent ends a try at an upstream that answers nothing any more.
+var errSilent = errors.New("the upstream is silent")
+
+// traffic holds the decisions about all services of one gateway, for
+// concurrent use.
+type traffic struct {
+	conf settings.Gateway
+	now  func() time.Time
+
+	mu       sync.Mutex
+	rng      *rand.Rand
+	services map[string]*service
+	gateways int
+}
+
+// service is the traffic of one service.
+type service struct {
+	mu       sync.Mutex
+	dispatch *dispatch.Service
+	budget   *retry.Window
+	// tries are the tries under way that may be ended when their upstream
+	// falls silent, by upstream.
+	tries map[string]map[*try]bool
+	// keys are those asked for since the last report.
+	keys []uint16
+}
+
+// try is one request at one upstream.
+type try struct {
+	grant dispatch.Grant
+	end   context.CancelCauseFunc
+}
+
+func newTraffic(conf settings.Gateway, now func() time.Time, rng *rand.Rand) *traffic {
+	return &traffic{conf: conf, now: now, rng: rng, services: make(map[string]*service), gateways: 1}
+}
+
+// get returns the service of the name.
+func (t *traffic) get(name string) *service {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.services[name]
+	if s == nil {
+		seed := rand.NewPCG(t.rng.Uint64(), t.rng.Uint64())
+		s = &service{
+			dispatch: dispatch.NewService(t.conf.Domain, rand.New(seed)),
+			budget: retry.NewWindow(t.now(), t.conf.RetryWindow.D(),
+				budgetShare*t.conf.RetryShare, budgetShare*t.conf.RetryAllowance),
+			tries: make(map[string]map[*try]bool),
+		}
+		t.services[name] = s
+	}
+	return s
+}
+
+func (t *traffic) all() map[string]*service {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make(map[string]*service, len(t.services))
+	for name, s := range t.services {
+		out[name] = s
+	}
+	return out
+}
+
+// setUpstreams takes over which upstreams there are.
+func (t *traffic) setUpstreams(v *instances.View) {
+	now := t.now()
+	for _, name := range v.Services() {
+		s := t.get(name)
+		s.mu.Lock()
+		s.dispatch.SetUpstreams(now, v.Service(name))
+		s.mu.Unlock()
+	}
+	for name, s := range t.all() {
+		if len(v.Service(name)) == 0 {
+			s.mu.Lock()
+			s.dispatch.SetUpstreams(now, nil)
+			s.mu.Unlock()
+		}
+	}
+}
+
+// setGateways notes how many gateways share the retry budget.
+func (t *traffic) setGateways(n int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.gateways = max(n, 1)
+}
+
+func (t *traffic) gatewayCount() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.gateways
+}
+
+// run lets waiting requests through or refuses them in time, until ctx ends.
+func (t *traffic) run(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		now := t.now()
+		for _, s := range t.all() {
+			s.tick(now)
+		}
+	}
+}
+
+func (s *service) tick(now time.Time) {
+	s.mu.Lock()
+	s.dispatch.Tick(now)
+	var ends []context.CancelCauseFunc
+	if len(s.tries) > 0 {
+		for _, id := range s.dispatch.Silent(now) {
+			for one := range s.tries[id] {
+				ends = append(ends, one.end)
+			}
+		}
+	}
+	s.mu.Unlock()
+	for _, end := range ends {
+		end(errSilent)
+	}
+}
+
+// acquire waits for the right to send a request to an upstream.
+func (t *traffic) acquire(ctx context.Context, s *service, w *dispatch.Want) (dispatch.Grant, error) {
+	type verdict struct {
+		grant   dispatch.Grant
+		refusal dispatch.Refusal
+	}
+	given := make(chan verdict, 1)
+	w.Verdict = func(g dispatch.Grant, r dispatch.Refusal) { given <- verdict{g, r} }
+	s.mu.Lock()
+	g, r, decided := s.dispatch.Offer(t.now(), w)
+	s.mu.Unlock()
+	if decided {
+		return g, refusalError(r)
+	}
+	select {
+	case v := <-given:
+		return v.grant, refusalError(v.refusal)
+	case <-ctx.Done():
+	}
+	s.mu.Lock()
+	withdrawn := s.dispatch.Withdraw(w)
+	s.mu.Unlock()
+	if !withdrawn {
+		if v := <-given; v.refusal == 0 {
+			t.done(s, v.grant, dispatch.Left)
+		}
+	}
+	return dispatch.Grant{}, answer.Wrap(answer.DeadlinePassed, context.Cause(ctx))
+}
+
+func refusalError(r dispatch.Refusal) error {
+	switch r {
+	case dispatch.NoRoom:
+		return answer.New(answer.Overloaded, "no upstream has room")
+	case dispatch.NoUpstream:
+		return answer.New(answer.NoOwner, "no upstream is known that could run it")
+	case dispatch.TooLate:
+		return answer.New(answer.Overloaded, "it cannot be answered in time")
+	}
+	return nil
+}
+
+// done ends a try.
+func (t *traffic) done(s *service, g dispatch.Grant, o dispatch.Outcome) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dispatch.Done(t.now(), g, o)
+}
+
+// begin notes a try that may be ended when its upstream falls silent.
+func (s *service) begin(one *try) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	id := one.grant.Instance.ID
+	if s.tries[id] == nil {
+		s.tries[id] = make(map[*try]bool)
+	}
+	s.tries[id][one] = true
+}
+
+func (s *service) end(one *try) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	id := one.grant.Instance.ID
+	delete(s.tries[id], one)
+	if len(s.tries[id]) == 0 {
+		delete(s.tries, id)
+	}
+}
+
+// first notes the first try of a request.
+func (t *traffic) first(s *service) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.budget.Request(t.now())
+}
+
+// spend takes one second try from the budget.
+func (t *traffic) spend(s *service) bool {
+	n := t.gatewayCount()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.budget.Spend(t.now(), n)
+}
+
+// asked notes a key for the next report.
+func (s *service) asked(key uint16) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.keys) < mostKeys {
+		s.keys = append(s.keys, key)
+	}
+}
+
+// report returns what is to be told the leader, and forgets the keys.
+func (t *traffic) report() (loads []dispatch.Load, keys map[string][]uint16) {
+	now := t.now()
+	keys = make(map[string][]uint16)
+	for name, s := range t.all() {
+		s.mu.Lock()
+		loads = append(loads, s.dispatch.Loads(now)...)
+		if len(s.keys) > 0 {
+			keys[name] = s.keys
+			s.keys = nil
+		}
+		s.mu.Unlock()
+	}
+	return loads, keys
+}
+
+// reported takes over what the other gateways have in flight. Upstreams that
+// are not listed have nothing.
+func (t *traffic) reported(others map[string]float64) {
+	now := t.now()
+	for _, s := range t.all() {
+		s.mu.Lock()
+		s.dispatch.ReportAll(now, others)
+		s.mu.Unlock()
+	}
+}
--- /dev/null
+++ b/gateway/view.go
@@ -0,0 +1,104 @@
+package gateway
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"github.com/rockcroft/rockcroft/state/instances"
+	"github.com/rockcroft/rockcroft/state/routing"
+	"github.com/rockcroft/rockcroft/state/spans"
+)
+
+// view is what this process believes: configuration, upstreams, owners of
+// keys. Nothing in it goes back to an older version.
+type view struct {
+	table  atomic.Pointer[routing.Table]
+	inst   atomic.Pointer[instances.View]
+	owners atomic.Pointer[map[string]*spans.Table]
+
+	mu sync.Mutex
+	// configRevision is the store's revision of the configuration, configSpec
+	// its encoded form, to be handed on.
+	configRevision uint64
+	configSpec     []byte
+	// instVersion tells versions of the view of upstreams apart.
+	instVersion uint64
+	changed     chan struct{}
+	// onInstances is called, with the lock held, when upstreams have changed.
+	onInstances func(*instances.View)
+}
+
+func newView() *view {
+	v := &view{changed: make(chan struct{})}
+	v.owners.Store(&map[string]*spans.Table{})
+	return v
+}
+
+// wait returns a channel that is closed at the next change.
+func (v *view) wait() <-chan struct{} {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.changed
+}
+
+func (v *view) signal() {
+	close(v.changed)
+	v.changed = make(chan struct{})
+}
+
+// setConfiguration takes over a newer configuration and reports whether it was
+// newer.
+func (v *view) setConfiguration(revision uint64, spec []byte, c *routing.Configuration) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if old := v.table.Load(); old != nil && c.Version <= old.Version {
+		return false
+	}
+	v.configRevision = revision
+	v.configSpec = spec
+	v.table.Store(routing.NewTable(c))
+	v.signal()
+	return true
+}
+
+// setInstances takes over a view of upstreams that is at least as new.
+func (v *view) setInstances(version uint64, next *instances.View) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if old := v.inst.Load(); old != nil && (next.Revision < old.Revision || version == v.instVersion) {
+		return false
+	}
+	v.instVersion = version
+	v.inst.Store(next)
+	v.onInstances(next)
+	v.signal()
+	return true
+}
+
+// setSpans takes over a newer assignment of a service.
+func (v *view) setSpans(t *spans.Table) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	old := *v.owners.Load()
+	if known := old[t.Service]; known != nil && t.Version <= known.Version {
+		return false
+	}
+	next := make(map[string]*spans.Table, len(old)+1)
+	for name, table := range old {
+		next[name] = table
+	}
+	next[t.Service] = t
+	v.owners.Store(&next)
+	v.signal()
+	return true
+}
+
+// spansOf returns the assignment of a service, or nil.
+func (v *view) spansOf(service string) *spans.Table { return (*v.owners.Load())[service] }
+
+// encoded is the configuration in the form that is handed on.
+func (v *view) encoded() (revision uint64, spec []byte, instVersion uint64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.configRevision, v.configSpec, v.instVersion
+}
--- /dev/null
+++ b/gateway/watch.go
@@ -0,0 +1,204 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/rockcroft/rockcroft/platform"
+	"github.com/rockcroft/rockcroft/state/instances"
+)
+
+const (
+	// watchWait is how long one watch waits for changes: short enough that a
+	// path that fell silent is noticed by its end.
+	watchWait = 4 * time.Second
+	// joinEvents is how long changes are collected before the next watch.
+	joinEvents = 100 * time.Millisecond
+	// firstBackoff and longestBackoff bound the pause after a failed call.
+	firstBackoff   = 100 * time.Millisecond
+	longestBackoff = 800 * time.Millisecond
+	// settleInterval is the time between looks at upstreams that are missing.
+	settleInterval = 100 * time.Millisecond
+)
+
+// watcher keeps the view up to date from the platform's store, while it is
+// wanted: in the leader, and in a gateway that hears from no leader.
+type watcher struct {
+	store *platform.Store
+	view  *view
+	now   func() time.Time
+	log   *slog.Logger
+
+	mu      sync.Mutex
+	tracker *instances.Tracker
+	// badVersion is the revision of a configuration that cannot be read.
+	badVersion uint64
+	badEntries map[string]uint64
+}
+
+func newWatcher(store *platform.Store, v *view, now func() time.Time, log *slog.Logger) *watcher {
+	return &watcher{store: store, view: v, now: now, log: log, badEntries: make(map[string]uint64)}
+}
+
+// run watches until ctx ends.
+func (w *watcher) run(ctx context.Context) {
+	w.mu.Lock()
+	w.tracker = instances.NewTracker(w.view.inst.Load(), w.now())
+	w.mu.Unlock()
+	var all sync.WaitGroup
+	all.Go(func() { w.follow(ctx, platform.ConfigKind, w.listConfiguration, w.configurationEvents) })
+	all.Go(func() { w.follow(ctx, platform.InstancesKind, w.listInstances, w.instanceEvents) })
+	all.Go(func() { w.settle(ctx) })
+	all.Wait()
+}
+
+// follow lists a kind and watches it from there, listing again when the
+// history is gone.
+func (w *watcher) follow(ctx context.Context, kind string, list func([]platform.Object, uint64), events func([]platform.Object, uint64)) {
+	backoff := firstBackoff
+	revision, known := uint64(0), false
+	for ctx.Err() == nil {
+		var err error
+		if !known {
+			var objects []platform.Object
+			if objects, revision, err = w.store.List(ctx, kind); err == nil {
+				known = true
+				list(objects, revision)
+			}
+		} else {
+			var changes []platform.Object
+			var next uint64
+			if changes, next, err = w.store.Watch(ctx, kind, revision, watchWait); err == nil {
+				revision = max(revision, next)
+				if len(changes) > 0 {
+					events(changes, revision)
+					pause(ctx, joinEvents)
+				}
+			}
+		}
+		switch {
+		case err == nil:
+			backoff = firstBackoff
+		case errors.Is(err, platform.ErrCompacted):
+			w.log.Info("store history compacted, listing again", "kind", kind, "revision", revision)
+			known = false
+		default:
+			pause(ctx, backoff)
+			backoff = min(2*backoff, longestBackoff)
+		}
+	}
+}
+
+// pause sleeps until ctx ends at the latest.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+func (w *watcher) listConfiguration(objects []platform.Object, _ uint64) {
+	for _, o := range objects {
+		w.takeConfiguration(o)
+	}
+}
+
+func (w *watcher) configurationEvents(changes []platform.Object, _ uint64) {
+	for _, o := range changes {
+		if !o.Removed {
+			w.takeConfiguration(o)
+		}
+	}
+}
+
+func (w *watcher) takeConfiguration(o platform.Object) {
+	if o.Name != platform.ConfigName {
+		return
+	}
+	c, err := platform.DecodeConfiguration(o.Spec)
+	if err != nil {
+		if w.badVersion != o.Revision {
+			w.badVersion = o.Revision
+			w.log.Error("configuration cannot be read, the last one stays in force", "revision", o.Revision, "error", err)
+		}
+		return
+	}
+	if w.view.setConfiguration(o.Revision, o.Spec, c) {
+		w.log.Info("configuration in force", "version", c.Version, "routes", len(c.Routes), "from", "store")
+	}
+}
+
+func (w *watcher) listInstances(objects []platform.Object, revision uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	list := make([]instances.Instance, 0, len(objects))
+	for _, o := range objects {
+		if one, ok := w.decode(o); ok {
+			list = append(list, one)
+		}
+	}
+	w.tracker.List(w.now(), revision, list)
+	w.tracker.Settle(w.now())
+	w.view.setInstances(reversed(w.tracker.View()))
+}
+
+func (w *watcher) instanceEvents(changes []platform.Object, revision uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, o := range changes {
+		if o.Removed {
+			w.log.Info("upstream entry gone", "upstream", o.Name)
+			w.tracker.Remove(w.now(), o.Name)
+			continue
+		}
+		if one, ok := w.decode(o); ok {
+			w.log.Info("upstream entry", "upstream", one.ID, "service", one.Service, "address", one.Address, "leaving", one.Leaving)
+			w.tracker.Put(one)
+		}
+	}
+	w.tracker.Advance(revision)
+	w.tracker.Settle(w.now())
+	w.view.setInstances(reversed(w.tracker.View()))
+}
+
+func reversed(v *instances.View, version uint64) (uint64, *instances.View) { return version, v }
+
+// decode reads one entry. One that cannot be read is logged once and left
+// alone.
+func (w *watcher) decode(o platform.Object) (instances.Instance, bool) {
+	one, err := platform.DecodeInstance(o)
+	if err == nil {
+		return one, true
+	}
+	if w.badEntries[o.Name] != o.Revision {
+		w.badEntries[o.Name] = o.Revision
+		w.log.Error("upstream entry cannot be read", "upstream", o.Name, "error", err)
+	}
+	return instances.Instance{}, false
+}
+
+// settle turns upstreams whose entries stay away into leaving ones.
+func (w *watcher) settle(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause(ctx, settleInterval)
+		w.mu.Lock()
+		if w.tracker.Settle(w.now()) {
+			w.view.setInstances(reversed(w.tracker.View()))
+		}
+		w.mu.Unlock()
+	}
+}
+
+// returned tells the watcher that the store was away and is back.
+func (w *watcher) returned() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.tracker != nil {
+		w.tracker.Returned(w.now())
+	}
+}
--- a/process/process.go
+++ b/process/process.go
@@ -41,6 +41,9 @@
 	Short string
 	// Settings are filled from the file before Run is called.
 	Settings jsonc.Checker
+	// Path is the settings file when the flag is not given; empty requires the
+	// flag.
+	Path string
 	// Run serves until ctx ends.
 	Run func(ctx context.Context) error
 }
@@ -63,8 +66,11 @@
 			return d.Run(cmd.Context())
 		},
 	}
-	cmd.Flags().StringVar(&path, "settings", "", "settings file, JSON with comments")
-	_ = cmd.MarkFlagRequired("settings")
+	cmd.Flags().StringVar(&path, "settings", d.Path, "settings file, JSON with comments")
+	if d.Path == "" {
+		// The flag was defined on the line before, so marking cannot fail.
+		_ = cmd.MarkFlagRequired("settings")
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	if err := cmd.ExecuteContext(ctx); err != nil {
--- a/protocol/answer/write.go
+++ b/protocol/answer/write.go
@@ -19,7 +19,8 @@
 	Message string `json:"message"`
 }
 
-// Write sends the answer for err by the table. Headers already set on w stay.
+// Write sends the answer for err by the table. Headers already set on w stay,
+// a time to come back among them.
 func Write(w http.ResponseWriter, err error) {
 	kind := KindOf(err)
 	row := kind.Row()
@@ -27,7 +28,7 @@
 	h.Set("Content-Type", "application/json")
 	h.Set(header.Kind, string(kind))
 	h.Set(header.Ran, string(row.Ran))
-	if after := retryAfter(row, err); after > 0 {
+	if after := retryAfter(row, err); after > 0 && h.Get("Retry-After") == "" {
 		seconds := int(math.Ceil(after.Seconds()))
 		h.Set("Retry-After", strconv.Itoa(max(seconds, 1)))
 	}
--- /dev/null
+++ b/state/instances/tracker.go
@@ -0,0 +1,132 @@
+package instances
+
+import "time"
+
+const (
+	// lapseGrace is how long after the store's return entries that are missing
+	// are waited for: those that lapsed while it was away are back by then.
+	lapseGrace = 2 * time.Second
+	// keepGone is how long an upstream whose entry is gone is kept as leaving,
+	// so that it can still hand its keys over.
+	keepGone = 15 * time.Second
+)
+
+// Tracker follows the entries of upstreams in the store. It is not safe for
+// concurrent use.
+type Tracker struct {
+	revision uint64
+	known    map[string]Instance
+	// missing are upstreams without an entry: since when, and until when the
+	// entry may come back.
+	missing map[string]missing
+	// returned is when the store was last reached again after an outage.
+	returned time.Time
+	sub      uint64
+}
+
+type missing struct {
+	since   time.Time
+	settles time.Time
+}
+
+// NewTracker returns a tracker that knows what the view shows.
+func NewTracker(v *View, now time.Time) *Tracker {
+	t := &Tracker{known: make(map[string]Instance), missing: make(map[string]missing)}
+	if v == nil {
+		return t
+	}
+	t.revision = v.Revision
+	for _, one := range v.All() {
+		t.known[one.ID] = one
+		if one.Leaving {
+			t.missing[one.ID] = missing{since: now, settles: now}
+		}
+	}
+	return t
+}
+
+// Revision returns the store's revision to watch from.
+func (t *Tracker) Revision() uint64 { return t.revision }
+
+// Returned notes that the store is reached again after an outage.
+func (t *Tracker) Returned(now time.Time) { t.returned = now }
+
+// List takes over the whole list of entries at a revision.
+func (t *Tracker) List(now time.Time, revision uint64, list []Instance) {
+	t.revision = revision
+	listed := make(map[string]bool, len(list))
+	for _, one := range list {
+		listed[one.ID] = true
+		t.put(one)
+	}
+	for id := range t.known {
+		if !listed[id] {
+			t.remove(now, id)
+		}
+	}
+}
+
+// Put takes over one entry that was added or changed.
+func (t *Tracker) Put(one Instance) { t.put(one) }
+
+func (t *Tracker) put(one Instance) {
+	t.known[one.ID] = one
+	delete(t.missing, one.ID)
+}
+
+// Remove notes that the entry of an upstream has gone.
+func (t *Tracker) Remove(now time.Time, id string) { t.remove(now, id) }
+
+func (t *Tracker) remove(now time.Time, id string) {
+	if _, ok := t.known[id]; !ok {
+		return
+	}
+	if _, ok := t.missing[id]; ok {
+		return
+	}
+	t.missing[id] = missing{since: now, settles: later(now, t.returned.Add(lapseGrace))}
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
+// Advance notes the revision up to which changes are known.
+func (t *Tracker) Advance(revision uint64) { t.revision = max(t.revision, revision) }
+
+// Settle turns missing upstreams into leaving ones when their time is over,
+// forgets those that are long gone, and reports whether anything changed.
+func (t *Tracker) Settle(now time.Time) bool {
+	changed := false
+	for id, m := range t.missing {
+		one := t.known[id]
+		switch {
+		case now.Sub(m.since) > keepGone:
+			delete(t.known, id)
+			delete(t.missing, id)
+			changed = true
+		case !one.Leaving && !now.Before(m.settles):
+			one.Leaving = true
+			t.known[id] = one
+			changed = true
+		}
+	}
+	return changed
+}
+
+// View returns the present view and a version that differs from former ones of
+// the same revision.
+func (t *Tracker) View() (*View, uint64) {
+	list := make([]Instance, 0, len(t.known))
+	for _, one := range t.known {
+		list = append(list, one)
+	}
+	t.sub++
+	return NewView(t.revision, list), t.revision<<versionBits | t.sub%(1<<versionBits)
+}
+
+// versionBits are the bits of a version that tell views of one revision apart.
+const versionBits = 16
--- /dev/null
+++ b/transport/pool/errors.go
@@ -0,0 +1,46 @@
+package pool
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"syscall"
+)
+
+// failure is an error with the facts that callers test for.
+type failure struct {
+	kinds []error
+	cause error
+}
+
+func (f *failure) Error() string { return fmt.Sprintf("%v: %v", f.kinds[0], f.cause) }
+
+// Unwrap lets errors.Is find the kinds and the cause.
+func (f *failure) Unwrap() []error { return append(f.kinds[:len(f.kinds):len(f.kinds)], f.cause) }
+
+func dialError(ctx context.Context, err error) error {
+	f := &failure{kinds: []error{ErrNotSent}, cause: err}
+	var timeout net.Error
+	switch {
+	case ctx.Err() != nil:
+		f.cause = context.Cause(ctx)
+	case errors.Is(err, syscall.ECONNREFUSED), errors.Is(err, syscall.ECONNRESET):
+		f.kinds = append(f.kinds, ErrRefused)
+	case errors.As(err, &timeout) && timeout.Timeout():
+		f.kinds = append(f.kinds, ErrDialTimeout)
+	}
+	return f
+}
+
+// ioError classifies an error after the connection was there.
+func ioError(ctx context.Context, sent bool, err error) error {
+	f := &failure{kinds: []error{ErrBroken}, cause: err}
+	if ctx.Err() != nil {
+		f.cause = context.Cause(ctx)
+	}
+	if !sent {
+		f.kinds = append(f.kinds, ErrNotSent)
+	}
+	return f
+}
--- /dev/null
+++ b/transport/pool/pool.go
@@ -0,0 +1,217 @@
+// Package pool is a small HTTP/1.1 client with its own connections. It exists
+// because net/http's client repeats some requests by itself and does not say
+// whether a request was sent. Here each call sends at most once, an answer is
+// taken only for the request it belongs to, and a connection with bytes that
+// belong to no request is never used again.
+package pool
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Limits of a pool.
+type Limits struct {
+	// Dial bounds the time to open a connection.
+	Dial time.Duration
+	// MaxIdle is how long a connection may be idle and still be used.
+	MaxIdle time.Duration
+	// MaxIdleOnce is the same for requests that must not run twice: the less
+	// idle a connection was, the less likely its end crosses the request.
+	MaxIdleOnce time.Duration
+	// MaxIdleConns bounds the idle connections to one address.
+	MaxIdleConns int
+	// MaxBody bounds an answer's body in bytes.
+	MaxBody int64
+}
+
+// Request is one request to be sent once.
+type Request struct {
+	Method string
+	// Target is path and query as they go on the wire.
+	Target string
+	Host   string
+	Header http.Header
+	Body   []byte
+	// EchoHeader and Echo: if set, only an answer that bears the value in the
+	// header is the answer to this request.
+	EchoHeader string
+	Echo       string
+	// Once says that the request must not run twice.
+	Once bool
+}
+
+// Response is a whole answer.
+type Response struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Errors to be tested with errors.Is.
+var (
+	// ErrNotSent: not a byte of the request was sent.
+	ErrNotSent = errors.New("not sent")
+	// ErrRefused: the address refuses connections; also ErrNotSent.
+	ErrRefused = errors.New("connection refused")
+	// ErrDialTimeout: no connection within the bound; also ErrNotSent.
+	ErrDialTimeout = errors.New("no connection in time")
+	// ErrBroken: the connection ended before a whole answer.
+	ErrBroken = errors.New("connection broken")
+	// ErrForeign: the answer belongs to another request.
+	ErrForeign = errors.New("answer to another request")
+)
+
+// Pool keeps connections to many addresses. It is safe for concurrent use.
+type Pool struct {
+	limits Limits
+	now    func() time.Time
+
+	mu    sync.Mutex
+	idle  map[string][]*conn
+	stats Stats
+}
+
+// Stats counts what a pool has done.
+type Stats struct {
+	// Opened counts connections opened, Reused requests on kept ones.
+	Opened, Reused uint64
+	// Stale counts kept connections that had ended when they were wanted.
+	Stale uint64
+	// Foreign counts answers to other requests.
+	Foreign uint64
+}
+
+// New returns an empty pool.
+func New(limits Limits, now func() time.Time) *Pool {
+	return &Pool{limits: limits, now: now, idle: make(map[string][]*conn)}
+}
+
+// Stats returns the counters.
+func (p *Pool) Stats() Stats {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.stats
+}
+
+// Do sends the request once and returns the whole answer. When ctx ends, the
+// connection is reset, so that what is still on its way is lost.
+func (p *Pool) Do(ctx context.Context, addr string, r *Request) (*Response, error) {
+	c := p.kept(addr, r.Once)
+	if c == nil {
+		var err error
+		if c, err = p.dial(ctx, addr); err != nil {
+			return nil, err
+		}
+	}
+	resp, keep, err := c.exchange(ctx, r, p.limits.MaxBody)
+	if errors.Is(err, ErrForeign) || c.foreign > 0 {
+		p.count(func(s *Stats) { s.Foreign++ })
+	}
+	if err != nil {
+		c.reset()
+		return nil, err
+	}
+	if keep {
+		p.keep(addr, c)
+	} else {
+		c.close()
+	}
+	return resp, nil
+}
+
+func (p *Pool) count(f func(*Stats)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	f(&p.stats)
+}
+
+// kept returns the connection that was used last and is still good.
+func (p *Pool) kept(addr string, once bool) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.now()
+	for {
+		list := p.idle[addr]
+		if len(list) == 0 {
+			return nil
+		}
+		c := list[len(list)-1]
+		age := now.Sub(c.idleSince)
+		if once && age > p.limits.MaxIdleOnce && age <= p.allowed(c) {
+			return nil
+		}
+		p.idle[addr] = list[:len(list)-1]
+		if age <= p.allowed(c) && c.quiet() {
+			p.stats.Reused++
+			return c
+		}
+		p.stats.Stale++
+		c.close()
+	}
+}
+
+// allowed is how long the connection may be idle: the bound of the pool, or
+// less if the other side announced less.
+func (p *Pool) allowed(c *conn) time.Duration {
+	if c.announced > 0 {
+		return min(p.limits.MaxIdle, c.announced*keepAliveShare/keepAliveParts)
+	}
+	return p.limits.MaxIdle
+}
+
+// A connection is used for three quarters of the announced time: the other
+// side counts from when its answer left.
+const (
+	keepAliveShare = 3
+	keepAliveParts = 4
+)
+
+func (p *Pool) keep(addr string, c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c.idleSince = p.now()
+	list := p.idle[addr]
+	if len(list) >= p.limits.MaxIdleConns {
+		list[0].close()
+		list = append(list[:0], list[1:]...)
+	}
+	p.idle[addr] = append(list, c)
+}
+
+// Expire closes connections that were idle for too long. It is to be called
+// from time to time.
+func (p *Pool) Expire() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.now()
+	for addr, list := range p.idle {
+		kept := list[:0]
+		for _, c := range list {
+			if now.Sub(c.idleSince) > p.allowed(c) {
+				c.close()
+				continue
+			}
+			kept = append(kept, c)
+		}
+		if len(kept) == 0 {
+			delete(p.idle, addr)
+			continue
+		}
+		p.idle[addr] = kept
+	}
+}
+
+func (p *Pool) dial(ctx context.Context, addr string) (*conn, error) {
+	dialer := net.Dialer{Timeout: p.limits.Dial, KeepAlive: -1}
+	nc, err := dialer.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, dialError(ctx, err)
+	}
+	p.count(func(s *Stats) { s.Opened++ })
+	return newConn(nc), nil
+}
