--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -48,13 +48,14 @@
 	// silentFactor is how many times the estimated delay an upstream may
 	// leave everything unanswered before it counts as silent, silentLeast the
 	// least time for that.
-	silentFactor = 4
+	silentFactor = 5
 	silentLeast  = 350 * time.Millisecond
 	// reportHalf is the age at which a report of other gateways' requests
 	// counts for half; they are collected a few times a second.
 	reportHalf = time.Second
-	// defaultWork is the assumed work time before any answer was seen.
-	defaultWork = 60 * time.Millisecond
+	// firstWorkPart is the part of a route's objective that a run is assumed to
+	// take before any answer was seen: one third on all sheets.
+	firstWorkPart = 3
 	// fullPause is how long an upstream that refused for want of room gets
 	// nothing more than it already has.
 	fullPause = 60 * time.Millisecond
--- a/coordination/dispatch/service.go
+++ b/coordination/dispatch/service.go
@@ -76,7 +76,7 @@
 
 // NewService returns a service without upstreams, seen from a failure domain.
 func NewService(domain string, rng *rand.Rand) *Service {
-	return &Service{domain: domain, rng: rng, upstreams: make(map[string]*Upstream), typical: defaultWork}
+	return &Service{domain: domain, rng: rng, upstreams: make(map[string]*Upstream)}
 }
 
 // SetUpstreams takes over which upstreams there are. What is known of those
@@ -121,6 +121,9 @@
 // Offer asks for an upstream. Without a grant or a refusal the request waits
 // for its verdict.
 func (s *Service) Offer(now time.Time, w *Want) (Grant, Refusal, bool) {
+	if s.typical == 0 {
+		s.typical = w.Objective / firstWorkPart
+	}
 	if g, ok := s.grant(now, w); ok {
 		return g, 0, true
 	}
@@ -240,7 +243,7 @@
 		return
 	}
 	u.ended(now, g.Began, g.Ahead, o)
-	if o == Answered {
+	if o == Answered && u.work > 0 {
 		s.typical += time.Duration(workWeight / 4 * float64(u.work-s.typical))
 	}
 	s.pump(now)
--- a/coordination/ownership/plan.go
+++ b/coordination/ownership/plan.go
@@ -18,9 +18,10 @@
 	mostSpans = 28
 	// busyUtilization is the share of its capacity below which an upstream
 	// gives nothing away for balance.
-	busyUtilization = 0.55
-	// unevenness is the difference in utilization that is worth a move.
-	unevenness = 0.12
+	busyUtilization = 0.6
+	// unevenness is the difference in utilization that is worth a move: the
+	// noise of counts over a second or two is about half of it.
+	unevenness = 0.25
 	// mostMoves bounds the moves for balance in one plan.
 	mostMoves = 6
 	// coldLoad is the load, in requests a second, that each key counts for
@@ -53,6 +54,9 @@
 	Owners []Owner
 	// Load is requests a second by key.
 	Load map[uint16]float64
+	// Resting are the first keys of spans that have moved lately: they are not
+	// moved again for balance.
+	Resting map[uint16]bool
 }
 
 // First returns the first assignment of a service over the owners.
@@ -88,13 +92,14 @@
 
 // plan is a plan in the making.
 type plan struct {
-	table  *spans.Table
-	load   map[uint16]float64
-	sorted []uint16
-	owners map[string]*Owner
-	usable []*Owner
-	loads  map[string]float64
-	moves  int
+	table   *spans.Table
+	load    map[uint16]float64
+	resting map[uint16]bool
+	sorted  []uint16
+	owners  map[string]*Owner
+	usable  []*Owner
+	loads   map[string]float64
+	moves   int
 }
 
 // Make returns the table with the moves that are due, or nil when there are
@@ -116,10 +121,11 @@
 
 func newPlan(in Input) *plan {
 	p := &plan{
-		table:  in.Table.Clone(),
-		load:   in.Load,
-		owners: make(map[string]*Owner, len(in.Owners)),
-		loads:  make(map[string]float64, len(in.Owners)),
+		table:   in.Table.Clone(),
+		load:    in.Load,
+		resting: in.Resting,
+		owners:  make(map[string]*Owner, len(in.Owners)),
+		loads:   make(map[string]float64, len(in.Owners)),
 	}
 	for key := range in.Load {
 		p.sorted = append(p.sorted, key)
@@ -271,7 +277,7 @@
 	}
 	best, bestLoad := -1, 0.0
 	for i, s := range p.table.Spans {
-		if s.Moving() || s.Owner != from.ID {
+		if s.Moving() || s.Owner != from.ID || p.resting[s.First] {
 			continue
 		}
 		if load := p.loadOf(s.Keys); load > bestLoad {
@@ -346,7 +352,7 @@
 	i := p.table.At(hot)
 	s := p.table.Spans[i]
 	owner := p.owners[s.Owner]
-	if s.Moving() || owner == nil || most < hotShare*owner.Capacity {
+	if s.Moving() || owner == nil || most < hotShare*owner.Capacity || p.resting[s.First] && s.Count() == 1 {
 		return
 	}
 	best := p.strongest()
--- a/gateway/grants.go
+++ b/gateway/grants.go
@@ -180,6 +180,7 @@
 			t.Owner, t.Fence, t.Next, t.NextFence = owner, fence, "", 0
 		}
 	}
+	k.settled[s.First] = k.now()
 	k.unsaved = true
 	k.publish()
 }
--- a/gateway/keeper.go
+++ b/gateway/keeper.go
@@ -42,6 +42,9 @@
 	releaseTimeout = 2500 * time.Millisecond
 	// callPause is the time between tries of a call.
 	callPause = 80 * time.Millisecond
+	// restTime is how long a span that has moved is not moved again for
+	// balance: its load on the new owner must show first.
+	restTime = 2 * time.Second
 	// silentOwner is how long an owner's grants must have failed before its
 	// keys are given to others.
 	silentOwner = 900 * time.Millisecond
@@ -73,6 +76,8 @@
 	// holds is until when an upstream may hold keys by the grants known here,
 	// by the first key of the span.
 	holds map[uint16]time.Time
+	// settled is when a span's last move ended.
+	settled map[uint16]time.Time
 	// renewed is when a span's grant was last renewed.
 	renewed map[uint16]time.Time
 	// moving are the fences of moves under way here.
@@ -89,7 +94,7 @@
 func newKeeper(s *steward, service string, term uint64) *keeper {
 	return &keeper{
 		steward: s, service: service, term: term, log: s.log.With("service", service),
-		heat: ownership.NewHeat(s.now()), holds: make(map[uint16]time.Time), renewed: make(map[uint16]time.Time),
+		heat: ownership.NewHeat(s.now()), holds: make(map[uint16]time.Time), renewed: make(map[uint16]time.Time), settled: make(map[uint16]time.Time),
 		moving: make(map[uint64]bool), renewing: make(map[string]bool),
 		failing: make(map[string]time.Time), dead: make(map[string]bool),
 	}
@@ -259,16 +264,28 @@
 func (k *keeper) plan(ctx context.Context) {
 	owners := k.candidates()
 	k.mu.Lock()
-	next := ownership.Make(ownership.Input{Table: k.table, Owners: owners, Load: k.rates()})
+	next := ownership.Make(ownership.Input{Table: k.table, Owners: owners, Load: k.rates(), Resting: k.resting()})
 	k.mu.Unlock()
 	if next == nil {
 		return
 	}
-	k.store1(ctx, next)
+	k.commit(ctx, next)
 }
 
-// store1 writes a table with new moves and adopts it when it is stored.
-func (k *keeper) store1(ctx context.Context, next *spans.Table) {
+// resting returns the first keys of spans that have moved lately. The lock is
+// held.
+func (k *keeper) resting() map[uint16]bool {
+	out := make(map[uint16]bool)
+	for first, at := range k.settled {
+		if k.now().Sub(at) < restTime {
+			out[first] = true
+		}
+	}
+	return out
+}
+
+// commit writes a table with new moves and adopts it when it is stored.
+func (k *keeper) commit(ctx context.Context, next *spans.Table) {
 	if err := next.Check(); err != nil {
 		k.log.Error("plan dropped", "error", err)
 		return
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -71,12 +71,10 @@
 		} else {
 			var changes []platform.Object
 			var next uint64
-			if changes, next, err = w.store.Watch(ctx, kind, revision, watchWait); err == nil {
-				revision = max(revision, next)
-				if len(changes) > 0 {
-					events(changes, revision)
-					pause(ctx, joinEvents)
-				}
+			if changes, next, err = w.store.Watch(ctx, kind, revision, watchWait); err == nil && len(changes) > 0 {
+				revision = advance(revision, changes, next)
+				events(changes, revision)
+				pause(ctx, joinEvents)
 			}
 		}
 		switch {
@@ -92,6 +90,22 @@
 	}
 }
 
+// advance returns the revision to watch from after changes were received. It
+// is that of the last change and not the one the store names: a watch that hears
+// nothing while changes are made names a revision beyond them. When the store
+// has dropped that history it says so, and the kind is listed anew.
+func advance(revision uint64, changes []platform.Object, named uint64) uint64 {
+	last := uint64(0)
+	for _, o := range changes {
+		last = max(last, o.Revision)
+	}
+	if last > revision {
+		return last
+	}
+	// A removal may bear the revision of the object's last change.
+	return max(revision, named)
+}
+
 // pause sleeps until ctx ends at the latest.
 func pause(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
