--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -40,6 +40,8 @@
 	heard time.Time
 	// refused says that the leader's address refuses connections.
 	refused bool
+	// resigned says that the known leader answers and leads no more.
+	resigned bool
 }
 
 // run follows until ctx ends.
@@ -73,12 +75,15 @@
 		return false
 	}
 	f.take(resp)
+	f.mu.Lock()
+	f.refused, f.resigned = false, !resp.Leading
+	if resp.Leading {
+		f.heard = f.now()
+	}
+	f.mu.Unlock()
 	if !resp.Leading {
 		return false
 	}
-	f.mu.Lock()
-	f.heard, f.refused = f.now(), false
-	f.mu.Unlock()
 	others := make(map[string]float64, len(resp.Loads))
 	for _, l := range resp.Loads {
 		others[l.Instance] = float64(l.Inflight)
@@ -176,10 +181,10 @@
 	f.heard = f.now()
 }
 
-// lostFor returns how long no leader has answered, and whether its address
-// refuses connections, so that its process has ended.
-func (f *follower) lostFor() (time.Duration, bool) {
+// lostFor returns how long no leader has answered, whether the address of the
+// known one refuses connections, and whether it answers and leads no more.
+func (f *follower) lostFor() (lost time.Duration, refused, resigned bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.now().Sub(f.heard), f.refused
+	return f.now().Sub(f.heard), f.refused, f.resigned
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -196,8 +196,6 @@
 	g.stop(server)
 	stopWork()
 	loops.Wait()
-	g.steward.stop()
-	g.steward.wait()
 	return err
 }
 
--- a/gateway/grants.go
+++ b/gateway/grants.go
@@ -48,7 +48,7 @@
 	taken := k.now()
 	next := k.instance(s.Next)
 	if next == nil || next.Leaving {
-		k.settle(s, "", s.NextFence)
+		k.settle(s, k.perhaps(s), s.NextFence)
 		return
 	}
 	verdict, err := k.give(ctx, s, next, token)
@@ -64,7 +64,7 @@
 	case err == nil, errors.Is(err, pool.ErrNotSent):
 		k.log.Warn("keys not granted", "first", s.First, "upstream", s.Next, "error", err)
 		k.fails(s.Next)
-		k.settle(s, "", s.NextFence)
+		k.settle(s, k.perhaps(s), s.NextFence)
 	default:
 		// The grant may arrive yet: the upstream counts as the owner until
 		// its hold would have ended.
@@ -74,6 +74,17 @@
 	}
 }
 
+// perhaps returns the next owner of a move whose grant was not sent here, if it
+// may have been sent by the leader before: it then counts as the owner.
+func (k *keeper) perhaps(s spans.Span) string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.inherited[s.NextFence] {
+		return s.Next
+	}
+	return ""
+}
+
 // takeBack releases keys from their owner, or waits until its hold has ended.
 // It reports whether nobody holds them any more.
 func (k *keeper) takeBack(ctx context.Context, s spans.Span) (token string, free bool) {
--- a/gateway/keeper.go
+++ b/gateway/keeper.go
@@ -82,6 +82,9 @@
 	renewed map[uint16]time.Time
 	// moving are the fences of moves under way here.
 	moving map[uint64]bool
+	// inherited are the fences of moves that a leader before began: their next
+	// owner may hold the keys already.
+	inherited map[uint64]bool
 	// renewing are owners whose grants are being renewed.
 	renewing map[string]bool
 	// failing is since when the calls to an owner fail.
@@ -95,7 +98,7 @@
 	return &keeper{
 		steward: s, service: service, term: term, log: s.log.With("service", service),
 		heat: ownership.NewHeat(s.now()), holds: make(map[uint16]time.Time), renewed: make(map[uint16]time.Time), settled: make(map[uint16]time.Time),
-		moving: make(map[uint64]bool), renewing: make(map[string]bool),
+		moving: make(map[uint64]bool), inherited: make(map[uint64]bool), renewing: make(map[string]bool),
 		failing: make(map[string]time.Time), dead: make(map[string]bool),
 	}
 }
@@ -131,7 +134,21 @@
 		}
 		pause(ctx, keepInterval)
 	}
+}
+
+// finish waits for the moves under way and saves what has ended.
+func (k *keeper) finish(ctx context.Context) {
 	k.moves.Wait()
+	k.mu.Lock()
+	unsaved := k.unsaved && k.revision > 0
+	next, revision := k.table.Clone(), k.revision
+	k.mu.Unlock()
+	if !unsaved || !k.leading.mayAct() {
+		return
+	}
+	if _, err := k.save(ctx, next, revision); err != nil {
+		k.log.Warn("owners not saved at the end of the lead", "error", err)
+	}
 }
 
 // begin loads the assignment, or makes the first one.
@@ -167,6 +184,9 @@
 	until := k.leading.formerRight().Add(heldFor(k.longest))
 	for _, s := range k.table.Spans {
 		k.holds[s.First] = until
+		if s.Moving() {
+			k.inherited[s.NextFence] = true
+		}
 	}
 	k.publish()
 	k.log.Info("owners known", "spans", len(table.Spans), "last_fence", table.LastFence, "stored", revision > 0)
--- a/gateway/lead.go
+++ b/gateway/lead.go
@@ -28,7 +28,7 @@
 	// would take it.
 	claimInterval = 500 * time.Millisecond
 	// resignTimeout bounds giving the lease up at the end.
-	resignTimeout = 500 * time.Millisecond
+	resignTimeout = 1000 * time.Millisecond
 )
 
 // leading runs the part of this process in leadership.
@@ -77,7 +77,7 @@
 	started := l.now()
 	lastClaim := time.Time{}
 	for ctx.Err() == nil {
-		lost, refused := l.follower.lostFor()
+		lost, refused, resigned := l.follower.lostFor()
 		wantWatch := l.cluster.isLeading() || lost > orphanAfter
 		switch {
 		case wantWatch && stopWatch == nil:
@@ -91,7 +91,7 @@
 		}
 		if l.cluster.isLeading() {
 			l.keep(ctx)
-		} else if l.due(started, lost, refused) && l.now().Sub(lastClaim) > claimInterval {
+		} else if l.due(started, lost, refused || resigned) && l.now().Sub(lastClaim) > claimInterval {
 			lastClaim = l.now()
 			l.reach(ctx, refused)
 		}
@@ -104,7 +104,8 @@
 }
 
 // due reports whether this gateway should look whether it can lead.
-func (l *leading) due(started time.Time, lost time.Duration, refused bool) bool {
+// ended says that the leader's process or role seems to have ended.
+func (l *leading) due(started time.Time, lost time.Duration, ended bool) bool {
 	if l.resigned {
 		return false
 	}
@@ -112,8 +113,8 @@
 		return l.now().Sub(started) > time.Duration(l.firstRank)*2*rankPause
 	}
 	wait := orphanAfter
-	if refused {
-		wait = reportInterval / 2
+	if ended {
+		wait = 0
 	}
 	return lost > wait+time.Duration(l.cluster.rank())*rankPause
 }
@@ -263,15 +264,15 @@
 	if !l.cluster.isLeading() {
 		return
 	}
-	l.stop()
-	l.steward.wait()
+	ctx, cancel := context.WithTimeout(ctx, resignTimeout)
+	defer cancel()
+	l.steward.finish(ctx)
+	l.cluster.setLeading(false)
 	l.mu.Lock()
 	l.right.Drop()
 	next, revision := l.lease, l.revision
 	l.mu.Unlock()
 	next.Released = true
-	ctx, cancel := context.WithTimeout(ctx, resignTimeout)
-	defer cancel()
 	if _, err := l.store.Replace(ctx, leaseKind, leaseName, revision, next); err != nil {
 		l.log.Warn("lease not given up", "error", err)
 		return
--- a/gateway/steward.go
+++ b/gateway/steward.go
@@ -59,8 +59,19 @@
 	s.keepers = nil
 }
 
-// wait returns when all work has ended.
-func (s *steward) wait() { s.running.Wait() }
+// finish stops, waits until all work has ended and saves what it changed.
+func (s *steward) finish(ctx context.Context) {
+	s.mu.Lock()
+	keepers := s.keepers
+	s.mu.Unlock()
+	s.stop()
+	s.running.Wait()
+	for _, k := range keepers {
+		if k.table != nil {
+			k.finish(ctx)
+		}
+	}
+}
 
 // run starts a keeper for each keyed service of the configuration, and notes
 // this process's own load as the other gateways report theirs.
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -12,9 +12,10 @@
 )
 
 const (
-	// watchWait is how long one watch waits for changes: short enough that a
-	// path that fell silent is noticed by its end.
-	watchWait = 4 * time.Second
+	// watchWait is how long one watch waits for changes. Around a compaction a
+	// watch hears nothing and only the next one is told so, and a path may fall
+	// silent: changes are to be in force within two seconds all the same.
+	watchWait = 1200 * time.Millisecond
 	// joinEvents is how long changes are collected before the next watch.
 	joinEvents = 100 * time.Millisecond
 	// firstBackoff and longestBackoff bound the pause after a failed call.
@@ -37,10 +38,13 @@
 	// badVersion is the revision of a configuration that cannot be read.
 	badVersion uint64
 	badEntries map[string]uint64
+	// compacted is closed when one watch learns that history is gone, which
+	// concerns the others as well.
+	compacted chan struct{}
 }
 
 func newWatcher(store *platform.Store, v *view, now func() time.Time, log *slog.Logger) *watcher {
-	return &watcher{store: store, view: v, now: now, log: log, badEntries: make(map[string]uint64)}
+	return &watcher{store: store, view: v, now: now, log: log, badEntries: make(map[string]uint64), compacted: make(chan struct{})}
 }
 
 // run watches until ctx ends.
@@ -71,7 +75,7 @@
 		} else {
 			var changes []platform.Object
 			var next uint64
-			if changes, next, err = w.store.Watch(ctx, kind, revision, watchWait); err == nil && len(changes) > 0 {
+			if changes, next, err = w.watch(ctx, kind, revision); err == nil && len(changes) > 0 {
 				revision = advance(revision, changes, next)
 				events(changes, revision)
 				pause(ctx, joinEvents)
@@ -83,6 +87,7 @@
 		case errors.Is(err, platform.ErrCompacted):
 			w.log.Info("store history compacted, listing again", "kind", kind, "revision", revision)
 			known = false
+			w.wake()
 		default:
 			pause(ctx, backoff)
 			backoff = min(2*backoff, longestBackoff)
@@ -90,6 +95,31 @@
 	}
 }
 
+// watch waits for changes, until another watch learns of a compaction.
+func (w *watcher) watch(ctx context.Context, kind string, after uint64) ([]platform.Object, uint64, error) {
+	w.mu.Lock()
+	compacted := w.compacted
+	w.mu.Unlock()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-compacted:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return w.store.Watch(ctx, kind, after, watchWait)
+}
+
+// wake ends the watches under way.
+func (w *watcher) wake() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	close(w.compacted)
+	w.compacted = make(chan struct{})
+}
+
 // advance returns the revision to watch from after changes were received. It
 // is that of the last change and not the one the store names: a watch that hears
 // nothing while changes are made names a revision beyond them. When the store
