--- a/coordination/leadership/leadership.go
+++ b/coordination/leadership/leadership.go
@@ -4,8 +4,9 @@
 // The role is a lease in the platform's store, replaced by conditional update.
 // The holder acts only while its last successful renewal, counted from when it
 // was sent, is younger than Term. Another takes the role when the lease was
-// given up, when the holder's process is known to have ended, or when it has
-// itself seen the lease unchanged for longer than Term.
+// given up, or when it has itself seen the lease unchanged: for longer than Term,
+// or for a missed renewal when the holder refuses connections. In the latter case
+// the former holder may still act for a moment; the successor counts with that.
 package leadership
 
 import "time"
@@ -19,6 +20,8 @@
 	// that run at different speeds; takeMargin for what is on its way.
 	clockPercent = 2
 	takeMargin   = 150 * time.Millisecond
+	// missMargin is how late a renewal may be before it counts as missed.
+	missMargin = 350 * time.Millisecond
 )
 
 // Lease is the lease as it lies in the store.
@@ -80,11 +83,15 @@
 const wait = Term + Term*clockPercent/100 + takeMargin
 
 // MayTake reports whether the lease may be taken over by the process that
-// serves the address self: a former process at that address has ended. ended
-// says that the holder's process is known to have ended.
-func (c *Claim) MayTake(now time.Time, l Lease, self string, ended bool) bool {
-	if l.Released || ended || l.Address == self {
+// serves the address self: a former process at that address has ended. refused
+// says that the holder's address refuses connections: it has probably ended,
+// but a cut can look the same, so a missed renewal is waited for.
+func (c *Claim) MayTake(now time.Time, l Lease, self string, refused bool) bool {
+	if l.Released || l.Address == self {
 		return true
 	}
+	if refused {
+		return c.known && now.Sub(c.since) >= Renewal+missMargin
+	}
 	return c.known && now.Sub(c.since) >= wait
 }
--- a/gateway/grants.go
+++ b/gateway/grants.go
@@ -20,10 +20,6 @@
 func (k *keeper) startMoves(ctx context.Context) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.revision == 0 {
-		// Not stored yet: no grant may carry these fences.
-		return
-	}
 	for _, s := range k.table.Spans {
 		if !s.Moving() || k.moving[s.NextFence] {
 			continue
--- a/gateway/keeper.go
+++ b/gateway/keeper.go
@@ -71,8 +71,10 @@
 	// revision is that of the stored assignment; zero when there is none.
 	revision uint64
 	unsaved  bool
-	savedAt  time.Time
-	writes   int
+	// deposed says that a later leader keeps the service.
+	deposed bool
+	savedAt time.Time
+	writes  int
 	// holds is until when an upstream may hold keys by the grants known here,
 	// by the first key of the span.
 	holds map[uint16]time.Time
@@ -122,7 +124,7 @@
 		return
 	}
 	planned := time.Time{}
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && !k.isDeposed() {
 		if k.leading.mayAct() {
 			if k.now().Sub(planned) >= planInterval {
 				planned = k.now()
@@ -167,12 +169,45 @@
 				return false
 			}
 		}
-		k.adopt(table, revision)
-		return true
+		if k.claim(ctx, table, revision) {
+			return true
+		}
+		pause(ctx, firstBackoff)
 	}
 	return false
 }
 
+// claim writes the assignment in this leader's name before anything else is
+// done with it: what a former leader writes later is refused by the store, and
+// what it wrote before is in this table.
+func (k *keeper) claim(ctx context.Context, table *spans.Table, revision uint64) bool {
+	k.stamp(table)
+	got, err := k.save(ctx, table, revision)
+	if err != nil {
+		k.log.Warn("owners not claimed", "error", err)
+		return false
+	}
+	k.adopt(table, got)
+	return true
+}
+
+// stamp gives a table the next version and writer of this leader.
+func (k *keeper) stamp(t *spans.Table) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.stampLocked(t)
+}
+
+func (k *keeper) stampLocked(t *spans.Table) {
+	k.writes++
+	t.Version = k.term<<termShift | uint64(k.writes)
+	t.Writer = fmt.Sprintf("%s/%d", k.cluster.self.Incarnation, k.writes)
+}
+
+// termShift is where the leader's term lies in the version of an assignment:
+// versions of a later leader are higher.
+const termShift = 32
+
 // adopt takes over an assignment at the begin of this leader's term. What the
 // leader before may have granted counts as granted until its right ended.
 func (k *keeper) adopt(table *spans.Table, revision uint64) {
@@ -180,7 +215,6 @@
 	defer k.mu.Unlock()
 	k.table = table.Clone()
 	k.revision = revision
-	k.unsaved = revision == 0
 	until := k.leading.formerRight().Add(heldFor(k.longest))
 	for _, s := range k.table.Spans {
 		k.holds[s.First] = until
@@ -189,7 +223,7 @@
 		}
 	}
 	k.publish()
-	k.log.Info("owners known", "spans", len(table.Spans), "last_fence", table.LastFence, "stored", revision > 0)
+	k.log.Info("owners known", "spans", len(table.Spans), "last_fence", table.LastFence)
 }
 
 // heldFor is how long an upstream may hold keys after a grant for the time has
@@ -219,9 +253,7 @@
 // publish gives the present table to the view, and so to the other gateways.
 // The lock is held.
 func (k *keeper) publish() {
-	k.writes++
-	k.table.Version = k.term<<32 | uint64(k.writes)
-	k.table.Writer = fmt.Sprintf("%s/%d", k.cluster.self.Incarnation, k.writes)
+	k.stampLocked(k.table)
 	k.view.setSpans(k.table.Clone())
 }
 
@@ -262,6 +294,12 @@
 	return sum / time.Duration(n)
 }
 
+func (k *keeper) isDeposed() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.deposed
+}
+
 func (k *keeper) isDead(id string) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -312,9 +350,7 @@
 	}
 	k.mu.Lock()
 	revision := k.revision
-	k.writes++
-	next.Version = k.term<<32 | uint64(k.writes)
-	next.Writer = fmt.Sprintf("%s/%d", k.cluster.self.Incarnation, k.writes)
+	k.stampLocked(next)
 	before := k.table
 	k.mu.Unlock()
 	got, err := k.save(ctx, next, revision)
@@ -372,9 +408,15 @@
 		k.log.Warn("owners not loaded after a conflict", "error", err)
 		return
 	}
-	k.log.Warn("owners were changed by another write", "writer", table.Writer, "revision", revision)
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if table.Version>>termShift > k.term {
+		k.log.Warn("owners are kept by a later leader", "writer", table.Writer)
+		k.deposed = true
+		return
+	}
+	// A write of this leader took effect late. None of its moves was begun.
+	k.log.Warn("owners were changed by a late write", "writer", table.Writer, "revision", revision)
 	k.revision = revision
 	k.table.LastFence = max(k.table.LastFence, table.LastFence)
 }
