--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -45,11 +45,13 @@
 	// upstream could not be reached. It doubles with each failure in a row.
 	firstPause   = 200 * time.Millisecond
 	longestPause = 1600 * time.Millisecond
-	// silentFactor is how many times the estimated delay an upstream may
-	// leave everything unanswered before it counts as silent, silentLeast the
-	// least time for that.
-	silentFactor = 5
-	silentLeast  = 350 * time.Millisecond
+	// overdueFactor is how many times the estimated delay a request may take
+	// before it is overdue: work times have tails of three to five times the
+	// mean.
+	overdueFactor = 2
+	// silentLeast is the least time without any answer after which an upstream
+	// counts as silent.
+	silentLeast = 350 * time.Millisecond
 	// reportHalf is the age at which a report of other gateways' requests
 	// counts for half; they are collected a few times a second.
 	reportHalf = time.Second
@@ -64,6 +66,11 @@
 	warmUpSlowness = 2
 )
 
+// silentFactors are how many times the estimated delay an upstream may leave
+// everything unanswered before it counts as silent: with one, two, three or more
+// requests overdue.
+var silentFactors = []time.Duration{8, 5, 3}
+
 // Upstream is what one gateway knows of one upstream. It is not safe for
 // concurrent use.
 type Upstream struct {
@@ -120,9 +127,24 @@
 	return now.Sub(since)
 }
 
-// silent reports whether the upstream is taken to be lost or cut off.
+// silent reports whether the upstream is taken to be lost or cut off. The more
+// requests are overdue, the sooner: one may just run long.
 func (u *Upstream) silent(now time.Time, typical time.Duration) bool {
-	return u.silentFor(now) > max(silentLeast, silentFactor*u.delay(now, typical))
+	if len(u.unanswered) == 0 {
+		return false
+	}
+	delay := u.delay(now, typical)
+	overdue := 0
+	for _, at := range u.unanswered {
+		if now.Sub(at) > overdueFactor*delay {
+			overdue++
+		}
+	}
+	if overdue == 0 {
+		return false
+	}
+	factor := silentFactors[min(overdue, len(silentFactors))-1]
+	return u.silentFor(now) > max(silentLeast, factor*delay)
 }
 
 // workTime is the time of one run without waiting.
--- a/coordination/dispatch/service.go
+++ b/coordination/dispatch/service.go
@@ -60,6 +60,8 @@
 	// be in flight then.
 	Began time.Time
 	Ahead float64
+	// Expected is the estimated time until the answer.
+	Expected time.Duration
 }
 
 // Service decides for the upstreams of one service. It is not safe for
@@ -107,17 +109,6 @@
 	s.pump(now)
 }
 
-// Silent returns the upstreams that answer nothing any more.
-func (s *Service) Silent(now time.Time) []string {
-	var out []string
-	for _, u := range s.order {
-		if u.silent(now, s.typical) {
-			out = append(out, u.ID)
-		}
-	}
-	return out
-}
-
 // Offer asks for an upstream. Without a grant or a refusal the request waits
 // for its verdict.
 func (s *Service) Offer(now time.Time, w *Want) (Grant, Refusal, bool) {
@@ -195,9 +186,9 @@
 	if best == nil {
 		return Grant{}, false
 	}
-	ahead := best.inflight(now)
+	g := Grant{Instance: best.Instance, Began: now, Ahead: best.inflight(now), Expected: best.delay(now, s.typical)}
 	best.sent(now)
-	return Grant{Instance: best.Instance, Began: now, Ahead: ahead}, true
+	return g, true
 }
 
 func (s *Service) owner(now time.Time, w *Want) *Upstream {
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -27,6 +27,12 @@
 	moveShare = 0.6
 	// deadlineMargin is kept from the time that is left for the way back.
 	deadlineMargin = 5 * time.Millisecond
+	// hedgeFactor is how many times its expected delay a try may take before a
+	// second one runs beside it, hedgeLeast the least time for that: the work
+	// times on the sheets exceed three times their mean in two or three of a
+	// hundred requests.
+	hedgeFactor = 3
+	hedgeLeast  = 120 * time.Millisecond
 	// mostUnsent bounds the upstreams tried that could not be reached.
 	mostUnsent = 4
 	// retryAfter is the time to come back after a refusal for want of room.
@@ -174,45 +180,132 @@
 	return nil
 }
 
-// deliver brings the request to an upstream and returns its answer. An error
-// is the final answer, with its kind.
-func (f *front) deliver(ctx context.Context, q *request) (*pool.Response, error) {
+// result is how one try ended.
+type result struct {
+	grant dispatch.Grant
+	resp  *pool.Response
+	err   error
+}
+
+// final reports whether the result is an answer to be passed on at once.
+func (r result) final() bool {
+	return r.err == nil && r.resp.Status < http.StatusInternalServerError
+}
+
+// delivery is the work on one request: tries one after the other, and at most
+// two beside each other.
+type delivery struct {
+	*front
+	*request
+	results chan result
+	running int
+	// last is the grant of the try begun last, hedged that it got company.
+	last   dispatch.Grant
+	hedged bool
 	// kept is an upstream's own failure, to be passed on when there is no
 	// better answer.
-	var kept *pool.Response
+	kept *pool.Response
+}
+
+// deliver brings the request to an upstream and returns its answer. An error
+// is the final answer, with its kind. A request that may run more than once and
+// is overdue is sent a second time beside the first; the first answer counts.
+func (f *front) deliver(ctx context.Context, q *request) (*pool.Response, error) {
+	d := &delivery{front: f, request: q, results: make(chan result, q.route.MaxAttempts+mostUnsent+1)}
+	grant, err := f.acquire(ctx, q, false)
+	if err != nil {
+		return nil, f.giveUp(ctx, q, err)
+	}
+	d.begin(ctx, grant)
 	for {
-		grant, err := f.acquire(ctx, q)
-		if err != nil {
-			if kept != nil {
-				return kept, nil
-			}
-			return nil, f.giveUp(ctx, q, err)
+		r, ended := d.await()
+		if !ended {
+			d.hedge(ctx)
+			continue
+		}
+		if r.final() {
+			return r.resp, nil
 		}
-		resp, outcome, err := f.try(ctx, q, grant)
-		f.traffic.done(q.traffic, grant, outcome)
-		if err == nil && resp != nil && outcome == dispatch.Answered {
-			return resp, nil
+		if r.resp != nil {
+			d.kept = r.resp
 		}
-		if resp != nil {
-			kept = resp
+		again := f.mayRepeat(ctx, q, r.grant, r.err)
+		if d.running > 0 {
+			// The try beside it may still bring the answer.
+			continue
 		}
-		if !f.mayRepeat(ctx, q, grant, err) {
-			if kept != nil {
-				return kept, nil
+		if again {
+			if grant, err = f.acquire(ctx, q, false); err == nil {
+				d.begin(ctx, grant)
+				continue
 			}
-			return nil, f.giveUp(ctx, q, err)
+			r.err = err
 		}
+		if d.kept != nil {
+			return d.kept, nil
+		}
+		return nil, f.giveUp(ctx, q, r.err)
+	}
+}
+
+// begin starts a try.
+func (d *delivery) begin(ctx context.Context, grant dispatch.Grant) {
+	d.running++
+	d.last = grant
+	go d.try(ctx, d.request, grant, d.results)
+}
+
+// await waits for the end of a try, or until the only one is overdue.
+func (d *delivery) await() (r result, ended bool) {
+	if d.hedged || d.running > 1 || !d.route.Idempotent || d.arrivals+d.running >= d.route.MaxAttempts {
+		r = <-d.results
+		d.running--
+		return r, true
+	}
+	timer := time.NewTimer(max(hedgeLeast, hedgeFactor*d.last.Expected) - d.now().Sub(d.last.Began))
+	defer timer.Stop()
+	select {
+	case r = <-d.results:
+		d.running--
+		return r, true
+	case <-timer.C:
+		return result{}, false
 	}
 }
 
-// acquire finds an upstream with room.
-func (f *front) acquire(ctx context.Context, q *request) (dispatch.Grant, error) {
+// hedge begins a second try beside the overdue one, if there is room at once and
+// the budget allows it. It is tried once a request.
+func (d *delivery) hedge(ctx context.Context) {
+	d.hedged = true
+	if d.draining.Load() || d.deadline.Sub(d.now()) < d.last.Expected {
+		return
+	}
+	if !d.service.Keyed {
+		d.exclude = append(d.exclude, d.last.Instance.ID)
+	}
+	grant, err := d.acquire(ctx, d.request, true)
+	if err != nil {
+		return
+	}
+	if !d.front.traffic.spend(d.request.traffic) {
+		d.front.traffic.done(d.request.traffic, grant, dispatch.Left)
+		return
+	}
+	d.meters.inc("requests." + d.service.Name + ".hedged")
+	d.begin(ctx, grant)
+}
+
+// acquire finds an upstream with room, atOnce or after a wait.
+func (f *front) acquire(ctx context.Context, q *request, atOnce bool) (dispatch.Grant, error) {
 	for {
 		want := &dispatch.Want{
 			Priority: q.route.Priority, Objective: q.route.Objective, Deadline: q.deadline,
 			Until: q.until, Exclude: q.exclude,
 		}
-		if q.arrivals+q.unsent > 0 {
+		switch {
+		case atOnce:
+			want.Until = f.now()
+		case q.arrivals+q.unsent > 0:
 			// A second try may wait as long again.
 			want.Until = f.now().Add(q.until.Sub(q.began))
 		}
@@ -272,20 +365,19 @@
 	}
 }
 
-// try sends the request to one upstream. A response with an outcome other than
-// Answered is the upstream's own failure.
-func (f *front) try(ctx context.Context, q *request, grant dispatch.Grant) (*pool.Response, dispatch.Outcome, error) {
-	left := q.deadline.Sub(f.now())
+// try sends the request to one upstream and reports how that ended.
+func (f *front) try(ctx context.Context, q *request, grant dispatch.Grant, results chan<- result) {
+	resp, outcome, err := f.send(ctx, q, grant)
+	f.traffic.done(q.traffic, grant, outcome)
+	results <- result{grant: grant, resp: resp, err: err}
+}
+
+// send makes one try. A response that comes with the outcome Failed is the
+// upstream's own failure.
+func (f *front) send(ctx context.Context, q *request, grant dispatch.Grant) (*pool.Response, dispatch.Outcome, error) {
 	h := platform.ForwardHeader(q.Header)
-	platform.SetLeft(h, left-deadlineMargin)
+	platform.SetLeft(h, q.deadline.Sub(f.now())-deadlineMargin)
 	platform.SetTarget(h, grant.Instance.ID)
-	ctx, end := context.WithCancelCause(ctx)
-	defer end(nil)
-	if q.route.Idempotent {
-		one := &try{grant: grant, end: end}
-		q.traffic.begin(one)
-		defer q.traffic.end(one)
-	}
 	resp, err := f.conns.Do(ctx, grant.Instance.Address, &pool.Request{
 		Method: q.Method, Target: q.target, Host: q.Host, Header: h, Body: q.body,
 		EchoHeader: platform.RequestID, Echo: q.id, Once: !q.route.Idempotent,
@@ -293,7 +385,7 @@
 	if err != nil {
 		return nil, errorOutcome(err), err
 	}
-	return classify(q, resp)
+	return classify(resp)
 }
 
 // errorOutcome tells what an error means for the upstream.
@@ -305,7 +397,7 @@
 		return dispatch.Left
 	case errors.Is(err, pool.ErrNotSent):
 		return dispatch.Unreachable
-	case errors.Is(err, errSilent), errors.Is(err, context.DeadlineExceeded):
+	case errors.Is(err, context.DeadlineExceeded):
 		return dispatch.Silent
 	}
 	return dispatch.Failed
@@ -318,7 +410,7 @@
 )
 
 // classify tells what an upstream's answer is worth.
-func classify(q *request, resp *pool.Response) (*pool.Response, dispatch.Outcome, error) {
+func classify(resp *pool.Response) (*pool.Response, dispatch.Outcome, error) {
 	switch {
 	case resp.Status == http.StatusMisdirectedRequest:
 		return nil, dispatch.NotOwner, errNotOwner
--- a/gateway/traffic.go
+++ b/gateway/traffic.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -25,9 +24,6 @@
 	mostKeys = 512
 )
 
-// errSilent ends a try at an upstream that answers nothing any more.
-var errSilent = errors.New("the upstream is silent")
-
 // traffic holds the decisions about all services of one gateway, for
 // concurrent use.
 type traffic struct {
@@ -45,19 +41,10 @@
 	mu       sync.Mutex
 	dispatch *dispatch.Service
 	budget   *retry.Window
-	// tries are the tries under way that may be ended when their upstream
-	// falls silent, by upstream.
-	tries map[string]map[*try]bool
 	// keys are those asked for since the last report.
 	keys []uint16
 }
 
-// try is one request at one upstream.
-type try struct {
-	grant dispatch.Grant
-	end   context.CancelCauseFunc
-}
-
 func newTraffic(conf settings.Gateway, now func() time.Time, rng *rand.Rand) *traffic {
 	return &traffic{conf: conf, now: now, rng: rng, services: make(map[string]*service), gateways: 1}
 }
@@ -73,7 +60,6 @@
 			dispatch: dispatch.NewService(t.conf.Domain, rand.New(seed)),
 			budget: retry.NewWindow(t.now(), t.conf.RetryWindow.D(),
 				budgetShare*t.conf.RetryShare, budgetShare*t.conf.RetryAllowance),
-			tries: make(map[string]map[*try]bool),
 		}
 		t.services[name] = s
 	}
@@ -141,18 +127,7 @@
 func (s *service) tick(now time.Time) {
 	s.mu.Lock()
 	s.dispatch.Tick(now)
-	var ends []context.CancelCauseFunc
-	if len(s.tries) > 0 {
-		for _, id := range s.dispatch.Silent(now) {
-			for one := range s.tries[id] {
-				ends = append(ends, one.end)
-			}
-		}
-	}
 	s.mu.Unlock()
-	for _, end := range ends {
-		end(errSilent)
-	}
 }
 
 // acquire waits for the right to send a request to an upstream.
@@ -204,27 +179,6 @@
 	s.dispatch.Done(t.now(), g, o)
 }
 
-// begin notes a try that may be ended when its upstream falls silent.
-func (s *service) begin(one *try) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	id := one.grant.Instance.ID
-	if s.tries[id] == nil {
-		s.tries[id] = make(map[*try]bool)
-	}
-	s.tries[id][one] = true
-}
-
-func (s *service) end(one *try) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	id := one.grant.Instance.ID
-	delete(s.tries[id], one)
-	if len(s.tries[id]) == 0 {
-		delete(s.tries, id)
-	}
-}
-
 // first notes the first try of a request.
 func (t *traffic) first(s *service) {
 	s.mu.Lock()
