--- a/cmd/rockcroft-gateway/main.go
+++ b/cmd/rockcroft-gateway/main.go
@@ -21,7 +21,11 @@
 		Path:     platform.SettingsPath(),
 		Run: func(ctx context.Context) error {
 			log := slog.New(slog.NewTextHandler(os.Stdout, nil))
-			return gateway.New(conf, log).Run(ctx)
+			open, err := gateway.Listen(conf)
+			if err != nil {
+				return err
+			}
+			return gateway.New(conf, open, log).Run(ctx)
 		},
 	}.Main())
 }
--- /dev/null
+++ b/coordination/dispatch/dispatch_test.go
@@ -0,0 +1,274 @@
+package dispatch
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/rockcroft/rockcroft/state/instances"
+)
+
+var start = time.Now()
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+const ms = time.Millisecond
+
+// newService returns a service with upstreams named by their domain and a
+// number, such as "a1", of two slots each.
+func newService(ids ...string) *Service {
+	s := NewService("a", rand.New(rand.NewPCG(1, 2)))
+	s.SetUpstreams(start, list(ids...))
+	return s
+}
+
+func list(ids ...string) []*instances.Instance {
+	var out []*instances.Instance
+	for _, id := range ids {
+		out = append(out, &instances.Instance{ID: id, Domain: id[:1], Slots: 2})
+	}
+	return out
+}
+
+func want() *Want {
+	return &Want{Objective: 300 * ms, Deadline: at(time.Second), Until: at(60 * ms), Verdict: func(Grant, Refusal) {}}
+}
+
+func mustGrant(t *testing.T, s *Service, now time.Time, w *Want) Grant {
+	t.Helper()
+	g, r, decided := s.Offer(now, w)
+	if !decided || r != 0 {
+		t.Fatalf("not let through: %v, decided %v", r, decided)
+	}
+	return g
+}
+
+// known returns a service of one upstream whose work time is known.
+func known(work time.Duration) *Service {
+	s := newService("a1")
+	s.typical = work
+	learn(s, "a1", work)
+	return s
+}
+
+// learn lets an upstream answer one request in the given time.
+func learn(s *Service, id string, took time.Duration) {
+	s.Done(at(took), Grant{Instance: instances.Instance{ID: id}, Began: start}, Answered)
+	s.upstreams[id].mine = 0
+}
+
+func TestOwnDomainFirst(t *testing.T) {
+	s := newService("a1", "b1", "c1")
+	if g := mustGrant(t, s, start, want()); g.Instance.ID != "a1" {
+		t.Errorf("sent to %s", g.Instance.ID)
+	}
+}
+
+func TestFasterOneOfAnotherDomain(t *testing.T) {
+	s := newService("a1", "b1")
+	learn(s, "a1", 300*ms)
+	learn(s, "b1", 50*ms)
+	if g := mustGrant(t, s, at(400*ms), &Want{Objective: 2 * time.Second, Deadline: at(time.Minute), Until: at(time.Minute)}); g.Instance.ID != "b1" {
+		t.Errorf("sent to %s", g.Instance.ID)
+	}
+}
+
+// TestFullUpstreamsAreLeftAlone: beyond the bound requests wait, and the first
+// end lets the most important through.
+func TestFullUpstreamsAreLeftAlone(t *testing.T) {
+	s := known(10 * ms)
+	var last Grant
+	for range 4 {
+		w := want()
+		w.Objective = time.Minute
+		last = mustGrant(t, s, start, w)
+	}
+	verdicts := make(map[int]bool)
+	for _, priority := range []int{2, 0, 1} {
+		w := want()
+		w.Priority = priority
+		w.Verdict = func(_ Grant, r Refusal) { verdicts[priority] = r == 0 }
+		if _, r, decided := s.Offer(start, w); decided {
+			t.Fatalf("priority %d decided at once: %v", priority, r)
+		}
+	}
+	s.Done(at(10*ms), last, Answered)
+	if len(verdicts) != 1 || !verdicts[0] {
+		t.Errorf("verdicts %v", verdicts)
+	}
+	s.Tick(at(61 * ms))
+	if len(verdicts) != 3 || verdicts[1] || verdicts[2] || s.Waiting() != 0 {
+		t.Errorf("verdicts %v, %d wait", verdicts, s.Waiting())
+	}
+}
+
+func TestOthersRequestsCount(t *testing.T) {
+	s := newService("a1", "b1")
+	s.ReportAll(start, map[string]float64{"a1": 6})
+	if g := mustGrant(t, s, start, want()); g.Instance.ID != "b1" {
+		t.Errorf("sent to the full one")
+	}
+	s.ReportAll(start, nil)
+	if g := mustGrant(t, s, start, want()); g.Instance.ID != "a1" {
+		t.Errorf("an old report still counts")
+	}
+}
+
+func TestLeavingUpstreamGetsNothing(t *testing.T) {
+	s := newService("a1", "b1")
+	leaving := list("a1", "b1")
+	leaving[0].Leaving = true
+	s.SetUpstreams(start, leaving)
+	for range 2 {
+		if g := mustGrant(t, s, start, want()); g.Instance.ID != "b1" {
+			t.Fatal("sent to the leaving one")
+		}
+	}
+	s.SetUpstreams(start, nil)
+	if _, r, decided := s.Offer(start, want()); !decided || r != NoUpstream {
+		t.Errorf("refusal %v", r)
+	}
+}
+
+// TestUnreachableIsTriedAgain: after a failure the upstream gets nothing for a
+// while, then one request at a time until one is answered.
+func TestUnreachableIsTriedAgain(t *testing.T) {
+	s := newService("a1")
+	s.Done(at(10*ms), mustGrant(t, s, start, want()), Unreachable)
+	w := want()
+	w.Until = at(10 * ms)
+	if _, r, _ := s.Offer(at(10*ms), w); r != NoRoom {
+		t.Errorf("offered at once: %v", r)
+	}
+	now := at(10*ms + firstPause)
+	w.Until, w.Deadline = now.Add(time.Minute), now.Add(time.Minute)
+	trial := mustGrant(t, s, now, w)
+	if _, _, decided := s.Offer(now, w); decided {
+		t.Error("a second trial beside the first")
+	}
+	s.Done(now.Add(20*ms), trial, Answered)
+	if s.Waiting() != 0 {
+		t.Error("the answer lets nothing through")
+	}
+}
+
+// TestOneLongRunIsNoSilence: a single request that runs long does not close the
+// upstream; several that are overdue together do.
+func TestOneLongRunIsNoSilence(t *testing.T) {
+	s := newService("a1")
+	learn(s, "a1", 100*ms)
+	now := at(200 * ms)
+	w := &Want{Objective: time.Second, Deadline: at(time.Minute), Until: at(time.Minute)}
+	mustGrant(t, s, now, w)
+	if s.upstreams["a1"].silent(now.Add(450*ms), s.typical) {
+		t.Error("one long run counts as silence")
+	}
+	mustGrant(t, s, now, w)
+	mustGrant(t, s, now, w)
+	if !s.upstreams["a1"].silent(now.Add(time.Second), s.typical) {
+		t.Error("three overdue requests do not count as silence")
+	}
+}
+
+// TestSlownessIsLearned: the work time is learned without what waited ahead.
+func TestSlownessIsLearned(t *testing.T) {
+	u := newUpstream(instances.Instance{ID: "a1", Slots: 2}, start)
+	u.observe(300*ms, 5)
+	if u.work != 100*ms {
+		t.Errorf("work %s, want a third: three rounds of two", u.work)
+	}
+	if d := u.delay(start, 0); d != 100*ms {
+		t.Errorf("delay of an idle one %s", d)
+	}
+}
+
+func TestTooLateIsRefusedAtOnce(t *testing.T) {
+	s := known(50 * ms)
+	for range 4 {
+		w := want()
+		w.Objective = time.Minute
+		mustGrant(t, s, start, w)
+	}
+	w := want()
+	w.Deadline = at(10 * ms)
+	if _, r, decided := s.Offer(start, w); !decided || r != TooLate {
+		t.Errorf("refusal %v, decided %v", r, decided)
+	}
+}
+
+// TestOwnerOnly: a request for an owner goes nowhere else.
+func TestOwnerOnly(t *testing.T) {
+	s := newService("a1", "b1")
+	w := want()
+	w.Owner = "b1"
+	if g := mustGrant(t, s, start, w); g.Instance.ID != "b1" {
+		t.Errorf("sent to %s", g.Instance.ID)
+	}
+	w.Owner = "gone"
+	if _, r, decided := s.Offer(start, w); !decided || r != NoUpstream {
+		t.Errorf("refusal %v", r)
+	}
+}
+
+// TestNothingIsLost: whatever comes and goes, each request gets one verdict and
+// no slot stays taken.
+func TestNothingIsLost(t *testing.T) {
+	s := newService("a1", "b1", "c1")
+	rng := rand.New(rand.NewPCG(3, 4))
+	var running []Grant
+	now, verdicts, offered, withdrawn := start, 0, 0, 0
+	var waiting []*Want
+	for range 5000 {
+		now = now.Add(time.Duration(rng.IntN(8)) * ms)
+		switch rng.IntN(4) {
+		case 0, 1:
+			offered++
+			w := &Want{Objective: 200 * ms, Deadline: now.Add(400 * ms), Until: now.Add(50 * ms), Priority: rng.IntN(3)}
+			w.Verdict = func(g Grant, r Refusal) {
+				verdicts++
+				if r == 0 {
+					running = append(running, g)
+				}
+			}
+			if g, r, decided := s.Offer(now, w); decided {
+				w.Verdict(g, r)
+			} else {
+				waiting = append(waiting, w)
+			}
+		case 2:
+			if len(running) > 0 {
+				i := rng.IntN(len(running))
+				g := running[i]
+				running = append(running[:i], running[i+1:]...)
+				s.Done(now, g, Outcome(rng.IntN(int(Left)+1)))
+			}
+		case 3:
+			if len(waiting) > 0 && rng.IntN(4) == 0 {
+				if s.Withdraw(waiting[0]) {
+					withdrawn++
+				}
+				waiting = waiting[1:]
+			}
+			s.Tick(now)
+		}
+	}
+	for len(running) > 0 {
+		g := running[0]
+		running = running[1:]
+		s.Done(now, g, Answered)
+	}
+	s.Tick(now.Add(time.Minute))
+	for len(running) > 0 {
+		g := running[0]
+		running = running[1:]
+		s.Done(now, g, Answered)
+	}
+	if verdicts+withdrawn != offered || s.Waiting() != 0 {
+		t.Errorf("%d offered, %d verdicts, %d withdrawn, %d wait", offered, verdicts, withdrawn, s.Waiting())
+	}
+	for _, u := range s.order {
+		if u.mine != 0 || len(u.unanswered) != 0 {
+			t.Errorf("%s: %d in flight, %d unanswered", u.ID, u.mine, len(u.unanswered))
+		}
+	}
+}
--- /dev/null
+++ b/coordination/ownership/plan_test.go
@@ -0,0 +1,233 @@
+package ownership
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/rockcroft/rockcroft/state/spans"
+)
+
+func owners(n int) []Owner {
+	var out []Owner
+	for i := range n {
+		out = append(out, Owner{ID: fmt.Sprintf("u%d", i), Usable: true, Keeps: true, Capacity: 60})
+	}
+	return out
+}
+
+// done ends all moves of a table as granted.
+func done(t *spans.Table) *spans.Table {
+	t = t.Clone()
+	for i := range t.Spans {
+		s := &t.Spans[i]
+		if s.Moving() {
+			s.Owner, s.Fence, s.Next, s.NextFence = s.Next, s.NextFence, "", 0
+		}
+	}
+	return t
+}
+
+func settled(n int) *spans.Table { return done(First("s", owners(n))) }
+
+func TestFirstAlternates(t *testing.T) {
+	table := First("s", owners(11))
+	if err := table.Check(); err != nil {
+		t.Fatal(err)
+	}
+	counts := make(map[string]int)
+	for i, s := range table.Spans {
+		counts[s.Next]++
+		if i > 0 && s.Next == table.Spans[i-1].Next {
+			t.Errorf("neighbours %d and %d have one owner", i-1, i)
+		}
+	}
+	for id, n := range counts {
+		if n != firstSpans {
+			t.Errorf("%s has %d spans", id, n)
+		}
+	}
+}
+
+func TestNothingToDo(t *testing.T) {
+	if next := Make(Input{Table: settled(5), Owners: owners(5)}); next != nil {
+		t.Error("a plan without a reason")
+	}
+	if next := Make(Input{Table: settled(5)}); next != nil {
+		t.Error("a plan without upstreams")
+	}
+}
+
+func TestLostOwnersAreReplaced(t *testing.T) {
+	list := owners(5)
+	list[1].Keeps, list[1].Usable = false, false
+	next := Make(Input{Table: settled(5), Owners: append(list[:2:2], list[3:]...)})
+	if next == nil {
+		t.Fatal("no plan")
+	}
+	for _, s := range next.Spans {
+		lost := s.Owner == "u1" || s.Owner == "u2"
+		if lost != s.Moving() || s.Next == "u1" || s.Next == "u2" {
+			t.Errorf("span of %s moves to %q", s.Owner, s.Next)
+		}
+	}
+}
+
+// TestSuspectedOwnerKeepsButGetsNothing: one that is only suspected keeps what
+// it has.
+func TestSuspectedOwnerKeepsButGetsNothing(t *testing.T) {
+	list := owners(3)
+	list[0].Usable = false
+	list[1].Keeps, list[1].Usable = false, false
+	next := Make(Input{Table: settled(3), Owners: list})
+	for _, s := range next.Spans {
+		if s.Next == "u0" || (s.Owner == "u0" && s.Moving()) {
+			t.Errorf("span of %s moves to %q", s.Owner, s.Next)
+		}
+	}
+}
+
+func TestNewUpstreamGetsKeys(t *testing.T) {
+	table := settled(4)
+	load := map[uint16]float64{100: 5, 20000: 5, 40000: 5, 60000: 5}
+	next := Make(Input{Table: table, Owners: owners(5), Load: load})
+	if next == nil {
+		t.Fatal("no plan")
+	}
+	got := 0
+	for _, s := range next.Spans {
+		if s.Next == "u4" {
+			got++
+		}
+	}
+	if got == 0 {
+		t.Error("the new upstream gets nothing")
+	}
+}
+
+// TestBusyNeighboursAreSpread: keys that lie together and carry most of the load
+// come apart within a few rounds.
+func TestBusyNeighboursAreSpread(t *testing.T) {
+	table, list := settled(6), owners(6)
+	load := make(map[uint16]float64)
+	for k := range uint16(64) {
+		load[5000+k] = 3
+	}
+	before := worst(table, list, load)
+	for range 6 {
+		next := Make(Input{Table: table, Owners: list, Load: load})
+		if next == nil {
+			break
+		}
+		table = done(next)
+	}
+	if after := worst(table, list, load); after > 0.75 {
+		t.Errorf("worst utilization %.2f, was %.2f", after, before)
+	}
+}
+
+func worst(t *spans.Table, list []Owner, load map[uint16]float64) float64 {
+	sums := make(map[string]float64)
+	for k, l := range load {
+		sums[t.Find(k).Owner] += l
+	}
+	most := 0.0
+	for _, o := range list {
+		most = max(most, sums[o.ID]/o.Capacity)
+	}
+	return most
+}
+
+// TestHotKeyGoesToTheStrongest and what else that one has is moved away.
+func TestHotKeyGoesToTheStrongest(t *testing.T) {
+	table, list := settled(4), owners(4)
+	list[3].Capacity = 150
+	load := map[uint16]float64{500: 100, 30000: 10}
+	hot := table.Find(500).Owner
+	if hot == "u3" {
+		t.Fatal("the test wants the hot key elsewhere")
+	}
+	next := Make(Input{Table: table, Owners: list, Load: load})
+	if next == nil {
+		t.Fatal("no plan")
+	}
+	if s := next.Find(500); s.Next != "u3" || s.Count() != 1 {
+		t.Errorf("the hot key's span %+v", s)
+	}
+	again := Make(Input{Table: done(next), Owners: list, Load: load, Resting: map[uint16]bool{500: true}})
+	if again != nil && again.Find(500).Moving() {
+		t.Error("the hot key moves on")
+	}
+}
+
+// TestPlansKeepTheRules: for any state and load, a plan covers all keys, raises
+// the fence of each move above all before, changes no move under way and gives
+// keys to usable upstreams only.
+func TestPlansKeepTheRules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 8).Draw(t, "upstreams")
+		table := settled(n)
+		list := owners(n + 1)
+		for i := range list {
+			list[i].Usable = rapid.Bool().Draw(t, "usable")
+			list[i].Keeps = list[i].Usable || rapid.Bool().Draw(t, "keeps")
+			list[i].Capacity = float64(rapid.IntRange(1, 200).Draw(t, "capacity"))
+		}
+		load := make(map[uint16]float64)
+		base := rapid.Uint16().Draw(t, "base")
+		for range rapid.IntRange(0, 60).Draw(t, "keys") {
+			load[base+uint16(rapid.IntRange(0, 200).Draw(t, "key"))] = float64(rapid.IntRange(1, 300).Draw(t, "rate"))
+		}
+		for range rapid.IntRange(1, 5).Draw(t, "rounds") {
+			next := Make(Input{Table: table, Owners: list, Load: load})
+			if next == nil {
+				return
+			}
+			checkPlan(t, table, next, list)
+			if rapid.Bool().Draw(t, "end moves") {
+				next = done(next)
+			}
+			table = next
+		}
+	})
+}
+
+func checkPlan(t *rapid.T, before, next *spans.Table, list []Owner) {
+	if err := next.Check(); err != nil {
+		t.Fatal(err)
+	}
+	usable := make(map[string]bool)
+	for _, o := range list {
+		usable[o.ID] = o.Usable
+	}
+	for _, s := range next.Spans {
+		old := before.Find(s.First)
+		switch {
+		case old.Moving() && s != old:
+			t.Fatalf("a move under way was changed: %+v to %+v", old, s)
+		case s.Moving() && !old.Moving() && (s.NextFence <= before.LastFence || !usable[s.Next]):
+			t.Fatalf("move %+v, last fence before %d", s, before.LastFence)
+		case s.Owner != old.Owner || s.Fence != old.Fence:
+			t.Fatalf("a plan changes an owner: %+v to %+v", old, s)
+		}
+	}
+}
+
+func TestHeatFades(t *testing.T) {
+	start := time.Now()
+	h := NewHeat(start)
+	for i := range 300 {
+		h.Add(7)
+		if i%30 == 29 {
+			h.Rates(start.Add(time.Duration(i) * 10 * time.Millisecond))
+		}
+	}
+	if r := h.Rates(start.Add(3 * time.Second))[7]; r < 60 || r > 110 {
+		t.Errorf("a hundred a second for three seconds count as %.0f", r)
+	}
+	if r := h.Rates(start.Add(time.Minute)); len(r) != 0 {
+		t.Errorf("after a minute %v", r)
+	}
+}
--- /dev/null
+++ b/coordination/retry/window_test.go
@@ -0,0 +1,71 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// TestWindowIsKept: in any span of the window's length, all processes together
+// spend no more than the share of the requests in it and one window before,
+// plus the allowance.
+func TestWindowIsKept(t *testing.T) {
+	const (
+		length    = 10 * time.Second
+		share     = 0.2
+		allowance = 20.0
+	)
+	rapid.Check(t, func(t *rapid.T) {
+		start := time.Now()
+		processes := rapid.IntRange(1, 5).Draw(t, "processes")
+		windows := make([]*Window, processes)
+		for i := range windows {
+			windows[i] = NewWindow(start, length, share, allowance)
+		}
+		var requests, retries []time.Duration
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 400).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 200).Draw(t, "gap")) * time.Millisecond
+			w := windows[rapid.IntRange(0, processes-1).Draw(t, "process")]
+			if rapid.Bool().Draw(t, "first") {
+				w.Request(start.Add(now))
+				requests = append(requests, now)
+			} else if w.Spend(start.Add(now), processes) {
+				retries = append(retries, now)
+			}
+		}
+		for _, end := range retries {
+			spent, seen := count(retries, end-length, end), count(requests, end-2*length, end)
+			if float64(spent) > share*float64(seen)+allowance {
+				t.Fatalf("%d retries in the window that ends at %s, with %d requests", spent, end, seen)
+			}
+		}
+	})
+}
+
+func count(times []time.Duration, after, until time.Duration) int {
+	n := 0
+	for _, at := range times {
+		if at > after && at <= until {
+			n++
+		}
+	}
+	return n
+}
+
+func TestWindowForgets(t *testing.T) {
+	start := time.Now()
+	w := NewWindow(start, 10*time.Second, 0, 3)
+	for range 3 {
+		if !w.Spend(start, 1) {
+			t.Fatal("the allowance is refused")
+		}
+	}
+	if w.Spend(start.Add(9*time.Second), 1) {
+		t.Error("more than the allowance in one window")
+	}
+	if !w.Spend(start.Add(12*time.Second), 1) {
+		t.Error("old retries are not forgotten")
+	}
+}
--- /dev/null
+++ b/gateway/bed_test.go
@@ -0,0 +1,277 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rockcroft/rockcroft/platform"
+	"github.com/rockcroft/rockcroft/standin/instance"
+	"github.com/rockcroft/rockcroft/standin/metastore"
+	"github.com/rockcroft/rockcroft/state/jsonc"
+	"github.com/rockcroft/rockcroft/state/settings"
+)
+
+// bed is a small deployment in one process: a store, upstreams and gateways,
+// over real connections.
+type bed struct {
+	t        *testing.T
+	store    *metastore.Store
+	oracle   *instance.Oracle
+	gateways []*testGateway
+	client   *http.Client
+	next     atomic.Int64
+	mu       sync.Mutex
+	ups      map[string]*upstream
+}
+
+// testGateway is a gateway that can be stopped or killed.
+type testGateway struct {
+	*Gateway
+	door    *metastore.Door
+	callers string
+	stop    context.CancelFunc
+	done    chan struct{}
+}
+
+// upstream is a stand-in instance with its server.
+type upstream struct {
+	*instance.Instance
+	service string
+	address string
+	server  *http.Server
+}
+
+const config = `{"version":%d,
+ "routes":{"status":{"host":"h.example","path_prefix":"/status/","kind":"safe","timeout_s":2,"target_latency_s":1,"priority":2,"service":"status","max_attempts":2},
+           "pay":{"host":"h.example","path_prefix":"/pay/","kind":"unsafe","timeout_s":2,"target_latency_s":1,"priority":0,"service":"pay","max_attempts":2},
+           "read":{"host":"h.example","path_prefix":"/read/","kind":"safe","timeout_s":2,"target_latency_s":1,"priority":1,"service":"pay","max_attempts":2}},
+ "services":{"status":{"max_conns":100,"sharded":true,"warm_s":1},"pay":{"max_conns":100}},
+ "limits":{"max_header_bytes":16384,"max_body_bytes":100000,"header_timeout_s":3,"idle_timeout_s":15}}`
+
+func newBed(t *testing.T) *bed {
+	t.Helper()
+	b := &bed{t: t, store: metastore.New(), oracle: instance.NewOracle(), ups: make(map[string]*upstream), client: &http.Client{}}
+	b.configure(2, config)
+	t.Cleanup(b.close)
+	return b
+}
+
+// configure writes a version of the configuration.
+func (b *bed) configure(version int, format string) {
+	b.store.Put(platform.ConfigKind, platform.ConfigName, rawJSON(fmt.Sprintf(format, version)))
+}
+
+type rawJSON string
+
+func (r rawJSON) MarshalJSON() ([]byte, error) { return []byte(r), nil }
+
+// upstream starts an instance and registers it.
+func (b *bed) upstream(id, service string) *upstream {
+	b.t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	u := &upstream{
+		Instance: instance.New(id, service == "status", 5*time.Millisecond, b.oracle),
+		service:  service, address: l.Addr().String(),
+	}
+	u.server = &http.Server{Handler: u.Instance}
+	go func() { _ = u.server.Serve(l) }()
+	b.mu.Lock()
+	b.ups[id] = u
+	b.mu.Unlock()
+	b.register(u, "ready")
+	return u
+}
+
+func (b *bed) register(u *upstream, state string) {
+	var body platform.InstanceBody
+	body.Address = u.address
+	body.Info.Service, body.Info.Zone, body.Info.Slots = u.service, "a", 4
+	body.Status.State = state
+	b.store.Put(platform.InstancesKind, u.ID, body)
+}
+
+// gateway starts a gateway.
+func (b *bed) gateway(name string) *testGateway {
+	b.t.Helper()
+	door := b.store.Door(name)
+	doorListener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	doorServer := &http.Server{Handler: door}
+	go func() { _ = doorServer.Serve(doorListener) }()
+	conf := settings.DefaultGateway()
+	conf.Node, conf.Domain = name, "a"
+	loopback := jsonc.Addr{AddrPort: netip.MustParseAddrPort("127.0.0.1:0")}
+	conf.Callers, conf.Ready, conf.Peers = loopback, loopback, loopback
+	conf.Store = jsonc.Addr{AddrPort: netip.MustParseAddrPort(doorListener.Addr().String())}
+	conf.DrainNotice, conf.StopLimit = jsonc.Duration(200*time.Millisecond), jsonc.Duration(6*time.Second)
+	conf.UpstreamDrain, conf.LongestHold = jsonc.Duration(2*time.Second), jsonc.Duration(10*time.Second)
+	conf.RetryShare, conf.RetryAllowance, conf.RetryWindow = 0.2, 50, jsonc.Duration(10*time.Second)
+	conf.Memory = 200
+	for _, g := range b.gateways {
+		conf.Seeds = append(conf.Seeds, jsonc.Addr{AddrPort: netip.MustParseAddrPort(g.open.Peers.Addr().String())})
+	}
+	open, err := Listen(conf)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	level := slog.LevelError
+	if os.Getenv("ROCKCROFT_TEST_LOG") != "" {
+		level = slog.LevelInfo
+	}
+	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})).With("gateway", name)
+	ctx, cancel := context.WithCancel(context.Background())
+	g := &testGateway{Gateway: New(conf, open, log), door: door, callers: open.Callers.Addr().String(), stop: cancel, done: make(chan struct{})}
+	go func() {
+		defer close(g.done)
+		_ = g.Run(ctx)
+		_ = doorServer.Close()
+	}()
+	b.gateways = append(b.gateways, g)
+	return g
+}
+
+// kill ends a gateway as a lost process ends.
+func (g *testGateway) kill() {
+	select {
+	case <-g.done:
+	default:
+		close(g.abrupt)
+		<-g.done
+	}
+}
+
+func (b *bed) close() {
+	for _, g := range b.gateways {
+		g.kill()
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, u := range b.ups {
+		_ = u.server.Close()
+	}
+	for _, v := range b.oracle.Violations() {
+		b.t.Error(v)
+	}
+}
+
+// eventually waits until the condition holds. The limit only ends a test that
+// hangs.
+func (b *bed) eventually(what string, condition func() bool) {
+	b.t.Helper()
+	limit := time.Now().Add(time.Minute)
+	for !condition() {
+		if time.Now().After(limit) {
+			b.t.Fatalf("never: %s", what)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// ready waits until all gateways are ready and every key has an owner.
+func (b *bed) ready() {
+	b.t.Helper()
+	b.eventually("all ready", func() bool {
+		for _, g := range b.gateways {
+			if !g.running() {
+				continue
+			}
+			if !g.Gateway.ready() || !g.allOwned() {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func (g *testGateway) running() bool {
+	select {
+	case <-g.done:
+		return false
+	default:
+		return true
+	}
+}
+
+func (g *testGateway) allOwned() bool {
+	t := g.view.spansOf("status")
+	if t == nil {
+		return false
+	}
+	for _, s := range t.Spans {
+		if s.Moving() || s.Owner == "" {
+			return false
+		}
+	}
+	return true
+}
+
+// leader returns the gateway that leads, or nil.
+func (b *bed) leader() *testGateway {
+	for _, g := range b.gateways {
+		if g.running() && g.cluster.isLeading() && g.leading.mayAct() {
+			return g
+		}
+	}
+	return nil
+}
+
+// reply is what a caller got.
+type reply struct {
+	id     string
+	status int
+	body   string
+	header http.Header
+	err    error
+}
+
+// ask sends one request through a gateway.
+func (b *bed) ask(g *testGateway, method, path string, key int) reply {
+	id := fmt.Sprintf("r%d", b.next.Add(1))
+	var body io.Reader
+	if method == http.MethodPost {
+		body = strings.NewReader("body of " + id)
+	}
+	r, err := http.NewRequest(method, "http://"+g.callers+path, body)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	r.Host = "h.example"
+	r.Header.Set(platform.RequestID, id)
+	r.Header.Set(platform.Deadline, "2000")
+	if key >= 0 {
+		r.Header.Set(platform.ShardKey, fmt.Sprint(key))
+	}
+	resp, err := b.client.Do(r)
+	if err != nil {
+		return reply{id: id, err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	return reply{id: id, status: resp.StatusCode, body: string(data), header: resp.Header, err: err}
+}
+
+// mustAsk asks and wants the upstream's answer.
+func (b *bed) mustAsk(g *testGateway, method, path string, key int) reply {
+	b.t.Helper()
+	a := b.ask(g, method, path, key)
+	if a.err != nil || a.status != http.StatusOK || !strings.HasPrefix(a.body, "done "+a.id+" by ") {
+		b.t.Fatalf("%s %s: status %d, body %q, error %v", method, path, a.status, a.body, a.err)
+	}
+	return a
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -26,6 +26,7 @@
 
 	"github.com/rockcroft/rockcroft/platform"
 	"github.com/rockcroft/rockcroft/protocol/syncpb"
+	"github.com/rockcroft/rockcroft/state/jsonc"
 	"github.com/rockcroft/rockcroft/state/routing"
 	"github.com/rockcroft/rockcroft/state/settings"
 	"github.com/rockcroft/rockcroft/transport/pool"
@@ -82,17 +83,48 @@
 	front    *front
 	conns    *pool.Pool
 	draining atomic.Bool
+	open     Listeners
+	// abrupt ends Run without a graceful stop, for tests of lost processes.
+	abrupt chan struct{}
 }
 
-// New assembles a gateway.
-func New(conf settings.Gateway, log *slog.Logger) *Gateway {
-	g := &Gateway{conf: conf, log: log, now: time.Now, meters: newMeters(), view: newView()}
+// Listeners are the open listeners of a gateway.
+type Listeners struct {
+	Callers, Ready, Peers net.Listener
+	// Metrics is nil when no counters are served.
+	Metrics net.Listener
+}
+
+// Listen opens the listeners that the settings name.
+func Listen(conf settings.Gateway) (Listeners, error) {
+	var l Listeners
+	var errs []error
+	open := func(name string, addr jsonc.Addr) net.Listener {
+		if !addr.IsValid() {
+			return nil
+		}
+		one, err := net.Listen("tcp", addr.String())
+		if err != nil {
+			errs = append(errs, fmt.Errorf("%s: %w", name, err))
+		}
+		return one
+	}
+	l.Callers = open("callers", conf.Callers)
+	l.Ready = open("ready", conf.Ready)
+	l.Peers = open("peers", conf.Peers)
+	l.Metrics = open("metrics", conf.Metrics)
+	return l, errors.Join(errs...)
+}
+
+// New assembles a gateway that serves on open listeners.
+func New(conf settings.Gateway, open Listeners, log *slog.Logger) *Gateway {
+	g := &Gateway{conf: conf, open: open, abrupt: make(chan struct{}), log: log, now: time.Now, meters: newMeters(), view: newView()}
 	seeds := [2]uint64{mathrand.Uint64(), mathrand.Uint64()}
 	rng := mathrand.New(mathrand.NewPCG(seeds[0], seeds[1]))
 	g.traffic = newTraffic(conf, g.now, rng)
 	g.view.onInstances = g.traffic.setUpstreams
 	self := &syncpb.Member{
-		Node: conf.Node, Address: conf.Peers.String(), Domain: conf.Domain, Incarnation: incarnation(),
+		Node: conf.Node, Address: open.Peers.Addr().String(), Domain: conf.Domain, Incarnation: incarnation(),
 	}
 	client := &http.Client{Transport: &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: reportTimeout}).DialContext,
@@ -155,30 +187,23 @@
 // Run serves until ctx ends, then stops gracefully.
 func (g *Gateway) Run(ctx context.Context) error {
 	debug.SetMemoryLimit(int64(memoryShare * float64(g.conf.Memory) * megabyte))
+	// A hangup says that the settings file has changed. All settings concern
+	// the start, so a new start takes them over.
 	signal.Ignore(syscall.SIGHUP)
-	callers, err := net.Listen("tcp", g.conf.Callers.String())
-	if err != nil {
-		return fmt.Errorf("callers: %w", err)
-	}
 	work, stopWork := context.WithCancel(context.Background())
 	defer stopWork()
 	failed := make(chan error, 4)
-	serve := func(name string, addr string, h http.Handler) error {
-		l, err := net.Listen("tcp", addr)
-		if err != nil {
-			return fmt.Errorf("%s: %w", name, err)
+	serve := func(name string, l net.Listener, h http.Handler) {
+		if l == nil {
+			return
 		}
-		s := &http.Server{Handler: h, ReadHeaderTimeout: headerWait}
-		context.AfterFunc(work, func() { _ = s.Close() })
-		go func() { failed <- fmt.Errorf("%s: %w", name, s.Serve(l)) }()
-		return nil
-	}
-	if err := errors.Join(
-		serve("ready", g.conf.Ready.String(), g.readyHandler()),
-		serve("peers", g.conf.Peers.String(), g.peerHandler()),
-	); err != nil {
-		return err
+		server := &http.Server{Handler: h, ReadHeaderTimeout: headerWait}
+		context.AfterFunc(work, func() { _ = server.Close() })
+		go func() { failed <- fmt.Errorf("%s: %w", name, server.Serve(l)) }()
 	}
+	serve("ready", g.open.Ready, g.readyHandler())
+	serve("peers", g.open.Peers, g.peerHandler())
+	serve("metrics", g.open.Metrics, g.metricsHandler())
 	g.log.Info("started", "pid", os.Getpid(), "incarnation", g.cluster.self.Incarnation)
 	var loops sync.WaitGroup
 	loops.Go(func() { g.follower.run(work) })
@@ -186,14 +211,17 @@
 	loops.Go(func() { g.traffic.run(work) })
 	loops.Go(func() { g.expire(work) })
 	server := g.frontServer(ctx)
-	go func() { failed <- fmt.Errorf("callers: %w", server.Serve(callers)) }()
+	go func() { failed <- fmt.Errorf("callers: %w", server.Serve(g.open.Callers)) }()
+	var err error
 	select {
 	case err = <-failed:
 		g.log.Error("a listener failed", "error", err)
+		g.stop(server)
 	case <-ctx.Done():
-		err = nil
+		g.stop(server)
+	case <-g.abrupt:
+		_ = server.Close()
 	}
-	g.stop(server)
 	stopWork()
 	loops.Wait()
 	return err
@@ -260,6 +288,16 @@
 	return r
 }
 
+// metricsHandler serves the counters as text.
+func (g *Gateway) metricsHandler() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		g.meters.write(w)
+	}).Methods(http.MethodGet)
+	return r
+}
+
 func (g *Gateway) peerHandler() http.Handler {
 	server := &peerServer{
 		view: g.view, cluster: g.cluster, store: g.calls, steward: g.steward, traffic: g.traffic, now: g.now,
--- /dev/null
+++ b/gateway/gateway_test.go
@@ -0,0 +1,392 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rockcroft/rockcroft/platform"
+	"github.com/rockcroft/rockcroft/standin/instance"
+	"github.com/rockcroft/rockcroft/standin/metastore"
+	"github.com/rockcroft/rockcroft/state/spans"
+)
+
+// standard starts three keyed and two other upstreams and three gateways.
+func standard(t *testing.T) *bed {
+	t.Helper()
+	b := newBed(t)
+	for i := range 3 {
+		b.upstream(fmt.Sprintf("i-s%d", i), "status")
+	}
+	for i := range 2 {
+		b.upstream(fmt.Sprintf("i-p%d", i), "pay")
+	}
+	for i := range 3 {
+		b.gateway(fmt.Sprintf("g%d", i))
+	}
+	b.ready()
+	return b
+}
+
+func TestServes(t *testing.T) {
+	t.Parallel()
+	b := standard(t)
+	for i, g := range b.gateways {
+		for key := 0; key <= spans.MaxKey; key += 6553 {
+			b.mustAsk(g, http.MethodGet, "/status/x", key)
+		}
+		b.mustAsk(g, http.MethodPost, fmt.Sprintf("/pay/%d?a=1", i), -1)
+		b.mustAsk(g, http.MethodGet, "/read/x", -1)
+	}
+	for path, want := range map[string]int{"/none/": http.StatusNotFound, "/status": http.StatusNotFound, "/status/x": http.StatusBadRequest} {
+		if a := b.ask(b.gateways[0], http.MethodGet, path, -1); a.status != want || a.header.Get(platform.Signature) != "" {
+			t.Errorf("%s: status %d", path, a.status)
+		}
+	}
+}
+
+func TestWithoutConfiguration(t *testing.T) {
+	t.Parallel()
+	b := newBed(t)
+	b.store.Remove(platform.ConfigKind, platform.ConfigName)
+	g := b.gateway("g0")
+	b.eventually("refused", func() bool {
+		a := b.ask(g, http.MethodGet, "/none/", -1)
+		return a.err == nil && a.status == http.StatusServiceUnavailable && a.header.Get("Retry-After") != ""
+	})
+	if g.Gateway.ready() {
+		t.Error("ready without a configuration")
+	}
+}
+
+// TestLeaderLost: another gateway leads, and no key changes its owner.
+func TestLeaderLost(t *testing.T) {
+	t.Parallel()
+	b := standard(t)
+	first := b.leader()
+	before := first.view.spansOf("status")
+	first.kill()
+	b.eventually("another leader", func() bool { return b.leader() != nil })
+	b.ready()
+	after := b.leader().view.spansOf("status")
+	for _, s := range before.Spans {
+		if now := after.Find(s.First); now.Owner != s.Owner || now.Fence != s.Fence {
+			t.Errorf("span %d-%d went from %s to %s", s.First, s.Last, s.Owner, now.Owner)
+		}
+	}
+}
+
+// TestLeaderStops: it gives the lease up, and nobody waits for it to run out.
+func TestLeaderStops(t *testing.T) {
+	t.Parallel()
+	b := standard(t)
+	first := b.leader()
+	first.stop()
+	<-first.done
+	b.eventually("another leader", func() bool { return b.leader() != nil })
+	b.mustAsk(b.leader(), http.MethodGet, "/status/x", 1)
+}
+
+// TestOwnerLost: the keys of an upstream that falls silent get other owners,
+// after its hold has run out.
+func TestOwnerLost(t *testing.T) {
+	t.Parallel()
+	b := standard(t)
+	b.ups["i-s0"].Set(instance.Silent)
+	b.eventually("nothing owned by the lost one", func() bool { return b.ownedBy("i-s0") == 0 })
+	b.ready()
+	for key := 0; key <= spans.MaxKey; key += 6553 {
+		b.mustAsk(b.gateways[1], http.MethodGet, "/status/x", key)
+	}
+}
+
+// ownedBy counts the spans of an owner in the leader's view.
+func (b *bed) ownedBy(id string) int {
+	l := b.leader()
+	if l == nil {
+		return -1
+	}
+	n := 0
+	for _, s := range l.view.spansOf("status").Spans {
+		if s.Owner == id {
+			n++
+		}
+	}
+	return n
+}
+
+// inForce reports whether all gateways have the version.
+func (b *bed) inForce(version uint64) bool {
+	for _, g := range b.gateways {
+		if g.view.table.Load().Version != version {
+			return false
+		}
+	}
+	return true
+}
+
+// load sends requests until stopped and counts those not answered by an
+// upstream.
+func (b *bed) load(gateways []*testGateway, method, path string, keyed bool) (stop func() (sent, failed int64)) {
+	var sent, failed atomic.Int64
+	end := make(chan struct{})
+	var all sync.WaitGroup
+	for n, g := range gateways {
+		all.Go(func() {
+			for i := 0; ; i++ {
+				select {
+				case <-end:
+					return
+				default:
+				}
+				key := -1
+				if keyed {
+					key = (i*7919 + n*31) % (spans.MaxKey + 1)
+				}
+				sent.Add(1)
+				if a := b.ask(g, method, path, key); a.err != nil || a.status != http.StatusOK {
+					failed.Add(1)
+					b.t.Logf("%s %s key %d: status %d, %q, error %v", method, path, key, a.status, a.body, a.err)
+				}
+			}
+		})
+	}
+	return func() (int64, int64) {
+		close(end)
+		all.Wait()
+		return sent.Load(), failed.Load()
+	}
+}
+
+// TestLeavingUpstream: its keys move with their state while requests run, and
+// none is lost.
+func TestLeavingUpstream(t *testing.T) {
+	t.Parallel()
+	b := standard(t)
+	stop := b.load(b.gateways, http.MethodGet, "/status/x", true)
+	b.register(b.ups["i-s1"], "draining")
+	b.eventually("nothing owned by the leaving one", func() bool { return b.ownedBy("i-s1") == 0 })
+	b.ready()
+	if sent, failed := stop(); failed > 0 || sent == 0 {
+		t.Errorf("%d of %d failed", failed, sent)
+	}
+	ran := b.oracle.RunsBy("i-s1")
+	for key := 0; key <= spans.MaxKey; key += 997 {
+		b.mustAsk(b.gateways[0], http.MethodGet, "/status/x", key)
+	}
+	if b.oracle.RunsBy("i-s1") != ran {
+		t.Error("the leaving upstream got requests after its keys had moved")
+	}
+}
+
+// TestNewUpstreamGetsWork within the first plans after it registered.
+func TestNewUpstreamGetsWork(t *testing.T) {
+	t.Parallel()
+	b := standard(t)
+	b.upstream("i-s9", "status")
+	b.eventually("keys for the new one", func() bool { return b.ownedBy("i-s9") > 0 })
+}
+
+// TestStoreTurnsTheLeaderAway: calls go by way of other gateways, and the
+// leader stays.
+func TestStoreTurnsTheLeaderAway(t *testing.T) {
+	t.Parallel()
+	for name, mode := range map[string]metastore.Mode{"busy": metastore.Busy, "many": metastore.Many, "reset": metastore.Reset, "silent": metastore.Silent} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := standard(t)
+			l := b.leader()
+			l.door.Set(mode)
+			b.configure(9, config)
+			b.eventually("new configuration everywhere", func() bool { return b.inForce(9) })
+			revision := l.cluster.knownLeader().Revision
+			b.eventually("two more renewals", func() bool { return l.cluster.knownLeader().Revision > revision+1 })
+			if b.leader() != l {
+				t.Error("the leader has changed")
+			}
+		})
+	}
+}
+
+// TestStoreAway: owners serve on through an outage that is longer than a
+// leader's right, and the same leader goes on afterwards.
+func TestStoreAway(t *testing.T) {
+	t.Parallel()
+	b := standard(t)
+	b.store.SetAll(metastore.Silent)
+	l := b.leader()
+	b.eventually("the right has run out", func() bool { return !l.leading.mayAct() })
+	stop := b.load(b.gateways, http.MethodGet, "/status/x", true)
+	time.Sleep(holdTime)
+	if sent, failed := stop(); failed > 0 || sent == 0 {
+		t.Errorf("%d of %d failed in the outage", failed, sent)
+	}
+	b.store.SetAll(metastore.Open)
+	b.eventually("a leader", func() bool { return b.leader() != nil })
+	b.ready()
+}
+
+// TestCompactionWhileWatchesAreDeaf: a change that no watch showed is in force
+// all the same.
+func TestCompactionWhileWatchesAreDeaf(t *testing.T) {
+	t.Parallel()
+	b := standard(t)
+	b.store.SetDeaf(true)
+	b.configure(7, config)
+	// A watch that began before ends in the deaf time.
+	time.Sleep(watchWait)
+	b.store.Compact()
+	b.store.SetDeaf(false)
+	b.eventually("the configuration in force", func() bool { return b.gateways[2].view.table.Load().Version == 7 })
+}
+
+// TestBadConfiguration: the last good version stays in force.
+func TestBadConfiguration(t *testing.T) {
+	t.Parallel()
+	b := standard(t)
+	b.store.Put(platform.ConfigKind, platform.ConfigName, rawJSON(`{"version":"x"}`))
+	b.store.Put(platform.InstancesKind, "i-odd", rawJSON(`[1]`))
+	b.upstream("i-p7", "pay")
+	b.eventually("the upstream after the bad one", func() bool { return b.gateways[0].view.inst.Load().Get("i-p7") != nil })
+	b.mustAsk(b.gateways[0], http.MethodGet, "/status/x", 5)
+	b.configure(8, config)
+	b.eventually("the next good version", func() bool { return b.gateways[1].view.table.Load().Version == 8 })
+}
+
+// TestConfigurationNeverGoesBack, whoever says so.
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	t.Parallel()
+	b := standard(t)
+	b.configure(9, config)
+	b.eventually("version 9 everywhere", func() bool { return b.inForce(9) })
+	b.configure(4, config)
+	b.upstream("i-p7", "pay")
+	b.eventually("a later change everywhere", func() bool {
+		for _, g := range b.gateways {
+			if g.view.inst.Load().Get("i-p7") == nil {
+				return false
+			}
+		}
+		return true
+	})
+	for _, g := range b.gateways {
+		if v := g.view.table.Load().Version; v != 9 {
+			t.Errorf("%s: version %d", g.conf.Node, v)
+		}
+	}
+}
+
+// TestLateGrants: grants that are carried out after newer ones harm nobody.
+func TestLateGrants(t *testing.T) {
+	t.Parallel()
+	b := standard(t)
+	b.ups["i-s0"].Set(instance.LateGrants)
+	time.Sleep(2 * renewInterval)
+	b.register(b.ups["i-s1"], "draining")
+	b.eventually("nothing owned by the leaving one", func() bool { return b.ownedBy("i-s1") == 0 })
+	b.ups["i-s0"].Set(instance.Serves)
+	b.ready()
+	for key := 0; key <= spans.MaxKey; key += 6553 {
+		b.mustAsk(b.gateways[2], http.MethodGet, "/status/x", key)
+	}
+}
+
+// TestLostAnswers: a request that must not run twice and whose answer is lost
+// gets an answer that promises nothing; one that may is sent once more.
+func TestLostAnswers(t *testing.T) {
+	t.Parallel()
+	b := standard(t)
+	b.ups["i-p0"].Set(instance.Loses)
+	b.ups["i-p1"].Set(instance.Loses)
+	a := b.ask(b.gateways[0], http.MethodPost, "/pay/x", -1)
+	if a.status != http.StatusBadGateway || b.oracle.Runs(a.id) != 1 {
+		t.Errorf("status %d after %d runs", a.status, b.oracle.Runs(a.id))
+	}
+	b.ups["i-p1"].Set(instance.Serves)
+	for range 6 {
+		b.mustAsk(b.gateways[0], http.MethodGet, "/read/x", -1)
+	}
+}
+
+// TestRefusalsAreTrue: what upstreams refuse for want of room has not run and is
+// refused with a time to come back.
+func TestRefusalsAreTrue(t *testing.T) {
+	t.Parallel()
+	b := standard(t)
+	b.ups["i-p0"].Set(instance.Sheds)
+	b.ups["i-p1"].Set(instance.Sheds)
+	for range 5 {
+		a := b.ask(b.gateways[0], http.MethodPost, "/pay/x", -1)
+		if a.status != http.StatusServiceUnavailable || a.header.Get("Retry-After") == "" || b.oracle.Runs(a.id) != 0 {
+			t.Errorf("status %d after %d runs", a.status, b.oracle.Runs(a.id))
+		}
+	}
+}
+
+// TestOwnFailure of an upstream is passed on as it is for a request that must
+// not run twice.
+func TestOwnFailure(t *testing.T) {
+	t.Parallel()
+	b := standard(t)
+	b.ups["i-p0"].Set(instance.Fails)
+	b.ups["i-p1"].Set(instance.Fails)
+	a := b.ask(b.gateways[0], http.MethodPost, "/pay/x", -1)
+	if a.status != http.StatusInternalServerError || a.header.Get(platform.Signature) != "sig-"+a.id || b.oracle.Runs(a.id) != 1 {
+		t.Errorf("status %d after %d runs", a.status, b.oracle.Runs(a.id))
+	}
+}
+
+// TestStopCutsNothing: a gateway that stops under load answers everything it
+// was sent.
+func TestStopCutsNothing(t *testing.T) {
+	t.Parallel()
+	b := standard(t)
+	g := b.gateways[1]
+	b.ups["i-p0"].Work = 50 * time.Millisecond
+	b.ups["i-p1"].Work = 50 * time.Millisecond
+	var failed atomic.Int64
+	var all sync.WaitGroup
+	var stopping atomic.Bool
+	for range 4 {
+		all.Go(func() {
+			for !stopping.Load() {
+				if a := b.ask(g, http.MethodPost, "/pay/x", -1); a.err != nil || a.status != http.StatusOK {
+					failed.Add(1)
+					t.Logf("status %d, error %v", a.status, a.err)
+				}
+			}
+		})
+	}
+	b.eventually("some requests", func() bool { return b.next.Load() > 20 })
+	g.stop()
+	// The balancer sends no more once it has noticed.
+	b.eventually("not ready", func() bool { return !g.Gateway.ready() })
+	stopping.Store(true)
+	all.Wait()
+	<-g.done
+	if failed.Load() > 0 {
+		t.Errorf("%d requests cut off", failed.Load())
+	}
+}
+
+// TestAllKilled: after the loss of all gateways the next ones go on with the
+// same owners and fences.
+func TestAllKilled(t *testing.T) {
+	t.Parallel()
+	b := standard(t)
+	before := b.gateways[0].view.spansOf("status")
+	for _, g := range b.gateways {
+		g.kill()
+	}
+	next := b.gateway("g9")
+	b.ready()
+	for _, s := range before.Spans {
+		if now := next.view.spansOf("status").Find(s.First); now.Owner != s.Owner || now.Fence != s.Fence {
+			t.Errorf("span %d-%d: %s with %d, was %s with %d", s.First, s.Last, now.Owner, now.Fence, s.Owner, s.Fence)
+		}
+	}
+	b.mustAsk(next, http.MethodGet, "/status/x", 77)
+}
--- a/gateway/grants.go
+++ b/gateway/grants.go
@@ -163,7 +163,7 @@
 // hold is how long grants last: longer while the store is not reached, so that
 // owners serve on until it returns.
 func (k *keeper) hold() time.Duration {
-	if k.calls.failing() {
+	if k.leading.doubtful() {
 		return k.longest
 	}
 	return min(holdTime, k.longest)
@@ -222,7 +222,7 @@
 // each owner.
 func (k *keeper) startRenewals(ctx context.Context) {
 	now := k.now()
-	long := k.calls.failing()
+	long := k.leading.doubtful()
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	due := make(map[string][]spans.Span)
--- a/gateway/lead.go
+++ b/gateway/lead.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rockcroft/rockcroft/coordination/leadership"
@@ -27,6 +28,9 @@
 	// claimInterval is the time between readings of the lease by a gateway that
 	// would take it.
 	claimInterval = 500 * time.Millisecond
+	// lateRenewal is how late a renewal of the lease must be for grants to be
+	// made longer: enough of the right is left to do so.
+	lateRenewal = 500 * time.Millisecond
 	// resignTimeout bounds giving the lease up at the end.
 	resignTimeout = 1000 * time.Millisecond
 )
@@ -52,7 +56,11 @@
 	// formerEnds is when the right of the leader before has surely ended.
 	formerEnds time.Time
 	renewedAt  time.Time
-	resigned   bool
+
+	// resigned is set when this process stops: it takes no lease any more.
+	resigned atomic.Bool
+	// writing is held over each write of the lease.
+	writing sync.Mutex
 }
 
 // mayAct reports whether this process leads and its right has not run out.
@@ -106,7 +114,7 @@
 // due reports whether this gateway should look whether it can lead.
 // ended says that the leader's process or role seems to have ended.
 func (l *leading) due(started time.Time, lost time.Duration, ended bool) bool {
-	if l.resigned {
+	if l.resigned.Load() {
 		return false
 	}
 	if l.cluster.knownLeader() == nil {
@@ -154,6 +162,11 @@
 
 // take writes the lease in this gateway's name.
 func (l *leading) take(ctx context.Context, former leadership.Lease, revision uint64, ends time.Time) {
+	l.writing.Lock()
+	defer l.writing.Unlock()
+	if l.resigned.Load() {
+		return
+	}
 	self := l.cluster.self
 	mine := leadership.Lease{
 		Node: self.Node, Address: self.Address, Domain: self.Domain, Incarnation: self.Incarnation,
@@ -195,6 +208,11 @@
 
 // keep renews the lease when it is due, and stops leading when it is lost.
 func (l *leading) keep(ctx context.Context) {
+	l.writing.Lock()
+	defer l.writing.Unlock()
+	if !l.cluster.isLeading() {
+		return
+	}
 	now := l.now()
 	l.mu.Lock()
 	due := now.Sub(l.renewedAt) >= leadership.Renewal
@@ -224,6 +242,11 @@
 	l.cluster.expire()
 }
 
+// doubtful reports whether the lease was not renewed when it was due.
+func (l *leading) doubtful() bool {
+	return l.rightLeft() < leadership.Term-leadership.Renewal-lateRenewal
+}
+
 func (l *leading) rightLeft() time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -258,9 +281,9 @@
 
 // resign gives the lease up, so that another gateway can take it at once.
 func (l *leading) resign(ctx context.Context) {
-	l.mu.Lock()
-	l.resigned = true
-	l.mu.Unlock()
+	l.resigned.Store(true)
+	l.writing.Lock()
+	defer l.writing.Unlock()
 	if !l.cluster.isLeading() {
 		return
 	}
--- a/gateway/meters.go
+++ b/gateway/meters.go
@@ -1,6 +1,9 @@
 package gateway
 
 import (
+	"fmt"
+	"io"
+	"sort"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -29,3 +32,27 @@
 		histogram.Update(d.Microseconds())
 	}
 }
+
+// write prints all counters, gauges and histograms as text, one value a line,
+// in the order of their names.
+func (m *meters) write(w io.Writer) {
+	var lines []string
+	m.registry.Each(func(name string, value any) {
+		switch v := value.(type) {
+		case metrics.Counter:
+			lines = append(lines, fmt.Sprintf("%s %d", name, v.Count()))
+		case metrics.Gauge:
+			lines = append(lines, fmt.Sprintf("%s %d", name, v.Value()))
+		case metrics.Histogram:
+			s := v.Snapshot()
+			p := s.Percentiles([]float64{0.5, 0.9, 0.99})
+			lines = append(lines, fmt.Sprintf("%s count %d p50 %.0f p90 %.0f p99 %.0f max %d", name, s.Count(), p[0], p[1], p[2], s.Max()))
+		}
+	})
+	sort.Strings(lines)
+	for _, line := range lines {
+		if _, err := fmt.Fprintln(w, line); err != nil {
+			return
+		}
+	}
+}
--- a/gateway/storecall.go
+++ b/gateway/storecall.go
@@ -20,6 +20,9 @@
 	storeTimeout = 700 * time.Millisecond
 	// relayTimeout bounds the same call by way of another gateway.
 	relayTimeout = 900 * time.Millisecond
+	// callPatience is how long one way is waited for before another is tried
+	// beside it: longer than the store's answers when it is slow.
+	callPatience = 450 * time.Millisecond
 	// directPause is how long calls go by way of other gateways first after a
 	// direct one failed.
 	directPause = 1500 * time.Millisecond
@@ -51,35 +54,80 @@
 
 var errNoWay = errors.New("the store is reached neither directly nor by way of other gateways")
 
-// Call implements platform.Transport.
+// callResult is how one way of making a call ended.
+type callResult struct {
+	direct bool
+	status int
+	body   []byte
+	err    error
+}
+
+// Call implements platform.Transport. The call is made directly, and by way of
+// other gateways as well when that fails or takes long; the other way round when
+// it has failed directly a moment ago. All calls that write are conditional, so
+// that one that is made twice takes effect once.
 func (s *storeCaller) Call(ctx context.Context, c platform.Call) (int, []byte, error) {
-	avoid := s.avoidsDirect()
-	if !avoid {
-		if status, body, err := s.direct(ctx, c); served(status, err) {
-			s.succeeded()
-			return status, body, nil
-		} else if ctx.Err() != nil {
-			return 0, nil, context.Cause(ctx)
-		}
-		s.directFailed()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	results := make(chan callResult, 1+mostRelays)
+	direct := func() int {
+		go func() {
+			status, body, err := s.direct(ctx, c)
+			results <- callResult{true, status, body, err}
+		}()
+		return 1
 	}
-	for _, peer := range s.relays(mostRelays) {
-		if status, body, err := s.relay(ctx, peer, c); served(status, err) {
-			s.succeeded()
-			return status, body, nil
-		} else if ctx.Err() != nil {
-			return 0, nil, context.Cause(ctx)
+	relayed := func() int {
+		peers := s.relays(mostRelays)
+		for _, peer := range peers {
+			go func() {
+				status, body, err := s.relay(ctx, peer, c)
+				results <- callResult{false, status, body, err}
+			}()
 		}
+		return len(peers)
+	}
+	ways := []func() int{direct, relayed}
+	if s.avoidsDirect() {
+		ways = []func() int{relayed, direct}
 	}
-	if avoid {
-		if status, body, err := s.direct(ctx, c); served(status, err) {
-			s.directWorks()
-			s.succeeded()
-			return status, body, nil
+	for running := 0; ; {
+		if running == 0 && len(ways) == 0 {
+			s.failed()
+			return 0, nil, errNoWay
+		}
+		var patience <-chan time.Time
+		if len(ways) > 0 {
+			if running == 0 {
+				running = ways[0]()
+				ways = ways[1:]
+			}
+			timer := time.NewTimer(callPatience + c.Wait)
+			defer timer.Stop()
+			patience = timer.C
+		}
+		if running == 0 {
+			continue
+		}
+		select {
+		case r := <-results:
+			running--
+			if served(r.status, r.err) {
+				s.succeeded(r.direct)
+				return r.status, r.body, nil
+			}
+			if r.direct && ctx.Err() == nil {
+				s.directFailed()
+			}
+		case <-patience:
+			if len(ways) > 0 {
+				running += ways[0]()
+				ways = ways[1:]
+			}
+		case <-ctx.Done():
+			return 0, nil, context.Cause(ctx)
 		}
 	}
-	s.failed()
-	return 0, nil, errNoWay
 }
 
 // served reports whether the store itself took the call. What it turns away is
@@ -130,14 +178,12 @@
 	s.directUntil = s.now().Add(directPause)
 }
 
-func (s *storeCaller) directWorks() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.directUntil = time.Time{}
-}
-
-func (s *storeCaller) succeeded() {
+// succeeded notes a call that the store has served.
+func (s *storeCaller) succeeded(direct bool) {
 	s.mu.Lock()
+	if direct {
+		s.directUntil = time.Time{}
+	}
 	now := s.now()
 	returned := s.awayAt(now)
 	s.lastOK = now
@@ -169,13 +215,6 @@
 	return s.awayAt(s.now())
 }
 
-// failing reports whether the last call failed.
-func (s *storeCaller) failing() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return !s.failingFrom.IsZero()
-}
-
 // relayed checks a call that another gateway asks for: only calls on objects
 // are passed on.
 func relayed(r *syncpb.RelayRequest) (platform.Call, bool) {
--- /dev/null
+++ b/standin/instance/instance.go
@@ -0,0 +1,261 @@
+// Package instance stands in for an upstream on the platform: it takes grants
+// and releases with fences, runs requests for keys that it holds, and has the
+// faults that the platform's pages describe. All instances report to one
+// Oracle, which knows what must never happen.
+package instance
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/rockcroft/rockcroft/platform"
+	"github.com/rockcroft/rockcroft/state/spans"
+)
+
+// Mode is how an instance treats requests and calls.
+type Mode int
+
+// The modes.
+const (
+	// Serves runs what it is sent.
+	Serves Mode = iota
+	// Silent answers nothing and runs nothing, Frozen the same but lets calls
+	// take effect when it wakes.
+	Silent
+	// Loses runs requests and breaks the connection instead of answering.
+	Loses
+	// Fails runs requests and answers 500.
+	Fails
+	// Sheds refuses requests for want of room.
+	Sheds
+	// LateGrants breaks grant calls off and carries them out LateBy later.
+	LateGrants
+)
+
+// LateBy is how late a grant is carried out in mode LateGrants.
+const LateBy = 400 * time.Millisecond
+
+// Instance is one incarnation of an upstream. It is safe for concurrent use.
+type Instance struct {
+	// ID is unique. Keyed says that requests need a key that it holds.
+	ID    string
+	Keyed bool
+	// Work is how long a request runs.
+	Work   time.Duration
+	Oracle *Oracle
+
+	mu    sync.Mutex
+	mode  Mode
+	holds []hold
+	// seen is the highest fence seen, by span of keys.
+	seen    []seen
+	running map[uint16]int
+	idle    *sync.Cond
+}
+
+type hold struct {
+	spans.Keys
+	fence uint64
+	until time.Time
+}
+
+type seen struct {
+	spans.Keys
+	fence uint64
+}
+
+// New returns an instance that holds nothing.
+func New(id string, keyed bool, work time.Duration, oracle *Oracle) *Instance {
+	i := &Instance{ID: id, Keyed: keyed, Work: work, Oracle: oracle, running: make(map[uint16]int)}
+	i.idle = sync.NewCond(&i.mu)
+	return i
+}
+
+// Set changes the mode.
+func (i *Instance) Set(m Mode) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.mode = m
+}
+
+func (i *Instance) get() Mode {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.mode
+}
+
+// Holds reports whether the instance holds the key now.
+func (i *Instance) Holds(key uint16) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.holdsLocked(key)
+}
+
+func (i *Instance) holdsLocked(key uint16) bool {
+	now := time.Now()
+	for _, h := range i.holds {
+		if h.Has(key) && now.Before(h.until) {
+			return true
+		}
+	}
+	return false
+}
+
+// ServeHTTP serves requests and calls.
+func (i *Instance) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	if i.get() == Silent {
+		<-r.Context().Done()
+		return
+	}
+	if target := r.Header.Get(platform.TargetInstance); target != "" && target != i.ID {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	switch r.URL.Path {
+	case platform.GrantPath:
+		i.grantCall(w, body)
+	case platform.ReleasePath:
+		i.releaseCall(w, body)
+	default:
+		i.request(w, r)
+	}
+}
+
+func (i *Instance) grantCall(w http.ResponseWriter, body []byte) {
+	var c platform.GrantCall
+	if json.Unmarshal(body, &c) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	until := time.Now().Add(time.Duration(c.Hold * float64(time.Second)))
+	if i.get() == LateGrants {
+		time.AfterFunc(LateBy, func() { i.grant(c, until) })
+		panic(http.ErrAbortHandler)
+	}
+	w.WriteHeader(i.grant(c, until))
+}
+
+func (i *Instance) grant(c platform.GrantCall, until time.Time) int {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	keys := spans.Keys{First: c.From, Last: c.Target}
+	for _, s := range i.seen {
+		if overlap(s.Keys, keys) && s.fence > c.Fence {
+			return http.StatusConflict
+		}
+	}
+	i.drop(keys)
+	i.seen = append(i.seen, seen{keys, c.Fence})
+	i.holds = append(i.holds, hold{keys, c.Fence, until})
+	i.Oracle.granted(i.ID, keys, c.Fence, until)
+	return http.StatusOK
+}
+
+func overlap(a, b spans.Keys) bool { return a.First <= b.Last && b.First <= a.Last }
+
+// drop cuts the keys out of all holds.
+func (i *Instance) drop(keys spans.Keys) {
+	var kept []hold
+	for _, h := range i.holds {
+		if !overlap(h.Keys, keys) {
+			kept = append(kept, h)
+			continue
+		}
+		if h.First < keys.First {
+			low := h
+			low.Last = keys.First - 1
+			kept = append(kept, low)
+		}
+		if h.Last > keys.Last {
+			high := h
+			high.First = keys.Last + 1
+			kept = append(kept, high)
+		}
+	}
+	i.holds = kept
+}
+
+func (i *Instance) releaseCall(w http.ResponseWriter, body []byte) {
+	var c platform.GrantCall
+	if json.Unmarshal(body, &c) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	keys := spans.Keys{First: c.From, Last: c.Target}
+	i.drop(keys)
+	i.seen = append(i.seen, seen{keys, c.Fence})
+	i.Oracle.released(i.ID, keys)
+	for i.busy(keys) {
+		i.idle.Wait()
+	}
+	w.Header().Set(platform.Handover, "h-"+i.ID+"-"+strconv.FormatUint(c.Fence, 10))
+}
+
+func (i *Instance) busy(keys spans.Keys) bool {
+	for key, n := range i.running {
+		if n > 0 && keys.Has(key) {
+			return true
+		}
+	}
+	return false
+}
+
+func (i *Instance) request(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get(platform.RequestID)
+	w.Header().Set(platform.RequestID, id)
+	key, hasKey := platform.Key(r.Header)
+	if i.get() == Sheds {
+		w.Header().Set(platform.NotExecuted, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if i.Keyed && (!hasKey || !i.begin(key)) {
+		w.Header().Set(platform.NotExecuted, "1")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	i.Oracle.ran(i.ID, id, r.Method, key, i.Keyed)
+	time.Sleep(i.Work)
+	if i.Keyed {
+		i.end(key)
+	}
+	switch i.get() {
+	case Loses, Silent:
+		panic(http.ErrAbortHandler)
+	case Fails:
+		w.Header().Set(platform.Signature, "sig-"+id)
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set(platform.Signature, "sig-"+id)
+	if _, err := io.WriteString(w, "done "+id+" by "+i.ID); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (i *Instance) begin(key uint16) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if !i.holdsLocked(key) {
+		return false
+	}
+	i.running[key]++
+	return true
+}
+
+func (i *Instance) end(key uint16) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.running[key]--
+	i.idle.Broadcast()
+}
--- /dev/null
+++ b/state/instances/instances_test.go
@@ -0,0 +1,92 @@
+package instances
+
+import (
+	"testing"
+	"time"
+)
+
+var start = time.Now()
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+func one(id string) Instance { return Instance{ID: id, Service: "s", Address: id + ":1"} }
+
+func leaving(t *testing.T, tr *Tracker, id string) bool {
+	t.Helper()
+	v, _ := tr.View()
+	i := v.Get(id)
+	if i == nil {
+		t.Fatalf("%s is not in the view", id)
+	}
+	return i.Leaving
+}
+
+func TestRemovedEntryIsLeaving(t *testing.T) {
+	tr := NewTracker(nil, start)
+	tr.List(start, 5, []Instance{one("a"), one("b")})
+	tr.Remove(at(time.Second), "a")
+	if !tr.Settle(at(time.Second)) || !leaving(t, tr, "a") || leaving(t, tr, "b") {
+		t.Error("an upstream whose entry is gone is not leaving")
+	}
+	tr.Settle(at(time.Second + keepGone + 1))
+	if v, _ := tr.View(); v.Get("a") != nil || v.Len() != 1 {
+		t.Error("it is kept for ever")
+	}
+}
+
+// TestLapsedEntriesAreWaitedFor: entries missing right after an outage stay in
+// service until the store has been back for lapseGrace.
+func TestLapsedEntriesAreWaitedFor(t *testing.T) {
+	tr := NewTracker(nil, start)
+	tr.List(start, 5, []Instance{one("a"), one("b")})
+	tr.Returned(at(10 * time.Second))
+	tr.List(at(10*time.Second), 9, nil)
+	if tr.Settle(at(10*time.Second+lapseGrace-1)) || leaving(t, tr, "a") {
+		t.Error("given up before its time")
+	}
+	tr.Put(one("a"))
+	tr.Settle(at(10*time.Second + lapseGrace))
+	if leaving(t, tr, "a") || !leaving(t, tr, "b") {
+		t.Error("one that came back leaves, or one that did not stays")
+	}
+}
+
+// TestViewGoesOn: a tracker that begins with a view made elsewhere goes on from
+// it, and its list replaces what has gone since.
+func TestViewGoesOn(t *testing.T) {
+	gone := one("gone")
+	gone.Leaving = true
+	tr := NewTracker(NewView(7, []Instance{one("a"), one("b"), gone}), start)
+	if tr.Revision() != 7 {
+		t.Errorf("revision %d", tr.Revision())
+	}
+	tr.List(start, 9, []Instance{one("b"), one("c")})
+	tr.Settle(start)
+	if !leaving(t, tr, "a") || leaving(t, tr, "b") || leaving(t, tr, "c") || !leaving(t, tr, "gone") {
+		t.Error("the list is not what counts")
+	}
+}
+
+func TestVersionsDiffer(t *testing.T) {
+	tr := NewTracker(nil, start)
+	tr.List(start, 5, []Instance{one("a")})
+	_, first := tr.View()
+	_, second := tr.View()
+	tr.Advance(6)
+	_, third := tr.View()
+	if first == second || third <= second {
+		t.Errorf("versions %d, %d, %d", first, second, third)
+	}
+}
+
+func TestViewByService(t *testing.T) {
+	other := one("x")
+	other.Service = "t"
+	v := NewView(1, []Instance{one("b"), one("a"), other})
+	if got := v.Service("s"); len(got) != 2 || got[0].ID != "a" {
+		t.Errorf("service s: %v", got)
+	}
+	if got := v.Services(); len(got) != 2 || got[0] != "s" || got[1] != "t" {
+		t.Errorf("services %v", got)
+	}
+}
--- /dev/null
+++ b/transport/pool/pool_test.go
@@ -0,0 +1,317 @@
+package pool
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+var limits = Limits{Dial: time.Second, MaxIdle: time.Minute, MaxIdleOnce: time.Minute, MaxIdleConns: 4, MaxBody: 1 << 20}
+
+// server serves raw connections: for each, serve is called with the request
+// read, until it returns false.
+type server struct {
+	addr  string
+	conns atomic.Int32
+}
+
+func serve(t *testing.T, answer func(conn, request int, r *http.Request, c net.Conn) bool) *server {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	s := &server{addr: l.Addr().String()}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			n := int(s.conns.Add(1))
+			go func() {
+				defer func() { _ = c.Close() }()
+				br := bufio.NewReader(c)
+				for i := 1; ; i++ {
+					r, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					if _, err := io.Copy(io.Discard, r.Body); err != nil || !answer(n, i, r, c) {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return s
+}
+
+func get(id string) *Request {
+	return &Request{Method: http.MethodGet, Target: "/x", Host: "h", Header: http.Header{"Id": {id}}, EchoHeader: "Id", Echo: id}
+}
+
+func say(c net.Conn, id, body string) {
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func do(t *testing.T, p *Pool, addr, id, want string) {
+	t.Helper()
+	resp, err := p.Do(context.Background(), addr, get(id))
+	if err != nil {
+		t.Fatalf("%s: %v", id, err)
+	}
+	if string(resp.Body) != want {
+		t.Fatalf("%s: body %q", id, resp.Body)
+	}
+}
+
+func TestConnectionsAreUsedAgain(t *testing.T) {
+	s := serve(t, func(_, _ int, r *http.Request, c net.Conn) bool {
+		say(c, r.Header.Get("Id"), "ok")
+		return true
+	})
+	p := New(limits, time.Now)
+	for i := range 5 {
+		do(t, p, s.addr, fmt.Sprint(i), "ok")
+	}
+	if n := s.conns.Load(); n != 1 {
+		t.Errorf("%d connections", n)
+	}
+}
+
+// TestForeignAnswerIsPassedOver: an extra answer to an earlier request comes
+// first; the right one is taken and the connection not used again.
+func TestForeignAnswerIsPassedOver(t *testing.T) {
+	s := serve(t, func(_, i int, r *http.Request, c net.Conn) bool {
+		if i == 2 {
+			say(c, "1", "again")
+		}
+		say(c, r.Header.Get("Id"), "mine "+r.Header.Get("Id"))
+		return true
+	})
+	p := New(limits, time.Now)
+	do(t, p, s.addr, "1", "mine 1")
+	do(t, p, s.addr, "2", "mine 2")
+	do(t, p, s.addr, "3", "mine 3")
+	if n := s.conns.Load(); n != 2 {
+		t.Errorf("%d connections, want the second request's to be given up", n)
+	}
+}
+
+func TestOnlyForeignAnswers(t *testing.T) {
+	s := serve(t, func(_, _ int, _ *http.Request, c net.Conn) bool {
+		for range maxForeign + 1 {
+			say(c, "other", "x")
+		}
+		return true
+	})
+	if _, err := New(limits, time.Now).Do(context.Background(), s.addr, get("1")); !errors.Is(err, ErrForeign) {
+		t.Errorf("error %v", err)
+	}
+}
+
+// TestBytesAfterAnAnswerBelongToNoRequest: a connection on which bytes wait is
+// not used again, whether they came with the answer or later.
+func TestBytesAfterAnAnswerBelongToNoRequest(t *testing.T) {
+	wrote := make(chan bool)
+	s := serve(t, func(n, _ int, r *http.Request, c net.Conn) bool {
+		say(c, r.Header.Get("Id"), "ok")
+		if n == 1 {
+			say(c, r.Header.Get("Id"), "extra")
+			wrote <- true
+		}
+		return true
+	})
+	p := New(limits, time.Now)
+	do(t, p, s.addr, "1", "ok")
+	<-wrote
+	do(t, p, s.addr, "2", "ok")
+	if n := s.conns.Load(); n != 2 {
+		t.Errorf("%d connections", n)
+	}
+}
+
+func TestCutAnswersAreNotWhole(t *testing.T) {
+	for name, raw := range map[string]string{
+		"short body":    "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 10\r\n\r\nshort",
+		"short chunk":   "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab",
+		"no last chunk": "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n",
+		"short head":    "HTTP/1.1 200 OK\r\nId: 1",
+		"no protocol":   "what is this\r\n\r\n",
+		"nothing":       "",
+	} {
+		s := serve(t, func(_, _ int, _ *http.Request, c net.Conn) bool {
+			_, _ = io.WriteString(c, raw)
+			return false
+		})
+		_, err := New(limits, time.Now).Do(context.Background(), s.addr, get("1"))
+		if !errors.Is(err, ErrBroken) || errors.Is(err, ErrNotSent) {
+			t.Errorf("%s: error %v", name, err)
+		}
+	}
+}
+
+// TestUnframedAnswer: without a length the answer ends with its connection;
+// whole only if that was closed and not reset.
+func TestUnframedAnswer(t *testing.T) {
+	for _, reset := range []bool{false, true} {
+		got := make(chan bool, 1)
+		s := serve(t, func(_, _ int, _ *http.Request, c net.Conn) bool {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nbody")
+			if tcp, ok := c.(*net.TCPConn); ok && reset {
+				_ = tcp.SetLinger(0)
+			}
+			got <- true
+			return false
+		})
+		resp, err := New(limits, time.Now).Do(context.Background(), s.addr, get("1"))
+		<-got
+		if reset && err == nil || !reset && (err != nil || string(resp.Body) != "body") {
+			t.Errorf("reset %v: %v", reset, err)
+		}
+	}
+}
+
+func TestNothingIsSentTwice(t *testing.T) {
+	var requests atomic.Int32
+	s := serve(t, func(_, i int, r *http.Request, c net.Conn) bool {
+		requests.Add(1)
+		if i == 2 {
+			return false
+		}
+		say(c, r.Header.Get("Id"), "ok")
+		return true
+	})
+	p := New(limits, time.Now)
+	do(t, p, s.addr, "1", "ok")
+	if _, err := p.Do(context.Background(), s.addr, get("2")); !errors.Is(err, ErrBroken) || errors.Is(err, ErrNotSent) {
+		t.Errorf("error %v", err)
+	}
+	if n := requests.Load(); n != 2 {
+		t.Errorf("%d requests arrived", n)
+	}
+}
+
+func TestRefusedIsNotSent(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := l.Addr().String()
+	_ = l.Close()
+	_, err = New(limits, time.Now).Do(context.Background(), addr, get("1"))
+	if !errors.Is(err, ErrNotSent) || !errors.Is(err, ErrRefused) {
+		t.Errorf("error %v", err)
+	}
+}
+
+// TestCancelResets: when the caller gives up, the other side sees the
+// connection end, so that it can drop the work.
+func TestCancelResets(t *testing.T) {
+	arrived, ended := make(chan bool), make(chan error, 1)
+	s := serve(t, func(_, _ int, _ *http.Request, c net.Conn) bool {
+		arrived <- true
+		_, err := c.Read(make([]byte, 1))
+		ended <- err
+		return false
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-arrived
+		cancel()
+	}()
+	_, err := New(limits, time.Now).Do(ctx, s.addr, get("1"))
+	if !errors.Is(err, context.Canceled) || errors.Is(err, ErrNotSent) {
+		t.Errorf("error %v", err)
+	}
+	if err := <-ended; err == nil {
+		t.Error("the other side saw bytes instead of an end")
+	}
+}
+
+// TestEarlyAnswer: an answer that comes before a long body was read is taken,
+// and the connection is not used again.
+func TestEarlyAnswer(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	var conns atomic.Int32
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			conns.Add(1)
+			go func() {
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+					say(c, "1", "early")
+				}
+			}()
+		}
+	}()
+	p := New(limits, time.Now)
+	r := get("1")
+	r.Method, r.Body = http.MethodPost, []byte(strings.Repeat("x", 32<<20))
+	for range 2 {
+		resp, err := p.Do(context.Background(), l.Addr().String(), r)
+		if err != nil || string(resp.Body) != "early" {
+			t.Fatalf("%v", err)
+		}
+	}
+	if n := conns.Load(); n != 2 {
+		t.Errorf("%d connections", n)
+	}
+}
+
+// TestIdleBounds: connections are kept for less than the other side announced,
+// and for less still for requests that must not run twice.
+func TestIdleBounds(t *testing.T) {
+	s := serve(t, func(_, _ int, r *http.Request, c net.Conn) bool {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nKeep-Alive: timeout=4\r\nContent-Length: 0\r\n\r\n", r.Header.Get("Id"))
+		return true
+	})
+	now := time.Now()
+	l := limits
+	l.MaxIdleOnce = time.Second
+	p := New(l, func() time.Time { return now })
+	expect := func(conns int32, once bool) {
+		t.Helper()
+		r := get("1")
+		r.Once = once
+		if _, err := p.Do(context.Background(), s.addr, r); err != nil {
+			t.Fatal(err)
+		}
+		if n := s.conns.Load(); n != conns {
+			t.Errorf("%d connections, want %d", n, conns)
+		}
+	}
+	expect(1, false)
+	now = now.Add(2 * time.Second)
+	expect(1, false)
+	now = now.Add(2 * time.Second)
+	expect(2, true)
+	now = now.Add(3500 * time.Millisecond)
+	expect(3, false)
+}
+
+func TestInformationalAnswersArePassedOver(t *testing.T) {
+	s := serve(t, func(_, _ int, r *http.Request, c net.Conn) bool {
+		_, _ = io.WriteString(c, "HTTP/1.1 103 Early Hints\r\n\r\n")
+		say(c, r.Header.Get("Id"), "ok")
+		return true
+	})
+	do(t, New(limits, time.Now), s.addr, "1", "ok")
+}
