--- a/gateway/lead.go
+++ b/gateway/lead.go
@@ -134,7 +134,7 @@
 	object, err := l.store.Get(ctx, leaseKind, leaseName)
 	switch {
 	case errors.Is(err, platform.ErrNotFound):
-		l.take(ctx, leadership.Lease{}, 0, time.Time{})
+		l.take(ctx, leadership.Lease{}, 0, l.now())
 		return
 	case err != nil:
 		return
