--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -23,7 +23,7 @@
 	// slots: one part runs, the rest waits there so that no slot idles while
 	// an answer travels. Instances queue about four times their slots before
 	// they refuse or reset, so estimates that are off by two do no harm.
-	slotFactor = 2.0
+	slotFactor = 2.5
 	// objectiveShare is the part of a route's objective that the estimated
 	// delay may take; the rest is for what the estimate misses.
 	objectiveShare = 0.8
@@ -59,7 +59,8 @@
 	// take before any answer was seen: one third on all sheets.
 	firstWorkPart = 3
 	// fullPause is how long an upstream that refused for want of room gets
-	// nothing more than it already has.
+	// nothing more than it already has. One that refuses with slots free fails
+	// in another way, and a pause would only waste these.
 	fullPause = 60 * time.Millisecond
 	// warmUpSlowness is how much slower an upstream is taken to be while it
 	// warms up.
@@ -258,8 +259,10 @@
 		u.failures += failureWeight * (1 - u.failures)
 	case Full:
 		u.reached(now)
-		u.fullUntil = now.Add(fullPause)
 		u.failures += failureWeight * (1 - u.failures)
+		if ahead+1 > float64(u.Slots) {
+			u.fullUntil = now.Add(fullPause)
+		}
 	case NotOwner:
 		u.reached(now)
 	case Unreachable, Refused:
--- a/coordination/dispatch/dispatch_test.go
+++ b/coordination/dispatch/dispatch_test.go
@@ -78,7 +78,7 @@
 func TestFullUpstreamsAreLeftAlone(t *testing.T) {
 	s := known(10 * ms)
 	var last Grant
-	for range 4 {
+	for range int(2 * slotFactor) {
 		w := want()
 		w.Objective = time.Minute
 		last = mustGrant(t, s, start, w)
@@ -184,7 +184,7 @@
 
 func TestTooLateIsRefusedAtOnce(t *testing.T) {
 	s := known(50 * ms)
-	for range 4 {
+	for range int(2 * slotFactor) {
 		w := want()
 		w.Objective = time.Minute
 		mustGrant(t, s, start, w)
--- a/coordination/ownership/plan.go
+++ b/coordination/ownership/plan.go
@@ -33,6 +33,9 @@
 	// hotGain is how much more capacity another upstream must have for a hot
 	// key to move there.
 	hotGain = 1.25
+	// hotStay is the same for a hot key that stands alone already: under its
+	// load the owner's capacity is underestimated.
+	hotStay = 1.7
 )
 
 // Owner is an upstream that can own keys.
@@ -355,8 +358,12 @@
 	if s.Moving() || owner == nil || most < hotShare*owner.Capacity || p.resting[s.First] && s.Count() == 1 {
 		return
 	}
+	gain := hotGain
+	if s.Count() == 1 {
+		gain = hotStay
+	}
 	best := p.strongest()
-	if best == nil || best.ID == owner.ID || best.Capacity < hotGain*owner.Capacity {
+	if best == nil || best.ID == owner.ID || best.Capacity < gain*owner.Capacity {
 		return
 	}
 	i = p.isolate(i, int(hot), int(hot))
--- a/gateway/traffic.go
+++ b/gateway/traffic.go
@@ -19,7 +19,7 @@
 	tickInterval = 20 * time.Millisecond
 	// budgetShare is the part of the retry budget that is used: gateways count
 	// the same window at slightly different times.
-	budgetShare = 0.75
+	budgetShare = 0.9
 	// mostKeys bounds the keys kept for one report.
 	mostKeys = 512
 )
