--- a/coordination/leadership/leadership.go
+++ b/coordination/leadership/leadership.go
@@ -1,6 +1,12 @@
 // Package leadership decides who may take the role of the leader, the one
 // gateway that gives keys to upstreams, and how long it may act.
 //
+// While the store is away the lease cannot be renewed by anyone. The holder then
+// goes on with the promises of a majority of the voters that the lease names. A
+// successor, which has written the lease, asks a majority of the same voters
+// before it counts on the former holder's end: one of them at least knows of the
+// last promise.
+//
 // The role is a lease in the platform's store, replaced by conditional update.
 // The holder acts only while its last successful renewal, counted from when it
 // was sent, is younger than Term. Another takes the role when the lease was
@@ -13,9 +19,9 @@
 
 const (
 	// Term is how long a renewal gives the right to act.
-	Term = 2500 * time.Millisecond
+	Term = 1800 * time.Millisecond
 	// Renewal is the time between renewals: two may be lost within a term.
-	Renewal = 800 * time.Millisecond
+	Renewal = 600 * time.Millisecond
 	// clockPercent is added to the wait for another's term to end, for clocks
 	// that run at different speeds; takeMargin for what is on its way.
 	clockPercent = 2
@@ -34,10 +40,18 @@
 	Term uint64 `json:"term"`
 	// Renewals makes each write differ from the one before.
 	Renewals uint64 `json:"renewals"`
+	// Voters are the peer addresses of the gateways whose promises let the
+	// holder go on while the store is away.
+	Voters []string `json:"voters"`
 	// Released says that the holder gave it up.
 	Released bool `json:"released,omitempty"`
 }
 
+// Same reports whether two leases are the same write.
+func (l Lease) Same(other Lease) bool {
+	return l.Incarnation == other.Incarnation && l.Term == other.Term && l.Renewals == other.Renewals && l.Released == other.Released
+}
+
 // Right is the holder's right to act.
 type Right struct{ until time.Time }
 
--- /dev/null
+++ b/coordination/leadership/promise_test.go
@@ -0,0 +1,94 @@
+package leadership
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+func TestPromisesAreKept(t *testing.T) {
+	p := NewPromises(start)
+	if given, age := p.Inquire(at(time.Second), 1); !given || age != time.Second {
+		t.Error("a process that has started counts as having promised then")
+	}
+	if !p.Give(at(2*time.Second), 3) {
+		t.Error("a promise is refused")
+	}
+	if given, age := p.Inquire(at(3*time.Second), 4); !given || age != time.Second {
+		t.Errorf("given %v, age %s", given, age)
+	}
+	if p.Give(at(4*time.Second), 3) {
+		t.Error("a promise to a former leader after a later one has asked")
+	}
+	if !p.Give(at(4*time.Second), 4) {
+		t.Error("a promise to the later leader is refused")
+	}
+}
+
+// TestSuccessorWaitsForPromises: whatever majorities the holder and its successor
+// reach, and whichever voters restart in between, the successor does not count
+// on the holder's end before the holder's right by promises has ended.
+func TestSuccessorWaitsForPromises(t *testing.T) {
+	rng := rand.New(rand.NewPCG(5, 6))
+	for round := range 3000 {
+		n := 1 + rng.IntN(MostVoters)
+		voters := make([]*Promises, n)
+		for i := range voters {
+			voters[i] = NewPromises(at(-time.Hour))
+		}
+		var holder Right
+		now := time.Duration(0)
+		for range 5 {
+			now += time.Duration(rng.IntN(800)) * time.Millisecond
+			if rng.IntN(3) == 0 {
+				voters[rng.IntN(n)] = NewPromises(at(now))
+			}
+			given := 0
+			for _, i := range rng.Perm(n)[:rng.IntN(n+1)] {
+				if voters[i].Give(at(now), 1) {
+					given++
+				}
+			}
+			if given >= Majority(n) {
+				holder.Renewed(at(now))
+			}
+		}
+		now += time.Duration(rng.IntN(3000)) * time.Millisecond
+		ends := at(0)
+		for _, i := range rng.Perm(n)[:Majority(n)] {
+			if given, age := voters[i].Inquire(at(now), 2); given {
+				if end := at(now - age).Add(Term); end.After(ends) {
+					ends = end
+				}
+			}
+		}
+		for _, v := range voters {
+			if given := v.Give(at(now+1), 1); given {
+				continue
+			}
+		}
+		if holder.until.After(ends) {
+			t.Fatalf("round %d: the holder may act until %s, its successor counts on %s", round, holder.until.Sub(start), ends.Sub(start))
+		}
+	}
+}
+
+func TestChooseVoters(t *testing.T) {
+	live := []Voter{{"a1", "a"}, {"a2", "a"}, {"a3", "a"}, {"a4", "a"}, {"b1", "b"}, {"b2", "b"}, {"c1", "c"}, {"c2", "c"}}
+	got := ChooseVoters(live, nil)
+	if d := cmp.Diff([]string{"a1", "a2", "a3", "b1", "b2", "c1", "c2"}, got); d != "" {
+		t.Error(d)
+	}
+	got = ChooseVoters(live[1:], got)
+	if d := cmp.Diff([]string{"a2", "a3", "a4", "b1", "b2", "c1", "c2"}, got); d != "" {
+		t.Error(d)
+	}
+	if got := ChooseVoters(live, got); cmp.Diff([]string{"a2", "a3", "a4", "b1", "b2", "c1", "c2"}, got) != "" {
+		t.Errorf("a former voter is replaced by one that came back: %v", got)
+	}
+	if got := ChooseVoters(live[:1], nil); len(got) != 1 {
+		t.Errorf("%v", got)
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -153,6 +153,7 @@
 	g.leading = &leading{
 		store: store, calls: g.calls, cluster: g.cluster, follower: g.follower, watcher: g.watcher,
 		steward: g.steward, now: g.now, log: log, firstRank: firstRank(conf),
+		promises: newPromises(g.now), longest: conf.LongestHold.D(),
 	}
 	g.steward.leading = g.leading
 	g.front = &front{
@@ -208,6 +209,7 @@
 	var loops sync.WaitGroup
 	loops.Go(func() { g.follower.run(work) })
 	loops.Go(func() { g.leading.run(work) })
+	loops.Go(func() { g.leading.runExtensions(work) })
 	loops.Go(func() { g.traffic.run(work) })
 	loops.Go(func() { g.expire(work) })
 	server := g.frontServer(ctx)
@@ -300,7 +302,8 @@
 
 func (g *Gateway) peerHandler() http.Handler {
 	server := &peerServer{
-		view: g.view, cluster: g.cluster, store: g.calls, steward: g.steward, traffic: g.traffic, now: g.now,
+		view: g.view, cluster: g.cluster, store: g.calls, steward: g.steward, traffic: g.traffic,
+		promises: g.leading.promises,
 	}
 	return syncpb.NewPeerServer(server)
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -211,16 +211,19 @@
 	}
 }
 
-// TestStoreAway: owners serve on through an outage that is longer than a
-// leader's right, and the same leader goes on afterwards.
+// TestStoreAway: the leader goes on by promises through an outage that is longer
+// than its lease and than any grant, and owners serve on.
 func TestStoreAway(t *testing.T) {
 	t.Parallel()
 	b := standard(t)
 	b.store.SetAll(metastore.Silent)
 	l := b.leader()
-	b.eventually("the right has run out", func() bool { return !l.leading.mayAct() })
+	b.eventually("promises", l.leading.byPromises)
 	stop := b.load(b.gateways, http.MethodGet, "/status/x", true)
-	time.Sleep(holdTime)
+	time.Sleep(3 * holdTime)
+	if b.leader() != l {
+		t.Error("the leader does not go on")
+	}
 	if sent, failed := stop(); failed > 0 || sent == 0 {
 		t.Errorf("%d of %d failed in the outage", failed, sent)
 	}
@@ -229,6 +232,24 @@
 	b.ready()
 }
 
+// TestLeaderLostWhileStoreAway: keys are served on by the longer grants, and the
+// next leader counts with these: the oracle sees no two owners when an owner falls
+// silent as well.
+func TestLeaderLostWhileStoreAway(t *testing.T) {
+	t.Parallel()
+	b := standard(t)
+	b.store.SetAll(metastore.Busy)
+	l := b.leader()
+	b.eventually("promises", l.leading.byPromises)
+	time.Sleep(renewInterval)
+	l.kill()
+	b.ups["i-s0"].Set(instance.Silent)
+	b.store.SetAll(metastore.Open)
+	b.eventually("another leader", func() bool { return b.leader() != nil })
+	b.eventually("nothing owned by the lost one", func() bool { return b.ownedBy("i-s0") == 0 })
+	b.ready()
+}
+
 // TestCompactionWhileWatchesAreDeaf: a change that no watch showed is in force
 // all the same.
 func TestCompactionWhileWatchesAreDeaf(t *testing.T) {
--- a/gateway/grants.go
+++ b/gateway/grants.go
@@ -119,7 +119,7 @@
 func (k *keeper) holdEnded(s spans.Span) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.now().After(k.holds[s.First])
+	return k.now().After(k.holds[s.First]) && k.leading.formerHoldsEnded()
 }
 
 // give grants the keys of a move to their next owner.
@@ -160,10 +160,10 @@
 
 var errNoRight = errors.New("the right to lead has run out")
 
-// hold is how long grants last: longer while the store is not reached, so that
-// owners serve on until it returns.
+// hold is how long grants last: longer while this leader acts by promises, so
+// that owners serve on if it is lost before the store returns.
 func (k *keeper) hold() time.Duration {
-	if k.leading.doubtful() {
+	if k.leading.byPromises() {
 		return k.longest
 	}
 	return min(holdTime, k.longest)
@@ -222,7 +222,7 @@
 // each owner.
 func (k *keeper) startRenewals(ctx context.Context) {
 	now := k.now()
-	long := k.leading.doubtful()
+	long := k.leading.byPromises()
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	due := make(map[string][]spans.Span)
@@ -231,8 +231,7 @@
 			continue
 		}
 		late := now.Sub(k.renewed[s.First]) >= renewInterval
-		// While the store is away each grant is made longer once, before
-		// the right to do so has run out.
+		// By promises each grant is made longer at once.
 		stretch := long && k.holds[s.First].Sub(now) < k.longest-renewInterval
 		if late || stretch {
 			due[s.Owner] = append(due[s.Owner], s)
--- a/gateway/keeper.go
+++ b/gateway/keeper.go
@@ -17,9 +17,11 @@
 const (
 	// holdTime is how long a grant lasts while the store is reached: keys of an
 	// upstream that is lost without a word are free after it.
-	holdTime = 5 * time.Second
+	// It must outlast the loss of a leader: a renewal interval, the term of its
+	// lease and the time to take over.
+	holdTime = 4 * time.Second
 	// renewInterval is the time between renewals of a grant.
-	renewInterval = 1300 * time.Millisecond
+	renewInterval = 1000 * time.Millisecond
 	// clockSlowness is how much slower than ours an upstream's clock may run
 	// that measures a grant.
 	clockSlowness = 1.02
@@ -208,16 +210,13 @@
 // versions of a later leader are higher.
 const termShift = 32
 
-// adopt takes over an assignment at the begin of this leader's term. What the
-// leader before may have granted counts as granted until its right ended.
+// adopt takes over an assignment at the begin of this leader's term.
 func (k *keeper) adopt(table *spans.Table, revision uint64) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.table = table.Clone()
 	k.revision = revision
-	until := k.leading.formerRight().Add(heldFor(k.longest))
 	for _, s := range k.table.Spans {
-		k.holds[s.First] = until
 		if s.Moving() {
 			k.inherited[s.NextFence] = true
 		}
--- a/gateway/lead.go
+++ b/gateway/lead.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -28,9 +29,9 @@
 	// claimInterval is the time between readings of the lease by a gateway that
 	// would take it.
 	claimInterval = 500 * time.Millisecond
-	// lateRenewal is how late a renewal of the lease must be for grants to be
-	// made longer: enough of the right is left to do so.
-	lateRenewal = 500 * time.Millisecond
+	// lateRenewal is how late a renewal of the lease must be for this leader to
+	// ask for promises: enough of its right is left to do so.
+	lateRenewal = 400 * time.Millisecond
 	// resignTimeout bounds giving the lease up at the end.
 	resignTimeout = 1000 * time.Millisecond
 )
@@ -47,15 +48,24 @@
 	log      *slog.Logger
 	// firstRank is this gateway's place while no members are known.
 	firstRank int
+	promises  *promises
+	longest   time.Duration
 
-	mu       sync.Mutex
-	right    leadership.Right
-	claim    leadership.Claim
-	lease    leadership.Lease
-	revision uint64
-	// formerEnds is when the right of the leader before has surely ended.
-	formerEnds time.Time
-	renewedAt  time.Time
+	mu    sync.Mutex
+	right leadership.Right
+	// extended is the right by promises, without the store.
+	extended leadership.Right
+	// voterLists are the lists of voters that may be in force: one, or two
+	// while a renewal that changed the list has no answer.
+	voterLists [][]string
+	claim      leadership.Claim
+	lease      leadership.Lease
+	revision   uint64
+	// formerHolds is until when upstreams may hold keys by grants of a former
+	// leader, once that is known.
+	formerHolds time.Time
+	formerKnown bool
+	renewedAt   time.Time
 
 	// resigned is set when this process stops: it takes no lease any more.
 	resigned atomic.Bool
@@ -67,14 +77,15 @@
 func (l *leading) mayAct() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.right.Valid(l.now())
+	return l.right.Valid(l.now()) || l.extended.Valid(l.now())
 }
 
-// formerRight returns when the right of the leader before has surely ended.
-func (l *leading) formerRight() time.Time {
+// byPromises reports whether this leader acts by promises: then its grants may
+// last longer, as its successor will ask for these.
+func (l *leading) byPromises() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.formerEnds
+	return l.extended.Valid(l.now())
 }
 
 // run takes the lease when it is due, keeps it, and watches the store while
@@ -111,6 +122,18 @@
 	watch.Wait()
 }
 
+// runExtensions asks for promises while the lease is not renewed, until ctx ends.
+func (l *leading) runExtensions(ctx context.Context) {
+	for ctx.Err() == nil {
+		if l.cluster.isLeading() && l.doubtful() {
+			l.extend(ctx)
+			pause(ctx, leadership.Renewal)
+			continue
+		}
+		pause(ctx, leadInterval)
+	}
+}
+
 // due reports whether this gateway should look whether it can lead.
 // ended says that the leader's process or role seems to have ended.
 func (l *leading) due(started time.Time, lost time.Duration, ended bool) bool {
@@ -170,7 +193,7 @@
 	self := l.cluster.self
 	mine := leadership.Lease{
 		Node: self.Node, Address: self.Address, Domain: self.Domain, Incarnation: self.Incarnation,
-		Term: former.Term + 1,
+		Term: former.Term + 1, Voters: l.voters(nil),
 	}
 	sent := l.now()
 	var object platform.Object
@@ -187,13 +210,15 @@
 	l.mu.Lock()
 	l.lease, l.revision = mine, object.Revision
 	l.right.Renewed(sent)
+	l.extended.Drop()
+	l.voterLists = [][]string{mine.Voters}
 	l.renewedAt = sent
-	l.formerEnds = ends
+	l.formerKnown = false
 	l.mu.Unlock()
 	l.log.Info("leading", "term", mine.Term, "former", former.Node, "released", former.Released)
 	l.cluster.setLeader(leaderMessage(mine, object.Revision))
 	l.cluster.setLeading(true)
-	l.steward.start(mine.Term)
+	l.steward.start(mine.Term, func(ctx context.Context) { l.inquire(ctx, former, ends, l.longest) })
 }
 
 // isMine reports whether the object that a refused write returned is what was
@@ -203,7 +228,7 @@
 	if len(o.Spec) == 0 || platform.Decode(o, &there) != nil {
 		return false
 	}
-	return there == mine
+	return there.Same(mine)
 }
 
 // keep renews the lease when it is due, and stops leading when it is lost.
@@ -223,6 +248,12 @@
 		return
 	}
 	next.Renewals++
+	if voters := l.voters(next.Voters); !l.doubtful() && !slices.Equal(voters, next.Voters) {
+		next.Voters = voters
+		l.mu.Lock()
+		l.voterLists = append(l.voterLists, voters)
+		l.mu.Unlock()
+	}
 	call, cancel := context.WithTimeout(ctx, storeTimeout+relayTimeout)
 	object, err := l.store.Replace(call, leaseKind, leaseName, revision, next)
 	cancel()
@@ -230,7 +261,9 @@
 	case err == nil || l.isMine(object, next):
 		l.mu.Lock()
 		l.lease, l.revision = next, object.Revision
+		l.voterLists = [][]string{next.Voters}
 		l.right.Renewed(now)
+		l.extended.Drop()
 		l.renewedAt = now
 		l.mu.Unlock()
 		l.cluster.setLeader(leaderMessage(next, object.Revision))
@@ -264,10 +297,12 @@
 	l.mu.Lock()
 	if there.Incarnation == l.lease.Incarnation && there.Term == l.lease.Term {
 		l.lease, l.revision = there, o.Revision
+		l.voterLists = [][]string{there.Voters}
 		l.mu.Unlock()
 		return
 	}
 	l.right.Drop()
+	l.extended.Drop()
 	l.mu.Unlock()
 	l.log.Info("no longer leading", "leader", there.Node, "term", there.Term)
 	l.stop()
@@ -293,6 +328,7 @@
 	l.cluster.setLeading(false)
 	l.mu.Lock()
 	l.right.Drop()
+	l.extended.Drop()
 	next, revision := l.lease, l.revision
 	l.mu.Unlock()
 	next.Released = true
--- a/gateway/peerserver.go
+++ b/gateway/peerserver.go
@@ -15,13 +15,12 @@
 
 // peerServer serves the other gateways.
 type peerServer struct {
-	view    *view
-	cluster *cluster
-	store   *storeCaller
-	steward *steward
-	traffic *traffic
-	// started is closed once this process can serve.
-	now func() time.Time
+	view     *view
+	cluster  *cluster
+	store    *storeCaller
+	steward  *steward
+	traffic  *traffic
+	promises *promises
 }
 
 // Sync implements syncpb.Peer.
@@ -123,3 +122,8 @@
 	}
 	return out
 }
+
+// Promise implements syncpb.Peer.
+func (p *peerServer) Promise(_ context.Context, r *syncpb.PromiseRequest) (*syncpb.PromiseResponse, error) {
+	return p.promises.answer(r), nil
+}
--- /dev/null
+++ b/gateway/promises.go
@@ -0,0 +1,182 @@
+package gateway
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/rockcroft/rockcroft/coordination/leadership"
+	"github.com/rockcroft/rockcroft/protocol/syncpb"
+)
+
+const (
+	// promiseTimeout bounds asking one voter.
+	promiseTimeout = 300 * time.Millisecond
+	// inquiryPause is the time between rounds of asking for promises to a
+	// former leader.
+	inquiryPause = 300 * time.Millisecond
+)
+
+// promises is what this process has promised, for concurrent use.
+type promises struct {
+	mu  sync.Mutex
+	own *leadership.Promises
+	now func() time.Time
+}
+
+func newPromises(now func() time.Time) *promises {
+	return &promises{own: leadership.NewPromises(now()), now: now}
+}
+
+func (p *promises) answer(r *syncpb.PromiseRequest) *syncpb.PromiseResponse {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !r.Inquire {
+		return &syncpb.PromiseResponse{Given: p.own.Give(p.now(), r.Term)}
+	}
+	given, age := p.own.Inquire(p.now(), r.Term)
+	return &syncpb.PromiseResponse{Asked: given, AgeMs: uint64(age.Milliseconds())}
+}
+
+// askVoters asks all voters at once and returns the answers by address.
+func (l *leading) askVoters(ctx context.Context, voters []string, r *syncpb.PromiseRequest) map[string]*syncpb.PromiseResponse {
+	ctx, cancel := context.WithTimeout(ctx, promiseTimeout)
+	defer cancel()
+	var mu sync.Mutex
+	answers := make(map[string]*syncpb.PromiseResponse)
+	note := func(address string, resp *syncpb.PromiseResponse) {
+		mu.Lock()
+		defer mu.Unlock()
+		answers[address] = resp
+	}
+	var all sync.WaitGroup
+	for _, address := range voters {
+		if address == l.cluster.self.Address {
+			note(address, l.promises.answer(r))
+			continue
+		}
+		all.Go(func() {
+			resp, err := l.cluster.client(address).Promise(ctx, r)
+			if err != nil {
+				l.log.Debug("voter not reached", "voter", address, "error", err)
+				return
+			}
+			note(address, resp)
+		})
+	}
+	all.Wait()
+	return answers
+}
+
+// extend asks for the promises that let this leader go on without the store. It
+// needs a majority of each list of voters that may be in force.
+func (l *leading) extend(ctx context.Context) {
+	l.mu.Lock()
+	term, lists := l.lease.Term, l.voterLists
+	l.mu.Unlock()
+	sent := l.now()
+	asked := make(map[string]bool)
+	var voters []string
+	for _, list := range lists {
+		for _, v := range list {
+			if !asked[v] {
+				asked[v] = true
+				voters = append(voters, v)
+			}
+		}
+	}
+	answers := l.askVoters(ctx, voters, &syncpb.PromiseRequest{Term: term})
+	for _, list := range lists {
+		given := 0
+		for _, v := range list {
+			if a := answers[v]; a != nil && a.Given {
+				given++
+			}
+		}
+		if given < leadership.Majority(len(list)) {
+			l.log.Warn("too few promises to go on without the store", "given", given, "voters", len(list))
+			return
+		}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.extended.Valid(sent) {
+		l.log.Info("going on without the store, by promises", "term", term, "answers", len(answers))
+	}
+	l.extended.Renewed(sent)
+}
+
+// inquire learns from the voters of the former lease until when upstreams may
+// hold keys by its leader's grants. It asks until a majority has answered.
+func (l *leading) inquire(ctx context.Context, former leadership.Lease, ends time.Time, longest time.Duration) {
+	term := former.Term + 1
+	if former.Term == 0 {
+		l.setFormerHolds(term, l.now().Add(heldFor(longest)))
+		return
+	}
+	for ctx.Err() == nil && l.cluster.isLeading() {
+		if until, ok := l.formerHoldsEnd(ctx, former, ends, longest); ok {
+			l.log.Info("grants of the former leader end", "term", former.Term, "in", until.Sub(l.now()))
+			l.setFormerHolds(term, until)
+			return
+		}
+		pause(ctx, inquiryPause)
+	}
+}
+
+// formerHoldsEnd asks once. Any majority may be believed, so that of the voters
+// with the earliest ends is.
+func (l *leading) formerHoldsEnd(ctx context.Context, former leadership.Lease, ends time.Time, longest time.Duration) (time.Time, bool) {
+	answers := l.askVoters(ctx, former.Voters, &syncpb.PromiseRequest{Term: former.Term + 1, Inquire: true})
+	now := l.now()
+	normal := ends.Add(heldFor(holdTime))
+	var until []time.Time
+	for _, a := range answers {
+		end := normal
+		if a.Asked {
+			age := time.Duration(a.AgeMs) * time.Millisecond
+			end = later(end, now.Add(-age).Add(leadership.Term).Add(heldFor(longest)))
+		}
+		until = append(until, end)
+	}
+	need := leadership.Majority(len(former.Voters))
+	if len(until) < need {
+		return time.Time{}, false
+	}
+	sort.Slice(until, func(i, j int) bool { return until[i].Before(until[j]) })
+	return until[need-1], true
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
+func (l *leading) setFormerHolds(term uint64, until time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.lease.Term == term {
+		l.formerHolds, l.formerKnown = until, true
+	}
+}
+
+// formerHoldsEnded reports whether no upstream holds keys by a grant of a former
+// leader any more.
+func (l *leading) formerHoldsEnded() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.formerKnown && l.now().After(l.formerHolds)
+}
+
+// voters chooses the voters among the gateways that report.
+func (l *leading) voters(former []string) []string {
+	list, _ := l.cluster.list()
+	var live []leadership.Voter
+	for _, m := range list {
+		live = append(live, leadership.Voter{Address: m.Address, Domain: m.Domain})
+	}
+	return leadership.ChooseVoters(live, former)
+}
--- a/gateway/steward.go
+++ b/gateway/steward.go
@@ -37,15 +37,16 @@
 	own     []*syncpb.Load
 }
 
-// start begins to keep the services. It is called when this process takes the
-// lead.
-func (s *steward) start(term uint64) {
+// start begins to keep the services, and runs inquire beside that. It is called
+// when this process takes the lead.
+func (s *steward) start(term uint64, inquire func(context.Context)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	ctx, cancel := context.WithCancel(context.Background())
 	s.cancel = cancel
 	s.keepers = make(map[string]*keeper)
 	s.running.Go(func() { s.run(ctx, term) })
+	s.running.Go(func() { inquire(ctx) })
 }
 
 // stop ends the work. It does not wait for it.
