--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -103,6 +103,19 @@
 	}
 }
 
+// TestLostOwnerComesBack: an upstream that was silent for so long that it lost
+// all its keys gets keys again once it answers. (Own day cut-servers: it stayed
+// without keys for good, and one upstream was left with half of the load.)
+func TestLostOwnerComesBack(t *testing.T) {
+	t.Parallel()
+	b := standard(t)
+	b.ups["i-s0"].Set(instance.Silent)
+	b.eventually("nothing owned by the lost one", func() bool { return b.ownedBy("i-s0") == 0 })
+	b.ready()
+	b.ups["i-s0"].Set(instance.Serves)
+	b.eventually("keys for the one that came back", func() bool { return b.ownedBy("i-s0") > 0 })
+}
+
 // ownedBy counts the spans of an owner in the leader's view.
 func (b *bed) ownedBy(id string) int {
 	l := b.leader()
--- a/gateway/grants.go
+++ b/gateway/grants.go
@@ -50,6 +50,7 @@
 	verdict, err := k.give(ctx, s, next, token)
 	switch {
 	case err == nil && verdict == platform.Granted:
+		k.works(s.Next)
 		k.settle(s, s.Next, s.NextFence)
 		k.log.Info("keys granted", "first", s.First, "last", s.Last, "upstream", s.Next, "fence", s.NextFence,
 			"from", s.Owner, "warm", token != "", "release_took", taken.Sub(began), "took", k.now().Sub(began))
@@ -122,19 +123,33 @@
 	return k.now().After(k.holds[s.First]) && k.leading.formerHoldsEnded()
 }
 
-// give grants the keys of a move to their next owner.
+// give grants the keys of a move to their next owner. The same call may be made
+// again: it renews what an earlier one granted.
 func (k *keeper) give(ctx context.Context, s spans.Span, next *instances.Instance, token string) (platform.Verdict, error) {
+	arrived := false
 	for try := 1; ; try++ {
 		verdict, err := k.grant(ctx, s.Keys, next, s.NextFence, token)
-		if err == nil || !errors.Is(err, pool.ErrNotSent) || try == mostGrantTries || !k.leading.mayAct() {
-			return verdict, err
+		arrived = arrived || err != nil && !errors.Is(err, pool.ErrNotSent)
+		if err == nil {
+			return verdict, nil
+		}
+		if try == mostGrantTries || ctx.Err() != nil || !k.leading.mayAct() {
+			if arrived && errors.Is(err, pool.ErrNotSent) {
+				err = errPerhapsGranted
+			}
+			return 0, err
+		}
+		if errors.Is(err, pool.ErrNotSent) {
+			pause(ctx, callPause)
 		}
-		pause(ctx, callPause)
 	}
 }
 
-// mostGrantTries bounds the tries of a grant that could not be sent.
-const mostGrantTries = 3
+// mostGrantTries bounds the tries of a grant: the keys have no owner meanwhile.
+const mostGrantTries = 4
+
+// errPerhapsGranted: the last try was not sent, but one before may have arrived.
+var errPerhapsGranted = errors.New("an earlier try may have arrived")
 
 // grant makes one call and notes until when its keys may be held. The right to
 // lead is checked last, right before the call.
@@ -203,18 +218,21 @@
 func (k *keeper) fails(id string) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if _, ok := k.failing[id]; !ok {
-		k.failing[id] = k.now()
+	f, ok := k.failing[id]
+	if !ok || k.now().Sub(f.last) > failureForgotten {
+		f.since = k.now()
 		k.log.Warn("calls to an upstream fail", "upstream", id)
 	}
+	f.last = k.now()
+	k.failing[id] = f
 }
 
 func (k *keeper) works(id string) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if since, ok := k.failing[id]; ok {
+	if f, ok := k.failing[id]; ok {
 		delete(k.failing, id)
-		k.log.Info("calls to an upstream succeed again", "upstream", id, "after", k.now().Sub(since))
+		k.log.Info("calls to an upstream succeed again", "upstream", id, "after", k.now().Sub(f.since))
 	}
 }
 
@@ -255,6 +273,7 @@
 		k.fails(id)
 		return
 	}
+	failed := 0
 	for _, s := range list {
 		if !k.stillOwns(s) {
 			continue
@@ -266,7 +285,9 @@
 		case err != nil:
 			k.fails(id)
 			k.noteRenewed(s)
-			return
+			if failed++; failed == mostFailedRenewals {
+				return
+			}
 		case verdict == platform.Elsewhere:
 			k.log.Info("owner has ended, its address is another's", "upstream", id)
 			k.mu.Lock()
@@ -282,6 +303,10 @@
 	}
 }
 
+// mostFailedRenewals is how many renewals of one owner may fail in a row of calls
+// before the rest is put off.
+const mostFailedRenewals = 2
+
 // noteRenewed puts the next try of a renewal off.
 func (k *keeper) noteRenewed(s spans.Span) {
 	k.mu.Lock()
--- a/gateway/keeper.go
+++ b/gateway/keeper.go
@@ -38,7 +38,8 @@
 	// first assignment, gatherMost the longest wait for that.
 	gatherTime = 1200 * time.Millisecond
 	gatherMost = 4 * time.Second
-	// grantTimeout bounds one grant, releaseTimeout one release, which is
+	// grantTimeout bounds one grant, which takes a millisecond or two, also on a
+	// machine that runs some times slower; releaseTimeout one release, which is
 	// answered when the work on the keys has ended.
 	grantTimeout   = 500 * time.Millisecond
 	releaseTimeout = 2500 * time.Millisecond
@@ -50,6 +51,9 @@
 	// silentOwner is how long an owner's grants must have failed before its
 	// keys are given to others.
 	silentOwner = 900 * time.Millisecond
+	// failureForgotten is how long after its last failure an upstream that gets
+	// no calls any more may be given keys again, as a trial.
+	failureForgotten = 2 * time.Second
 	// defaultRate is the assumed number of requests a second that one slot
 	// runs, before any were seen.
 	defaultRate = 15
@@ -91,19 +95,22 @@
 	inherited map[uint64]bool
 	// renewing are owners whose grants are being renewed.
 	renewing map[string]bool
-	// failing is since when the calls to an owner fail.
-	failing map[string]time.Time
+	// failing are upstreams to which calls fail.
+	failing map[string]failure
 	// dead are upstreams known to have ended.
 	dead  map[string]bool
 	moves sync.WaitGroup
 }
 
+// failure is a time in which the calls to an upstream fail.
+type failure struct{ since, last time.Time }
+
 func newKeeper(s *steward, service string, term uint64) *keeper {
 	return &keeper{
 		steward: s, service: service, term: term, log: s.log.With("service", service),
 		heat: ownership.NewHeat(s.now()), holds: make(map[uint16]time.Time), renewed: make(map[uint16]time.Time), settled: make(map[uint16]time.Time),
 		moving: make(map[uint64]bool), inherited: make(map[uint64]bool), renewing: make(map[string]bool),
-		failing: make(map[string]time.Time), dead: make(map[string]bool),
+		failing: make(map[string]failure), dead: make(map[string]bool),
 	}
 }
 
@@ -309,11 +316,11 @@
 func (k *keeper) failingFor(id string) time.Duration {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	since, ok := k.failing[id]
-	if !ok {
+	f, ok := k.failing[id]
+	if !ok || k.now().Sub(f.last) > failureForgotten {
 		return 0
 	}
-	return max(k.now().Sub(since), time.Millisecond)
+	return max(k.now().Sub(f.since), time.Millisecond)
 }
 
 // plan makes the moves that are due part of the assignment, in the store
