--- a/cmd/rockcroft-gateway/main.go
+++ b/cmd/rockcroft-gateway/main.go
@@ -3,13 +3,14 @@
 
 import (
 	"context"
-	"log/slog"
 	"os"
+	"time"
 
 	"github.com/rockcroft/rockcroft/gateway"
 	"github.com/rockcroft/rockcroft/platform"
 	"github.com/rockcroft/rockcroft/process"
 	"github.com/rockcroft/rockcroft/state/settings"
+	"github.com/rockcroft/rockcroft/transport/eventlog"
 )
 
 func main() {
@@ -20,12 +21,22 @@
 		Settings: &conf,
 		Path:     platform.SettingsPath(),
 		Run: func(ctx context.Context) error {
-			log := slog.New(slog.NewTextHandler(os.Stdout, nil))
+			lines := eventlog.New(time.Now)
+			writing, stop := context.WithCancel(context.Background())
+			written := make(chan struct{})
+			go func() {
+				defer close(written)
+				lines.Run(writing, os.Stdout)
+			}()
+			defer func() {
+				stop()
+				<-written
+			}()
 			open, err := gateway.Listen(conf)
 			if err != nil {
 				return err
 			}
-			return gateway.New(conf, open, log).Run(ctx)
+			return gateway.New(conf, open, lines).Run(ctx)
 		},
 	}.Main())
 }
--- a/coordination/dispatch/service.go
+++ b/coordination/dispatch/service.go
@@ -361,3 +361,46 @@
 	}
 	return out
 }
+
+// Explanation is what a decision was made from.
+type Explanation struct {
+	// Upstreams is the number known, Usable that of those that may get
+	// requests at all.
+	Upstreams int
+	Usable    int
+	// Waiting is the number of requests that wait here.
+	Waiting int
+	// Mine are the requests from here at the owner, or at all upstreams; Others
+	// those that other gateways reported, ReportAge ago.
+	Mine      int
+	Others    float64
+	ReportAge time.Duration
+	// Slots is how many run at once there, Work how long one takes.
+	Slots int
+	Work  time.Duration
+}
+
+// Explain returns what a decision for the owner, or for any upstream, would be
+// made from.
+func (s *Service) Explain(now time.Time, owner string) Explanation {
+	e := Explanation{Waiting: len(s.waiting), Work: s.typical}
+	for _, u := range s.order {
+		if owner != "" && u.ID != owner {
+			continue
+		}
+		e.Upstreams++
+		if u.usable(now, s.typical) {
+			e.Usable++
+		}
+		e.Mine += u.mine
+		e.Others += u.others
+		e.Slots += u.Slots
+		if !u.othersAt.IsZero() {
+			e.ReportAge = max(e.ReportAge, now.Sub(u.othersAt))
+		}
+		if owner != "" {
+			e.Work = u.workTime(now, s.typical)
+		}
+	}
+	return e
+}
--- /dev/null
+++ b/ctl/story.go
@@ -0,0 +1,264 @@
+package ctl
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+)
+
+// maxLine bounds a log line in bytes.
+const maxLine = 1 << 20
+
+// event is one line of a process's log.
+type event struct {
+	at     time.Time
+	fields map[string]any
+	// order is the place in the input, for lines of the same time.
+	order int
+}
+
+// subject is what a story is about; unset parts do not count.
+type subject struct {
+	request  string
+	upstream string
+	// first and last are a span of keys; last is -1 when none is asked for.
+	first, last int
+}
+
+func storyCommand(o *options) *cobra.Command {
+	var s subject
+	var keys string
+	cmd := &cobra.Command{
+		Use:   "story [FILE...]",
+		Short: "Print what the logs of all processes say of a request, an upstream or keys, in the order of time",
+		Long: "Reads the logs of gateways, one JSON object a line, from files or standard input. What stands\n" +
+			"before the object on a line is passed over, so that collected logs can be read as they are.",
+		RunE: func(_ *cobra.Command, files []string) error {
+			var err error
+			if s.first, s.last, err = parseKeys(keys); err != nil {
+				return usageError{err}
+			}
+			if s.request == "" && s.upstream == "" && s.last < 0 {
+				return usageError{fmt.Errorf("one of --request, --upstream and --keys is required")}
+			}
+			events, err := readEvents(files)
+			if err != nil {
+				return err
+			}
+			return o.tell(selectEvents(events, s))
+		},
+	}
+	cmd.Flags().StringVar(&s.request, "request", "", "id of a request")
+	cmd.Flags().StringVar(&s.upstream, "upstream", "", "id of an upstream")
+	cmd.Flags().StringVar(&keys, "keys", "", "a key, or a span of keys such as 100-199")
+	return cmd
+}
+
+// parseKeys reads a key or a span; empty gives a last key of -1.
+func parseKeys(text string) (first, last int, err error) {
+	if text == "" {
+		return 0, -1, nil
+	}
+	low, high, span := strings.Cut(text, "-")
+	if first, err = strconv.Atoi(low); err != nil {
+		return 0, 0, fmt.Errorf("--keys: %q is no key", low)
+	}
+	if !span {
+		return first, first, nil
+	}
+	if last, err = strconv.Atoi(high); err != nil || last < first {
+		return 0, 0, fmt.Errorf("--keys: %q is no span", text)
+	}
+	return first, last, nil
+}
+
+// readEvents reads all files, or standard input when there are none.
+func readEvents(files []string) ([]event, error) {
+	if len(files) == 0 {
+		return scanEvents(os.Stdin, nil)
+	}
+	var events []event
+	for _, name := range files {
+		f, err := os.Open(name)
+		if err != nil {
+			return nil, err
+		}
+		events, err = scanEvents(f, events)
+		if closeErr := f.Close(); err == nil {
+			err = closeErr
+		}
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", name, err)
+		}
+	}
+	return events, nil
+}
+
+func scanEvents(r io.Reader, events []event) ([]event, error) {
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(nil, maxLine)
+	for scanner.Scan() {
+		line := scanner.Bytes()
+		begin := bytes.IndexByte(line, '{')
+		if begin < 0 {
+			continue
+		}
+		var fields map[string]any
+		if json.Unmarshal(line[begin:], &fields) != nil {
+			// Not a line of a log.
+			continue
+		}
+		at, err := time.Parse(time.RFC3339Nano, fmt.Sprint(fields["time"]))
+		if err != nil {
+			continue
+		}
+		events = append(events, event{at: at, fields: fields, order: len(events)})
+	}
+	return events, scanner.Err()
+}
+
+// selectEvents returns the events about the subject and, for requests and keys,
+// what happened to the upstreams and keys concerned shortly before.
+func selectEvents(events []event, s subject) []event {
+	var out []event
+	for _, e := range events {
+		if e.about(s) {
+			out = append(out, e)
+		}
+	}
+	if s.request != "" {
+		out = append(out, background(events, out)...)
+	}
+	sort.SliceStable(out, func(i, j int) bool {
+		if !out[i].at.Equal(out[j].at) {
+			return out[i].at.Before(out[j].at)
+		}
+		return out[i].order < out[j].order
+	})
+	return out
+}
+
+func (e event) about(s subject) bool {
+	switch {
+	case s.request != "":
+		return e.fields["request"] == s.request
+	case s.upstream != "":
+		return e.mentions(s.upstream) && e.fields["request"] == nil
+	}
+	first, last, ok := e.keys()
+	return ok && first <= s.last && last >= s.first && e.fields["request"] == nil
+}
+
+// mentions reports whether the event names the upstream.
+func (e event) mentions(upstream string) bool {
+	for _, name := range []string{"upstream", "from"} {
+		if e.fields[name] == upstream {
+			return true
+		}
+	}
+	return false
+}
+
+// keys returns the span of keys that the event is about.
+func (e event) keys() (first, last int, ok bool) {
+	low, lowOK := e.fields["first"].(float64)
+	high, highOK := e.fields["last"].(float64)
+	if !lowOK {
+		return 0, 0, false
+	}
+	if !highOK {
+		high = low
+	}
+	return int(low), int(high), true
+}
+
+// backgroundTime is how long before a request's first line the background of its
+// story begins: longer than a grant lasts.
+const backgroundTime = 6 * time.Second
+
+// background returns what is known of the upstreams and the key of a request
+// from shortly before it, and changes of the leader.
+func background(events, about []event) []event {
+	if len(about) == 0 {
+		return nil
+	}
+	begin, end := about[0].at.Add(-backgroundTime), about[len(about)-1].at
+	var out []event
+	for _, e := range events {
+		if e.at.Before(begin) || e.at.After(end) || e.fields["request"] != nil {
+			continue
+		}
+		if e.concerns(about) {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// leaderMessages are the lines about who decides and whether the store is
+// reached.
+var leaderMessages = map[string]bool{
+	"leading": true, "no longer leading": true, "lease given up": true, "lease not renewed": true,
+	"store not reached": true, "store reached again": true, "stopping": true,
+}
+
+func (e event) concerns(about []event) bool {
+	if message, ok := e.fields["msg"].(string); ok && leaderMessages[message] {
+		return true
+	}
+	first, last, spanned := e.keys()
+	for _, a := range about {
+		if u, ok := a.fields["upstream"].(string); ok && u != "" && e.mentions(u) && !spanned {
+			return true
+		}
+		if key, ok := a.fields["key"].(float64); ok && spanned && first <= int(key) && int(key) <= last {
+			return true
+		}
+	}
+	return false
+}
+
+// tell prints the events, one a line or as JSON.
+func (o *options) tell(events []event) error {
+	if o.json() {
+		list := make([]map[string]any, len(events))
+		for i, e := range events {
+			list[i] = e.fields
+		}
+		return writeJSON(o.out, list)
+	}
+	for _, e := range events {
+		if _, err := fmt.Fprintln(o.out, e.line()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// line formats an event: time, process, message, then the rest by name.
+func (e event) line() string {
+	var names []string
+	for name := range e.fields {
+		switch name {
+		case "time", "level", "msg", "node":
+		default:
+			names = append(names, name)
+		}
+	}
+	sort.Strings(names)
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s %-5v %v: %v", e.at.Format("15:04:05.000"), e.fields["level"], e.fields["node"], e.fields["msg"])
+	for _, name := range names {
+		fmt.Fprintf(&b, " %s=%v", name, e.fields[name])
+	}
+	return b.String()
+}
--- a/gateway/bed_test.go
+++ b/gateway/bed_test.go
@@ -4,11 +4,9 @@
 	"context"
 	"fmt"
 	"io"
-	"log/slog"
 	"net"
 	"net/http"
 	"net/netip"
-	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -20,6 +18,7 @@
 	"github.com/rockcroft/rockcroft/standin/metastore"
 	"github.com/rockcroft/rockcroft/state/jsonc"
 	"github.com/rockcroft/rockcroft/state/settings"
+	"github.com/rockcroft/rockcroft/transport/eventlog"
 )
 
 // bed is a small deployment in one process: a store, upstreams and gateways,
@@ -38,6 +37,7 @@
 // testGateway is a gateway that can be stopped or killed.
 type testGateway struct {
 	*Gateway
+	lines   *eventlog.Log
 	door    *metastore.Door
 	callers string
 	stop    context.CancelFunc
@@ -130,13 +130,9 @@
 	if err != nil {
 		b.t.Fatal(err)
 	}
-	level := slog.LevelError
-	if os.Getenv("ROCKCROFT_TEST_LOG") != "" {
-		level = slog.LevelInfo
-	}
-	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})).With("gateway", name)
+	lines := eventlog.New(time.Now)
 	ctx, cancel := context.WithCancel(context.Background())
-	g := &testGateway{Gateway: New(conf, open, log), door: door, callers: open.Callers.Addr().String(), stop: cancel, done: make(chan struct{})}
+	g := &testGateway{Gateway: New(conf, open, lines), lines: lines, door: door, callers: open.Callers.Addr().String(), stop: cancel, done: make(chan struct{})}
 	go func() {
 		defer close(g.done)
 		_ = g.Run(ctx)
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -15,6 +15,7 @@
 	"github.com/rockcroft/rockcroft/platform"
 	"github.com/rockcroft/rockcroft/protocol/answer"
 	"github.com/rockcroft/rockcroft/state/routing"
+	"github.com/rockcroft/rockcroft/state/spans"
 	"github.com/rockcroft/rockcroft/transport/pool"
 )
 
@@ -35,6 +36,9 @@
 	hedgeLeast  = 120 * time.Millisecond
 	// mostUnsent bounds the upstreams tried that could not be reached.
 	mostUnsent = 4
+	// refusedWait is how long news of a key's owner is waited for after the one
+	// known has refused: about the time from a move to the last gateway.
+	refusedWait = 80 * time.Millisecond
 	// retryAfter is the time to come back after a refusal for want of room.
 	retryAfter = 60 * time.Millisecond
 	// retryUnknown is the same when this process knows too little yet.
@@ -56,6 +60,8 @@
 	draining atomic.Bool
 	bodies   atomic.Int64
 	maxHeld  int64
+	// answered counts answers, to log a sample.
+	answered atomic.Uint64
 }
 
 // request is one caller's request.
@@ -79,6 +85,9 @@
 	// those that did not.
 	arrivals int
 	unsent   int
+	// refusedFence is the fence of the owner that said it does not hold the
+	// key.
+	refusedFence uint64
 	// mayHaveRun is set when a try ended without the word that it did not run.
 	mayHaveRun bool
 }
@@ -224,6 +233,8 @@
 			continue
 		}
 		if r.final() {
+			d.last = r.grant
+			f.logAnswered(q, d, r.resp.Status)
 			return r.resp, nil
 		}
 		if r.resp != nil {
@@ -235,6 +246,7 @@
 			continue
 		}
 		if again {
+			f.logAgain(q, r.grant, r.err)
 			if grant, err = f.acquire(ctx, q, false); err == nil {
 				d.begin(ctx, grant)
 				continue
@@ -292,6 +304,7 @@
 		return
 	}
 	d.meters.inc("requests." + d.service.Name + ".hedged")
+	d.logAgain(d.request, d.last, nil)
 	d.begin(ctx, grant)
 }
 
@@ -330,21 +343,50 @@
 
 // ownerNow returns the upstream that holds the key of the request, or "".
 func (f *front) ownerNow(q *request) string {
-	table := f.view.spansOf(q.service.Name)
-	if table == nil {
-		return ""
-	}
-	span := table.Find(q.key)
+	span := f.span(q)
 	if span.Moving() {
 		return ""
 	}
 	return span.Owner
 }
 
+// span returns the span of the request's key; an empty one when it is not known.
+func (f *front) span(q *request) spans.Span {
+	table := f.view.spansOf(q.service.Name)
+	if table == nil {
+		return spans.Span{}
+	}
+	return table.Find(q.key)
+}
+
+// awaitOther waits for another owner than the one that said it does not hold the
+// key, for a short time: that one may also be about to be granted it again.
+func (f *front) awaitOther(ctx context.Context, q *request) {
+	timer := time.NewTimer(refusedWait)
+	defer timer.Stop()
+	for {
+		changed := f.view.wait()
+		if s := f.span(q); s.Moving() || s.Fence != q.refusedFence {
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // owner returns the upstream that holds the key, and waits for it while the
 // key moves.
 func (f *front) owner(ctx context.Context, q *request) (string, error) {
 	var timer *time.Timer
+	if q.refusedFence > 0 {
+		f.awaitOther(ctx, q)
+		q.refusedFence = 0
+	}
 	for {
 		changed := f.view.wait()
 		if owner := f.ownerNow(q); owner != "" {
@@ -451,6 +493,9 @@
 		return ctx.Err() == nil && q.unsent <= mostUnsent
 	}
 	q.arrivals++
+	if errors.Is(err, errNotOwner) && q.service.Keyed {
+		q.refusedFence = f.span(q).Fence
+	}
 	notRun := errors.Is(err, errNotRun) || errors.Is(err, errNotOwner)
 	q.mayHaveRun = q.mayHaveRun || !notRun
 	switch {
@@ -534,16 +579,62 @@
 	answer.Write(w, err)
 }
 
+// logRefusal writes why a request was not answered, with what that was decided
+// from.
 func (f *front) logRefusal(r *http.Request, q *request, kind answer.Kind, err error) {
-	if kind == answer.Cancelled || kind == answer.NotFound {
+	if kind == answer.Cancelled {
 		return
 	}
-	attrs := []any{"request", platform.ID(r.Header), "kind", kind, "error", err}
-	if q != nil {
-		attrs = append(attrs, "route", q.route.Name, "arrivals", q.arrivals, "unsent", q.unsent, "after", f.now().Sub(q.began))
-		if q.service != nil && q.service.Keyed {
-			attrs = append(attrs, "key", q.key, "owner", f.ownerNow(q))
+	attrs := []any{"request", platform.ID(r.Header), "kind", kind, "cause", err.Error()}
+	if t := f.view.table.Load(); t != nil {
+		attrs = append(attrs, "configuration", t.Version)
+	}
+	if q == nil {
+		f.log.Warn("request not answered", append(attrs, "host", r.Host, "path", r.URL.Path)...)
+		return
+	}
+	attrs = append(attrs, "route", q.route.Name, "arrivals", q.arrivals, "unsent", q.unsent,
+		"tried", q.exclude, "after_ms", f.now().Sub(q.began).Milliseconds(), "allowed_ms", q.deadline.Sub(q.began).Milliseconds())
+	if q.service == nil {
+		f.log.Warn("request not answered", attrs...)
+		return
+	}
+	owner := ""
+	if q.service.Keyed {
+		owner = f.ownerNow(q)
+		attrs = append(attrs, "key", q.key, "upstream", owner)
+		if t := f.view.spansOf(q.service.Name); t != nil {
+			attrs = append(attrs, "owners_version", t.Version)
 		}
 	}
+	e := f.traffic.explain(q.traffic, owner)
+	attrs = append(attrs, "service", q.service.Name, "upstreams", e.Upstreams, "usable", e.Usable, "waiting", e.Waiting,
+		"mine", e.Mine, "others", int(e.Others), "others_age_ms", e.ReportAge.Milliseconds(), "slots", e.Slots, "work_ms", e.Work.Milliseconds())
 	f.log.Warn("request not answered", attrs...)
 }
+
+// sampleEvery is the share of plain successes that are logged: one in so many.
+const sampleEvery = 200
+
+// logAnswered writes how a request was answered: always after a second try, else
+// for a sample.
+func (f *front) logAnswered(q *request, d *delivery, status int) {
+	if f.answered.Add(1)%sampleEvery != 0 && q.arrivals+q.unsent == 0 && !d.hedged {
+		return
+	}
+	f.log.Info("request answered", "request", q.id, "route", q.route.Name, "service", q.service.Name,
+		"upstream", d.last.Instance.ID, "status", status, "arrivals", q.arrivals, "unsent", q.unsent, "tried", q.exclude,
+		"hedged", d.hedged, "expected_ms", d.last.Expected.Milliseconds(), "ahead", d.last.Ahead,
+		"after_ms", f.now().Sub(q.began).Milliseconds())
+}
+
+// logAgain writes that a request is sent once more, and why.
+func (f *front) logAgain(q *request, first dispatch.Grant, cause error) {
+	reason := "overdue"
+	if cause != nil {
+		reason = cause.Error()
+	}
+	f.log.Info("request sent again", "request", q.id, "route", q.route.Name, "service", q.service.Name,
+		"upstream", first.Instance.ID, "cause", reason, "arrivals", q.arrivals, "unsent", q.unsent,
+		"after_ms", f.now().Sub(q.began).Milliseconds())
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -29,6 +29,7 @@
 	"github.com/rockcroft/rockcroft/state/jsonc"
 	"github.com/rockcroft/rockcroft/state/routing"
 	"github.com/rockcroft/rockcroft/state/settings"
+	"github.com/rockcroft/rockcroft/transport/eventlog"
 	"github.com/rockcroft/rockcroft/transport/pool"
 )
 
@@ -70,6 +71,7 @@
 type Gateway struct {
 	conf     settings.Gateway
 	log      *slog.Logger
+	lines    *eventlog.Log
 	now      func() time.Time
 	meters   *meters
 	view     *view
@@ -88,6 +90,15 @@
 	abrupt chan struct{}
 }
 
+// logLevel returns the level of a checked setting.
+func logLevel(name string) slog.Level {
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(name)); err != nil {
+		return slog.LevelInfo
+	}
+	return level
+}
+
 // Listeners are the open listeners of a gateway.
 type Listeners struct {
 	Callers, Ready, Peers net.Listener
@@ -117,8 +128,9 @@
 }
 
 // New assembles a gateway that serves on open listeners.
-func New(conf settings.Gateway, open Listeners, log *slog.Logger) *Gateway {
-	g := &Gateway{conf: conf, open: open, abrupt: make(chan struct{}), log: log, now: time.Now, meters: newMeters(), view: newView()}
+func New(conf settings.Gateway, open Listeners, lines *eventlog.Log) *Gateway {
+	log := lines.Logger(logLevel(conf.LogLevel)).With("node", conf.Node)
+	g := &Gateway{conf: conf, lines: lines, open: open, abrupt: make(chan struct{}), log: log, now: time.Now, meters: newMeters(), view: newView()}
 	seeds := [2]uint64{mathrand.Uint64(), mathrand.Uint64()}
 	rng := mathrand.New(mathrand.NewPCG(seeds[0], seeds[1]))
 	g.traffic = newTraffic(conf, g.now, rng)
@@ -295,6 +307,7 @@
 	r := mux.NewRouter()
 	r.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		g.gauges()
 		g.meters.write(w)
 	}).Methods(http.MethodGet)
 	return r
@@ -308,6 +321,42 @@
 	return syncpb.NewPeerServer(server)
 }
 
+// gauges sets what is read at the moment of the question.
+func (g *Gateway) gauges() {
+	m := g.meters
+	m.gauge("log.lines_written", g.lines.Written())
+	m.gauge("log.lines_dropped", g.lines.Dropped())
+	m.gauge("leader.leading", boolGauge(g.cluster.isLeading()))
+	m.gauge("leader.may_act", boolGauge(g.leading.mayAct()))
+	m.gauge("cluster.gateways", int64(g.cluster.gateways()))
+	m.gauge("store.away", boolGauge(g.calls.away()))
+	lost, _, _ := g.follower.lostFor()
+	m.gauge("view.leader_heard_ms_ago", lost.Milliseconds())
+	if t := g.view.table.Load(); t != nil {
+		m.gauge("view.configuration_version", int64(t.Version))
+	}
+	if v := g.view.inst.Load(); v != nil {
+		m.gauge("view.upstreams", int64(v.Len()))
+		m.gauge("view.upstreams_revision", int64(v.Revision))
+	}
+	for name, t := range *g.view.owners.Load() {
+		m.gauge("owners."+name+".keys_without_owner", int64(t.Unowned()))
+		m.gauge("owners."+name+".spans", int64(len(t.Spans)))
+	}
+	stats := g.conns.Stats()
+	m.gauge("connections.opened", int64(stats.Opened))
+	m.gauge("connections.reused", int64(stats.Reused))
+	m.gauge("connections.stale", int64(stats.Stale))
+	m.gauge("connections.foreign_answers", int64(stats.Foreign))
+}
+
+func boolGauge(b bool) int64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 // expire closes connections that were idle for too long.
 func (g *Gateway) expire(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/gateway/grants.go
+++ b/gateway/grants.go
@@ -58,15 +58,15 @@
 		k.log.Warn("keys refused, a higher fence was seen", "first", s.First, "upstream", s.Next, "fence", s.NextFence)
 		k.raise(fenceLeap)
 		k.settle(s, "", s.NextFence)
+	case errors.Is(err, errNoRight):
+		k.log.Info("move left to the next leader", "first", s.First, "upstream", s.Next, "fence", s.NextFence)
 	case err == nil, errors.Is(err, pool.ErrNotSent):
 		k.log.Warn("keys not granted", "first", s.First, "upstream", s.Next, "error", err)
-		k.fails(s.Next)
 		k.settle(s, k.perhaps(s), s.NextFence)
 	default:
 		// The grant may arrive yet: the upstream counts as the owner until
 		// its hold would have ended.
 		k.log.Warn("grant without an answer", "first", s.First, "upstream", s.Next, "error", err)
-		k.fails(s.Next)
 		k.settle(s, s.Next, s.NextFence)
 	}
 }
@@ -124,32 +124,32 @@
 }
 
 // give grants the keys of a move to their next owner. The same call may be made
-// again: it renews what an earlier one granted.
+// again: it renews what an earlier one granted. It is given up when calls to the
+// upstream have failed for silentOwner.
 func (k *keeper) give(ctx context.Context, s spans.Span, next *instances.Instance, token string) (platform.Verdict, error) {
 	arrived := false
-	for try := 1; ; try++ {
+	for {
 		verdict, err := k.grant(ctx, s.Keys, next, s.NextFence, token)
-		arrived = arrived || err != nil && !errors.Is(err, pool.ErrNotSent)
 		if err == nil {
 			return verdict, nil
 		}
-		if try == mostGrantTries || ctx.Err() != nil || !k.leading.mayAct() {
-			if arrived && errors.Is(err, pool.ErrNotSent) {
+		if errors.Is(err, errNoRight) {
+			return 0, err
+		}
+		arrived = arrived || !errors.Is(err, pool.ErrNotSent)
+		k.fails(next.ID)
+		if ctx.Err() != nil || !k.leading.mayAct() || k.failingFor(next.ID) >= silentOwner {
+			if arrived {
 				err = errPerhapsGranted
 			}
 			return 0, err
 		}
-		if errors.Is(err, pool.ErrNotSent) {
-			pause(ctx, callPause)
-		}
+		pause(ctx, callPause)
 	}
 }
 
-// mostGrantTries bounds the tries of a grant: the keys have no owner meanwhile.
-const mostGrantTries = 4
-
-// errPerhapsGranted: the last try was not sent, but one before may have arrived.
-var errPerhapsGranted = errors.New("an earlier try may have arrived")
+// errPerhapsGranted: no try was answered, and one may have arrived.
+var errPerhapsGranted = errors.New("no try was answered, and one may have arrived")
 
 // grant makes one call and notes until when its keys may be held. The right to
 // lead is checked last, right before the call.
@@ -219,7 +219,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	f, ok := k.failing[id]
-	if !ok || k.now().Sub(f.last) > failureForgotten {
+	if !ok {
 		f.since = k.now()
 		k.log.Warn("calls to an upstream fail", "upstream", id)
 	}
@@ -307,6 +307,54 @@
 // before the rest is put off.
 const mostFailedRenewals = 2
 
+// startTrials calls upstreams that have no keys since their calls failed: without
+// keys nothing else would show that they are back.
+func (k *keeper) startTrials(ctx context.Context) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if len(k.failing) == 0 {
+		return
+	}
+	owners := make(map[string]bool)
+	for _, s := range k.table.Spans {
+		owners[s.Owner], owners[s.Next] = true, true
+	}
+	for id, f := range k.failing {
+		one := k.instance(id)
+		if one == nil {
+			delete(k.failing, id)
+			continue
+		}
+		if owners[id] || k.renewing[id] || one.Leaving || k.now().Sub(f.last) < trialInterval {
+			continue
+		}
+		k.renewing[id] = true
+		k.moves.Go(func() {
+			k.trial(ctx, one)
+			k.mu.Lock()
+			delete(k.renewing, id)
+			k.mu.Unlock()
+		})
+	}
+}
+
+// trialKeys and trialFence make a release that concerns nothing: the upstream
+// holds no keys, and all fences in use are higher.
+var trialKeys = spans.Keys{}
+
+const trialFence = 1
+
+// trial makes a call that changes nothing.
+func (k *keeper) trial(ctx context.Context, to *instances.Instance) {
+	call, cancel := context.WithTimeout(ctx, grantTimeout)
+	defer cancel()
+	if _, _, err := k.owners.Release(call, to.ID, to.Address, trialKeys, trialFence); err != nil {
+		k.fails(to.ID)
+		return
+	}
+	k.works(to.ID)
+}
+
 // noteRenewed puts the next try of a renewal off.
 func (k *keeper) noteRenewed(s spans.Span) {
 	k.mu.Lock()
--- a/gateway/keeper.go
+++ b/gateway/keeper.go
@@ -51,9 +51,9 @@
 	// silentOwner is how long an owner's grants must have failed before its
 	// keys are given to others.
 	silentOwner = 900 * time.Millisecond
-	// failureForgotten is how long after its last failure an upstream that gets
-	// no calls any more may be given keys again, as a trial.
-	failureForgotten = 2 * time.Second
+	// trialInterval is the time between trial calls to an upstream that has no
+	// keys since its calls failed.
+	trialInterval = 500 * time.Millisecond
 	// defaultRate is the assumed number of requests a second that one slot
 	// runs, before any were seen.
 	defaultRate = 15
@@ -141,6 +141,7 @@
 			}
 			k.startMoves(ctx)
 			k.startRenewals(ctx)
+			k.startTrials(ctx)
 			k.saveDone(ctx)
 		}
 		pause(ctx, keepInterval)
@@ -317,7 +318,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	f, ok := k.failing[id]
-	if !ok || k.now().Sub(f.last) > failureForgotten {
+	if !ok {
 		return 0
 	}
 	return max(k.now().Sub(f.since), time.Millisecond)
--- a/gateway/traffic.go
+++ b/gateway/traffic.go
@@ -229,3 +229,11 @@
 		s.mu.Unlock()
 	}
 }
+
+// explain returns what a decision for the owner, or for any upstream, is made
+// from.
+func (t *traffic) explain(s *service, owner string) dispatch.Explanation {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.dispatch.Explain(t.now(), owner)
+}
--- a/state/spans/spans.go
+++ b/state/spans/spans.go
@@ -61,6 +61,17 @@
 // Find returns the span that has the key.
 func (t *Table) Find(key uint16) Span { return t.Spans[t.At(key)] }
 
+// Unowned returns the number of keys that nobody holds at the moment.
+func (t *Table) Unowned() int {
+	n := 0
+	for _, s := range t.Spans {
+		if s.Moving() || s.Owner == "" {
+			n += s.Count()
+		}
+	}
+	return n
+}
+
 // Clone returns a copy that can be changed.
 func (t *Table) Clone() *Table {
 	c := *t
