--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -29,7 +29,7 @@
 	objectiveShare = 0.8
 	// crossDomainCost makes an upstream of another failure domain look
 	// slower: bytes between domains are priced, a queue costs more.
-	crossDomainCost = 1.3
+	crossDomainCost = 1.7
 	// jitter spreads scores evenly by this share to both sides, so that
 	// gateways with the same view do not all choose the same upstream.
 	jitter = 0.12
