--- a/coordination/ownership/plan.go
+++ b/coordination/ownership/plan.go
@@ -13,6 +13,11 @@
 	// firstSpans is the number of spans each upstream gets at first. The keys
 	// that are busy lie close to one another, so upstreams alternate.
 	firstSpans = 8
+	// firstTotal bounds the spans of the first assignment: the more upstreams,
+	// the narrower their spans are anyway.
+	firstTotal = 256
+	// firstLeast is the least number for each upstream.
+	firstLeast = 2
 	// mostSpans bounds the spans of a service, in multiples of its upstreams:
 	// each span is one grant to renew.
 	mostSpans = 28
@@ -70,7 +75,7 @@
 		t.Spans = []spans.Span{{Keys: spans.Keys{First: 0, Last: spans.MaxKey}}}
 		return t
 	}
-	count := min(firstSpans*len(usable), spans.MaxKey+1)
+	count := len(usable) * max(min(firstSpans, firstTotal/len(usable)), firstLeast)
 	for i := range count {
 		first := i * (spans.MaxKey + 1) / count
 		last := (i+1)*(spans.MaxKey+1)/count - 1
--- a/gateway/cluster.go
+++ b/gateway/cluster.go
@@ -17,8 +17,10 @@
 	reportExpiry = 1500 * time.Millisecond
 )
 
-// cluster is what this process knows of the other gateways. The leader learns
-// it from their reports, the others from the leader.
+// cluster is what this process knows of the other gateways. Each reports to one
+// other, its parent: the leader, or in large deployments the first gateway of its
+// failure domain, which reports for it. The leader learns of all gateways from the
+// reports, the others from the leader.
 type cluster struct {
 	self *syncpb.Member
 	now  func() time.Time
@@ -27,24 +29,33 @@
 	mu      sync.Mutex
 	leader  *syncpb.Leader
 	leading bool
+	// children are the gateways that report to this one, by node.
+	children map[string]*child
 	// members are all gateways but this one, by node.
-	members map[string]*member
+	members map[string]*syncpb.Member
 	version uint64
+	// above is what the gateways that do not report to this one have in flight,
+	// as the parent told.
+	above []*syncpb.Load
+	// avoided are heads of the own domain that did not answer, until when.
+	avoided map[string]time.Time
 	clients map[string]syncpb.Peer
 	rng     *rand.Rand
 }
 
-// member is another gateway, with its last report if this process leads.
-type member struct {
+// child is a gateway that reports to this one, with its last report.
+type child struct {
 	*syncpb.Member
-	seen  time.Time
-	loads []*syncpb.Load
+	seen      time.Time
+	loads     []*syncpb.Load
+	followers []*syncpb.Member
 }
 
 func newCluster(self *syncpb.Member, client *http.Client, now func() time.Time, rng *rand.Rand) *cluster {
 	return &cluster{
 		self: self, now: now, http: client, rng: rng,
-		members: make(map[string]*member), clients: make(map[string]syncpb.Peer),
+		children: make(map[string]*child), members: make(map[string]*syncpb.Member),
+		avoided: make(map[string]time.Time), clients: make(map[string]syncpb.Peer),
 	}
 }
 
@@ -68,26 +79,65 @@
 func (c *cluster) reported(r *syncpb.SyncRequest) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	m := c.members[r.Member.Node]
-	if m == nil || m.Incarnation != r.Member.Incarnation {
-		m = &member{Member: r.Member}
-		c.members[r.Member.Node] = m
+	c.children[r.Member.Node] = &child{Member: r.Member, seen: c.now(), loads: r.Loads, followers: r.Followers}
+	if c.leading {
+		c.gather()
+	}
+}
+
+// gather makes the leader's list of members from the reports.
+func (c *cluster) gather() {
+	next := make(map[string]*syncpb.Member, len(c.members))
+	for node, one := range c.children {
+		if c.now().Sub(one.seen) > memberExpiry {
+			delete(c.children, node)
+			continue
+		}
+		for _, m := range append([]*syncpb.Member{one.Member}, one.followers...) {
+			if m.Node != c.self.Node {
+				next[m.Node] = m
+			}
+		}
+	}
+	if !sameMembers(c.members, next) {
 		c.version++
 	}
-	m.seen = c.now()
-	m.loads = r.Loads
+	c.members = next
+}
+
+func sameMembers(a, b map[string]*syncpb.Member) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for node, m := range a {
+		if other := b[node]; other == nil || other.Incarnation != m.Incarnation || other.Address != m.Address {
+			return false
+		}
+	}
+	return true
 }
 
 // expire forgets gateways that no longer report. It is for the leader.
 func (c *cluster) expire() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for node, m := range c.members {
-		if c.now().Sub(m.seen) > memberExpiry {
-			delete(c.members, node)
-			c.version++
+	c.gather()
+}
+
+// followers are the gateways that report through this one.
+func (c *cluster) followers() []*syncpb.Member {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []*syncpb.Member
+	for node, one := range c.children {
+		if c.now().Sub(one.seen) > memberExpiry {
+			delete(c.children, node)
+			continue
 		}
+		out = append(out, one.Member)
+		out = append(out, one.followers...)
 	}
+	return out
 }
 
 // setMembers takes over the leader's list.
@@ -95,23 +145,80 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.version = version
-	c.members = make(map[string]*member, len(list))
+	c.members = make(map[string]*syncpb.Member, len(list))
 	for _, m := range list {
 		if m.Node != c.self.Node {
-			c.members[m.Node] = &member{Member: m, seen: c.now()}
+			c.members[m.Node] = m
 		}
 	}
 }
 
-// list returns all members, this one among them, in the order of their nodes.
+// setAbove takes over what the parent told of the others' requests in flight.
+func (c *cluster) setAbove(loads []*syncpb.Load) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.above = loads
+}
+
+// parent returns the address of the gateway to report to, or "".
+func (c *cluster) parent() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.leader == nil {
+		return ""
+	}
+	top := c.leader.Member
+	if len(c.members)+1 < treeLeast || c.self.Domain == top.Domain {
+		return top.Address
+	}
+	head := c.self
+	for _, m := range c.members {
+		if m.Domain == c.self.Domain && before(m, head) && c.now().After(c.avoided[m.Node]) {
+			head = m
+		}
+	}
+	if head == c.self {
+		return top.Address
+	}
+	return head.Address
+}
+
+// treeLeast is the number of gateways from which reports go by way of one
+// gateway in each failure domain: below, the leader can answer all itself, and
+// news are a step sooner everywhere.
+const treeLeast = 24
+
+// before orders gateways by what they can bear: the stronger first.
+func before(a, b *syncpb.Member) bool {
+	if a.Strength != b.Strength {
+		return a.Strength > b.Strength
+	}
+	return a.Node < b.Node
+}
+
+// avoid lets the gateway at the address be no head for a while.
+func (c *cluster) avoid(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for node, m := range c.members {
+		if m.Address == address {
+			c.avoided[node] = c.now().Add(avoidTime)
+		}
+	}
+}
+
+// avoidTime is how long a head that did not answer is passed over.
+const avoidTime = 3 * time.Second
+
+// list returns all members, this one among them, the strongest first.
 func (c *cluster) list() ([]*syncpb.Member, uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	out := []*syncpb.Member{c.self}
 	for _, m := range c.members {
-		out = append(out, m.Member)
+		out = append(out, m)
 	}
-	sort.Slice(out, func(i, j int) bool { return out[i].Node < out[j].Node })
+	sort.Slice(out, func(i, j int) bool { return before(out[i], out[j]) })
 	return out, c.version
 }
 
@@ -131,8 +238,8 @@
 	return rank
 }
 
-// loads returns what all gateways but the given one have in flight, by
-// upstream. own is the load of this process.
+// loads returns what all gateways but the given child and those behind it have in
+// flight, by upstream. own is the load of this process.
 func (c *cluster) loads(except string, own []*syncpb.Load) map[string]*syncpb.Load {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -140,9 +247,27 @@
 	if except != c.self.Node {
 		addLoads(sum, own)
 	}
-	for node, m := range c.members {
-		if node != except && c.now().Sub(m.seen) < reportExpiry {
-			addLoads(sum, m.loads)
+	for node, one := range c.children {
+		if node != except && c.now().Sub(one.seen) < reportExpiry {
+			addLoads(sum, one.loads)
+		}
+	}
+	if !c.leading {
+		addLoads(sum, c.above)
+	}
+	return sum
+}
+
+// below returns what this gateway and those that report to it have in flight, by
+// upstream.
+func (c *cluster) below(own []*syncpb.Load) map[string]*syncpb.Load {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	sum := make(map[string]*syncpb.Load)
+	addLoads(sum, own)
+	for _, one := range c.children {
+		if c.now().Sub(one.seen) < reportExpiry {
+			addLoads(sum, one.loads)
 		}
 	}
 	return sum
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -34,6 +34,8 @@
 	seeds   []string
 	now     func() time.Time
 	log     *slog.Logger
+	// setOwn keeps this process's own loads, for those that report to it.
+	setOwn func([]*syncpb.Load)
 
 	mu sync.Mutex
 	// heard is when a leader last answered.
@@ -52,9 +54,14 @@
 			pause(ctx, reportInterval)
 			continue
 		}
-		l := f.cluster.knownLeader()
-		if l != nil && f.report(ctx, l.Member.Address, reportInterval) {
-			continue
+		if parent := f.cluster.parent(); parent != "" {
+			if f.report(ctx, parent, reportInterval) {
+				continue
+			}
+			f.cluster.avoid(parent)
+			if l := f.cluster.knownLeader(); l.Member.Address != parent && f.report(ctx, l.Member.Address, reportInterval) {
+				continue
+			}
 		}
 		f.seek(ctx)
 		pause(ctx, orphanPause)
@@ -62,7 +69,7 @@
 }
 
 // report reports to a gateway and takes over its answer. It returns whether
-// that gateway leads.
+// that gateway leads or hears from the leader.
 func (f *follower) report(ctx context.Context, address string, wait time.Duration) bool {
 	ctx, cancel := context.WithTimeout(ctx, wait+reportTimeout)
 	defer cancel()
@@ -75,20 +82,18 @@
 		return false
 	}
 	f.take(resp)
+	age := time.Duration(resp.HeardMs) * time.Millisecond
 	f.mu.Lock()
-	f.refused, f.resigned = false, !resp.Leading
-	if resp.Leading {
-		f.heard = f.now()
+	f.refused, f.resigned = false, resp.Leader != nil && resp.Leader.Member.Address == address && !resp.Leading
+	if at := f.now().Add(-age); age < orphanAfter && at.After(f.heard) {
+		f.heard = at
 	}
 	f.mu.Unlock()
-	if !resp.Leading {
+	if age >= orphanAfter {
 		return false
 	}
-	others := make(map[string]float64, len(resp.Loads))
-	for _, l := range resp.Loads {
-		others[l.Instance] = float64(l.Inflight)
-	}
-	f.traffic.reported(others)
+	f.cluster.setAbove(resp.Loads)
+	f.shareLoads()
 	f.traffic.setGateways(int(resp.Gateways))
 	if f.now().Sub(began) < reportInterval/5 {
 		// News came at once; the next report can wait a little.
@@ -97,6 +102,16 @@
 	return true
 }
 
+// shareLoads tells the decisions about requests what all other gateways have in
+// flight: those above, and those that report to this one.
+func (f *follower) shareLoads() {
+	others := make(map[string]float64)
+	for id, l := range f.cluster.loads(f.cluster.self.Node, nil) {
+		others[id] = float64(l.Inflight)
+	}
+	f.traffic.reported(others)
+}
+
 // request builds a report.
 func (f *follower) request(wait time.Duration) *syncpb.SyncRequest {
 	r := &syncpb.SyncRequest{
@@ -107,8 +122,16 @@
 		r.SpansVersions[name] = t.Version
 	}
 	_, r.MembersVersion = f.cluster.list()
+	if wait == 0 {
+		return r
+	}
 	loads, keys := f.traffic.report()
-	r.Loads = loadMessages(loads)
+	own := loadMessages(loads)
+	f.setOwn(own)
+	r.Followers = f.cluster.followers()
+	for _, l := range f.cluster.below(own) {
+		r.Loads = append(r.Loads, l)
+	}
 	for name, list := range keys {
 		k := &syncpb.KeyCounts{Service: name}
 		for _, key := range list {
@@ -121,7 +144,7 @@
 
 // take takes over what is newer than this gateway's own view.
 func (f *follower) take(resp *syncpb.SyncResponse) {
-	if f.cluster.setLeader(resp.Leader) && resp.Leading && len(resp.Members) > 0 {
+	if f.cluster.setLeader(resp.Leader) && resp.HeardMs < uint32(orphanAfter.Milliseconds()) && len(resp.Members) > 0 {
 		f.cluster.setMembers(resp.MembersVersion, resp.Members)
 	}
 	if c := resp.Configuration; c != nil {
@@ -133,15 +156,12 @@
 		}
 	}
 	if resp.Instances != nil {
-		f.view.setInstances(resp.Instances.Version, instancesView(resp.Instances))
+		f.view.takeInstances(resp.Instances)
 	}
 	for _, m := range resp.Spans {
-		t := spansTable(m)
-		if err := t.Check(); err != nil {
+		if err := f.view.takeSpans(m); err != nil {
 			f.log.Error("owners from another gateway are not valid", "error", err)
-			continue
 		}
-		f.view.setSpans(t)
 	}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -37,6 +37,8 @@
 	// memoryShare is the part of the allowed memory that the garbage
 	// collector is told to keep to; the rest is for sockets and stacks.
 	memoryShare = 0.6
+	// thousand is the unit in which the strength of a machine is told.
+	thousand = 1000
 	// megabyte in bytes.
 	megabyte = 1 << 20
 	// stopReserve is kept from the time allowed for a stop, to end before the
@@ -137,6 +139,7 @@
 	g.view.onInstances = g.traffic.setUpstreams
 	self := &syncpb.Member{
 		Node: conf.Node, Address: open.Peers.Addr().String(), Domain: conf.Domain, Incarnation: incarnation(),
+		Strength: uint32(thousand * conf.Strength),
 	}
 	client := &http.Client{Transport: &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: reportTimeout}).DialContext,
@@ -148,7 +151,7 @@
 		now: g.now, log: log, meters: g.meters, lastOK: g.now(),
 	}
 	store := platform.NewStore(g.calls)
-	g.watcher = newWatcher(store, g.view, g.now, log)
+	g.watcher = newWatcher(store, g.view, g.now, log, seeds[0])
 	g.calls.onReturn = g.watcher.returned
 	g.follower = &follower{
 		view: g.view, cluster: g.cluster, traffic: g.traffic, now: g.now, log: log, heard: g.now(),
@@ -168,6 +171,7 @@
 		promises: newPromises(g.now), longest: conf.LongestHold.D(),
 	}
 	g.steward.leading = g.leading
+	g.follower.setOwn = g.steward.setOwn
 	g.front = &front{
 		view: g.view, traffic: g.traffic, splitter: routing.NewSplitter(), conns: g.conns, now: g.now,
 		log: log, meters: g.meters, drain: conf.UpstreamDrain.D(),
@@ -316,7 +320,7 @@
 func (g *Gateway) peerHandler() http.Handler {
 	server := &peerServer{
 		view: g.view, cluster: g.cluster, store: g.calls, steward: g.steward, traffic: g.traffic,
-		promises: g.leading.promises,
+		promises: g.leading.promises, follower: g.follower,
 	}
 	return syncpb.NewPeerServer(server)
 }
--- a/gateway/peerserver.go
+++ b/gateway/peerserver.go
@@ -8,6 +8,7 @@
 
 	"github.com/rockcroft/rockcroft/coordination/dispatch"
 	"github.com/rockcroft/rockcroft/protocol/syncpb"
+	"github.com/rockcroft/rockcroft/state/spans"
 )
 
 // mostWait bounds how long a report waits for changes before it is answered.
@@ -15,11 +16,13 @@
 
 // peerServer serves the other gateways.
 type peerServer struct {
-	view     *view
-	cluster  *cluster
-	store    *storeCaller
-	steward  *steward
-	traffic  *traffic
+	view    *view
+	cluster *cluster
+	store   *storeCaller
+	steward *steward
+	traffic *traffic
+	// follower tells how fresh this process's view is.
+	follower *follower
 	promises *promises
 }
 
@@ -28,21 +31,35 @@
 	if r.Member == nil || r.Member.Node == "" || r.Member.Address == "" {
 		return nil, twirp.RequiredArgumentError("member")
 	}
-	if p.cluster.isLeading() {
+	if r.WaitMs > 0 {
 		p.cluster.reported(r)
-		p.steward.asked(r.Keys)
+		if p.cluster.isLeading() {
+			p.steward.asked(r.Keys)
+		} else {
+			p.passOn(r.Keys)
+		}
 	}
 	p.waitForNews(ctx, r)
 	return p.news(r), nil
 }
 
+// passOn adds the keys that another gateway was asked for to the own report.
+func (p *peerServer) passOn(counts []*syncpb.KeyCounts) {
+	for _, c := range counts {
+		s := p.traffic.get(c.Service)
+		for _, key := range c.Keys {
+			s.asked(uint16(min(key, spans.MaxKey)))
+		}
+	}
+}
+
 // waitForNews waits until something has changed that the sender does not know.
 func (p *peerServer) waitForNews(ctx context.Context, r *syncpb.SyncRequest) {
 	timer := time.NewTimer(min(time.Duration(r.WaitMs)*time.Millisecond, mostWait))
 	defer timer.Stop()
 	for {
 		changed := p.view.wait()
-		if !p.cluster.isLeading() || p.knowsMore(r) {
+		if p.heardAgo() > orphanAfter || p.knowsMore(r) {
 			return
 		}
 		select {
@@ -55,6 +72,15 @@
 	}
 }
 
+// heardAgo returns how long ago this process heard from the leader.
+func (p *peerServer) heardAgo() time.Duration {
+	if p.cluster.isLeading() {
+		return 0
+	}
+	lost, _, _ := p.follower.lostFor()
+	return lost
+}
+
 // knowsMore reports whether this process has a newer view than the sender.
 func (p *peerServer) knowsMore(r *syncpb.SyncRequest) bool {
 	config, _, inst := p.view.encoded()
@@ -71,34 +97,41 @@
 
 // news builds the answer from what the sender does not know.
 func (p *peerServer) news(r *syncpb.SyncRequest) *syncpb.SyncResponse {
-	resp := &syncpb.SyncResponse{Leader: p.cluster.knownLeader(), Leading: p.cluster.isLeading()}
-	config, spec, inst := p.view.encoded()
+	resp := &syncpb.SyncResponse{
+		Leader: p.cluster.knownLeader(), Leading: p.cluster.isLeading(),
+		HeardMs: uint32(min(p.heardAgo(), time.Hour).Milliseconds()),
+	}
+	config, spec, _ := p.view.encoded()
 	if config > r.ConfigRevision {
 		resp.Configuration = &syncpb.Configuration{Revision: config, Spec: spec}
 	}
-	if v := p.view.inst.Load(); v != nil && inst != r.InstancesVersion {
-		resp.Instances = instancesMessage(v, inst)
-	}
+	resp.Instances = p.view.instancesMessage(r.InstancesVersion)
 	for name, t := range *p.view.owners.Load() {
-		if t.Version > r.SpansVersions[name] {
-			resp.Spans = append(resp.Spans, spansMessage(t))
+		if base := r.SpansVersions[name]; t.Version > base {
+			resp.Spans = append(resp.Spans, p.view.spansMessage(t, base))
 		}
 	}
-	if !resp.Leading {
+	if r.WaitMs == 0 {
 		return resp
 	}
 	for _, l := range p.cluster.loads(r.Member.Node, p.steward.ownLoads()) {
-		resp.Loads = append(resp.Loads, l)
+		if l.Inflight >= leastLoad {
+			resp.Loads = append(resp.Loads, &syncpb.Load{Instance: l.Instance, Inflight: l.Inflight})
+		}
 	}
 	resp.Gateways = uint32(p.cluster.gateways())
-	if members, version := p.cluster.list(); version != r.MembersVersion {
-		resp.Members, resp.MembersVersion = members, version
-	} else {
-		resp.MembersVersion = version
+	members, version := p.cluster.list()
+	resp.MembersVersion = version
+	if version != r.MembersVersion {
+		resp.Members = members
 	}
 	return resp
 }
 
+// leastLoad is the number of requests in flight at an upstream that is worth
+// telling: less does not change a decision.
+const leastLoad = 0.2
+
 // Relay implements syncpb.Peer.
 func (p *peerServer) Relay(ctx context.Context, r *syncpb.RelayRequest) (*syncpb.RelayResponse, error) {
 	c, ok := relayed(r)
--- a/gateway/steward.go
+++ b/gateway/steward.go
@@ -103,8 +103,8 @@
 
 func (s *steward) noteOwn() {
 	loads, keys := s.traffic.report()
+	s.setOwn(loadMessages(loads))
 	s.mu.Lock()
-	s.own = loadMessages(loads)
 	for name, list := range keys {
 		if k := s.keepers[name]; k != nil {
 			for _, key := range list {
@@ -121,6 +121,13 @@
 	s.traffic.setGateways(s.cluster.gateways())
 }
 
+// setOwn keeps this process's last report.
+func (s *steward) setOwn(loads []*syncpb.Load) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.own = loads
+}
+
 // ownLoads returns this process's last report.
 func (s *steward) ownLoads() []*syncpb.Load {
 	s.mu.Lock()
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -24,12 +24,18 @@
 	// instVersion tells versions of the view of upstreams apart.
 	instVersion uint64
 	changed     chan struct{}
+	// former are older versions, to tell others only what has changed since.
+	formerInst  map[uint64]*instances.View
+	formerOrder []uint64
+	formerSpans map[string][]*spans.Table
 	// onInstances is called, with the lock held, when upstreams have changed.
 	onInstances func(*instances.View)
 }
 
 func newView() *view {
-	v := &view{changed: make(chan struct{})}
+	v := &view{
+		changed: make(chan struct{}), formerInst: make(map[uint64]*instances.View), formerSpans: make(map[string][]*spans.Table),
+	}
 	v.owners.Store(&map[string]*spans.Table{})
 	return v
 }
@@ -70,6 +76,12 @@
 	}
 	v.instVersion = version
 	v.inst.Store(next)
+	v.formerInst[version] = next
+	v.formerOrder = append(v.formerOrder, version)
+	if len(v.formerOrder) > formerKept {
+		delete(v.formerInst, v.formerOrder[0])
+		v.formerOrder = v.formerOrder[1:]
+	}
 	v.onInstances(next)
 	v.signal()
 	return true
@@ -88,6 +100,11 @@
 		next[name] = table
 	}
 	next[t.Service] = t
+	former := append(v.formerSpans[t.Service], t)
+	if len(former) > formerKept {
+		former = former[1:]
+	}
+	v.formerSpans[t.Service] = former
 	v.owners.Store(&next)
 	v.signal()
 	return true
@@ -102,3 +119,26 @@
 	defer v.mu.Unlock()
 	return v.configRevision, v.configSpec, v.instVersion
 }
+
+// formerKept is how many versions are kept of each part of the view: those of
+// some seconds with many changes.
+const formerKept = 48
+
+// formerInstances returns an older version of the view of upstreams, or nil.
+func (v *view) formerInstances(version uint64) *instances.View {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.formerInst[version]
+}
+
+// formerTable returns an older version of an assignment, or nil.
+func (v *view) formerTable(service string, version uint64) *spans.Table {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, t := range v.formerSpans[service] {
+		if t.Version == version {
+			return t
+		}
+	}
+	return nil
+}
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -32,6 +32,8 @@
 	view  *view
 	now   func() time.Time
 	log   *slog.Logger
+	// salt tells versions of this process's view from those of others.
+	salt uint64
 
 	mu      sync.Mutex
 	tracker *instances.Tracker
@@ -43,14 +45,14 @@
 	compacted chan struct{}
 }
 
-func newWatcher(store *platform.Store, v *view, now func() time.Time, log *slog.Logger) *watcher {
-	return &watcher{store: store, view: v, now: now, log: log, badEntries: make(map[string]uint64), compacted: make(chan struct{})}
+func newWatcher(store *platform.Store, v *view, now func() time.Time, log *slog.Logger, salt uint64) *watcher {
+	return &watcher{salt: salt, store: store, view: v, now: now, log: log, badEntries: make(map[string]uint64), compacted: make(chan struct{})}
 }
 
 // run watches until ctx ends.
 func (w *watcher) run(ctx context.Context) {
 	w.mu.Lock()
-	w.tracker = instances.NewTracker(w.view.inst.Load(), w.now())
+	w.tracker = instances.NewTracker(w.view.inst.Load(), w.now(), w.salt)
 	w.mu.Unlock()
 	var all sync.WaitGroup
 	all.Go(func() { w.follow(ctx, platform.ConfigKind, w.listConfiguration, w.configurationEvents) })
--- a/gateway/wire.go
+++ b/gateway/wire.go
@@ -11,9 +11,20 @@
 // This file translates between the types of package state and the messages
 // between gateways.
 
-func instancesMessage(v *instances.View, version uint64) *syncpb.Instances {
-	m := &syncpb.Instances{Revision: v.Revision, Version: version}
-	for _, one := range v.All() {
+// instancesMessage tells what has changed since the version base, or all when
+// that is not known any more.
+func (v *view) instancesMessage(base uint64) *syncpb.Instances {
+	now, version := v.inst.Load(), uint64(0)
+	if _, _, version = v.encoded(); now == nil || version == base {
+		return nil
+	}
+	m := &syncpb.Instances{Revision: now.Revision, Version: version}
+	list := now.All()
+	if old := v.formerInstances(base); old != nil {
+		m.Base = base
+		list, m.Removed = instances.Diff(old, now)
+	}
+	for _, one := range list {
 		m.List = append(m.List, &syncpb.Instance{
 			Id: one.ID, Service: one.Service, Address: one.Address, Domain: one.Domain,
 			Slots: uint32(one.Slots), Leaving: one.Leaving,
@@ -23,7 +34,18 @@
 	return m
 }
 
-func instancesView(m *syncpb.Instances) *instances.View {
+// takeInstances takes over what a message says.
+func (v *view) takeInstances(m *syncpb.Instances) {
+	if m.Base == 0 {
+		v.setInstances(m.Version, instances.NewView(m.Revision, instancesList(m)))
+		return
+	}
+	if old := v.formerInstances(m.Base); old != nil {
+		v.setInstances(m.Version, old.Apply(m.Revision, instancesList(m), m.Removed))
+	}
+}
+
+func instancesList(m *syncpb.Instances) []instances.Instance {
 	list := make([]instances.Instance, 0, len(m.List))
 	for _, one := range m.List {
 		list = append(list, instances.Instance{
@@ -32,12 +54,19 @@
 			WarmUp: time.Duration(one.WarmUpMs) * time.Millisecond, Revision: one.Revision,
 		})
 	}
-	return instances.NewView(m.Revision, list)
+	return list
 }
 
-func spansMessage(t *spans.Table) *syncpb.Spans {
+// spansMessage tells what has changed since the version base, or all when that is
+// not known any more.
+func (v *view) spansMessage(t *spans.Table, base uint64) *syncpb.Spans {
 	m := &syncpb.Spans{Service: t.Service, Version: t.Version, LastFence: t.LastFence}
-	for _, s := range t.Spans {
+	list := t.Spans
+	if old := v.formerTable(t.Service, base); old != nil {
+		m.Base = base
+		list = spans.Diff(old, t)
+	}
+	for _, s := range list {
 		m.List = append(m.List, &syncpb.Span{
 			First: uint32(s.First), Last: uint32(s.Last),
 			Owner: s.Owner, Fence: s.Fence, Next: s.Next, NextFence: s.NextFence,
@@ -46,6 +75,25 @@
 	return m
 }
 
+// takeSpans takes over what a message says.
+func (v *view) takeSpans(m *syncpb.Spans) error {
+	t := spansTable(m)
+	if m.Base != 0 {
+		old := v.formerTable(m.Service, m.Base)
+		if old == nil {
+			return nil
+		}
+		whole := old.Overlay(t.Spans)
+		whole.Version, whole.LastFence = m.Version, m.LastFence
+		t = whole
+	}
+	if err := t.Check(); err != nil {
+		return err
+	}
+	v.setSpans(t)
+	return nil
+}
+
 func spansTable(m *syncpb.Spans) *spans.Table {
 	t := &spans.Table{Service: m.Service, Version: m.Version, LastFence: m.LastFence}
 	for _, s := range m.List {
--- a/state/instances/instances.go
+++ b/state/instances/instances.go
@@ -73,3 +73,37 @@
 	}
 	return out
 }
+
+// Diff returns what changes the old view into the new one.
+func Diff(old, next *View) (changed []Instance, removed []string) {
+	for id, one := range next.byID {
+		if was := old.byID[id]; was == nil || *was != *one {
+			changed = append(changed, *one)
+		}
+	}
+	for id := range old.byID {
+		if next.byID[id] == nil {
+			removed = append(removed, id)
+		}
+	}
+	return changed, removed
+}
+
+// Apply returns the view with changes made to it.
+func (v *View) Apply(revision uint64, changed []Instance, removed []string) *View {
+	list := make(map[string]Instance, len(v.byID)+len(changed))
+	for id, one := range v.byID {
+		list[id] = *one
+	}
+	for _, one := range changed {
+		list[one.ID] = one
+	}
+	for _, id := range removed {
+		delete(list, id)
+	}
+	all := make([]Instance, 0, len(list))
+	for _, one := range list {
+		all = append(all, one)
+	}
+	return NewView(revision, all)
+}
--- a/state/instances/instances_test.go
+++ b/state/instances/instances_test.go
@@ -22,7 +22,7 @@
 }
 
 func TestRemovedEntryIsLeaving(t *testing.T) {
-	tr := NewTracker(nil, start)
+	tr := NewTracker(nil, start, 0)
 	tr.List(start, 5, []Instance{one("a"), one("b")})
 	tr.Remove(at(time.Second), "a")
 	if !tr.Settle(at(time.Second)) || !leaving(t, tr, "a") || leaving(t, tr, "b") {
@@ -37,7 +37,7 @@
 // TestLapsedEntriesAreWaitedFor: entries missing right after an outage stay in
 // service until the store has been back for lapseGrace.
 func TestLapsedEntriesAreWaitedFor(t *testing.T) {
-	tr := NewTracker(nil, start)
+	tr := NewTracker(nil, start, 0)
 	tr.List(start, 5, []Instance{one("a"), one("b")})
 	tr.Returned(at(10 * time.Second))
 	tr.List(at(10*time.Second), 9, nil)
@@ -56,7 +56,7 @@
 func TestViewGoesOn(t *testing.T) {
 	gone := one("gone")
 	gone.Leaving = true
-	tr := NewTracker(NewView(7, []Instance{one("a"), one("b"), gone}), start)
+	tr := NewTracker(NewView(7, []Instance{one("a"), one("b"), gone}), start, 0)
 	if tr.Revision() != 7 {
 		t.Errorf("revision %d", tr.Revision())
 	}
@@ -68,7 +68,7 @@
 }
 
 func TestVersionsDiffer(t *testing.T) {
-	tr := NewTracker(nil, start)
+	tr := NewTracker(nil, start, 0)
 	tr.List(start, 5, []Instance{one("a")})
 	_, first := tr.View()
 	_, second := tr.View()
@@ -90,3 +90,18 @@
 		t.Errorf("services %v", got)
 	}
 }
+
+func TestDiffAndApply(t *testing.T) {
+	changed := one("b")
+	changed.Leaving = true
+	old := NewView(1, []Instance{one("a"), one("b"), one("c")})
+	next := NewView(2, []Instance{one("a"), changed, one("d")})
+	list, removed := Diff(old, next)
+	if len(list) != 2 || len(removed) != 1 {
+		t.Errorf("changed %v, removed %v", list, removed)
+	}
+	got := old.Apply(2, list, removed)
+	if more, less := Diff(got, next); len(more)+len(less) > 0 || got.Revision != 2 || len(got.Service("s")) != 3 {
+		t.Errorf("applied: %v, %v", more, less)
+	}
+}
--- a/state/instances/tracker.go
+++ b/state/instances/tracker.go
@@ -29,9 +29,10 @@
 	settles time.Time
 }
 
-// NewTracker returns a tracker that knows what the view shows.
-func NewTracker(v *View, now time.Time) *Tracker {
-	t := &Tracker{known: make(map[string]Instance), missing: make(map[string]missing)}
+// NewTracker returns a tracker that knows what the view shows. Trackers of
+// different processes are given different salts, so that their versions differ.
+func NewTracker(v *View, now time.Time, salt uint64) *Tracker {
+	t := &Tracker{sub: salt, known: make(map[string]Instance), missing: make(map[string]missing)}
 	if v == nil {
 		return t
 	}
--- a/state/settings/gateway.go
+++ b/state/settings/gateway.go
@@ -42,6 +42,9 @@
 	RetryShare     float64        `json:"retry_share"`
 	RetryAllowance float64        `json:"retry_allowance"`
 	RetryWindow    jsonc.Duration `json:"retry_window"`
+	// Strength is the share of a core that the machine has, 1 for a whole one.
+	// Stronger machines lead and report for others.
+	Strength float64 `json:"strength"`
 	// Memory is the memory that the process may use, in MB.
 	Memory int `json:"memory_mb"`
 	// LogLevel is "debug", "info", "warn" or "error". Default "info".
@@ -79,6 +82,7 @@
 	add(g.RetryShare < 0 || g.RetryShare > 1, "retry_share", "must lie between 0 and 1")
 	add(g.RetryAllowance < 0, "retry_allowance", "must not be negative")
 	add(g.RetryWindow <= 0, "retry_window", "must be positive")
+	add(g.Strength < 0, "strength", "must not be negative")
 	add(g.Memory <= 0, "memory_mb", "must be positive")
 	add(!oneOf(g.LogLevel, "debug", "info", "warn", "error"), "log_level", `must be "debug", "info", "warn" or "error"`)
 	add(!oneOf(g.Trace.Exporter, "off", "stdout", "otlp"), "trace.exporter", `must be "off", "stdout" or "otlp"`)
--- a/state/spans/spans.go
+++ b/state/spans/spans.go
@@ -111,3 +111,36 @@
 	high.First = first
 	t.Spans = append(t.Spans[:i], append([]Span{low, high}, t.Spans[i+1:]...)...)
 }
+
+// Diff returns the spans of the next table that are not in the old one as they
+// are.
+func Diff(old, next *Table) []Span {
+	var out []Span
+	for _, s := range next.Spans {
+		if old.Find(s.First) != s {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// Overlay returns the table with the spans that the list overlaps replaced by
+// the list.
+func (t *Table) Overlay(list []Span) *Table {
+	next := *t
+	next.Spans = make([]Span, 0, len(t.Spans)+len(list))
+	for _, s := range t.Spans {
+		if !overlapsAny(list, s.Keys) {
+			next.Spans = append(next.Spans, s)
+		}
+	}
+	next.Spans = append(next.Spans, list...)
+	sort.Slice(next.Spans, func(i, j int) bool { return next.Spans[i].First < next.Spans[j].First })
+	return &next
+}
+
+// overlapsAny reports whether one of the spans, which are in order, has keys of k.
+func overlapsAny(list []Span, k Keys) bool {
+	i := sort.Search(len(list), func(i int) bool { return list[i].Last >= k.First })
+	return i < len(list) && list[i].First <= k.Last
+}
--- a/state/spans/spans_test.go
+++ b/state/spans/spans_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 )
 
@@ -56,3 +57,30 @@
 		}
 	})
 }
+
+// TestDiffAndOverlay: a difference laid over the old table gives the new one.
+func TestDiffAndOverlay(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		old := whole()
+		for range rapid.IntRange(0, 10).Draw(t, "splits") {
+			key := rapid.Uint16().Draw(t, "key")
+			old.Split(old.At(key), key)
+		}
+		next := old.Clone()
+		for range rapid.IntRange(0, 10).Draw(t, "changes") {
+			key := rapid.Uint16().Draw(t, "key")
+			next.Split(next.At(key), key)
+			next.LastFence++
+			s := &next.Spans[next.At(key)]
+			s.Owner, s.Fence, s.Next, s.NextFence = "d", next.LastFence, "", 0
+		}
+		got := old.Overlay(Diff(old, next))
+		got.LastFence = next.LastFence
+		if err := got.Check(); err != nil {
+			t.Fatal(err)
+		}
+		if d := cmp.Diff(next, got); d != "" {
+			t.Fatal(d)
+		}
+	})
+}
