--- a/coordination/ownership/plan.go
+++ b/coordination/ownership/plan.go
@@ -62,11 +62,19 @@
 	Owners []Owner
 	// Load is requests a second by key.
 	Load map[uint16]float64
+	// Pins are where operators want keys to live.
+	Pins []Pin
 	// Resting are the first keys of spans that have moved lately: they are not
 	// moved again for balance.
 	Resting map[uint16]bool
 }
 
+// Pin keeps keys on an upstream as long as that may be given keys.
+type Pin struct {
+	spans.Keys
+	Owner string
+}
+
 // First returns the first assignment of a service over the owners.
 func First(service string, owners []Owner) *spans.Table {
 	t := &spans.Table{Service: service}
@@ -103,6 +111,7 @@
 	table   *spans.Table
 	load    map[uint16]float64
 	resting map[uint16]bool
+	pins    []Pin
 	sorted  []uint16
 	owners  map[string]*Owner
 	usable  []*Owner
@@ -117,6 +126,7 @@
 	if len(p.usable) == 0 {
 		return nil
 	}
+	p.placePinned()
 	p.replaceLost()
 	p.fillEmpty()
 	p.placeHot()
@@ -132,6 +142,7 @@
 		table:   in.Table.Clone(),
 		load:    in.Load,
 		resting: in.Resting,
+		pins:    in.Pins,
 		owners:  make(map[string]*Owner, len(in.Owners)),
 		loads:   make(map[string]float64, len(in.Owners)),
 	}
@@ -205,6 +216,35 @@
 	p.moves++
 }
 
+// placePinned moves keys to where operators want them.
+func (p *plan) placePinned() {
+	for _, pin := range p.pins {
+		owner := p.owners[pin.Owner]
+		if owner == nil || !owner.Usable {
+			continue
+		}
+		for i := p.table.At(pin.First); i < len(p.table.Spans) && p.table.Spans[i].First <= pin.Last; i++ {
+			s := p.table.Spans[i]
+			if s.Moving() || s.Owner == pin.Owner {
+				continue
+			}
+			i = p.isolate(i, int(max(s.First, pin.First)), int(min(s.Last, pin.Last)))
+			p.move(i, owner)
+		}
+	}
+}
+
+// pinned reports whether the owner of the span is where operators want some of
+// its keys to be.
+func (p *plan) pinned(s spans.Span) bool {
+	for _, pin := range p.pins {
+		if pin.Owner == s.Owner && s.First <= pin.Last && s.Last >= pin.First {
+			return true
+		}
+	}
+	return false
+}
+
 // replaceLost gives the keys of lost and leaving owners to others, the busiest
 // first.
 func (p *plan) replaceLost() {
@@ -285,7 +325,7 @@
 	}
 	best, bestLoad := -1, 0.0
 	for i, s := range p.table.Spans {
-		if s.Moving() || s.Owner != from.ID || p.resting[s.First] {
+		if s.Moving() || s.Owner != from.ID || p.resting[s.First] || p.pinned(s) {
 			continue
 		}
 		if load := p.loadOf(s.Keys); load > bestLoad {
@@ -360,7 +400,7 @@
 	i := p.table.At(hot)
 	s := p.table.Spans[i]
 	owner := p.owners[s.Owner]
-	if s.Moving() || owner == nil || most < hotShare*owner.Capacity || p.resting[s.First] && s.Count() == 1 {
+	if s.Moving() || owner == nil || most < hotShare*owner.Capacity || p.resting[s.First] && s.Count() == 1 || p.pinned(s) {
 		return
 	}
 	gain := hotGain
--- a/coordination/ownership/plan_test.go
+++ b/coordination/ownership/plan_test.go
@@ -231,3 +231,34 @@
 		t.Errorf("after a minute %v", r)
 	}
 }
+
+// TestPins: keys go where operators want them, stay there under load, and go
+// elsewhere when that upstream is lost.
+func TestPins(t *testing.T) {
+	table, list := settled(4), owners(4)
+	pins := []Pin{{Keys: spans.Keys{First: 1000, Last: 9000}, Owner: "u2"}}
+	load := map[uint16]float64{1500: 55, 1600: 55}
+	next := Make(Input{Table: table, Owners: list, Pins: pins})
+	if next == nil {
+		t.Fatal("no plan")
+	}
+	table = done(next)
+	for key := 1000; key <= 9000; key += 100 {
+		if o := table.Find(uint16(key)).Owner; o != "u2" {
+			t.Fatalf("key %d is at %s", key, o)
+		}
+	}
+	if o := table.Find(999).Owner; o == "u2" && settled(4).Find(999).Owner != "u2" {
+		t.Error("a key beside the pinned ones has moved")
+	}
+	if next := Make(Input{Table: table, Owners: list, Pins: pins, Load: load}); next != nil {
+		if s := next.Find(1500); s.Moving() {
+			t.Error("pinned keys move for balance")
+		}
+	}
+	list[2].Usable, list[2].Keeps = false, false
+	next = Make(Input{Table: table, Owners: list, Pins: pins, Load: load})
+	if next == nil || !next.Find(1500).Moving() {
+		t.Error("keys pinned to a lost upstream stay there")
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"github.com/gorilla/mux"
 
 	"github.com/rockcroft/rockcroft/platform"
+	"github.com/rockcroft/rockcroft/protocol/placementpb"
 	"github.com/rockcroft/rockcroft/protocol/syncpb"
 	"github.com/rockcroft/rockcroft/state/jsonc"
 	"github.com/rockcroft/rockcroft/state/routing"
@@ -171,6 +172,10 @@
 		promises: newPromises(g.now), longest: conf.LongestHold.D(),
 	}
 	g.steward.leading = g.leading
+	g.steward.placements = &placements{
+		store: store, steward: g.steward, leading: g.leading, cluster: g.cluster, now: g.now, log: log,
+	}
+	g.watcher.draining = g.steward.placements.draining
 	g.follower.setOwn = g.steward.setOwn
 	g.front = &front{
 		view: g.view, traffic: g.traffic, splitter: routing.NewSplitter(), conns: g.conns, now: g.now,
@@ -322,7 +327,10 @@
 		view: g.view, cluster: g.cluster, store: g.calls, steward: g.steward, traffic: g.traffic,
 		promises: g.leading.promises, follower: g.follower,
 	}
-	return syncpb.NewPeerServer(server)
+	r := mux.NewRouter()
+	r.PathPrefix(syncpb.PeerPathPrefix).Handler(syncpb.NewPeerServer(server))
+	r.PathPrefix(placementpb.PlacementPathPrefix).Handler(placementpb.NewPlacementServer(g.steward.placements))
+	return r
 }
 
 // gauges sets what is read at the moment of the question.
--- a/gateway/keeper.go
+++ b/gateway/keeper.go
@@ -328,8 +328,11 @@
 // first: no grant carries a fence that is not reserved there.
 func (k *keeper) plan(ctx context.Context) {
 	owners := k.candidates()
+	pins := k.placements.pins(k.service)
 	k.mu.Lock()
-	next := ownership.Make(ownership.Input{Table: k.table, Owners: owners, Load: k.rates(), Resting: k.resting()})
+	next := ownership.Make(ownership.Input{
+		Table: k.table, Owners: owners, Load: k.rates(), Resting: k.resting(), Pins: pins,
+	})
 	k.mu.Unlock()
 	if next == nil {
 		return
--- a/gateway/steward.go
+++ b/gateway/steward.go
@@ -29,6 +29,8 @@
 	now     func() time.Time
 	log     *slog.Logger
 	meters  *meters
+	// placements are the operators' intents.
+	placements *placements
 
 	mu      sync.Mutex
 	cancel  context.CancelFunc
@@ -47,6 +49,7 @@
 	s.keepers = make(map[string]*keeper)
 	s.running.Go(func() { s.run(ctx, term) })
 	s.running.Go(func() { inquire(ctx) })
+	s.running.Go(func() { s.placements.load(ctx) })
 }
 
 // stop ends the work. It does not wait for it.
@@ -58,6 +61,14 @@
 		s.cancel = nil
 	}
 	s.keepers = nil
+	s.placements.forget()
+}
+
+// keeper returns the keeper of a service, or nil.
+func (s *steward) keeper(service string) *keeper {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.keepers[service]
 }
 
 // finish stops, waits until all work has ended and saves what it changed.
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -32,6 +32,10 @@
 	view  *view
 	now   func() time.Time
 	log   *slog.Logger
+	// draining reports whether an operator wants an upstream to be left alone.
+	draining func(upstream string) bool
+	// drained are the upstreams for which that was so in the last view.
+	drained map[string]bool
 	// salt tells versions of this process's view from those of others.
 	salt uint64
 
@@ -46,7 +50,7 @@
 }
 
 func newWatcher(store *platform.Store, v *view, now func() time.Time, log *slog.Logger, salt uint64) *watcher {
-	return &watcher{salt: salt, store: store, view: v, now: now, log: log, badEntries: make(map[string]uint64), compacted: make(chan struct{})}
+	return &watcher{drained: make(map[string]bool), salt: salt, store: store, view: v, now: now, log: log, badEntries: make(map[string]uint64), compacted: make(chan struct{})}
 }
 
 // run watches until ctx ends.
@@ -190,7 +194,7 @@
 	}
 	w.tracker.List(w.now(), revision, list)
 	w.tracker.Settle(w.now())
-	w.view.setInstances(reversed(w.tracker.View()))
+	w.publish()
 }
 
 func (w *watcher) instanceEvents(changes []platform.Object, revision uint64) {
@@ -209,10 +213,42 @@
 	}
 	w.tracker.Advance(revision)
 	w.tracker.Settle(w.now())
-	w.view.setInstances(reversed(w.tracker.View()))
+	w.publish()
 }
 
-func reversed(v *instances.View, version uint64) (uint64, *instances.View) { return version, v }
+// publish gives the tracker's view to this process. Upstreams that an operator
+// drains are shown as leaving, as those that say so themselves. The lock is held.
+func (w *watcher) publish() {
+	v, version := w.tracker.View()
+	var drained []instances.Instance
+	for _, one := range v.All() {
+		if !one.Leaving && w.draining(one.ID) {
+			one.Leaving = true
+			drained = append(drained, one)
+		}
+	}
+	if len(drained) > 0 {
+		v = v.Apply(v.Revision, drained, nil)
+	}
+	w.view.setInstances(version, v)
+}
+
+// intentsChanged reports whether operators drain other upstreams than in the
+// last view. The lock is held.
+func (w *watcher) intentsChanged() bool {
+	changed := false
+	v := w.view.inst.Load()
+	if v == nil {
+		return false
+	}
+	for _, one := range v.All() {
+		if now := w.draining(one.ID); now != w.drained[one.ID] {
+			w.drained[one.ID] = now
+			changed = true
+		}
+	}
+	return changed
+}
 
 // decode reads one entry. One that cannot be read is logged once and left
 // alone.
@@ -233,8 +269,8 @@
 	for ctx.Err() == nil {
 		pause(ctx, settleInterval)
 		w.mu.Lock()
-		if w.tracker.Settle(w.now()) {
-			w.view.setInstances(reversed(w.tracker.View()))
+		if settled, drained := w.tracker.Settle(w.now()), w.intentsChanged(); settled || drained {
+			w.publish()
 		}
 		w.mu.Unlock()
 	}
