--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -27,6 +27,10 @@
 	// objectiveShare is the part of a route's objective that the estimated
 	// delay may take; the rest is for what the estimate misses.
 	objectiveShare = 0.8
+	// drainShare is the part of the time allowed that an owner which is leaving
+	// gets requests for keys that have not moved yet; the rest is for the news of
+	// its leaving to arrive.
+	drainShare = 0.6
 	// crossDomainCost makes an upstream of another failure domain look
 	// slower: bytes between domains are priced, a queue costs more.
 	crossDomainCost = 1.7
@@ -93,7 +97,9 @@
 	refused     bool
 	fullUntil   time.Time
 	warmUntil   time.Time
-	lastAnswer  time.Time
+	// leavingSince is when it was first seen to be leaving.
+	leavingSince time.Time
+	lastAnswer   time.Time
 	// unanswered are the times at which the requests in flight were sent.
 	unanswered []time.Time
 	// area is the sum of requests in flight over time since reportedAt, for
--- a/coordination/dispatch/dispatch_test.go
+++ b/coordination/dispatch/dispatch_test.go
@@ -17,7 +17,7 @@
 // newService returns a service with upstreams named by their domain and a
 // number, such as "a1", of two slots each.
 func newService(ids ...string) *Service {
-	s := NewService("a", rand.New(rand.NewPCG(1, 2)))
+	s := NewService("a", 2*time.Second, rand.New(rand.NewPCG(1, 2)))
 	s.SetUpstreams(start, list(ids...))
 	return s
 }
@@ -272,3 +272,18 @@
 		}
 	}
 }
+
+// TestLeavingOwner: it gets requests for its keys until they have moved, but not
+// for longer than allowed.
+func TestLeavingOwner(t *testing.T) {
+	s := newService("a1")
+	leaving := list("a1")
+	leaving[0].Leaving = true
+	s.SetUpstreams(start, leaving)
+	w := want()
+	w.Owner, w.Until, w.Deadline = "a1", at(time.Minute), at(time.Minute)
+	mustGrant(t, s, at(time.Second), w)
+	if _, r, decided := s.Offer(at(2*time.Second), w); decided && r == 0 {
+		t.Error("a request two seconds after it was seen to be leaving")
+	}
+}
--- a/coordination/dispatch/service.go
+++ b/coordination/dispatch/service.go
@@ -67,7 +67,10 @@
 // Service decides for the upstreams of one service. It is not safe for
 // concurrent use.
 type Service struct {
-	domain    string
+	domain string
+	// drain is how long after it was seen to be leaving an owner may get
+	// requests.
+	drain     time.Duration
 	rng       *rand.Rand
 	upstreams map[string]*Upstream
 	order     []*Upstream
@@ -77,8 +80,10 @@
 }
 
 // NewService returns a service without upstreams, seen from a failure domain.
-func NewService(domain string, rng *rand.Rand) *Service {
-	return &Service{domain: domain, rng: rng, upstreams: make(map[string]*Upstream)}
+// drain is the time within which upstreams that are leaving must get no more
+// requests.
+func NewService(domain string, drain time.Duration, rng *rand.Rand) *Service {
+	return &Service{domain: domain, drain: time.Duration(drainShare * float64(drain)), rng: rng, upstreams: make(map[string]*Upstream)}
 }
 
 // SetUpstreams takes over which upstreams there are. What is known of those
@@ -92,6 +97,9 @@
 			u = newUpstream(*one, now)
 		}
 		u.Instance = *one
+		if one.Leaving && u.leavingSince.IsZero() {
+			u.leavingSince = now
+		}
 		known[one.ID] = u
 		s.order = append(s.order, u)
 	}
@@ -193,7 +201,10 @@
 
 func (s *Service) owner(now time.Time, w *Want) *Upstream {
 	u := s.upstreams[w.Owner]
-	if u == nil || now.Before(u.pausedUntil) || u.silent(now, s.typical) || !u.room(now, s.typical, w.Objective) {
+	if u == nil || u.Leaving && now.Sub(u.leavingSince) > s.drain {
+		return nil
+	}
+	if now.Before(u.pausedUntil) || u.silent(now, s.typical) || !u.room(now, s.typical, w.Objective) {
 		return nil
 	}
 	return u
--- a/gateway/traffic.go
+++ b/gateway/traffic.go
@@ -57,7 +57,7 @@
 	if s == nil {
 		seed := rand.NewPCG(t.rng.Uint64(), t.rng.Uint64())
 		s = &service{
-			dispatch: dispatch.NewService(t.conf.Domain, rand.New(seed)),
+			dispatch: dispatch.NewService(t.conf.Domain, t.conf.UpstreamDrain.D(), rand.New(seed)),
 			budget: retry.NewWindow(t.now(), t.conf.RetryWindow.D(),
 				budgetShare*t.conf.RetryShare, budgetShare*t.conf.RetryAllowance),
 		}
