--- a/ctl/story.go
+++ b/ctl/story.go
@@ -113,7 +113,9 @@
 			continue
 		}
 		var fields map[string]any
-		if json.Unmarshal(line[begin:], &fields) != nil {
+		decoder := json.NewDecoder(bytes.NewReader(line[begin:]))
+		decoder.UseNumber()
+		if decoder.Decode(&fields) != nil {
 			// Not a line of a log.
 			continue
 		}
@@ -170,15 +172,25 @@
 
 // keys returns the span of keys that the event is about.
 func (e event) keys() (first, last int, ok bool) {
-	low, lowOK := e.fields["first"].(float64)
-	high, highOK := e.fields["last"].(float64)
-	if !lowOK {
+	low, ok := e.number("first")
+	if !ok {
 		return 0, 0, false
 	}
-	if !highOK {
+	high, ok := e.number("last")
+	if !ok {
 		high = low
 	}
-	return int(low), int(high), true
+	return low, high, true
+}
+
+// number returns a field that is a whole number.
+func (e event) number(name string) (int, bool) {
+	n, ok := e.fields[name].(json.Number)
+	if !ok {
+		return 0, false
+	}
+	whole, err := n.Int64()
+	return int(whole), err == nil
 }
 
 // backgroundTime is how long before a request's first line the background of its
@@ -220,7 +232,7 @@
 		if u, ok := a.fields["upstream"].(string); ok && u != "" && e.mentions(u) && !spanned {
 			return true
 		}
-		if key, ok := a.fields["key"].(float64); ok && spanned && first <= int(key) && int(key) <= last {
+		if key, ok := a.number("key"); ok && spanned && first <= key && key <= last {
 			return true
 		}
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -329,7 +329,7 @@
 		g.log.Warn("requests cut off by the end of the stop", "error", err)
 		_ = server.Close()
 	}
-	g.log.Info("stopped", "took", g.now().Sub(began))
+	g.log.Info("stopped", "took_ms", g.now().Sub(began).Milliseconds())
 }
 
 // ready reports whether callers should be sent here.
--- a/gateway/grants.go
+++ b/gateway/grants.go
@@ -53,7 +53,7 @@
 		k.works(s.Next)
 		k.settle(s, s.Next, s.NextFence)
 		k.log.Info("keys granted", "first", s.First, "last", s.Last, "upstream", s.Next, "fence", s.NextFence,
-			"from", s.Owner, "warm", token != "", "release_took", taken.Sub(began), "took", k.now().Sub(began))
+			"from", s.Owner, "warm", token != "", "release_ms", taken.Sub(began).Milliseconds(), "took_ms", k.now().Sub(began).Milliseconds())
 	case err == nil && verdict == platform.Fenced:
 		k.log.Warn("keys refused, a higher fence was seen", "first", s.First, "upstream", s.Next, "fence", s.NextFence)
 		k.raise(fenceLeap)
@@ -232,7 +232,7 @@
 	defer k.mu.Unlock()
 	if f, ok := k.failing[id]; ok {
 		delete(k.failing, id)
-		k.log.Info("calls to an upstream succeed again", "upstream", id, "after", k.now().Sub(f.since))
+		k.log.Info("calls to an upstream succeed again", "upstream", id, "after_ms", k.now().Sub(f.since).Milliseconds())
 	}
 }
 
--- a/gateway/lead.go
+++ b/gateway/lead.go
@@ -270,7 +270,7 @@
 	case errors.Is(err, platform.ErrConflict):
 		l.conflict(object)
 	case ctx.Err() == nil:
-		l.log.Warn("lease not renewed", "error", err, "right_left", l.rightLeft())
+		l.log.Warn("lease not renewed", "error", err, "right_left_ms", l.rightLeft().Milliseconds())
 	}
 	l.cluster.expire()
 }
--- a/gateway/promises.go
+++ b/gateway/promises.go
@@ -117,7 +117,7 @@
 	}
 	for ctx.Err() == nil && l.cluster.isLeading() {
 		if until, ok := l.formerHoldsEnd(ctx, former, ends, longest); ok {
-			l.log.Info("grants of the former leader end", "term", former.Term, "in", until.Sub(l.now()))
+			l.log.Info("grants of the former leader end", "term", former.Term, "in_ms", until.Sub(l.now()).Milliseconds())
 			l.setFormerHolds(term, until)
 			return
 		}
--- a/gateway/storecall.go
+++ b/gateway/storecall.go
@@ -200,7 +200,7 @@
 	defer s.mu.Unlock()
 	if s.failingFrom.IsZero() {
 		s.failingFrom = s.now()
-		s.log.Warn("store not reached", "last_reached_ago", s.now().Sub(s.lastOK))
+		s.log.Warn("store not reached", "last_reached_ms_ago", s.now().Sub(s.lastOK).Milliseconds())
 	}
 }
 
