--- a/gateway/bed_test.go
+++ b/gateway/bed_test.go
@@ -52,24 +52,40 @@
 	server  *http.Server
 }
 
-const config = `{"version":%d,
- "routes":{"status":{"host":"h.example","path_prefix":"/status/","kind":"safe","timeout_s":2,"target_latency_s":1,"priority":2,"service":"status","max_attempts":2},
-           "pay":{"host":"h.example","path_prefix":"/pay/","kind":"unsafe","timeout_s":2,"target_latency_s":1,"priority":0,"service":"pay","max_attempts":2},
-           "read":{"host":"h.example","path_prefix":"/read/","kind":"safe","timeout_s":2,"target_latency_s":1,"priority":1,"service":"pay","max_attempts":2}},
- "services":{"status":{"max_conns":100,"sharded":true,"warm_s":1},"pay":{"max_conns":100}},
- "limits":{"max_header_bytes":16384,"max_body_bytes":100000,"header_timeout_s":3,"idle_timeout_s":15}}`
+// config is a configuration of the version with one keyed and one other service.
+func config(version uint64) platform.ConfigBody {
+	route := func(path, kind, service string, priority int) platform.RouteBody {
+		return platform.RouteBody{
+			Host: "h.example", Path: path, Kind: kind, Timeout: 2, Objective: 1, Priority: priority,
+			Service: service, MaxAttempts: 2,
+		}
+	}
+	return platform.ConfigBody{
+		Version: version,
+		Routes: map[string]platform.RouteBody{
+			"status": route("/status/", "safe", "status", 2),
+			"pay":    route("/pay/", "unsafe", "pay", 0),
+			"read":   route("/read/", "safe", "pay", 1),
+		},
+		Services: map[string]platform.ServiceBody{
+			"status": {MaxConns: 100, Keyed: true, WarmUp: 1},
+			"pay":    {MaxConns: 100},
+		},
+		Limits: platform.LimitsBody{MaxHeader: 16384, MaxBody: 100000, HeaderTimeout: 3, IdleTimeout: 15},
+	}
+}
 
 func newBed(t *testing.T) *bed {
 	t.Helper()
 	b := &bed{t: t, store: metastore.New(), oracle: instance.NewOracle(), ups: make(map[string]*upstream), client: &http.Client{}}
-	b.configure(2, config)
+	b.configure(2)
 	t.Cleanup(b.close)
 	return b
 }
 
 // configure writes a version of the configuration.
-func (b *bed) configure(version int, format string) {
-	b.store.Put(platform.ConfigKind, platform.ConfigName, rawJSON(fmt.Sprintf(format, version)))
+func (b *bed) configure(version uint64) {
+	b.store.Put(platform.ConfigKind, platform.ConfigName, config(version))
 }
 
 type rawJSON string
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -61,17 +61,36 @@
 	expireInterval = time.Second
 )
 
-// upstreamLimits are those of connections to upstreams. These close idle
-// connections after ten seconds, or what their answers announce.
+const (
+	// upstreamDial bounds opening a connection to an upstream: some times the
+	// way there, less than a lost packet costs, so that another is tried.
+	upstreamDial = 250 * time.Millisecond
+	// upstreamIdle is how long connections to upstreams are kept. Upstreams close
+	// idle ones after ten seconds, or what their answers announce.
+	upstreamIdle = 6 * time.Second
+	// upstreamIdleOnce is the same for requests that must not run twice: a
+	// connection that ends as it is used leaves their outcome unknown.
+	upstreamIdleOnce = 3 * time.Second
+	// upstreamConns bounds the idle connections to one upstream: the share of one
+	// gateway in 110 to 130 allowed to all.
+	upstreamConns = 8
+	// storeDial, storeIdle and storeConns are the same for the store.
+	storeDial  = 300 * time.Millisecond
+	storeIdle  = 5 * time.Second
+	storeConns = 4
+	// mostAnswer bounds the body of an answer, in bytes.
+	mostAnswer = 16 * megabyte
+)
+
+// upstreamLimits are those of connections to upstreams.
 var upstreamLimits = pool.Limits{
-	Dial: 250 * time.Millisecond, MaxIdle: 6 * time.Second, MaxIdleOnce: 3 * time.Second,
-	MaxIdleConns: 8, MaxBody: 16 * megabyte,
+	Dial: upstreamDial, MaxIdle: upstreamIdle, MaxIdleOnce: upstreamIdleOnce,
+	MaxIdleConns: upstreamConns, MaxBody: mostAnswer,
 }
 
 // storeLimits are those of connections to the platform's store.
 var storeLimits = pool.Limits{
-	Dial: 300 * time.Millisecond, MaxIdle: 5 * time.Second, MaxIdleOnce: 5 * time.Second,
-	MaxIdleConns: 4, MaxBody: 16 * megabyte,
+	Dial: storeDial, MaxIdle: storeIdle, MaxIdleOnce: storeIdle, MaxIdleConns: storeConns, MaxBody: mostAnswer,
 }
 
 // Gateway is one gateway process.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -213,7 +213,7 @@
 			b := standard(t)
 			l := b.leader()
 			l.door.Set(mode)
-			b.configure(9, config)
+			b.configure(9)
 			b.eventually("new configuration everywhere", func() bool { return b.inForce(9) })
 			revision := l.cluster.knownLeader().Revision
 			b.eventually("two more renewals", func() bool { return l.cluster.knownLeader().Revision > revision+1 })
@@ -269,7 +269,7 @@
 	t.Parallel()
 	b := standard(t)
 	b.store.SetDeaf(true)
-	b.configure(7, config)
+	b.configure(7)
 	// A watch that began before ends in the deaf time.
 	time.Sleep(watchWait)
 	b.store.Compact()
@@ -286,7 +286,7 @@
 	b.upstream("i-p7", "pay")
 	b.eventually("the upstream after the bad one", func() bool { return b.gateways[0].view.inst.Load().Get("i-p7") != nil })
 	b.mustAsk(b.gateways[0], http.MethodGet, "/status/x", 5)
-	b.configure(8, config)
+	b.configure(8)
 	b.eventually("the next good version", func() bool { return b.gateways[1].view.table.Load().Version == 8 })
 }
 
@@ -294,9 +294,9 @@
 func TestConfigurationNeverGoesBack(t *testing.T) {
 	t.Parallel()
 	b := standard(t)
-	b.configure(9, config)
+	b.configure(9)
 	b.eventually("version 9 everywhere", func() bool { return b.inForce(9) })
-	b.configure(4, config)
+	b.configure(4)
 	b.upstream("i-p7", "pay")
 	b.eventually("a later change everywhere", func() bool {
 		for _, g := range b.gateways {
--- a/gateway/troubles_test.go
+++ b/gateway/troubles_test.go
@@ -181,7 +181,7 @@
 		p.register(p.anyUpstream(), states[p.rng.IntN(len(states))])
 	case 9:
 		p.next++
-		p.configure(p.next, config)
+		p.configure(uint64(p.next))
 	}
 }
 
