--- a/gateway/cluster.go
+++ b/gateway/cluster.go
@@ -196,6 +196,20 @@
 	return a.Node < b.Node
 }
 
+// ahead returns the number of gateways of the own failure domain that come before
+// this one.
+func (c *cluster) ahead() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for _, m := range c.members {
+		if m.Domain == c.self.Domain && before(m, c.self) {
+			n++
+		}
+	}
+	return n
+}
+
 // avoid lets the gateway at the address be no head for a while.
 func (c *cluster) avoid(address string) {
 	c.mu.Lock()
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -40,6 +41,11 @@
 	mu sync.Mutex
 	// heard is when a leader last answered.
 	heard time.Time
+	// news is when this gateway last had news by way of another one.
+	news time.Time
+	// ahead is the number of gateways of the own failure domain that come before
+	// this one: all, or those that answered the last look for a leader.
+	ahead int
 	// refused says that the leader's address refuses connections.
 	refused bool
 	// resigned says that the known leader answers and leads no more.
@@ -55,12 +61,15 @@
 			continue
 		}
 		if parent := f.cluster.parent(); parent != "" {
-			if f.report(ctx, parent, reportInterval) {
+			ok, answered := f.report(ctx, parent, reportInterval)
+			if ok {
 				continue
 			}
-			f.cluster.avoid(parent)
-			if l := f.cluster.knownLeader(); l.Member.Address != parent && f.report(ctx, l.Member.Address, reportInterval) {
-				continue
+			if l := f.cluster.knownLeader(); !answered && l.Member.Address != parent {
+				f.cluster.avoid(parent)
+				if ok, _ = f.report(ctx, l.Member.Address, reportInterval); ok {
+					continue
+				}
 			}
 		}
 		f.seek(ctx)
@@ -69,8 +78,8 @@
 }
 
 // report reports to a gateway and takes over its answer. It returns whether
-// that gateway leads or hears from the leader.
-func (f *follower) report(ctx context.Context, address string, wait time.Duration) bool {
+// that gateway leads or hears from the leader, and whether it answered at all.
+func (f *follower) report(ctx context.Context, address string, wait time.Duration) (ok, answered bool) {
 	ctx, cancel := context.WithTimeout(ctx, wait+reportTimeout)
 	defer cancel()
 	began := f.now()
@@ -79,7 +88,7 @@
 		f.mu.Lock()
 		f.refused = errors.Is(err, syscall.ECONNREFUSED)
 		f.mu.Unlock()
-		return false
+		return false, false
 	}
 	f.take(resp)
 	age := time.Duration(resp.HeardMs) * time.Millisecond
@@ -87,10 +96,12 @@
 	f.refused, f.resigned = false, resp.Leader != nil && resp.Leader.Member.Address == address && !resp.Leading
 	if at := f.now().Add(-age); age < orphanAfter && at.After(f.heard) {
 		f.heard = at
+		f.ahead = f.cluster.ahead()
 	}
 	f.mu.Unlock()
+	f.noteNews(resp)
 	if age >= orphanAfter {
-		return false
+		return false, true
 	}
 	f.cluster.setAbove(resp.Loads)
 	f.shareLoads()
@@ -99,7 +110,7 @@
 		// News came at once; the next report can wait a little.
 		pause(ctx, reportInterval/10)
 	}
-	return true
+	return true, true
 }
 
 // shareLoads tells the decisions about requests what all other gateways have in
@@ -165,35 +176,74 @@
 	}
 }
 
-// seek asks seeds and other gateways for the leader.
-func (f *follower) seek(ctx context.Context) {
-	asked := make(map[string]bool)
-	members, _ := f.cluster.list()
-	addresses := append([]string(nil), f.seeds...)
-	for _, m := range members {
-		addresses = append(addresses, m.Address)
+// noteNews notes how fresh the view is that another gateway has told.
+func (f *follower) noteNews(resp *syncpb.SyncResponse) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if at := f.now().Add(-time.Duration(resp.NewsMs) * time.Millisecond); at.After(f.news) {
+		f.news = at
 	}
+}
+
+// seek asks other gateways for the leader and for news: those of the own failure
+// domain first, then the seeds and all others.
+func (f *follower) seek(ctx context.Context) {
+	var ahead atomic.Int64
 	var all sync.WaitGroup
-	for _, a := range addresses {
-		if asked[a] || a == f.cluster.self.Address || len(asked) > mostAsked {
-			continue
-		}
-		asked[a] = true
+	for _, m := range f.candidates() {
 		all.Go(func() {
 			ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 			defer cancel()
-			resp, err := f.cluster.client(a).Sync(ctx, f.request(0))
+			resp, err := f.cluster.client(m.Address).Sync(ctx, f.request(0))
 			if err != nil {
 				return
 			}
 			f.take(resp)
+			f.noteNews(resp)
+			if m.Domain == f.cluster.self.Domain && before(m, f.cluster.self) {
+				ahead.Add(1)
+			}
 		})
 	}
 	all.Wait()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.ahead = int(ahead.Load())
+}
+
+// candidates returns the gateways that are asked in a look for a leader.
+func (f *follower) candidates() []*syncpb.Member {
+	members, _ := f.cluster.list()
+	var mates, others []*syncpb.Member
+	for _, m := range members {
+		switch {
+		case m.Address == f.cluster.self.Address:
+		case m.Domain == f.cluster.self.Domain:
+			mates = append(mates, m)
+		default:
+			others = append(others, m)
+		}
+	}
+	for _, s := range f.seeds {
+		others = append([]*syncpb.Member{{Address: s}}, others...)
+	}
+	list := append(mates[:min(mostMates, len(mates))], others...)
+	asked := map[string]bool{f.cluster.self.Address: true}
+	var out []*syncpb.Member
+	for _, m := range list {
+		if !asked[m.Address] && len(out) < mostAsked {
+			asked[m.Address] = true
+			out = append(out, m)
+		}
+	}
+	return out
 }
 
+// mostMates bounds the gateways of the own failure domain among those asked.
+const mostMates = 2
+
 // mostAsked bounds the gateways that are asked for the leader at once.
-const mostAsked = 4
+const mostAsked = 5
 
 func (f *follower) noteHeard() {
 	f.mu.Lock()
@@ -208,3 +258,35 @@
 	defer f.mu.Unlock()
 	return f.now().Sub(f.heard), f.refused, f.resigned
 }
+
+// needsStore reports whether this gateway should watch the store itself: it has
+// had no news for a while. Gateways that find others of their failure domain before
+// them leave those a head start, and follow them; so the loss of a leader does
+// not bring all gateways to the store at once. watched is when the own watch last
+// had an answer.
+func (f *follower) needsStore(watched time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.now()
+	wait := orphanAfter + time.Duration(min(f.ahead, mostMates))*headStart
+	if !watched.IsZero() && now.Sub(watched) < watchKept {
+		// It has begun: go on until the leader is heard again.
+		return now.Sub(f.heard) > orphanAfter
+	}
+	return now.Sub(later(f.heard, f.news)) > wait
+}
+
+const (
+	// headStart is how much longer a gateway waits for each that is before it:
+	// the time for a list of everything and for its news.
+	headStart = 400 * time.Millisecond
+	// watchKept is how long after its last answer a watch counts as going on.
+	watchKept = watchWait + storeTimeout
+)
+
+// newsAge returns how old the view is at most.
+func (f *follower) newsAge(watched time.Time) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.now().Sub(later(later(f.heard, f.news), watched))
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -389,7 +389,7 @@
 func (g *Gateway) peerHandler() http.Handler {
 	server := &peerServer{
 		view: g.view, cluster: g.cluster, store: g.calls, steward: g.steward, traffic: g.traffic,
-		promises: g.leading.promises, follower: g.follower,
+		promises: g.leading.promises, follower: g.follower, watcher: g.watcher,
 	}
 	r := mux.NewRouter()
 	r.PathPrefix(syncpb.PeerPathPrefix).Handler(syncpb.NewPeerServer(server))
--- a/gateway/peerserver.go
+++ b/gateway/peerserver.go
@@ -21,8 +21,9 @@
 	store   *storeCaller
 	steward *steward
 	traffic *traffic
-	// follower tells how fresh this process's view is.
+	// follower and watcher tell how fresh this process's view is.
 	follower *follower
+	watcher  *watcher
 	promises *promises
 }
 
@@ -81,6 +82,18 @@
 	return lost
 }
 
+// newsAgo returns how long ago this process had news from the leader or the
+// store.
+func (p *peerServer) newsAgo() time.Duration {
+	if p.cluster.isLeading() {
+		return 0
+	}
+	return p.follower.newsAge(p.watcher.lastHeard())
+}
+
+// milliseconds is a time as it is told, at most an hour.
+func milliseconds(d time.Duration) uint32 { return uint32(min(d, time.Hour).Milliseconds()) }
+
 // knowsMore reports whether this process has a newer view than the sender.
 func (p *peerServer) knowsMore(r *syncpb.SyncRequest) bool {
 	config, _, inst := p.view.encoded()
@@ -99,7 +112,7 @@
 func (p *peerServer) news(r *syncpb.SyncRequest) *syncpb.SyncResponse {
 	resp := &syncpb.SyncResponse{
 		Leader: p.cluster.knownLeader(), Leading: p.cluster.isLeading(),
-		HeardMs: uint32(min(p.heardAgo(), time.Hour).Milliseconds()),
+		HeardMs: milliseconds(p.heardAgo()), NewsMs: milliseconds(p.newsAgo()),
 	}
 	config, spec, _ := p.view.encoded()
 	if config > r.ConfigRevision {
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -47,6 +47,8 @@
 	// compacted is closed when one watch learns that history is gone, which
 	// concerns the others as well.
 	compacted chan struct{}
+	// heard is when the store last answered a list or a watch.
+	heard time.Time
 }
 
 func newWatcher(store *platform.Store, v *view, now func() time.Time, log *slog.Logger, salt uint64) *watcher {
@@ -90,6 +92,7 @@
 		switch {
 		case err == nil:
 			backoff = firstBackoff
+			w.noteHeard()
 		case errors.Is(err, platform.ErrCompacted):
 			w.log.Info("store history compacted, listing again", "kind", kind, "revision", revision)
 			known = false
@@ -101,6 +104,19 @@
 	}
 }
 
+func (w *watcher) noteHeard() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.heard = w.now()
+}
+
+// lastHeard returns when the store last answered a list or a watch.
+func (w *watcher) lastHeard() time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.heard
+}
+
 // watch waits for changes, until another watch learns of a compaction.
 func (w *watcher) watch(ctx context.Context, kind string, after uint64) ([]platform.Object, uint64, error) {
 	w.mu.Lock()
