--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -41,10 +41,6 @@
 	workWeight = 0.1
 	// failureWeight is the weight of a new outcome in the share of failures.
 	failureWeight = 0.08
-	// failureAvoid is the share of failures from which an upstream gets only
-	// every trialEvery-th of the requests it would get.
-	failureAvoid = 0.25
-	trialEvery   = 12
 	// firstPause and longestPause bound the time without requests after an
 	// upstream could not be reached. It doubles with each failure in a row.
 	firstPause   = 200 * time.Millisecond
@@ -89,7 +85,6 @@
 	work time.Duration
 	// failures is the share of requests that failed lately.
 	failures float64
-	skipped  int
 	// pausedUntil is when a request may be tried again after the upstream
 	// could not be reached.
 	pausedUntil time.Time
--- a/coordination/dispatch/service.go
+++ b/coordination/dispatch/service.go
@@ -222,13 +222,9 @@
 			best, lowest = u, score
 		}
 	}
-	return s.avoidFailing(best)
+	return best
 }
 
-// avoidFailing lets only some of the requests through to an upstream that
-// fails often, so that its recovery is noticed.
-func (s *Service) avoidFailing(u *Upstream) *Upstream { return u }
-
 func excluded(w *Want, id string) bool {
 	for _, other := range w.Exclude {
 		if other == id {
--- a/coordination/leadership/promise_test.go
+++ b/coordination/leadership/promise_test.go
@@ -64,11 +64,6 @@
 				}
 			}
 		}
-		for _, v := range voters {
-			if given := v.Give(at(now+1), 1); given {
-				continue
-			}
-		}
 		if holder.until.After(ends) {
 			t.Fatalf("round %d: the holder may act until %s, its successor counts on %s", round, holder.until.Sub(start), ends.Sub(start))
 		}
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -59,7 +59,6 @@
 	now      func() time.Time
 	log      *slog.Logger
 	meters   *meters
-	drain    time.Duration
 	draining atomic.Bool
 	bodies   atomic.Int64
 	maxHeld  int64
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -202,7 +202,7 @@
 	g.follower.setOwn = g.steward.setOwn
 	g.front = &front{
 		view: g.view, traffic: g.traffic, splitter: routing.NewSplitter(), conns: g.conns, now: g.now,
-		log: log, meters: g.meters, drain: conf.UpstreamDrain.D(),
+		log: log, meters: g.meters,
 		maxHeld: int64(conf.Memory) * megabyte / mostBodyShare,
 	}
 	return g
