--- a/gateway/keeper.go
+++ b/gateway/keeper.go
@@ -39,7 +39,7 @@
 	// grantTimeout bounds one grant, which takes a millisecond or two, also on a
 	// machine that runs some times slower; releaseTimeout one release, which is
 	// answered when the work on the keys has ended.
-	grantTimeout   = 500 * time.Millisecond
+	grantTimeout   = 250 * time.Millisecond
 	releaseTimeout = 2500 * time.Millisecond
 	// callPause is the time between tries of a call.
 	callPause = 80 * time.Millisecond
