--- a/gateway/front.go
+++ b/gateway/front.go
@@ -99,11 +99,13 @@
 func (f *front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	began := f.now()
 	q, err := f.parse(r, began)
+	if q != nil {
+		defer f.bodies.Add(-int64(len(q.body)))
+	}
 	if err != nil {
 		f.refuse(w, r, q, err)
 		return
 	}
-	defer f.bodies.Add(-int64(len(q.body)))
 	ctx, cancel := f.lifetime(r.Context(), q)
 	defer cancel()
 	ctx, span := f.tracer.Start(telemetry.Extract(ctx, r.Header), "gateway", trace.WithSpanKind(trace.SpanKindServer))
@@ -196,8 +198,12 @@
 	return nil
 }
 
-// acquire finds an upstream with room, atOnce or after a wait.
+// acquire finds an upstream with room, atOnce or after a wait. It ends when the
+// caller has left: what has not begun need not begin.
 func (f *front) acquire(ctx context.Context, q *request, atOnce bool) (dispatch.Grant, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(q.Context(), cancel)()
 	for {
 		want := &dispatch.Want{
 			Priority: q.route.Priority, Objective: q.route.Objective, Deadline: q.deadline,
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"sync"
@@ -11,6 +12,7 @@
 	"github.com/rockcroft/rockcroft/platform"
 	"github.com/rockcroft/rockcroft/standin/instance"
 	"github.com/rockcroft/rockcroft/standin/metastore"
+	"github.com/rockcroft/rockcroft/state/routing"
 	"github.com/rockcroft/rockcroft/state/spans"
 )
 
@@ -424,3 +426,42 @@
 	}
 	b.mustAsk(next, http.MethodGet, "/status/x", 77)
 }
+
+// TestBodiesAreLetGo: the bytes of bodies held are counted down after every
+// answer, refusals among them.
+func TestBodiesAreLetGo(t *testing.T) {
+	t.Parallel()
+	b := standard(t)
+	g := b.gateways[0]
+	b.mustAsk(g, http.MethodPost, "/pay/x", -1)
+	if a := b.ask(g, http.MethodPost, "/status/x", -1); a.status != http.StatusBadRequest {
+		t.Errorf("status %d", a.status)
+	}
+	if a := b.ask(g, http.MethodPost, "/none/", -1); a.status != http.StatusNotFound {
+		t.Errorf("status %d", a.status)
+	}
+	b.eventually("nothing held", func() bool { return g.front.bodies.Load() == 0 })
+}
+
+// TestCallerLeavesBeforeItsTurn: a request that must not run twice and still waits
+// when its caller leaves is not begun.
+func TestCallerLeavesBeforeItsTurn(t *testing.T) {
+	t.Parallel()
+	b := newBed(t)
+	g := b.gateway("g0")
+	ctx, cancel := context.WithCancel(context.Background())
+	q := &request{
+		Request: (&http.Request{}).WithContext(ctx), route: &routing.Route{Objective: time.Hour},
+		service: &routing.Service{Name: "none", Keyed: true}, traffic: g.traffic.get("none"),
+		began: time.Now(), until: time.Now().Add(time.Hour), deadline: time.Now().Add(2 * time.Hour),
+	}
+	done := make(chan error, 1)
+	go func() {
+		_, err := g.front.acquire(context.Background(), q, false)
+		done <- err
+	}()
+	cancel()
+	if err := <-done; err == nil {
+		t.Error("let through")
+	}
+}
