--- a/gateway/cluster.go
+++ b/gateway/cluster.go
@@ -14,7 +14,7 @@
 	// memberExpiry is how long a gateway that does not report stays a member.
 	memberExpiry = 2500 * time.Millisecond
 	// reportExpiry is how long a gateway's report of its load counts.
-	reportExpiry = 1500 * time.Millisecond
+	reportExpiry = 900 * time.Millisecond
 )
 
 // cluster is what this process knows of the other gateways. Each reports to one
@@ -75,10 +75,14 @@
 	return p
 }
 
-// reported notes a report of another gateway.
-func (c *cluster) reported(r *syncpb.SyncRequest) {
+// reported notes a report of another gateway. fresh says that this one leads or
+// hears from the leader: else nobody reports through it.
+func (c *cluster) reported(r *syncpb.SyncRequest, fresh bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if !fresh || r.Member.Node == c.self.Node {
+		return
+	}
 	c.children[r.Member.Node] = &child{Member: r.Member, seen: c.now(), loads: r.Loads, followers: r.Followers}
 	if c.leading {
 		c.gather()
@@ -160,11 +164,13 @@
 	c.above = loads
 }
 
-// parent returns the address of the gateway to report to, or "".
+// parent returns the address of the gateway to report to, or "" when none is
+// known. A former leader that has started again still knows itself as the leader:
+// reporting to itself would count its requests again and again.
 func (c *cluster) parent() string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.leader == nil {
+	if c.leader == nil || c.leader.Member.Address == c.self.Address {
 		return ""
 	}
 	top := c.leader.Member
--- a/gateway/cluster_test.go
+++ b/gateway/cluster_test.go
@@ -66,8 +66,8 @@
 	now := time.Now()
 	head := fleet(treeLeast, node("b", 0, 100), &now)
 	load := func(n float32) []*syncpb.Load { return []*syncpb.Load{{Instance: "i", Inflight: n}} }
-	head.reported(&syncpb.SyncRequest{Member: node("b", 1, 100), Loads: load(1)})
-	head.reported(&syncpb.SyncRequest{Member: node("b", 2, 100), Loads: load(2)})
+	head.reported(&syncpb.SyncRequest{Member: node("b", 1, 100), Loads: load(1)}, true)
+	head.reported(&syncpb.SyncRequest{Member: node("b", 2, 100), Loads: load(2)}, true)
 	head.setAbove(load(10))
 	own := load(4)
 	if got := head.below(own)["i"].Inflight; got != 7 {
@@ -92,12 +92,12 @@
 	c := newCluster(node("a", 0, 100), nil, func() time.Time { return now }, rand.New(rand.NewPCG(1, 2)))
 	c.setLeading(true)
 	r := &syncpb.SyncRequest{Member: node("b", 0, 100), Followers: []*syncpb.Member{node("b", 1, 100), node("b", 2, 100)}}
-	c.reported(r)
+	c.reported(r, true)
 	if n := c.gateways(); n != 4 {
 		t.Errorf("%d gateways", n)
 	}
 	_, before := c.list()
-	c.reported(r)
+	c.reported(r, true)
 	if _, after := c.list(); after != before {
 		t.Error("the same report makes a new version")
 	}
@@ -108,6 +108,25 @@
 	}
 }
 
+// TestNobodyReportsToItself: a former leader that has started again takes itself
+// for the leader until another is known. (trouble-3: it added its own report to its
+// next one until all upstreams seemed full, for 1.5 s after it led again.)
+func TestNobodyReportsToItself(t *testing.T) {
+	now := time.Now()
+	for _, size := range []int{3, treeLeast} {
+		if got := fleet(size, node("a", 0, 100), &now).parent(); got != "" {
+			t.Errorf("%d gateways: parent %s", size, got)
+		}
+	}
+	c := fleet(3, node("a", 0, 100), &now)
+	load := []*syncpb.Load{{Instance: "i", Inflight: 3}}
+	c.reported(&syncpb.SyncRequest{Member: node("a", 0, 100), Loads: load}, true)
+	c.reported(&syncpb.SyncRequest{Member: node("b", 0, 100), Loads: load}, false)
+	if got := c.below(load)["i"].Inflight; got != 3 {
+		t.Errorf("reports %v in flight, has 3", got)
+	}
+}
+
 // TestOlderLeaderIsNotTaken.
 func TestOlderLeaderIsNotTaken(t *testing.T) {
 	now := time.Now()
--- a/gateway/peerserver.go
+++ b/gateway/peerserver.go
@@ -33,7 +33,7 @@
 		return nil, twirp.RequiredArgumentError("member")
 	}
 	if r.WaitMs > 0 {
-		p.cluster.reported(r)
+		p.cluster.reported(r, p.heardAgo() < orphanAfter)
 		if p.cluster.isLeading() {
 			p.steward.asked(r.Keys)
 		} else {
