--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -55,6 +55,10 @@
 	// reportHalf is the age at which a report of other gateways' requests
 	// counts for half; they are collected a few times a second.
 	reportHalf = time.Second
+	// firstGateways is the number of gateways assumed before any report: after a
+	// start of all at once each would else fill the upstreams by itself. Small
+	// deployments have 8 to 11.
+	firstGateways = 6
 	// firstWorkPart is the part of a route's objective that a run is assumed to
 	// take before any answer was seen: one third on all sheets.
 	firstWorkPart = 3
@@ -81,6 +85,8 @@
 	// others is the number that the other gateways reported at othersAt.
 	others   float64
 	othersAt time.Time
+	// gateways is the number of all gateways, as last reported.
+	gateways int
 	// work is the mean time of a run without waiting; zero when unknown.
 	work time.Duration
 	// failures is the share of requests that failed lately.
@@ -105,16 +111,18 @@
 }
 
 func newUpstream(one instances.Instance, now time.Time) *Upstream {
-	return &Upstream{Instance: one, warmUntil: now.Add(one.WarmUp), areaAt: now, reportedAt: now}
+	return &Upstream{Instance: one, gateways: firstGateways, warmUntil: now.Add(one.WarmUp), areaAt: now, reportedAt: now}
 }
 
-// inflight estimates the requests of all gateways at the upstream.
+// inflight estimates the requests of all gateways at the upstream. As a report
+// ages, the others are taken to have as many as this one each.
 func (u *Upstream) inflight(now time.Time) float64 {
-	age := now.Sub(u.othersAt)
-	if u.othersAt.IsZero() || age < 0 {
-		return float64(u.mine)
+	alike := float64(u.mine) * float64(u.gateways-1)
+	if u.othersAt.IsZero() {
+		return float64(u.mine) + alike
 	}
-	return float64(u.mine) + u.others*math.Exp2(-float64(age)/float64(reportHalf))
+	fresh := math.Exp2(-float64(max(now.Sub(u.othersAt), 0)) / float64(reportHalf))
+	return float64(u.mine) + fresh*u.others + (1-fresh)*alike
 }
 
 // silentFor is how long everything at the upstream has been unanswered.
--- a/coordination/dispatch/dispatch_test.go
+++ b/coordination/dispatch/dispatch_test.go
@@ -19,6 +19,7 @@
 func newService(ids ...string) *Service {
 	s := NewService("a", 2*time.Second, rand.New(rand.NewPCG(1, 2)))
 	s.SetUpstreams(start, list(ids...))
+	s.ReportAll(start, nil, 1)
 	return s
 }
 
@@ -104,11 +105,11 @@
 
 func TestOthersRequestsCount(t *testing.T) {
 	s := newService("a1", "b1")
-	s.ReportAll(start, map[string]float64{"a1": 6})
+	s.ReportAll(start, map[string]float64{"a1": 6}, 3)
 	if g := mustGrant(t, s, start, want()); g.Instance.ID != "b1" {
 		t.Errorf("sent to the full one")
 	}
-	s.ReportAll(start, nil)
+	s.ReportAll(start, nil, 3)
 	if g := mustGrant(t, s, start, want()); g.Instance.ID != "a1" {
 		t.Errorf("an old report still counts")
 	}
@@ -287,3 +288,22 @@
 		t.Error("a request two seconds after it was seen to be leaving")
 	}
 }
+
+// TestBlindGatewaysShare: before a report, and as it ages, the other gateways are
+// taken to send as much as this one, so that all together fill an upstream once.
+func TestBlindGatewaysShare(t *testing.T) {
+	fresh := NewService("a", 2*time.Second, rand.New(rand.NewPCG(1, 2)))
+	fresh.SetUpstreams(start, list("a1"))
+	u := fresh.upstreams["a1"]
+	u.mine = 2
+	if n := u.inflight(start); n != 2*firstGateways {
+		t.Errorf("%v in flight before any report", n)
+	}
+	fresh.ReportAll(start, map[string]float64{"a1": 3}, 4)
+	if n := u.inflight(start); n != 5 {
+		t.Errorf("%v in flight right after a report", n)
+	}
+	if n := u.inflight(at(time.Minute)); n < 7.9 || n > 8 {
+		t.Errorf("%v in flight after an old report, want four times 2", n)
+	}
+}
--- a/coordination/dispatch/service.go
+++ b/coordination/dispatch/service.go
@@ -77,6 +77,8 @@
 	waiting   []*Want
 	// typical is the mean work time over all upstreams.
 	typical time.Duration
+	// gateways is the number of all gateways; zero before any report.
+	gateways int
 }
 
 // NewService returns a service without upstreams, seen from a failure domain.
@@ -95,6 +97,9 @@
 		u := s.upstreams[one.ID]
 		if u == nil {
 			u = newUpstream(*one, now)
+			if s.gateways > 0 {
+				u.gateways = s.gateways
+			}
 		}
 		u.Instance = *one
 		if one.Leaving && u.leavingSince.IsZero() {
@@ -108,9 +113,12 @@
 }
 
 // ReportAll takes over how many requests the other gateways have in flight, by
-// upstream. Those that are not listed have none.
-func (s *Service) ReportAll(now time.Time, others map[string]float64) {
+// upstream, and how many gateways there are. Upstreams that are not listed have
+// none.
+func (s *Service) ReportAll(now time.Time, others map[string]float64, gateways int) {
+	s.gateways = max(gateways, 1)
 	for _, u := range s.order {
+		u.gateways = s.gateways
 		u.others = others[u.ID]
 		u.othersAt = now
 	}
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -39,7 +39,9 @@
 	setOwn func([]*syncpb.Load)
 
 	mu sync.Mutex
-	// heard is when a leader last answered.
+	// began is when this process began to follow, heard when it last heard from a
+	// leader; zero before.
+	began time.Time
 	heard time.Time
 	// news is when this gateway last had news by way of another one.
 	news time.Time
@@ -104,8 +106,7 @@
 		return false, true
 	}
 	f.cluster.setAbove(resp.Loads)
-	f.shareLoads()
-	f.traffic.setGateways(int(resp.Gateways))
+	f.shareLoads(int(resp.Gateways))
 	if f.now().Sub(began) < reportInterval/5 {
 		// News came at once; the next report can wait a little.
 		pause(ctx, reportInterval/10)
@@ -115,12 +116,12 @@
 
 // shareLoads tells the decisions about requests what all other gateways have in
 // flight: those above, and those that report to this one.
-func (f *follower) shareLoads() {
+func (f *follower) shareLoads(gateways int) {
 	others := make(map[string]float64)
 	for id, l := range f.cluster.loads(f.cluster.self.Node, nil) {
 		others[id] = float64(l.Inflight)
 	}
-	f.traffic.reported(others)
+	f.traffic.reported(others, gateways)
 }
 
 // request builds a report.
@@ -180,7 +181,8 @@
 func (f *follower) noteNews(resp *syncpb.SyncResponse) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if at := f.now().Add(-time.Duration(resp.NewsMs) * time.Millisecond); at.After(f.news) {
+	age := time.Duration(resp.NewsMs) * time.Millisecond
+	if at := f.now().Add(-age); age < orphanAfter && at.After(f.news) {
 		f.news = at
 	}
 }
@@ -256,7 +258,15 @@
 func (f *follower) lostFor() (lost time.Duration, refused, resigned bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.now().Sub(f.heard), f.refused, f.resigned
+	return f.now().Sub(later(f.began, f.heard)), f.refused, f.resigned
+}
+
+// heardAgo returns how long ago this process heard from a leader; long when it
+// never did.
+func (f *follower) heardAgo() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.now().Sub(f.heard)
 }
 
 // needsStore reports whether this gateway should watch the store itself: it has
@@ -269,21 +279,36 @@
 	defer f.mu.Unlock()
 	now := f.now()
 	wait := orphanAfter + time.Duration(min(f.ahead, mostMates))*headStart
+	if f.view.table.Load() == nil && f.news.IsZero() {
+		// It has just started, and nobody that it asked has news.
+		wait = startWait
+	}
 	if !watched.IsZero() && now.Sub(watched) < watchKept {
 		// It has begun: go on until the leader is heard again.
 		return now.Sub(f.heard) > orphanAfter
 	}
-	return now.Sub(later(f.heard, f.news)) > wait
+	return now.Sub(later(f.began, later(f.heard, f.news))) > wait
 }
 
 const (
 	// headStart is how much longer a gateway waits for each that is before it:
 	// the time for a list of everything and for its news.
 	headStart = 400 * time.Millisecond
+	// startWait is how long a gateway that has just started asks others before it
+	// goes to the store.
+	startWait = 100 * time.Millisecond
 	// watchKept is how long after its last answer a watch counts as going on.
 	watchKept = watchWait + storeTimeout
 )
 
+// alone reports whether this gateway has just started and nobody that it asked
+// has news.
+func (f *follower) alone() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.news.IsZero() && f.heard.IsZero() && f.now().Sub(f.began) > startWait
+}
+
 // newsAge returns how old the view is at most.
 func (f *follower) newsAge(watched time.Time) time.Duration {
 	f.mu.Lock()
--- /dev/null
+++ b/gateway/follow_test.go
@@ -0,0 +1,52 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/rockcroft/rockcroft/protocol/syncpb"
+	"github.com/rockcroft/rockcroft/state/routing"
+)
+
+// TestStartGoesToTheStore: a gateway that has just started and finds nobody with
+// fresh news goes to the store at once, for its view and for the lease. What others
+// that have just started answer is no news. (After all were killed each waited
+// 0.7 s: trouble-3 and scale-2 on Merrimack.)
+func TestStartGoesToTheStore(t *testing.T) {
+	now := time.Now()
+	f := &follower{view: newView(), now: func() time.Time { return now }, began: now}
+	if f.needsStore(time.Time{}) || f.alone() {
+		t.Error("to the store before others were asked")
+	}
+	f.noteNews(&syncpb.SyncResponse{NewsMs: milliseconds(f.newsAge(time.Time{}))})
+	now = now.Add(startWait + time.Millisecond)
+	if !f.needsStore(time.Time{}) || !f.alone() {
+		t.Error("an answer without news holds it back")
+	}
+	f.noteNews(&syncpb.SyncResponse{NewsMs: 50})
+	if f.needsStore(time.Time{}) || f.alone() {
+		t.Error("to the store although another has news")
+	}
+}
+
+// TestHeadStart: without news a gateway waits longer the more come before it, and
+// once it watches it goes on until it hears from a leader.
+func TestHeadStart(t *testing.T) {
+	now := time.Now()
+	f := &follower{view: newView(), now: func() time.Time { return now }, began: now, heard: now, ahead: 2}
+	f.view.table.Store(&routing.Table{})
+	now = now.Add(orphanAfter + headStart)
+	if f.needsStore(time.Time{}) {
+		t.Error("no head start for those before it")
+	}
+	now = now.Add(headStart + time.Millisecond)
+	if !f.needsStore(time.Time{}) {
+		t.Error("never to the store")
+	}
+	watched := now
+	now = now.Add(time.Second)
+	f.noteNews(&syncpb.SyncResponse{})
+	if !f.needsStore(watched) {
+		t.Error("the watch ends although no leader was heard")
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -178,7 +178,7 @@
 	g.watcher = newWatcher(store, g.view, g.now, log, seeds[0])
 	g.calls.onReturn = g.watcher.returned
 	g.follower = &follower{
-		view: g.view, cluster: g.cluster, traffic: g.traffic, now: g.now, log: log, heard: g.now(),
+		view: g.view, cluster: g.cluster, traffic: g.traffic, now: g.now, log: log, began: g.now(),
 	}
 	for _, s := range conf.Seeds {
 		g.follower.seeds = append(g.follower.seeds, s.String())
--- a/gateway/lead.go
+++ b/gateway/lead.go
@@ -48,8 +48,10 @@
 	log      *slog.Logger
 	// firstRank is this gateway's place while no members are known.
 	firstRank int
-	promises  *promises
-	longest   time.Duration
+	// started is when the process began to look for a leader.
+	started  time.Time
+	promises *promises
+	longest  time.Duration
 
 	mu    sync.Mutex
 	right leadership.Right
@@ -93,7 +95,7 @@
 func (l *leading) run(ctx context.Context) {
 	var stopWatch context.CancelFunc
 	var watch sync.WaitGroup
-	started := l.now()
+	l.started = l.now()
 	lastClaim := time.Time{}
 	for ctx.Err() == nil {
 		lost, refused, resigned := l.follower.lostFor()
@@ -110,7 +112,7 @@
 		}
 		if l.cluster.isLeading() {
 			l.keep(ctx)
-		} else if l.due(started, lost, refused || resigned) && l.now().Sub(lastClaim) > claimInterval {
+		} else if l.due(lost, refused || resigned) && l.now().Sub(lastClaim) > claimInterval {
 			lastClaim = l.now()
 			l.reach(ctx, refused)
 		}
@@ -136,12 +138,13 @@
 
 // due reports whether this gateway should look whether it can lead.
 // ended says that the leader's process or role seems to have ended.
-func (l *leading) due(started time.Time, lost time.Duration, ended bool) bool {
+func (l *leading) due(lost time.Duration, ended bool) bool {
 	if l.resigned.Load() {
 		return false
 	}
 	if l.cluster.knownLeader() == nil {
-		return l.now().Sub(started) > time.Duration(l.firstRank)*2*rankPause
+		// The lease may be that of the process before this one.
+		return l.follower.alone() || lost > orphanAfter
 	}
 	wait := orphanAfter
 	if ended {
@@ -157,7 +160,9 @@
 	object, err := l.store.Get(ctx, leaseKind, leaseName)
 	switch {
 	case errors.Is(err, platform.ErrNotFound):
-		l.take(ctx, leadership.Lease{}, 0, l.now())
+		if l.now().Sub(l.started) > time.Duration(l.firstRank)*2*rankPause {
+			l.take(ctx, leadership.Lease{}, 0, l.now())
+		}
 		return
 	case err != nil:
 		return
--- a/gateway/peerserver.go
+++ b/gateway/peerserver.go
@@ -78,8 +78,7 @@
 	if p.cluster.isLeading() {
 		return 0
 	}
-	lost, _, _ := p.follower.lostFor()
-	return lost
+	return p.follower.heardAgo()
 }
 
 // newsAgo returns how long ago this process had news from the leader or the
--- a/gateway/steward.go
+++ b/gateway/steward.go
@@ -128,8 +128,7 @@
 	for id, l := range s.cluster.loads(s.cluster.self.Node, nil) {
 		others[id] = float64(l.Inflight)
 	}
-	s.traffic.reported(others)
-	s.traffic.setGateways(s.cluster.gateways())
+	s.traffic.reported(others, s.cluster.gateways())
 }
 
 // setOwn keeps this process's last report.
--- a/gateway/traffic.go
+++ b/gateway/traffic.go
@@ -219,13 +219,14 @@
 	return loads, keys
 }
 
-// reported takes over what the other gateways have in flight. Upstreams that
-// are not listed have nothing.
-func (t *traffic) reported(others map[string]float64) {
+// reported takes over what the other gateways have in flight, and how many
+// gateways there are. Upstreams that are not listed have nothing.
+func (t *traffic) reported(others map[string]float64, gateways int) {
+	t.setGateways(gateways)
 	now := t.now()
 	for _, s := range t.all() {
 		s.mu.Lock()
-		s.dispatch.ReportAll(now, others)
+		s.dispatch.ReportAll(now, others, gateways)
 		s.mu.Unlock()
 	}
 }
