--- a/transport/pool/pool.go
+++ b/transport/pool/pool.go
@@ -84,6 +84,9 @@
 	Stale uint64
 	// Foreign counts answers to other requests.
 	Foreign uint64
+	// Distrusted counts idle connections that were closed after another one to the
+	// same address had fallen silent.
+	Distrusted uint64
 }
 
 // New returns an empty pool.
@@ -102,18 +105,23 @@
 // connection is reset, so that what is still on its way is lost.
 func (p *Pool) Do(ctx context.Context, addr string, r *Request) (*Response, error) {
 	c := p.kept(addr, r.Once)
-	if c == nil {
+	reused := c != nil
+	if !reused {
 		var err error
 		if c, err = p.dial(ctx, addr); err != nil {
 			return nil, err
 		}
 	}
+	began := p.now()
 	resp, keep, err := c.exchange(ctx, r, p.limits.MaxBody)
 	if errors.Is(err, ErrForeign) || c.foreign > 0 {
 		p.count(func(s *Stats) { s.Foreign++ })
 	}
 	if err != nil {
 		c.reset()
+		if reused && p.silent(err, began) {
+			p.distrust(addr, began)
+		}
 		return nil, err
 	}
 	if keep {
@@ -124,6 +132,38 @@
 	return resp, nil
 }
 
+// silentLeast is how long a request must have waited on a kept connection, when it
+// is given up for another reason than its deadline, for the connection to count as
+// silent: longer than upstreams and the store usually take.
+const silentLeast = 400 * time.Millisecond
+
+// silent reports whether a request that failed with the error has waited in vain.
+func (p *Pool) silent(err error, began time.Time) bool {
+	if errors.Is(err, context.DeadlineExceeded) {
+		return true
+	}
+	return errors.Is(err, context.Canceled) && p.now().Sub(began) >= silentLeast
+}
+
+// distrust closes the idle connections to an address that were not used since one
+// of them fell silent. Connections can fall silent together without a reset, while
+// new ones work; each that was kept would cost one more request.
+func (p *Pool) distrust(addr string, since time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[addr]
+	kept := list[:0]
+	for _, c := range list {
+		if c.idleSince.After(since) {
+			kept = append(kept, c)
+			continue
+		}
+		p.stats.Distrusted++
+		c.close()
+	}
+	p.idle[addr] = kept
+}
+
 func (p *Pool) count(f func(*Stats)) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/transport/pool/pool_test.go
+++ b/transport/pool/pool_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -315,3 +316,43 @@
 	})
 	do(t, New(limits, time.Now), s.addr, "1", "ok")
 }
+
+// TestSilentConnections: kept connections that all went silent at one moment cost
+// one request and not one each.
+func TestSilentConnections(t *testing.T) {
+	const kept = 3
+	var together sync.WaitGroup
+	together.Add(kept)
+	var silent atomic.Bool
+	s := serve(t, func(conn, _ int, r *http.Request, c net.Conn) bool {
+		if conn <= kept {
+			if silent.Load() {
+				return true
+			}
+			together.Done()
+			together.Wait()
+		}
+		say(c, r.Header.Get("Id"), "ok")
+		return true
+	})
+	p := New(limits, time.Now)
+	var all sync.WaitGroup
+	for i := range kept {
+		all.Go(func() { do(t, p, s.addr, fmt.Sprint(i), "ok") })
+	}
+	all.Wait()
+	silent.Store(true)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	if _, err := p.Do(ctx, s.addr, get("lost")); !errors.Is(err, context.DeadlineExceeded) {
+		t.Fatalf("a silent connection: %v", err)
+	}
+	ctx, cancel = context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	if _, err := p.Do(ctx, s.addr, get("next")); err != nil {
+		t.Fatalf("the next request uses another silent connection: %v", err)
+	}
+	if n := s.conns.Load(); n != kept+1 {
+		t.Errorf("%d connections", n)
+	}
+}
