Take no part of the retry allowance while the number of gateways is unknown

A gateway that had just started took itself for the only one, and so the whole allowance for its own; four started while nobody led, so nobody told them better. After a change of leader the number of gateways also fell for a moment, which gave each a larger part. Ruled out: hedges and refused tries are counted as spent (the log has each). Change: without a known number no part of the allowance is spent, only the share of the own requests; the number is the highest of the last window, as those that have ended since spent their parts. Tests: TestUnknownSharers, TestSharersThatEnded.

--- a/coordination/retry/window.go
+++ b/coordination/retry/window.go
@@ -42,7 +42,8 @@
 func (w *Window) Request(now time.Time) { w.requests[w.turn(now)]++ }
 
 // Spend takes one retry, when the budget of one of the given number of
-// processes has one left.
+// processes has one left. While that number is not known, which zero says, no part
+// of the allowance is this process's own.
 func (w *Window) Spend(now time.Time, processes int) bool {
 	i := w.turn(now)
 	requests, retries := 0.0, 0.0
@@ -50,7 +51,11 @@
 		requests += w.requests[k]
 		retries += w.retries[k]
 	}
-	if retries+1 > w.share*requests+w.allowance/float64(max(processes, 1)) {
+	allowed := w.share * requests
+	if processes > 0 {
+		allowed += w.allowance / float64(processes)
+	}
+	if retries+1 > allowed {
 		return false
 	}
 	w.retries[i]++
--- a/coordination/retry/window_test.go
+++ b/coordination/retry/window_test.go
@@ -69,3 +69,37 @@
 		t.Error("old retries are not forgotten")
 	}
 }
+
+// TestUnknownSharers: a process that has just started and does not know how many
+// others share the budget takes nothing from the common allowance. (Four that
+// started while nobody led took it whole, each: BUDGET on abyconnect-sim
+// hunt-1770-35.)
+func TestUnknownSharers(t *testing.T) {
+	start := time.Now()
+	w := NewWindow(start, 10*time.Second, 0.5, 100)
+	sharers := NewSharers(10 * time.Second)
+	if w.Spend(start, sharers.Count()) {
+		t.Error("the allowance is taken by one that knows no others")
+	}
+	w.Request(start)
+	w.Request(start)
+	if !w.Spend(start, sharers.Count()) {
+		t.Error("the share of its own requests is not its own")
+	}
+}
+
+// TestSharersThatEnded: for the length of a window the parts of those that are gone
+// are not spent again by the rest.
+func TestSharersThatEnded(t *testing.T) {
+	start := time.Now()
+	s := NewSharers(10 * time.Second)
+	s.Note(start, 11)
+	s.Note(start.Add(time.Second), 3)
+	if s.Count() != 11 {
+		t.Errorf("%d sharers a second after eight have ended", s.Count())
+	}
+	s.Note(start.Add(11*time.Second), 3)
+	if s.Count() != 3 {
+		t.Errorf("%d sharers a window later", s.Count())
+	}
+}
--- a/gateway/traffic.go
+++ b/gateway/traffic.go
@@ -33,7 +33,8 @@
 	mu       sync.Mutex
 	rng      *rand.Rand
 	services map[string]*service
-	gateways int
+	// sharers is how many gateways share the retry budget.
+	sharers *retry.Sharers
 }
 
 // service is the traffic of one service.
@@ -46,7 +47,10 @@
 }
 
 func newTraffic(conf settings.Gateway, now func() time.Time, rng *rand.Rand) *traffic {
-	return &traffic{conf: conf, now: now, rng: rng, services: make(map[string]*service), gateways: 1}
+	return &traffic{
+		conf: conf, now: now, rng: rng, services: make(map[string]*service),
+		sharers: retry.NewSharers(conf.RetryWindow.D()),
+	}
 }
 
 // get returns the service of the name.
@@ -98,13 +102,15 @@
 func (t *traffic) setGateways(n int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.gateways = max(n, 1)
+	t.sharers.Note(t.now(), max(n, 1))
 }
 
-func (t *traffic) gatewayCount() int {
+// sharerCount returns how many gateways share the retry budget, or zero when that is
+// not known.
+func (t *traffic) sharerCount() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.gateways
+	return t.sharers.Count()
 }
 
 // run lets waiting requests through or refuses them in time, until ctx ends.
@@ -188,7 +194,7 @@
 
 // spend takes one second try from the budget.
 func (t *traffic) spend(s *service) bool {
-	n := t.gatewayCount()
+	n := t.sharerCount()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.budget.Spend(t.now(), n)
