Serve metrics by route, class of upstream, phase and store call; names in one place

Change: a catalog of all names with unit and meaning (gateway/meternames.go, shown in docs/METRICS.md); outcomes, tries, repeats, hedges and four phases by route; ends of tries by service and own or other failure domain; budget, queue and room by service; how long spans were without an owner (state/spans.Gaps); store calls by kind, operation and answer; the age of the view. At most 64 labels a family, the rest under 'other'. Tests: TestMetricsAreInTheCatalog, TestMetricsPage, TestPatterns, TestLabelsAreBounded, TestGaps, TestRefusalsLineCarriesItsInputs.

--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -247,6 +247,15 @@
 	Left
 )
 
+// outcomeNames are the outcomes in words, for counters and logs.
+var outcomeNames = map[Outcome]string{
+	Answered: "answered", Failed: "failed", Full: "full", NotOwner: "not_owner",
+	Unreachable: "unreachable", Refused: "refused", Silent: "silent", Left: "left",
+}
+
+// String returns the outcome in a word.
+func (o Outcome) String() string { return outcomeNames[o] }
+
 // ended notes the end of a try that was sent at began with ahead requests in
 // flight.
 func (u *Upstream) ended(now, began time.Time, ahead float64, o Outcome) {
--- a/coordination/retry/window.go
+++ b/coordination/retry/window.go
@@ -45,7 +45,17 @@
 // processes has one left. While that number is not known, which zero says, no part
 // of the allowance is this process's own.
 func (w *Window) Spend(now time.Time, processes int) bool {
-	i := w.turn(now)
+	if w.Left(now, processes) < 1 {
+		return false
+	}
+	w.retries[w.turn(now)]++
+	return true
+}
+
+// Left returns how many retries the budget of one of the given number of processes
+// has left.
+func (w *Window) Left(now time.Time, processes int) float64 {
+	w.turn(now)
 	requests, retries := 0.0, 0.0
 	for k := range windowParts {
 		requests += w.requests[k]
@@ -55,9 +65,5 @@
 	if processes > 0 {
 		allowed += w.allowance / float64(processes)
 	}
-	if retries+1 > allowed {
-		return false
-	}
-	w.retries[i]++
-	return true
+	return allowed - retries
 }
--- a/gateway/delivery.go
+++ b/gateway/delivery.go
@@ -86,6 +86,10 @@
 func (d *delivery) begin(ctx context.Context, grant dispatch.Grant) {
 	d.running++
 	d.last = grant
+	if d.sent.IsZero() {
+		d.sent = d.now()
+	}
+	d.meters.inc(d.meters.route(routeTries, d.route.Name))
 	go d.try(ctx, d.request, grant, d.results)
 }
 
@@ -121,11 +125,11 @@
 	if err != nil {
 		return
 	}
-	if !d.front.traffic.spend(d.request.traffic) {
+	if !d.spend(d.request) {
 		d.front.traffic.done(d.request.traffic, grant, dispatch.Left)
 		return
 	}
-	d.meters.inc("requests." + d.service.Name + ".hedged")
+	d.meters.inc(d.meters.route(routeHedged, d.route.Name))
 	d.logAgain(d.request, d.last, nil)
 	d.begin(ctx, grant)
 }
@@ -150,13 +154,22 @@
 		return false
 	case q.mayHaveRun && !q.route.Idempotent:
 		return false
-	case q.arrivals >= q.route.MaxAttempts || !f.traffic.spend(q.traffic):
+	case q.arrivals >= q.route.MaxAttempts || !f.spend(q):
 		return false
 	}
-	f.meters.inc("requests." + q.service.Name + ".repeated")
+	f.meters.inc(f.meters.route(routeRepeated, q.route.Name))
 	return true
 }
 
+// spend takes a second try from the budget of the request's service.
+func (f *front) spend(q *request) bool {
+	if f.traffic.spend(q.traffic) {
+		return true
+	}
+	f.meters.inc(f.meters.service(budgetRefused, q.service.Name))
+	return false
+}
+
 // giveUp turns the last error into the final answer. Only a request that
 // surely has not run is refused.
 func (f *front) giveUp(ctx context.Context, q *request, err error) error {
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -65,6 +65,8 @@
 	// answered counts answers, to log a sample.
 	answered atomic.Uint64
 	tracer   trace.Tracer
+	// domain is the own failure domain.
+	domain string
 }
 
 // request is one caller's request.
@@ -79,6 +81,8 @@
 	body    []byte
 	target  string
 	began   time.Time
+	// read is when its body was there, sent when it was first sent to an upstream.
+	read, sent time.Time
 	// deadline is when the final answer must be out.
 	deadline time.Time
 	// until is the last moment for the first offer to an upstream.
@@ -117,11 +121,24 @@
 		f.refuse(w, r, q, err)
 		return
 	}
+	answered := f.now()
 	f.pass(w, resp)
-	f.meters.inc("requests." + q.service.Name + ".answered")
-	f.meters.took("requests."+q.service.Name+".latency_us", f.now().Sub(began))
+	f.measure(q, answered)
 }
 
+// measure counts an answered request and the phases of its time.
+func (f *front) measure(q *request, answered time.Time) {
+	name := q.route.Name
+	f.meters.inc(f.meters.route(routeOutcome, name, outcomeAnswered))
+	f.meters.took(f.meters.route(routeRead, name), q.read.Sub(q.began))
+	f.meters.took(f.meters.route(routeWait, name), q.sent.Sub(q.read))
+	f.meters.took(f.meters.route(routeUpstream, name), answered.Sub(q.sent))
+	f.meters.took(f.meters.route(routeTotal, name), f.now().Sub(q.began))
+}
+
+// outcomeAnswered counts upstreams' answers, beside the kinds of errors.
+const outcomeAnswered = "answered"
+
 // lifetime returns the context of the work on a request. Work that must not
 // run twice goes on when the caller has left: its outcome stands.
 func (f *front) lifetime(parent context.Context, q *request) (context.Context, context.CancelFunc) {
@@ -156,6 +173,7 @@
 	if err := f.readBody(q, table.Limits.MaxBody); err != nil {
 		return q, err
 	}
+	q.read = f.now()
 	name := f.splitter.Pick(route)
 	q.service = table.Services[name]
 	if q.service == nil {
@@ -239,9 +257,18 @@
 func (f *front) try(ctx context.Context, q *request, grant dispatch.Grant, results chan<- result) {
 	resp, outcome, err := f.send(ctx, q, grant)
 	f.traffic.done(q.traffic, grant, outcome)
+	f.meters.inc(f.meters.service(tryOutcome, q.service.Name, f.class(grant), outcome.String()))
 	results <- result{grant: grant, resp: resp, err: err}
 }
 
+// class tells upstreams of the own failure domain from the others, in counters.
+func (f *front) class(grant dispatch.Grant) string {
+	if grant.Instance.Domain == f.domain {
+		return "own"
+	}
+	return "other"
+}
+
 // send makes one try. A response that comes with the outcome Failed is the
 // upstream's own failure.
 func (f *front) send(ctx context.Context, q *request, grant dispatch.Grant) (*pool.Response, dispatch.Outcome, error) {
@@ -272,7 +299,7 @@
 	f.farewell(h)
 	w.WriteHeader(resp.Status)
 	if _, err := w.Write(resp.Body); err != nil {
-		f.meters.inc("requests.answer_not_taken")
+		f.meters.inc(answersLost)
 	}
 }
 
@@ -284,14 +311,17 @@
 	}
 }
 
+// routeNone counts requests that no route is known for.
+const routeNone = "none"
+
 // refuse gives an answer of our own.
 func (f *front) refuse(w http.ResponseWriter, r *http.Request, q *request, err error) {
 	kind := answer.KindOf(err)
-	service := "none"
-	if q != nil && q.service != nil {
-		service = q.service.Name
+	route := routeNone
+	if q != nil {
+		route = q.route.Name
 	}
-	f.meters.inc("requests." + service + "." + string(kind))
+	f.meters.inc(f.meters.route(routeOutcome, route, string(kind)))
 	f.logRefusal(r, q, kind, err)
 	h := w.Header()
 	if id := platform.ID(r.Header); id != "" {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -110,6 +110,7 @@
 	leading  *leading
 	front    *front
 	conns    *pool.Pool
+	gaps     *ownerGaps
 	draining atomic.Bool
 	open     Listeners
 	// abrupt ends Run without a graceful stop, for tests of lost processes.
@@ -161,6 +162,8 @@
 	rng := mathrand.New(mathrand.NewPCG(seeds[0], seeds[1]))
 	g.traffic = newTraffic(conf, g.now, rng)
 	g.view.onInstances = g.traffic.setUpstreams
+	g.gaps = newOwnerGaps(g.now, g.meters)
+	g.view.onSpans = g.gaps.note
 	self := &syncpb.Member{
 		Node: conf.Node, Address: open.Peers.Addr().String(), Domain: conf.Domain, Incarnation: incarnation(),
 		Strength: uint32(thousand * conf.Strength),
@@ -202,7 +205,7 @@
 	g.follower.setOwn = g.steward.setOwn
 	g.front = &front{
 		view: g.view, traffic: g.traffic, splitter: routing.NewSplitter(), conns: g.conns, now: g.now,
-		log: log, meters: g.meters,
+		log: log, meters: g.meters, domain: conf.Domain,
 		maxHeld: int64(conf.Memory) * megabyte / mostBodyShare,
 	}
 	return g
--- /dev/null
+++ b/gateway/meternames.go
@@ -0,0 +1,134 @@
+package gateway
+
+import "strings"
+
+// metric describes a family of values that a gateway serves as text. This list is the
+// only place of their names; docs/METRICS.md shows it.
+type metric struct {
+	// Name is a pattern: parts in braces stand for a route, a service and the like.
+	Name    string
+	Unit    string
+	Meaning string
+}
+
+// The names. Parts in braces are filled in by the functions of meters.
+const (
+	routeOutcome   = "route.{route}.{outcome}"
+	routeTries     = "route.{route}.tries"
+	routeRepeated  = "route.{route}.repeated"
+	routeHedged    = "route.{route}.hedged"
+	routeRead      = "route.{route}.read_us"
+	routeWait      = "route.{route}.wait_us"
+	routeUpstream  = "route.{route}.upstream_us"
+	routeTotal     = "route.{route}.total_us"
+	tryOutcome     = "tries.{service}.{class}.{outcome}"
+	budgetLeft     = "budget.{service}.left"
+	budgetRefused  = "budget.{service}.refused"
+	queueWaiting   = "queue.{service}.waiting"
+	roomSlots      = "room.{service}.slots"
+	roomInFlight   = "room.{service}.in_flight"
+	roomUsable     = "room.{service}.usable_upstreams"
+	ownersNone     = "owners.{service}.keys_without_owner"
+	ownersLongest  = "owners.{service}.longest_without_owner_ms"
+	ownersWithout  = "owners.{service}.without_owner_us"
+	ownersSpans    = "owners.{service}.spans"
+	storeCall      = "store.{kind}.{operation}.{answer}"
+	storeRelayed   = "store.relayed"
+	storeAway      = "store.away"
+	viewVersion    = "view.configuration_version"
+	viewUpstreams  = "view.upstreams"
+	viewRevision   = "view.upstreams_revision"
+	viewAge        = "view.age_ms"
+	ownersAge      = "owners.{service}.unchanged_ms"
+	leaderHeard    = "view.leader_heard_ms_ago"
+	leaderLeading  = "leader.leading"
+	leaderMayAct   = "leader.may_act"
+	clusterSize    = "cluster.gateways"
+	connOpened     = "connections.opened"
+	connReused     = "connections.reused"
+	connStale      = "connections.stale"
+	connForeign    = "connections.foreign_answers"
+	connDistrusted = "connections.distrusted"
+	answersLost    = "answers.not_taken"
+	logWritten     = "log.lines_written"
+	logDropped     = "log.lines_dropped"
+)
+
+// catalog lists all metrics.
+var catalog = []metric{
+	{routeOutcome, "requests", "final answers: `answered`, or the kind of the error (protocol/answer)"},
+	{routeTries, "tries", "sends to an upstream, first ones included"},
+	{routeRepeated, "tries", "sent again after a failure or a refusal"},
+	{routeHedged, "tries", "sent beside an overdue try"},
+	{routeRead, "µs", "phase: from the headers to the whole body"},
+	{routeWait, "µs", "phase: waiting here for an upstream's room or a key's owner, first try"},
+	{routeUpstream, "µs", "phase: from the first send to the answer that counts"},
+	{routeTotal, "µs", "from the headers to the answer written, answered requests"},
+	{tryOutcome, "tries", "ends of tries; class `own` or `other` is the upstream's failure domain: answered, failed, full, not_owner, unreachable, refused, silent, left"},
+	{budgetLeft, "tries", "second tries that this gateway may still spend in the window"},
+	{budgetRefused, "tries", "second tries not made for want of budget"},
+	{queueWaiting, "requests", "waiting here for room or a turn"},
+	{roomSlots, "requests", "slots of all upstreams known"},
+	{roomInFlight, "requests", "in flight at them, from here and as the other gateways reported"},
+	{roomUsable, "upstreams", "that may get requests at the moment"},
+	{ownersNone, "keys", "held by nobody, as this gateway knows"},
+	{ownersLongest, "ms", "how long the longest of them has been without an owner"},
+	{ownersWithout, "µs", "how long spans of keys were without an owner, when that ended"},
+	{ownersSpans, "spans", "of consecutive keys with one owner"},
+	{storeCall, "calls", "direct calls by kind of object, operation (list, get, watch, create, replace, remove) and answer: a status code or `none`"},
+	{storeRelayed, "calls", "by way of another gateway"},
+	{storeAway, "0 or 1", "no call succeeds, by no way"},
+	{viewVersion, "version", "configuration in force"},
+	{viewUpstreams, "upstreams", "registered"},
+	{viewRevision, "revision", "of the view of upstreams"},
+	{viewAge, "ms", "since this gateway last had news, or word that there are none, of configuration, upstreams and owners"},
+	{ownersAge, "ms", "since the owners of the service last changed here"},
+	{leaderHeard, "ms", "since the leader was heard; 0 in the leader"},
+	{leaderLeading, "0 or 1", "this gateway leads"},
+	{leaderMayAct, "0 or 1", "and its right has not run out"},
+	{clusterSize, "gateways", "known, this one among them"},
+	{connOpened, "connections", "opened to upstreams"},
+	{connReused, "requests", "sent on kept connections"},
+	{connStale, "connections", "kept ones that had ended when they were wanted"},
+	{connForeign, "answers", "to other requests than the one waited for"},
+	{connDistrusted, "connections", "idle ones closed after another to the same address fell silent"},
+	{answersLost, "answers", "that the client did not take"},
+	{logWritten, "lines", "written"},
+	{logDropped, "lines", "dropped, beyond the rates or not read"},
+}
+
+// fill puts labels into the braces of a pattern, in their order.
+func fill(pattern string, labels ...string) string {
+	for _, label := range labels {
+		open, end := strings.IndexByte(pattern, '{'), strings.IndexByte(pattern, '}')
+		if open < 0 || end < open {
+			break
+		}
+		pattern = pattern[:open] + label + pattern[end+1:]
+	}
+	return pattern
+}
+
+// describes reports whether the pattern stands for the name. A label may itself hold
+// dots.
+func (m metric) describes(name string) bool {
+	rest := m.Name
+	for {
+		open := strings.IndexByte(rest, '{')
+		if open < 0 {
+			return strings.HasSuffix(name, rest)
+		}
+		if !strings.HasPrefix(name, rest[:open]) {
+			at := strings.Index(name, rest[:open])
+			if at < 0 {
+				return false
+			}
+			name = name[at:]
+		}
+		name = name[open:]
+		rest = rest[strings.IndexByte(rest, '}')+1:]
+		if rest == "" {
+			return name != ""
+		}
+	}
+}
--- a/gateway/meters.go
+++ b/gateway/meters.go
@@ -4,18 +4,70 @@
 	"fmt"
 	"io"
 	"sort"
+	"sync"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 )
 
-// reservoir is the sample size of a latency histogram.
-const reservoir = 1024
+const (
+	// reservoir is the sample size of a latency histogram: enough for the 99th
+	// percentile, 2 KB each.
+	reservoir = 256
+	// mostLabels bounds the different labels of one family: operators may add
+	// hundreds of routes. Those beyond are counted together.
+	mostLabels = 64
+	// otherLabel stands for the labels beyond the bound.
+	otherLabel = "other"
+)
+
+// meters are the counters of a gateway process, for concurrent use. The names are
+// those of the catalog.
+type meters struct {
+	registry metrics.Registry
+	mu       sync.Mutex
+	// labels are those in use, by pattern prefix.
+	labels map[string]map[string]bool
+}
 
-// meters are the counters of a gateway process.
-type meters struct{ registry metrics.Registry }
+func newMeters() *meters {
+	return &meters{registry: metrics.NewRegistry(), labels: make(map[string]map[string]bool)}
+}
 
-func newMeters() *meters { return &meters{registry: metrics.NewRegistry()} }
+// label returns the label, or the one for all others when the family has enough.
+func (m *meters) label(family, label string) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	known := m.labels[family]
+	if known == nil {
+		known = make(map[string]bool)
+		m.labels[family] = known
+	}
+	switch {
+	case known[label]:
+	case len(known) >= mostLabels:
+		return otherLabel
+	default:
+		known[label] = true
+	}
+	return label
+}
+
+// Families of labels that others than this program choose.
+const (
+	routeFamily   = "route"
+	serviceFamily = "service"
+)
+
+// route fills a pattern of a route in.
+func (m *meters) route(pattern, route string, labels ...string) string {
+	return fill(pattern, append([]string{m.label(routeFamily, route)}, labels...)...)
+}
+
+// service fills a pattern of a service in.
+func (m *meters) service(pattern, service string, labels ...string) string {
+	return fill(pattern, append([]string{m.label(serviceFamily, service)}, labels...)...)
+}
 
 func (m *meters) inc(name string) { metrics.GetOrRegisterCounter(name, m.registry).Inc(1) }
 
@@ -23,7 +75,7 @@
 	metrics.GetOrRegisterGauge(name, m.registry).Update(value)
 }
 
-// took notes a latency in microseconds.
+// took notes a time in microseconds.
 func (m *meters) took(name string, d time.Duration) {
 	h := m.registry.GetOrRegister(name, func() metrics.Histogram {
 		return metrics.NewHistogram(metrics.NewUniformSample(reservoir))
--- /dev/null
+++ b/gateway/meters_test.go
@@ -0,0 +1,117 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/rockcroft/rockcroft/standin/instance"
+)
+
+// metricsOf returns what a gateway serves on its metrics address, by name.
+func metricsOf(g *testGateway) map[string]string {
+	w := httptest.NewRecorder()
+	g.metricsHandler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	out := make(map[string]string)
+	for _, line := range strings.Split(strings.TrimSpace(w.Body.String()), "\n") {
+		name, value, _ := strings.Cut(line, " ")
+		out[name] = value
+	}
+	return out
+}
+
+// TestMetricsAreInTheCatalog: every value that a gateway serves after all kinds of
+// requests has a name with unit and meaning, and those that explain a failure are
+// there.
+func TestMetricsAreInTheCatalog(t *testing.T) {
+	t.Parallel()
+	b := standard(t)
+	g := b.gateways[0]
+	b.mustAsk(g, http.MethodGet, "/status/x", 7)
+	b.mustAsk(g, http.MethodPost, "/pay/x", -1)
+	b.ask(g, http.MethodGet, "/nowhere/", -1)
+	b.ups["i-p0"].Set(instance.Sheds)
+	b.ups["i-p1"].Set(instance.Sheds)
+	b.ask(g, http.MethodGet, "/read/x", -1)
+	served := metricsOf(g)
+	for name := range served {
+		if !inCatalog(name) {
+			t.Errorf("%s is not in the catalog", name)
+		}
+	}
+	for _, name := range []string{
+		"route.status.answered", "route.status.total_us", "route.status.wait_us", "route.none.not_found",
+		"route.read.overloaded", "tries.pay.own.full", "tries.status.own.answered", "budget.pay.left", "queue.pay.waiting",
+		"room.pay.slots", "owners.status.keys_without_owner", "owners.status.without_owner_us",
+		"view.age_ms", "view.configuration_version",
+	} {
+		if _, ok := served[name]; !ok {
+			t.Errorf("%s is not served", name)
+		}
+	}
+	if leader := b.leader(); leader != nil {
+		if _, ok := metricsOf(leader)["store.rockcroft-leases.replace.200"]; !ok {
+			t.Error("the leader's store calls are not counted by kind and answer")
+		}
+	}
+}
+
+func inCatalog(name string) bool {
+	for _, m := range catalog {
+		if m.describes(name) {
+			return true
+		}
+	}
+	return false
+}
+
+func TestPatterns(t *testing.T) {
+	for _, c := range []struct {
+		pattern, name string
+		want          bool
+	}{
+		{routeTotal, fill(routeTotal, "r-1"), true},
+		{routeTotal, "route.a.b.total_us", true},
+		{routeTotal, "route.r-1.total", false},
+		{tryOutcome, "tries.s.own.full", true},
+		{tryOutcome, "tries.s", false},
+		{storeAway, "store.away", true},
+		{storeAway, "store.away.x", false},
+	} {
+		if got := (metric{Name: c.pattern}).describes(c.name); got != c.want {
+			t.Errorf("%s describes %s: %t", c.pattern, c.name, got)
+		}
+	}
+}
+
+// TestLabelsAreBounded: operators may add hundreds of routes.
+func TestLabelsAreBounded(t *testing.T) {
+	m := newMeters()
+	for i := range 10 * mostLabels {
+		m.inc(m.route(routeTries, fmt.Sprintf("r%d", i)))
+	}
+	n := 0
+	m.registry.Each(func(string, any) { n++ })
+	if n != mostLabels+1 {
+		t.Errorf("%d counters", n)
+	}
+	if got := m.label(routeFamily, "r0"); got != "r0" {
+		t.Errorf("a known route is counted as %s", got)
+	}
+}
+
+// TestMetricsPage: the page shows the catalog as it is.
+func TestMetricsPage(t *testing.T) {
+	page, err := os.ReadFile("../docs/METRICS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, m := range catalog {
+		if row := fmt.Sprintf("| `%s` | %s | %s |", m.Name, m.Unit, m.Meaning); !strings.Contains(string(page), row+"\n") {
+			t.Errorf("docs/METRICS.md lacks the row\n%s", row)
+		}
+	}
+}
--- /dev/null
+++ b/gateway/requestlog_test.go
@@ -0,0 +1,65 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"testing"
+
+	"github.com/rockcroft/rockcroft/standin/instance"
+)
+
+// lockedBuffer is a log output that can be read while it is written.
+type lockedBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+// find returns the first line with the message about the request, or nil.
+func (b *lockedBuffer) find(message, request string) map[string]any {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, line := range bytes.Split(b.buf.Bytes(), []byte("\n")) {
+		var fields map[string]any
+		if json.Unmarshal(line, &fields) == nil && fields["msg"] == message && fields["request"] == request {
+			return fields
+		}
+	}
+	return nil
+}
+
+// TestRefusalsLineCarriesItsInputs: from the line of a refused request alone one sees
+// which limit refused it, and from what that was decided.
+func TestRefusalsLineCarriesItsInputs(t *testing.T) {
+	t.Parallel()
+	b := standard(t)
+	g := b.gateways[0]
+	var out lockedBuffer
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	go g.lines.Run(ctx, &out)
+	b.ups["i-p0"].Set(instance.Sheds)
+	b.ups["i-p1"].Set(instance.Sheds)
+	refused := b.ask(g, http.MethodPost, "/pay/x", -1)
+	if refused.status != http.StatusServiceUnavailable {
+		t.Fatalf("status %d", refused.status)
+	}
+	b.eventually("the line is written", func() bool { return out.find("request not answered", refused.id) != nil })
+	line := out.find("request not answered", refused.id)
+	for _, field := range []string{
+		"kind", "cause", "configuration", "route", "service", "arrivals", "unsent", "tried", "after_ms", "allowed_ms",
+		"upstreams", "usable", "waiting", "mine", "others", "others_age_ms", "slots", "work_ms",
+	} {
+		if _, ok := line[field]; !ok {
+			t.Errorf("the line has no %s: %v", field, line)
+		}
+	}
+}
--- a/gateway/storecall.go
+++ b/gateway/storecall.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -140,15 +141,16 @@
 func (s *storeCaller) direct(ctx context.Context, c platform.Call) (int, []byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout+c.Wait)
 	defer cancel()
-	s.meters.inc("store.calls")
 	resp, err := s.conns.Do(ctx, s.address, &pool.Request{
 		Method: c.Method, Target: c.Target, Host: s.address, Body: c.Body,
 		Header: http.Header{"Content-Type": {"application/json"}},
 	})
+	kind, operation := c.Describe()
 	if err != nil {
-		s.meters.inc("store.failures")
+		s.meters.inc(fill(storeCall, kind, operation, "none"))
 		return 0, nil, err
 	}
+	s.meters.inc(fill(storeCall, kind, operation, strconv.Itoa(resp.Status)))
 	return resp.Status, resp.Body, nil
 }
 
@@ -156,7 +158,7 @@
 func (s *storeCaller) relay(ctx context.Context, peer syncpb.Peer, c platform.Call) (int, []byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout+c.Wait)
 	defer cancel()
-	s.meters.inc("store.relayed")
+	s.meters.inc(storeRelayed)
 	resp, err := peer.Relay(ctx, &syncpb.RelayRequest{
 		Method: c.Method, Target: c.Target, Body: c.Body, WaitMs: uint32(c.Wait.Milliseconds()),
 	})
--- a/gateway/traffic.go
+++ b/gateway/traffic.go
@@ -200,6 +200,14 @@
 	return s.budget.Spend(t.now(), n)
 }
 
+// budgetLeft returns how many second tries this gateway may still spend.
+func (t *traffic) budgetLeft(s *service) float64 {
+	n := t.sharerCount()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.budget.Left(t.now(), n)
+}
+
 // asked notes a key for the next report.
 func (s *service) asked(key uint16) {
 	s.mu.Lock()
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -28,12 +28,15 @@
 	formerInst  map[uint64]*instances.View
 	formerOrder []uint64
 	formerSpans map[string][]*spans.Table
-	// onInstances is called, with the lock held, when upstreams have changed.
+	// onInstances is called, with the lock held, when upstreams have changed,
+	// onSpans when the owners of a service have.
 	onInstances func(*instances.View)
+	onSpans     func(*spans.Table)
 }
 
 func newView() *view {
 	v := &view{
+		onInstances: func(*instances.View) {}, onSpans: func(*spans.Table) {},
 		changed: make(chan struct{}), formerInst: make(map[uint64]*instances.View), formerSpans: make(map[string][]*spans.Table),
 	}
 	v.owners.Store(&map[string]*spans.Table{})
@@ -106,6 +109,7 @@
 	}
 	v.formerSpans[t.Service] = former
 	v.owners.Store(&next)
+	v.onSpans(t)
 	v.signal()
 	return true
 }
