Soak: seeded series of faults against real gateway processes

What: rocksoak hosts store, upstreams, relays and callers; scripts/soak.sh starts the gateways that it asks for and ends them by their ids. Faults, seeded and overlapping: SIGKILL, SIGTERM, SIGSTOP with new starts; paths to the store and to upstreams slow, cut one way or both, refused, reset, silent; the store turning some or all away, losing answers, late, compacted; upstreams silent, shedding, losing answers, taking grants late, replaced; new configurations. Checked while it runs: two owners, fences, requests that run twice, refused ones that run, foreign answers, requests that ran and whose connection was closed, configurations that go back, stops that take too long; at the end every key. A page with a plot for each seed. Seeds, sizes and memory are checked before anything starts.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Run `make help` for the targets.
 BIN := bin
-PROGRAMS := rockcroft-entry rockcroftctl standin-platform standin-upstream rockload
+PROGRAMS := rockcroft-entry rockcroft-gateway rockcroftctl standin-platform standin-upstream rockload rocksoak
 
 .PHONY: help build demo experiment
 
@@ -19,7 +19,7 @@
 experiment: build ## run one experiment: make experiment SHAPE=addis NAME=crash
 	scripts/experiment.sh $(SHAPE) $(NAME)
 
-.PHONY: test race fuzz guards bench check
+.PHONY: test race fuzz soak guards bench check
 
 test: ## run all tests with the race detector, fixed seeds and run counts
 	go test -race -timeout 20m $(if $(SKIP),-skip '^($(SKIP))$$') ./...
@@ -28,6 +28,11 @@
 fuzz: ## run the long fuzz of ownership and print the number of steps
 	go test ./proof -timeout 60m -v -run OneOwner -rapid.seed=0 -rapid.checks=$(FUZZ_CHECKS) -rapid.steps=100
 
+SOAK_FROM ?= 1
+SOAK_TO ?= 4
+soak: build ## play seeded series of faults against real gateway processes: make soak SOAK_FROM=1 SOAK_TO=50
+	scripts/soak.sh $(SOAK_FROM) $(SOAK_TO)
+
 guards: ## take guards out one by one and show that the fuzz tests notice
 	scripts/guards.sh
 
--- /dev/null
+++ b/bench/soak/command.go
@@ -0,0 +1,133 @@
+package soak
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+
+	"github.com/spf13/cobra"
+)
+
+// Bounds of a deployment: a gateway takes about 35 MB on an ordinary machine, and a few
+// hundred processes are what one bears.
+const (
+	leastGateways = 2
+	mostGateways  = 200
+	leastUpstream = 4
+	mostUpstreams = 400
+	mostSteps     = 10000
+	processMB     = 60
+)
+
+// Command returns the root command of the soak.
+func Command(out io.Writer) *cobra.Command {
+	root := &cobra.Command{
+		Use: "rocksoak", Short: "Play seeded series of faults against real gateway processes",
+		SilenceUsage: true, SilenceErrors: true,
+	}
+	root.AddCommand(runCommand(out), pageCommand(out))
+	return root
+}
+
+func runCommand(out io.Writer) *cobra.Command {
+	var seed uint64
+	var dir string
+	size := Size{}
+	cmd := &cobra.Command{
+		Use: "run", Short: "Play one seed; scripts/soak.sh starts the gateways", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if err := size.Check(memoryMB()); err != nil {
+				return err
+			}
+			if err := os.MkdirAll(dir, 0o700); err != nil {
+				return err
+			}
+			report, err := Run(cmd.Context(), dir, size, NewPlan(seed, size.Steps), out)
+			if err != nil {
+				return err
+			}
+			if err := report.Save(dir); err != nil {
+				return err
+			}
+			return report.verdict(out)
+		},
+	}
+	cmd.Flags().Uint64Var(&seed, "seed", 0, "seed of the series")
+	cmd.Flags().StringVar(&dir, "dir", "", "folder for settings, process ids, logs and the report")
+	cmd.Flags().IntVar(&size.Gateways, "gateways", 5, "number of gateway processes")
+	cmd.Flags().IntVar(&size.Upstreams, "upstreams", 8, "number of upstreams, half of them keyed")
+	cmd.Flags().IntVar(&size.Steps, "steps", 20, "number of faults")
+	for _, name := range []string{"seed", "dir"} {
+		// Both flags were defined above, so marking cannot fail.
+		_ = cmd.MarkFlagRequired(name)
+	}
+	return cmd
+}
+
+// verdict prints the sums and fails when something happened that must not.
+func (r *Report) verdict(out io.Writer) error {
+	for _, v := range r.Violations {
+		if _, err := fmt.Fprintln(out, "violation:", v); err != nil {
+			return err
+		}
+	}
+	_, err := fmt.Fprintf(out, "seed %d: %d served, %d refused, %d failed, %d without a connection, %d violations\n",
+		r.Seed, r.Served, r.Refused, r.Failed, r.NoWay, len(r.Violations))
+	if err == nil && len(r.Violations) > 0 {
+		err = fmt.Errorf("seed %d: %d violations", r.Seed, len(r.Violations))
+	}
+	return err
+}
+
+// Check refuses what cannot be played, before anything is started. memory is the
+// machine's, in MB; at most half of it is used.
+func (s Size) Check(memory int) error {
+	switch {
+	case s.Gateways < leastGateways || s.Gateways > mostGateways:
+		return fmt.Errorf("--gateways: %d is not between %d and %d", s.Gateways, leastGateways, mostGateways)
+	case s.Upstreams < leastUpstream || s.Upstreams > mostUpstreams:
+		return fmt.Errorf("--upstreams: %d is not between %d and %d", s.Upstreams, leastUpstream, mostUpstreams)
+	case s.Steps < 1 || s.Steps > mostSteps:
+		return fmt.Errorf("--steps: %d is not between 1 and %d", s.Steps, mostSteps)
+	case memory > 0 && s.Gateways*processMB > memory/2:
+		return fmt.Errorf("--gateways: %d need %d MB, more than half of the machine's %d MB", s.Gateways, s.Gateways*processMB, memory)
+	}
+	return nil
+}
+
+// memoryMB returns the machine's memory; zero when the system does not tell.
+func memoryMB() int {
+	f, err := os.Open("/proc/meminfo")
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = f.Close() }()
+	kb := 0
+	if _, err := fmt.Fscanf(f, "MemTotal: %d kB", &kb); err != nil {
+		return 0
+	}
+	return kb >> 10
+}
+
+func pageCommand(out io.Writer) *cobra.Command {
+	return &cobra.Command{
+		Use: "page DIR", Short: "Write the reports of all runs below a folder as a page with plots", Args: cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			reports, err := Load(args[0])
+			if err != nil {
+				return err
+			}
+			name := filepath.Join(args[0], "soak.html")
+			if err := WritePage(name, reports); err != nil {
+				return err
+			}
+			bad := 0
+			for _, r := range reports {
+				bad += min(len(r.Violations), 1)
+			}
+			_, err = fmt.Fprintf(out, "%d seeds, %d with violations: %s\n", len(reports), bad, name)
+			return err
+		},
+	}
+}
--- /dev/null
+++ b/bench/soak/faults.go
@@ -0,0 +1,77 @@
+package soak
+
+import (
+	"time"
+
+	"github.com/rockcroft/rockcroft/standin/instance"
+	"github.com/rockcroft/rockcroft/standin/metastore"
+	"github.com/rockcroft/rockcroft/standin/relay"
+)
+
+// The variants of faults, picked by Step.Variant.
+var (
+	pathFaults = []relay.Fault{relay.Slow, relay.CutThere, relay.CutBack, relay.CutBoth, relay.Refuse}
+	storeModes = []metastore.Mode{
+		metastore.Busy, metastore.Many, metastore.Reset, metastore.Silent, metastore.Lose, metastore.Late,
+	}
+	upstreamModes = []instance.Mode{
+		instance.Silent, instance.Loses, instance.Fails, instance.Sheds, instance.LateGrants,
+	}
+)
+
+func pick[T any](list []T, n int) T { return list[n%len(list)] }
+
+// apply carries a fault out and returns when it has ended.
+func (s *site) apply(step Step) error {
+	g, u := pick(s.gateways, step.Target), s.upstreamAt(step.Target)
+	switch step.Kind {
+	case Kill, Stop, Pause:
+		return s.applyToProcess(g, step)
+	case StorePath:
+		lasting(step.For, func() { g.relay.Set(pick(pathFaults, step.Variant)) }, func() { g.relay.Set(relay.None) })
+	case StoreSilent:
+		g.relay.SilenceAll()
+	case StoreMode:
+		lasting(step.For, func() { g.door.Set(pick(storeModes, step.Variant)) }, func() { g.door.Set(metastore.Open) })
+	case StoreAway:
+		lasting(step.For, func() { s.store.SetAll(pick(storeModes, step.Variant)) }, func() { s.store.SetAll(metastore.Open) })
+	case Compact:
+		s.store.Compact()
+	case UpstreamPath:
+		lasting(step.For, func() { u.relay.Set(pick(pathFaults, step.Variant)) }, func() { u.relay.Set(relay.None) })
+	case UpstreamReset:
+		u.relay.ResetAll()
+	case UpstreamQuiet:
+		u.relay.SilenceAll()
+	case UpstreamMode:
+		lasting(step.For, func() { u.Set(pick(upstreamModes, step.Variant)) }, func() { u.Set(instance.Serves) })
+	case Drain:
+		return s.replace(u)
+	case Configure:
+		s.configure()
+	}
+	return nil
+}
+
+// applyToProcess signals a gateway, unless another fault of it is under way.
+func (s *site) applyToProcess(g *gateway, step Step) error {
+	if !g.claim() {
+		return nil
+	}
+	defer g.release()
+	switch step.Kind {
+	case Kill:
+		return g.kill(step.For / 2)
+	case Stop:
+		return g.stop(step.For / 2)
+	default:
+		return g.pauseFor(step.For)
+	}
+}
+
+// lasting begins a fault, waits and ends it.
+func lasting(d time.Duration, begin, end func()) {
+	begin()
+	time.Sleep(d)
+	end()
+}
--- /dev/null
+++ b/bench/soak/plan.go
@@ -0,0 +1,78 @@
+// Package soak drives real gateway processes on loopback through seeded series of
+// faults and checks what callers and upstreams see. Store, upstreams, relays and
+// callers are stand-ins in one process; the gateways are processes of their own, which
+// a script starts and whose faults come from outside: signals and relays.
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+)
+
+// Kind is a kind of fault.
+type Kind string
+
+// The faults. Those of gateways are signals, those of paths are the relays'.
+const (
+	Kill          Kind = "kill"           // SIGKILL, and a new start
+	Stop          Kind = "stop"           // SIGTERM, and a new start when it has ended
+	Pause         Kind = "pause"          // SIGSTOP, and SIGCONT
+	StorePath     Kind = "store_path"     // the path of one gateway to the store
+	StoreSilent   Kind = "store_silent"   // its open connections fall silent
+	StoreMode     Kind = "store_mode"     // the store turns one gateway away, or loses its answers
+	StoreAway     Kind = "store_away"     // the same for all gateways
+	Compact       Kind = "compact"        // the store forgets its history
+	UpstreamPath  Kind = "upstream_path"  // the path of all gateways to one upstream
+	UpstreamReset Kind = "upstream_reset" // its open connections are reset
+	UpstreamQuiet Kind = "upstream_quiet" // they fall silent
+	UpstreamMode  Kind = "upstream_mode"  // it is silent, loses answers, sheds, takes grants late
+	Drain         Kind = "drain"          // it says that it leaves, and comes back as another
+	Configure     Kind = "configure"      // a new configuration
+)
+
+// kinds are all faults, the more often listed the more likely.
+var kinds = []Kind{
+	Kill, Kill, Stop, Stop, Pause, StorePath, StoreSilent, StoreMode, StoreAway, Compact,
+	UpstreamPath, UpstreamPath, UpstreamReset, UpstreamQuiet, UpstreamMode, UpstreamMode, Drain, Configure, Configure,
+}
+
+// Step is one fault.
+type Step struct {
+	Kind Kind
+	// After is the time since the step before.
+	After time.Duration
+	// For is how long the fault lasts.
+	For time.Duration
+	// Target picks a gateway or upstream, Variant one of the ways of the kind.
+	Target, Variant int
+}
+
+// Bounds of a step's times: faults overlap, and the longest outlasts a grant of the
+// leader (4 s) and its lease (1.8 s).
+const (
+	longestGap   = 1500 * time.Millisecond
+	longestFault = 6 * time.Second
+)
+
+// Plan is a series of faults. The same seed gives the same plan.
+type Plan struct {
+	Seed  uint64
+	Steps []Step
+}
+
+// NewPlan returns the plan of a seed.
+func NewPlan(seed uint64, steps int) Plan {
+	rng := rand.New(rand.NewPCG(seed, seed))
+	p := Plan{Seed: seed}
+	for range steps {
+		p.Steps = append(p.Steps, Step{
+			Kind: kinds[rng.IntN(len(kinds))], After: time.Duration(rng.Int64N(int64(longestGap))),
+			For: time.Duration(rng.Int64N(int64(longestFault))), Target: rng.IntN(1 << 16), Variant: rng.IntN(1 << 16),
+		})
+	}
+	return p
+}
+
+// String describes a step.
+func (s Step) String() string { return fmt.Sprintf("%s for %s", s.Kind, s.For.Round(time.Millisecond)) }
--- /dev/null
+++ b/bench/soak/process.go
@@ -0,0 +1,163 @@
+package soak
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rockcroft/rockcroft/platform"
+	"github.com/rockcroft/rockcroft/standin/metastore"
+	"github.com/rockcroft/rockcroft/standin/relay"
+)
+
+// gateway is one gateway process. A script starts it when the file NAME.start is there
+// and writes its id to NAME.pid; it is ended by that id only.
+type gateway struct {
+	name, dir, domain              string
+	callers, ready, peers, metrics string
+	door                           *metastore.Door
+	relay                          *relay.Relay
+
+	mu sync.Mutex
+	// busy says that a fault of the process is under way.
+	busy bool
+	// killed counts the ends that cut off what was in flight.
+	killed int
+}
+
+// startWait bounds the time until the script has started a process, pollPause is the
+// time between looks.
+const (
+	startWait = 20 * time.Second
+	pollPause = 50 * time.Millisecond
+)
+
+func (g *gateway) path(ending string) string { return filepath.Join(g.dir, g.name+ending) }
+
+// start asks the script for a process and waits until it is there.
+func (g *gateway) start() error {
+	if err := os.Remove(g.path(".pid")); err != nil && !errors.Is(err, os.ErrNotExist) {
+		return err
+	}
+	if err := os.WriteFile(g.path(".start"), nil, 0o600); err != nil {
+		return err
+	}
+	for limit := time.Now().Add(startWait); time.Now().Before(limit); time.Sleep(pollPause) {
+		if _, err := g.pid(); err == nil {
+			return nil
+		}
+	}
+	return fmt.Errorf("%s was not started within %s; is scripts/soak.sh running?", g.name, startWait)
+}
+
+func (g *gateway) pid() (int, error) {
+	data, err := os.ReadFile(g.path(".pid"))
+	if err != nil {
+		return 0, err
+	}
+	return strconv.Atoi(strings.TrimSpace(string(data)))
+}
+
+func (g *gateway) signal(s syscall.Signal) error {
+	pid, err := g.pid()
+	if err != nil {
+		return err
+	}
+	return syscall.Kill(pid, s)
+}
+
+// gone waits until the process has ended.
+func (g *gateway) gone(limit time.Duration) bool {
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(pollPause) {
+		if g.signal(0) != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// claim begins a fault of the process, unless one is under way.
+func (g *gateway) claim() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.busy {
+		return false
+	}
+	g.busy = true
+	return true
+}
+
+func (g *gateway) release() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.busy = false
+}
+
+func (g *gateway) noteKilled() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.killed++
+}
+
+func (g *gateway) kills() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.killed
+}
+
+// kill ends the process at once and starts another.
+func (g *gateway) kill(pause time.Duration) error {
+	g.noteKilled()
+	if err := g.signal(syscall.SIGKILL); err != nil {
+		return err
+	}
+	g.gone(startWait)
+	time.Sleep(pause)
+	return g.start()
+}
+
+// stop ends the process gracefully and starts another. It fails when that takes longer
+// than allowed.
+func (g *gateway) stop(pause time.Duration) error {
+	if err := g.signal(syscall.SIGTERM); err != nil {
+		return err
+	}
+	if !g.gone(stopLimit + time.Second) {
+		g.noteKilled()
+		return errors.Join(fmt.Errorf("%s did not stop within %s", g.name, stopLimit), g.kill(pause))
+	}
+	time.Sleep(pause)
+	return g.start()
+}
+
+// pauseFor stops the process for a while and lets it go on.
+func (g *gateway) pauseFor(d time.Duration) error {
+	if err := g.signal(syscall.SIGSTOP); err != nil {
+		return err
+	}
+	time.Sleep(d)
+	return g.signal(syscall.SIGCONT)
+}
+
+// isReady asks the process as the balancer does.
+func (g *gateway) isReady(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+g.ready+platform.ReadyPath, nil)
+	if err != nil {
+		return false
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return false
+	}
+	return resp.Body.Close() == nil && resp.StatusCode == http.StatusOK
+}
--- /dev/null
+++ b/bench/soak/site.go
@@ -0,0 +1,233 @@
+package soak
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/rockcroft/rockcroft/platform"
+	"github.com/rockcroft/rockcroft/standin/instance"
+	"github.com/rockcroft/rockcroft/standin/metastore"
+	"github.com/rockcroft/rockcroft/standin/relay"
+	"github.com/rockcroft/rockcroft/state/jsonc"
+	"github.com/rockcroft/rockcroft/state/settings"
+)
+
+const (
+	keyedService = "status"
+	otherService = "pay"
+	host         = "soak.example"
+	// work is how long a stand-in upstream runs a request.
+	work = 5 * time.Millisecond
+	// slots of each upstream.
+	slots = 4
+	// domains are as many as Addis has.
+	domains = 3
+	// gatewayMemory is what a gateway may use, in MB.
+	gatewayMemory = 100
+	// stopLimit is what gateways get for a stop, as on the platform.
+	stopLimit = 6 * time.Second
+)
+
+// site is the deployment: everything but the gateway processes.
+type site struct {
+	dir    string
+	store  *metastore.Store
+	oracle *instance.Oracle
+
+	mu        sync.Mutex
+	upstreams []*upstream
+	started   int
+	version   uint64
+	gateways  []*gateway
+}
+
+// upstream is a stand-in instance behind a relay.
+type upstream struct {
+	*instance.Instance
+	service string
+	domain  string
+	relay   *relay.Relay
+	server  *http.Server
+}
+
+// newSite opens the store, the upstreams and the gateways' addresses, and writes the
+// gateways' settings.
+func newSite(dir string, size Size) (*site, error) {
+	s := &site{dir: dir, store: metastore.New(), oracle: instance.NewOracle()}
+	s.configure()
+	for i := range size.Upstreams {
+		service := keyedService
+		if i%2 == 1 {
+			service = otherService
+		}
+		if err := s.addUpstream(service, domainName(i/2)); err != nil {
+			return nil, err
+		}
+	}
+	for i := range size.Gateways {
+		g, err := s.newGateway(fmt.Sprintf("g%d", i), domainName(i))
+		if err != nil {
+			return nil, err
+		}
+		s.gateways = append(s.gateways, g)
+	}
+	return s, s.writeSettings()
+}
+
+func domainName(i int) string { return string(rune('a' + i%domains)) }
+
+// configure writes the next version of the configuration.
+func (s *site) configure() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	route := func(path, kind, service string, priority int) platform.RouteBody {
+		return platform.RouteBody{
+			Host: host, Path: path, Kind: kind, Timeout: 2, Objective: 1, Priority: priority,
+			Service: service, MaxAttempts: 2,
+		}
+	}
+	s.store.Put(platform.ConfigKind, platform.ConfigName, platform.ConfigBody{
+		Version: s.version,
+		Routes: map[string]platform.RouteBody{
+			"status": route("/status/", "safe", keyedService, 2),
+			"pay":    route("/pay/", "unsafe", otherService, 0),
+		},
+		Services: map[string]platform.ServiceBody{
+			keyedService: {MaxConns: 1000, Keyed: true, WarmUp: 1}, otherService: {MaxConns: 1000},
+		},
+		Limits: platform.LimitsBody{MaxHeader: 16384, MaxBody: 100000, HeaderTimeout: 3, IdleTimeout: 15},
+	})
+}
+
+// addUpstream starts an instance behind a relay and registers it.
+func (s *site) addUpstream(service, domain string) error {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	r, err := relay.New(l.Addr().String())
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	s.started++
+	id := fmt.Sprintf("i-%s-%d", service, s.started)
+	u := &upstream{
+		Instance: instance.New(id, service == keyedService, work, s.oracle),
+		service:  service, domain: domain, relay: r,
+	}
+	u.server = &http.Server{Handler: u.Instance}
+	s.upstreams = append(s.upstreams, u)
+	s.mu.Unlock()
+	// The server ends with the process or with close; its error says no more.
+	go func() { _ = u.server.Serve(l) }()
+	s.register(u, "ready")
+	return nil
+}
+
+func (s *site) register(u *upstream, state string) {
+	var body platform.InstanceBody
+	body.Address = u.relay.Addr()
+	body.Info.Service, body.Info.Zone, body.Info.Slots = u.service, u.domain, slots
+	body.Status.State = state
+	s.store.Put(platform.InstancesKind, u.ID, body)
+}
+
+// upstreamAt picks one of the upstreams.
+func (s *site) upstreamAt(n int) *upstream {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.upstreams[n%len(s.upstreams)]
+}
+
+// replace lets an upstream leave as the platform's do, and starts another.
+func (s *site) replace(u *upstream) error {
+	s.register(u, "draining")
+	time.Sleep(leaveTime)
+	s.store.Remove(platform.InstancesKind, u.ID)
+	s.mu.Lock()
+	for i, one := range s.upstreams {
+		if one == u {
+			s.upstreams = append(s.upstreams[:i:i], s.upstreams[i+1:]...)
+			break
+		}
+	}
+	s.mu.Unlock()
+	if err := s.addUpstream(u.service, u.domain); err != nil {
+		return err
+	}
+	time.Sleep(leaveTime)
+	u.relay.Close()
+	s.oracle.Ended(u.ID)
+	return u.server.Close()
+}
+
+// leaveTime is how long an upstream serves on after it has said that it leaves.
+const leaveTime = 2500 * time.Millisecond
+
+// newGateway opens the relay of a gateway to the store and finds ports for it.
+func (s *site) newGateway(name, domain string) (*gateway, error) {
+	door := s.store.Door(name)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	// The server ends with the process.
+	go func() { _ = (&http.Server{Handler: door}).Serve(l) }()
+	r, err := relay.New(l.Addr().String())
+	if err != nil {
+		return nil, err
+	}
+	g := &gateway{name: name, dir: s.dir, domain: domain, door: door, relay: r}
+	for _, address := range []*string{&g.callers, &g.ready, &g.peers, &g.metrics} {
+		if *address, err = freeAddress(); err != nil {
+			return nil, err
+		}
+	}
+	return g, nil
+}
+
+// freeAddress returns a loopback address with a port of the kernel's choice.
+func freeAddress() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	return l.Addr().String(), l.Close()
+}
+
+// writeSettings writes the settings file of each gateway.
+func (s *site) writeSettings() error {
+	var errs []error
+	var seeds []jsonc.Addr
+	for _, g := range s.gateways[:min(domains, len(s.gateways))] {
+		seeds = append(seeds, address(g.peers))
+	}
+	for _, g := range s.gateways {
+		conf := settings.DefaultGateway()
+		conf.Node, conf.Domain, conf.Seeds = g.name, g.domain, seeds
+		conf.Callers, conf.Ready, conf.Peers, conf.Metrics = address(g.callers), address(g.ready), address(g.peers), address(g.metrics)
+		conf.Store = address(g.relay.Addr())
+		conf.DrainNotice, conf.StopLimit = jsonc.Duration(time.Second), jsonc.Duration(stopLimit)
+		conf.UpstreamDrain, conf.LongestHold = jsonc.Duration(2*time.Second), jsonc.Duration(10*time.Second)
+		conf.RetryShare, conf.RetryAllowance, conf.RetryWindow = 0.2, 60, jsonc.Duration(10*time.Second)
+		conf.Memory = gatewayMemory
+		data, err := json.MarshalIndent(conf, "", "  ")
+		if err != nil {
+			return err
+		}
+		errs = append(errs, os.WriteFile(filepath.Join(s.dir, g.name+".json"), data, 0o600))
+	}
+	return errors.Join(errs...)
+}
+
+func address(text string) jsonc.Addr { return jsonc.Addr{AddrPort: netip.MustParseAddrPort(text)} }
--- /dev/null
+++ b/bench/soak/soak_test.go
@@ -0,0 +1,124 @@
+package soak
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/rockcroft/rockcroft/standin/instance"
+)
+
+func TestPlanIsThatOfItsSeed(t *testing.T) {
+	if diff := cmp.Diff(NewPlan(7, 50), NewPlan(7, 50)); diff != "" {
+		t.Error(diff)
+	}
+	seen := make(map[Kind]bool)
+	for _, step := range NewPlan(7, 500).Steps {
+		seen[step.Kind] = true
+		if step.After >= longestGap || step.For >= longestFault {
+			t.Errorf("step %+v", step)
+		}
+	}
+	for _, k := range kinds {
+		if !seen[k] {
+			t.Errorf("%s never comes", k)
+		}
+	}
+}
+
+func TestSizesAreRefusedBeforeAnythingStarts(t *testing.T) {
+	good := Size{Gateways: 5, Upstreams: 8, Steps: 20}
+	if err := good.Check(4096); err != nil {
+		t.Error(err)
+	}
+	for name, bad := range map[string]Size{
+		"one gateway":     {Gateways: 1, Upstreams: 8, Steps: 20},
+		"no upstreams":    {Gateways: 5, Steps: 20},
+		"no steps":        {Gateways: 5, Upstreams: 8},
+		"too much memory": {Gateways: 100, Upstreams: 8, Steps: 20},
+	} {
+		if bad.Check(4096) == nil {
+			t.Errorf("%s is played", name)
+		}
+	}
+	dir := t.TempDir()
+	for _, args := range [][]string{{"--seed", "seven"}, {"--seed", "7", "--gateways", "1"}} {
+		cmd := Command(&strings.Builder{})
+		cmd.SetArgs(append([]string{"run", "--dir", filepath.Join(dir, "run")}, args...))
+		if cmd.Execute() == nil {
+			t.Errorf("%v is played", args)
+		}
+	}
+	if files, err := os.ReadDir(dir); err != nil || len(files) > 0 {
+		t.Errorf("something was written: %v, %v", files, err)
+	}
+}
+
+// TestWatcherSeesBrokenPromises: what must not happen is noticed when it does.
+func TestWatcherSeesBrokenPromises(t *testing.T) {
+	for name, c := range map[string]struct {
+		status int
+		body   string
+		run    bool
+		want   int
+	}{
+		"answered":              {200, "done r by i", true, 0},
+		"another's answer":      {200, "done x by i", true, 1},
+		"refused and ran":       {503, "", true, 1},
+		"refused and never ran": {503, "", false, 0},
+		"an error of its own":   {404, "", false, 1},
+		"unknown outcome":       {502, "", true, 0},
+	} {
+		w := newWatcher(&site{oracle: oracleWith(c.run)})
+		w.check("r", true, c.status, c.body)
+		if len(w.violations) != c.want {
+			t.Errorf("%s: %v", name, w.violations)
+		}
+	}
+}
+
+// oracleWith is an oracle to which the request r is known as run, or not.
+func oracleWith(run bool) *instance.Oracle {
+	o := instance.NewOracle()
+	if run {
+		o.Ran("i", "r", "POST")
+	}
+	return o
+}
+
+func TestPage(t *testing.T) {
+	dir := t.TempDir()
+	r := &Report{Seed: 7, Size: Size{Gateways: 5}, Events: []Event{{At: time.Second, What: "kill"}},
+		Violations: []string{"two owners"}, Seconds: []map[outcome]int{{served: 10}, {served: 8, refused: 2}}}
+	run := filepath.Join(dir, "7")
+	if err := os.Mkdir(run, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	if err := r.Save(run); err != nil {
+		t.Fatal(err)
+	}
+	reports, err := Load(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff([]*Report{r}, reports); diff != "" {
+		t.Error(diff)
+	}
+	name := filepath.Join(dir, "soak.html")
+	if err := WritePage(name, reports); err != nil {
+		t.Fatal(err)
+	}
+	page, err := os.ReadFile(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, part := range []string{"two owners", "data:image/svg", "Seed 7"} {
+		if !strings.Contains(string(page), part) {
+			t.Errorf("the page lacks %q", part)
+		}
+	}
+}
--- /dev/null
+++ b/cmd/rocksoak/main.go
@@ -0,0 +1,17 @@
+// Command rocksoak plays seeded series of faults against real gateway processes.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/rockcroft/rockcroft/bench/soak"
+	"github.com/rockcroft/rockcroft/process"
+)
+
+func main() {
+	if err := soak.Command(os.Stdout).Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(process.ExitFailure)
+	}
+}
--- a/standin/instance/instance.go
+++ b/standin/instance/instance.go
@@ -238,7 +238,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	i.Oracle.ran(i.ID, id, r.Method, key, i.Keyed)
+	i.Oracle.Ran(i.ID, id, r.Method)
 	time.Sleep(i.Work)
 	if i.Keyed {
 		i.end(key)
--- a/standin/instance/oracle.go
+++ b/standin/instance/oracle.go
@@ -66,7 +66,8 @@
 	o.holds[id] = scratch.holds
 }
 
-func (o *Oracle) ran(instance, id, method string, _ uint16, _ bool) {
+// Ran notes that an instance begins to run a request.
+func (o *Oracle) Ran(instance, id, method string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.runs[id]++
--- a/state/settings/entry.go
+++ b/state/settings/entry.go
@@ -26,7 +26,7 @@
 	// Exporter is "off", "stdout" or "otlp". Default "off".
 	Exporter string `json:"exporter"`
 	// Endpoint is the address of the OTLP receiver over HTTP.
-	Endpoint jsonc.Addr `json:"endpoint"`
+	Endpoint jsonc.Addr `json:"endpoint,omitzero"`
 	// SampleShare is the share of requests traced, 0 to 1. Default 0.01.
 	SampleShare float64 `json:"sample_share"`
 }
