Keep the former leader's voters until its grants have ended

Cause: found by reading for a longer chain of losses. A successor chose the voters of its lease anew from the gateways that it knew; lost before the grants of ten seconds of its former had ended, it left a list to the next leader of which perhaps nobody knew of the promises to the one before. The next would then have given the keys of a silent owner away 6 s too early. Change: the first voters of a lease are those of the former one, and they change only when no grant of a former leader may last; the first leader of all may change them at once. Test: TestVotersAreInherited (failed to build against the old code, which had no such rule).

--- a/gateway/lead.go
+++ b/gateway/lead.go
@@ -200,7 +200,7 @@
 	self := l.cluster.self
 	mine := leadership.Lease{
 		Node: self.Node, Address: self.Address, Domain: self.Domain, Incarnation: self.Incarnation,
-		Term: former.Term + 1, Voters: l.voters(nil),
+		Term: former.Term + 1, Voters: l.firstVoters(former),
 	}
 	sent := l.now()
 	var object platform.Object
@@ -255,7 +255,7 @@
 		return
 	}
 	next.Renewals++
-	if voters := l.voters(next.Voters); !l.doubtful() && !slices.Equal(voters, next.Voters) {
+	if voters := l.voters(next.Voters); l.votersMayChange() && !slices.Equal(voters, next.Voters) {
 		next.Voters = voters
 		l.mu.Lock()
 		l.voterLists = append(l.voterLists, voters)
--- a/gateway/promises.go
+++ b/gateway/promises.go
@@ -171,6 +171,29 @@
 	return l.formerKnown && l.now().After(l.formerHolds)
 }
 
+// firstVoters are the voters of a lease that is taken over: those of the former one. A
+// leader that is lost in turn, before the grants of its former have ended, leaves a
+// list to its successor that knows of the promises to both.
+func (l *leading) firstVoters(former leadership.Lease) []string {
+	if len(former.Voters) > 0 {
+		return former.Voters
+	}
+	return l.voters(nil)
+}
+
+// votersMayChange reports whether the lease may name other voters than before: when
+// its renewal is not in doubt, and no upstream may hold keys by promises to a former
+// leader that only the present voters know of.
+func (l *leading) votersMayChange() bool {
+	if l.doubtful() {
+		return false
+	}
+	l.mu.Lock()
+	first := l.lease.Term == 1
+	l.mu.Unlock()
+	return first || l.formerHoldsEnded()
+}
+
 // voters chooses the voters among the gateways that report.
 func (l *leading) voters(former []string) []string {
 	list, _ := l.cluster.list()
--- a/gateway/succession_test.go
+++ b/gateway/succession_test.go
@@ -5,7 +5,11 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/rockcroft/rockcroft/coordination/leadership"
 	"github.com/rockcroft/rockcroft/platform"
+	"github.com/rockcroft/rockcroft/protocol/syncpb"
 	"github.com/rockcroft/rockcroft/standin/instance"
 	"github.com/rockcroft/rockcroft/standin/metastore"
 	"github.com/rockcroft/rockcroft/state/spans"
@@ -96,3 +100,42 @@
 	b.store.SetAll(metastore.Open)
 	b.ready()
 }
+
+// TestVotersAreInherited: the first voters of a leader are those of its former, and stay
+// until no grant of the former may last. Else a leader that knows few gateways and is
+// lost at once leaves a list to the next one of which nobody knows of promises that the
+// leader before it had: keys of a silent owner would be given away under its grant of
+// ten seconds.
+func TestVotersAreInherited(t *testing.T) {
+	now := time.Now()
+	clock := func() time.Time { return now }
+	self := &syncpb.Member{Node: "fresh", Address: "10.0.0.9:1", Domain: "a"}
+	l := &leading{now: clock, cluster: newCluster(self, nil, clock, nil)}
+	former := leadership.Lease{Term: 7, Voters: []string{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"}}
+	if diff := cmp.Diff(former.Voters, l.firstVoters(former)); diff != "" {
+		t.Error(diff)
+	}
+	l.lease = leadership.Lease{Term: 8, Voters: former.Voters}
+	l.right.Renewed(now)
+	if l.votersMayChange() {
+		t.Error("the voters change before they were asked for promises to the former leader")
+	}
+	l.setFormerHolds(8, now.Add(heldFor(holdTime)))
+	if l.votersMayChange() {
+		t.Error("the voters change while grants of the former leader last")
+	}
+	now = now.Add(heldFor(holdTime) + time.Millisecond)
+	l.right.Renewed(now)
+	if !l.votersMayChange() {
+		t.Error("the voters never change")
+	}
+	first := &leading{now: clock, cluster: l.cluster}
+	if diff := cmp.Diff([]string{self.Address}, first.firstVoters(leadership.Lease{})); diff != "" {
+		t.Error(diff)
+	}
+	first.lease = leadership.Lease{Term: 1}
+	first.right.Renewed(now)
+	if !first.votersMayChange() {
+		t.Error("the first leader of all keeps to the voters that it knew at its start")
+	}
+}
