--- a/coordination/dispatch/dispatch.go
+++ b/coordination/dispatch/dispatch.go
@@ -31,9 +31,10 @@
 	// gets requests for keys that have not moved yet; the rest is for the news of
 	// its leaving to arrive.
 	drainShare = 0.6
-	// crossDomainCost makes an upstream of another failure domain look
-	// slower: bytes between domains are priced, a queue costs more.
-	crossDomainCost = 1.7
+	// crossDomainCost makes an upstream of another failure domain look slower: bytes
+	// between domains are priced. A queue in the own domain that is longer than this
+	// costs more than they do.
+	crossDomainCost = 2.5
 	// jitter spreads scores evenly by this share to both sides, so that
 	// gateways with the same view do not all choose the same upstream.
 	jitter = 0.12
