--- a/gateway/cluster.go
+++ b/gateway/cluster.go
@@ -278,6 +278,16 @@
 	return sum
 }
 
+// inFlightElsewhere returns how many requests all other gateways have in flight, by
+// upstream.
+func (c *cluster) inFlightElsewhere() map[string]float64 {
+	others := make(map[string]float64)
+	for id, l := range c.loads(c.self.Node, nil) {
+		others[id] = float64(l.Inflight)
+	}
+	return others
+}
+
 // below returns what this gateway and those that report to it have in flight, by
 // upstream.
 func (c *cluster) below(own []*syncpb.Load) map[string]*syncpb.Load {
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -119,11 +119,7 @@
 // shareLoads tells the decisions about requests what all other gateways have in
 // flight: those above, and those that report to this one.
 func (f *follower) shareLoads(gateways int) {
-	others := make(map[string]float64)
-	for id, l := range f.cluster.loads(f.cluster.self.Node, nil) {
-		others[id] = float64(l.Inflight)
-	}
-	f.traffic.reported(others, gateways)
+	f.traffic.reported(f.cluster.inFlightElsewhere(), gateways)
 }
 
 // request builds a report.
--- /dev/null
+++ b/gateway/handlers.go
@@ -0,0 +1,59 @@
+package gateway
+
+import (
+	"net/http"
+
+	"github.com/gorilla/mux"
+
+	"github.com/rockcroft/rockcroft/platform"
+	"github.com/rockcroft/rockcroft/protocol/placementpb"
+	"github.com/rockcroft/rockcroft/protocol/syncpb"
+)
+
+// This file serves the balancer, the other gateways and operators.
+
+// ready reports whether callers should be sent here.
+func (g *Gateway) ready() bool {
+	table := g.view.table.Load()
+	if g.draining.Load() || table == nil || g.view.inst.Load() == nil {
+		return false
+	}
+	for name, s := range table.Services {
+		if s.Keyed && g.view.spansOf(name) == nil {
+			return false
+		}
+	}
+	return true
+}
+
+func (g *Gateway) readyHandler() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc(platform.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
+		if !g.ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	}).Methods(http.MethodGet)
+	return r
+}
+
+// metricsHandler serves the counters as text.
+func (g *Gateway) metricsHandler() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		g.gauges()
+		g.meters.write(w)
+	}).Methods(http.MethodGet)
+	return r
+}
+
+func (g *Gateway) peerHandler() http.Handler {
+	server := &peerServer{
+		view: g.view, cluster: g.cluster, store: g.calls, steward: g.steward, traffic: g.traffic,
+		promises: g.leading.promises, follower: g.follower, watcher: g.watcher,
+	}
+	r := mux.NewRouter()
+	r.PathPrefix(syncpb.PeerPathPrefix).Handler(syncpb.NewPeerServer(server))
+	r.PathPrefix(placementpb.PlacementPathPrefix).Handler(placementpb.NewPlacementServer(g.steward.placements))
+	return r
+}
--- /dev/null
+++ b/gateway/resign.go
@@ -0,0 +1,70 @@
+package gateway
+
+import (
+	"context"
+	"time"
+)
+
+const (
+	// resignTimeout bounds giving the lease up at the end.
+	resignTimeout = 1000 * time.Millisecond
+	// resignPause is the time between tries to give it up while the store is away.
+	resignPause = 200 * time.Millisecond
+)
+
+// resign gives the lease up, so that another gateway can take it at once. While the
+// store is away nobody could take it: this process then leads on until the store is
+// back or ctx is about to end, so that owners have the longest grants when it ends.
+func (l *leading) resign(ctx context.Context) {
+	l.resigned.Store(true)
+	for l.cluster.isLeading() && !l.renewNow(ctx) && untilEnd(ctx) > resignTimeout {
+		pause(ctx, resignPause)
+	}
+	l.giveUp(ctx)
+}
+
+// untilEnd returns the time until the deadline of ctx; zero when it has ended.
+func untilEnd(ctx context.Context) time.Duration {
+	end, ok := ctx.Deadline()
+	if !ok || ctx.Err() != nil {
+		return 0
+	}
+	return time.Until(end)
+}
+
+// renewNow renews the lease before that is due, and reports whether the store has
+// taken it.
+func (l *leading) renewNow(ctx context.Context) bool {
+	asked := l.now()
+	l.mu.Lock()
+	l.renewedAt = time.Time{}
+	l.mu.Unlock()
+	l.keep(ctx)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.renewedAt.Before(asked)
+}
+
+// giveUp ends the role and tells the store so.
+func (l *leading) giveUp(ctx context.Context) {
+	l.writing.Lock()
+	defer l.writing.Unlock()
+	if !l.cluster.isLeading() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, resignTimeout)
+	defer cancel()
+	l.steward.finish(ctx)
+	l.cluster.setLeading(false)
+	l.mu.Lock()
+	l.right.Drop()
+	l.extended.Drop()
+	next, revision := l.lease, l.revision
+	l.mu.Unlock()
+	next.Released = true
+	if _, err := l.store.Replace(ctx, leaseKind, leaseName, revision, next); err != nil {
+		l.log.Warn("lease not given up", "error", err)
+		return
+	}
+	l.log.Info("lease given up", "term", next.Term)
+}
--- a/gateway/steward.go
+++ b/gateway/steward.go
@@ -124,11 +124,7 @@
 		}
 	}
 	s.mu.Unlock()
-	others := make(map[string]float64)
-	for id, l := range s.cluster.loads(s.cluster.self.Node, nil) {
-		others[id] = float64(l.Inflight)
-	}
-	s.traffic.reported(others, s.cluster.gateways())
+	s.traffic.reported(s.cluster.inFlightElsewhere(), s.cluster.gateways())
 }
 
 // setOwn keeps this process's last report.
