--- a/bench/soak/site.go
+++ b/bench/soak/site.go
@@ -73,7 +73,7 @@
 		}
 	}
 	for i := range size.Gateways {
-		g, err := s.newGateway(fmt.Sprintf("g%d", i), domainName(i))
+		g, err := s.newGateway(i)
 		if err != nil {
 			return nil, err
 		}
@@ -175,7 +175,8 @@
 const leaveTime = 2500 * time.Millisecond
 
 // newGateway opens the relay of a gateway to the store and finds ports for it.
-func (s *site) newGateway(name, domain string) (*gateway, error) {
+func (s *site) newGateway(number int) (*gateway, error) {
+	name, domain, ip := fmt.Sprintf("g%d", number), domainName(number), gatewayIP(number)
 	door := s.store.Door(name)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -189,16 +190,24 @@
 	}
 	g := &gateway{name: name, dir: s.dir, domain: domain, door: door, relay: r}
 	for _, address := range []*string{&g.callers, &g.ready, &g.peers, &g.metrics} {
-		if *address, err = freeAddress(); err != nil {
+		if *address, err = freeAddress(ip); err != nil {
 			return nil, err
 		}
 	}
 	return g, nil
 }
 
+// gatewayIP returns the loopback address of the gateway with the number. Gateways have
+// addresses of their own: on 127.0.0.1 a connection on its way out may have taken the
+// port of one that is to start again.
+func gatewayIP(number int) string {
+	const octet = 256
+	return fmt.Sprintf("127.77.%d.%d", os.Getpid()%octet, 1+number%(octet-2))
+}
+
 // freeAddress returns a loopback address with a port of the kernel's choice.
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+func freeAddress(ip string) (string, error) {
+	l, err := net.Listen("tcp", ip+":0")
 	if err != nil {
 		return "", err
 	}
