Save ended moves after a second; a successor goes by what it was told

Found on the way: a move that ended while a plan was being written counted as saved and was not. Ruled out: saving later alone, as a successor would take ended moves for moves under way, and wait for the hold of an upstream that has left. Change: ended moves are saved after 1 s, or with the next plan; a successor takes over what the former leader had told it when that is newer than the stored table; changes of upstreams are collected for 0.25 s (a leaving one has two seconds).

--- a/gateway/keeper.go
+++ b/gateway/keeper.go
@@ -27,9 +27,10 @@
 	arrivalMargin = 200 * time.Millisecond
 	// planInterval is the time between plans.
 	planInterval = 250 * time.Millisecond
-	// saveInterval is how long moves that have ended are collected for one
-	// write while others are under way.
-	saveInterval = 400 * time.Millisecond
+	// saveInterval is how long moves that have ended are collected for one write. A
+	// leader that is lost before it has told the other gateways; what none of them
+	// knows its successor takes for moves under way, and makes again.
+	saveInterval = time.Second
 	// keepInterval is the time between looks at what is due.
 	keepInterval = 25 * time.Millisecond
 	// gatherTime is how long the set of upstreams must be unchanged before the
@@ -177,7 +178,7 @@
 				return false
 			}
 		}
-		if k.claim(ctx, table, revision) {
+		if k.claim(ctx, k.newest(table), revision) {
 			return true
 		}
 		pause(ctx, firstBackoff)
@@ -185,6 +186,19 @@
 	return false
 }
 
+// newest returns what the former leader has told this gateway of its assignment, when
+// that is newer than the stored one: moves that have ended are saved some time later.
+// Whatever it told, its fences are reserved in the store.
+func (k *keeper) newest(stored *spans.Table) *spans.Table {
+	told := k.view.spansOf(k.service)
+	if told == nil || told.Version <= stored.Version || told.Version>>termShift != stored.Version>>termShift {
+		return stored
+	}
+	next := told.Clone()
+	next.LastFence = max(told.LastFence, stored.LastFence)
+	return next
+}
+
 // claim writes the assignment in this leader's name before anything else is
 // done with it: what a former leader writes later is refused by the store, and
 // what it wrote before is in this table.
--- a/gateway/keeperstore.go
+++ b/gateway/keeperstore.go
@@ -59,26 +59,28 @@
 	defer k.mu.Unlock()
 	k.revision = got
 	k.inheritHolds(before, next)
-	k.table = k.merge(next)
-	k.unsaved = false
+	k.table, k.unsaved = k.merge(next)
+	k.savedAt = k.now()
 	k.publish()
 }
 
-// merge brings the moves that ended while the table was being written into it.
-// The lock is held.
-func (k *keeper) merge(next *spans.Table) *spans.Table {
+// merge brings the moves that ended while the table was being written into it, and
+// reports whether there were any: the store does not have them. The lock is held.
+func (k *keeper) merge(next *spans.Table) (merged *spans.Table, changed bool) {
 	for i := range next.Spans {
 		s := &next.Spans[i]
 		now := k.table.Find(s.First)
 		if s.Moving() && !now.Moving() && now.Owner == s.Next && now.Fence == s.NextFence {
 			s.Owner, s.Fence, s.Next, s.NextFence = now.Owner, now.Fence, "", 0
+			changed = true
 		}
 		if s.Moving() && !now.Moving() && now.Owner == "" && now.Fence == s.NextFence {
 			s.Owner, s.Fence, s.Next, s.NextFence = "", now.Fence, "", 0
+			changed = true
 		}
 	}
 	next.LastFence = max(next.LastFence, k.table.LastFence)
-	return next
+	return next, changed
 }
 
 // inheritHolds gives spans that were split what was known of the whole. The
@@ -121,7 +123,7 @@
 // saveDone writes moves that have ended to the store, together.
 func (k *keeper) saveDone(ctx context.Context) {
 	k.mu.Lock()
-	due := k.unsaved && (len(k.moving) == 0 || k.now().Sub(k.savedAt) > saveInterval)
+	due := k.unsaved && k.now().Sub(k.savedAt) > saveInterval
 	next := k.table.Clone()
 	revision := k.revision
 	k.mu.Unlock()
--- a/gateway/succession_test.go
+++ b/gateway/succession_test.go
@@ -139,3 +139,35 @@
 		t.Error("the first leader of all keeps to the voters that it knew at its start")
 	}
 }
+
+// TestSuccessorKnowsWhatWasTold: moves that had ended and were not saved yet are no
+// moves for a successor that has heard of their end.
+func TestSuccessorKnowsWhatWasTold(t *testing.T) {
+	const term = 3
+	table := func(term, write uint64, owner string) *spans.Table {
+		return &spans.Table{
+			Service: "status", Version: term<<termShift | write, LastFence: 10 + write,
+			Spans: []spans.Span{{Keys: spans.Keys{Last: spans.MaxKey}, Owner: owner, Fence: 10}},
+		}
+	}
+	for name, c := range map[string]struct {
+		told *spans.Table
+		want string
+	}{
+		"nothing was told":    {nil, "stored"},
+		"told later":          {table(term, 8, "told"), "told"},
+		"told before":         {table(term, 2, "told"), "stored"},
+		"told by one earlier": {table(term-1, 9, "told"), "stored"},
+	} {
+		v := newView()
+		if c.told != nil {
+			v.setSpans(c.told)
+		}
+		k := &keeper{steward: &steward{view: v}, service: "status"}
+		stored := table(term, 5, "stored")
+		got := k.newest(stored)
+		if got.Spans[0].Owner != c.want || got.LastFence < stored.LastFence {
+			t.Errorf("%s: owner %s, last fence %d", name, got.Spans[0].Owner, got.LastFence)
+		}
+	}
+}
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -16,8 +16,11 @@
 	// watch hears nothing and only the next one is told so, and a path may fall
 	// silent: changes are to be in force within two seconds all the same.
 	watchWait = 1200 * time.Millisecond
-	// joinEvents is how long changes are collected before the next watch.
-	joinEvents = 100 * time.Millisecond
+	// joinConfiguration and joinInstances are how long changes are collected before
+	// the next watch. Upstreams come and go by the dozen; the time of one that leaves
+	// is two seconds and more.
+	joinConfiguration = 100 * time.Millisecond
+	joinInstances     = 250 * time.Millisecond
 	// firstBackoff and longestBackoff bound the pause after a failed call.
 	firstBackoff   = 100 * time.Millisecond
 	longestBackoff = 800 * time.Millisecond
@@ -61,15 +64,17 @@
 	w.tracker = instances.NewTracker(w.view.inst.Load(), w.now(), w.salt)
 	w.mu.Unlock()
 	var all sync.WaitGroup
-	all.Go(func() { w.follow(ctx, platform.ConfigKind, w.listConfiguration, w.configurationEvents) })
-	all.Go(func() { w.follow(ctx, platform.InstancesKind, w.listInstances, w.instanceEvents) })
+	all.Go(func() {
+		w.follow(ctx, platform.ConfigKind, joinConfiguration, w.listConfiguration, w.configurationEvents)
+	})
+	all.Go(func() { w.follow(ctx, platform.InstancesKind, joinInstances, w.listInstances, w.instanceEvents) })
 	all.Go(func() { w.settle(ctx) })
 	all.Wait()
 }
 
 // follow lists a kind and watches it from there, listing again when the
 // history is gone.
-func (w *watcher) follow(ctx context.Context, kind string, list func([]platform.Object, uint64), events func([]platform.Object, uint64)) {
+func (w *watcher) follow(ctx context.Context, kind string, join time.Duration, list func([]platform.Object, uint64), events func([]platform.Object, uint64)) {
 	backoff := firstBackoff
 	revision, known := uint64(0), false
 	for ctx.Err() == nil {
@@ -86,7 +91,7 @@
 			if changes, next, err = w.watch(ctx, kind, revision); err == nil && len(changes) > 0 {
 				revision = advance(revision, changes, next)
 				events(changes, revision)
-				pause(ctx, joinEvents)
+				pause(ctx, join)
 			}
 		}
 		switch {
