Use no other connection to gateways after a report without an answer

Cause: the users' news say that connections between machines may go silent for good, while new ones work. Change: such a report closes the idle connections to all gateways. Test: TestSilentPeers, over a relay; failed first.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -92,6 +92,11 @@
 		f.mu.Lock()
 		f.refused = errors.Is(err, syscall.ECONNREFUSED)
 		f.mu.Unlock()
+		if errors.Is(err, context.DeadlineExceeded) {
+			// Connections can fall silent together without a reset; others to that
+			// gateway would cost one more report each.
+			f.cluster.http.CloseIdleConnections()
+		}
 		return false, false
 	}
 	f.take(resp)
--- a/gateway/follow_test.go
+++ b/gateway/follow_test.go
@@ -1,10 +1,14 @@
 package gateway
 
 import (
+	"context"
+	"net/http"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/rockcroft/rockcroft/protocol/syncpb"
+	"github.com/rockcroft/rockcroft/standin/relay"
 	"github.com/rockcroft/rockcroft/state/routing"
 )
 
@@ -70,3 +74,39 @@
 		t.Error("a seed waits")
 	}
 }
+
+// TestSilentPeers: when a report gets no answer, the other connections to gateways are
+// not used any more: they may have fallen silent with that one.
+func TestSilentPeers(t *testing.T) {
+	t.Parallel()
+	b := standard(t)
+	leader := b.leader()
+	var f *follower
+	for _, g := range b.gateways {
+		if g != leader {
+			f = g.follower
+		}
+	}
+	r, err := relay.New(leader.open.Peers.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.Close()
+	transport, ok := f.cluster.http.Transport.(*http.Transport)
+	if !ok {
+		t.Fatal("another transport")
+	}
+	// Else idle connections end by themselves after a while.
+	transport.IdleConnTimeout = 0
+	const wait = 100 * time.Millisecond
+	var all sync.WaitGroup
+	for range 3 {
+		all.Go(func() { f.report(context.Background(), r.Addr(), wait) })
+	}
+	all.Wait()
+	r.SilenceAll()
+	if ok, _ := f.report(context.Background(), r.Addr(), wait); ok {
+		t.Fatal("no connection was kept")
+	}
+	b.eventually("the other connections are closed", func() bool { return r.Open() == 0 })
+}
--- a/standin/relay/relay.go
+++ b/standin/relay/relay.go
@@ -65,6 +65,13 @@
 // Addr is the address to connect to.
 func (r *Relay) Addr() string { return r.listener.Addr().String() }
 
+// Open returns the number of open connections.
+func (r *Relay) Open() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.links)
+}
+
 // Set changes the fault, for open connections too.
 func (r *Relay) Set(f Fault) {
 	r.mu.Lock()
