Work capacity out on the command line, from slopes of gateways

What: benchmarks of a gateway's messages, of a request through it against one straight to the upstream, and of a plan; rockcroftctl capacity; rockcroftctl check --as gateway, which was missing, with an example file. The gateway's own code is unchanged.

--- a/Makefile
+++ b/Makefile
@@ -37,7 +37,7 @@
 	scripts/guards.sh
 
 bench: ## measure the slopes that docs/CAPACITY.md is worked out from
-	go test -run '^$$' -bench . -benchmem ./coordination/... ./state/... ./transport/... ./entry
+	go test -run '^$$' -bench . -benchmem ./coordination/... ./state/... ./transport/... ./entry ./gateway
 
 check: ## format, vet and linter
 	gofmt -l .
--- a/coordination/ownership/plan_test.go
+++ b/coordination/ownership/plan_test.go
@@ -282,3 +282,21 @@
 		t.Error("keys pinned to a lost upstream stay there")
 	}
 }
+
+// BenchmarkMake is one plan that finds nothing to do, at the size of Addis grown and at
+// ten times that.
+func BenchmarkMake(b *testing.B) {
+	for _, n := range []int{119, 1190} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			list := owners(n)
+			in := Input{Table: done(First("s", list)), Owners: list, Load: make(map[uint16]float64)}
+			for k := range uint16(2000) {
+				in.Load[32*k] = 0.01
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				Make(in)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/ctl/capacity.go
@@ -0,0 +1,58 @@
+package ctl
+
+import (
+	"fmt"
+	"text/tabwriter"
+
+	"github.com/spf13/cobra"
+
+	"github.com/rockcroft/rockcroft/state/capacity"
+)
+
+func capacityCommand(o *options) *cobra.Command {
+	shape := capacity.Shape{}
+	cmd := &cobra.Command{
+		Use:   "capacity",
+		Short: "Work out what gateways cost at a size, from measured slopes",
+		Long: "Prints processor time, memory, bytes and calls of each role, and which exceed what a node may\n" +
+			"spend on control. It is arithmetic on slopes measured at small sizes; see docs/CAPACITY.md.",
+		Example: "  rockcroftctl capacity --gateways 78 --domains 3 --upstreams 346 --keyed 119 --rate 1400",
+		Args:    cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			if err := shape.Check(); err != nil {
+				return usageError{err}
+			}
+			lines := capacity.Estimate(shape)
+			if o.json() {
+				return writeJSON(o.out, lines)
+			}
+			return o.printCapacity(lines)
+		},
+	}
+	cmd.Flags().IntVar(&shape.Gateways, "gateways", 11, "gateways in all")
+	cmd.Flags().IntVar(&shape.Domains, "domains", 3, "failure domains")
+	cmd.Flags().IntVar(&shape.Upstreams, "upstreams", 35, "upstreams in all")
+	cmd.Flags().IntVar(&shape.Keyed, "keyed", 11, "upstreams of the largest service divided by key")
+	cmd.Flags().Float64Var(&shape.Rate, "rate", 569, "requests a second in all")
+	return cmd
+}
+
+func (o *options) printCapacity(lines []capacity.Line) error {
+	w := tabwriter.NewWriter(o.out, 0, 0, 2, ' ', 0)
+	if _, err := fmt.Fprintln(w, "ROLE\tWHAT\tVALUE\tLIMIT\tGROWS WITH"); err != nil {
+		return err
+	}
+	for _, l := range lines {
+		limit := "-"
+		if l.Limit > 0 {
+			limit = fmt.Sprintf("%.4g", l.Limit)
+		}
+		if !l.Fits() {
+			limit += " DOES NOT FIT"
+		}
+		if _, err := fmt.Fprintf(w, "%s\t%s\t%.4g %s\t%s\t%s\n", l.Role, l.What, l.Value, l.Unit, limit, l.By); err != nil {
+			return err
+		}
+	}
+	return w.Flush()
+}
--- a/ctl/check.go
+++ b/ctl/check.go
@@ -14,7 +14,7 @@
 	cmd := &cobra.Command{
 		Use:     "check FILE...",
 		Short:   "Check settings or intent files and report every finding",
-		Example: "  rockcroftctl check --as entry entry.jsonc\n  rockcroftctl check --as intent create.jsonc",
+		Example: "  rockcroftctl check --as entry entry.jsonc\n  rockcroftctl check --as gateway gateway.jsonc\n  rockcroftctl check --as intent create.jsonc",
 		Args:    cobra.MinimumNArgs(1),
 		RunE: func(_ *cobra.Command, args []string) error {
 			for _, path := range args {
@@ -23,10 +23,13 @@
 				case "entry":
 					conf := settings.DefaultEntry()
 					err = jsonc.Load(path, &conf)
+				case "gateway":
+					conf := settings.DefaultGateway()
+					err = jsonc.Load(path, &conf)
 				case "intent":
 					_, err = loadSpec(path)
 				default:
-					return usageError{fmt.Errorf("--as must be entry or intent")}
+					return usageError{fmt.Errorf("--as must be entry, gateway or intent")}
 				}
 				if err != nil {
 					return err
@@ -36,6 +39,6 @@
 			return nil
 		},
 	}
-	cmd.Flags().StringVar(&kind, "as", "entry", "entry or intent")
+	cmd.Flags().StringVar(&kind, "as", "entry", "entry, gateway or intent")
 	return cmd
 }
--- a/ctl/ctl.go
+++ b/ctl/ctl.go
@@ -57,7 +57,7 @@
 			if o.output != "table" && o.output != "json" {
 				return usageError{fmt.Errorf("--output must be table or json")}
 			}
-			if cmd.Name() == "check" || cmd.Name() == "story" {
+			if cmd.Name() == "check" || cmd.Name() == "story" || cmd.Name() == "capacity" {
 				return nil
 			}
 			if err := o.entry.UnmarshalText([]byte(entry)); err != nil {
@@ -72,7 +72,7 @@
 	root.AddCommand(
 		createCommand(o), listCommand(o), showCommand(o), confirmCommand(o), cancelCommand(o),
 		statusCommand(o), checkCommand(o), leaveCommand(o), evictCommand(o), moveCommand(o),
-		storyCommand(o), placementCommand(o),
+		storyCommand(o), placementCommand(o), capacityCommand(o),
 	)
 	return root
 }
--- /dev/null
+++ b/gateway/bench_test.go
@@ -0,0 +1,176 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"go.opentelemetry.io/otel/trace/noop"
+
+	"github.com/rockcroft/rockcroft/platform"
+	"github.com/rockcroft/rockcroft/protocol/syncpb"
+	"github.com/rockcroft/rockcroft/standin/instance"
+	"github.com/rockcroft/rockcroft/state/instances"
+	"github.com/rockcroft/rockcroft/state/jsonc"
+	"github.com/rockcroft/rockcroft/state/routing"
+	"github.com/rockcroft/rockcroft/state/settings"
+	"github.com/rockcroft/rockcroft/state/spans"
+	"github.com/rockcroft/rockcroft/transport/eventlog"
+	"github.com/rockcroft/rockcroft/transport/pool"
+)
+
+// These benchmarks measure what docs/CAPACITY.md is worked out from. Both ends of a
+// message run in one process: half is counted for each.
+
+// benchPeer serves the reports of other gateways as a leader does.
+func benchPeer(b *testing.B) (*peerServer, string) {
+	b.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	self := &syncpb.Member{Node: "leader", Address: l.Addr().String(), Domain: "a"}
+	c := newCluster(self, http.DefaultClient, time.Now, nil)
+	c.setLeading(true)
+	p := &peerServer{view: newView(), cluster: c, steward: &steward{}}
+	server := &http.Server{Handler: syncpb.NewPeerServer(p)}
+	b.Cleanup(func() { _ = server.Close() })
+	go func() { _ = server.Serve(l) }()
+	return p, l.Addr().String()
+}
+
+// BenchmarkReport is one report with the loads of some upstreams, and its answer.
+func BenchmarkReport(b *testing.B) {
+	for _, upstreams := range []int{10, 100} {
+		b.Run(fmt.Sprint(upstreams), func(b *testing.B) {
+			p, address := benchPeer(b)
+			// News that the sender does not know: the answer is not held back.
+			p.view.setConfiguration(1, []byte("{}"), &routing.Configuration{Version: 1})
+			client := syncpb.NewPeerProtobufClient("http://"+address, &http.Client{})
+			r := &syncpb.SyncRequest{Member: &syncpb.Member{Node: "g", Address: "127.0.0.1:1", Domain: "a"}, WaitMs: 1}
+			for i := range upstreams {
+				r.Loads = append(r.Loads, &syncpb.Load{Instance: fmt.Sprintf("i-%08x", i), Inflight: 1, WorkUs: 60000})
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := client.Sync(context.Background(), r); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+// benchInstance is a stand-in upstream that answers at once.
+func benchInstance(b *testing.B) string {
+	b.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	server := &http.Server{Handler: instance.New("i-1", false, 0, instance.NewOracle())}
+	b.Cleanup(func() { _ = server.Close() })
+	go func() { _ = server.Serve(l) }()
+	return l.Addr().String()
+}
+
+// BenchmarkRenewal is one call to an upstream as a renewal is: here a release, for
+// which the stand-in keeps little.
+func BenchmarkRenewal(b *testing.B) {
+	address := benchInstance(b)
+	owners := platform.NewOwners(pool.New(upstreamLimits, time.Now))
+	b.ReportAllocs()
+	for b.Loop() {
+		verdict, _, err := owners.Release(context.Background(), "i-1", address, spans.Keys{Last: 9}, 1)
+		if err != nil || verdict != platform.Granted {
+			b.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkNews is the answer that tells the owners of some spans whole.
+func BenchmarkNews(b *testing.B) {
+	for _, n := range []int{256, 2048} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			p, _ := benchPeer(b)
+			p.view.setInstances(1, instances.NewView(1, nil))
+			t := &spans.Table{Service: "s", Version: 1, LastFence: uint64(n)}
+			for i := range n {
+				width := (spans.MaxKey + 1) / n
+				t.Spans = append(t.Spans, spans.Span{
+					Keys:  spans.Keys{First: uint16(i * width), Last: uint16((i+1)*width - 1)},
+					Owner: fmt.Sprintf("i-%08x", i%100), Fence: uint64(i + 1),
+				})
+			}
+			p.view.setSpans(t)
+			r := &syncpb.SyncRequest{Member: &syncpb.Member{Node: "g", Address: "x"}}
+			b.ReportAllocs()
+			for b.Loop() {
+				if len(p.news(r).Spans) != 1 {
+					b.Fatal("no news")
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkForward is one request through a gateway, and the same straight to the
+// upstream, over the same kind of connections: the ratio is what a gateway adds.
+func BenchmarkForward(b *testing.B) {
+	address := benchInstance(b)
+	ask := func(b *testing.B, to string, conns *pool.Pool) {
+		b.Helper()
+		h := http.Header{platform.RequestID: {"r"}, platform.Deadline: {"2000"}}
+		resp, err := conns.Do(context.Background(), to, &pool.Request{
+			Method: http.MethodGet, Target: "/read/x", Host: "h.example", Header: h, EchoHeader: platform.RequestID, Echo: "r",
+		})
+		if err != nil || resp.Status != http.StatusOK {
+			b.Fatal(err, resp)
+		}
+	}
+	b.Run("straight", func(b *testing.B) {
+		conns := pool.New(upstreamLimits, time.Now)
+		for b.Loop() {
+			ask(b, address, conns)
+		}
+	})
+	b.Run("gateway", func(b *testing.B) {
+		g := benchGateway(b, address)
+		conns := pool.New(upstreamLimits, time.Now)
+		for b.Loop() {
+			ask(b, g, conns)
+		}
+	})
+}
+
+// benchGateway is a gateway's front with one upstream, without a store or a leader.
+func benchGateway(b *testing.B, upstream string) string {
+	b.Helper()
+	conf := settings.DefaultGateway()
+	conf.Domain, conf.RetryWindow, conf.Memory = "a", jsonc.Duration(10*time.Second), 200
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	open := Listeners{Callers: l, Ready: l, Peers: l}
+	g := New(conf, open, eventlog.New(time.Now))
+	body, err := json.Marshal(config(1))
+	if err != nil {
+		b.Fatal(err)
+	}
+	c, err := platform.DecodeConfiguration(body)
+	if err != nil {
+		b.Fatal(err)
+	}
+	g.view.setConfiguration(1, body, c)
+	g.view.setInstances(1, instances.NewView(1, []instances.Instance{{ID: "i-1", Service: "pay", Address: upstream, Domain: "a", Slots: 4}}))
+	g.front.tracer = noop.NewTracerProvider().Tracer("")
+	server := &http.Server{Handler: g.front}
+	b.Cleanup(func() { _ = server.Close() })
+	go func() { _ = server.Serve(l) }()
+	return l.Addr().String()
+}
--- /dev/null
+++ b/state/capacity/capacity.go
@@ -0,0 +1,166 @@
+// Package capacity works out what gateways cost for control at a given size, from
+// slopes that were measured at small sizes. It is arithmetic: nothing was run at the
+// sizes that it is asked about. Processor time is that of the machine on which the slopes
+// were measured; on the users' bench, with a share of a core and a charge for each system
+// call, the leader of 78 gateways took six times the estimate.
+package capacity
+
+import (
+	"fmt"
+	"time"
+)
+
+// Shape is the size of a deployment.
+type Shape struct {
+	Gateways int
+	Domains  int
+	// Upstreams are all of them, Keyed those of the largest service that is divided
+	// by key.
+	Upstreams int
+	Keyed     int
+	// Rate is requests a second over all gateways.
+	Rate float64
+}
+
+// Check reports what is wrong with a shape, or nil.
+func (s Shape) Check() error {
+	switch {
+	case s.Gateways < 1 || s.Domains < 1 || s.Domains > s.Gateways:
+		return fmt.Errorf("%d gateways in %d failure domains: at least one each", s.Gateways, s.Domains)
+	case s.Upstreams < 1 || s.Keyed < 0 || s.Keyed > s.Upstreams:
+		return fmt.Errorf("%d upstreams, %d of them keyed: at least one, and no more keyed than all", s.Upstreams, s.Keyed)
+	case s.Rate < 0:
+		return fmt.Errorf("%g requests a second", s.Rate)
+	}
+	return nil
+}
+
+// Slopes measured by `make bench` on an 8-core machine that ran other things too (package
+// gateway and coordination/ownership); where both ends of a message ran in one process,
+// half is counted here.
+const (
+	// forwardCost is a gateway's part of one request: BenchmarkForward, 144 us through
+	// a gateway less 57 us straight.
+	forwardCost = 87 * time.Microsecond
+	// reportCost is one end of a report, reportLoadCost of each load in it:
+	// BenchmarkReport, 111 us with 10 loads and 204 us with 100.
+	reportCost     = 50 * time.Microsecond
+	reportLoadCost = 520 * time.Nanosecond
+	// renewalCost is one renewal at the leader: BenchmarkRenewal, 62 us.
+	renewalCost = 31 * time.Microsecond
+	// planCost is one plan, planUpstreamCost each keyed upstream in it: BenchmarkMake,
+	// 0.56 ms with 119 and 1.58 ms with 1,190.
+	planCost         = 440 * time.Microsecond
+	planUpstreamCost = 950 * time.Nanosecond
+	// baseMemory and upstreamMemory, in MB: peaks of 18 MB with 35 upstreams and 25 MB
+	// with 346, on the users' bench.
+	baseMemory     = 17.2
+	upstreamMemory = 0.0232
+	// reportBytes and loadBytes are the encoded sizes of a report and of a load in it.
+	reportBytes = 200
+	loadBytes   = 23
+)
+
+// How often things are done; the names in package gateway are reportInterval,
+// renewInterval, planInterval, leadership.Renewal and watchWait.
+const (
+	reportsPerSecond  = 4
+	renewalsPerSecond = 1
+	plansPerSecond    = 4
+	leasesPerSecond   = 1 / 0.6
+	watchesPerSecond  = 2 / 1.2
+	// treeLeast is the number of gateways from which one of each failure domain
+	// reports for the rest.
+	treeLeast = 24
+	// spansEach, spansTotal and spansLeast bound the first assignment.
+	spansEach, spansTotal, spansLeast = 16, 256, 2
+)
+
+// Limits of one node for control, from the size to design for.
+const (
+	coreLimit   = 0.022
+	memoryLimit = 256.0
+	bytesLimit  = 24e3
+)
+
+// Line is one figure of an estimate.
+type Line struct {
+	Role string
+	What string
+	Unit string
+	// Value is the estimate, Limit what is allowed; zero when there is no limit.
+	Value, Limit float64
+	// By names what it grows with.
+	By string
+}
+
+// Fits reports whether the value keeps the limit.
+func (l Line) Fits() bool { return l.Limit == 0 || l.Value <= l.Limit }
+
+// Estimate works the figures of all roles out.
+func Estimate(s Shape) []Line {
+	ordinary := s.control(1, 0)
+	leader := s.control(s.children(), s.spans())
+	lines := []Line{
+		{"gateway", "serving", "cores", s.Rate / float64(s.Gateways) * forwardCost.Seconds(), 0, "requests of its own"},
+		{"gateway", "control", "cores", ordinary.cores, coreLimit, "loads it reports"},
+		{"gateway", "control", "bytes/s", ordinary.bytes, bytesLimit, "loads it reports"},
+		{"gateway", "memory", "MB", baseMemory + upstreamMemory*float64(s.Upstreams), memoryLimit, "upstreams"},
+		{"leader", "control", "cores", leader.cores, coreLimit, "gateways of its failure domain, spans"},
+		{"leader", "control", "bytes/s", leader.bytes, bytesLimit, "gateways of its failure domain"},
+		{"leader", "renewals", "calls/s", float64(s.spans()) * renewalsPerSecond, 0, "spans of the largest keyed service"},
+		{"all", "store calls", "calls/s", leasesPerSecond + watchesPerSecond, 0, "nothing; changes and moves come on top"},
+	}
+	if s.Gateways < treeLeast {
+		return lines
+	}
+	head := s.control(s.perDomain(), 0)
+	return append(lines,
+		Line{"head", "control", "cores", head.cores, coreLimit, "gateways of its failure domain"},
+		Line{"head", "control", "bytes/s", head.bytes, bytesLimit, "gateways of its failure domain"})
+}
+
+// perDomain is the number of gateways in one failure domain.
+func (s Shape) perDomain() int { return (s.Gateways + s.Domains - 1) / s.Domains }
+
+// children are the gateways that report to the leader.
+func (s Shape) children() int {
+	if s.Gateways < treeLeast {
+		return s.Gateways - 1
+	}
+	return s.perDomain() - 1 + s.Domains - 1
+}
+
+// spans of the largest keyed service at first.
+func (s Shape) spans() int {
+	if s.Keyed == 0 {
+		return 0
+	}
+	return s.Keyed * max(min(spansEach, spansTotal/s.Keyed), spansLeast)
+}
+
+// cost of control in one process.
+type cost struct{ cores, bytes float64 }
+
+// control is the cost of reports sent or received each quarter second, each with the
+// loads of all upstreams at most, and of the spans that are kept.
+func (s Shape) control(reports, spans int) cost {
+	loads := float64(s.loads())
+	each := reportCost.Seconds() + loads*reportLoadCost.Seconds()
+	c := cost{
+		cores: float64(reports) * reportsPerSecond * each,
+		bytes: float64(reports) * reportsPerSecond * (reportBytes + loads*loadBytes),
+	}
+	if spans > 0 {
+		c.cores += float64(spans)*renewalsPerSecond*renewalCost.Seconds() +
+			plansPerSecond*(planCost.Seconds()+float64(s.Keyed)*planUpstreamCost.Seconds())
+	}
+	return c
+}
+
+// loads is the number of upstreams in a report: those with requests of one gateway.
+func (s Shape) loads() int {
+	const workTime = 0.2 // seconds, of the users' services
+	inFlight := s.Rate / float64(s.Gateways) * workTime
+	return min(s.Upstreams, int(inFlight)+1)
+}
