Let voters change at once when nobody promised anything to the former leader

Change: the list is kept only while grants by promises may last; else it changes with the next renewal of the lease, 0.6 s later.

--- a/gateway/lead.go
+++ b/gateway/lead.go
@@ -65,7 +65,9 @@
 	// leader, once that is known.
 	formerHolds time.Time
 	formerKnown bool
-	renewedAt   time.Time
+	// formerByPromises says that this is so by promises to the former leader.
+	formerByPromises bool
+	renewedAt        time.Time
 
 	// resigned is set when this process stops: it takes no lease any more.
 	resigned atomic.Bool
--- a/gateway/promises.go
+++ b/gateway/promises.go
@@ -112,13 +112,13 @@
 func (l *leading) inquire(ctx context.Context, former leadership.Lease, ends time.Time, longest time.Duration) {
 	term := former.Term + 1
 	if former.Term == 0 {
-		l.setFormerHolds(term, l.now().Add(heldFor(longest)))
+		l.setFormerHolds(term, l.now().Add(heldFor(longest)), false)
 		return
 	}
 	for ctx.Err() == nil && l.cluster.isLeading() {
 		if until, ok := l.formerHoldsEnd(ctx, former, ends, longest); ok {
 			l.log.Info("grants of the former leader end", "term", former.Term, "in_ms", until.Sub(l.now()).Milliseconds())
-			l.setFormerHolds(term, until)
+			l.setFormerHolds(term, until, until.After(ends.Add(heldFor(holdTime))))
 			return
 		}
 		pause(ctx, inquiryPause)
@@ -155,11 +155,14 @@
 	return a
 }
 
-func (l *leading) setFormerHolds(term uint64, until time.Time) {
+// setFormerHolds notes until when upstreams may hold keys by a former leader's grants,
+// and whether that is by promises: then a successor learns of it from the present voters
+// only.
+func (l *leading) setFormerHolds(term uint64, until time.Time, byPromises bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.lease.Term == term {
-		l.formerHolds, l.formerKnown = until, true
+		l.formerHolds, l.formerKnown, l.formerByPromises = until, true, byPromises
 	}
 }
 
@@ -183,15 +186,17 @@
 
 // votersMayChange reports whether the lease may name other voters than before: when
 // its renewal is not in doubt, and no upstream may hold keys by promises to a former
-// leader that only the present voters know of.
+// leader that only the present voters know of. Without such promises they may change
+// as soon as that is known, so that gateways which leave one after the other do not
+// leave a list of lost voters behind.
 func (l *leading) votersMayChange() bool {
 	if l.doubtful() {
 		return false
 	}
 	l.mu.Lock()
-	first := l.lease.Term == 1
+	known := l.formerKnown && !l.formerByPromises
 	l.mu.Unlock()
-	return first || l.formerHoldsEnded()
+	return known || l.formerHoldsEnded()
 }
 
 // voters chooses the voters among the gateways that report.
