--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -337,9 +337,8 @@
 )
 
 // startWait is how long this gateway asks others after its start before it goes to
-// the store for its view. After all were killed at once the seeds
-// go first and the rest learns from them: else each of a hundred would list all
-// upstreams.
+// the store for its view. After all were killed at once the seeds go first and the
+// rest learns from them: else each of a hundred would list all upstreams.
 func (f *follower) startWait() time.Duration {
 	if f.seed || len(f.seeds) == 0 {
 		return seedWait
--- a/gateway/keeper.go
+++ b/gateway/keeper.go
@@ -27,9 +27,9 @@
 	arrivalMargin = 200 * time.Millisecond
 	// planInterval is the time between plans.
 	planInterval = 250 * time.Millisecond
-	// saveInterval is how long moves that have ended are collected for one write. A
-	// leader that is lost before it has told the other gateways; what none of them
-	// knows its successor takes for moves under way, and makes again.
+	// saveInterval is how long moves that have ended are collected for one write. If
+	// the leader is lost before that, its successor goes by what the other gateways
+	// were told; a move whose end it was not told it makes again.
 	saveInterval = time.Second
 	// keepInterval is the time between looks at what is due.
 	keepInterval = 25 * time.Millisecond
--- a/gateway/meternames.go
+++ b/gateway/meternames.go
@@ -108,27 +108,3 @@
 	}
 	return pattern
 }
-
-// describes reports whether the pattern stands for the name. A label may itself hold
-// dots.
-func (m metric) describes(name string) bool {
-	rest := m.Name
-	for {
-		open := strings.IndexByte(rest, '{')
-		if open < 0 {
-			return strings.HasSuffix(name, rest)
-		}
-		if !strings.HasPrefix(name, rest[:open]) {
-			at := strings.Index(name, rest[:open])
-			if at < 0 {
-				return false
-			}
-			name = name[at:]
-		}
-		name = name[open:]
-		rest = rest[strings.IndexByte(rest, '}')+1:]
-		if rest == "" {
-			return name != ""
-		}
-	}
-}
--- a/gateway/meters_test.go
+++ b/gateway/meters_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -61,13 +62,20 @@
 
 func inCatalog(name string) bool {
 	for _, m := range catalog {
-		if m.describes(name) {
+		if describes(m.Name, name) {
 			return true
 		}
 	}
 	return false
 }
 
+var labelPattern = regexp.MustCompile(`\\\{[a-z]+\\\}`)
+
+// describes reports whether the pattern of the catalog stands for the name.
+func describes(pattern, name string) bool {
+	return regexp.MustCompile("^" + labelPattern.ReplaceAllString(regexp.QuoteMeta(pattern), ".+") + "$").MatchString(name)
+}
+
 func TestPatterns(t *testing.T) {
 	for _, c := range []struct {
 		pattern, name string
@@ -81,7 +89,7 @@
 		{storeAway, "store.away", true},
 		{storeAway, "store.away.x", false},
 	} {
-		if got := (metric{Name: c.pattern}).describes(c.name); got != c.want {
+		if got := describes(c.pattern, c.name); got != c.want {
 			t.Errorf("%s describes %s: %t", c.pattern, c.name, got)
 		}
 	}
