--- a/bench/rockload/experiment.go
+++ b/bench/rockload/experiment.go
@@ -202,6 +202,9 @@
 	return experiment{}, fmt.Errorf("no experiment %q; there are %s", name, strings.Join(names, ", "))
 }
 
+// callerTimeout is how long the experiments' callers wait: some ten times the longest run.
+const callerTimeout = 2 * time.Second
+
 // rates divides the wanted load among services by their capacity.
 func rates(shape deploy.Shape, e experiment) []load.Service {
 	var out []load.Service
@@ -210,7 +213,7 @@
 		capacity := float64(s.Instances*s.Slots) / mean
 		out = append(out, load.Service{
 			Name: s.Name, Rate: e.ratio * capacity, Keys: 100_000, Zipf: e.zipf, Writes: e.writes,
-			Timeout: jsonc.Duration(2 * time.Second),
+			Timeout: jsonc.Duration(callerTimeout),
 		})
 	}
 	return out
--- a/bench/soak/site.go
+++ b/bench/soak/site.go
@@ -32,8 +32,17 @@
 	domains = 3
 	// gatewayMemory is what a gateway may use, in MB.
 	gatewayMemory = 100
-	// stopLimit is what gateways get for a stop, as on the platform.
-	stopLimit = 6 * time.Second
+	// The users' bounds on the platform: for a stop, for an upstream that leaves, for a
+	// grant, and for second tries.
+	stopLimit      = 6 * time.Second
+	upstreamDrain  = 2 * time.Second
+	longestHold    = 10 * time.Second
+	retryShare     = 0.2
+	retryAllowance = 60
+	retryWindow    = 10 * time.Second
+	// drainNotice is how long a stopping gateway still takes connections; the callers
+	// here notice at once.
+	drainNotice = time.Second
 )
 
 // site is the deployment: everything but the gateway processes.
@@ -226,9 +235,9 @@
 		conf.Node, conf.Domain, conf.Seeds = g.name, g.domain, seeds
 		conf.Callers, conf.Ready, conf.Peers, conf.Metrics = address(g.callers), address(g.ready), address(g.peers), address(g.metrics)
 		conf.Store = address(g.relay.Addr())
-		conf.DrainNotice, conf.StopLimit = jsonc.Duration(time.Second), jsonc.Duration(stopLimit)
-		conf.UpstreamDrain, conf.LongestHold = jsonc.Duration(2*time.Second), jsonc.Duration(10*time.Second)
-		conf.RetryShare, conf.RetryAllowance, conf.RetryWindow = 0.2, 60, jsonc.Duration(10*time.Second)
+		conf.DrainNotice, conf.StopLimit = jsonc.Duration(drainNotice), jsonc.Duration(stopLimit)
+		conf.UpstreamDrain, conf.LongestHold = jsonc.Duration(upstreamDrain), jsonc.Duration(longestHold)
+		conf.RetryShare, conf.RetryAllowance, conf.RetryWindow = retryShare, retryAllowance, jsonc.Duration(retryWindow)
 		conf.Memory = gatewayMemory
 		data, err := json.MarshalIndent(conf, "", "  ")
 		if err != nil {
--- a/standin/upstream/server.go
+++ b/standin/upstream/server.go
@@ -149,11 +149,14 @@
 	return r
 }
 
+// leavePoll is the time between looks whether all grants are gone.
+const leavePoll = 20 * time.Millisecond
+
 // Leave announces the planned stop and waits until all grants are gone.
 func (s *Server) Leave(ctx context.Context) {
 	s.owner.leave()
 	for ctx.Err() == nil && !s.owner.empty() {
-		time.Sleep(20 * time.Millisecond)
+		time.Sleep(leavePoll)
 	}
 }
 
--- a/state/service/service.go
+++ b/state/service/service.go
@@ -63,14 +63,18 @@
 // long for requests of silent entries to upstreams that check nothing.
 const LongestDeadline = 10 * time.Second
 
+// defaultDeadline holds when neither the caller nor the operator names one: a few times
+// the longest work on the users' sheets.
+const defaultDeadline = 2 * time.Second
+
 // Default returns a configuration with all defaults set.
 func Default() Config {
 	return Config{
 		ChecksFences:    true,
 		Slots:           4,
 		Connections:     130,
-		DefaultDeadline: jsonc.Duration(2 * time.Second),
-		MaxDeadline:     jsonc.Duration(10 * time.Second),
+		DefaultDeadline: jsonc.Duration(defaultDeadline),
+		MaxDeadline:     jsonc.Duration(LongestDeadline),
 		QueueLength:     128,
 		MaxBody:         1 << 20,
 		RetryShare:      0.1,
