--- a/bench/rockload/experiment.go
+++ b/bench/rockload/experiment.go
@@ -225,7 +225,9 @@
 		Short: "List the experiments",
 		RunE: func(*cobra.Command, []string) error {
 			for _, e := range experiments() {
-				_, _ = fmt.Fprintf(out, "%-12s %4s  %s\n", e.name, e.duration, e.about)
+				if _, err := fmt.Fprintf(out, "%-12s %4s  %s\n", e.name, e.duration, e.about); err != nil {
+					return err
+				}
 			}
 			return nil
 		},
--- a/bench/rockload/report.go
+++ b/bench/rockload/report.go
@@ -6,11 +6,11 @@
 	"io"
 	"maps"
 	"slices"
-	"text/tabwriter"
 	"time"
 
 	"github.com/rockcroft/rockcroft/bench/check"
 	"github.com/rockcroft/rockcroft/bench/load"
+	"github.com/rockcroft/rockcroft/process"
 	"github.com/rockcroft/rockcroft/protocol/operatorpb"
 	"github.com/rockcroft/rockcroft/standin/upstream"
 	"github.com/rockcroft/rockcroft/state/keyspace"
@@ -171,11 +171,13 @@
 }
 
 func (r *report) print(out io.Writer) error {
-	_, _ = fmt.Fprintf(out, "\nexperiment %s: %s\n", r.experiment.name, r.experiment.about)
+	if _, err := fmt.Fprintf(out, "\nexperiment %s: %s\n", r.experiment.name, r.experiment.about); err != nil {
+		return err
+	}
 	if err := r.summary.Print(out); err != nil {
 		return err
 	}
-	t := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	t := process.NewTable(out)
 	for _, service := range services(r.runs) {
 		for _, way := range []struct {
 			name  string
@@ -185,11 +187,11 @@
 			{" by rendezvous hashing", rendezvous(service.owners)},
 		} {
 			list := imbalances(r.runs, service.owners, imbalanceWindow, way.owner)
-			_, _ = fmt.Fprintf(t, "imbalance %s%s\tp50 %.3f\tp99 %.3f\tmax %.3f\n",
+			t.Printf("imbalance %s%s\tp50 %.3f\tp99 %.3f\tmax %.3f\n",
 				service.name, way.name, quantile(list, 0.5), quantile(list, 0.99), quantile(list, 1))
 		}
 		bounds := leastImbalances(r.runs, service.owners, imbalanceWindow)
-		_, _ = fmt.Fprintf(t, "imbalance %s, least for its hottest key\tp50 %.3f\tp99 %.3f\t\n",
+		t.Printf("imbalance %s, least for its hottest key\tp50 %.3f\tp99 %.3f\t\n",
 			service.name, quantile(bounds, 0.5), quantile(bounds, 0.99))
 	}
 	changed := 0
@@ -198,19 +200,19 @@
 			changed++
 		}
 	}
-	_, _ = fmt.Fprintf(t, "upstreams with another share\t%d of %d\n", changed, len(r.before))
+	t.Printf("upstreams with another share\t%d of %d\n", changed, len(r.before))
 	for _, u := range r.unavailable {
-		_, _ = fmt.Fprintf(t, "unavailable %s\t%d ranges\tp50 %s\tp99 %s\tmax %s\n", u.name, u.count, u.p50, u.p99, u.max)
+		t.Printf("unavailable %s\t%d ranges\tp50 %s\tp99 %s\tmax %s\n", u.name, u.count, u.p50, u.p99, u.max)
 	}
-	_, _ = fmt.Fprintf(t, "history\t%d outcomes against %d runs\n", r.history.Outcomes, r.history.Runs)
-	_, _ = fmt.Fprintf(t, "owners as callers saw them\t%s\n", r.owners)
-	_, _ = fmt.Fprintf(t, "violations\t%d\n", len(r.history.Violations))
+	t.Printf("history\t%d outcomes against %d runs\n", r.history.Outcomes, r.history.Runs)
+	t.Printf("owners as callers saw them\t%s\n", r.owners)
+	t.Printf("violations\t%d\n", len(r.history.Violations))
 	for i, v := range r.history.Violations {
 		if i < shownViolations {
-			_, _ = fmt.Fprintf(t, "  %s\t%s\n", v.Rule, v.Detail)
+			t.Printf("  %s\t%s\n", v.Rule, v.Detail)
 		}
 	}
-	return t.Flush()
+	return t.Close()
 }
 
 // serviceOwners are the upstreams that ran requests of one service.
--- a/bench/rockload/summary.go
+++ b/bench/rockload/summary.go
@@ -1,15 +1,14 @@
 package rockload
 
 import (
-	"fmt"
 	"io"
 	"slices"
-	"text/tabwriter"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/rockcroft/rockcroft/bench/load"
+	"github.com/rockcroft/rockcroft/process"
 )
 
 // Bounds of recorded latencies in microseconds, and their digits.
@@ -63,20 +62,20 @@
 
 // Print writes the summary as a table.
 func (s Summary) Print(out io.Writer) error {
-	t := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
-	_, _ = fmt.Fprintf(t, "requests\t%d\nanswered\t%d\nnot offered\t%d\n", s.Total, s.Answered, s.NotOffered)
-	_, _ = fmt.Fprintf(t, "not idempotent\t%d, answered %d\n", s.Writes, s.WritesAnswered)
+	t := process.NewTable(out)
+	t.Printf("requests\t%d\nanswered\t%d\nnot offered\t%d\n", s.Total, s.Answered, s.NotOffered)
+	t.Printf("not idempotent\t%d, answered %d\n", s.Writes, s.WritesAnswered)
 	kinds := make([]string, 0, len(s.Kinds))
 	for k := range s.Kinds {
 		kinds = append(kinds, k)
 	}
 	slices.Sort(kinds)
 	for _, k := range kinds {
-		_, _ = fmt.Fprintf(t, "  %s\t%d\n", k, s.Kinds[k])
+		t.Printf("  %s\t%d\n", k, s.Kinds[k])
 	}
 	for _, p := range []float64{50, 90, 99, 99.9} {
-		_, _ = fmt.Fprintf(t, "p%g\t%s\n", p, s.Quantile(p))
+		t.Printf("p%g\t%s\n", p, s.Quantile(p))
 	}
-	_, _ = fmt.Fprintf(t, "max\t%s\n", time.Duration(s.latency.Max())*time.Microsecond)
-	return t.Flush()
+	t.Printf("max\t%s\n", time.Duration(s.latency.Max())*time.Microsecond)
+	return t.Close()
 }
--- a/ctl/capacity.go
+++ b/ctl/capacity.go
@@ -2,10 +2,10 @@
 
 import (
 	"fmt"
-	"text/tabwriter"
 
 	"github.com/spf13/cobra"
 
+	"github.com/rockcroft/rockcroft/process"
 	"github.com/rockcroft/rockcroft/state/capacity"
 )
 
@@ -38,10 +38,8 @@
 }
 
 func (o *options) printCapacity(lines []capacity.Line) error {
-	w := tabwriter.NewWriter(o.out, 0, 0, 2, ' ', 0)
-	if _, err := fmt.Fprintln(w, "ROLE\tWHAT\tVALUE\tLIMIT\tGROWS WITH"); err != nil {
-		return err
-	}
+	t := process.NewTable(o.out)
+	t.Printf("ROLE\tWHAT\tVALUE\tLIMIT\tGROWS WITH\n")
 	for _, l := range lines {
 		limit := "-"
 		if l.Limit > 0 {
@@ -50,9 +48,7 @@
 		if !l.Fits() {
 			limit += " DOES NOT FIT"
 		}
-		if _, err := fmt.Fprintf(w, "%s\t%s\t%.4g %s\t%s\t%s\n", l.Role, l.What, l.Value, l.Unit, limit, l.By); err != nil {
-			return err
-		}
+		t.Printf("%s\t%s\t%.4g %s\t%s\t%s\n", l.Role, l.What, l.Value, l.Unit, limit, l.By)
 	}
-	return w.Flush()
+	return t.Close()
 }
--- a/ctl/check.go
+++ b/ctl/check.go
@@ -34,7 +34,9 @@
 				if err != nil {
 					return err
 				}
-				_, _ = fmt.Fprintf(o.out, "%s: ok\n", path)
+				if _, err := fmt.Fprintf(o.out, "%s: ok\n", path); err != nil {
+					return err
+				}
 			}
 			return nil
 		},
--- a/ctl/print.go
+++ b/ctl/print.go
@@ -2,21 +2,17 @@
 
 import (
 	"encoding/json"
-	"fmt"
+	"errors"
 	"strings"
-	"text/tabwriter"
 	"time"
 
 	"github.com/spf13/cobra"
 
+	"github.com/rockcroft/rockcroft/process"
 	"github.com/rockcroft/rockcroft/protocol/operatorpb"
 	"github.com/rockcroft/rockcroft/state/intent"
 )
 
-func (o *options) table() *tabwriter.Writer {
-	return tabwriter.NewWriter(o.out, 0, 4, 2, ' ', 0)
-}
-
 func (o *options) printIntent(data []byte) error {
 	if o.json() {
 		return writeJSON(o.out, json.RawMessage(data))
@@ -25,20 +21,21 @@
 	if err != nil {
 		return err
 	}
-	_, _ = fmt.Fprintf(o.out, "intent   %s\nkind     %s\nstate    %s\nwhy      %s\n", i.ID, i.Spec.Kind, i.State, i.Plan.Why)
+	head := process.NewText(o.out)
+	head.Printf("intent   %s\nkind     %s\nstate    %s\nwhy      %s\n", i.ID, i.Spec.Kind, i.State, i.Plan.Why)
 	c := i.Plan.Cost
-	_, _ = fmt.Fprintf(o.out, "cost     %d ranges, churn %.3f (least %.3f), unavailable %s a key\n",
+	head.Printf("cost     %d ranges, churn %.3f (least %.3f), unavailable %s a key\n",
 		c.Ranges, c.Churn, c.LeastChurn, c.Unavailable.D())
-	_, _ = fmt.Fprintf(o.out, "balance  %.3f before, %.3f after\n", c.ImbalanceBefore, c.ImbalanceAfter)
+	head.Printf("balance  %.3f before, %.3f after\n", c.ImbalanceBefore, c.ImbalanceAfter)
 	if len(i.Progress) > 0 {
-		_, _ = fmt.Fprintf(o.out, "done in  %s\n", strings.Join(i.Progress, ", "))
+		head.Printf("done in  %s\n", strings.Join(i.Progress, ", "))
 	}
-	t := o.table()
-	_, _ = fmt.Fprintln(t, "\nCELL\tACTION\tSERVICE\tSPAN\tFROM\tTO")
+	t := process.NewTable(o.out)
+	t.Printf("\nCELL\tACTION\tSERVICE\tSPAN\tFROM\tTO\n")
 	for _, s := range i.Plan.Steps {
-		_, _ = fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%s%s\n", s.Cell, s.Action, s.Service, s.Span, s.From, s.To, s.ToCell)
+		t.Printf("%s\t%s\t%s\t%s\t%s\t%s%s\n", s.Cell, s.Action, s.Service, s.Span, s.From, s.To, s.ToCell)
 	}
-	return t.Flush()
+	return errors.Join(head.Close(), t.Close())
 }
 
 func (o *options) printIntents(list [][]byte) error {
@@ -49,17 +46,17 @@
 		}
 		return writeJSON(o.out, raw)
 	}
-	t := o.table()
-	_, _ = fmt.Fprintln(t, "ID\tCREATED\tKIND\tSTATE\tSTEPS\tDONE IN\tBY")
+	t := process.NewTable(o.out)
+	t.Printf("ID\tCREATED\tKIND\tSTATE\tSTEPS\tDONE IN\tBY\n")
 	for _, data := range list {
 		i, err := intent.Decode(data)
 		if err != nil {
 			return err
 		}
-		_, _ = fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d\t%s\t%s\n", i.ID, i.Created.Format(time.RFC3339),
+		t.Printf("%s\t%s\t%s\t%s\t%d\t%s\t%s\n", i.ID, i.Created.Format(time.RFC3339),
 			i.Spec.Kind, i.State, len(i.Plan.Steps), strings.Join(i.Progress, ","), i.By)
 	}
-	return t.Flush()
+	return t.Close()
 }
 
 func statusCommand(o *options) *cobra.Command {
@@ -85,32 +82,33 @@
 
 func (o *options) printStatus(r *operatorpb.StatusResponse) error {
 	e := r.Entry
-	_, _ = fmt.Fprintf(o.out, "entry %s of cell %s: controller %v, may send %v, version %d\n",
+	head := process.NewText(o.out)
+	head.Printf("entry %s of cell %s: controller %v, may send %v, version %d\n",
 		e.Id, e.Cell, e.Leads, e.MaySend, e.Version)
 	if r.PlatformError != "" {
-		_, _ = fmt.Fprintf(o.out, "platform: %s\n", r.PlatformError)
+		head.Printf("platform: %s\n", r.PlatformError)
 	}
-	t := o.table()
-	_, _ = fmt.Fprintln(t, "\nCELL\tDOMAIN\tVERSION\tFENCE\tENTRIES")
+	t := process.NewTable(o.out)
+	t.Printf("\nCELL\tDOMAIN\tVERSION\tFENCE\tENTRIES\n")
 	for _, c := range r.Cells {
-		_, _ = fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%s\n", c.Name, c.Domain, c.Version, c.Fence, strings.Join(c.Members, " "))
+		t.Printf("%s\t%s\t%d\t%d\t%s\n", c.Name, c.Domain, c.Version, c.Fence, strings.Join(c.Members, " "))
 	}
-	_, _ = fmt.Fprintln(t, "\nUPSTREAM\tSERVICE\tCELL\tADDR\tSTATE\tRANGES\tSHARE\tRATE")
+	t.Printf("\nUPSTREAM\tSERVICE\tCELL\tADDR\tSTATE\tRANGES\tSHARE\tRATE\n")
 	for _, c := range r.Cells {
 		for _, u := range c.Upstreams {
-			_, _ = fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%d\t%.4f\t%.0f/s\n",
+			t.Printf("%s\t%s\t%s\t%s\t%s\t%d\t%.4f\t%.0f/s\n",
 				u.Id, u.Service, c.Name, u.Addr, u.State, u.Ranges, u.Share, u.Rate)
 		}
 	}
-	_, _ = fmt.Fprintln(t, "\nMOVE\tCELL\tSPAN\tEPOCH\tPHASE\tFROM\tTO")
+	t.Printf("\nMOVE\tCELL\tSPAN\tEPOCH\tPHASE\tFROM\tTO\n")
 	for _, c := range r.Cells {
 		for _, m := range c.Moves {
-			_, _ = fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%s\t%s\t%s\n", m.Service, c.Name, m.Span, m.Epoch, m.Phase, m.From, m.To)
+			t.Printf("%s\t%s\t%s\t%d\t%s\t%s\t%s\n", m.Service, c.Name, m.Span, m.Epoch, m.Phase, m.From, m.To)
 		}
 	}
-	_, _ = fmt.Fprintln(t, "\nCONFIGURATION\tVERSION\tCELL\tDOMAIN\tENTRY")
+	t.Printf("\nCONFIGURATION\tVERSION\tCELL\tDOMAIN\tENTRY\n")
 	for _, f := range r.InForce {
-		_, _ = fmt.Fprintf(t, "%s\t%d\t%s\t%s\t%s\n", f.Service, f.Version, f.Cell, f.Domain, f.Entry)
+		t.Printf("%s\t%d\t%s\t%s\t%s\n", f.Service, f.Version, f.Cell, f.Domain, f.Entry)
 	}
-	return t.Flush()
+	return errors.Join(head.Close(), t.Close())
 }
