Give a soak's gateway four different addresses

Each port was let go before the next was asked for, and the kernel gave it out again. Change: all four are held until the last is found. Test: TestAddressesDiffer.

--- a/bench/soak/site.go
+++ b/bench/soak/site.go
@@ -198,29 +198,37 @@
 		return nil, err
 	}
 	g := &gateway{name: name, dir: s.dir, domain: domain, door: door, relay: r}
-	for _, address := range []*string{&g.callers, &g.ready, &g.peers, &g.metrics} {
-		if *address, err = freeAddress(ip); err != nil {
-			return nil, err
-		}
+	addresses, err := freeAddresses(ip, 4)
+	if err != nil {
+		return nil, err
 	}
+	g.callers, g.ready, g.peers, g.metrics = addresses[0], addresses[1], addresses[2], addresses[3]
 	return g, nil
 }
 
 // gatewayIP returns the loopback address of the gateway with the number. Gateways have
-// addresses of their own: on 127.0.0.1 a connection on its way out may have taken the
-// port of one that is to start again.
+// addresses of their own: on 127.0.0.1 a connection on its way out could take the port of
+// one that is to start again.
 func gatewayIP(number int) string {
 	const octet = 256
 	return fmt.Sprintf("127.77.%d.%d", os.Getpid()%octet, 1+number%(octet-2))
 }
 
-// freeAddress returns a loopback address with a port of the kernel's choice.
-func freeAddress(ip string) (string, error) {
-	l, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		return "", err
+// freeAddresses returns different addresses of one IP, with ports of the kernel's choice.
+// All are held until the last one is found: else the kernel may give a port out again.
+func freeAddresses(ip string, n int) ([]string, error) {
+	var out []string
+	for range n {
+		l, err := net.Listen("tcp", ip+":0")
+		if err != nil {
+			return nil, err
+		}
+		// Closing a listener that nobody has connected to cannot fail in a way that
+		// matters: a port that stays taken shows when its gateway starts.
+		defer func() { _ = l.Close() }()
+		out = append(out, l.Addr().String())
 	}
-	return l.Addr().String(), l.Close()
+	return out, nil
 }
 
 // writeSettings writes the settings file of each gateway.
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -122,3 +122,21 @@
 		}
 	}
 }
+
+// TestAddressesDiffer: a gateway's four addresses are four. (The kernel gave a port out
+// twice, and one of some hundred runs did not start.)
+func TestAddressesDiffer(t *testing.T) {
+	for range 2000 {
+		list, err := freeAddresses("127.0.0.1", 4)
+		if err != nil {
+			t.Fatal(err)
+		}
+		seen := make(map[string]bool)
+		for _, a := range list {
+			seen[a] = true
+		}
+		if len(seen) != len(list) {
+			t.Fatalf("addresses %v", list)
+		}
+	}
+}
