--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -275,9 +275,9 @@
 	select {
 	case err = <-failed:
 		g.log.Error("a listener failed", "error", err)
-		g.stop(server)
+		g.stop(server, err.Error())
 	case <-ctx.Done():
-		g.stop(server)
+		g.stop(server, context.Cause(ctx).Error())
 	case <-g.abrupt:
 		_ = server.Close()
 	}
@@ -335,12 +335,12 @@
 
 // stop ends the service: not ready at once, the lease given up beside the rest, and
 // no connection closed before the balancer has noticed and the requests under way
-// have ended.
-func (g *Gateway) stop(server *http.Server) {
+// have ended. The cause is for the log.
+func (g *Gateway) stop(server *http.Server, cause string) {
 	began := g.now()
 	g.draining.Store(true)
 	g.front.draining.Store(true)
-	g.log.Info("stopping")
+	g.log.Info("stopping", "cause", cause)
 	end := began.Add(g.conf.StopLimit.D() - stopReserve)
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
