Tell the starts of an upstream apart; take no entry that another writer left

Cause: an upstream was known by its ID alone, as each start had one of its own. One that started again under its ID kept the loads, work times, failures and 'ended' mark of the former start: a renewal that met another upstream at the former address marked the ID as ended for the whole term of the leader, so its keys went elsewhere and it got none again. An entry of unknown state, without slots or with a text for a number was used, and one that could not be read left the former in use. Change: the start (born_ms) lies in the view of upstreams, its low 21 bits in spans, reports and grants. A restarted owner is granted its keys again at once, by a higher fence, where they were; a leader that starts sees it in the stored assignment; what was learned of the former start, its requests in flight and reports of its loads count no more. Entries that are not sound name no upstream until they are; they and what other gateways say that cannot be are counted (view.unsound.*) and logged once.

--- a/coordination/dispatch/dispatch_test.go
+++ b/coordination/dispatch/dispatch_test.go
@@ -211,6 +211,41 @@
 	}
 }
 
+// TestRestartedUpstreamIsAnother: nothing that was learned of an upstream before it started
+// again is held against it, ends of requests to its former start are not its own, and what
+// waits for it waits on.
+func TestRestartedUpstreamIsAnother(t *testing.T) {
+	s := newService("a1")
+	s.upstreams["a1"].BornMs = 1
+	var before []Grant
+	for {
+		w := want()
+		w.Owner = "a1"
+		g, _, decided := s.Offer(start, w)
+		if !decided {
+			break
+		}
+		before = append(before, g)
+	}
+	if s.waiting != 1 || len(before) == 0 {
+		t.Fatalf("%d wait, %d sent", s.waiting, len(before))
+	}
+	s.Done(start, before[0], Unreachable)
+	again := list("a1")
+	again[0].BornMs = 2
+	s.SetUpstreams(at(ms), again)
+	u := s.upstreams["a1"]
+	if u.pause != 0 || u.mine != 1 || s.waiting != 0 {
+		t.Errorf("pause %s, %d in flight, %d wait", u.pause, u.mine, s.waiting)
+	}
+	for _, g := range before[1:] {
+		s.Done(at(2*ms), g, Broken)
+	}
+	if u.mine != 1 || u.failures != 0 {
+		t.Errorf("%d in flight, failures %v after ends of former requests", u.mine, u.failures)
+	}
+}
+
 // TestNothingIsLost: whatever comes and goes, each request gets one verdict and
 // no slot stays taken.
 func TestNothingIsLost(t *testing.T) {
--- a/coordination/dispatch/report.go
+++ b/coordination/dispatch/report.go
@@ -1,10 +1,16 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"github.com/rockcroft/rockcroft/state/instances"
+)
 
 // Load is the state of one upstream as reported to the other gateways.
 type Load struct {
 	Instance string
+	// Incarnation tells which start of the upstream this is about.
+	Incarnation instances.Incarnation
 	// Inflight is the mean number of requests from here since the last call.
 	Inflight float64
 	Work     time.Duration
@@ -24,7 +30,7 @@
 			mean = u.area / span
 		}
 		u.area, u.reportedAt = 0, now
-		l := Load{Instance: u.ID, Inflight: mean, Work: u.work, Refused: u.refused}
+		l := Load{Instance: u.ID, Incarnation: u.Incarnation(), Inflight: mean, Work: u.work, Refused: u.refused}
 		if u.pause > 0 || u.silent(now, s.typical) {
 			l.Silent = max(now.Sub(u.lastAnswer), time.Millisecond)
 		}
--- a/coordination/dispatch/service.go
+++ b/coordination/dispatch/service.go
@@ -89,12 +89,8 @@
 	s.order = s.order[:0]
 	for _, one := range list {
 		u := s.upstreams[one.ID]
-		if u == nil {
-			u = newUpstream(*one, now)
-			if s.gateways > 0 {
-				u.gateways = s.gateways
-				u.share.part = s.part
-			}
+		if u == nil || u.Incarnation().Other(one.Incarnation()) {
+			u = s.begin(now, *one, u)
 		}
 		u.Instance = *one
 		u.off = s.Off
@@ -116,6 +112,21 @@
 	s.pumpAll(now)
 }
 
+// begin returns an upstream of which nothing is known. former is the one that had its ID
+// before, or nil: what was learned of that, and its requests in flight, are not the new
+// one's, but requests that wait for the owner of their keys wait on.
+func (s *Service) begin(now time.Time, one instances.Instance, former *Upstream) *Upstream {
+	u := newUpstream(one, now)
+	if s.gateways > 0 {
+		u.gateways = s.gateways
+		u.share.part = s.part
+	}
+	if former != nil {
+		u.queue = former.queue
+	}
+	return u
+}
+
 // ReportAll takes over what the other gateways reported.
 func (s *Service) ReportAll(now time.Time, news News) {
 	s.gateways = max(news.Gateways, 1)
@@ -254,7 +265,7 @@
 // Done ends a try and lets waiting requests through.
 func (s *Service) Done(now time.Time, g Grant, o Outcome) {
 	u := s.upstreams[g.Instance.ID]
-	if u == nil {
+	if u == nil || u.Incarnation().Other(g.Instance.Incarnation()) {
 		return
 	}
 	if g.Cold && o == Answered {
--- a/coordination/ownership/plan.go
+++ b/coordination/ownership/plan.go
@@ -6,6 +6,7 @@
 import (
 	"sort"
 
+	"github.com/rockcroft/rockcroft/state/instances"
 	"github.com/rockcroft/rockcroft/state/spans"
 )
 
@@ -55,8 +56,14 @@
 	Keeps bool
 	// Capacity is how many requests a second it can run.
 	Capacity float64
+	// Incarnation tells which start of the upstream this is.
+	Incarnation instances.Incarnation
 }
 
+// restarted reports whether the owner has started again since it was granted the keys:
+// nobody holds them.
+func (o *Owner) restarted(s spans.Span) bool { return o.Incarnation.Other(s.Incarnation) }
+
 // Input is what a plan is made from.
 type Input struct {
 	Table *spans.Table
@@ -248,14 +255,21 @@
 }
 
 // replaceLost gives the keys of lost and leaving owners to others, the busiest
-// first.
+// first, and those of owners that have started again to these themselves: that is a grant
+// without a wait, and their other keys are where they were.
 func (p *plan) replaceLost() {
 	var orphans []int
 	for i, s := range p.table.Spans {
 		if s.Moving() {
 			continue
 		}
-		if o := p.owners[s.Owner]; o == nil || !o.Keeps {
+		o := p.owners[s.Owner]
+		switch {
+		case o == nil || !o.Keeps:
+			orphans = append(orphans, i)
+		case o.restarted(s) && o.Usable:
+			p.move(i, o)
+		case o.restarted(s):
 			orphans = append(orphans, i)
 		}
 	}
--- a/coordination/ownership/plan_test.go
+++ b/coordination/ownership/plan_test.go
@@ -75,6 +75,32 @@
 	}
 }
 
+// TestRestartedOwnerIsGrantedItsKeysAgain, at once and with higher fences; if it may not
+// be given keys, others get them.
+func TestRestartedOwnerIsGrantedItsKeysAgain(t *testing.T) {
+	table, list := settled(3), owners(3)
+	for i := range table.Spans {
+		table.Spans[i].Incarnation = 7
+	}
+	for i := range list {
+		list[i].Incarnation = 7
+	}
+	list[1].Incarnation = 8
+	next := Make(Input{Table: table, Owners: list})
+	for _, s := range next.Spans {
+		again := s.Owner == "u1"
+		if again != s.Moving() || again && (s.Next != "u1" || s.NextFence <= s.Fence) {
+			t.Errorf("span of %s moves to %q by fence %d after %d", s.Owner, s.Next, s.NextFence, s.Fence)
+		}
+	}
+	list[1].Usable = false
+	for _, s := range Make(Input{Table: table, Owners: list}).Spans {
+		if s.Owner == "u1" && (!s.Moving() || s.Next == "u1") {
+			t.Errorf("span of the restarted one goes to %q", s.Next)
+		}
+	}
+}
+
 // TestSuspectedOwnerKeepsButGetsNothing: one that is only suspected keeps what
 // it has.
 func TestSuspectedOwnerKeepsButGetsNothing(t *testing.T) {
--- a/gateway/bed_test.go
+++ b/gateway/bed_test.go
@@ -61,7 +61,9 @@
 	*instance.Instance
 	service string
 	address string
-	server  *http.Server
+	// born is the Unix millisecond of its start, as it says; zero when it does not.
+	born   uint64
+	server *http.Server
 }
 
 // config is a configuration of the version with one keyed and one other service.
@@ -106,11 +108,24 @@
 
 // upstream starts an instance and registers it.
 func (b *bed) upstream(id, service string) *upstream {
+	b.t.Helper()
+	return b.startUpstream(id, service, 0)
+}
+
+// restart ends an upstream's process and starts it again under its ID, at another address.
+func (b *bed) restart(u *upstream) *upstream {
+	b.t.Helper()
+	_ = u.server.Close()
+	b.oracle.Ended(u.ID)
+	return b.startUpstream(u.ID, u.service, u.born+1)
+}
+
+func (b *bed) startUpstream(id, service string, born uint64) *upstream {
 	b.t.Helper()
 	l := b.listen()
 	u := &upstream{
 		Instance: instance.New(id, service == "status", 5*time.Millisecond, b.oracle),
-		service:  service, address: l.Addr().String(),
+		service:  service, address: l.Addr().String(), born: born,
 	}
 	u.server = &http.Server{Handler: u.Instance}
 	go func() { _ = u.server.Serve(l) }()
@@ -123,7 +138,7 @@
 
 func (b *bed) register(u *upstream, state string) {
 	var body platform.InstanceBody
-	body.Address = u.address
+	body.Address, body.Born = u.address, u.born
 	body.Info.Service, body.Info.Zone, body.Info.Slots = u.service, "a", 4
 	body.Status.State = state
 	b.store.Put(platform.InstancesKind, u.ID, body)
--- a/gateway/cluster.go
+++ b/gateway/cluster.go
@@ -314,7 +314,7 @@
 	for _, l := range loads {
 		s := sum[l.Instance]
 		if s == nil {
-			s = &syncpb.Load{Instance: l.Instance}
+			s = &syncpb.Load{Instance: l.Instance, Incarnation: l.Incarnation}
 			sum[l.Instance] = s
 		}
 		// The mean work time weighs each report by what it had in flight.
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -39,6 +39,8 @@
 	now    func() time.Time
 	log    *slog.Logger
 	meters *meters
+	// sieve drops what others say of upstreams that cannot be.
+	sieve *sieve
 	// fetcher fetches what is too large for an answer to a report.
 	fetcher *fetcher
 	// setOwn keeps this process's own loads and demand, for those that report to it.
@@ -129,7 +131,7 @@
 	if age >= orphanAfter {
 		return false, true
 	}
-	f.cluster.setAbove(resp.Loads, resp.Demands)
+	f.cluster.setAbove(f.sieve.loads(resp.Loads), resp.Demands)
 	f.shareLoads(int(resp.Gateways))
 	if f.now().Sub(began) < reportInterval/5 {
 		// News came at once; the next report can wait a little.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -176,12 +176,13 @@
 		now: g.now, log: log, meters: g.meters, lastOK: g.now(),
 	}
 	store := platform.NewStore(g.calls)
-	g.watcher = newWatcher(store, g.view, g.now, log, seeds[0])
+	g.watcher = newWatcher(store, g.view, g.now, log, g.meters, seeds[0])
 	g.calls.onReturn = g.watcher.returned
 	g.follower = &follower{
 		view: g.view, cluster: g.cluster, traffic: g.traffic, now: g.now, log: log, meters: g.meters,
 		began: g.now(),
 	}
+	g.follower.sieve = newSieve(g.view, g.now, log, g.meters)
 	g.follower.fetcher = newFetcher(g.cluster.client, g.follower.takePart, g.now, log, g.meters)
 	for _, s := range conf.Seeds {
 		g.follower.seeds = append(g.follower.seeds, s.String())
--- a/gateway/grants.go
+++ b/gateway/grants.go
@@ -39,14 +39,18 @@
 // move takes keys from their owner and gives them to the next one.
 func (k *keeper) move(ctx context.Context, s spans.Span) {
 	began := k.now()
-	token, free := k.takeBack(ctx, s)
+	token, free := "", true
+	if s.Next != s.Owner {
+		// Else the owner has started again: nobody holds the keys.
+		token, free = k.takeBack(ctx, s)
+	}
 	if !free || !k.leading.mayAct() {
 		return
 	}
 	taken := k.now()
 	next := k.instance(s.Next)
 	if next == nil || next.Leaving {
-		k.settle(s, k.perhaps(s), s.NextFence, false)
+		k.settle(s, k.perhaps(s), 0, false)
 		return
 	}
 	cold := token == "" && s.Fence > 0
@@ -54,23 +58,23 @@
 	switch {
 	case err == nil && verdict == platform.Granted:
 		k.works(s.Next)
-		k.settle(s, s.Next, s.NextFence, cold)
+		k.settle(s, s.Next, next.Incarnation(), cold)
 		k.log.Info("keys granted", "first", s.First, "last", s.Last, "upstream", s.Next, "fence", s.NextFence,
 			"from", s.Owner, "warm", token != "", "release_ms", taken.Sub(began).Milliseconds(), "took_ms", k.now().Sub(began).Milliseconds())
 	case err == nil && verdict == platform.Fenced:
 		k.log.Warn("keys refused, a higher fence was seen", "first", s.First, "upstream", s.Next, "fence", s.NextFence)
 		k.raise(fenceLeap)
-		k.settle(s, "", s.NextFence, false)
+		k.settle(s, "", 0, false)
 	case errors.Is(err, errNoRight):
 		k.log.Info("move left to the next leader", "first", s.First, "upstream", s.Next, "fence", s.NextFence)
 	case err == nil, errors.Is(err, pool.ErrNotSent):
 		k.log.Warn("keys not granted", "first", s.First, "upstream", s.Next, "error", err)
-		k.settle(s, k.perhaps(s), s.NextFence, false)
+		k.settle(s, k.perhaps(s), 0, false)
 	default:
 		// The grant may arrive yet: the upstream counts as the owner until
 		// its hold would have ended.
 		k.log.Warn("grant without an answer", "first", s.First, "upstream", s.Next, "error", err)
-		k.settle(s, s.Next, s.NextFence, cold)
+		k.settle(s, s.Next, next.Incarnation(), cold)
 	}
 }
 
@@ -104,7 +108,7 @@
 				k.fails(s.Owner)
 			}
 			if err == nil && verdict == platform.Elsewhere {
-				k.log.Info("owner has ended, its address is another's", "upstream", s.Owner)
+				k.ended(owner)
 				return "", true
 			}
 		}
@@ -215,15 +219,16 @@
 	return v.Get(id)
 }
 
-// settle ends a move: the keys have the owner, or none. cold says that they came to it
-// without a handover.
-func (k *keeper) settle(s spans.Span, owner string, fence uint64, cold bool) {
+// settle ends a move: the keys have the owner, the start of it that is named, or none.
+// cold says that they came to it without a handover.
+func (k *keeper) settle(s spans.Span, owner string, granted instances.Incarnation, cold bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for i := range k.table.Spans {
 		t := &k.table.Spans[i]
 		if t.NextFence == s.NextFence && t.First == s.First {
-			t.Owner, t.Fence, t.Next, t.NextFence, t.Cold = owner, fence, "", 0, cold
+			t.Owner, t.Fence, t.Incarnation, t.Cold = owner, s.NextFence, granted, cold
+			t.Next, t.NextFence = "", 0
 		}
 	}
 	k.settled[s.First] = k.now()
@@ -340,7 +345,8 @@
 		return
 	}
 	for _, s := range list {
-		if !k.stillOwns(s) {
+		if !k.stillOwns(s) || owner.Incarnation().Other(s.Incarnation) {
+			// It has other keys by now, or has started again and holds none.
 			continue
 		}
 		verdict, err := k.grant(ctx, s.Keys, owner, s.Fence, "")
@@ -351,10 +357,7 @@
 			k.fails(id)
 			return
 		case verdict == platform.Elsewhere:
-			k.log.Info("owner has ended, its address is another's", "upstream", id)
-			k.mu.Lock()
-			k.dead[id] = true
-			k.mu.Unlock()
+			k.ended(owner)
 			return
 		case verdict == platform.Fenced:
 			k.log.Warn("renewal refused, a higher fence was seen", "first", s.First, "upstream", id, "fence", s.Fence)
--- a/gateway/keeper.go
+++ b/gateway/keeper.go
@@ -103,9 +103,11 @@
 	renewing map[string]bool
 	// failing are upstreams to which calls fail.
 	failing map[string]failure
-	// dead are upstreams known to have ended.
-	dead  map[string]bool
-	moves sync.WaitGroup
+	// dead are upstreams known to have ended, as they were then.
+	dead map[string]start
+	// starts are the upstreams as of the last plan.
+	starts map[string]start
+	moves  sync.WaitGroup
 }
 
 // grantID names the grants of a span to one owner: the next owner's have another fence.
@@ -117,6 +119,16 @@
 // owned names the grants to the owner of a span.
 func owned(s spans.Span) grantID { return grantID{first: s.First, fence: s.Fence} }
 
+// start is one start of an upstream: it may come back under its ID, at another address.
+type start struct {
+	address     string
+	incarnation instances.Incarnation
+}
+
+func startOf(one *instances.Instance) start {
+	return start{address: one.Address, incarnation: one.Incarnation()}
+}
+
 // failure is a time in which the calls to an upstream fail.
 type failure struct {
 	since, last time.Time
@@ -130,7 +142,7 @@
 		heat: ownership.NewHeat(s.now()), holds: make(map[grantID]time.Time), renewed: make(map[uint16]time.Time), settled: make(map[uint16]time.Time),
 		coldAt: make(map[uint16]time.Time),
 		moving: make(map[uint64]bool), inherited: make(map[uint64]bool), renewing: make(map[string]bool),
-		failing: make(map[string]failure), dead: make(map[string]bool),
+		failing: make(map[string]failure), dead: make(map[string]start), starts: make(map[string]start),
 	}
 }
 
@@ -318,8 +330,9 @@
 		if l := loads[one.ID]; l != nil && l.WorkUs > 0 {
 			work = time.Duration(l.WorkUs) * time.Microsecond
 		}
-		o := ownership.Owner{ID: one.ID, Capacity: float64(one.Slots) / work.Seconds()}
-		o.Keeps = !one.Leaving && !k.isDead(one.ID) && k.failingFor(one.ID) < silentOwner
+		o := ownership.Owner{ID: one.ID, Incarnation: one.Incarnation(), Capacity: float64(one.Slots) / work.Seconds()}
+		k.noteStart(one)
+		o.Keeps = !one.Leaving && !k.isDead(one) && k.failingFor(one.ID) < silentOwner
 		o.Usable = o.Keeps && k.failingFor(one.ID) == 0
 		out = append(out, o)
 	}
@@ -353,10 +366,33 @@
 	return k.deposed
 }
 
-func (k *keeper) isDead(id string) bool {
+// isDead reports whether this start of the upstream is known to have ended.
+func (k *keeper) isDead(one *instances.Instance) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.dead[id]
+	at, ok := k.dead[one.ID]
+	return ok && at == startOf(one)
+}
+
+// ended notes that an upstream has ended, as it was when it was called.
+func (k *keeper) ended(one *instances.Instance) {
+	k.log.Info("owner has ended, its address is another's", "upstream", one.ID, "address", one.Address)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.dead[one.ID] = startOf(one)
+}
+
+// noteStart forgets what calls to an earlier start of the upstream have shown.
+func (k *keeper) noteStart(one *instances.Instance) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := startOf(one)
+	if before, ok := k.starts[one.ID]; ok && before != now {
+		k.log.Info("upstream has started again", "upstream", one.ID, "address", one.Address)
+		delete(k.failing, one.ID)
+		delete(k.dead, one.ID)
+	}
+	k.starts[one.ID] = now
 }
 
 // failingFor returns how long the calls to an upstream fail.
--- a/gateway/keeperstore.go
+++ b/gateway/keeperstore.go
@@ -74,12 +74,10 @@
 		s := &next.Spans[i]
 		now := k.table.Find(s.First)
 		s.Cold = now.Cold
-		if s.Moving() && !now.Moving() && now.Owner == s.Next && now.Fence == s.NextFence {
-			s.Owner, s.Fence, s.Next, s.NextFence = now.Owner, now.Fence, "", 0
-			changed = true
-		}
-		if s.Moving() && !now.Moving() && now.Owner == "" && now.Fence == s.NextFence {
-			s.Owner, s.Fence, s.Next, s.NextFence = "", now.Fence, "", 0
+		ended := s.Moving() && !now.Moving() && now.Fence == s.NextFence
+		if ended && (now.Owner == s.Next || now.Owner == "") {
+			s.Owner, s.Fence, s.Incarnation = now.Owner, now.Fence, now.Incarnation
+			s.Next, s.NextFence = "", 0
 			changed = true
 		}
 	}
--- a/gateway/meternames.go
+++ b/gateway/meternames.go
@@ -36,6 +36,7 @@
 	storeRelayed         = "store.relayed"
 	storeAway            = "store.away"
 	storeIn              = "store.bytes_in"
+	upstreamsUnsound     = "view.unsound.{source}"
 	reportAnswer         = "reports.{answer}"
 	newsIn               = "news.bytes_in"
 	newsOut              = "news.bytes_out"
@@ -88,6 +89,7 @@
 	{storeRelayed, "calls", "by way of another gateway"},
 	{storeAway, "0 or 1", "no call succeeds, by no way"},
 	{storeIn, "bytes", "bodies of complete answers to direct calls"},
+	{upstreamsUnsound, "upstreams", "that something was said of which cannot be, and was dropped; by who said it: entry (in the store), news or report (other gateways)"},
 	{reportAnswer, "reports", "to other gateways, looks for a leader among them, by how they ended: ok, late (no whole answer in time), refused (the connection), failed (any other error), stale (answered by one that has not heard from the leader)"},
 	{newsIn, "bytes", "read from connections to other gateways: their answers, whole or not"},
 	{newsOut, "bytes", "written to connections from other gateways and operators: answers to them, whole or not"},
--- a/gateway/news.go
+++ b/gateway/news.go
@@ -22,13 +22,18 @@
 	f.noteConfiguration(resp)
 	f.fetcher.offered(address, resp.Parts)
 	if resp.Instances != nil {
-		f.view.takeInstances(resp.Instances)
+		f.takeUpstreams(resp.Instances)
 	}
 	for _, m := range resp.Spans {
 		f.takeOwners(m)
 	}
 }
 
+func (f *follower) takeUpstreams(m *syncpb.Instances) {
+	f.sieve.instances(m)
+	f.view.takeInstances(m)
+}
+
 func (f *follower) takeOwners(m *syncpb.Spans) {
 	if err := f.view.takeSpans(m); err != nil {
 		f.log.Error("owners from another gateway are not valid", "error", err)
@@ -58,7 +63,7 @@
 		if err := proto.Unmarshal(document, m); err != nil {
 			return err
 		}
-		f.view.takeInstances(m)
+		f.takeUpstreams(m)
 		return nil
 	}
 	if _, ok := serviceOf(part.Name); !ok {
--- a/gateway/peerserver.go
+++ b/gateway/peerserver.go
@@ -36,6 +36,7 @@
 		return nil, twirp.RequiredArgumentError("member")
 	}
 	if r.WaitMs > 0 {
+		r.Loads = p.follower.sieve.loads(r.Loads)
 		p.cluster.reported(r, p.heardAgo() < orphanAfter)
 		if p.cluster.isLeading() {
 			p.steward.asked(r.Keys)
@@ -136,7 +137,7 @@
 	}
 	for _, l := range p.cluster.loads(r.Member.Node, p.steward.ownLoads()) {
 		if l.Inflight >= leastLoad {
-			resp.Loads = append(resp.Loads, &syncpb.Load{Instance: l.Instance, Inflight: l.Inflight})
+			resp.Loads = append(resp.Loads, &syncpb.Load{Instance: l.Instance, Incarnation: l.Incarnation, Inflight: l.Inflight})
 		}
 	}
 	resp.Demands = demandMessages(p.cluster.demandElsewhere(r.Member.Node, p.steward.ownDemands()))
@@ -170,7 +171,7 @@
 	out := make([]*syncpb.Load, 0, len(loads))
 	for _, l := range loads {
 		out = append(out, &syncpb.Load{
-			Instance: l.Instance, Inflight: float32(l.Inflight), WorkUs: uint32(l.Work.Microseconds()),
+			Instance: l.Instance, Incarnation: uint32(l.Incarnation), Inflight: float32(l.Inflight), WorkUs: uint32(l.Work.Microseconds()),
 			SilentMs: uint32(l.Silent.Milliseconds()), Refused: l.Refused,
 		})
 	}
--- /dev/null
+++ b/gateway/restart_test.go
@@ -0,0 +1,160 @@
+package gateway
+
+import (
+	"io"
+	"log/slog"
+	"math"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/rockcroft/rockcroft/platform"
+	"github.com/rockcroft/rockcroft/protocol/syncpb"
+	"github.com/rockcroft/rockcroft/state/instances"
+	"github.com/rockcroft/rockcroft/state/spans"
+)
+
+// This file tests upstreams that start again under their ID, and what is said of
+// upstreams and cannot be.
+
+// bornUpstreams returns a bed whose keyed upstreams say when they started.
+func bornUpstreams(t *testing.T) *bed {
+	t.Helper()
+	b := newBed(t)
+	for _, id := range []string{"i-s0", "i-s1", "i-s2"} {
+		b.startUpstream(id, "status", 1_000_000)
+	}
+	for i := range 3 {
+		b.gateway([]string{"g0", "g1", "g2"}[i])
+	}
+	b.ready()
+	return b
+}
+
+// TestRestartedUpstreamKeepsItsKeys: they are granted again where they were, by higher
+// fences, and none goes elsewhere.
+func TestRestartedUpstreamKeepsItsKeys(t *testing.T) {
+	t.Parallel()
+	b := bornUpstreams(t)
+	before := b.gateways[0].view.spansOf("status")
+	now := b.restart(b.ups["i-s0"])
+	granted := instances.Instance{ID: now.ID, BornMs: now.born}
+	b.eventually("its keys are granted to it again", func() bool {
+		for _, s := range b.gateways[2].view.spansOf("status").Spans {
+			if s.Owner == now.ID && s.Incarnation != granted.Incarnation() {
+				return false
+			}
+		}
+		return b.gateways[2].allOwned()
+	})
+	after := b.gateways[2].view.spansOf("status")
+	for _, s := range before.Spans {
+		for key := uint32(s.First); key <= uint32(s.Last); key += 1024 {
+			if got := after.Find(uint16(key)); got.Owner != s.Owner || s.Owner == now.ID && got.Fence <= s.Fence {
+				t.Fatalf("key %d of %s by fence %d is with %s by fence %d", key, s.Owner, s.Fence, got.Owner, got.Fence)
+			}
+		}
+	}
+	for key := 0; key <= spans.MaxKey; key += 6553 {
+		b.mustAsk(b.gateways[1], http.MethodGet, "/status/x", key)
+	}
+}
+
+// TestNextLeaderHearsOfARestart: an upstream started again while nobody led. The stored
+// assignment says which start had the keys.
+func TestNextLeaderHearsOfARestart(t *testing.T) {
+	t.Parallel()
+	b := bornUpstreams(t)
+	b.eventually("the assignment is saved", func() bool {
+		var stored spans.Table
+		err := platform.Decode(platform.Object{Spec: b.store.Spec(spansKind, "status")}, &stored)
+		return err == nil && stored.Unowned() == 0
+	})
+	for _, g := range b.gateways {
+		g.kill()
+	}
+	now := b.restart(b.ups["i-s0"])
+	granted := instances.Instance{ID: now.ID, BornMs: now.born}
+	g := b.gateway("g9")
+	b.eventually("granted to the new start", func() bool {
+		table := g.view.spansOf("status")
+		if table == nil {
+			return false
+		}
+		for _, s := range table.Spans {
+			if s.Owner == now.ID && s.Incarnation == granted.Incarnation() && !s.Moving() {
+				return true
+			}
+		}
+		return false
+	})
+	b.ready()
+}
+
+// TestEntryOfAnotherWriter: an entry that is not sound names no upstream, one line and
+// one count each, and the others hold; it names one again when it is sound.
+func TestEntryOfAnotherWriter(t *testing.T) {
+	t.Parallel()
+	b := standard(t)
+	l := b.leader()
+	b.store.Put(platform.InstancesKind, "i-odd", rawJSON(`"\u0000 not an entry"`))
+	b.store.Put(platform.InstancesKind, "i-p0", rawJSON(`{"address":7}`))
+	b.eventually("the unsound one leaves", func() bool {
+		one := b.gateways[2].view.inst.Load().Get("i-p0")
+		return one == nil || one.Leaving
+	})
+	if n := l.meters.counter(fill(upstreamsUnsound, unsoundEntry)).Count(); n != 2 {
+		t.Errorf("%d unsound entries counted", n)
+	}
+	if v := b.gateways[2].view.inst.Load(); v.Get("i-odd") != nil || v.Get("i-p1") == nil {
+		t.Error("an entry that is none names an upstream, or a sound one is lost")
+	}
+	b.mustAsk(b.gateways[0], http.MethodGet, "/read/x", -1)
+	b.register(b.ups["i-p0"], "ready")
+	b.eventually("it is back", func() bool {
+		one := b.gateways[2].view.inst.Load().Get("i-p0")
+		return one != nil && !one.Leaving
+	})
+}
+
+// TestSieve drops what cannot be, counted and logged once, and loads of former starts.
+func TestSieve(t *testing.T) {
+	now := time.Now()
+	v, m := newView(), newMeters()
+	one := instances.Instance{ID: "i", Service: "s", Address: "10.0.0.1:1", BornMs: 5}
+	v.setInstances(1, instances.NewView(1, []instances.Instance{one}))
+	s := newSieve(v, func() time.Time { return now }, slog.New(slog.NewTextHandler(io.Discard, nil)), m)
+	former := instances.Instance{BornMs: 4}
+	kept := s.loads([]*syncpb.Load{
+		{Instance: "i", Incarnation: uint32(one.Incarnation()), Inflight: 1},
+		{Instance: "i", Incarnation: uint32(former.Incarnation()), Inflight: 2},
+		{Instance: "i", Inflight: 3},
+		{Instance: "i", Inflight: float32(math.NaN())},
+		{Instance: "other", Incarnation: 9, Inflight: 4},
+	})
+	sum := float32(0)
+	for _, l := range kept {
+		sum += l.Inflight
+	}
+	if sum != 1+3+4 {
+		t.Errorf("loads of %v are kept", sum)
+	}
+	news := &syncpb.Instances{List: []*syncpb.Instance{
+		{Id: "a", Service: "s", Address: "10.0.0.1:1", BornMs: uint64(now.UnixMilli())},
+		{Id: "b", Service: "s", Address: "10.0.0.1:2", BornMs: uint64(now.Add(2 * clockToleranceSeen).UnixMilli())},
+		{Id: "c", Service: "s"},
+	}}
+	s.instances(news)
+	if len(news.List) != 1 || news.List[0].Id != "a" {
+		t.Errorf("kept %v", news.List)
+	}
+	if n := m.counter(fill(upstreamsUnsound, unsoundNews)).Count(); n != 2 {
+		t.Errorf("%d counted", n)
+	}
+	if n := m.counter(fill(upstreamsUnsound, unsoundReport)).Count(); n != 1 {
+		t.Errorf("%d reports counted", n)
+	}
+}
+
+// clockToleranceSeen is how far ahead a start may seem at most.
+const clockToleranceSeen = 24 * time.Hour
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -49,6 +49,7 @@
 	// badVersion is the revision of a configuration that cannot be read.
 	badVersion uint64
 	badEntries map[string]uint64
+	meters     *meters
 	// compacted is closed when one watch learns that history is gone, which
 	// concerns the others as well.
 	compacted chan struct{}
@@ -57,8 +58,11 @@
 	heard, configHeard time.Time
 }
 
-func newWatcher(store *platform.Store, v *view, now func() time.Time, log *slog.Logger, salt uint64) *watcher {
-	return &watcher{drained: make(map[string]bool), salt: salt, store: store, view: v, now: now, log: log, badEntries: make(map[string]uint64), compacted: make(chan struct{})}
+func newWatcher(store *platform.Store, v *view, now func() time.Time, log *slog.Logger, m *meters, salt uint64) *watcher {
+	return &watcher{
+		drained: make(map[string]bool), salt: salt, store: store, view: v, now: now, log: log, meters: m,
+		badEntries: make(map[string]uint64), compacted: make(chan struct{}),
+	}
 }
 
 // run watches until ctx ends.
@@ -270,10 +274,13 @@
 			w.tracker.Remove(w.now(), o.Name)
 			continue
 		}
-		if one, ok := w.decode(o); ok {
-			w.log.Info("upstream entry", "upstream", one.ID, "service", one.Service, "address", one.Address, "leaving", one.Leaving)
-			w.tracker.Put(one)
+		one, ok := w.decode(o)
+		if !ok {
+			w.tracker.Remove(w.now(), o.Name)
+			continue
 		}
+		w.log.Info("upstream entry", "upstream", one.ID, "service", one.Service, "address", one.Address, "leaving", one.Leaving, "born_ms", one.BornMs)
+		w.tracker.Put(one)
 	}
 	w.tracker.Advance(revision)
 	w.tracker.Settle(w.now())
@@ -314,16 +321,20 @@
 	return changed
 }
 
-// decode reads one entry. One that cannot be read is logged once and left
-// alone.
+// decode reads one entry. One that is not sound names no upstream: it counts as gone
+// until it is sound, and is counted and logged once.
 func (w *watcher) decode(o platform.Object) (instances.Instance, bool) {
 	one, err := platform.DecodeInstance(o)
+	if err == nil && !instances.Believable(one.BornMs, w.now()) {
+		err = errBornAhead
+	}
 	if err == nil {
 		return one, true
 	}
 	if w.badEntries[o.Name] != o.Revision {
 		w.badEntries[o.Name] = o.Revision
-		w.log.Error("upstream entry cannot be read", "upstream", o.Name, "error", err)
+		w.meters.inc(fill(upstreamsUnsound, unsoundEntry))
+		w.log.Error("upstream entry is not sound, it names none", "upstream", o.Name, "error", err)
 	}
 	return instances.Instance{}, false
 }
--- a/gateway/watch_test.go
+++ b/gateway/watch_test.go
@@ -141,7 +141,7 @@
 	if w.wrap != nil {
 		way = w.wrap(way)
 	}
-	one := newWatcher(platform.NewStore(way), w.view, time.Now, slog.New(w.lines), 1)
+	one := newWatcher(platform.NewStore(way), w.view, time.Now, slog.New(w.lines), newMeters(), 1)
 	one.draining = func(string) bool { return false }
 	return one
 }
--- a/gateway/wire.go
+++ b/gateway/wire.go
@@ -33,7 +33,7 @@
 		m.List = append(m.List, &syncpb.Instance{
 			Id: one.ID, Service: one.Service, Address: one.Address, Domain: one.Domain,
 			Slots: uint32(one.Slots), Leaving: one.Leaving,
-			WarmUpMs: uint32(one.WarmUp.Milliseconds()), Revision: one.Revision,
+			WarmUpMs: uint32(one.WarmUp.Milliseconds()), Revision: one.Revision, BornMs: one.BornMs,
 		})
 	}
 	return m
@@ -56,7 +56,7 @@
 		list = append(list, instances.Instance{
 			ID: one.Id, Service: one.Service, Address: one.Address, Domain: one.Domain,
 			Slots: int(one.Slots), Leaving: one.Leaving,
-			WarmUp: time.Duration(one.WarmUpMs) * time.Millisecond, Revision: one.Revision,
+			WarmUp: time.Duration(one.WarmUpMs) * time.Millisecond, Revision: one.Revision, BornMs: one.BornMs,
 		})
 	}
 	return list
@@ -75,6 +75,7 @@
 		m.List = append(m.List, &syncpb.Span{
 			First: uint32(s.First), Last: uint32(s.Last),
 			Owner: s.Owner, Fence: s.Fence, Next: s.Next, NextFence: s.NextFence, Cold: s.Cold,
+			Incarnation: uint32(s.Incarnation),
 		})
 	}
 	return m
@@ -105,6 +106,7 @@
 		t.Spans = append(t.Spans, spans.Span{
 			Keys:  spans.Keys{First: uint16(s.First), Last: uint16(s.Last)},
 			Owner: s.Owner, Fence: s.Fence, Next: s.Next, NextFence: s.NextFence, Cold: s.Cold,
+			Incarnation: instances.Incarnation(s.Incarnation),
 		})
 	}
 	return t
--- a/state/instances/instances.go
+++ b/state/instances/instances.go
@@ -8,8 +8,11 @@
 
 // Instance is one incarnation of an upstream.
 type Instance struct {
-	// ID is new with each start.
-	ID      string
+	// ID is that of the upstream. It may start again under it.
+	ID string
+	// BornMs is the Unix millisecond of its start, by its own clock; zero when it does not
+	// say: then each start has an ID of its own.
+	BornMs  uint64
 	Service string
 	Address string
 	// Domain is the failure domain.
--- a/state/instances/instances_test.go
+++ b/state/instances/instances_test.go
@@ -90,6 +90,37 @@
 	}
 }
 
+// TestEarlierStartIsNotTaken: an entry that was written by an earlier start of the upstream
+// and comes late changes nothing; one that counts anew under the same start does not look
+// like another.
+func TestEarlierStartIsNotTaken(t *testing.T) {
+	tr := NewTracker(nil, start, 0)
+	first, second := one("a"), one("a")
+	first.BornMs, second.BornMs = 1000, 2000
+	first.Leaving = true
+	tr.Put(second)
+	tr.Put(first)
+	tr.List(start, []Instance{first})
+	if leaving(t, tr, "a") {
+		t.Error("the earlier start counts")
+	}
+	if first.Incarnation() == second.Incarnation() || first.Incarnation() == 0 || !first.Incarnation().Other(second.Incarnation()) {
+		t.Errorf("starts look alike: %d, %d", first.Incarnation(), second.Incarnation())
+	}
+	unknown := one("a")
+	if unknown.Incarnation().Other(second.Incarnation()) {
+		t.Error("one that does not say looks like another")
+	}
+}
+
+func TestBelievable(t *testing.T) {
+	now := uint64(start.UnixMilli())
+	day := uint64(clockTolerance.Milliseconds())
+	if !Believable(0, start) || !Believable(now, start) || !Believable(now+day-1, start) || Believable(now+day+1, start) {
+		t.Error("what can be is not told from what cannot")
+	}
+}
+
 func TestVersionsDiffer(t *testing.T) {
 	tr := NewTracker(nil, start, 0)
 	tr.List(start, []Instance{one("a")})
--- a/state/instances/tracker.go
+++ b/state/instances/tracker.go
@@ -71,7 +71,11 @@
 // Put takes over one entry that was added or changed.
 func (t *Tracker) Put(one Instance) { t.put(one) }
 
+// put takes over an entry. One of an earlier start than the known one came late.
 func (t *Tracker) put(one Instance) {
+	if one.BornMs < t.known[one.ID].BornMs {
+		return
+	}
 	t.known[one.ID] = one
 	delete(t.missing, one.ID)
 }
--- a/state/spans/spans.go
+++ b/state/spans/spans.go
@@ -5,6 +5,8 @@
 import (
 	"fmt"
 	"sort"
+
+	"github.com/rockcroft/rockcroft/state/instances"
 )
 
 // MaxKey is the largest key.
@@ -30,6 +32,9 @@
 	Owner string `json:"owner,omitempty"`
 	// Fence is the fence of the owner's grant.
 	Fence uint64 `json:"fence,omitempty"`
+	// Incarnation tells which start of the owner was granted the keys: one that has
+	// started again since holds nothing. Zero when it is not known.
+	Incarnation instances.Incarnation `json:"incarnation,omitempty"`
 	// Next is set while the keys move: the upstream that gets them, with the
 	// fence NextFence, which is above Fence.
 	Next      string `json:"next,omitempty"`
