--- a/bench/lab/scenario.go
+++ b/bench/lab/scenario.go
@@ -11,6 +11,7 @@
 
 	"github.com/rockcroft/rockcroft/coordination/dispatch"
 	"github.com/rockcroft/rockcroft/state/jsonc"
+	"github.com/rockcroft/rockcroft/state/spans"
 )
 
 // What an upstream does with a request that it cannot queue.
@@ -76,7 +77,7 @@
 const (
 	// Burst multiplies the traffic by Factor.
 	Burst = "burst"
-	// HotKey gives Share of a route's requests one key.
+	// HotKey gives Share of a route's requests one key, or Count neighbouring ones.
 	HotKey = "hot_key"
 	// Dark lets Share of a service's upstreams fall silent, Gone refuse connections.
 	Dark = "dark"
@@ -96,6 +97,7 @@
 	For     jsonc.Duration `json:"for"`
 	Share   float64        `json:"share"`
 	Factor  float64        `json:"factor"`
+	Count   int            `json:"count"`
 	Service string         `json:"service"`
 	Route   string         `json:"route"`
 }
@@ -237,6 +239,7 @@
 		add(t.Factor <= 0, path+"factor", "must be positive")
 	case HotKey:
 		add(!routes[t.Route], path+"route", "is not among the routes")
+		add(t.Count < 0 || t.Count > spans.MaxKey, path+"count", "must lie between 0 and the largest key")
 	case Slow:
 		add(t.Factor <= 0, path+"factor", "must be positive")
 		add(!services[t.Service], path+"service", "is not among the services")
--- a/bench/lab/world.go
+++ b/bench/lab/world.go
@@ -122,13 +122,17 @@
 	return w.offset + uint16(k)
 }
 
-// hotKey returns the key that a trouble has made hot, for its share of requests.
+// hotKey returns a key that a trouble has made hot, for its share of requests.
 func (w *world) hotKey(r *Route) (uint16, bool) {
 	for i := range w.sc.Troubles {
 		t := &w.sc.Troubles[i]
 		if t.Kind == HotKey && t.Route == r.Name && w.during(t) && w.rng.Float64() < t.Share {
 			// Far apart, and the same in every run of a seed.
-			return w.offset + uint16((i+1)*hotDistance), true
+			hot := w.offset + uint16((i+1)*hotDistance)
+			if t.Count > 1 {
+				hot += uint16(w.rng.IntN(t.Count))
+			}
+			return hot, true
 		}
 	}
 	return 0, false
