Estimate work times from the runs that all gateways have seen

Change: gateways report sums of runs, heads pass them on, the leader keeps a book (package worktime: 30 runs an upstream, with 4 of the service's mean beside them) and tells the estimates with the loads; decisions use these, and what a gateway has seen itself while it is told none. A new leader begins with what the former told. Not played on a site yet.

--- a/bench/lab/control.go
+++ b/bench/lab/control.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/rockcroft/rockcroft/coordination/ownership"
+	"github.com/rockcroft/rockcroft/coordination/worktime"
 	"github.com/rockcroft/rockcroft/state/instances"
 	"github.com/rockcroft/rockcroft/state/spans"
 )
@@ -31,8 +32,10 @@
 	w      *world
 	tables map[string]*spans.Table
 	heat   map[string]*ownership.Heat
-	// total adds up the reports of all gateways, by upstream.
+	// total adds up the reports of all gateways, by upstream, work what they have seen of
+	// runs, by service.
 	total map[string]report
+	work  map[string]*worktime.Book
 	last  []map[string]report
 	// demand is what each gateway is asked for, by service.
 	demand  []map[string]float64
@@ -45,18 +48,20 @@
 
 // report is what gateways say of one upstream.
 type report struct {
-	inflight, work float64
+	inflight float64
+	runs     worktime.Sum
 }
 
 func newControl(w *world) *control {
 	c := &control{
 		w: w, tables: make(map[string]*spans.Table), heat: make(map[string]*ownership.Heat),
-		total: make(map[string]report), last: make([]map[string]report, w.sc.Gateways),
+		total: make(map[string]report), work: make(map[string]*worktime.Book), last: make([]map[string]report, w.sc.Gateways),
 		demand: make([]map[string]float64, w.sc.Gateways),
 		gaps:   make(map[string]*spans.Gaps), settled: make(map[string]map[uint16]time.Duration), coldTo: make(map[string]map[uint16]time.Duration),
 	}
 	for i := range w.sc.Services {
 		s := &w.sc.Services[i]
+		c.work[s.Name] = worktime.NewBook()
 		if !s.Keyed {
 			continue
 		}
@@ -75,23 +80,13 @@
 
 // owners describes the upstreams of a keyed service for a plan.
 func (c *control) owners(s *Service) []ownership.Owner {
-	sum, n := 0.0, 0
-	for _, u := range c.w.upstreams[s.Name] {
-		if r := c.total[u.one.ID]; r.work > 0 && r.inflight > 0 {
-			sum, n = sum+r.work/r.inflight, n+1
-		}
-	}
-	typical := 1.0 / firstRate
-	if n > 0 {
-		typical = sum / float64(n)
-	}
 	var out []ownership.Owner
 	for _, u := range c.w.upstreams[s.Name] {
 		lost := (u.dark || u.gone) && c.w.at-u.lostAt >= lapse
 		if lost {
 			continue
 		}
-		work := c.workAt(u, typical)
+		work := c.workAt(u)
 		keeps := !u.leaving && !u.suspectedLost
 		out = append(out, ownership.Owner{ID: u.one.ID, Capacity: float64(s.Slots) / work, Keeps: keeps, Usable: keeps && !u.dark && !u.gone})
 	}
@@ -100,25 +95,28 @@
 
 // workAt is the time of a run at an upstream in seconds: as reported, or as it is for
 // the policy that knows everything.
-func (c *control) workAt(u *upstream, typical float64) float64 {
+func (c *control) workAt(u *upstream) float64 {
 	if c.w.knowsAll {
 		return c.w.meanWork(u.service) / u.pace()
 	}
-	if r := c.total[u.one.ID]; r.work > 0 && r.inflight > 0 {
-		return r.work / r.inflight
+	if work := c.work[u.service.Name].Mean(u.one.ID); work > 0 {
+		return work.Seconds()
 	}
-	return typical
+	return 1.0 / firstRate
 }
 
 // reported takes one gateway's report in place of its last one.
 func (c *control) reported(g int, loads map[string]report, demand map[string]float64, keys map[string][]uint16) {
 	for id, r := range c.last[g] {
-		t := c.total[id]
-		c.total[id] = report{inflight: t.inflight - r.inflight, work: t.work - r.work}
+		c.total[id] = report{inflight: c.total[id].inflight - r.inflight}
 	}
-	for id, r := range loads {
-		t := c.total[id]
-		c.total[id] = report{inflight: t.inflight + r.inflight, work: t.work + r.work}
+	// In a fixed order: sums of work times depend on it.
+	for _, u := range c.w.all {
+		id := u.one.ID
+		if r, ok := loads[id]; ok {
+			c.total[id] = report{inflight: c.total[id].inflight + r.inflight}
+			c.work[u.service.Name].Add(id, r.runs)
+		}
 	}
 	c.last[g], c.demand[g] = loads, demand
 	for name, list := range keys {
@@ -141,6 +139,17 @@
 	return out
 }
 
+// works returns the mean time of a run at each upstream, as all gateways have seen it.
+func (c *control) works() map[string]time.Duration {
+	out := make(map[string]time.Duration, len(c.w.all))
+	for _, u := range c.w.all {
+		if work := c.work[u.service.Name].Mean(u.one.ID); work > 0 {
+			out[u.one.ID] = work
+		}
+	}
+	return out
+}
+
 // askedElsewhere returns what all gateways but one are asked for, by service.
 func (c *control) askedElsewhere(g int) map[string]float64 {
 	out := make(map[string]float64)
--- a/bench/lab/gateway.go
+++ b/bench/lab/gateway.go
@@ -119,7 +119,7 @@
 	for _, name := range g.names {
 		demand[name] = g.dispatch[name].Demand(g.w.now())
 		for _, l := range g.dispatch[name].Loads(g.w.now()) {
-			loads[l.Instance] = report{inflight: l.Inflight, work: l.Inflight * l.Work.Seconds()}
+			loads[l.Instance] = report{inflight: l.Inflight, runs: l.Runs}
 		}
 	}
 	keys := g.keys
@@ -131,11 +131,11 @@
 		for id, r := range others {
 			inflight[id] = r.inflight
 		}
-		asked := g.w.control.askedElsewhere(g.index)
+		asked, works := g.w.control.askedElsewhere(g.index), g.w.control.works()
 		g.w.after(g.w.hop(), func() {
 			for _, name := range g.names {
 				g.dispatch[name].ReportAll(g.w.now(), dispatch.News{
-					InFlight: inflight, Demand: asked[name], Gateways: g.w.sc.Gateways,
+					InFlight: inflight, Work: works, Demand: asked[name], Gateways: g.w.sc.Gateways,
 				})
 			}
 		})
--- a/coordination/dispatch/report.go
+++ b/coordination/dispatch/report.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/rockcroft/rockcroft/coordination/worktime"
 	"github.com/rockcroft/rockcroft/state/instances"
 )
 
@@ -13,9 +14,10 @@
 	Incarnation instances.Incarnation
 	// Inflight is the mean number of requests from here since the last call.
 	Inflight float64
-	Work     time.Duration
-	Silent   time.Duration
-	Refused  bool
+	// Runs are those seen from here since the last call.
+	Runs    worktime.Sum
+	Silent  time.Duration
+	Refused bool
 }
 
 // Loads returns what is worth a report: upstreams with requests from here or
@@ -30,11 +32,12 @@
 			mean = u.area / span
 		}
 		u.area, u.reportedAt = 0, now
-		l := Load{Instance: u.ID, Incarnation: u.Incarnation(), Inflight: mean, Work: u.work, Refused: u.refused}
+		l := Load{Instance: u.ID, Incarnation: u.Incarnation(), Inflight: mean, Runs: u.runs, Refused: u.refused}
+		u.runs = worktime.Sum{}
 		if u.pause > 0 || u.silent(now, s.typical) {
 			l.Silent = max(now.Sub(u.lastAnswer), time.Millisecond)
 		}
-		if mean > 0 || l.Silent > 0 {
+		if mean > 0 || l.Silent > 0 || l.Runs.Runs > 0 {
 			out = append(out, l)
 		}
 	}
--- a/coordination/dispatch/service.go
+++ b/coordination/dispatch/service.go
@@ -134,6 +134,9 @@
 	for _, u := range s.order {
 		u.gateways = s.gateways
 		u.others = news.InFlight[u.ID]
+		if work := news.Work[u.ID]; work > 0 {
+			u.told = work
+		}
 		u.othersAt = now
 		u.share.report(now, u.rate(now, s.typical), s.part, u.inflight(now), u.Slots)
 	}
--- a/coordination/dispatch/upstream.go
+++ b/coordination/dispatch/upstream.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/rockcroft/rockcroft/coordination/worktime"
 	"github.com/rockcroft/rockcroft/state/instances"
 )
 
@@ -87,8 +88,12 @@
 	gateways int
 	// share is this gateway's part of the room.
 	share share
-	// work is the mean time of a run without waiting; zero when unknown.
+	// work is the mean time of a run without waiting as seen from here; zero when unknown.
 	work time.Duration
+	// told is the same as all gateways together have seen it; zero when unknown.
+	told time.Duration
+	// runs are those seen since the last report.
+	runs worktime.Sum
 	// failures is the share of requests that failed lately.
 	failures float64
 	// pausedUntil is when a request may be tried again after the upstream
@@ -173,8 +178,12 @@
 	return u.silentFor(now) > factor*delay
 }
 
-// workTime is the time of one run without waiting.
+// workTime is the time of one run without waiting: as all gateways have seen it, else as
+// this one has.
 func (u *Upstream) workTime(now time.Time, typical time.Duration) time.Duration {
+	if u.told != 0 {
+		return u.told
+	}
 	if u.work != 0 {
 		return u.work
 	}
@@ -336,13 +345,15 @@
 func (u *Upstream) observe(took time.Duration, ahead float64) {
 	rounds := (ahead + 1) / float64(u.Slots)
 	sample := time.Duration(float64(took) / max(1, rounds))
+	weight := float64(workWeight)
+	if rounds > 1 {
+		weight = queuedWeight
+	}
+	seen := weight / workWeight
+	u.runs = u.runs.Add(worktime.Sum{Total: time.Duration(seen * float64(sample)), Runs: seen})
 	if u.work == 0 {
 		u.work = sample
 		return
 	}
-	weight := workWeight
-	if rounds > 1 {
-		weight = queuedWeight
-	}
 	u.work += time.Duration(weight * float64(sample-u.work))
 }
--- a/coordination/dispatch/want.go
+++ b/coordination/dispatch/want.go
@@ -83,6 +83,9 @@
 	// InFlight is how many requests they have at each upstream; those that are not
 	// listed have none.
 	InFlight map[string]float64
+	// Work is the mean time of a run at each upstream, from what all gateways have seen.
+	// Of those that are not listed nothing new is known.
+	Work map[string]time.Duration
 	// Demand is how many requests a second they are asked for.
 	Demand float64
 	// Gateways is the number of all gateways, this one among them.
--- /dev/null
+++ b/coordination/worktime/worktime_test.go
@@ -0,0 +1,57 @@
+package worktime
+
+import (
+	"testing"
+	"time"
+)
+
+const ms = time.Millisecond
+
+func near(t *testing.T, what string, got, want time.Duration) {
+	t.Helper()
+	if diff := got - want; diff > want/20 || diff < -want/20 {
+		t.Errorf("%s: %s, want about %s", what, got, want)
+	}
+}
+
+// TestFewRunsSayLittle: one long run hardly moves the estimate of an upstream, many do.
+func TestFewRunsSayLittle(t *testing.T) {
+	b := NewBook()
+	for range 200 {
+		b.Add("usual", Sum{Total: 100 * ms, Runs: 1})
+	}
+	b.Add("once", Sum{Total: 300 * ms, Runs: 1})
+	near(t, "after one run of three times the mean", b.Mean("once"), 140*ms)
+	for range 200 {
+		b.Add("slow", Sum{Total: 300 * ms, Runs: 1})
+	}
+	near(t, "after many", b.Mean("slow"), 290*ms)
+	near(t, "never seen", b.Mean("new"), b.Typical())
+}
+
+// TestChangeShows: an upstream that turns slow seems so after some twenty runs.
+func TestChangeShows(t *testing.T) {
+	b := NewBook()
+	for range 1000 {
+		b.Add("a", Sum{Total: 100 * ms, Runs: 1})
+		b.Add("b", Sum{Total: 100 * ms, Runs: 1})
+	}
+	for range 20 {
+		b.Add("a", Sum{Total: 400 * ms, Runs: 1})
+	}
+	if got := b.Mean("a"); got < 200*ms {
+		t.Errorf("%s after twenty runs of 400 ms", got)
+	}
+	b.Forget("a")
+	near(t, "after it has started again", b.Mean("a"), b.Typical())
+}
+
+// TestNothingSeen: without runs there is no estimate, and what is no run is not taken.
+func TestNothingSeen(t *testing.T) {
+	b := NewBook()
+	b.Add("a", Sum{Total: 100 * ms})
+	b.Add("a", Sum{Total: -ms, Runs: 1})
+	if b.Mean("a") != 0 || b.Typical() != 0 {
+		t.Errorf("%s, %s", b.Mean("a"), b.Typical())
+	}
+}
--- a/gateway/cluster.go
+++ b/gateway/cluster.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/rockcroft/rockcroft/coordination/worktime"
 	"github.com/rockcroft/rockcroft/protocol/syncpb"
 )
 
@@ -36,7 +37,10 @@
 	version uint64
 	// above is what the gateways that do not report to this one have in flight,
 	// as the parent told, aboveDemands what they are asked for.
-	above        []*syncpb.Load
+	above []*syncpb.Load
+	// runs are those that the gateways which report to this one have seen since its own
+	// last report, by upstream.
+	runs         map[string]worktime.Sum
 	aboveDemands []*syncpb.Demand
 	// expected is how many gateways there were under the leader before, who may not have
 	// reported yet; it counts until expectedUntil.
@@ -61,7 +65,7 @@
 	return &cluster{
 		self: self, now: now, http: client, rng: rng,
 		children: make(map[string]*child), members: make(map[string]*syncpb.Member),
-		avoided: make(map[string]time.Time), clients: make(map[string]syncpb.Peer),
+		runs: make(map[string]worktime.Sum), avoided: make(map[string]time.Time), clients: make(map[string]syncpb.Peer),
 	}
 }
 
@@ -317,10 +321,6 @@
 			s = &syncpb.Load{Instance: l.Instance, Incarnation: l.Incarnation}
 			sum[l.Instance] = s
 		}
-		// The mean work time weighs each report by what it had in flight.
-		if total := s.Inflight + l.Inflight; total > 0 && l.WorkUs > 0 {
-			s.WorkUs = uint32((float32(s.WorkUs)*s.Inflight + float32(l.WorkUs)*l.Inflight) / total)
-		}
 		s.Inflight += l.Inflight
 		s.SilentMs = max(s.SilentMs, l.SilentMs)
 		s.Refused = s.Refused || l.Refused
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"github.com/rockcroft/rockcroft/coordination/dispatch"
 	"github.com/rockcroft/rockcroft/protocol/syncpb"
 )
 
@@ -151,7 +152,9 @@
 // flight: those above, and those that report to this one.
 func (f *follower) shareLoads(gateways int) {
 	self := f.cluster.self.Node
-	f.traffic.reported(f.cluster.inFlightElsewhere(), f.cluster.demandElsewhere(self, nil), gateways)
+	f.traffic.reported(dispatch.News{
+		InFlight: f.cluster.inFlightElsewhere(), Work: f.cluster.worksAbove(), Gateways: gateways,
+	}, f.cluster.demandElsewhere(self, nil))
 }
 
 // request builds a report.
@@ -178,9 +181,8 @@
 	f.setOwn(own, demand)
 	r.Demands = demandMessages(f.cluster.demandBelow(demand))
 	r.Followers = f.cluster.followers()
-	for _, l := range f.cluster.below(own) {
-		r.Loads = append(r.Loads, l)
-	}
+	f.cluster.keepRuns(own)
+	r.Loads = withRuns(f.cluster.below(own), f.cluster.takeRuns())
 	for name, list := range keys {
 		k := &syncpb.KeyCounts{Service: name}
 		for _, key := range list {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -192,7 +192,7 @@
 	g.steward = &steward{
 		view: g.view, cluster: g.cluster, traffic: g.traffic, store: store, calls: g.calls,
 		owners: platform.NewOwners(pool.New(upstreamLimits, g.now)), longest: conf.LongestHold.D(),
-		now: g.now, log: log, meters: g.meters,
+		now: g.now, log: log, meters: g.meters, workTimes: newWorkTimes(g.view),
 	}
 	g.leading = &leading{
 		store: store, calls: g.calls, cluster: g.cluster, follower: g.follower, watcher: g.watcher,
--- a/gateway/grants.go
+++ b/gateway/grants.go
@@ -11,13 +11,8 @@
 	"github.com/rockcroft/rockcroft/state/instances"
 	"github.com/rockcroft/rockcroft/state/spans"
 	"github.com/rockcroft/rockcroft/transport/pool"
-
-	"github.com/rockcroft/rockcroft/protocol/syncpb"
 )
 
-// loadsByID are reports added up by upstream.
-type loadsByID = map[string]*syncpb.Load
-
 // startMoves begins the moves of the table that are not under way.
 func (k *keeper) startMoves(ctx context.Context) {
 	k.mu.Lock()
--- a/gateway/keeper.go
+++ b/gateway/keeper.go
@@ -322,13 +322,11 @@
 	if v == nil {
 		return nil
 	}
-	loads := k.cluster.loads("", k.ownLoads())
 	var out []ownership.Owner
-	typical := k.typicalWork(loads, v)
 	for _, one := range v.Service(k.service) {
-		work := typical
-		if l := loads[one.ID]; l != nil && l.WorkUs > 0 {
-			work = time.Duration(l.WorkUs) * time.Microsecond
+		work := k.workTimes.of(k.service, one.ID)
+		if work <= 0 {
+			work = time.Second / defaultRate
 		}
 		o := ownership.Owner{ID: one.ID, Incarnation: one.Incarnation(), Capacity: float64(one.Slots) / work.Seconds()}
 		k.noteStart(one)
@@ -339,21 +337,6 @@
 	return out
 }
 
-// typicalWork is the mean work time over the service's upstreams.
-func (k *keeper) typicalWork(loads loadsByID, v *instances.View) time.Duration {
-	sum, n := time.Duration(0), 0
-	for _, one := range v.Service(k.service) {
-		if l := loads[one.ID]; l != nil && l.WorkUs > 0 {
-			sum += time.Duration(l.WorkUs) * time.Microsecond
-			n++
-		}
-	}
-	if n == 0 {
-		return time.Second / defaultRate
-	}
-	return sum / time.Duration(n)
-}
-
 func (k *keeper) setSole(sole bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -391,6 +374,7 @@
 		k.log.Info("upstream has started again", "upstream", one.ID, "address", one.Address)
 		delete(k.failing, one.ID)
 		delete(k.dead, one.ID)
+		k.workTimes.forget(k.service, one.ID)
 	}
 	k.starts[one.ID] = now
 }
--- a/gateway/peerserver.go
+++ b/gateway/peerserver.go
@@ -40,8 +40,10 @@
 		p.cluster.reported(r, p.heardAgo() < orphanAfter)
 		if p.cluster.isLeading() {
 			p.steward.asked(r.Keys)
+			p.steward.workTimes.note(r.Loads)
 		} else {
 			p.passOn(r.Keys)
+			p.cluster.keepRuns(r.Loads)
 		}
 	}
 	p.waitForNews(ctx, r)
@@ -135,9 +137,13 @@
 	if r.WaitMs == 0 {
 		return resp
 	}
+	works := p.works()
 	for _, l := range p.cluster.loads(r.Member.Node, p.steward.ownLoads()) {
 		if l.Inflight >= leastLoad {
-			resp.Loads = append(resp.Loads, &syncpb.Load{Instance: l.Instance, Incarnation: l.Incarnation, Inflight: l.Inflight})
+			resp.Loads = append(resp.Loads, &syncpb.Load{
+				Instance: l.Instance, Incarnation: l.Incarnation, Inflight: l.Inflight,
+				WorkUs: uint32(works[l.Instance].Microseconds()),
+			})
 		}
 	}
 	resp.Demands = demandMessages(p.cluster.demandElsewhere(r.Member.Node, p.steward.ownDemands()))
@@ -150,6 +156,14 @@
 	return resp
 }
 
+// works returns the mean times of a run as all gateways have seen them.
+func (p *peerServer) works() map[string]time.Duration {
+	if p.cluster.isLeading() {
+		return p.steward.workTimes.all()
+	}
+	return p.cluster.worksAbove()
+}
+
 // leastLoad is the number of requests in flight at an upstream that is worth
 // telling: less does not change a decision.
 const leastLoad = 0.2
@@ -171,7 +185,7 @@
 	out := make([]*syncpb.Load, 0, len(loads))
 	for _, l := range loads {
 		out = append(out, &syncpb.Load{
-			Instance: l.Instance, Incarnation: uint32(l.Incarnation), Inflight: float32(l.Inflight), WorkUs: uint32(l.Work.Microseconds()),
+			Instance: l.Instance, Incarnation: uint32(l.Incarnation), Inflight: float32(l.Inflight), WorkUs: uint32(l.Runs.Mean().Microseconds()), Runs: float32(l.Runs.Runs),
 			SilentMs: uint32(l.Silent.Milliseconds()), Refused: l.Refused,
 		})
 	}
--- a/gateway/sieve.go
+++ b/gateway/sieve.go
@@ -21,7 +21,7 @@
 var (
 	errBornAhead = errors.New("it says that it will start more than a day from now")
 	errNoName    = errors.New("it has no ID, no service or no address")
-	errNoNumber  = errors.New("its requests in flight are no number")
+	errNoNumber  = errors.New("its requests in flight or its runs are no number that can be")
 )
 
 // mostUnsoundLogged bounds the upstreams that are logged for what others say of them.
@@ -73,8 +73,7 @@
 	known := s.view.inst.Load()
 	out := make([]*syncpb.Load, 0, len(list))
 	for _, l := range list {
-		inflight := float64(l.Inflight)
-		if math.IsNaN(inflight) || math.IsInf(inflight, 0) || inflight < 0 {
+		if !isCount(l.Inflight) || !isCount(l.Runs) {
 			s.note(unsoundReport, l.Instance, errNoNumber)
 			continue
 		}
@@ -88,6 +87,9 @@
 	return out
 }
 
+// isCount reports whether a told number can be one of requests.
+func isCount(n float32) bool { return n >= 0 && n <= math.MaxUint16 }
+
 // note counts what was dropped, and logs each upstream once.
 func (s *sieve) note(source, upstream string, err error) {
 	s.meters.inc(fill(upstreamsUnsound, source))
--- a/gateway/steward.go
+++ b/gateway/steward.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/rockcroft/rockcroft/coordination/dispatch"
 	"github.com/rockcroft/rockcroft/platform"
 	"github.com/rockcroft/rockcroft/protocol/syncpb"
 	"github.com/rockcroft/rockcroft/state/spans"
@@ -39,6 +40,8 @@
 	own     []*syncpb.Load
 	// ownDemand is what this process is asked for, by service.
 	ownDemand map[string]float64
+	// workTimes are the times of runs as all gateways see them.
+	workTimes *workTimes
 }
 
 // start begins to keep the services, and runs inquire beside that. It is called
@@ -49,6 +52,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	s.cancel = cancel
 	s.keepers = make(map[string]*keeper)
+	s.workTimes.begin(s.cluster.worksAbove())
 	s.running.Go(func() { s.run(ctx, term) })
 	s.running.Go(func() { inquire(ctx) })
 	s.running.Go(func() { s.placements.load(ctx) })
@@ -125,7 +129,9 @@
 
 func (s *steward) noteOwn() {
 	loads, demand, keys := s.traffic.report()
-	s.setOwn(loadMessages(loads), demand)
+	own := loadMessages(loads)
+	s.setOwn(own, demand)
+	s.workTimes.note(own)
 	s.mu.Lock()
 	for name, list := range keys {
 		if k := s.keepers[name]; k != nil {
@@ -136,7 +142,9 @@
 	}
 	s.mu.Unlock()
 	elsewhere := s.cluster.demandElsewhere(s.cluster.self.Node, nil)
-	s.traffic.reported(s.cluster.inFlightElsewhere(), elsewhere, s.cluster.gateways())
+	s.traffic.reported(dispatch.News{
+		InFlight: s.cluster.inFlightElsewhere(), Work: s.workTimes.all(), Gateways: s.cluster.gateways(),
+	}, elsewhere)
 }
 
 // setOwn keeps this process's last report.
--- a/gateway/traffic.go
+++ b/gateway/traffic.go
@@ -242,14 +242,15 @@
 	return loads, demand, keys
 }
 
-// reported takes over what the other gateways have in flight and are asked for, and how
-// many gateways there are. Upstreams that are not listed have nothing.
-func (t *traffic) reported(others, demand map[string]float64, gateways int) {
-	t.setGateways(gateways)
+// reported takes over what the other gateways reported, and what they are asked for by
+// service.
+func (t *traffic) reported(news dispatch.News, demand map[string]float64) {
+	t.setGateways(news.Gateways)
 	now := t.now()
 	for name, s := range t.all() {
 		s.mu.Lock()
-		s.dispatch.ReportAll(now, dispatch.News{InFlight: others, Demand: demand[name], Gateways: gateways})
+		news.Demand = demand[name]
+		s.dispatch.ReportAll(now, news)
 		s.mu.Unlock()
 	}
 }
--- /dev/null
+++ b/gateway/worktimes.go
@@ -0,0 +1,157 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"github.com/rockcroft/rockcroft/coordination/worktime"
+	"github.com/rockcroft/rockcroft/protocol/syncpb"
+)
+
+// This file carries what gateways see of runs to the leader, and its estimates of work
+// times back to all.
+
+// toldRuns is how many runs the estimate of a former leader counts for in the book of the
+// next one.
+const toldRuns = 10
+
+// keepRuns keeps the runs that a report tells of for the own next report.
+func (c *cluster) keepRuns(loads []*syncpb.Load) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, l := range loads {
+		if runs := runsOf(l); runs.Runs > 0 {
+			c.runs[l.Instance] = c.runs[l.Instance].Add(runs)
+		}
+	}
+}
+
+// takeRuns returns the kept runs, and forgets them.
+func (c *cluster) takeRuns() map[string]worktime.Sum {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := c.runs
+	c.runs = make(map[string]worktime.Sum)
+	return out
+}
+
+// worksAbove returns the mean times of a run as the parent told them, by upstream.
+func (c *cluster) worksAbove() map[string]time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := make(map[string]time.Duration, len(c.above))
+	for _, l := range c.above {
+		if l.WorkUs > 0 {
+			out[l.Instance] = time.Duration(l.WorkUs) * time.Microsecond
+		}
+	}
+	return out
+}
+
+// withRuns returns the loads with the runs told in them.
+func withRuns(loads map[string]*syncpb.Load, runs map[string]worktime.Sum) []*syncpb.Load {
+	for id, sum := range runs {
+		l := loads[id]
+		if l == nil {
+			l = &syncpb.Load{Instance: id}
+			loads[id] = l
+		}
+		l.Runs, l.WorkUs = float32(sum.Runs), uint32(sum.Mean().Microseconds())
+	}
+	out := make([]*syncpb.Load, 0, len(loads))
+	for _, l := range loads {
+		out = append(out, l)
+	}
+	return out
+}
+
+// runsOf returns what a load tells of runs.
+func runsOf(l *syncpb.Load) worktime.Sum {
+	work := time.Duration(l.WorkUs) * time.Microsecond
+	return worktime.Sum{Total: time.Duration(float64(l.Runs) * float64(work)), Runs: float64(l.Runs)}
+}
+
+// workTimes are the leader's estimates for all services, for concurrent use.
+type workTimes struct {
+	view *view
+
+	mu    sync.Mutex
+	books map[string]*worktime.Book
+}
+
+func newWorkTimes(v *view) *workTimes {
+	return &workTimes{view: v, books: make(map[string]*worktime.Book)}
+}
+
+// begin forgets everything but what the former leader told.
+func (w *workTimes) begin(told map[string]time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.books = make(map[string]*worktime.Book)
+	for id, work := range told {
+		w.addLocked(id, worktime.Sum{Total: toldRuns * work, Runs: toldRuns})
+	}
+}
+
+// note notes the runs that a report tells of.
+func (w *workTimes) note(loads []*syncpb.Load) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, l := range loads {
+		w.addLocked(l.Instance, runsOf(l))
+	}
+}
+
+func (w *workTimes) addLocked(id string, runs worktime.Sum) {
+	known := w.view.inst.Load()
+	if known == nil {
+		return
+	}
+	if one := known.Get(id); one != nil {
+		w.book(one.Service).Add(id, runs)
+	}
+}
+
+// book returns the book of a service. The lock is held.
+func (w *workTimes) book(service string) *worktime.Book {
+	b := w.books[service]
+	if b == nil {
+		b = worktime.NewBook()
+		w.books[service] = b
+	}
+	return b
+}
+
+// of returns the estimate for an upstream of the service; zero while none was seen.
+func (w *workTimes) of(service, id string) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.book(service).Mean(id)
+}
+
+// forget drops what was seen of an upstream that has started again.
+func (w *workTimes) forget(service, id string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.book(service).Forget(id)
+}
+
+// all returns the estimates for all upstreams.
+func (w *workTimes) all() map[string]time.Duration {
+	known := w.view.inst.Load()
+	if known == nil {
+		return nil
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	out := make(map[string]time.Duration, known.Len())
+	for _, service := range known.Services() {
+		b := w.book(service)
+		for _, one := range known.Service(service) {
+			if work := b.Mean(one.ID); work > 0 {
+				out[one.ID] = work
+			}
+		}
+	}
+	return out
+}
