Estimate rates of keys without bias in the first second; lab tells moves

A half-life of 0.8 s counted a half of what is asked half a second after it began: first seconds of traffic, and each new leader. The lab prints how many times all keys moved, and plans with moves.

--- a/bench/lab/control.go
+++ b/bench/lab/control.go
@@ -189,8 +189,10 @@
 		return
 	}
 	c.publish(s, next)
+	c.w.tally.plans++
 	for _, one := range next.Spans {
 		if one.Moving() && !before.Find(one.First).Moving() {
+			c.w.tally.moved += one.Count()
 			c.w.after(moveCall, func() { c.move(s, one) })
 		}
 	}
--- a/bench/lab/report.go
+++ b/bench/lab/report.go
@@ -37,6 +37,8 @@
 		sum.Imbalance += r.Imbalance / n
 		sum.MostOverSlots = max(sum.MostOverSlots, r.MostOverSlots)
 		sum.Full += r.Full
+		sum.Moved += r.Moved / n
+		sum.Plans += r.Plans
 		sum.Crossed += r.Crossed / n
 		sum.WallMs += r.WallMs / n
 		for i, one := range r.Routes {
@@ -67,13 +69,13 @@
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	// A writer of tables keeps its first error for Flush.
 	row := func(format string, args ...any) { _, _ = fmt.Fprintf(w, format, args...) }
-	row("scenario\tpolicy\troute\tworth\tof limit\ton time\tlate\trefused\tfailed\theld ms\trefusals\twasted s\tp50 ms\tp99 ms\timbalance\tmost/slots\tfull\tms\n")
+	row("scenario\tpolicy\troute\tworth\tof limit\ton time\tlate\trefused\tfailed\theld ms\trefusals\twasted s\tp50 ms\tp99 ms\timbalance\tmost/slots\tfull\tmoved\tplans\tms\n")
 	for _, sc := range scenarios {
 		limit := mean(results, sc.Name, Ideal)
 		for _, p := range []Policy{Product, Ideal, Plain} {
 			r := mean(results, sc.Name, p)
-			row("%s\t%s\tall\t%.3f\t%.3f\t\t\t\t\t\t\t\t\t\t%.2f\t%.1f\t%d\t%.0f\n",
-				sc.Name, p, r.Worth, r.Worth/limit.Worth, r.Imbalance, r.MostOverSlots, r.Full, r.WallMs)
+			row("%s\t%s\tall\t%.3f\t%.3f\t\t\t\t\t\t\t\t\t\t%.2f\t%.1f\t%d\t%.2f\t%d\t%.0f\n",
+				sc.Name, p, r.Worth, r.Worth/limit.Worth, r.Imbalance, r.MostOverSlots, r.Full, r.Moved, r.Plans, r.WallMs)
 			for i, x := range r.Routes {
 				row("\t\t%s\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.0f\t%.2f\t%.1f\t%.0f\t%.0f\n",
 					x.Route, x.Worth, x.Worth/limit.Routes[i].Worth, x.OnTime, x.Late, x.Refused, x.Failed, x.HeldMs, x.Refusals, x.WastedS, x.P50Ms, x.P99Ms)
--- a/bench/lab/result.go
+++ b/bench/lab/result.go
@@ -5,6 +5,8 @@
 	"runtime"
 	"sync"
 	"time"
+
+	"github.com/rockcroft/rockcroft/state/spans"
 )
 
 // Policy names who decides in a run.
@@ -56,7 +58,10 @@
 	// of another failure domain than the gateway's.
 	Crossed float64 `json:"crossed"`
 	// Full counts requests that found an upstream without any room.
-	Full    int      `json:"full"`
+	Full int `json:"full"`
+	// Moved is how many times all keys have moved, Plans how many plans had moves.
+	Moved   float64  `json:"moved"`
+	Plans   int      `json:"plans"`
 	WallMs  float64  `json:"wall_ms"`
 	Seconds []Second `json:"seconds"`
 }
@@ -117,6 +122,7 @@
 
 func (w *world) result(p Policy, seed uint64) *Result {
 	r := &Result{Scenario: w.sc.Name, Policy: p, Seed: seed, Full: w.tally.full, Crossed: float64(w.tally.crossed) / float64(max(w.tally.sent, 1))}
+	r.Moved, r.Plans = float64(w.tally.moved)/(spans.MaxKey+1), w.tally.plans
 	worth, owed := 0.0, 0.0
 	for i := range w.sc.Routes {
 		one := w.tally.route(&w.sc.Routes[i])
--- a/coordination/ownership/heat.go
+++ b/coordination/ownership/heat.go
@@ -16,12 +16,15 @@
 
 // Heat estimates requests a second by key. It is not safe for concurrent use.
 type Heat struct {
+	// rates are without the correction for a short past.
 	rates map[uint16]float64
-	at    time.Time
+	// began is when the first request may have been counted, at is up to when rates have
+	// faded.
+	began, at time.Time
 }
 
 // NewHeat returns an estimate without requests.
-func NewHeat(now time.Time) *Heat { return &Heat{rates: make(map[uint16]float64), at: now} }
+func NewHeat(now time.Time) *Heat { return &Heat{rates: make(map[uint16]float64), began: now, at: now} }
 
 // Add counts one request for a key.
 func (h *Heat) Add(key uint16) { h.rates[key] += math.Ln2 / heatHalf.Seconds() }
@@ -30,6 +33,9 @@
 func (h *Heat) Rates(now time.Time) map[uint16]float64 {
 	fade := math.Exp2(-float64(now.Sub(h.at)) / float64(heatHalf))
 	h.at = now
+	// A past that is shorter than the rates' holds less than their weight: uncorrected, a
+	// new leader and the first second of traffic see a half of what is.
+	past := 1 - math.Exp2(-float64(max(now.Sub(h.began), time.Millisecond))/float64(heatHalf))
 	out := make(map[uint16]float64, len(h.rates))
 	for key, rate := range h.rates {
 		rate *= fade
@@ -38,7 +44,7 @@
 			continue
 		}
 		h.rates[key] = rate
-		out[key] = rate
+		out[key] = rate / past
 	}
 	return out
 }
--- a/coordination/ownership/plan_test.go
+++ b/coordination/ownership/plan_test.go
@@ -301,6 +301,18 @@
 	}
 }
 
+// TestHeatOfAShortPast: half a second after it begins an estimate is as high as later.
+func TestHeatOfAShortPast(t *testing.T) {
+	start := time.Now()
+	h := NewHeat(start)
+	for range 50 {
+		h.Add(7)
+	}
+	if r := h.Rates(start.Add(500 * time.Millisecond))[7]; r < 60 || r > 130 {
+		t.Errorf("a hundred a second for half a second count as %.0f", r)
+	}
+}
+
 func TestHeatFades(t *testing.T) {
 	start := time.Now()
 	h := NewHeat(start)
