Keep versions of the view for less: shared where nothing changed, and fewer of owners

Cause: 48 versions of a view of 1,200 upstreams were 48 copies (533 KB each, BenchmarkVersions), and the leader gave a version of the owners to all for each move that ended. Change: versions share what stays (85 KB, and 291 instead of 670 us); the assignment is told at most every 20 ms, the first change at once.

--- a/gateway/keeper.go
+++ b/gateway/keeper.go
@@ -39,6 +39,10 @@
 	saveInterval = time.Second
 	// keepInterval is the time between looks at what is due.
 	keepInterval = 25 * time.Millisecond
+	// publishInterval is the least time between versions of the assignment. Each is copied,
+	// kept for differences and told to all gateways at once: of a hundred moves of one plan
+	// many end within a few milliseconds.
+	publishInterval = 20 * time.Millisecond
 	// gatherTime is how long the set of upstreams must be unchanged before the
 	// first assignment, gatherMost the longest wait for that.
 	gatherTime = 1200 * time.Millisecond
@@ -85,6 +89,10 @@
 	// deposed says that a later leader keeps the service.
 	deposed bool
 	savedAt time.Time
+	// published is when the table was last given to the view, pending that it has changed
+	// since.
+	published time.Time
+	pending   bool
 	// balanced is when a plan last evened loads out.
 	balanced time.Time
 	writes   int
@@ -182,6 +190,7 @@
 			k.startTrials(ctx)
 			k.saveDone(ctx)
 		}
+		k.publishPending()
 		pause(ctx, keepInterval)
 	}
 }
@@ -189,6 +198,7 @@
 // finish waits for the moves under way and saves what has ended.
 func (k *keeper) finish(ctx context.Context) {
 	k.moves.Wait()
+	k.publishPending()
 	k.mu.Lock()
 	unsaved := k.unsaved && k.revision > 0
 	next, revision := k.table.Clone(), k.revision
@@ -314,13 +324,30 @@
 	return nil
 }
 
-// publish gives the present table to the view, and so to the other gateways.
-// The lock is held.
+// publish gives the present table to the view, and so to the other gateways, at once if
+// none was given for publishInterval, else soon. The lock is held.
 func (k *keeper) publish() {
 	k.stampLocked(k.table)
+	k.pending = true
+	if k.now().Sub(k.published) >= publishInterval {
+		k.publishLocked()
+	}
+}
+
+func (k *keeper) publishLocked() {
+	k.published, k.pending = k.now(), false
 	k.view.setSpans(k.table.Clone())
 }
 
+// publishPending gives the table to the view if it has changed since.
+func (k *keeper) publishPending() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.pending {
+		k.publishLocked()
+	}
+}
+
 // candidates describes the upstreams of the service for a plan.
 func (k *keeper) candidates() []ownership.Owner {
 	v := k.view.inst.Load()
--- a/state/instances/instances.go
+++ b/state/instances/instances.go
@@ -2,6 +2,7 @@
 package instances
 
 import (
+	"maps"
 	"sort"
 	"time"
 )
@@ -36,17 +37,37 @@
 }
 
 // NewView returns the view of the instances.
-func NewView(revision uint64, list []Instance) *View {
-	v := &View{Revision: revision, byID: make(map[string]*Instance), services: make(map[string][]*Instance)}
+func NewView(revision uint64, list []Instance) *View { return (&View{}).next(revision, list) }
+
+// next returns the view of the instances that follows this one. What has not changed is
+// shared: a gateway keeps dozens of versions of a view of a thousand upstreams.
+func (v *View) next(revision uint64, list []Instance) *View {
+	next := &View{Revision: revision, byID: make(map[string]*Instance, len(list))}
 	for i := range list {
-		one := &list[i]
-		v.byID[one.ID] = one
+		next.put(v.byID[list[i].ID], &list[i])
+	}
+	next.group()
+	return next
+}
+
+// put adds an instance as it is now; kept is as it was in another view, or nil.
+func (v *View) put(kept, now *Instance) {
+	if kept == nil || *kept != *now {
+		changed := *now
+		kept = &changed
+	}
+	v.byID[now.ID] = kept
+}
+
+// group lists the instances by service, in the order of their IDs.
+func (v *View) group() {
+	v.services = make(map[string][]*Instance)
+	for _, one := range v.byID {
 		v.services[one.Service] = append(v.services[one.Service], one)
 	}
 	for _, group := range v.services {
 		sort.Slice(group, func(i, j int) bool { return group[i].ID < group[j].ID })
 	}
-	return v
 }
 
 // Get returns the instance of the ID, or nil.
@@ -94,19 +115,16 @@
 
 // Apply returns the view with changes made to it.
 func (v *View) Apply(revision uint64, changed []Instance, removed []string) *View {
-	list := make(map[string]Instance, len(v.byID)+len(changed))
-	for id, one := range v.byID {
-		list[id] = *one
+	next := &View{Revision: revision, byID: maps.Clone(v.byID)}
+	if next.byID == nil {
+		next.byID = make(map[string]*Instance, len(changed))
 	}
-	for _, one := range changed {
-		list[one.ID] = one
+	for i := range changed {
+		next.put(v.byID[changed[i].ID], &changed[i])
 	}
 	for _, id := range removed {
-		delete(list, id)
-	}
-	all := make([]Instance, 0, len(list))
-	for _, one := range list {
-		all = append(all, one)
+		delete(next.byID, id)
 	}
-	return NewView(revision, all)
+	next.group()
+	return next
 }
--- a/state/instances/instances_test.go
+++ b/state/instances/instances_test.go
@@ -1,6 +1,7 @@
 package instances
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -121,6 +122,37 @@
 	}
 }
 
+// TestVersionsShareWhatStays: a version costs what has changed, not all upstreams.
+func TestVersionsShareWhatStays(t *testing.T) {
+	old := NewView(1, []Instance{one("a"), one("b")})
+	changed := one("b")
+	changed.Leaving = true
+	next := old.Apply(2, []Instance{changed}, nil)
+	if next.Get("a") != old.Get("a") || next.Get("b") == old.Get("b") || old.Get("b").Leaving {
+		t.Error("what stays is copied, or what has changed is shared")
+	}
+	tr := NewTracker(old, start, 0)
+	first, _ := tr.View()
+	tr.Put(changed)
+	if second, _ := tr.View(); second.Get("a") != first.Get("a") {
+		t.Error("the tracker copies what stays")
+	}
+}
+
+// BenchmarkVersions is one upstream of 1,200 that changes: what a version costs. When each
+// version was a copy: 533 KB and 670 us; shared: 85 KB and 291 us.
+func BenchmarkVersions(b *testing.B) {
+	var list []Instance
+	for i := range 1200 {
+		list = append(list, one(fmt.Sprintf("i-%08x", i)))
+	}
+	v := NewView(1, list)
+	b.ReportAllocs()
+	for b.Loop() {
+		v = v.Apply(v.Revision+1, []Instance{one("i-00000007")}, nil)
+	}
+}
+
 func TestVersionsDiffer(t *testing.T) {
 	tr := NewTracker(nil, start, 0)
 	tr.List(start, []Instance{one("a")})
--- a/state/instances/tracker.go
+++ b/state/instances/tracker.go
@@ -22,6 +22,8 @@
 	// returned is when the store was last reached again after an outage.
 	returned time.Time
 	sub      uint64
+	// last is the view returned last.
+	last *View
 }
 
 type missing struct {
@@ -32,7 +34,7 @@
 // NewTracker returns a tracker that knows what the view shows. Trackers of
 // different processes are given different salts, so that their versions differ.
 func NewTracker(v *View, now time.Time, salt uint64) *Tracker {
-	t := &Tracker{sub: salt, known: make(map[string]Instance), missing: make(map[string]missing)}
+	t := &Tracker{sub: salt, last: &View{}, known: make(map[string]Instance), missing: make(map[string]missing)}
 	if v == nil {
 		return t
 	}
@@ -131,7 +133,8 @@
 		list = append(list, one)
 	}
 	t.sub++
-	return NewView(t.revision, list), t.revision<<versionBits | t.sub%(1<<versionBits)
+	t.last = t.last.next(t.revision, list)
+	return t.last, t.revision<<versionBits | t.sub%(1<<versionBits)
 }
 
 // versionBits are the bits of a version that tell views of one revision apart.
