Split what calls show of upstreams off the keeper; drop what is kept of gone ones

No change in what is decided. The keeper's marks of starts, and the books of work times, held upstreams for the whole term of a leader; they now hold those that are known.

--- a/coordination/worktime/worktime.go
+++ b/coordination/worktime/worktime.go
@@ -7,7 +7,10 @@
 // service.
 package worktime
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 const (
 	// mostRuns is how many runs an estimate remembers: more recent ones take the place of
@@ -74,5 +77,10 @@
 	return b.byID[id].Add(typical).Mean()
 }
 
-// Forget drops what was seen of an upstream: it has ended or started again.
+// Forget drops what was seen of an upstream: it has started again.
 func (b *Book) Forget(id string) { delete(b.byID, id) }
+
+// Keep drops all upstreams but those for which keep says so.
+func (b *Book) Keep(keep func(id string) bool) {
+	maps.DeleteFunc(b.byID, func(id string, _ Sum) bool { return !keep(id) })
+}
--- a/coordination/worktime/worktime_test.go
+++ b/coordination/worktime/worktime_test.go
@@ -46,6 +46,17 @@
 	near(t, "after it has started again", b.Mean("a"), b.Typical())
 }
 
+// TestGoneOnesAreDropped, so that a book does not grow with upstreams that are replaced.
+func TestGoneOnesAreDropped(t *testing.T) {
+	b := NewBook()
+	b.Add("a", Sum{Total: 400 * ms, Runs: 4})
+	b.Add("b", Sum{Total: 100 * ms, Runs: 1})
+	b.Keep(func(id string) bool { return id == "b" })
+	if len(b.byID) != 1 || b.Mean("b") == 0 {
+		t.Errorf("kept %v", b.byID)
+	}
+}
+
 // TestNothingSeen: without runs there is no estimate, and what is no run is not taken.
 func TestNothingSeen(t *testing.T) {
 	b := NewBook()
--- a/gateway/grants.go
+++ b/gateway/grants.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"time"
 
 	"github.com/rockcroft/rockcroft/coordination/ownership"
@@ -261,44 +260,6 @@
 	k.table.LastFence += by
 }
 
-// fails notes that a call to an upstream failed, works that one succeeded.
-func (k *keeper) fails(id string) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	f, ok := k.failing[id]
-	if !ok {
-		f.since = k.now()
-		k.log.Warn("calls to an upstream fail", "upstream", id)
-	}
-	f.last, f.reached = k.now(), false
-	k.failing[id] = f
-}
-
-// reaches notes that a trial call to an upstream was answered. One with keys counts as
-// failing until a grant is answered too: some take no grants, but all else.
-func (k *keeper) reaches(id string) {
-	k.mu.Lock()
-	f, ok := k.failing[id]
-	owns := slices.ContainsFunc(k.table.Spans, func(s spans.Span) bool { return s.Owner == id })
-	if ok && owns {
-		f.reached = true
-		k.failing[id] = f
-	}
-	k.mu.Unlock()
-	if !owns {
-		k.works(id)
-	}
-}
-
-func (k *keeper) works(id string) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if f, ok := k.failing[id]; ok {
-		delete(k.failing, id)
-		k.log.Info("calls to an upstream succeed again", "upstream", id, "after_ms", k.now().Sub(f.since).Milliseconds())
-	}
-}
-
 // startRenewals renews the grants that are due, one call after the other for
 // each owner.
 func (k *keeper) startRenewals(ctx context.Context) {
--- a/gateway/keeper.go
+++ b/gateway/keeper.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/rockcroft/rockcroft/coordination/ownership"
-	"github.com/rockcroft/rockcroft/state/instances"
 	"github.com/rockcroft/rockcroft/state/spans"
 )
 
@@ -132,23 +131,6 @@
 // owned names the grants to the owner of a span.
 func owned(s spans.Span) grantID { return grantID{first: s.First, fence: s.Fence} }
 
-// start is one start of an upstream: it may come back under its ID, at another address.
-type start struct {
-	address     string
-	incarnation instances.Incarnation
-}
-
-func startOf(one *instances.Instance) start {
-	return start{address: one.Address, incarnation: one.Incarnation()}
-}
-
-// failure is a time in which the calls to an upstream fail.
-type failure struct {
-	since, last time.Time
-	// reached says that the last call was a trial and was answered.
-	reached bool
-}
-
 func newKeeper(s *steward, service string, term uint64) *keeper {
 	return &keeper{
 		steward: s, service: service, term: term, log: s.log.With("service", service),
@@ -366,6 +348,7 @@
 		o.Usable = o.Keeps && k.failingFor(one.ID) == 0
 		out = append(out, o)
 	}
+	k.forgetStarts(v)
 	return out
 }
 
@@ -380,44 +363,3 @@
 	defer k.mu.Unlock()
 	return k.deposed
 }
-
-// isDead reports whether this start of the upstream is known to have ended.
-func (k *keeper) isDead(one *instances.Instance) bool {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	at, ok := k.dead[one.ID]
-	return ok && at == startOf(one)
-}
-
-// ended notes that an upstream has ended, as it was when it was called.
-func (k *keeper) ended(one *instances.Instance) {
-	k.log.Info("owner has ended, its address is another's", "upstream", one.ID, "address", one.Address)
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.dead[one.ID] = startOf(one)
-}
-
-// noteStart forgets what calls to an earlier start of the upstream have shown.
-func (k *keeper) noteStart(one *instances.Instance) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	now := startOf(one)
-	if before, ok := k.starts[one.ID]; ok && before != now {
-		k.log.Info("upstream has started again", "upstream", one.ID, "address", one.Address)
-		delete(k.failing, one.ID)
-		delete(k.dead, one.ID)
-		k.workTimes.forget(k.service, one.ID)
-	}
-	k.starts[one.ID] = now
-}
-
-// failingFor returns how long the calls to an upstream fail.
-func (k *keeper) failingFor(id string) time.Duration {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	f, ok := k.failing[id]
-	if !ok {
-		return 0
-	}
-	return max(k.now().Sub(f.since), time.Millisecond)
-}
--- /dev/null
+++ b/gateway/keeperupstreams.go
@@ -0,0 +1,118 @@
+package gateway
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/rockcroft/rockcroft/state/instances"
+	"github.com/rockcroft/rockcroft/state/spans"
+)
+
+// This file notes what calls to upstreams show of them, and which of their starts that is
+// about.
+
+// start is one start of an upstream: it may come back under its ID, at another address.
+type start struct {
+	address     string
+	incarnation instances.Incarnation
+}
+
+func startOf(one *instances.Instance) start {
+	return start{address: one.Address, incarnation: one.Incarnation()}
+}
+
+// failure is a time in which the calls to an upstream fail.
+type failure struct {
+	since, last time.Time
+	// reached says that the last call was a trial and was answered.
+	reached bool
+}
+
+// isDead reports whether this start of the upstream is known to have ended.
+func (k *keeper) isDead(one *instances.Instance) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	at, ok := k.dead[one.ID]
+	return ok && at == startOf(one)
+}
+
+// ended notes that an upstream has ended, as it was when it was called.
+func (k *keeper) ended(one *instances.Instance) {
+	k.log.Info("owner has ended, its address is another's", "upstream", one.ID, "address", one.Address)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.dead[one.ID] = startOf(one)
+}
+
+// noteStart forgets what calls to an earlier start of the upstream have shown.
+func (k *keeper) noteStart(one *instances.Instance) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := startOf(one)
+	if before, ok := k.starts[one.ID]; ok && before != now {
+		k.log.Info("upstream has started again", "upstream", one.ID, "address", one.Address)
+		delete(k.failing, one.ID)
+		delete(k.dead, one.ID)
+		k.workTimes.forget(k.service, one.ID)
+	}
+	k.starts[one.ID] = now
+}
+
+// forgetStarts drops upstreams that are not known any more.
+func (k *keeper) forgetStarts(v *instances.View) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	gone := func(id string, _ start) bool { return v.Get(id) == nil }
+	maps.DeleteFunc(k.starts, gone)
+	maps.DeleteFunc(k.dead, gone)
+}
+
+// failingFor returns how long the calls to an upstream fail.
+func (k *keeper) failingFor(id string) time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	f, ok := k.failing[id]
+	if !ok {
+		return 0
+	}
+	return max(k.now().Sub(f.since), time.Millisecond)
+}
+
+// fails notes that a call to an upstream failed, works that one succeeded.
+func (k *keeper) fails(id string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	f, ok := k.failing[id]
+	if !ok {
+		f.since = k.now()
+		k.log.Warn("calls to an upstream fail", "upstream", id)
+	}
+	f.last, f.reached = k.now(), false
+	k.failing[id] = f
+}
+
+// reaches notes that a trial call to an upstream was answered. One with keys counts as
+// failing until a grant is answered too: some take no grants, but all else.
+func (k *keeper) reaches(id string) {
+	k.mu.Lock()
+	f, ok := k.failing[id]
+	owns := slices.ContainsFunc(k.table.Spans, func(s spans.Span) bool { return s.Owner == id })
+	if ok && owns {
+		f.reached = true
+		k.failing[id] = f
+	}
+	k.mu.Unlock()
+	if !owns {
+		k.works(id)
+	}
+}
+
+func (k *keeper) works(id string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if f, ok := k.failing[id]; ok {
+		delete(k.failing, id)
+		k.log.Info("calls to an upstream succeed again", "upstream", id, "after_ms", k.now().Sub(f.since).Milliseconds())
+	}
+}
--- a/gateway/worktimes.go
+++ b/gateway/worktimes.go
@@ -147,6 +147,7 @@
 	out := make(map[string]time.Duration, known.Len())
 	for _, service := range known.Services() {
 		b := w.book(service)
+		b.Keep(func(id string) bool { return known.Get(id) != nil })
 		for _, one := range known.Service(service) {
 			if work := b.Mean(one.ID); work > 0 {
 				out[one.ID] = work
