--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -47,6 +47,8 @@
 		lasting(step.For, func() { u.Set(pick(upstreamModes, step.Variant)) }, func() { u.Set(instance.Serves) })
 	case Drain:
 		return s.replace(u)
+	case Restart:
+		return s.restart(u, step.For/2)
 	case Configure:
 		s.configure()
 	}
--- a/bench/soak/plan.go
+++ b/bench/soak/plan.go
@@ -29,6 +29,7 @@
 	UpstreamMode  Kind = "upstream_mode"  // it is silent, loses answers, sheds, takes grants late
 	Drain         Kind = "drain"          // it says that it leaves, and comes back as another
 	Configure     Kind = "configure"      // a new configuration
+	Restart       Kind = "restart"        // an upstream's process ends and starts again under its ID
 )
 
 // kinds are all faults, the more often listed the more likely.
@@ -61,15 +62,24 @@
 	Steps []Step
 }
 
-// NewPlan returns the plan of a seed.
+// restartEach is after how many steps an upstream starts again, beside the last of them.
+// Restarts are drawn by themselves, so the other steps of a seed are what they always were.
+const restartEach = 4
+
+// NewPlan returns the plan of a seed: so many steps, and restarts of upstreams beside them.
 func NewPlan(seed uint64, steps int) Plan {
-	rng := rand.New(rand.NewPCG(seed, seed))
+	rng, restarts := rand.New(rand.NewPCG(seed, seed)), rand.New(rand.NewPCG(seed, seed+1))
 	p := Plan{Seed: seed}
-	for range steps {
+	for i := range steps {
 		p.Steps = append(p.Steps, Step{
 			Kind: kinds[rng.IntN(len(kinds))], After: time.Duration(rng.Int64N(int64(longestGap))),
 			For: time.Duration(rng.Int64N(int64(longestFault))), Target: rng.IntN(1 << 16), Variant: rng.IntN(1 << 16),
 		})
+		if i%restartEach == restartEach-1 {
+			p.Steps = append(p.Steps, Step{
+				Kind: Restart, For: time.Duration(restarts.Int64N(int64(longestFault))), Target: restarts.IntN(1 << 16),
+			})
+		}
 	}
 	return p
 }
--- a/bench/soak/site.go
+++ b/bench/soak/site.go
@@ -10,7 +10,9 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rockcroft/rockcroft/platform"
@@ -66,6 +68,10 @@
 	domain  string
 	relay   *relay.Relay
 	server  *http.Server
+	// born is when its process started.
+	born time.Time
+	// changing says that it is being replaced or started again.
+	changing atomic.Bool
 }
 
 // newSite opens the store, the upstreams and the gateways' addresses, and writes the
@@ -147,35 +153,68 @@
 	})
 }
 
-// addUpstream starts an instance behind a relay and registers it.
+// addUpstream starts an upstream with an ID of its own.
 func (s *site) addUpstream(service, domain string) error {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	s.mu.Lock()
+	s.started++
+	id := fmt.Sprintf("i-%s-%d", service, s.started)
+	s.mu.Unlock()
+	u, err := s.startUpstream(id, service, domain)
 	if err != nil {
 		return err
 	}
+	s.mu.Lock()
+	s.upstreams = append(s.upstreams, u)
+	s.mu.Unlock()
+	return nil
+}
+
+// startUpstream starts the process of an upstream behind a relay and registers it.
+func (s *site) startUpstream(id, service, domain string) (*upstream, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
 	r, err := relay.New(l.Addr().String())
 	if err != nil {
-		return err
+		return nil, err
 	}
-	s.mu.Lock()
-	s.started++
-	id := fmt.Sprintf("i-%s-%d", service, s.started)
 	u := &upstream{
 		Instance: instance.New(id, service == keyedService, work, s.oracle),
-		service:  service, domain: domain, relay: r,
+		service:  service, domain: domain, relay: r, born: time.Now(),
 	}
 	u.server = &http.Server{Handler: u.Instance}
-	s.upstreams = append(s.upstreams, u)
-	s.mu.Unlock()
 	// The server ends with the process or with close; its error says no more.
 	go func() { _ = u.server.Serve(l) }()
 	s.register(u, "ready")
-	return nil
+	return u, nil
+}
+
+// restart ends the process of an upstream and starts it again under its ID after a time, at
+// another address. One that is being replaced or restarted is left alone.
+func (s *site) restart(u *upstream, dark time.Duration) error {
+	if !u.changing.CompareAndSwap(false, true) {
+		return nil
+	}
+	u.relay.Close()
+	err := u.server.Close()
+	s.oracle.Ended(u.ID)
+	time.Sleep(dark)
+	next, startErr := s.startUpstream(u.ID, u.service, u.domain)
+	if startErr != nil {
+		return errors.Join(err, startErr)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if i := slices.Index(s.upstreams, u); i >= 0 {
+		s.upstreams[i] = next
+	}
+	return err
 }
 
 func (s *site) register(u *upstream, state string) {
 	var body platform.InstanceBody
-	body.Address = u.relay.Addr()
+	body.Address, body.Born = u.relay.Addr(), uint64(u.born.UnixMilli())
 	body.Info.Service, body.Info.Zone, body.Info.Slots = u.service, u.domain, slots
 	body.Status.State = state
 	s.store.Put(platform.InstancesKind, u.ID, body)
@@ -190,6 +229,9 @@
 
 // replace lets an upstream leave as the platform's do, and starts another.
 func (s *site) replace(u *upstream) error {
+	if !u.changing.CompareAndSwap(false, true) {
+		return nil
+	}
 	s.register(u, "draining")
 	time.Sleep(leaveTime)
 	s.store.Remove(platform.InstancesKind, u.ID)
