--- a/coordination/ownership/heat.go
+++ b/coordination/ownership/heat.go
@@ -9,6 +9,10 @@
 	// heatHalf is the time after which a counted request weighs half. Hot keys come
 	// and go within four or five seconds, so they must show within one.
 	heatHalf = 800 * time.Millisecond
+	// shortestPast is the least past that a rate is taken from. The first reports to a new
+	// leader tell of what was asked before it led: from some milliseconds each of these keys
+	// looked hot, its keys were limited and moved by the hundred.
+	shortestPast = 500 * time.Millisecond
 	// heatDropped is the rate in requests a second below which a key is
 	// forgotten.
 	heatDropped = 0.02
@@ -35,7 +39,7 @@
 	h.at = now
 	// A past that is shorter than the rates' holds less than their weight: uncorrected, a
 	// new leader and the first second of traffic see a half of what is.
-	past := 1 - math.Exp2(-float64(max(now.Sub(h.began), time.Millisecond))/float64(heatHalf))
+	past := 1 - math.Exp2(-float64(max(now.Sub(h.began), shortestPast))/float64(heatHalf))
 	out := make(map[uint16]float64, len(h.rates))
 	for key, rate := range h.rates {
 		rate *= fade
--- a/coordination/ownership/plan_test.go
+++ b/coordination/ownership/plan_test.go
@@ -337,6 +337,17 @@
 	}
 }
 
+// TestHeatAtTheBeginning: what the first reports tell right after a leader begins was asked
+// before, and one request is no hot key.
+func TestHeatAtTheBeginning(t *testing.T) {
+	start := time.Now()
+	h := NewHeat(start)
+	h.Add(7)
+	if r := h.Rates(start.Add(10 * time.Millisecond))[7]; r > 3 {
+		t.Errorf("one request counts as %.0f a second", r)
+	}
+}
+
 func TestHeatFades(t *testing.T) {
 	start := time.Now()
 	h := NewHeat(start)
