Give a new upstream keys beside a hot key that cannot be spread

Cause, found in the review: giving keys to an upstream without any ended with the most utilized one that has nothing to give, as balance did before; while one key is hot a new upstream got nothing. Change: such upstreams are passed over here too, and new ones are filled to the mean, no further. Test: TestNewUpstreamGetsKeysBesideAHotKey, no plan at all before.

--- a/coordination/ownership/balance.go
+++ b/coordination/ownership/balance.go
@@ -38,13 +38,19 @@
 		if count[o.ID] > 0 {
 			continue
 		}
-		for range firstSpans / 2 {
+		for done := 0; done < firstSpans/2; {
 			from := p.hottest(o.ID)
-			if from == nil || !p.shift(from, o) {
+			if from == nil {
 				break
 			}
-			count[o.ID]++
+			if p.shift(from, o) {
+				done++
+			} else {
+				p.stuck[from.ID] = true
+			}
 		}
+		// What could not be given to this one may be given to others.
+		clear(p.stuck)
 	}
 }
 
@@ -63,7 +69,6 @@
 // balance moves load from the most to the least utilized upstreams.
 func (p *plan) balance() {
 	most := max(leastMoves, int(movesShare*float64(len(p.usable))))
-	p.target = p.meanUtilization()
 	for done := 0; done < most && len(p.table.Spans) < mostSpans*len(p.usable); done++ {
 		from := p.hottest("")
 		if from == nil {
--- a/coordination/ownership/plan.go
+++ b/coordination/ownership/plan.go
@@ -169,6 +169,7 @@
 	for _, s := range p.table.Spans {
 		p.loads[holder(s)] += p.loadOf(s.Keys)
 	}
+	p.target = p.meanUtilization()
 	return p
 }
 
--- a/coordination/ownership/plan_test.go
+++ b/coordination/ownership/plan_test.go
@@ -133,6 +133,31 @@
 	}
 }
 
+// TestNewUpstreamGetsKeysBesideAHotKey: the upstream of a key that nobody can run has nothing
+// to give, the others have.
+func TestNewUpstreamGetsKeysBesideAHotKey(t *testing.T) {
+	table := settled(4)
+	load := map[uint16]float64{100: 5, 20000: 5, 40000: 5, 60000: 5, 100 + 4096: 900}
+	table.Split(table.At(100+4096), 100+4096)
+	table.Split(table.At(100+4096), 100+4096+1)
+	for i := range table.Spans {
+		// The hot key stands alone, and is all that its owner has.
+		if table.Spans[i].Owner == table.Find(100+4096).Owner && !table.Spans[i].Has(100+4096) {
+			table.Spans[i].Owner = "u0"
+		}
+	}
+	next := Make(Input{Table: table, Owners: owners(5), Load: load})
+	if next == nil {
+		t.Fatal("no plan")
+	}
+	for _, s := range next.Spans {
+		if s.Next == "u4" {
+			return
+		}
+	}
+	t.Error("the new upstream gets nothing")
+}
+
 // TestBusyNeighboursAreSpread: keys that lie together and carry most of the load
 // come apart within a few rounds.
 func TestBusyNeighboursAreSpread(t *testing.T) {
