Make the work times that are told once a report interval

Cause, found in the review: the leader built a map of all upstreams' work times, and each head one, for each report that it answered: some 280 a second with a thousand entries at 295 gateways. Change: the leader makes them with its own report, others when they are told. That this was the cause of the memory is suspected, not played.

--- a/gateway/cluster.go
+++ b/gateway/cluster.go
@@ -38,6 +38,8 @@
 	// above is what the gateways that do not report to this one have in flight,
 	// as the parent told, aboveDemands what they are asked for.
 	above []*syncpb.Load
+	// worksTold are the mean times of a run in above, by upstream; never changed in place.
+	worksTold map[string]time.Duration
 	// hotKeys are those that the parent told of.
 	hotKeys []*syncpb.HotKeys
 	// runs are those that the gateways which report to this one have seen since its own
@@ -175,6 +177,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.above, c.aboveDemands = loads, demands
+	c.worksTold = worksIn(loads)
 }
 
 // parent returns the address of the gateway to report to, or "" when none is
--- a/gateway/steward.go
+++ b/gateway/steward.go
@@ -135,6 +135,7 @@
 	own := loadMessages(loads)
 	s.setOwn(own, demand)
 	s.workTimes.note(own)
+	s.workTimes.refresh()
 	s.mu.Lock()
 	for name, list := range keys {
 		if k := s.keepers[name]; k != nil {
--- a/gateway/worktimes.go
+++ b/gateway/worktimes.go
@@ -35,12 +35,18 @@
 	return out
 }
 
-// worksAbove returns the mean times of a run as the parent told them, by upstream.
+// worksAbove returns the mean times of a run as the parent told them, by upstream. The map
+// is not changed any more.
 func (c *cluster) worksAbove() map[string]time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	out := make(map[string]time.Duration, len(c.above))
-	for _, l := range c.above {
+	return c.worksTold
+}
+
+// worksIn returns the mean times of a run that loads tell.
+func worksIn(loads []*syncpb.Load) map[string]time.Duration {
+	out := make(map[string]time.Duration, len(loads))
+	for _, l := range loads {
 		if l.WorkUs > 0 {
 			out[l.Instance] = time.Duration(l.WorkUs) * time.Microsecond
 		}
@@ -77,6 +83,8 @@
 
 	mu    sync.Mutex
 	books map[string]*worktime.Book
+	// told are the estimates as they are told; never changed in place.
+	told map[string]time.Duration
 }
 
 func newWorkTimes(v *view) *workTimes {
@@ -88,6 +96,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.books = make(map[string]*worktime.Book)
+	w.told = told
 	for id, work := range told {
 		w.addLocked(id, worktime.Sum{Total: toldRuns * work, Runs: toldRuns})
 	}
@@ -136,11 +145,20 @@
 	w.book(service).Forget(id)
 }
 
-// all returns the estimates for all upstreams.
+// all returns the estimates for all upstreams as of the last refresh. The map is not
+// changed any more.
 func (w *workTimes) all() map[string]time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.told
+}
+
+// refresh makes the estimates that are told from now on. It is called once a report interval:
+// a leader answers hundreds of reports in it, each with the estimates of a thousand upstreams.
+func (w *workTimes) refresh() {
 	known := w.view.inst.Load()
 	if known == nil {
-		return nil
+		return
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -154,5 +172,5 @@
 			}
 		}
 	}
-	return out
+	w.told = out
 }
