Take an upstream that warms up for slow also when its work time is told

Cause, found in the review: of an upstream that has just started all gateways were told the mean of the service, which stood before the factor of two for its warm-up. Change: while it warms up the larger of both.

--- a/coordination/dispatch/upstream.go
+++ b/coordination/dispatch/upstream.go
@@ -187,13 +187,16 @@
 // workTime is the time of one run without waiting: as all gateways have seen it, else as
 // this one has.
 func (u *Upstream) workTime(now time.Time, typical time.Duration) time.Duration {
-	if u.told != 0 {
+	warming := now.Before(u.warmUntil)
+	switch {
+	case u.told != 0 && warming:
+		// Of one that has just started all others know little, too.
+		return max(u.told, typical*warmUpSlowness)
+	case u.told != 0:
 		return u.told
-	}
-	if u.work != 0 {
+	case u.work != 0:
 		return u.work
-	}
-	if now.Before(u.warmUntil) {
+	case warming:
 		return typical * warmUpSlowness
 	}
 	return typical
