Draw once for a request for a hot key

Change: one that was let through is not drawn for again, unless as a second try beside another. Tests: TestLetThroughOnce, TestWarmUpCountsBesideWhatIsTold.

--- a/bench/lab/delivery.go
+++ b/bench/lab/delivery.go
@@ -115,6 +115,7 @@
 	}
 	if d.keyed {
 		w.Key = d.try.call.key
+		w.Again = !atOnce && len(d.flights) > 0
 		w.Cold = d.w.view[d.route.Service].Find(d.try.call.key).Cold
 	}
 	if !atOnce && len(d.flights) == 0 {
--- a/coordination/dispatch/dispatch_test.go
+++ b/coordination/dispatch/dispatch_test.go
@@ -282,6 +282,40 @@
 	}
 }
 
+// TestLetThroughOnce: a request for a hot key that was let through is not drawn for again when
+// its owner turned out to be another; a second try beside it is.
+func TestLetThroughOnce(t *testing.T) {
+	s := newService("a1")
+	s.ReportAll(start, News{Gateways: limitsFrom, Admit: map[uint16]float64{7: 0}})
+	s.upstreams["a1"].share.part = 1
+	w := want()
+	w.Owner, w.Key = "a1", 7
+	if _, r, _ := s.Offer(start, w); r != HotKey {
+		t.Errorf("refusal %v", r)
+	}
+	w = want()
+	w.Owner, w.Key, w.Again = "a1", 7, true
+	mustGrant(t, s, start, w)
+}
+
+// TestWarmUpCountsBesideWhatIsTold: of an upstream that has just started all are told the mean
+// of the service, and it is slower.
+func TestWarmUpCountsBesideWhatIsTold(t *testing.T) {
+	s := newService()
+	one := list("a1")
+	one[0].WarmUp = time.Second
+	s.typical = 100 * ms
+	s.SetUpstreams(start, one)
+	s.ReportAll(start, News{Gateways: 1, Work: map[string]time.Duration{"a1": 100 * ms}})
+	u := s.upstreams["a1"]
+	if got := u.workTime(start, s.typical); got != 200*ms {
+		t.Errorf("%s while it warms up", got)
+	}
+	if got := u.workTime(at(2*time.Second), s.typical); got != 100*ms {
+		t.Errorf("%s later", got)
+	}
+}
+
 // TestFewAreCompared: a gateway sends to the same few upstreams while they are sound, others
 // to others, and beyond them where they fail.
 func TestFewAreCompared(t *testing.T) {
--- a/coordination/dispatch/service.go
+++ b/coordination/dispatch/service.go
@@ -162,7 +162,7 @@
 	if s.typical == 0 {
 		s.typical = w.Objective / firstWorkPart
 	}
-	if w.Owner != "" && s.tooHot(now, w.Key) {
+	if w.Owner != "" && !w.Again && s.tooHot(now, w.Key) {
 		return Grant{}, HotKey, true
 	}
 	if w.Cold && !s.Off.NoCold {
--- a/coordination/dispatch/want.go
+++ b/coordination/dispatch/want.go
@@ -50,6 +50,8 @@
 	Owner string
 	// Key is the key that it is for, if Owner is named.
 	Key uint16
+	// Again says that it was let through before, and is not a second try beside another.
+	Again bool
 	// Cold says that its key came to the owner without a handover: it runs several
 	// times as long there.
 	Cold bool
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -249,6 +249,7 @@
 				return dispatch.Grant{}, err
 			}
 			want.Owner, want.Key, want.Exclude = owner, q.key, nil
+			want.Again = !atOnce && q.arrivals+q.unsent > 0
 			want.Cold = f.span(q).Cold
 		}
 		grant, err := f.traffic.acquire(ctx, q.traffic, want)
