Throw no error away: ranks by xxhash, beats that fail are logged, ids need their source

coordination/dispatch ranks by the hash that the tree has already, which returns no error; a beat of loads that an entry could not tell is logged at debug level (the next one has its own counters); a random source that fails ends the process, as in the gateway.

--- a/coordination/dispatch/choice.go
+++ b/coordination/dispatch/choice.go
@@ -1,10 +1,11 @@
 package dispatch
 
 import (
-	"hash/fnv"
 	"math/rand/v2"
 	"sort"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // This file chooses an upstream for requests that any may run.
@@ -53,10 +54,7 @@
 
 // rank is the place of an upstream in the order, as a number.
 func (r *ranking) rank(id string) uint64 {
-	h := fnv.New64a()
-	// It never fails, see hash.Hash.
-	_, _ = h.Write([]byte(id))
-	return rand.NewPCG(h.Sum64(), r.salt).Uint64()
+	return rand.NewPCG(xxhash.Sum64String(id), r.salt).Uint64()
 }
 
 // choice is the best upstream so far.
--- a/entry/beats.go
+++ b/entry/beats.go
@@ -253,7 +253,10 @@
 			go func() {
 				ctx, cancel := context.WithTimeout(ctx, beatTimeout)
 				defer cancel()
-				_, _ = e.peers.Client(m.Peer).Beat(ctx, req)
+				if _, err := e.peers.Client(m.Peer).Beat(ctx, req); err != nil {
+					// The counters of one interval are lost; the next beat has its own.
+					e.log.Debug("load not told", "leader", m.ID, "error", err)
+				}
 			}()
 		}
 	})
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -140,7 +140,9 @@
 	if seed == 0 {
 		var b [8]byte
 		// The source never fails; see crypto/rand.
-		_, _ = rand.Read(b[:])
+		if _, err := rand.Read(b[:]); err != nil {
+			panic(err)
+		}
 		seed = binary.LittleEndian.Uint64(b[:])
 	}
 	return mathrand.New(mathrand.NewPCG(seed, seed))
@@ -150,7 +152,9 @@
 func newID() string {
 	var b [12]byte
 	// The source never fails; see crypto/rand.
-	_, _ = rand.Read(b[:])
+	if _, err := rand.Read(b[:]); err != nil {
+		panic(err)
+	}
 	return hex.EncodeToString(b[:])
 }
 
