--- a/coordination/ownership/plan_test.go
+++ b/coordination/ownership/plan_test.go
@@ -167,13 +167,7 @@
 		load[5000+k] = 3
 	}
 	before := worst(table, list, load)
-	for range 6 {
-		next := Make(Input{Balance: true, Table: table, Owners: list, Load: load})
-		if next == nil {
-			break
-		}
-		table = done(next)
-	}
+	table = balanced(6, table, list, load)
 	if after := worst(table, list, load); after > 0.75 {
 		t.Errorf("worst utilization %.2f, was %.2f", after, before)
 	}
@@ -187,13 +181,7 @@
 	for k := range uint16(60) {
 		load[5000+k] = 20
 	}
-	for range 4 {
-		next := Make(Input{Balance: true, Table: table, Owners: list, Load: load})
-		if next == nil {
-			break
-		}
-		table = done(next)
-	}
+	table = balanced(4, table, list, load)
 	delete(load, 60000)
 	if after := worst(table, list, load); after > 1 {
 		t.Errorf("worst utilization by other keys %.2f", after)
@@ -209,11 +197,7 @@
 		load[5000+k] = 25
 	}
 	before := worst(table, list, load)
-	for range 4 {
-		if next := Make(Input{Balance: true, Table: table, Owners: list, Load: load}); next != nil {
-			table = done(next)
-		}
-	}
+	table = balanced(4, table, list, load)
 	if after := worst(table, list, load); after > 1 || before < 10 {
 		t.Errorf("worst utilization %.2f, was %.2f", after, before)
 	}
@@ -243,6 +227,18 @@
 	}
 }
 
+// balanced makes and ends so many plans, one after the other.
+func balanced(plans int, table *spans.Table, list []Owner, load map[uint16]float64) *spans.Table {
+	for range plans {
+		next := Make(Input{Balance: true, Table: table, Owners: list, Load: load})
+		if next == nil {
+			break
+		}
+		table = done(next)
+	}
+	return table
+}
+
 func worst(t *spans.Table, list []Owner, load map[uint16]float64) float64 {
 	sums := make(map[string]float64)
 	for k, l := range load {
--- a/gateway/bench_test.go
+++ b/gateway/bench_test.go
@@ -38,9 +38,10 @@
 	self := &syncpb.Member{Node: "leader", Address: l.Addr().String(), Domain: "a"}
 	c := newCluster(self, http.DefaultClient, time.Now, nil)
 	c.setLeading(true)
+	v, log := newView(), slog.New(slog.DiscardHandler)
 	p := &peerServer{
-		view: newView(), cluster: c, steward: &steward{}, parts: &parts{}, log: slog.New(slog.DiscardHandler),
-		follower: &follower{now: time.Now}, watcher: &watcher{},
+		view: v, cluster: c, steward: &steward{workTimes: newWorkTimes(v)}, parts: &parts{}, log: log,
+		follower: &follower{now: time.Now}, watcher: &watcher{}, sieve: newSieve(v, time.Now, log, newMeters()),
 	}
 	server := &http.Server{Handler: syncpb.NewPeerServer(p)}
 	b.Cleanup(func() { _ = server.Close() })
--- a/gateway/peerserver.go
+++ b/gateway/peerserver.go
@@ -27,7 +27,9 @@
 	watcher  *watcher
 	promises *promises
 	parts    *parts
-	log      *slog.Logger
+	// sieve drops what others say of upstreams that cannot be.
+	sieve *sieve
+	log   *slog.Logger
 }
 
 // Sync implements syncpb.Peer.
@@ -36,7 +38,7 @@
 		return nil, twirp.RequiredArgumentError("member")
 	}
 	if r.WaitMs > 0 {
-		r.Loads = p.follower.sieve.loads(r.Loads)
+		r.Loads = p.sieve.loads(r.Loads)
 		p.cluster.reported(r, p.heardAgo() < orphanAfter)
 		if p.cluster.isLeading() {
 			p.steward.asked(r.Keys)
