Send nothing to upstreams in evacuated failure domains

Cause: nothing read the operator's evacuations.

Change: state/evacuation keeps the newest mark of each failure domain, by the store's revision, with an end before the next beginning. Marks merge in any order, so it makes no difference who tells what when: the leader's watch, the list after a compaction, reports up and answers down. Upstreams are taken over only after the evacuations are known. Requests, second tries, hedges and what waits are kept from these upstreams at once; owners get what is asked of them for one second more, then it is refused at once (Evacuated). The plan of owners moves their keys by handover.

Tests: merge in all orders; decisions; three gateways over two domains with the leader lost, a gateway that starts while the store is away, all domains, a body that is no object, an end hidden by a compaction. They fail without the change as there is nothing to call.

--- /dev/null
+++ b/coordination/dispatch/evacuated.go
@@ -0,0 +1,38 @@
+package dispatch
+
+import "time"
+
+// This file keeps requests from upstreams in failure domains that are evacuated.
+
+// evacuationDrain is how long an owner in an evacuated failure domain still gets requests
+// for keys that have not moved yet: most moves end within it, and the operator allows some
+// seconds, of which the news may have taken one and a half.
+const evacuationDrain = time.Second
+
+// SetEvacuated takes over which failure domains are evacuated. Upstreams there get nothing
+// more, but owners for a moment the requests for keys that have not moved yet.
+func (s *Service) SetEvacuated(now time.Time, evacuated func(domain string) bool) {
+	s.evacuated = evacuated
+	for _, u := range s.order {
+		u.setEvacuated(now, evacuated(u.Domain))
+	}
+	s.measure(now)
+	s.pumpAll(now)
+}
+
+func (u *Upstream) setEvacuated(now time.Time, evacuated bool) {
+	switch {
+	case !evacuated:
+		u.evacuatedSince = time.Time{}
+	case u.evacuatedSince.IsZero():
+		u.evacuatedSince = now
+	}
+}
+
+// evacuated reports whether the upstream's failure domain is evacuated.
+func (u *Upstream) evacuated() bool { return !u.evacuatedSince.IsZero() }
+
+// closed reports whether the upstream gets no request as an owner either.
+func (u *Upstream) closed(now time.Time) bool {
+	return u.evacuated() && now.Sub(u.evacuatedSince) > evacuationDrain
+}
--- a/coordination/dispatch/service.go
+++ b/coordination/dispatch/service.go
@@ -79,6 +79,8 @@
 	admitAt time.Time
 	// rate is what all usable upstreams end in a second, as of the last tick.
 	rate float64
+	// evacuated reports whether a failure domain is evacuated.
+	evacuated func(domain string) bool
 }
 
 // NewService returns a service without upstreams, seen from a failure domain.
@@ -87,7 +89,8 @@
 func NewService(domain string, drain time.Duration, rng *rand.Rand) *Service {
 	return &Service{
 		domain: domain, drain: time.Duration(drainShare * float64(drain)), rng: rng,
-		ranked: ranking{salt: rng.Uint64()}, upstreams: make(map[string]*Upstream), part: 1.0 / firstGateways, coldFactor: firstColdFactor,
+		evacuated: func(string) bool { return false },
+		ranked:    ranking{salt: rng.Uint64()}, upstreams: make(map[string]*Upstream), part: 1.0 / firstGateways, coldFactor: firstColdFactor,
 	}
 }
 
@@ -106,15 +109,13 @@
 		if one.Leaving && u.leavingSince.IsZero() {
 			u.leavingSince = now
 		}
+		u.setEvacuated(now, s.evacuated(one.Domain))
 		known[one.ID] = u
 		s.order = append(s.order, u)
 		delete(s.upstreams, one.ID)
 	}
 	for _, gone := range s.upstreams {
-		gone.queue.each(func(w *Want) (taken, rest bool) {
-			s.refuse(w, NoUpstream)
-			return true, false
-		})
+		s.refuseAll(gone, NoUpstream)
 	}
 	s.upstreams = known
 	s.ranked.set(s.order, s.domain)
@@ -252,7 +253,7 @@
 // answers reports whether an owner takes requests: it is not about to end, was
 // reached lately and has not fallen silent.
 func (s *Service) answers(now time.Time, u *Upstream) bool {
-	if u.Leaving && now.Sub(u.leavingSince) > s.drain {
+	if u.Leaving && now.Sub(u.leavingSince) > s.drain || u.closed(now) {
 		return false
 	}
 	return !now.Before(u.pausedUntil) && !u.silent(now, s.typical)
--- a/coordination/dispatch/upstream.go
+++ b/coordination/dispatch/upstream.go
@@ -109,7 +109,10 @@
 	warmUntil   time.Time
 	// leavingSince is when it was first seen to be leaving.
 	leavingSince time.Time
-	lastAnswer   time.Time
+	// evacuatedSince is when its failure domain was first seen to be evacuated; zero when
+	// it is not.
+	evacuatedSince time.Time
+	lastAnswer     time.Time
 	// unanswered are the requests in flight in the order in which they were sent.
 	unanswered []flight
 	// area is the sum of requests in flight over time since reportedAt, for
@@ -245,7 +248,7 @@
 
 // usable reports whether the upstream may get a request at all.
 func (u *Upstream) usable(now time.Time, typical time.Duration) bool {
-	if u.Leaving || now.Before(u.pausedUntil) {
+	if u.Leaving || u.evacuated() || now.Before(u.pausedUntil) {
 		return false
 	}
 	if u.pause > 0 && u.mine > 0 {
--- a/coordination/dispatch/waiting.go
+++ b/coordination/dispatch/waiting.go
@@ -10,6 +10,9 @@
 	if u == nil && !s.anyKnown(w) {
 		return NoUpstream
 	}
+	if u != nil && u.closed(now) {
+		return Evacuated
+	}
 	if now.Add(s.typical / 2).After(w.Deadline) {
 		return TooLate
 	}
@@ -51,7 +54,7 @@
 		return s.upstreams[w.Owner] != nil
 	}
 	for _, u := range s.order {
-		if !u.Leaving && !excluded(w, u.ID) {
+		if !u.Leaving && !u.evacuated() && !excluded(w, u.ID) {
 			return true
 		}
 	}
@@ -84,6 +87,9 @@
 	s.pumpAll(now)
 	late := func(w *Want) { s.refuse(w, s.lateReason(w)) }
 	for _, u := range s.order {
+		if u.closed(now) {
+			s.refuseAll(u, Evacuated)
+		}
 		u.queue.late(now, late)
 	}
 	s.queue.late(now, late)
@@ -96,6 +102,14 @@
 	w.Verdict(Grant{}, r)
 }
 
+// refuseAll refuses what waits for one upstream.
+func (s *Service) refuseAll(u *Upstream, r Refusal) {
+	u.queue.each(func(w *Want) (taken, rest bool) {
+		s.refuse(w, r)
+		return true, false
+	})
+}
+
 func (s *Service) lateReason(w *Want) Refusal {
 	if !s.anyKnown(w) {
 		return NoUpstream
--- a/coordination/dispatch/want.go
+++ b/coordination/dispatch/want.go
@@ -23,6 +23,8 @@
 	ColdKey
 	// HotKey: its key is asked for more often than its owner can run.
 	HotKey
+	// Evacuated: its owner is in a failure domain that is evacuated, and has it still.
+	Evacuated
 )
 
 // String returns the reason in words.
@@ -40,6 +42,8 @@
 		return "cold key"
 	case HotKey:
 		return "hot key"
+	case Evacuated:
+		return "evacuated"
 	}
 	return "none"
 }
--- a/gateway/bed_test.go
+++ b/gateway/bed_test.go
@@ -60,6 +60,7 @@
 type upstream struct {
 	*instance.Instance
 	service string
+	domain  string
 	address string
 	// born is the Unix millisecond of its start, as it says; zero when it does not.
 	born   uint64
@@ -112,20 +113,31 @@
 	return b.startUpstream(id, service, 0)
 }
 
+// upstreamIn is upstream in a failure domain.
+func (b *bed) upstreamIn(domain, id, service string) *upstream {
+	b.t.Helper()
+	return b.startUpstreamIn(domain, id, service, 0)
+}
+
 // restart ends an upstream's process and starts it again under its ID, at another address.
 func (b *bed) restart(u *upstream) *upstream {
 	b.t.Helper()
 	_ = u.server.Close()
 	b.oracle.Ended(u.ID)
-	return b.startUpstream(u.ID, u.service, u.born+1)
+	return b.startUpstreamIn(u.domain, u.ID, u.service, u.born+1)
 }
 
 func (b *bed) startUpstream(id, service string, born uint64) *upstream {
+	b.t.Helper()
+	return b.startUpstreamIn("a", id, service, born)
+}
+
+func (b *bed) startUpstreamIn(domain, id, service string, born uint64) *upstream {
 	b.t.Helper()
 	l := b.listen()
 	u := &upstream{
 		Instance: instance.New(id, service == "status", 5*time.Millisecond, b.oracle),
-		service:  service, address: l.Addr().String(), born: born,
+		service:  service, domain: domain, address: l.Addr().String(), born: born,
 	}
 	u.server = &http.Server{Handler: u.Instance}
 	go func() { _ = u.server.Serve(l) }()
@@ -139,7 +151,7 @@
 func (b *bed) register(u *upstream, state string) {
 	var body platform.InstanceBody
 	body.Address, body.Born = u.address, u.born
-	body.Info.Service, body.Info.Zone, body.Info.Slots = u.service, "a", 4
+	body.Info.Service, body.Info.Zone, body.Info.Slots = u.service, u.domain, 4
 	body.Status.State = state
 	b.store.Put(platform.InstancesKind, u.ID, body)
 }
--- a/gateway/bench_test.go
+++ b/gateway/bench_test.go
@@ -41,7 +41,7 @@
 	v, log := newView(), slog.New(slog.DiscardHandler)
 	p := &peerServer{
 		view: v, cluster: c, steward: &steward{workTimes: newWorkTimes(v)}, parts: &parts{}, log: log,
-		follower: &follower{now: time.Now}, watcher: &watcher{}, sieve: newSieve(v, time.Now, log, newMeters()),
+		follower: &follower{now: time.Now}, watcher: &watcher{}, sieve: newSieve(v, time.Now, log, newMeters()), evac: &evacuations{view: v},
 	}
 	server := &http.Server{Handler: syncpb.NewPeerServer(p)}
 	b.Cleanup(func() { _ = server.Close() })
--- a/gateway/cluster.go
+++ b/gateway/cluster.go
@@ -73,6 +73,15 @@
 	}
 }
 
+// selfKnowing returns this gateway as it reports itself, with the highest revision of the
+// evacuations that it knows.
+func (c *cluster) selfKnowing(evacuations uint64) *syncpb.Member {
+	return &syncpb.Member{
+		Node: c.self.Node, Address: c.self.Address, Domain: c.self.Domain, Incarnation: c.self.Incarnation,
+		Strength: c.self.Strength, EvacuationsRevision: evacuations,
+	}
+}
+
 // client returns the client of the gateway at the address.
 func (c *cluster) client(address string) syncpb.Peer {
 	c.mu.Lock()
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -40,6 +40,7 @@
 	now    func() time.Time
 	log    *slog.Logger
 	meters *meters
+	evac   *evacuations
 	// sieve drops what others say of upstreams that cannot be.
 	sieve *sieve
 	// fetcher fetches what is too large for an answer to a report.
@@ -160,8 +161,10 @@
 
 // request builds a report.
 func (f *follower) request(wait time.Duration) *syncpb.SyncRequest {
+	evacuated := f.view.evac.Load()
 	r := &syncpb.SyncRequest{
-		Member: f.cluster.self, SpansVersions: make(map[string]uint64), WaitMs: uint32(wait.Milliseconds()),
+		Member: f.cluster.selfKnowing(evacuated.Revision()), SpansVersions: make(map[string]uint64),
+		WaitMs: uint32(wait.Milliseconds()), Evacuations: evacuationMessages(evacuated),
 	}
 	config := f.view.configuration()
 	r.ConfigRevision = config.revision
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -160,6 +160,7 @@
 	rng := mathrand.New(mathrand.NewPCG(seeds[0], seeds[1]))
 	g.traffic = newTraffic(conf, g.now, rng)
 	g.view.onInstances = g.traffic.setUpstreams
+	g.view.onEvacuations = g.traffic.setEvacuations
 	g.gaps = newOwnerGaps(g.now, g.meters)
 	g.view.onSpans = g.gaps.note
 	self := &syncpb.Member{
@@ -176,11 +177,12 @@
 		now: g.now, log: log, meters: g.meters, lastOK: g.now(),
 	}
 	store := platform.NewStore(g.calls)
-	g.watcher = newWatcher(store, g.view, g.now, log, g.meters, seeds[0])
+	evac := &evacuations{view: g.view, log: log, meters: g.meters}
+	g.watcher = newWatcher(store, g.view, evac, g.now, log, g.meters, seeds[0])
 	g.calls.onReturn = g.watcher.returned
 	g.follower = &follower{
 		view: g.view, cluster: g.cluster, traffic: g.traffic, now: g.now, log: log, meters: g.meters,
-		began: g.now(),
+		began: g.now(), evac: evac,
 	}
 	g.follower.sieve = newSieve(g.view, g.now, log, g.meters)
 	g.follower.fetcher = newFetcher(g.cluster.client, g.follower.takePart, g.now, log, g.meters)
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -41,6 +41,9 @@
 		m.gauge(viewVersion, int64(t.Version))
 		m.gauge(viewConfigurationAge, g.configurationAge().Milliseconds())
 	}
+	evacuated := g.view.evac.Load()
+	m.gauge(viewEvacuated, int64(len(evacuated.Domains())))
+	m.gauge(viewEvacRevision, int64(evacuated.Revision()))
 	if v := g.view.inst.Load(); v != nil {
 		m.gauge(viewUpstreams, int64(v.Len()))
 		m.gauge(viewRevision, int64(v.Revision))
--- a/gateway/grants.go
+++ b/gateway/grants.go
@@ -43,7 +43,7 @@
 	}
 	taken := k.now()
 	next := k.instance(s.Next)
-	if next == nil || next.Leaving {
+	if next == nil || next.Leaving || k.view.evacuated(next.Domain) {
 		k.settle(s, k.perhaps(s), 0, false)
 		return
 	}
--- a/gateway/keeper.go
+++ b/gateway/keeper.go
@@ -344,7 +344,7 @@
 		}
 		o := ownership.Owner{ID: one.ID, Incarnation: one.Incarnation(), Capacity: float64(one.Slots) / work.Seconds()}
 		k.noteStart(one)
-		o.Keeps = !one.Leaving && !k.isDead(one) && k.failingFor(one.ID) < silentOwner
+		o.Keeps = !one.Leaving && !k.view.evacuated(one.Domain) && !k.isDead(one) && k.failingFor(one.ID) < silentOwner
 		o.Usable = o.Keeps && k.failingFor(one.ID) == 0
 		out = append(out, o)
 	}
--- a/gateway/meternames.go
+++ b/gateway/meternames.go
@@ -37,6 +37,9 @@
 	storeAway            = "store.away"
 	storeIn              = "store.bytes_in"
 	upstreamsUnsound     = "view.unsound.{source}"
+	evacuationsUnsound   = "view.evacuations_unsound"
+	viewEvacuated        = "view.evacuated_domains"
+	viewEvacRevision     = "view.evacuations_revision"
 	reportAnswer         = "reports.{answer}"
 	newsIn               = "news.bytes_in"
 	newsOut              = "news.bytes_out"
@@ -90,6 +93,9 @@
 	{storeAway, "0 or 1", "no call succeeds, by no way"},
 	{storeIn, "bytes", "bodies of complete answers to direct calls"},
 	{upstreamsUnsound, "upstreams", "that something was said of which cannot be, and was dropped; by who said it: entry (in the store), news or report (other gateways)"},
+	{evacuationsUnsound, "evacuations", "that were said of a failure domain without a name, without a revision or beyond the bound, and were dropped"},
+	{viewEvacuated, "failure domains", "evacuated, as this gateway knows"},
+	{viewEvacRevision, "revision", "the highest that this gateway knows of evacuations"},
 	{reportAnswer, "reports", "to other gateways, looks for a leader among them, by how they ended: ok, late (no whole answer in time), refused (the connection), failed (any other error), stale (answered by one that has not heard from the leader)"},
 	{newsIn, "bytes", "read from connections to other gateways: their answers, whole or not"},
 	{newsOut, "bytes", "written to connections from other gateways and operators: answers to them, whole or not"},
--- a/gateway/meters.go
+++ b/gateway/meters.go
@@ -76,6 +76,8 @@
 
 func (m *meters) inc(name string) { m.counter(name).Inc(1) }
 
+func (m *meters) add(name string, n int) { m.counter(name).Inc(int64(n)) }
+
 func (m *meters) gauge(name string, value int64) {
 	metrics.GetOrRegisterGauge(name, m.registry).Update(value)
 }
--- a/gateway/news.go
+++ b/gateway/news.go
@@ -18,6 +18,8 @@
 	if f.cluster.setLeader(resp.Leader) && resp.HeardMs < milliseconds(orphanAfter) && len(resp.Members) > 0 {
 		f.cluster.setMembers(resp.MembersVersion, resp.Members)
 	}
+	// Before upstreams: none is used that is known to be in an evacuated failure domain.
+	f.evac.told(resp.Evacuations)
 	// First, as a part may be in force as soon as it is offered.
 	f.noteConfiguration(resp)
 	f.fetcher.offered(address, resp.Parts)
--- a/gateway/peerserver.go
+++ b/gateway/peerserver.go
@@ -9,6 +9,7 @@
 
 	"github.com/rockcroft/rockcroft/coordination/dispatch"
 	"github.com/rockcroft/rockcroft/protocol/syncpb"
+	"github.com/rockcroft/rockcroft/state/evacuation"
 	"github.com/rockcroft/rockcroft/state/spans"
 )
 
@@ -27,6 +28,7 @@
 	watcher  *watcher
 	promises *promises
 	parts    *parts
+	evac     *evacuations
 	// sieve drops what others say of upstreams that cannot be.
 	sieve *sieve
 	log   *slog.Logger
@@ -37,6 +39,7 @@
 	if r.Member == nil || r.Member.Node == "" || r.Member.Address == "" {
 		return nil, twirp.RequiredArgumentError("member")
 	}
+	p.evac.told(r.Evacuations)
 	if r.WaitMs > 0 {
 		r.Loads = p.sieve.loads(r.Loads)
 		p.cluster.reported(r, p.heardAgo() < orphanAfter)
@@ -105,6 +108,9 @@
 // fetching.
 func (p *peerServer) knowsMore(r *syncpb.SyncRequest) bool {
 	fetching := fetchingSet(r)
+	if p.lacksEvacuations(r) {
+		return true
+	}
 	if !fetching[partConfiguration] && p.view.configuration().revision > r.ConfigRevision {
 		return true
 	}
@@ -119,6 +125,13 @@
 	return false
 }
 
+// lacksEvacuations reports whether this process knows of evacuations what the sender
+// does not.
+func (p *peerServer) lacksEvacuations(r *syncpb.SyncRequest) bool {
+	theirs, _ := (*evacuation.Set)(nil).Merge(evacuationMarks(r.Evacuations))
+	return !theirs.Covers(p.view.evac.Load().Marks())
+}
+
 // newerUpstreams reports whether this process has another view of upstreams than the
 // sender, and one that the sender would take.
 func (p *peerServer) newerUpstreams(r *syncpb.SyncRequest) bool {
@@ -135,6 +148,9 @@
 		HeardMs: milliseconds(p.heardAgo()), NewsMs: milliseconds(p.newsAgo()),
 		ConfigMs: milliseconds(age), ConfigRevision: p.view.configuration().revision,
 	}
+	if p.lacksEvacuations(r) {
+		resp.Evacuations = evacuationMessages(p.view.evac.Load())
+	}
 	p.tell(r, resp)
 	if r.WaitMs == 0 {
 		return resp
--- a/gateway/traffic.go
+++ b/gateway/traffic.go
@@ -10,6 +10,7 @@
 	"github.com/rockcroft/rockcroft/coordination/patience"
 	"github.com/rockcroft/rockcroft/coordination/retry"
 	"github.com/rockcroft/rockcroft/protocol/answer"
+	"github.com/rockcroft/rockcroft/state/evacuation"
 	"github.com/rockcroft/rockcroft/state/instances"
 	"github.com/rockcroft/rockcroft/state/settings"
 )
@@ -34,6 +35,8 @@
 	mu       sync.Mutex
 	rng      *rand.Rand
 	services map[string]*service
+	// evacuated are the failure domains to which nothing is sent.
+	evacuated *evacuation.Set
 	// sharers is how many gateways share the retry budget.
 	sharers *retry.Sharers
 }
@@ -66,6 +69,7 @@
 			budget: retry.NewWindow(t.now(), t.conf.RetryWindow.D(),
 				budgetShare*t.conf.RetryShare, budgetShare*t.conf.RetryAllowance),
 		}
+		s.dispatch.SetEvacuated(t.now(), t.evacuated.Active)
 		t.services[name] = s
 	}
 	return s
@@ -99,6 +103,19 @@
 	}
 }
 
+// setEvacuations takes over which failure domains are evacuated.
+func (t *traffic) setEvacuations(set *evacuation.Set) {
+	t.mu.Lock()
+	t.evacuated = set
+	t.mu.Unlock()
+	now := t.now()
+	for _, s := range t.all() {
+		s.mu.Lock()
+		s.dispatch.SetEvacuated(now, set.Active)
+		s.mu.Unlock()
+	}
+}
+
 // setGateways notes how many gateways share the retry budget.
 func (t *traffic) setGateways(n int) {
 	t.mu.Lock()
@@ -175,6 +192,8 @@
 		return answer.New(answer.NoOwner, "no upstream is known that could run it")
 	case dispatch.OwnerSilent:
 		return answer.New(answer.NoOwner, "the owner of the key does not answer")
+	case dispatch.Evacuated:
+		return answer.New(answer.NoOwner, "the owner of the key is in an evacuated failure domain")
 	case dispatch.ColdKey:
 		err := answer.New(answer.Overloaded, "the key is cold at a busy owner")
 		err.RetryAfter = patience.ComeBackToColdKey()
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 
 	"github.com/rockcroft/rockcroft/state/delta"
+	"github.com/rockcroft/rockcroft/state/evacuation"
 	"github.com/rockcroft/rockcroft/state/instances"
 	"github.com/rockcroft/rockcroft/state/routing"
 	"github.com/rockcroft/rockcroft/state/spans"
@@ -16,6 +17,7 @@
 	table  atomic.Pointer[routing.Table]
 	inst   atomic.Pointer[instances.View]
 	owners atomic.Pointer[map[string]*spans.Table]
+	evac   atomic.Pointer[evacuation.Set]
 
 	mu sync.Mutex
 	// config is the configuration in force in the form that is handed on, formerConfigs
@@ -30,9 +32,11 @@
 	formerOrder []uint64
 	formerSpans map[string][]*spans.Table
 	// onInstances is called, with the lock held, when upstreams have changed,
-	// onSpans when the owners of a service have.
-	onInstances func(*instances.View)
-	onSpans     func(*spans.Table)
+	// onSpans when the owners of a service have, onEvacuations when failure domains were
+	// evacuated or taken back.
+	onInstances   func(*instances.View)
+	onSpans       func(*spans.Table)
+	onEvacuations func(*evacuation.Set)
 }
 
 // configVersion is one version of the configuration as the store has it.
@@ -46,7 +50,7 @@
 
 func newView() *view {
 	v := &view{
-		onInstances: func(*instances.View) {}, onSpans: func(*spans.Table) {},
+		onInstances: func(*instances.View) {}, onSpans: func(*spans.Table) {}, onEvacuations: func(*evacuation.Set) {},
 		changed: make(chan struct{}), formerInst: make(map[uint64]*instances.View), formerSpans: make(map[string][]*spans.Table),
 	}
 	v.owners.Store(&map[string]*spans.Table{})
@@ -134,6 +138,25 @@
 	return true
 }
 
+// takeEvacuations takes over what is newer of the marks. It returns whether there was
+// anything, and how many marks were dropped.
+func (v *view) takeEvacuations(marks []evacuation.Mark) (changed bool, dropped int) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	known := v.evac.Load()
+	next, dropped := known.Merge(marks)
+	if next == known {
+		return false, dropped
+	}
+	v.evac.Store(next)
+	v.onEvacuations(next)
+	v.signal()
+	return true, dropped
+}
+
+// evacuated reports whether the failure domain is evacuated.
+func (v *view) evacuated(domain string) bool { return v.evac.Load().Active(domain) }
+
 // spansOf returns the assignment of a service, or nil.
 func (v *view) spansOf(service string) *spans.Table { return (*v.owners.Load())[service] }
 
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -23,6 +23,9 @@
 	// is two seconds and more.
 	joinConfiguration = 100 * time.Millisecond
 	joinInstances     = 250 * time.Millisecond
+	// joinEvacuations is short: evacuations are rare, and each is to be in force everywhere
+	// within a second.
+	joinEvacuations = 20 * time.Millisecond
 	// firstBackoff and longestBackoff bound the pause after a failed call.
 	firstBackoff   = 100 * time.Millisecond
 	longestBackoff = 800 * time.Millisecond
@@ -35,6 +38,7 @@
 type watcher struct {
 	store *platform.Store
 	view  *view
+	evac  *evacuations
 	now   func() time.Time
 	log   *slog.Logger
 	// draining reports whether an operator wants an upstream to be left alone.
@@ -58,9 +62,9 @@
 	heard, configHeard time.Time
 }
 
-func newWatcher(store *platform.Store, v *view, now func() time.Time, log *slog.Logger, m *meters, salt uint64) *watcher {
+func newWatcher(store *platform.Store, v *view, evac *evacuations, now func() time.Time, log *slog.Logger, m *meters, salt uint64) *watcher {
 	return &watcher{
-		drained: make(map[string]bool), salt: salt, store: store, view: v, now: now, log: log, meters: m,
+		drained: make(map[string]bool), salt: salt, store: store, view: v, evac: evac, now: now, log: log, meters: m,
 		badEntries: make(map[string]uint64), compacted: make(chan struct{}),
 	}
 }
@@ -75,7 +79,22 @@
 		known := w.view.configuration().revision
 		w.follow(ctx, platform.ConfigKind, known, joinConfiguration, w.listConfiguration, w.configurationEvents)
 	})
-	all.Go(func() { w.follow(ctx, platform.InstancesKind, 0, joinInstances, w.listInstances, w.instanceEvents) })
+	listed := make(chan struct{})
+	var once sync.Once
+	list := func(objects []platform.Object, at uint64) {
+		w.evac.listed(objects, at)
+		once.Do(func() { close(listed) })
+	}
+	all.Go(func() { w.follow(ctx, platform.EvacuationsKind, 0, joinEvacuations, list, w.evac.changed) })
+	all.Go(func() {
+		// No upstream is known before it is known which failure domains are evacuated.
+		select {
+		case <-listed:
+		case <-ctx.Done():
+			return
+		}
+		w.follow(ctx, platform.InstancesKind, 0, joinInstances, w.listInstances, w.instanceEvents)
+	})
 	all.Go(func() { w.settle(ctx) })
 	all.Wait()
 }
--- a/gateway/watch_test.go
+++ b/gateway/watch_test.go
@@ -141,7 +141,9 @@
 	if w.wrap != nil {
 		way = w.wrap(way)
 	}
-	one := newWatcher(platform.NewStore(way), w.view, time.Now, slog.New(w.lines), newMeters(), 1)
+	log, m := slog.New(w.lines), newMeters()
+	evac := &evacuations{view: w.view, log: log, meters: m}
+	one := newWatcher(platform.NewStore(way), w.view, evac, time.Now, log, m, 1)
 	one.draining = func(string) bool { return false }
 	return one
 }
--- a/gateway/wire.go
+++ b/gateway/wire.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/rockcroft/rockcroft/protocol/syncpb"
+	"github.com/rockcroft/rockcroft/state/evacuation"
 	"github.com/rockcroft/rockcroft/state/instances"
 	"github.com/rockcroft/rockcroft/state/spans"
 )
@@ -62,6 +63,24 @@
 	return list
 }
 
+// evacuationMessages tells all that is known of evacuations.
+func evacuationMessages(set *evacuation.Set) []*syncpb.Evacuation {
+	var out []*syncpb.Evacuation
+	for _, m := range set.Marks() {
+		out = append(out, &syncpb.Evacuation{Domain: m.Domain, Revision: m.Revision, Ended: m.Ended})
+	}
+	return out
+}
+
+// evacuationMarks returns what messages tell.
+func evacuationMarks(list []*syncpb.Evacuation) []evacuation.Mark {
+	out := make([]evacuation.Mark, 0, len(list))
+	for _, m := range list {
+		out = append(out, evacuation.Mark{Domain: m.Domain, Revision: m.Revision, Ended: m.Ended})
+	}
+	return out
+}
+
 // spansMessage tells what has changed since the version base, or all when that is
 // not known any more.
 func (v *view) spansMessage(t *spans.Table, base uint64) *syncpb.Spans {
