Let one gateway send to each upstream that warms up, by a right of the leader

Ruled out: that entries tell it late. But nobody took over what the entry of a known upstream said.

Change: the entry's warm-up is taken over whenever it changes. For services whose configuration bounds it, the leader names one gateway for each warming upstream (coordination/warmup) for a second at a time, and another only when that has ended; a new leader names nobody for a second. The holder paces itself to half the bound, so that two at once keep it. Owners of keys, which nobody can stand in for, get an even, randomly spread quarter of the bound from all. Warming upstreams get no keys while warm ones may have them. For 2 s after an evacuation upstreams are taken to warm up whatever their entries say. Runs while warming are not learned as speed.

--- a/coordination/dispatch/choice.go
+++ b/coordination/dispatch/choice.go
@@ -63,11 +63,19 @@
 	score float64
 }
 
+// offer takes the upstream if its score is lower.
+func (c *choice) offer(u *Upstream, score float64) {
+	if c.best == nil || score < c.score {
+		c.best, c.score = u, score
+	}
+}
+
 // best returns the upstream with the lowest score among a few with room.
 func (s *Service) best(now time.Time, w *Want) *Upstream {
 	var c choice
 	s.compare(now, w, s.ranked.own, &c)
 	s.compare(now, w, s.ranked.others, &c)
+	s.compareEntrusted(now, w, &c)
 	return c.best
 }
 
@@ -75,13 +83,10 @@
 func (s *Service) compare(now time.Time, w *Want, list []*Upstream, c *choice) {
 	good, seen := 0, 0
 	for _, u := range list {
-		if excluded(w, u.ID) || !u.usable(now, s.typical) || !u.room(now, s.typical, w.Objective, false) {
+		if excluded(w, u.ID) || !s.usable(now, u) || !u.room(now, s.typical, w.Objective, false) {
 			continue
 		}
-		score := u.score(now, s.typical, w.Objective, s.domain, s.rng)
-		if c.best == nil || score < c.score {
-			c.best, c.score = u, score
-		}
+		c.offer(u, u.score(now, s.typical, w.Objective, s.domain, s.rng))
 		if u.failures < badFailures {
 			good++
 		}
--- a/coordination/dispatch/demand.go
+++ b/coordination/dispatch/demand.go
@@ -31,7 +31,7 @@
 func (s *Service) measure(now time.Time) {
 	s.rate = 0
 	for _, u := range s.order {
-		if u.usable(now, s.typical) {
+		if s.usable(now, u) {
 			s.rate += u.rate(now, s.typical)
 		}
 	}
--- a/coordination/dispatch/evacuated.go
+++ b/coordination/dispatch/evacuated.go
@@ -14,18 +14,19 @@
 func (s *Service) SetEvacuated(now time.Time, evacuated func(domain string) bool) {
 	s.evacuated = evacuated
 	for _, u := range s.order {
-		u.setEvacuated(now, evacuated(u.Domain))
+		s.noteEvacuated(now, u)
 	}
 	s.measure(now)
 	s.pumpAll(now)
 }
 
-func (u *Upstream) setEvacuated(now time.Time, evacuated bool) {
-	switch {
-	case !evacuated:
-		u.evacuatedSince = time.Time{}
-	case u.evacuatedSince.IsZero():
+func (s *Service) noteEvacuated(now time.Time, u *Upstream) {
+	switch evacuated := s.evacuated(u.Domain); {
+	case evacuated && !u.evacuated():
 		u.evacuatedSince = now
+	case !evacuated && u.evacuated():
+		u.evacuatedSince = time.Time{}
+		s.doubt(now, u)
 	}
 }
 
--- a/coordination/dispatch/report.go
+++ b/coordination/dispatch/report.go
@@ -77,7 +77,7 @@
 			continue
 		}
 		e.Upstreams++
-		if u.usable(now, s.typical) {
+		if s.usable(now, u) {
 			e.Usable++
 		}
 		e.Mine += u.mine
--- a/coordination/dispatch/service.go
+++ b/coordination/dispatch/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/rockcroft/rockcroft/state/instances"
@@ -81,6 +82,10 @@
 	rate float64
 	// evacuated reports whether a failure domain is evacuated.
 	evacuated func(domain string) bool
+	// warmUp bounds requests to upstreams that warm up. entrusted are those to which this
+	// gateway may send.
+	warmUp    WarmUp
+	entrusted []*Upstream
 }
 
 // NewService returns a service without upstreams, seen from a failure domain.
@@ -104,12 +109,12 @@
 		if u == nil || u.Incarnation().Other(one.Incarnation()) {
 			u = s.begin(now, *one, u)
 		}
-		u.Instance = *one
+		s.noteEntry(now, u, *one)
 		u.off = s.Off
 		if one.Leaving && u.leavingSince.IsZero() {
 			u.leavingSince = now
 		}
-		u.setEvacuated(now, s.evacuated(one.Domain))
+		s.noteEvacuated(now, u)
 		known[one.ID] = u
 		s.order = append(s.order, u)
 		delete(s.upstreams, one.ID)
@@ -118,6 +123,7 @@
 		s.refuseAll(gone, NoUpstream)
 	}
 	s.upstreams = known
+	s.entrusted = slices.DeleteFunc(s.entrusted, func(u *Upstream) bool { return known[u.ID] != u })
 	s.ranked.set(s.order, s.domain)
 	s.measure(now)
 	s.pumpAll(now)
@@ -135,6 +141,7 @@
 	if former != nil {
 		u.queue = former.queue
 	}
+	s.noteWarming(now, u)
 	return u
 }
 
@@ -143,6 +150,7 @@
 	s.gateways = max(news.Gateways, 1)
 	s.part = s.partOf(news)
 	s.admit, s.admitAt = news.Admit, now
+	s.takeRights(news.Rights)
 	for _, u := range s.order {
 		u.gateways = s.gateways
 		u.others = news.InFlight[u.ID]
@@ -211,6 +219,8 @@
 		return Grant{}, NoUpstream, true
 	case !s.answers(now, u):
 		return Grant{}, OwnerSilent, true
+	case !s.mayStart(now, u):
+		return Grant{}, WarmingUp, true
 	case u.inflight(now)+1 > coldShare*float64(u.Slots):
 		return Grant{}, ColdKey, true
 	}
@@ -237,14 +247,18 @@
 // send gives the right to send one request to the upstream.
 func (s *Service) send(now time.Time, u *Upstream) Grant {
 	inflight := u.inflight(now)
-	g := Grant{Instance: u.Instance, Began: now, Ahead: inflight, Expected: u.delayBehind(now, inflight, s.typical)}
+	g := Grant{
+		Instance: u.Instance, Began: now, Ahead: inflight, Expected: u.delayBehind(now, inflight, s.typical),
+		Warming: s.bounded(now, u),
+	}
 	u.sent(now, s.typical)
+	s.started(now, u)
 	return g
 }
 
 func (s *Service) owner(now time.Time, w *Want) *Upstream {
 	u := s.upstreams[w.Owner]
-	if u == nil || !s.answers(now, u) || !u.room(now, s.typical, w.Objective, true) {
+	if u == nil || !s.answers(now, u) || !s.mayStart(now, u) || !u.room(now, s.typical, w.Objective, true) {
 		return nil
 	}
 	return u
@@ -259,6 +273,11 @@
 	return !now.Before(u.pausedUntil) && !u.silent(now, s.typical)
 }
 
+// usable reports whether the upstream may get a request that any may run.
+func (s *Service) usable(now time.Time, u *Upstream) bool {
+	return u.usable(now, s.typical) && s.mayStart(now, u)
+}
+
 func excluded(w *Want, id string) bool {
 	for _, other := range w.Exclude {
 		if other == id {
@@ -278,7 +297,7 @@
 		s.learnCold(now.Sub(g.Began), u.workTime(now, s.typical))
 	}
 	u.ended(now, g, o, s.typical)
-	if o == Answered && u.work > 0 && !g.Cold {
+	if o == Answered && u.work > 0 && !g.Cold && !g.Warming {
 		s.typical += time.Duration(workWeight / 4 * float64(u.work-s.typical))
 	}
 	s.pump(now, &u.queue)
--- a/coordination/dispatch/upstream.go
+++ b/coordination/dispatch/upstream.go
@@ -106,7 +106,12 @@
 	pause       time.Duration
 	refused     bool
 	fullUntil   time.Time
-	warmUntil   time.Time
+	// warmUntil is when it has warmed up, doubtUntil how long it is taken to warm up
+	// whatever its entry says.
+	warmUntil, doubtUntil time.Time
+	// rightUntil is until when this gateway may send requests to it while it warms up,
+	// nextStart when it may send the next one.
+	rightUntil, nextStart time.Time
 	// leavingSince is when it was first seen to be leaving.
 	leavingSince time.Time
 	// evacuatedSince is when its failure domain was first seen to be evacuated; zero when
@@ -246,7 +251,7 @@
 	return idle || u.delayBehind(now, inflight, typical) <= allowed
 }
 
-// usable reports whether the upstream may get a request at all.
+// usable reports whether the upstream may get a request at all, but for warming up.
 func (u *Upstream) usable(now time.Time, typical time.Duration) bool {
 	if u.Leaving || u.evacuated() || now.Before(u.pausedUntil) {
 		return false
@@ -288,7 +293,7 @@
 	switch o {
 	case Answered:
 		u.reached(now, began, typical)
-		if !g.Cold {
+		if !g.Cold && !g.Warming {
 			u.observe(now.Sub(began), ahead)
 		}
 		u.failures -= failureWeight * u.failures
--- a/coordination/dispatch/waiting.go
+++ b/coordination/dispatch/waiting.go
@@ -13,6 +13,9 @@
 	if u != nil && u.closed(now) {
 		return Evacuated
 	}
+	if u != nil && !s.mayStart(now, u) && u.nextStart.After(w.Until) {
+		return WarmingUp
+	}
 	if now.Add(s.typical / 2).After(w.Deadline) {
 		return TooLate
 	}
--- a/coordination/dispatch/want.go
+++ b/coordination/dispatch/want.go
@@ -25,6 +25,8 @@
 	HotKey
 	// Evacuated: its owner is in a failure domain that is evacuated, and has it still.
 	Evacuated
+	// WarmingUp: its owner warms up, and bears no more for the moment.
+	WarmingUp
 )
 
 // String returns the reason in words.
@@ -44,6 +46,8 @@
 		return "hot key"
 	case Evacuated:
 		return "evacuated"
+	case WarmingUp:
+		return "warming up"
 	}
 	return "none"
 }
@@ -88,6 +92,8 @@
 	Expected time.Duration
 	// Cold is that of the request.
 	Cold bool
+	// Warming says that the upstream warmed up, and its requests were bounded.
+	Warming bool
 }
 
 // News is what the other gateways reported.
@@ -105,4 +111,7 @@
 	// Admit is the part of the requests that can be run, by key; all of keys that are not
 	// listed.
 	Admit map[uint16]float64
+	// Rights are until when this gateway may send requests to upstreams that warm up, by
+	// upstream.
+	Rights map[string]time.Time
 }
--- a/coordination/ownership/plan.go
+++ b/coordination/ownership/plan.go
@@ -4,6 +4,7 @@
 package ownership
 
 import (
+	"slices"
 	"sort"
 
 	"github.com/rockcroft/rockcroft/state/instances"
@@ -43,6 +44,8 @@
 	Usable bool
 	// Keeps says that it may keep the keys it has.
 	Keeps bool
+	// Warming says that it warms up and bears few requests until it has.
+	Warming bool
 	// Capacity is how many requests a second it can run.
 	Capacity float64
 	// Incarnation tells which start of the upstream this is.
@@ -97,6 +100,18 @@
 	return t
 }
 
+// PreferWarm lets upstreams that warm up get no keys as long as there are others that may:
+// they bear a few requests a second, and with a hot key they would break.
+func PreferWarm(owners []Owner) []Owner {
+	if !slices.ContainsFunc(owners, func(o Owner) bool { return o.Usable && !o.Warming }) {
+		return owners
+	}
+	for i := range owners {
+		owners[i].Usable = owners[i].Usable && !owners[i].Warming
+	}
+	return owners
+}
+
 func usableIDs(owners []Owner) []string {
 	var out []string
 	for _, o := range owners {
--- a/coordination/ownership/plan_test.go
+++ b/coordination/ownership/plan_test.go
@@ -434,3 +434,20 @@
 		})
 	}
 }
+
+// TestWarmingUpstreamsGetNoKeys while a warm one may have them; when all warm up, they are
+// shared out among these.
+func TestWarmingUpstreamsGetNoKeys(t *testing.T) {
+	owners := []Owner{{ID: "a", Usable: true, Keeps: true, Capacity: 10}, {ID: "b", Usable: true, Keeps: true, Capacity: 10, Warming: true}}
+	for _, s := range First("s", PreferWarm(owners)).Spans {
+		if s.Next != "a" {
+			t.Fatalf("keys %d-%d go to %s", s.First, s.Last, s.Next)
+		}
+	}
+	owners = []Owner{{ID: "b", Usable: true, Keeps: true, Capacity: 10, Warming: true}, {ID: "c", Keeps: true, Capacity: 10}}
+	for _, s := range First("s", PreferWarm(owners)).Spans {
+		if s.Next != "b" {
+			t.Fatalf("keys %d-%d go to %s", s.First, s.Last, s.Next)
+		}
+	}
+}
--- a/gateway/cluster.go
+++ b/gateway/cluster.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/rockcroft/rockcroft/coordination/warmup"
 	"github.com/rockcroft/rockcroft/coordination/worktime"
 	"github.com/rockcroft/rockcroft/protocol/syncpb"
 )
@@ -42,6 +43,9 @@
 	worksTold map[string]time.Duration
 	// hotKeys are those that the parent told of.
 	hotKeys []*syncpb.HotKeys
+	// rights are those that the parent told of, named at rightsNamed.
+	rights      []warmup.Right
+	rightsNamed time.Time
 	// runs are those that the gateways which report to this one have seen since its own
 	// last report, by upstream.
 	runs         map[string]worktime.Sum
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -135,6 +135,7 @@
 	}
 	f.cluster.setAbove(f.sieve.loads(resp.Loads), resp.Demands)
 	f.cluster.setHotKeys(resp.HotKeys)
+	f.cluster.setRights(toldRights(resp.Rights), f.now().Add(-time.Duration(resp.RightsMs)*time.Millisecond))
 	f.shareLoads(int(resp.Gateways))
 	if f.now().Sub(began) < reportInterval/5 {
 		// News came at once; the next report can wait a little.
@@ -154,8 +155,10 @@
 // flight: those above, and those that report to this one.
 func (f *follower) shareLoads(gateways int) {
 	self := f.cluster.self.Node
+	rights, named := f.cluster.rightsAbove()
 	f.traffic.reported(dispatch.News{
 		InFlight: f.cluster.inFlightElsewhere(), Work: f.cluster.worksAbove(), Gateways: gateways,
+		Rights: held(f.view.inst.Load(), rights, named, self),
 	}, f.cluster.demandElsewhere(self, nil), admitted(f.cluster.hotKeysAbove()))
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -160,6 +160,7 @@
 	rng := mathrand.New(mathrand.NewPCG(seeds[0], seeds[1]))
 	g.traffic = newTraffic(conf, g.now, rng)
 	g.view.onInstances = g.traffic.setUpstreams
+	g.view.onConfiguration = g.traffic.setServices
 	g.view.onEvacuations = g.traffic.setEvacuations
 	g.gaps = newOwnerGaps(g.now, g.meters)
 	g.view.onSpans = g.gaps.note
@@ -195,6 +196,7 @@
 		view: g.view, cluster: g.cluster, traffic: g.traffic, store: store, calls: g.calls,
 		owners: platform.NewOwners(pool.New(upstreamLimits, g.now)), longest: conf.LongestHold.D(),
 		now: g.now, log: log, meters: g.meters, workTimes: newWorkTimes(g.view),
+		rights: &rights{view: g.view, cluster: g.cluster, traffic: g.traffic, now: g.now},
 	}
 	g.leading = &leading{
 		store: store, calls: g.calls, cluster: g.cluster, follower: g.follower, watcher: g.watcher,
--- a/gateway/keeper.go
+++ b/gateway/keeper.go
@@ -336,6 +336,7 @@
 	if v == nil {
 		return nil
 	}
+	warming := k.warming()
 	var out []ownership.Owner
 	for _, one := range v.Service(k.service) {
 		work := k.workTimes.of(k.service, one.ID)
@@ -346,9 +347,19 @@
 		k.noteStart(one)
 		o.Keeps = !one.Leaving && !k.view.evacuated(one.Domain) && !k.isDead(one) && k.failingFor(one.ID) < silentOwner
 		o.Usable = o.Keeps && k.failingFor(one.ID) == 0
+		o.Warming = warming[one.ID]
 		out = append(out, o)
 	}
 	k.forgetStarts(v)
+	return ownership.PreferWarm(out)
+}
+
+// warming returns the upstreams that warm up and whose requests are bounded, by ID.
+func (k *keeper) warming() map[string]bool {
+	out := make(map[string]bool)
+	for _, one := range k.traffic.get(k.service).warming(k.now()) {
+		out[one.ID] = true
+	}
 	return out
 }
 
--- a/gateway/peerserver.go
+++ b/gateway/peerserver.go
@@ -167,6 +167,7 @@
 	resp.Demands = demandMessages(p.cluster.demandElsewhere(r.Member.Node, p.steward.ownDemands()))
 	resp.Gateways = uint32(p.cluster.gateways())
 	resp.HotKeys = p.hotKeys()
+	resp.Rights, resp.RightsMs = p.rights(r)
 	members, version := p.cluster.list()
 	resp.MembersVersion = version
 	if version != r.MembersVersion {
@@ -191,6 +192,20 @@
 	return p.cluster.hotKeysAbove()
 }
 
+// rights returns the rights of the sender and of those that report through it, and how long
+// ago the leader named them.
+func (p *peerServer) rights(r *syncpb.SyncRequest) ([]*syncpb.Right, uint32) {
+	nodes := map[string]bool{r.Member.Node: true}
+	for _, m := range r.Followers {
+		nodes[m.Node] = true
+	}
+	all, named := p.cluster.rightsAbove()
+	if p.cluster.isLeading() {
+		all, named = p.steward.rights.all()
+	}
+	return rightMessages(all, nodes), milliseconds(p.follower.now().Sub(named))
+}
+
 // leastLoad is the number of requests in flight at an upstream that is worth
 // telling: less does not change a decision.
 const leastLoad = 0.2
--- /dev/null
+++ b/gateway/rights_test.go
@@ -0,0 +1,95 @@
+package gateway
+
+import (
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/rockcroft/rockcroft/coordination/warmup"
+	"github.com/rockcroft/rockcroft/platform"
+	"github.com/rockcroft/rockcroft/protocol/syncpb"
+	"github.com/rockcroft/rockcroft/state/instances"
+)
+
+// This file tests the rights to send to upstreams that warm up.
+
+// configureWarmUp writes a configuration in which upstreams that warm up bear the rate.
+func (b *bed) configureWarmUp(version uint64, rate float64) {
+	c := config(version)
+	for name, s := range c.Services {
+		s.StartRate = rate
+		c.Services[name] = s
+	}
+	b.store.Put(platform.ConfigKind, platform.ConfigName, c)
+}
+
+// warmUp registers an upstream as one that warms up for the time in seconds.
+func (b *bed) warmUp(u *upstream, left platform.Seconds) {
+	var body platform.InstanceBody
+	body.Address, body.Born = u.address, u.born
+	body.Info.Service, body.Info.Zone, body.Info.Slots = u.service, u.domain, 4
+	body.Status.State, body.Status.WarmUpLeft = "ready", left
+	b.store.Put(platform.InstancesKind, u.ID, body)
+}
+
+// TestOneGatewaySendsToAWarmingUpstream: the leader names it to all, and it serves by its
+// right while the others refuse at once.
+func TestOneGatewaySendsToAWarmingUpstream(t *testing.T) {
+	t.Parallel()
+	b := newBed(t)
+	b.configureWarmUp(9, 100)
+	b.upstream("i-s0", "status")
+	only := b.upstream("i-p0", "pay")
+	for _, name := range []string{"g0", "g1", "g2"} {
+		b.gateway(name)
+	}
+	b.ready()
+	const warm = platform.Seconds(60)
+	b.warmUp(only, warm)
+	holders := func() (n int) {
+		for _, g := range b.gateways {
+			s := g.traffic.get("pay")
+			s.mu.Lock()
+			e := s.dispatch.Explain(time.Now(), "")
+			s.mu.Unlock()
+			n += e.Usable
+		}
+		return n
+	}
+	b.eventually("one has the right", func() bool { return len(b.gateways[0].traffic.needRights()) == 1 && holders() == 1 })
+	var served atomic.Int64
+	b.eventually("the one serves", func() bool {
+		for _, g := range b.gateways {
+			if a := b.ask(g, http.MethodPost, "/pay/x", -1); a.status == http.StatusOK {
+				served.Add(1)
+			} else if a.status != http.StatusServiceUnavailable {
+				t.Fatalf("status %d", a.status)
+			}
+		}
+		return served.Load() > 3
+	})
+	b.warmUp(only, 0)
+	b.eventually("all send again", func() bool { return holders() == 3 })
+}
+
+// TestRightsHeld: a gateway takes the rights that name it, for the present start of an
+// upstream, as long as they last since the leader named them.
+func TestRightsHeld(t *testing.T) {
+	v := instances.NewView(1, []instances.Instance{{ID: "u1", BornMs: 7}, {ID: "u2", BornMs: 7}, {ID: "u3"}})
+	now := v.Get("u1").Incarnation()
+	list := toldRights([]*syncpb.Right{
+		{Upstream: "u1", Incarnation: uint32(now), Node: "g"}, {Upstream: "u2", Incarnation: uint32(now) + 1, Node: "g"},
+		{Upstream: "u3", Node: "other"}, {Upstream: "u4", Node: "g"}, {Node: "g"}, {Upstream: "u3"},
+	})
+	if len(list) != 4 {
+		t.Errorf("taken over: %v", list)
+	}
+	named := time.Now()
+	want := map[string]time.Time{"u1": named.Add(warmup.RightTime)}
+	if d := cmp.Diff(want, held(v, list, named, "g")); d != "" {
+		t.Error(d)
+	}
+}
--- a/gateway/steward.go
+++ b/gateway/steward.go
@@ -42,6 +42,8 @@
 	ownDemand map[string]float64
 	// hotKeys are those of the services that this process keeps.
 	hotKeys hotKeys
+	// rights are those to send to upstreams that warm up.
+	rights *rights
 	// workTimes are the times of runs as all gateways see them.
 	workTimes *workTimes
 }
@@ -55,6 +57,7 @@
 	s.cancel = cancel
 	s.keepers = make(map[string]*keeper)
 	s.workTimes.begin(s.cluster.worksAbove())
+	s.rights.begin()
 	s.running.Go(func() { s.run(ctx, term) })
 	s.running.Go(func() { inquire(ctx) })
 	s.running.Go(func() { s.placements.load(ctx) })
@@ -146,8 +149,10 @@
 	}
 	s.mu.Unlock()
 	elsewhere := s.cluster.demandElsewhere(s.cluster.self.Node, nil)
+	rights, named := s.rights.all()
 	s.traffic.reported(dispatch.News{
 		InFlight: s.cluster.inFlightElsewhere(), Work: s.workTimes.all(), Gateways: s.cluster.gateways(),
+		Rights: held(s.view.inst.Load(), rights, named, s.cluster.self.Node),
 	}, elsewhere, admitted(s.hotKeys.messages()))
 }
 
--- a/gateway/traffic.go
+++ b/gateway/traffic.go
@@ -9,9 +9,11 @@
 	"github.com/rockcroft/rockcroft/coordination/dispatch"
 	"github.com/rockcroft/rockcroft/coordination/patience"
 	"github.com/rockcroft/rockcroft/coordination/retry"
+	"github.com/rockcroft/rockcroft/coordination/warmup"
 	"github.com/rockcroft/rockcroft/protocol/answer"
 	"github.com/rockcroft/rockcroft/state/evacuation"
 	"github.com/rockcroft/rockcroft/state/instances"
+	"github.com/rockcroft/rockcroft/state/routing"
 	"github.com/rockcroft/rockcroft/state/settings"
 )
 
@@ -103,6 +105,50 @@
 	}
 }
 
+// setServices takes over what the configuration says of the services.
+func (t *traffic) setServices(table *routing.Table) {
+	now := t.now()
+	for name, service := range table.Services {
+		s := t.get(name)
+		s.mu.Lock()
+		s.dispatch.SetWarmUp(now, t.warmUp(service))
+		s.mu.Unlock()
+	}
+}
+
+// warmUp is the bound of requests to an upstream of the service that warms up.
+func (t *traffic) warmUp(service *routing.Service) dispatch.WarmUp {
+	if service.StartRate <= 0 {
+		return dispatch.WarmUp{}
+	}
+	return dispatch.WarmUp{Bound: t.conf.WarmUpOverage*service.StartRate + t.conf.WarmUpSlack, Owners: service.Keyed}
+}
+
+// needRights returns the upstreams of all services to which a gateway sends by a right only.
+func (t *traffic) needRights() []warmup.Upstream {
+	now := t.now()
+	var out []warmup.Upstream
+	for name, s := range t.all() {
+		for _, one := range s.needRights(now) {
+			out = append(out, warmup.Upstream{ID: one.ID, Incarnation: one.Incarnation(), Service: name, Domain: one.Domain})
+		}
+	}
+	return out
+}
+
+func (s *service) needRights(now time.Time) []instances.Instance {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.dispatch.NeedRights(now)
+}
+
+// warming returns the upstreams that warm up and whose requests are bounded.
+func (s *service) warming(now time.Time) []instances.Instance {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.dispatch.Warming(now)
+}
+
 // setEvacuations takes over which failure domains are evacuated.
 func (t *traffic) setEvacuations(set *evacuation.Set) {
 	t.mu.Lock()
@@ -194,6 +240,10 @@
 		return answer.New(answer.NoOwner, "the owner of the key does not answer")
 	case dispatch.Evacuated:
 		return answer.New(answer.NoOwner, "the owner of the key is in an evacuated failure domain")
+	case dispatch.WarmingUp:
+		err := answer.New(answer.Overloaded, "the owner of the key warms up")
+		err.RetryAfter = patience.ComeBackToColdKey()
+		return err
 	case dispatch.ColdKey:
 		err := answer.New(answer.Overloaded, "the key is cold at a busy owner")
 		err.RetryAfter = patience.ComeBackToColdKey()
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -34,9 +34,11 @@
 	// onInstances is called, with the lock held, when upstreams have changed,
 	// onSpans when the owners of a service have, onEvacuations when failure domains were
 	// evacuated or taken back.
-	onInstances   func(*instances.View)
-	onSpans       func(*spans.Table)
-	onEvacuations func(*evacuation.Set)
+	onInstances func(*instances.View)
+	// onConfiguration is called, with the lock held, when another configuration is in force.
+	onConfiguration func(*routing.Table)
+	onSpans         func(*spans.Table)
+	onEvacuations   func(*evacuation.Set)
 }
 
 // configVersion is one version of the configuration as the store has it.
@@ -51,7 +53,8 @@
 func newView() *view {
 	v := &view{
 		onInstances: func(*instances.View) {}, onSpans: func(*spans.Table) {}, onEvacuations: func(*evacuation.Set) {},
-		changed: make(chan struct{}), formerInst: make(map[uint64]*instances.View), formerSpans: make(map[string][]*spans.Table),
+		onConfiguration: func(*routing.Table) {},
+		changed:         make(chan struct{}), formerInst: make(map[uint64]*instances.View), formerSpans: make(map[string][]*spans.Table),
 	}
 	v.owners.Store(&map[string]*spans.Table{})
 	return v
@@ -89,7 +92,9 @@
 		v.formerConfigs = v.formerConfigs[1:]
 	}
 	v.config = configVersion{revision: revision, digest: delta.Digest(spec), spec: spec}
-	v.table.Store(routing.NewTable(c))
+	table := routing.NewTable(c)
+	v.table.Store(table)
+	v.onConfiguration(table)
 	v.signal()
 	return true
 }
--- a/state/routing/routing.go
+++ b/state/routing/routing.go
@@ -62,6 +62,9 @@
 	Keyed bool
 	// WarmUp is how long keys are slow that came without their state.
 	WarmUp time.Duration
+	// StartRate is how many requests a second an upstream bears while it warms up; zero
+	// when that is not bounded.
+	StartRate float64
 }
 
 // Table finds routes. It is immutable.
--- a/state/settings/gateway.go
+++ b/state/settings/gateway.go
@@ -42,6 +42,11 @@
 	RetryShare     float64        `json:"retry_share"`
 	RetryAllowance float64        `json:"retry_allowance"`
 	RetryWindow    jsonc.Duration `json:"retry_window"`
+	// WarmUpOverage and WarmUpSlack bound the requests that reach an upstream in any second
+	// while it warms up, from all gateways: the rate that the configuration names times the
+	// overage, plus the slack. Default 1 and 0.
+	WarmUpOverage float64 `json:"warm_up_overage"`
+	WarmUpSlack   float64 `json:"warm_up_slack"`
 	// Strength is the share of a core that the machine has, 1 for a whole one.
 	// Stronger machines lead and report for others.
 	Strength float64 `json:"strength"`
@@ -60,9 +65,10 @@
 // DefaultGateway returns the defaults.
 func DefaultGateway() Gateway {
 	return Gateway{
-		DrainNotice: jsonc.Duration(gatewayDrainNotice),
-		LogLevel:    "info",
-		Trace:       Trace{Exporter: "off", SampleShare: 0.01},
+		WarmUpOverage: 1,
+		DrainNotice:   jsonc.Duration(gatewayDrainNotice),
+		LogLevel:      "info",
+		Trace:         Trace{Exporter: "off", SampleShare: 0.01},
 	}
 }
 
@@ -86,6 +92,8 @@
 	add(g.RetryShare < 0 || g.RetryShare > 1, "retry_share", "must lie between 0 and 1")
 	add(g.RetryAllowance < 0, "retry_allowance", "must not be negative")
 	add(g.RetryWindow <= 0, "retry_window", "must be positive")
+	add(g.WarmUpOverage < 1, "warm_up_overage", "must be at least 1")
+	add(g.WarmUpSlack < 0, "warm_up_slack", "must not be negative")
 	add(g.Strength < 0, "strength", "must not be negative")
 	add(g.Memory <= 0, "memory_mb", "must be positive")
 	add(!oneOf(g.LogLevel, "debug", "info", "warn", "error"), "log_level", `must be "debug", "info", "warn" or "error"`)
