--- a/gateway/evacuations.go
+++ b/gateway/evacuations.go
@@ -2,6 +2,8 @@
 
 import (
 	"log/slog"
+	"sync"
+	"time"
 
 	"github.com/rockcroft/rockcroft/platform"
 	"github.com/rockcroft/rockcroft/protocol/syncpb"
@@ -15,8 +17,17 @@
 // evacuations takes over what is told of evacuations, for concurrent use.
 type evacuations struct {
 	view   *view
+	now    func() time.Time
 	log    *slog.Logger
 	meters *meters
+
+	mu sync.Mutex
+	// since is when this gateway heard that a failure domain is evacuated.
+	since map[string]time.Time
+}
+
+func newEvacuations(v *view, now func() time.Time, log *slog.Logger, m *meters) *evacuations {
+	return &evacuations{view: v, now: now, log: log, meters: m, since: make(map[string]time.Time)}
 }
 
 // take takes over what is newer, and logs which failure domains have changed. from tells in
@@ -33,17 +44,36 @@
 	if !changed {
 		return
 	}
-	now := e.view.evac.Load()
+	e.note(before, e.view.evac.Load(), from)
+}
+
+// note notes and logs which failure domains have changed.
+func (e *evacuations) note(before, now *evacuation.Set, from string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	for _, m := range now.Marks() {
 		switch active := !m.Ended; {
 		case active && !before.Active(m.Domain):
+			e.since[m.Domain] = e.now()
 			e.log.Info("failure domain evacuated", "domain", m.Domain, "revision", m.Revision, "from", from)
 		case !active && before.Active(m.Domain):
+			delete(e.since, m.Domain)
 			e.log.Info("evacuation ended", "domain", m.Domain, "revision", m.Revision, "from", from)
 		}
 	}
 }
 
+// knownFor returns how long this gateway has known that the failure domain is evacuated.
+func (e *evacuations) knownFor(domain string) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	since, ok := e.since[domain]
+	if !ok {
+		return 0
+	}
+	return e.now().Sub(since)
+}
+
 // told takes over what another gateway tells.
 func (e *evacuations) told(list []*syncpb.Evacuation) { e.take(evacuationMarks(list), "gateway") }
 
--- a/gateway/evacuations_test.go
+++ b/gateway/evacuations_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/rockcroft/rockcroft/platform"
+	"github.com/rockcroft/rockcroft/protocol/placementpb"
 	"github.com/rockcroft/rockcroft/protocol/syncpb"
 	"github.com/rockcroft/rockcroft/standin/metastore"
 	"github.com/rockcroft/rockcroft/state/spans"
@@ -83,6 +84,22 @@
 	}
 }
 
+// seesEvacuated reports whether operators are told that the domain is evacuated, owns no key
+// any more and is known to be so by all gateways.
+func (b *bed) seesEvacuated(domain string) bool {
+	state, err := b.operator().Evacuations(context.Background(), &placementpb.EvacuationsRequest{})
+	if err != nil || len(state.Domains) != 1 || len(state.Gateways) != len(b.gateways) {
+		return false
+	}
+	for _, g := range state.Gateways {
+		if g.Revision < state.Domains[0].Revision {
+			return false
+		}
+	}
+	d := state.Domains[0]
+	return d.Domain == domain && d.Upstreams == 4 && d.Keys == 0 && d.KnownMs > 0
+}
+
 // TestEvacuatedDomainGetsNothing: all gateways hear of it, keys that are owned there are
 // handed over, and they return when the evacuation has ended. What the entry holds does not
 // matter.
@@ -103,6 +120,7 @@
 		}
 	}
 	b.mustServeOutside("a")
+	b.eventually("operators see it", func() bool { return b.seesEvacuated("a") })
 	b.store.Remove(platform.EvacuationsKind, "a")
 	b.eventually("ended everywhere", func() bool { return b.knowEvacuated("a", false) })
 	b.eventually("keys there again", func() bool { return b.keysIn(b.gateways[1], "a") > 0 })
@@ -129,6 +147,14 @@
 		t.Error("a gateway serves that does not know of the evacuation")
 	}
 	b.store.SetAll(metastore.Open)
+	b.eventually("all know the owners", func() bool {
+		for _, g := range b.gateways {
+			if g.running() && (b.keysIn(g, "a") > 0 || !g.allOwned()) {
+				return false
+			}
+		}
+		return true
+	})
 	b.mustServeOutside("a")
 }
 
@@ -189,7 +215,7 @@
 // counted, and a late word of an ended evacuation changes nothing.
 func TestEvacuationsThatCannotBe(t *testing.T) {
 	m := newMeters()
-	e := &evacuations{view: newView(), log: slog.New(slog.DiscardHandler), meters: m}
+	e := newEvacuations(newView(), time.Now, slog.New(slog.DiscardHandler), m)
 	e.told([]*syncpb.Evacuation{{Domain: "a", Revision: 5, Ended: true}, {Domain: "b", Revision: 9}, {Revision: 3}, {Domain: "c"}})
 	if n := m.counter(evacuationsUnsound).Count(); n != 2 {
 		t.Errorf("%d dropped", n)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -178,7 +178,7 @@
 		now: g.now, log: log, meters: g.meters, lastOK: g.now(),
 	}
 	store := platform.NewStore(g.calls)
-	evac := &evacuations{view: g.view, log: log, meters: g.meters}
+	evac := newEvacuations(g.view, g.now, log, g.meters)
 	g.watcher = newWatcher(store, g.view, evac, g.now, log, g.meters, seeds[0])
 	g.calls.onReturn = g.watcher.returned
 	g.follower = &follower{
@@ -205,7 +205,7 @@
 	}
 	g.steward.leading = g.leading
 	g.steward.placements = &placements{
-		store: store, steward: g.steward, leading: g.leading, cluster: g.cluster, now: g.now, log: log,
+		store: store, steward: g.steward, leading: g.leading, cluster: g.cluster, evac: evac, now: g.now, log: log,
 	}
 	g.watcher.draining = g.steward.placements.draining
 	g.follower.setOwn = g.steward.setOwn
--- a/gateway/placements.go
+++ b/gateway/placements.go
@@ -28,6 +28,7 @@
 	steward *steward
 	leading *leading
 	cluster *cluster
+	evac    *evacuations
 	now     func() time.Time
 	log     *slog.Logger
 
--- a/gateway/watch_test.go
+++ b/gateway/watch_test.go
@@ -142,7 +142,7 @@
 		way = w.wrap(way)
 	}
 	log, m := slog.New(w.lines), newMeters()
-	evac := &evacuations{view: w.view, log: log, meters: m}
+	evac := newEvacuations(w.view, time.Now, log, m)
 	one := newWatcher(platform.NewStore(way), w.view, evac, time.Now, log, m, 1)
 	one.draining = func(string) bool { return false }
 	return one
