Use the loads that upstreams tell with their answers

Cause: a fifth of the upstreams takes three times as long at any moment, and each answer says so (X-Instance-Load). Nothing read it: what was noise was learned as speed, and 74 gateways sent by reports a quarter of a second old.

Change: platform reads the header; what cannot be is counted and dropped. A run is learned as what it takes at a slowness of 1; the mean slowness of an upstream is kept beside it and for longer, over all gateways' answers. Upstreams that say nothing are as before.

--- a/bench/lab/control.go
+++ b/bench/lab/control.go
@@ -146,11 +146,11 @@
 }
 
 // works returns the mean time of a run at each upstream, as all gateways have seen it.
-func (c *control) works() map[string]time.Duration {
-	out := make(map[string]time.Duration, len(c.w.all))
+func (c *control) works() map[string]worktime.Estimate {
+	out := make(map[string]worktime.Estimate, len(c.w.all))
 	for _, u := range c.w.all {
-		if work := c.work[u.service.Name].Mean(u.one.ID); work > 0 {
-			out[u.one.ID] = work
+		if one := c.work[u.service.Name].Estimate(u.one.ID); one.Work > 0 {
+			out[u.one.ID] = one
 		}
 	}
 	return out
--- a/bench/lab/delivery.go
+++ b/bench/lab/delivery.go
@@ -261,6 +261,9 @@
 		return
 	}
 	f.ended = true
+	if f.run.load != nil {
+		d.service.Told(d.w.now(), f.grant, *f.run.load)
+	}
 	d.service.Done(d.w.now(), f.grant, o)
 	if d.ended {
 		return
--- a/bench/lab/scenario.go
+++ b/bench/lab/scenario.go
@@ -41,6 +41,13 @@
 	// handover.
 	ColdFactor float64        `json:"cold_factor"`
 	ColdFor    jsonc.Duration `json:"cold_for"`
+	// NoiseShare of the upstreams take NoiseFactor times as long at any moment; it is drawn
+	// anew for each every NoiseEvery.
+	NoiseShare  float64        `json:"noise_share"`
+	NoiseFactor float64        `json:"noise_factor"`
+	NoiseEvery  jsonc.Duration `json:"noise_every"`
+	// TellsLoad says that its upstreams tell their load with each answer.
+	TellsLoad bool `json:"tells_load"`
 }
 
 // Route is one kind of request.
@@ -212,6 +219,9 @@
 		add(speed <= 0, path+"speeds", "must be positive")
 	}
 	add(s.ColdFactor < 0, path+"cold_factor", "must not be negative")
+	add(s.NoiseShare < 0 || s.NoiseShare > 1, path+"noise_share", "must lie between 0 and 1")
+	add(s.NoiseShare > 0 && s.NoiseFactor <= 0, path+"noise_factor", "must be positive")
+	add(s.NoiseShare > 0 && s.NoiseEvery <= 0, path+"noise_every", "must be positive")
 }
 
 func (r *Route) check(path string, add addFinding) {
--- a/bench/lab/upstream.go
+++ b/bench/lab/upstream.go
@@ -15,7 +15,9 @@
 	call *call
 	at   *upstream
 	// reply brings the outcome back; it is called at most once.
-	reply   func(dispatch.Outcome)
+	reply func(dispatch.Outcome)
+	// load is what the upstream told with its answer; nil when it told nothing.
+	load    *instances.Load
 	started time.Duration
 	running bool
 	ended   bool
@@ -28,7 +30,9 @@
 	one     instances.Instance
 	speed   float64
 	// slower is the factor of a trouble, 1 without.
-	slower        float64
+	slower float64
+	// noise is the factor of its machine at the moment, 1 as usual.
+	noise         float64
 	dark, gone    bool
 	leaving       bool
 	lostAt        time.Duration
@@ -48,13 +52,35 @@
 		// Each failure domain gets all speeds.
 		speed = s.Speeds[(i/domains+i)%len(s.Speeds)]
 	}
-	return &upstream{
-		w: w, service: s, speed: speed, slower: 1,
+	u := &upstream{
+		w: w, service: s, speed: speed, slower: 1, noise: 1,
 		one: instances.Instance{
 			ID: fmt.Sprintf("%s-%d", s.Name, i), Service: s.Name, Slots: s.Slots,
 			Domain: domainName(i % domains),
 		},
 	}
+	if s.NoiseShare > 0 {
+		// Machines do not change all at the same moments.
+		w.after(time.Duration(w.noise.Float64()*float64(s.NoiseEvery.D())), u.drawNoise)
+	}
+	return u
+}
+
+// drawNoise draws how slow its machine is, again and again.
+func (u *upstream) drawNoise() {
+	u.noise = 1
+	if u.w.noise.Float64() < u.service.NoiseShare {
+		u.noise = u.service.NoiseFactor
+	}
+	u.w.after(u.service.NoiseEvery.D(), u.drawNoise)
+}
+
+// load is what the upstream tells with an answer, or nil.
+func (u *upstream) load() *instances.Load {
+	if !u.service.TellsLoad {
+		return nil
+	}
+	return &instances.Load{Running: len(u.running), Waiting: len(u.queue), Slots: u.service.Slots, Slowness: u.noise / u.speed}
 }
 
 func domainName(i int) string { return fmt.Sprintf("domain-%d", i) }
@@ -104,7 +130,7 @@
 	r.running, r.started = true, u.w.at
 	u.running = append(u.running, r)
 	took := u.w.draw(r.call.route)
-	factor := u.slower / u.speed
+	factor := u.noise / u.pace()
 	if u.service.Keyed && u.w.control.cold(u.service, r.call.key) {
 		factor *= u.service.ColdFactor
 	}
@@ -112,6 +138,7 @@
 		if r.ended || u.dark || u.gone {
 			return
 		}
+		r.load = u.load()
 		u.leave(r)
 		u.answer(r, dispatch.Answered)
 		u.next()
--- a/bench/lab/world.go
+++ b/bench/lab/world.go
@@ -23,8 +23,10 @@
 // world is one run of a scenario.
 type world struct {
 	engine
-	sc        *Scenario
-	rng       *rand.Rand
+	sc  *Scenario
+	rng *rand.Rand
+	// noise draws the noise of upstreams.
+	noise     *rand.Rand
 	upstreams map[string][]*upstream
 	byID      map[string]*upstream
 	// all are the upstreams in a fixed order.
@@ -47,11 +49,12 @@
 const (
 	trafficSeed = 1
 	policySeed  = 2
+	noiseSeed   = 3
 )
 
 func newWorld(sc *Scenario, seed uint64) *world {
 	w := &world{
-		sc: sc, rng: rand.New(rand.NewPCG(seed, trafficSeed)), upstreams: make(map[string][]*upstream),
+		sc: sc, rng: rand.New(rand.NewPCG(seed, trafficSeed)), noise: rand.New(rand.NewPCG(seed, noiseSeed)), upstreams: make(map[string][]*upstream),
 		byID: make(map[string]*upstream), view: make(map[string]*spans.Table), tally: newTally(sc),
 		down: make([]bool, sc.Gateways), popularity: make(map[string][]float64), work: make(map[string]distuv.LogNormal),
 	}
--- a/coordination/dispatch/dispatch_test.go
+++ b/coordination/dispatch/dispatch_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/rockcroft/rockcroft/coordination/worktime"
 	"github.com/rockcroft/rockcroft/state/instances"
 )
 
@@ -177,7 +178,7 @@
 // TestSlownessIsLearned: the work time is learned without what waited ahead.
 func TestSlownessIsLearned(t *testing.T) {
 	u := newUpstream(instances.Instance{ID: "a1", Slots: 2}, start)
-	u.observe(300*ms, 5)
+	u.observe(start, 300*ms, 5)
 	if u.work != 100*ms {
 		t.Errorf("work %s, want a third: three rounds of two", u.work)
 	}
@@ -306,7 +307,7 @@
 	one[0].WarmUp = time.Second
 	s.typical = 100 * ms
 	s.SetUpstreams(start, one)
-	s.ReportAll(start, News{Gateways: 1, Work: map[string]time.Duration{"a1": 100 * ms}})
+	s.ReportAll(start, News{Gateways: 1, Work: map[string]worktime.Estimate{"a1": {Work: 100 * ms, Slowness: 1}}})
 	u := s.upstreams["a1"]
 	if got := u.workTime(start, s.typical); got != 200*ms {
 		t.Errorf("%s while it warms up", got)
--- a/coordination/dispatch/service.go
+++ b/coordination/dispatch/service.go
@@ -154,8 +154,8 @@
 	for _, u := range s.order {
 		u.gateways = s.gateways
 		u.others = news.InFlight[u.ID]
-		if work := news.Work[u.ID]; work > 0 {
-			u.told = work
+		if told := news.Work[u.ID]; told.Work > 0 {
+			u.told, u.usual = told.Work, told.Slowness
 		}
 		u.othersAt = now
 		u.share.report(now, u.rate(now, s.typical), s.part, u.inflight(now), u.Slots)
@@ -298,7 +298,7 @@
 	}
 	u.ended(now, g, o, s.typical)
 	if o == Answered && u.work > 0 && !g.Cold && !g.Warming {
-		s.typical += time.Duration(workWeight / 4 * float64(u.work-s.typical))
+		s.typical += time.Duration(workWeight / 4 * (u.usualSlowness()*float64(u.work) - float64(s.typical)))
 	}
 	s.pump(now, &u.queue)
 	s.pump(now, &s.queue)
--- a/coordination/dispatch/upstream.go
+++ b/coordination/dispatch/upstream.go
@@ -92,7 +92,8 @@
 	gateways int
 	// share is this gateway's part of the room.
 	share share
-	// work is the mean time of a run without waiting as seen from here; zero when unknown.
+	// work is the mean time of a run without waiting as seen from here, at a slowness of 1;
+	// zero when unknown.
 	work time.Duration
 	// told is the same as all gateways together have seen it; zero when unknown.
 	told time.Duration
@@ -112,6 +113,15 @@
 	// rightUntil is until when this gateway may send requests to it while it warms up,
 	// nextStart when it may send the next one.
 	rightUntil, nextStart time.Time
+	// slowness is what it said of its slowness at slowAt, usual the mean as all gateways have
+	// heard it, and heard that of heardRuns answers to this one.
+	slowness         float64
+	slowAt           time.Time
+	usual            float64
+	heard, heardRuns float64
+	// toldOthers is how many requests of other gateways it had at toldAt, as it said.
+	toldOthers float64
+	toldAt     time.Time
 	// leavingSince is when it was first seen to be leaving.
 	leavingSince time.Time
 	// evacuatedSince is when its failure domain was first seen to be evacuated; zero when
@@ -152,12 +162,17 @@
 // inflight estimates the requests of all gateways at the upstream. As a report
 // ages, the others are taken to have as many as this one each.
 func (u *Upstream) inflight(now time.Time) float64 {
+	return u.alive() + u.atOthers(now, u.reported(now))
+}
+
+// reported estimates the requests of the others from their reports.
+func (u *Upstream) reported(now time.Time) float64 {
 	alike := u.alive() * float64(u.gateways-1)
 	if u.othersAt.IsZero() {
-		return u.alive() + alike
+		return alike
 	}
 	fresh := float64(reportHalf) / float64(reportHalf+max(now.Sub(u.othersAt), 0))
-	return u.alive() + fresh*u.others + (1-fresh)*alike
+	return fresh*u.others + (1-fresh)*alike
 }
 
 // silentFor is how long everything at the upstream has been unanswered.
@@ -192,9 +207,14 @@
 	return u.silentFor(now) > factor*delay
 }
 
-// workTime is the time of one run without waiting: as all gateways have seen it, else as
-// this one has.
+// workTime is the time of one run without waiting at the moment: as all gateways have seen
+// it, else as this one has.
 func (u *Upstream) workTime(now time.Time, typical time.Duration) time.Duration {
+	return time.Duration(u.slow(now) * float64(u.meanWork(now, typical)))
+}
+
+// meanWork is the same in the mean over the upstream's slow and fast moments.
+func (u *Upstream) meanWork(now time.Time, typical time.Duration) time.Duration {
 	warming := now.Before(u.warmUntil)
 	switch {
 	case u.told != 0 && warming:
@@ -203,7 +223,7 @@
 	case u.told != 0:
 		return u.told
 	case u.work != 0:
-		return u.work
+		return time.Duration(u.usualSlowness() * float64(u.work))
 	case warming:
 		return typical * warmUpSlowness
 	}
@@ -294,7 +314,7 @@
 	case Answered:
 		u.reached(now, began, typical)
 		if !g.Cold && !g.Warming {
-			u.observe(now.Sub(began), ahead)
+			u.observe(now, now.Sub(began), ahead)
 		}
 		u.failures -= failureWeight * u.failures
 	case Failed:
@@ -358,16 +378,17 @@
 }
 
 // observe learns the work time from a whole run: what the requests ahead took
-// is counted out.
-func (u *Upstream) observe(took time.Duration, ahead float64) {
+// is counted out, and how slow the upstream said that it was.
+func (u *Upstream) observe(now time.Time, took time.Duration, ahead float64) {
 	rounds := (ahead + 1) / float64(u.Slots)
-	sample := time.Duration(float64(took) / max(1, rounds))
+	slowness := u.saidSlowness(now)
+	sample := time.Duration(float64(took) / max(1, rounds) / slowness)
 	weight := float64(workWeight)
 	if rounds > 1 {
 		weight = queuedWeight
 	}
 	seen := weight / workWeight
-	u.runs = u.runs.Add(worktime.Sum{Total: time.Duration(seen * float64(sample)), Runs: seen})
+	u.runs = u.runs.Add(worktime.Sum{Total: time.Duration(seen * float64(sample)), Runs: seen, Slowness: seen * slowness})
 	if u.work == 0 {
 		u.work = sample
 		return
--- a/coordination/dispatch/want.go
+++ b/coordination/dispatch/want.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/rockcroft/rockcroft/coordination/worktime"
 	"github.com/rockcroft/rockcroft/state/instances"
 )
 
@@ -101,9 +102,9 @@
 	// InFlight is how many requests they have at each upstream; those that are not
 	// listed have none.
 	InFlight map[string]float64
-	// Work is the mean time of a run at each upstream, from what all gateways have seen.
-	// Of those that are not listed nothing new is known.
-	Work map[string]time.Duration
+	// Work is what all gateways have seen of runs at each upstream. Of those that are not
+	// listed nothing new is known.
+	Work map[string]worktime.Estimate
 	// Demand is how many requests a second they are asked for.
 	Demand float64
 	// Gateways is the number of all gateways, this one among them.
--- a/coordination/worktime/worktime.go
+++ b/coordination/worktime/worktime.go
@@ -20,19 +20,47 @@
 	// typicalRuns is how many runs the mean of the service counts for in the estimate of
 	// an upstream.
 	typicalRuns = 4
+	// mostSlownesses is how many runs the mean slowness of an upstream remembers: it changes
+	// some times a second, so several runs see the same, and what it is in the mean does not
+	// change with a service's requests.
+	mostSlownesses = 120
 	// typicalMost is how many runs the mean of the service remembers.
 	typicalMost = 2000
 )
 
 // Sum is what was seen of some runs. Runs may be a fraction: a run whose time is partly
 // guessed counts for less than one.
+//
+// Upstreams that share their machines with others may say how many times as long as usual a
+// run takes them at the moment, their slowness. Total is then what the runs would have taken
+// at a slowness of 1.
 type Sum struct {
 	Total time.Duration
 	Runs  float64
+	// Slowness is the sum of the slownesses, 1 for a run with which none was said.
+	Slowness float64
 }
 
 // Add returns both together.
-func (s Sum) Add(other Sum) Sum { return Sum{Total: s.Total + other.Total, Runs: s.Runs + other.Runs} }
+func (s Sum) Add(other Sum) Sum {
+	return Sum{Total: s.Total + other.Total, Runs: s.Runs + other.Runs, Slowness: s.Slowness + other.Slowness}
+}
+
+// MeanSlowness returns the mean slowness; 1 without any run.
+func (s Sum) MeanSlowness() float64 {
+	if s.Runs <= 0 {
+		return 1
+	}
+	return s.Slowness / s.Runs
+}
+
+// Estimate is what is known of one upstream. The zero value says that nothing is.
+type Estimate struct {
+	// Work is the mean time of a run, over the upstream's slow and fast moments.
+	Work time.Duration
+	// Slowness is the mean of its slowness.
+	Slowness float64
+}
 
 // Mean returns the mean time of a run; zero without any.
 func (s Sum) Mean() time.Duration {
@@ -47,40 +75,66 @@
 	if s.Runs <= runs {
 		return s
 	}
-	return Sum{Total: time.Duration(float64(s.Total) * runs / s.Runs), Runs: runs}
+	part := runs / s.Runs
+	return Sum{Total: time.Duration(float64(s.Total) * part), Runs: runs, Slowness: s.Slowness * part}
 }
 
 // Book holds the estimates of one service. It is not safe for concurrent use.
 type Book struct {
 	service Sum
 	byID    map[string]Sum
+	// slow are the slownesses, remembered for longer, in Sums without a total.
+	slow map[string]Sum
 }
 
 // NewBook returns a book in which nothing was seen.
-func NewBook() *Book { return &Book{byID: make(map[string]Sum)} }
+func NewBook() *Book { return &Book{byID: make(map[string]Sum), slow: make(map[string]Sum)} }
 
 // Add notes runs of an upstream.
 func (b *Book) Add(id string, runs Sum) {
 	if runs.Runs <= 0 || runs.Total < 0 {
 		return
 	}
+	if runs.Slowness <= 0 {
+		runs.Slowness = runs.Runs
+	}
 	b.byID[id] = b.byID[id].Add(runs).within(mostRuns)
 	b.service = b.service.Add(runs).within(typicalMost)
+	b.slow[id] = b.slow[id].Add(Sum{Runs: runs.Runs, Slowness: runs.Slowness}).within(mostSlownesses)
 }
 
 // Typical returns the mean time of a run over all upstreams; zero before any was seen.
-func (b *Book) Typical() time.Duration { return b.service.Mean() }
+func (b *Book) Typical() time.Duration {
+	return time.Duration(b.service.MeanSlowness() * float64(b.service.Mean()))
+}
 
-// Mean returns the estimate for an upstream; zero before any run of the service was seen.
-func (b *Book) Mean(id string) time.Duration {
-	typical := Sum{Total: typicalRuns * b.Typical(), Runs: typicalRuns}
-	return b.byID[id].Add(typical).Mean()
+// Estimate returns what is known of an upstream; zero before any run of the service was seen.
+func (b *Book) Estimate(id string) Estimate {
+	typical := Sum{Total: typicalRuns * b.service.Mean(), Runs: typicalRuns}
+	slowness := b.slowness(id)
+	work := b.byID[id].Add(typical).Mean()
+	return Estimate{Work: time.Duration(slowness * float64(work)), Slowness: slowness}
+}
+
+// Mean returns the mean time of a run at an upstream; zero before any run of the service was
+// seen.
+func (b *Book) Mean(id string) time.Duration { return b.Estimate(id).Work }
+
+// slowness returns the mean slowness of an upstream.
+func (b *Book) slowness(id string) float64 {
+	typical := Sum{Runs: typicalRuns, Slowness: typicalRuns * b.service.MeanSlowness()}
+	return b.slow[id].Add(typical).MeanSlowness()
 }
 
 // Forget drops what was seen of an upstream: it has started again.
-func (b *Book) Forget(id string) { delete(b.byID, id) }
+func (b *Book) Forget(id string) {
+	delete(b.byID, id)
+	delete(b.slow, id)
+}
 
 // Keep drops all upstreams but those for which keep says so.
 func (b *Book) Keep(keep func(id string) bool) {
-	maps.DeleteFunc(b.byID, func(id string, _ Sum) bool { return !keep(id) })
+	gone := func(id string, _ Sum) bool { return !keep(id) }
+	maps.DeleteFunc(b.byID, gone)
+	maps.DeleteFunc(b.slow, gone)
 }
--- a/coordination/worktime/worktime_test.go
+++ b/coordination/worktime/worktime_test.go
@@ -66,3 +66,25 @@
 		t.Errorf("%s, %s", b.Mean("a"), b.Typical())
 	}
 }
+
+// TestSlownessIsRememberedForLonger than the time of a run: an upstream that says how slow it
+// is at the moment is taken for as fast as it is in the mean.
+func TestSlownessIsRememberedForLonger(t *testing.T) {
+	b := NewBook()
+	for i := range 300 {
+		slowness := 1.0
+		if i%50 >= 40 {
+			slowness = 3
+		}
+		b.Add("a", Sum{Total: 100 * ms, Runs: 1, Slowness: slowness})
+		b.Add("fast", Sum{Total: 100 * ms, Runs: 1, Slowness: 0.7})
+	}
+	// The last ten runs were in a slow moment.
+	near(t, "mean", b.Mean("a"), 140*ms)
+	near(t, "mean of a fast one", b.Mean("fast"), 71*ms)
+	if got := b.Estimate("a").Slowness; got < 1.3 || got > 1.5 {
+		t.Errorf("mean slowness %g", got)
+	}
+	b.Forget("a")
+	near(t, "after it has started again", b.Mean("a"), b.Typical())
+}
--- a/gateway/cluster.go
+++ b/gateway/cluster.go
@@ -48,8 +48,9 @@
 	// above is what the gateways that do not report to this one have in flight,
 	// as the parent told, aboveDemands what they are asked for.
 	above []*syncpb.Load
-	// worksTold are the mean times of a run in above, by upstream; never changed in place.
-	worksTold map[string]time.Duration
+	// worksTold are the times of runs as the parent told them, by upstream; never changed in
+	// place.
+	worksTold map[string]worktime.Estimate
 	// hotKeys are those that the parent told of.
 	hotKeys []*syncpb.HotKeys
 	// rights are those that the parent told of, named at rightsNamed.
@@ -224,12 +225,12 @@
 	}
 }
 
-// setLoadsAbove takes over what the parent told of the others' requests in flight.
-func (c *cluster) setLoadsAbove(loads []*syncpb.Load) {
+// setAbove takes over what the parent told of the others' requests in flight, and of the
+// times of runs.
+func (c *cluster) setAbove(loads []*syncpb.Load, works map[string]worktime.Estimate) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.above = loads
-	c.worksTold = worksIn(loads)
+	c.above, c.worksTold = loads, works
 }
 
 // setDemandsAbove takes over what the parent told that the others are asked for.
--- a/gateway/cluster_test.go
+++ b/gateway/cluster_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/rockcroft/rockcroft/coordination/worktime"
 	"github.com/rockcroft/rockcroft/protocol/syncpb"
 	"github.com/rockcroft/rockcroft/state/instances"
 	"github.com/rockcroft/rockcroft/state/smallfloat"
@@ -71,13 +72,13 @@
 	load := func(n float32) []*syncpb.Load { return []*syncpb.Load{{Instance: "i", Inflight: n}} }
 	head.reported(&syncpb.SyncRequest{Member: node("b", 1, 100), Loads: load(1)}, true)
 	head.reported(&syncpb.SyncRequest{Member: node("b", 2, 100), Loads: load(2)}, true)
-	head.setLoadsAbove(load(10))
+	head.setAbove(load(10), nil)
 	own := load(4)
 	if got := head.below(own)["i"].Inflight; got != 7 {
 		t.Errorf("told the leader %v, want 1+2+4", got)
 	}
 	v, packer := instances.NewView(1, []instances.Instance{{ID: "a"}, {ID: "i"}}), &fleetPacker{}
-	told := packer.pack(head.sum(own), "b1", v, 7, map[string]time.Duration{"i": 90 * time.Millisecond})
+	told := packer.pack(head.sum(own), "b1", v, 7, map[string]worktime.Estimate{"i": {Work: 90 * time.Millisecond, Slowness: 1}})
 	if got := smallfloat.FromByte(told.InFlight[1]); got != 16 || told.InFlight[0] != 0 {
 		t.Errorf("told a child %v, want 2+4+10", got)
 	}
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/rockcroft/rockcroft/coordination/worktime"
 	"github.com/rockcroft/rockcroft/protocol/syncpb"
 	"github.com/rockcroft/rockcroft/state/instances"
 	"github.com/rockcroft/rockcroft/state/smallfloat"
@@ -85,17 +86,18 @@
 	inFlight []float64
 	packed   []byte
 	work     []byte
+	slowness []byte
 }
 
 // pack returns what all but one child have in flight at the upstreams of the view.
-func (f *fleetPacker) pack(sum *fleetSum, except string, v *instances.View, version uint64, works map[string]time.Duration) *syncpb.Fleet {
+func (f *fleetPacker) pack(sum *fleetSum, except string, v *instances.View, version uint64, works map[string]worktime.Estimate) *syncpb.Fleet {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.sum != sum || f.version != version {
 		f.prepare(sum, v, works)
 		f.sum, f.version = sum, version
 	}
-	out := &syncpb.Fleet{InstancesVersion: version, InFlight: append([]byte(nil), f.packed...), Work: f.work}
+	out := &syncpb.Fleet{InstancesVersion: version, InFlight: append([]byte(nil), f.packed...), Work: f.work, Slowness: f.slowness}
 	for _, l := range sum.parts[except] {
 		if i, ok := v.Position(l.Instance); ok {
 			out.InFlight[i] = smallfloat.Byte(f.inFlight[i] - float64(l.Inflight))
@@ -105,39 +107,60 @@
 }
 
 // prepare makes what is the same for all children. The lock is held.
-func (f *fleetPacker) prepare(sum *fleetSum, v *instances.View, works map[string]time.Duration) {
+func (f *fleetPacker) prepare(sum *fleetSum, v *instances.View, works map[string]worktime.Estimate) {
 	ids := v.IDs()
 	f.inFlight, f.packed, f.work = make([]float64, len(ids)), make([]byte, len(ids)), make([]byte, workBytes*len(ids))
+	f.slowness = nil
 	for i, id := range ids {
 		if l := sum.loads[id]; l != nil {
 			f.inFlight[i] = float64(l.Inflight)
 			f.packed[i] = smallfloat.Byte(f.inFlight[i])
 		}
-		binary.BigEndian.PutUint16(f.work[workBytes*i:], smallfloat.Word(works[id].Seconds()))
+		binary.BigEndian.PutUint16(f.work[workBytes*i:], smallfloat.Word(works[id].Work.Seconds()))
+		f.setSlowness(i, len(ids), works[id])
 	}
 }
 
-// fleetLoads returns what a message tells, or false when it is about a version of the view
+// setSlowness notes the slowness of one of so many upstreams, if it is known.
+func (f *fleetPacker) setSlowness(i, of int, e worktime.Estimate) {
+	if e.Work == 0 || e.Slowness == 1 {
+		return
+	}
+	if f.slowness == nil {
+		f.slowness = make([]byte, of)
+	}
+	f.slowness[i] = smallfloat.Byte(e.Slowness)
+}
+
+// takeFleet returns what a message tells, or false when it is about a version of the view
 // that is not known, or is not of its size.
-func (v *view) fleetLoads(m *syncpb.Fleet) ([]*syncpb.Load, bool) {
+func (v *view) takeFleet(m *syncpb.Fleet) ([]*syncpb.Load, map[string]worktime.Estimate, bool) {
 	known := v.formerInstances(m.InstancesVersion)
 	if known == nil {
-		return nil, false
+		return nil, nil, false
 	}
 	ids := known.IDs()
-	if len(m.InFlight) != len(ids) || len(m.Work) != workBytes*len(ids) {
-		return nil, false
+	told := len(m.Slowness) > 0
+	if len(m.InFlight) != len(ids) || len(m.Work) != workBytes*len(ids) || told && len(m.Slowness) != len(ids) {
+		return nil, nil, false
 	}
-	var out []*syncpb.Load
+	var loads []*syncpb.Load
+	works := make(map[string]worktime.Estimate)
 	for i, id := range ids {
-		work := binary.BigEndian.Uint16(m.Work[workBytes*i:])
-		if m.InFlight[i] == 0 && work == 0 {
+		if m.InFlight[i] > 0 {
+			loads = append(loads, &syncpb.Load{
+				Instance: id, Incarnation: uint32(known.Get(id).Incarnation()), Inflight: float32(smallfloat.FromByte(m.InFlight[i])),
+			})
+		}
+		work := smallfloat.FromWord(binary.BigEndian.Uint16(m.Work[workBytes*i:]))
+		if work == 0 {
 			continue
 		}
-		out = append(out, &syncpb.Load{
-			Instance: id, Incarnation: uint32(known.Get(id).Incarnation()), Inflight: float32(smallfloat.FromByte(m.InFlight[i])),
-			WorkUs: uint32(smallfloat.FromWord(work) * float64(time.Second/time.Microsecond)),
-		})
+		one := worktime.Estimate{Work: time.Duration(work * float64(time.Second)), Slowness: 1}
+		if told && m.Slowness[i] > 0 {
+			one.Slowness = smallfloat.FromByte(m.Slowness[i])
+		}
+		works[id] = one
 	}
-	return out, true
+	return loads, works, true
 }
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -8,6 +8,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/rockcroft/rockcroft/coordination/worktime"
 	"github.com/rockcroft/rockcroft/protocol/syncpb"
 	"github.com/rockcroft/rockcroft/state/instances"
 )
@@ -30,22 +31,25 @@
 		loads: map[string]*syncpb.Load{"i-00000003": {Inflight: 5}, "i-00000031": {Inflight: 0.3}, "gone": {Inflight: 7}},
 		parts: map[string][]*syncpb.Load{"g": {{Instance: "i-00000003", Inflight: 2}, {Instance: "gone", Inflight: 1}}},
 	}
-	works := map[string]time.Duration{"i-00000003": 90 * time.Millisecond, "i-00000007": 2 * time.Second}
+	works := map[string]worktime.Estimate{
+		"i-00000003": {Work: 90 * time.Millisecond, Slowness: 1}, "i-00000007": {Work: 2 * time.Second, Slowness: 2.8},
+	}
 	m := (&fleetPacker{}).pack(sum, "g", known, version, works)
-	loads, ok := v.fleetLoads(m)
-	if !ok || len(loads) != 3 {
-		t.Fatalf("%v, %v", loads, ok)
-	}
-	want := map[string]*syncpb.Load{
-		"i-00000003": {Inflight: 3, WorkUs: 90_000}, "i-00000007": {WorkUs: 2_000_000}, "i-00000031": {Inflight: 0.3},
-	}
-	for _, l := range loads {
-		w := want[l.Instance]
-		near := func(got, want float64) bool { return math.Abs(got-want) <= want/30 }
-		if !near(float64(l.Inflight), float64(w.Inflight)) || !near(float64(l.WorkUs), float64(w.WorkUs)) {
-			t.Errorf("%v, want %v", l, w)
+	loads, told, ok := v.takeFleet(m)
+	if !ok || len(loads) != 2 || len(told) != 2 {
+		t.Fatalf("%v, %v, %v", loads, told, ok)
+	}
+	near := func(what string, got, want float64) {
+		if math.Abs(got-want) > want/30 {
+			t.Errorf("%s: %g, want %g", what, got, want)
 		}
 	}
+	near("in flight", float64(loads[0].Inflight), 3)
+	near("in flight", float64(loads[1].Inflight), 0.3)
+	for id, want := range works {
+		near("work", told[id].Work.Seconds(), want.Work.Seconds())
+		near("slowness", told[id].Slowness, want.Slowness)
+	}
 }
 
 // TestFleetThatDoesNotFit is not taken over: of another version, or of another size.
@@ -55,17 +59,18 @@
 	sound := func() *syncpb.Fleet {
 		return &syncpb.Fleet{InstancesVersion: 9, InFlight: make([]byte, 5), Work: make([]byte, 10)}
 	}
-	if _, ok := v.fleetLoads(sound()); !ok {
+	if _, _, ok := v.takeFleet(sound()); !ok {
 		t.Error("a sound one is not taken")
 	}
 	for name, spoil := range map[string]func(*syncpb.Fleet){
 		"version":   func(m *syncpb.Fleet) { m.InstancesVersion = 8 },
 		"in flight": func(m *syncpb.Fleet) { m.InFlight = m.InFlight[:4] },
 		"work":      func(m *syncpb.Fleet) { m.Work = append(m.Work, 0) },
+		"slowness":  func(m *syncpb.Fleet) { m.Slowness = make([]byte, 3) },
 	} {
 		m := sound()
 		spoil(m)
-		if _, ok := v.fleetLoads(m); ok {
+		if _, _, ok := v.takeFleet(m); ok {
 			t.Errorf("taken though its %s does not fit", name)
 		}
 	}
@@ -115,9 +120,9 @@
 	now := time.Now()
 	c := newCluster(node("a", 0, 100), nil, func() time.Time { return now }, nil)
 	c.setLeading(true)
-	v, works := upstreamsNamed(3000), make(map[string]time.Duration)
+	v, works := upstreamsNamed(3000), make(map[string]worktime.Estimate)
 	for _, id := range v.IDs() {
-		works[id] = 90 * time.Millisecond
+		works[id] = worktime.Estimate{Work: 90 * time.Millisecond, Slowness: 1}
 	}
 	for g := range 100 {
 		r := &syncpb.SyncRequest{Member: node("a", g+1, 100)}
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -150,8 +150,8 @@
 	if m == nil {
 		return
 	}
-	if loads, ok := f.view.fleetLoads(m); ok {
-		f.cluster.setLoadsAbove(loads)
+	if loads, works, ok := f.view.takeFleet(m); ok {
+		f.cluster.setAbove(loads, works)
 	}
 }
 
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -18,6 +18,7 @@
 	"github.com/rockcroft/rockcroft/coordination/patience"
 	"github.com/rockcroft/rockcroft/platform"
 	"github.com/rockcroft/rockcroft/protocol/answer"
+	"github.com/rockcroft/rockcroft/state/instances"
 	"github.com/rockcroft/rockcroft/state/routing"
 	"github.com/rockcroft/rockcroft/transport/pool"
 	"github.com/rockcroft/rockcroft/transport/telemetry"
@@ -266,8 +267,8 @@
 
 // try sends the request to one upstream and reports how that ended.
 func (f *front) try(ctx context.Context, q *request, grant dispatch.Grant, results chan<- result) {
-	resp, outcome, err := f.send(ctx, q, grant)
-	f.traffic.done(q.traffic, grant, outcome)
+	resp, outcome, load, err := f.send(ctx, q, grant)
+	f.traffic.doneTelling(q.traffic, grant, outcome, load)
 	f.meters.inc(f.meters.service(tryOutcome, q.service.Name, f.class(grant), outcome.String()))
 	results <- result{grant: grant, resp: resp, err: err}
 }
@@ -281,8 +282,8 @@
 }
 
 // send makes one try. A response that comes with the outcome Failed is the
-// upstream's own failure.
-func (f *front) send(ctx context.Context, q *request, grant dispatch.Grant) (*pool.Response, dispatch.Outcome, error) {
+// upstream's own failure. The load is nil when the upstream told none.
+func (f *front) send(ctx context.Context, q *request, grant dispatch.Grant) (*pool.Response, dispatch.Outcome, *instances.Load, error) {
 	ctx, span := f.tracer.Start(ctx, "upstream", trace.WithSpanKind(trace.SpanKindClient))
 	defer span.End()
 	span.SetAttributes(attribute.String("rockcroft.upstream", grant.Instance.ID))
@@ -295,9 +296,24 @@
 		EchoHeader: platform.RequestID, Echo: q.id, Once: !q.route.Idempotent,
 	})
 	if err != nil {
-		return nil, errorOutcome(err), err
+		return nil, errorOutcome(err), nil, err
 	}
-	return classify(resp)
+	load := f.told(resp)
+	answer, outcome, err := classify(resp)
+	return answer, outcome, load, err
+}
+
+// told returns the load that an upstream told with an answer, or nil. What cannot be is
+// counted and dropped.
+func (f *front) told(resp *pool.Response) *instances.Load {
+	load, ok, err := platform.DecodeLoad(resp.Header)
+	if err != nil {
+		f.meters.inc(loadsUnsound)
+	}
+	if !ok {
+		return nil
+	}
+	return &load
 }
 
 // pass hands an upstream's answer on as it is.
--- a/gateway/meternames.go
+++ b/gateway/meternames.go
@@ -63,6 +63,7 @@
 	connForeign          = "connections.foreign_answers"
 	connDistrusted       = "connections.distrusted"
 	answersLost          = "answers.not_taken"
+	loadsUnsound         = "answers.load_unsound"
 	logWritten           = "log.lines_written"
 	logDropped           = "log.lines_dropped"
 )
@@ -119,6 +120,7 @@
 	{connForeign, "answers", "to other requests than the one waited for"},
 	{connDistrusted, "connections", "idle ones closed after another to the same address fell silent"},
 	{answersLost, "answers", "that the client did not take"},
+	{loadsUnsound, "answers", "that told a load of the upstream which cannot be; it was dropped"},
 	{logWritten, "lines", "written"},
 	{logDropped, "lines", "dropped, beyond the rates or not read"},
 }
--- a/gateway/peerserver.go
+++ b/gateway/peerserver.go
@@ -8,6 +8,7 @@
 	"github.com/twitchtv/twirp"
 
 	"github.com/rockcroft/rockcroft/coordination/dispatch"
+	"github.com/rockcroft/rockcroft/coordination/worktime"
 	"github.com/rockcroft/rockcroft/protocol/syncpb"
 	"github.com/rockcroft/rockcroft/state/evacuation"
 	"github.com/rockcroft/rockcroft/state/spans"
@@ -179,7 +180,7 @@
 }
 
 // works returns the mean times of a run as all gateways have seen them.
-func (p *peerServer) works() map[string]time.Duration {
+func (p *peerServer) works() map[string]worktime.Estimate {
 	if p.cluster.isLeading() {
 		return p.steward.workTimes.all()
 	}
@@ -224,10 +225,12 @@
 func loadMessages(loads []dispatch.Load) []*syncpb.Load {
 	out := make([]*syncpb.Load, 0, len(loads))
 	for _, l := range loads {
-		out = append(out, &syncpb.Load{
-			Instance: l.Instance, Incarnation: uint32(l.Incarnation), Inflight: float32(l.Inflight), WorkUs: uint32(l.Runs.Mean().Microseconds()), Runs: float32(l.Runs.Runs),
+		m := &syncpb.Load{
+			Instance: l.Instance, Incarnation: uint32(l.Incarnation), Inflight: float32(l.Inflight),
 			SilentMs: uint32(l.Silent.Milliseconds()), Refused: l.Refused,
-		})
+		}
+		setRuns(m, l.Runs)
+		out = append(out, m)
 	}
 	return out
 }
--- a/gateway/sieve.go
+++ b/gateway/sieve.go
@@ -73,7 +73,7 @@
 	known := s.view.inst.Load()
 	out := make([]*syncpb.Load, 0, len(list))
 	for _, l := range list {
-		if !isCount(l.Inflight) || !isCount(l.Runs) {
+		if !isCount(l.Inflight) || !isCount(l.Runs) || !isCount(l.Slowness) {
 			s.note(unsoundReport, l.Instance, errNoNumber)
 			continue
 		}
--- a/gateway/traffic.go
+++ b/gateway/traffic.go
@@ -260,9 +260,19 @@
 
 // done ends a try.
 func (t *traffic) done(s *service, g dispatch.Grant, o dispatch.Outcome) {
+	t.doneTelling(s, g, o, nil)
+}
+
+// doneTelling ends a try with whose answer the upstream has told its load, if load is not
+// nil.
+func (t *traffic) doneTelling(s *service, g dispatch.Grant, o dispatch.Outcome, load *instances.Load) {
+	now := t.now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.dispatch.Done(t.now(), g, o)
+	if load != nil {
+		s.dispatch.Told(now, g, *load)
+	}
+	s.dispatch.Done(now, g, o)
 }
 
 // first notes the first try of a request.
--- a/gateway/worktimes.go
+++ b/gateway/worktimes.go
@@ -15,6 +15,9 @@
 // next one.
 const toldRuns = 10
 
+// leastSlowness keeps estimates finite.
+const leastSlowness = 0.01
+
 // keepRuns keeps the runs that a report tells of for the own next report.
 func (c *cluster) keepRuns(loads []*syncpb.Load) {
 	c.mu.Lock()
@@ -37,23 +40,12 @@
 
 // worksAbove returns the mean times of a run as the parent told them, by upstream. The map
 // is not changed any more.
-func (c *cluster) worksAbove() map[string]time.Duration {
+func (c *cluster) worksAbove() map[string]worktime.Estimate {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.worksTold
 }
 
-// worksIn returns the mean times of a run that loads tell.
-func worksIn(loads []*syncpb.Load) map[string]time.Duration {
-	out := make(map[string]time.Duration, len(loads))
-	for _, l := range loads {
-		if l.WorkUs > 0 {
-			out[l.Instance] = time.Duration(l.WorkUs) * time.Microsecond
-		}
-	}
-	return out
-}
-
 // withRuns returns the loads with the runs told in them.
 func withRuns(loads map[string]*syncpb.Load, runs map[string]worktime.Sum) []*syncpb.Load {
 	for id, sum := range runs {
@@ -62,7 +54,7 @@
 			l = &syncpb.Load{Instance: id}
 			loads[id] = l
 		}
-		l.Runs, l.WorkUs = float32(sum.Runs), uint32(sum.Mean().Microseconds())
+		setRuns(l, sum)
 	}
 	out := make([]*syncpb.Load, 0, len(loads))
 	for _, l := range loads {
@@ -71,10 +63,22 @@
 	return out
 }
 
+// setRuns lets a load tell of runs.
+func setRuns(l *syncpb.Load, sum worktime.Sum) {
+	l.Runs, l.WorkUs = float32(sum.Runs), uint32(sum.Mean().Microseconds())
+	if slowness := sum.MeanSlowness(); slowness != 1 {
+		l.Slowness = float32(slowness)
+	}
+}
+
 // runsOf returns what a load tells of runs.
 func runsOf(l *syncpb.Load) worktime.Sum {
 	work := time.Duration(l.WorkUs) * time.Microsecond
-	return worktime.Sum{Total: time.Duration(float64(l.Runs) * float64(work)), Runs: float64(l.Runs)}
+	runs, slowness := float64(l.Runs), float64(l.Slowness)
+	if slowness == 0 {
+		slowness = 1
+	}
+	return worktime.Sum{Total: time.Duration(runs * float64(work)), Runs: runs, Slowness: runs * slowness}
 }
 
 // workTimes are the leader's estimates for all services, for concurrent use.
@@ -84,7 +88,7 @@
 	mu    sync.Mutex
 	books map[string]*worktime.Book
 	// told are the estimates as they are told; never changed in place.
-	told map[string]time.Duration
+	told map[string]worktime.Estimate
 }
 
 func newWorkTimes(v *view) *workTimes {
@@ -92,13 +96,16 @@
 }
 
 // begin forgets everything but what the former leader told.
-func (w *workTimes) begin(told map[string]time.Duration) {
+func (w *workTimes) begin(told map[string]worktime.Estimate) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.books = make(map[string]*worktime.Book)
 	w.told = told
-	for id, work := range told {
-		w.addLocked(id, worktime.Sum{Total: toldRuns * work, Runs: toldRuns})
+	for id, one := range told {
+		slowness := max(one.Slowness, leastSlowness)
+		w.addLocked(id, worktime.Sum{
+			Total: time.Duration(toldRuns * float64(one.Work) / slowness), Runs: toldRuns, Slowness: toldRuns * one.Slowness,
+		})
 	}
 }
 
@@ -147,7 +154,7 @@
 
 // all returns the estimates for all upstreams as of the last refresh. The map is not
 // changed any more.
-func (w *workTimes) all() map[string]time.Duration {
+func (w *workTimes) all() map[string]worktime.Estimate {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.told
@@ -162,13 +169,13 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	out := make(map[string]time.Duration, known.Len())
+	out := make(map[string]worktime.Estimate, known.Len())
 	for _, service := range known.Services() {
 		b := w.book(service)
 		b.Keep(func(id string) bool { return known.Get(id) != nil })
 		for _, one := range known.Service(service) {
-			if work := b.Mean(one.ID); work > 0 {
-				out[one.ID] = work
+			if estimate := b.Estimate(one.ID); estimate.Work > 0 {
+				out[one.ID] = estimate
 			}
 		}
 	}
--- a/gateway/worktimes_test.go
+++ b/gateway/worktimes_test.go
@@ -34,23 +34,23 @@
 	v := newView()
 	v.setInstances(1, instances.NewView(1, []instances.Instance{{ID: "a", Service: "s"}, {ID: "b", Service: "s"}}))
 	w := newWorkTimes(v)
-	w.begin(map[string]time.Duration{"a": 100 * time.Millisecond, "gone": time.Hour})
+	w.begin(map[string]worktime.Estimate{"a": {Work: 100 * time.Millisecond, Slowness: 1}, "gone": {Work: time.Hour, Slowness: 1}})
 	if got := w.of("s", "a"); got != 100*time.Millisecond {
 		t.Errorf("begins with %s", got)
 	}
 	w.note([]*syncpb.Load{{Instance: "b", WorkUs: 500_000, Runs: 30}})
-	if w.all()["b"] != 0 {
+	if w.all()["b"].Work != 0 {
 		t.Error("told before the refresh")
 	}
 	w.refresh()
-	if got := w.all(); len(got) != 2 || got["b"] < 2*got["a"] {
+	if got := w.all(); len(got) != 2 || got["b"].Work < 2*got["a"].Work {
 		t.Errorf("told %v", got)
 	}
 	w.forget("s", "b")
 	if got, typical := w.of("s", "b"), w.book("s").Typical(); got != typical {
 		t.Errorf("%s after it has started again, the mean is %s", got, typical)
 	}
-	if sum := runsOf(&syncpb.Load{WorkUs: 10, Runs: 3}); sum != (worktime.Sum{Total: 30 * time.Microsecond, Runs: 3}) {
+	if sum := runsOf(&syncpb.Load{WorkUs: 10, Runs: 3}); sum != (worktime.Sum{Total: 30 * time.Microsecond, Runs: 3, Slowness: 3}) {
 		t.Errorf("read as %v", sum)
 	}
 }
