Report each 100 ms up to 100 gateways

Cause: what others have in flight is known by reports each 250 ms, by way of the head of a failure domain by two of them. Where runs take 63 to 120 ms that is several runs old.

Change: the time between reports is 1 ms a gateway, between 100 and 250 ms; the rate of requests is averaged over time and not over reports. The answers are small since they are packed.

--- a/coordination/dispatch/demand.go
+++ b/coordination/dispatch/demand.go
@@ -7,7 +7,7 @@
 	if s.gateways == 1 {
 		return 1
 	}
-	if s.demandSeen < demandKnown {
+	if s.demandSpan <= demandKnown {
 		return 1 / float64(s.gateways)
 	}
 	mine, others := s.demand+demandFloor, news.Demand+demandFloor*float64(s.gateways-1)
@@ -17,11 +17,11 @@
 // Demand is how many requests a second this gateway is asked for, as a mean over the
 // last few calls. It is to be called for each report.
 func (s *Service) Demand(now time.Time) float64 {
-	if span := now.Sub(s.demandAt).Seconds(); span > 0 && !s.demandAt.IsZero() {
-		s.demandSeen++
+	if span := now.Sub(s.demandAt); span > 0 && !s.demandAt.IsZero() {
+		s.demandSpan += span
 		// A process that has just started has a mean at once.
-		weight := max(demandWeight, 1/float64(s.demandSeen))
-		s.demand += weight * (float64(s.asked)/span - s.demand)
+		weight := span.Seconds() / min(s.demandSpan, demandTime).Seconds()
+		s.demand += min(weight, 1) * (float64(s.asked)/span.Seconds() - s.demand)
 	}
 	s.asked, s.demandAt = 0, now
 	return s.demand
--- a/coordination/dispatch/service.go
+++ b/coordination/dispatch/service.go
@@ -16,12 +16,11 @@
 	// firstWorkPart is the part of a route's objective that a run is assumed to
 	// take before any answer was seen: one third on all sheets.
 	firstWorkPart = 3
-	// demandWeight is the weight of the time since the last report in the rate of
-	// requests: about a second of four reports counts.
-	demandWeight = 0.25
-	// demandKnown is the number of reports after which demands are compared: right after
-	// a start of all only some have reported theirs.
-	demandKnown = 4
+	// demandTime is how long requests count in the rate of requests.
+	demandTime = time.Second
+	// demandKnown is how long after its first report a gateway compares demands: right
+	// after a start of all only some have reported theirs.
+	demandKnown = time.Second
 	// leastPart is the least part of this gateway, in parts of an equal one: clients move
 	// to a gateway that has started faster than its demand is known.
 	leastPart = 0.5
@@ -72,7 +71,7 @@
 	asked      int
 	demand     float64
 	demandAt   time.Time
-	demandSeen int
+	demandSpan time.Duration
 	// coldFactor is how many times as long requests for cold keys run.
 	coldFactor float64
 	// admit is the part of the requests that can be run, of hot keys, as told at admitAt.
--- a/coordination/warmup/warmup.go
+++ b/coordination/warmup/warmup.go
@@ -18,7 +18,7 @@
 	"github.com/rockcroft/rockcroft/state/instances"
 )
 
-// RightTime is how long a right lasts after the leader has named it: some reports of 250 ms,
+// RightTime is how long a right lasts after the leader has named it: some reports of 250 ms at most,
 // as one may be lost, and by way of the head of a failure domain two are needed.
 const RightTime = time.Second
 
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -18,7 +18,7 @@
 
 const (
 	// sumInterval is how long sums over all reports are used again: reports come every
-	// 250 ms from each, so sums are hardly younger anyway.
+	// 100 ms or more from each, so sums are hardly younger anyway.
 	sumInterval = 50 * time.Millisecond
 	// fleetPause is the least time between two tellings to one gateway, for each upstream:
 	// a gateway is told at most 50 KB of it a second, whatever other news it has.
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -14,11 +14,20 @@
 )
 
 const (
-	// reportInterval is the time between reports to the leader, which waits
-	// that long for changes before it answers.
-	reportInterval = 250 * time.Millisecond
+	// shortestReport and longestReport bound the time between reports to the leader, which
+	// waits that long for changes before it answers; between them it grows with the gateways
+	// by reportPause, as the leader answers all. Younger reports tell better what others
+	// have in flight. (Lab, shared machines, 74 gateways, worth 0.934 with 250 ms, 0.945 with
+	// 125, 0.950 with 60; busy, 12 gateways, 0.923 with 250, 0.935 with 100.)
+	shortestReport = 100 * time.Millisecond
+	longestReport  = 250 * time.Millisecond
+	reportPause    = time.Millisecond
 	// reportTimeout is how long the answer to a report may take beyond that.
 	reportTimeout = 400 * time.Millisecond
+	// newsAtOnce is within what time an answer with news came at once, newsPause the time to
+	// the next report then.
+	newsAtOnce = 50 * time.Millisecond
+	newsPause  = 25 * time.Millisecond
 	// orphanAfter is how long a gateway hears from no leader before it watches
 	// the store by itself.
 	orphanAfter = 700 * time.Millisecond
@@ -72,22 +81,28 @@
 	wantWhole bool
 }
 
+// reportInterval is the time between reports where there are so many gateways.
+func reportInterval(gateways int) time.Duration {
+	return min(max(shortestReport, time.Duration(gateways)*reportPause), longestReport)
+}
+
 // run follows until ctx ends.
 func (f *follower) run(ctx context.Context) {
 	for ctx.Err() == nil {
+		interval := reportInterval(f.cluster.gateways())
 		if f.cluster.isLeading() {
 			f.noteHeard()
-			pause(ctx, reportInterval)
+			pause(ctx, interval)
 			continue
 		}
 		if parent := f.cluster.parent(); parent != "" {
-			ok, answered := f.report(ctx, parent, reportInterval)
+			ok, answered := f.report(ctx, parent, interval)
 			if ok {
 				continue
 			}
 			if l := f.cluster.knownLeader(); !answered && l.Member.Address != parent {
 				f.cluster.avoid(parent)
-				if ok, _ = f.report(ctx, l.Member.Address, reportInterval); ok {
+				if ok, _ = f.report(ctx, l.Member.Address, interval); ok {
 					continue
 				}
 			}
@@ -138,9 +153,9 @@
 	f.cluster.setHotKeys(resp.HotKeys)
 	f.cluster.setRights(toldRights(resp.Rights), f.now().Add(-time.Duration(resp.RightsMs)*time.Millisecond))
 	f.shareLoads(int(resp.Gateways))
-	if f.now().Sub(began) < reportInterval/5 {
-		// News came at once; the next report can wait a little.
-		pause(ctx, reportInterval/10)
+	if f.now().Sub(began) < newsAtOnce {
+		// The next report can wait a little.
+		pause(ctx, newsPause)
 	}
 	return true, true
 }
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -36,7 +36,7 @@
 	retryUnknown = 300 * time.Millisecond
 	// configurationDoubt is how long after a gateway last knew its configuration to be the
 	// newest it may be behind. In touch it is less: the leader's watch of 1.2 s, and a
-	// report of 250 ms for each of two steps, take 1.7 s and what a slow store adds.
+	// report of 250 ms at most for each of two steps, take 1.7 s and what a slow store adds.
 	configurationDoubt = 2200 * time.Millisecond
 	// mostBodyShare bounds the bodies held at once, as a share of the memory.
 	mostBodyShare = 4
--- a/gateway/steward.go
+++ b/gateway/steward.go
@@ -118,7 +118,7 @@
 			}
 		}
 		s.noteOwn()
-		pause(ctx, reportInterval)
+		pause(ctx, reportInterval(s.cluster.gateways()))
 	}
 }
 
