Give the list of gateways a file of its own

gateway/cluster.go had grown to 467 lines with two jobs: who reports to whom and what all have in flight, and which gateways there are. The second is members.go now.

--- a/gateway/cluster.go
+++ b/gateway/cluster.go
@@ -3,13 +3,10 @@
 import (
 	"math/rand/v2"
 	"net/http"
-	"slices"
 	"sort"
 	"sync"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"github.com/rockcroft/rockcroft/coordination/warmup"
 	"github.com/rockcroft/rockcroft/coordination/worktime"
 	"github.com/rockcroft/rockcroft/protocol/syncpb"
@@ -133,98 +130,6 @@
 	}
 }
 
-// sameMembers reports whether the child and those that report through it are as before.
-func (one *child) sameMembers(former *child) bool {
-	return proto.Equal(one.Member, former.Member) && slices.EqualFunc(one.followers, former.followers, func(a, b *syncpb.Member) bool { return proto.Equal(a, b) })
-}
-
-// gather makes the leader's list of members from the reports.
-func (c *cluster) gather() {
-	next := make(map[string]*syncpb.Member, len(c.members))
-	for node, one := range c.children {
-		if c.now().Sub(one.seen) > memberExpiry {
-			delete(c.children, node)
-			continue
-		}
-		for _, m := range append([]*syncpb.Member{one.Member}, one.followers...) {
-			if m.Node != c.self.Node {
-				next[m.Node] = m
-			}
-		}
-	}
-	c.changed = c.changed || !sameMembers(c.members, next)
-	c.members = next
-}
-
-// listPause is the least time between two versions of the list of members, for each that is
-// listed: each version goes to all. While 300 gateways start within two seconds, every new
-// one made a list of 18 KB for all others, 1.6 GB together.
-const listPause = time.Millisecond
-
-// membersVersion returns the version of the list of members, the next one when the leader's
-// list has changed and the pause is over.
-func (c *cluster) membersVersion() uint64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.versionLocked()
-}
-
-func (c *cluster) versionLocked() uint64 {
-	if c.changed && c.now().Sub(c.listed) >= time.Duration(len(c.members))*listPause {
-		c.version++
-		c.changed, c.listed = false, c.now()
-	}
-	return c.version
-}
-
-func sameMembers(a, b map[string]*syncpb.Member) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for node, m := range a {
-		if other := b[node]; other == nil || other.Incarnation != m.Incarnation || other.Address != m.Address {
-			return false
-		}
-	}
-	return true
-}
-
-// expire forgets gateways that no longer report. It is for the leader.
-func (c *cluster) expire() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.gather()
-}
-
-// followers are the gateways that report through this one.
-func (c *cluster) followers() []*syncpb.Member {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	var out []*syncpb.Member
-	for node, one := range c.children {
-		if c.now().Sub(one.seen) > memberExpiry {
-			delete(c.children, node)
-			continue
-		}
-		out = append(out, one.Member)
-		out = append(out, one.followers...)
-	}
-	return out
-}
-
-// setMembers takes over the leader's list.
-func (c *cluster) setMembers(version uint64, list []*syncpb.Member) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.version = version
-	c.members = make(map[string]*syncpb.Member, len(list))
-	for _, m := range list {
-		if m.Node != c.self.Node {
-			c.members[m.Node] = m
-		}
-	}
-}
-
 // setAbove takes over what the parent told of the others' requests in flight, and of the
 // times of runs.
 func (c *cluster) setAbove(loads []*syncpb.Load, works map[string]worktime.Estimate) {
@@ -270,28 +175,6 @@
 // news are a step sooner everywhere.
 const treeLeast = 24
 
-// before orders gateways by what they can bear: the stronger first.
-func before(a, b *syncpb.Member) bool {
-	if a.Strength != b.Strength {
-		return a.Strength > b.Strength
-	}
-	return a.Node < b.Node
-}
-
-// ahead returns the number of gateways of the own failure domain that come before
-// this one.
-func (c *cluster) ahead() int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	n := 0
-	for _, m := range c.members {
-		if m.Domain == c.self.Domain && before(m, c.self) {
-			n++
-		}
-	}
-	return n
-}
-
 // avoid lets the gateway at the address be no head for a while.
 func (c *cluster) avoid(address string) {
 	c.mu.Lock()
@@ -306,34 +189,6 @@
 // avoidTime is how long a head that did not answer is passed over.
 const avoidTime = 3 * time.Second
 
-// list returns all members, this one among them, the strongest first.
-func (c *cluster) list() ([]*syncpb.Member, uint64) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	out := []*syncpb.Member{c.self}
-	for _, m := range c.members {
-		out = append(out, m)
-	}
-	sort.Slice(out, func(i, j int) bool { return before(out[i], out[j]) })
-	return out, c.versionLocked()
-}
-
-// rank is the place of this gateway among those that may take over from the
-// leader, counted from zero.
-func (c *cluster) rank() int {
-	list, _ := c.list()
-	rank := 0
-	for _, m := range list {
-		if m.Node == c.self.Node {
-			return rank
-		}
-		if l := c.knownLeader(); l == nil || l.Member.Node != m.Node {
-			rank++
-		}
-	}
-	return rank
-}
-
 // inFlightElsewhere returns how many requests all other gateways have in flight, by
 // upstream.
 func (c *cluster) inFlightElsewhere() map[string]float64 {
@@ -442,26 +297,3 @@
 func (c *cluster) shuffle(list []*syncpb.Member) {
 	c.rng.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 }
-
-// gateways returns the number of gateways, this one among them.
-func (c *cluster) gateways() int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	known := len(c.members) + 1
-	if c.now().Before(c.expectedUntil) {
-		return max(known, c.expected)
-	}
-	return known
-}
-
-// expectTime is how long a new leader counts with the gateways that the former one knew:
-// after all have started again their first reports take a second or two. Until then the
-// few that have reported would share out the room and the retries of all.
-const expectTime = 3 * time.Second
-
-// expect counts with a number of gateways until they have had time to report.
-func (c *cluster) expect(gateways int) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.expected, c.expectedUntil = gateways, c.now().Add(expectTime)
-}
