Lab: upstreams that warm up and break, a failure domain that returns

Change: the lab knows upstreams that are slow after their start and break under more than so many requests in a second, a failure domain that ends and returns, and the leader's rights. Two tests: three seconds after the return as much is on time as without the fault, and without the bound it is not; told loads serve better.

--- a/bench/lab/control.go
+++ b/bench/lab/control.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/rockcroft/rockcroft/coordination/ownership"
+	"github.com/rockcroft/rockcroft/coordination/warmup"
 	"github.com/rockcroft/rockcroft/coordination/worktime"
 	"github.com/rockcroft/rockcroft/state/instances"
 	"github.com/rockcroft/rockcroft/state/spans"
@@ -50,6 +51,8 @@
 	gaps    map[string]*spans.Gaps
 	coldTo  map[string]map[uint16]time.Duration
 	waiters []func()
+	// book names who may send to upstreams that warm up.
+	book *warmup.Book
 }
 
 // report is what gateways say of one upstream.
@@ -65,6 +68,7 @@
 		demand: make([]map[string]float64, w.sc.Gateways), admit: make(map[string]map[uint16]float64), balanced: make(map[string]time.Duration),
 		gaps: make(map[string]*spans.Gaps), settled: make(map[string]map[uint16]time.Duration), coldTo: make(map[string]map[uint16]time.Duration),
 	}
+	c.book = warmup.NewBook(w.now().Add(-warmup.RightTime))
 	for i := range w.sc.Services {
 		s := &w.sc.Services[i]
 		c.work[s.Name] = worktime.NewBook()
--- a/bench/lab/gateway.go
+++ b/bench/lab/gateway.go
@@ -53,6 +53,7 @@
 			rng := rand.New(rand.NewPCG(seed+policySeed, uint64(i*len(w.sc.Services)+j)))
 			d := dispatch.NewService(domainName(i%domains), drainTime, rng)
 			d.Off = w.sc.Off
+			d.SetWarmUp(w.now(), dispatch.WarmUp{Bound: s.StartBound, Owners: s.Keyed})
 			d.SetUpstreams(w.now(), w.control.known(s))
 			g.dispatch[s.Name] = d
 			g.names = append(g.names, s.Name)
@@ -133,11 +134,12 @@
 			inflight[id] = r.inflight
 		}
 		admit := maps.Clone(g.w.control.admit)
+		rights := g.w.control.rights(g.index)
 		asked, works := g.w.control.askedElsewhere(g.index), g.w.control.works()
 		g.w.after(g.w.hop(), func() {
 			for _, name := range g.names {
 				g.dispatch[name].ReportAll(g.w.now(), dispatch.News{
-					InFlight: inflight, Work: works, Demand: asked[name], Gateways: g.w.sc.Gateways, Admit: admit[name],
+					InFlight: inflight, Work: works, Demand: asked[name], Gateways: g.w.sc.Gateways, Admit: admit[name], Rights: rights,
 				})
 			}
 		})
--- a/bench/lab/ideal.go
+++ b/bench/lab/ideal.go
@@ -133,7 +133,7 @@
 }
 
 func (p *ideal) free(u *upstream) bool {
-	return !u.dark && !u.gone && !u.leaving && len(p.sent[u]) < u.service.Slots
+	return !u.dark && !u.gone && !u.leaving && !(u.warming() && u.service.Breaks > 0) && len(p.sent[u]) < u.service.Slots
 }
 
 // pace is the present speed of an upstream.
--- a/bench/lab/result.go
+++ b/bench/lab/result.go
@@ -59,6 +59,8 @@
 	Crossed float64 `json:"crossed"`
 	// Full counts requests that found an upstream without any room.
 	Full int `json:"full"`
+	// Fell counts upstreams that broke while they warmed up.
+	Fell int `json:"fell"`
 	// Moved is how many times all keys have moved, Plans how many plans had moves.
 	Moved   float64  `json:"moved"`
 	Plans   int      `json:"plans"`
@@ -122,6 +124,7 @@
 
 func (w *world) result(p Policy, seed uint64) *Result {
 	r := &Result{Scenario: w.sc.Name, Policy: p, Seed: seed, Full: w.tally.full, Crossed: float64(w.tally.crossed) / float64(max(w.tally.sent, 1))}
+	r.Fell = w.tally.fell
 	r.Moved, r.Plans = float64(w.tally.moved)/(spans.MaxKey+1), w.tally.plans
 	worth, owed := 0.0, 0.0
 	for i := range w.sc.Routes {
--- a/bench/lab/scenario.go
+++ b/bench/lab/scenario.go
@@ -41,6 +41,13 @@
 	// handover.
 	ColdFactor float64        `json:"cold_factor"`
 	ColdFor    jsonc.Duration `json:"cold_for"`
+	// WarmUp is how long an upstream that has started runs WarmUpFactor times as long, and
+	// breaks when more than Breaks requests reach it within a second. StartBound is the
+	// bound that operators name for that; zero for none.
+	WarmUp       jsonc.Duration `json:"warm_up"`
+	WarmUpFactor float64        `json:"warm_up_factor"`
+	Breaks       int            `json:"breaks"`
+	StartBound   float64        `json:"start_bound"`
 	// NoiseShare of the upstreams take NoiseFactor times as long at any moment; it is drawn
 	// anew for each every NoiseEvery.
 	NoiseShare  float64        `json:"noise_share"`
@@ -93,6 +100,9 @@
 	Slow = "slow"
 	// Drain takes Share of a service's upstreams away after notice.
 	Drain = "drain"
+	// ColdReturn lets a service's upstreams in the failure domain of the number Count end,
+	// and start again together.
+	ColdReturn = "cold_return"
 	// GatewayLost lets Share of the gateways end.
 	GatewayLost = "gateway_lost"
 )
@@ -219,6 +229,8 @@
 		add(speed <= 0, path+"speeds", "must be positive")
 	}
 	add(s.ColdFactor < 0, path+"cold_factor", "must not be negative")
+	add(s.Breaks < 0 || s.StartBound < 0, path+"breaks", "and start_bound must not be negative")
+	add(s.WarmUp > 0 && s.WarmUpFactor <= 0, path+"warm_up_factor", "must be positive")
 	add(s.NoiseShare < 0 || s.NoiseShare > 1, path+"noise_share", "must lie between 0 and 1")
 	add(s.NoiseShare > 0 && s.NoiseFactor <= 0, path+"noise_factor", "must be positive")
 	add(s.NoiseShare > 0 && s.NoiseEvery <= 0, path+"noise_every", "must be positive")
@@ -250,6 +262,9 @@
 	case HotKey:
 		add(!routes[t.Route], path+"route", "is not among the routes")
 		add(t.Count < 0 || t.Count > spans.MaxKey, path+"count", "must lie between 0 and the largest key")
+	case ColdReturn:
+		add(!services[t.Service], path+"service", "is not among the services")
+		add(t.Count < 0 || t.Count >= domains, path+"count", "is no failure domain")
 	case Slow:
 		add(t.Factor <= 0, path+"factor", "must be positive")
 		add(!services[t.Service], path+"service", "is not among the services")
--- a/bench/lab/tally.go
+++ b/bench/lab/tally.go
@@ -25,6 +25,8 @@
 	routes map[string]*routeTally
 	// full counts requests that found an upstream without any room.
 	full int
+	// fell counts upstreams that broke while they warmed up.
+	fell int
 	// moved counts keys that moved, plans those with moves.
 	moved, plans int
 	// sent counts tries for services without keys, crossed those of them that left the
--- a/bench/lab/upstream.go
+++ b/bench/lab/upstream.go
@@ -31,6 +31,9 @@
 	speed   float64
 	// slower is the factor of a trouble, 1 without.
 	slower float64
+	// warmUntil is when it has warmed up, lately when requests reached it meanwhile.
+	warmUntil time.Duration
+	lately    []time.Duration
 	// noise is the factor of its machine at the moment, 1 as usual.
 	noise         float64
 	dark, gone    bool
@@ -92,6 +95,8 @@
 		return
 	case u.gone:
 		u.answer(r, dispatch.Refused)
+	case u.breaks():
+		u.answer(r, dispatch.Broken)
 	case u.service.Keyed && !u.holds(r.call.key):
 		u.answer(r, dispatch.NotOwner)
 	case len(u.running) < u.service.Slots:
@@ -131,6 +136,9 @@
 	u.running = append(u.running, r)
 	took := u.w.draw(r.call.route)
 	factor := u.noise / u.pace()
+	if u.warming() {
+		factor *= u.service.WarmUpFactor
+	}
 	if u.service.Keyed && u.w.control.cold(u.service, r.call.key) {
 		factor *= u.service.ColdFactor
 	}
--- /dev/null
+++ b/bench/lab/warmup_test.go
@@ -0,0 +1,68 @@
+package lab
+
+import (
+	"testing"
+	"time"
+
+	"github.com/rockcroft/rockcroft/state/jsonc"
+)
+
+// onTimeFrom is the share of the calls that were answered on time, of those that began in the
+// second or later, without the last few.
+func onTimeFrom(r *Result, second int) float64 {
+	on, all := 0, 0
+	for _, s := range r.Seconds[second : len(r.Seconds)-1] {
+		on += s.OnTime
+		all += s.OnTime + s.Late + s.Refused + s.Failed
+	}
+	return float64(on) / float64(all)
+}
+
+// TestColdReturnLeavesNothingBehind: three seconds after a failure domain is back all is as if
+// it had never been away. Without a bound its upstreams break, start again and break under the
+// ordinary load for as long as that lasts.
+func TestColdReturnLeavesNothingBehind(t *testing.T) {
+	const seed = 1
+	calm, err := Find("cold-return")
+	if err != nil {
+		t.Fatal(err)
+	}
+	hit, unbounded := *calm, *calm
+	calm.Troubles = nil
+	unbounded.Services = append([]Service(nil), calm.Services...)
+	for i := range unbounded.Services {
+		unbounded.Services[i].StartBound = 0
+	}
+	back := hit.Troubles[0].At.D() + hit.Troubles[0].For.D() + hit.Services[0].WarmUp.D()
+	from := int(back/time.Second) + 1
+	without, with, flooded := Play(calm, Product, seed), Play(&hit, Product, seed), Play(&unbounded, Product, seed)
+	if with.Fell > 0 {
+		t.Errorf("%d upstreams broke while they warmed up", with.Fell)
+	}
+	if got, want := onTimeFrom(with, from), onTimeFrom(without, from); got < want-0.02 {
+		t.Errorf("%.3f on time after the return, %.3f without", got, want)
+	}
+	if flooded.Fell < 20 {
+		t.Errorf("%d fell without a bound: the scenario does not show the fault", flooded.Fell)
+	}
+}
+
+// TestToldLoadsServeBetter: of upstreams that share their machines more is answered on time
+// when they tell their load than when they do not.
+func TestToldLoadsServeBetter(t *testing.T) {
+	const seed = 1
+	told, err := Find("shared-machines")
+	if err != nil {
+		t.Fatal(err)
+	}
+	told.Length = jsonc.Duration(8 * time.Second)
+	untold := *told
+	untold.Services = append([]Service(nil), told.Services...)
+	for i := range untold.Services {
+		untold.Services[i].TellsLoad = false
+	}
+	with, without := Play(told, Product, seed), Play(&untold, Product, seed)
+	if with.Worth < without.Worth+0.01 {
+		t.Errorf("worth %.3f with told loads, %.3f without", with.Worth, without.Worth)
+	}
+}
--- a/bench/lab/world.go
+++ b/bench/lab/world.go
@@ -211,6 +211,8 @@
 		for _, u := range w.some(t) {
 			w.hit(t, u)
 		}
+	case ColdReturn:
+		w.coldReturn(t)
 	case GatewayLost:
 		for _, g := range w.rng.Perm(w.sc.Gateways)[:int(t.Share*float64(w.sc.Gateways))] {
 			w.down[g] = true
