--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/rockcroft/rockcroft/platform"
 	"github.com/rockcroft/rockcroft/standin/instance"
 	"github.com/rockcroft/rockcroft/standin/metastore"
 	"github.com/rockcroft/rockcroft/standin/relay"
@@ -49,12 +50,23 @@
 		return s.replace(u)
 	case Restart:
 		return s.restart(u, step.For/2)
+	case Evacuate:
+		domain := domainName(step.Target % domains)
+		lasting(step.For, func() { s.evacuate(domain) }, func() { s.takeBack(domain) })
 	case Configure:
 		s.configure()
 	}
 	return nil
 }
 
+// evacuate and takeBack write and remove the operator's entry of a failure domain. Evacuations
+// of one overlap: the first end takes it back.
+func (s *site) evacuate(domain string) {
+	s.store.Put(platform.EvacuationsKind, domain, struct{}{})
+}
+
+func (s *site) takeBack(domain string) { s.store.Remove(platform.EvacuationsKind, domain) }
+
 // applyToProcess signals a gateway, unless another fault of it is under way.
 func (s *site) applyToProcess(g *gateway, step Step) error {
 	if !g.claim() {
--- a/bench/soak/plan.go
+++ b/bench/soak/plan.go
@@ -30,6 +30,7 @@
 	Drain         Kind = "drain"          // it says that it leaves, and comes back as another
 	Configure     Kind = "configure"      // a new configuration
 	Restart       Kind = "restart"        // an upstream's process ends and starts again under its ID
+	Evacuate      Kind = "evacuate"       // a failure domain is evacuated, and taken back
 )
 
 // kinds are all faults, the more often listed the more likely.
@@ -66,9 +67,14 @@
 // Restarts are drawn by themselves, so the other steps of a seed are what they always were.
 const restartEach = 4
 
-// NewPlan returns the plan of a seed: so many steps, and restarts of upstreams beside them.
+// evacuateEach is the same for evacuations.
+const evacuateEach = 5
+
+// NewPlan returns the plan of a seed: so many steps, and restarts of upstreams
+// and evacuations beside them.
 func NewPlan(seed uint64, steps int) Plan {
 	rng, restarts := rand.New(rand.NewPCG(seed, seed)), rand.New(rand.NewPCG(seed, seed+1))
+	evacuations := rand.New(rand.NewPCG(seed, seed+2))
 	p := Plan{Seed: seed}
 	for i := range steps {
 		p.Steps = append(p.Steps, Step{
@@ -80,6 +86,11 @@
 				Kind: Restart, For: time.Duration(restarts.Int64N(int64(longestFault))), Target: restarts.IntN(1 << 16),
 			})
 		}
+		if i%evacuateEach == evacuateEach-1 {
+			p.Steps = append(p.Steps, Step{
+				Kind: Evacuate, For: time.Duration(evacuations.Int64N(int64(longestFault))), Target: evacuations.IntN(1 << 16),
+			})
+		}
 	}
 	return p
 }
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -23,7 +23,7 @@
 			t.Errorf("step %+v", step)
 		}
 	}
-	for _, k := range kinds {
+	for _, k := range append([]Kind{Restart, Evacuate}, kinds...) {
 		if !seen[k] {
 			t.Errorf("%s never comes", k)
 		}
