Let a few grants begin at a time

There are 1,650 keyed upstreams: a leader begins as many renewals at the same moment, each second, and as many grants after a start. That they outlast the 250 ms which each has, fail and are tried again together is worked out from their cost, not traced.

Change: 32 grants, renewals among them, begin at a time; a call that has waited 20 ms for its upstream gives its turn to another, so that silent owners hold nobody up.

--- a/gateway/grants.go
+++ b/gateway/grants.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/rockcroft/rockcroft/coordination/ownership"
@@ -176,6 +177,11 @@
 // grant makes one call and notes until when its keys may be held. The right to
 // lead is checked last, right before the call.
 func (k *keeper) grant(ctx context.Context, keys spans.Keys, to *instances.Instance, fence uint64, token string) (platform.Verdict, error) {
+	giveBack, ok := k.turns.take(ctx)
+	if !ok {
+		return 0, errNoTurn
+	}
+	defer giveBack()
 	hold := k.hold()
 	call, cancel := context.WithTimeout(ctx, grantTimeout)
 	defer cancel()
@@ -194,7 +200,10 @@
 	return verdict, err
 }
 
-var errNoRight = errors.New("the right to lead has run out")
+var (
+	errNoRight = errors.New("the right to lead has run out")
+	errNoTurn  = fmt.Errorf("%w: the lead has ended", pool.ErrNotSent)
+)
 
 // hold is how long grants last: longer while this leader acts by promises, so
 // that owners serve on if it is lost before the store returns.
--- a/gateway/steward.go
+++ b/gateway/steward.go
@@ -25,6 +25,8 @@
 	store   *platform.Store
 	calls   *storeCaller
 	owners  *platform.Owners
+	// turns bounds the grants under way.
+	turns   turns
 	leading *leading
 	longest time.Duration
 	now     func() time.Time
