--- a/coordination/dispatch/warming.go
+++ b/coordination/dispatch/warming.go
@@ -108,7 +108,13 @@
 
 // takeRights takes over until when this gateway may send to upstreams that warm up.
 func (s *Service) takeRights(rights map[string]time.Time) {
+	for _, u := range s.entrusted {
+		u.rightUntil = time.Time{}
+	}
 	s.entrusted = s.entrusted[:0]
+	if len(rights) == 0 {
+		return
+	}
 	for _, u := range s.order {
 		u.rightUntil = rights[u.ID]
 		if !u.rightUntil.IsZero() {
