--- a/gateway/members.go
+++ b/gateway/members.go
@@ -69,7 +69,7 @@
 	return true
 }
 
-// expire forgets gateways that no longer report. It is for the leader.
+// expire forgets gateways that have stopped to report. It is for the leader.
 func (c *cluster) expire() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
