Show which upstreams say that they leave or ask for rest, and what is sent there

Sight for the incident, nothing is decided from it: the logs could not tell whether answers bore the words at each gateway, when the first did, and what was sent afterwards. Lines `upstream says that it leaves`, `upstream asks for rest`; metrics notices.SERVICE.* and answers.rest_unsound.

--- a/coordination/dispatch/upstream.go
+++ b/coordination/dispatch/upstream.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/rockcroft/rockcroft/coordination/notice"
 	"github.com/rockcroft/rockcroft/coordination/quota"
 	"github.com/rockcroft/rockcroft/coordination/worktime"
 	"github.com/rockcroft/rockcroft/state/instances"
@@ -123,6 +124,8 @@
 	// toldOthers is how many requests of other gateways it had at toldAt, as it said.
 	toldOthers float64
 	toldAt     time.Time
+	// said is what it has said of itself to this gateway.
+	said notice.Standing
 	// leavingSince is when it was first seen to be leaving.
 	leavingSince time.Time
 	// evacuatedSince is when its failure domain was first seen to be evacuated; zero when
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -281,9 +281,9 @@
 
 // try sends the request to one upstream and reports how that ended.
 func (f *front) try(ctx context.Context, q *request, grant dispatch.Grant, results chan<- result) {
-	resp, outcome, load, err := f.send(ctx, q, grant)
+	resp, outcome, said, err := f.send(ctx, q, grant)
 	f.suspects.ended(q, grant, outcome)
-	f.traffic.doneTelling(q.traffic, grant, outcome, load)
+	f.noticed(grant, said.notice, f.traffic.doneTelling(q.traffic, grant, outcome, said))
 	f.meters.inc(f.meters.service(tryOutcome, q.service.Name, f.class(grant), outcome.String()))
 	results <- result{grant: grant, resp: resp, err: err}
 }
@@ -297,8 +297,8 @@
 }
 
 // send makes one try. A response that comes with the outcome Failed is the
-// upstream's own failure. The load is nil when the upstream told none.
-func (f *front) send(ctx context.Context, q *request, grant dispatch.Grant) (*pool.Response, dispatch.Outcome, *instances.Load, error) {
+// upstream's own failure.
+func (f *front) send(ctx context.Context, q *request, grant dispatch.Grant) (*pool.Response, dispatch.Outcome, told, error) {
 	ctx, span := f.tracer.Start(ctx, "upstream", trace.WithSpanKind(trace.SpanKindClient))
 	defer span.End()
 	span.SetAttributes(attribute.String("rockcroft.upstream", grant.Instance.ID))
@@ -306,18 +306,19 @@
 	telemetry.Inject(ctx, h)
 	platform.SetTarget(h, grant.Instance.ID)
 	f.limits.sent(grant)
+	f.countNoticed(q, grant)
 	resp, err := f.conns.Do(ctx, grant.Instance.Address, &pool.Request{
 		Method: q.Method, Target: q.target, Host: q.Host, Header: h, Body: q.body,
 		EchoHeader: platform.RequestID, Echo: q.id, Once: !q.route.Idempotent,
 		Still: func() error { return f.refreshLeft(h, q) },
 	})
 	if err != nil {
-		return nil, errorOutcome(err), nil, err
+		return nil, errorOutcome(err), told{}, err
 	}
-	load := f.told(resp)
+	said := told{load: f.load(resp), notice: f.notice(resp.Status, resp.Header)}
 	f.limits.answered(grant, resp.Header)
 	answer, outcome, err := classify(resp)
-	return answer, outcome, load, err
+	return answer, outcome, said, err
 }
 
 // refreshLeft tells the upstream the time that is left now that a connection is there. There may
@@ -331,9 +332,9 @@
 	return nil
 }
 
-// told returns the load that an upstream told with an answer, or nil. What cannot be is
+// load returns the load that an upstream told with an answer, or nil. What cannot be is
 // counted and dropped.
-func (f *front) told(resp *pool.Response) *instances.Load {
+func (f *front) load(resp *pool.Response) *instances.Load {
 	load, ok, err := platform.DecodeLoad(resp.Header)
 	if err != nil {
 		f.meters.inc(loadsUnsound)
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -20,6 +20,7 @@
 	g.serviceGauges()
 	g.gaps.gauges()
 	g.limits.gauges()
+	g.traffic.noticeGauges(g.meters)
 	g.suspects.gauges()
 	g.steward.ownerGauges()
 	stats := g.conns.Stats()
--- a/gateway/meternames.go
+++ b/gateway/meternames.go
@@ -77,6 +77,11 @@
 	suspectsUnsound      = "suspects.unsound"
 	limitNamed           = "limits.{service}.named"
 	limitSent            = "limits.{service}.sent"
+	restsUnsound         = "answers.rest_unsound"
+	noticesLeaving       = "notices.{service}.leaving"
+	noticesResting       = "notices.{service}.resting"
+	noticesSentLeaving   = "notices.{service}.sent_to_leaving"
+	noticesSentResting   = "notices.{service}.sent_to_resting"
 	clockSuspensions     = "clock.suspensions"
 	clockSuspended       = "clock.suspended_ms"
 	logWritten           = "log.lines_written"
@@ -149,6 +154,11 @@
 	{suspectsUnsound, "messages", "of other gateways about such requests that are beyond the bound, and were dropped"},
 	{limitNamed, "upstreams", "that name a limit on what they take from all gateways together, as this gateway knows"},
 	{limitSent, "tries", "sent from here to upstreams that name a limit"},
+	{restsUnsound, "answers", "that asked for a rest which cannot be; it was dropped"},
+	{noticesLeaving, "upstreams", "that have said to this gateway that they leave"},
+	{noticesResting, "upstreams", "that have asked this gateway for rest, until its end"},
+	{noticesSentLeaving, "tries", "sent from here to upstreams that had said that they leave"},
+	{noticesSentResting, "tries", "sent from here to upstreams that had asked for rest, before its end"},
 	{clockSuspensions, "suspensions", "of the machine, as its clocks show"},
 	{clockSuspended, "ms", "for which it was suspended, in all"},
 	{logWritten, "lines", "written"},
--- /dev/null
+++ b/gateway/noticesight_test.go
@@ -0,0 +1,36 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"testing"
+)
+
+// TestNoticesAreSeen: from lines and metrics of a gateway one sees which upstream has said that it
+// leaves or has asked for rest, and what is sent there all the same.
+func TestNoticesAreSeen(t *testing.T) {
+	t.Parallel()
+	b := newBed(t)
+	b.upstream("i-s0", "status")
+	leaving, resting := b.upstream("i-p0", "pay"), b.upstream("i-p1", "pay")
+	g := b.gateway("g0")
+	b.ready()
+	var out lockedBuffer
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	go g.lines.Run(ctx, &out)
+	leaving.Leave()
+	resting.Rest("30")
+	b.eventually("both have been asked", func() bool {
+		b.ask(g, http.MethodPost, "/pay/x", -1)
+		m := metricsOf(g)
+		return m["notices.pay.leaving"] == "1" && m["notices.pay.resting"] == "1"
+	})
+	b.eventually("a line tells of each", func() bool {
+		rests := out.lineOf("upstream asks for rest", "i-p1")
+		return out.lineOf("upstream says that it leaves", "i-p0") != nil && rests != nil && rests["rest_ms"] == 30000.0
+	})
+	if m := metricsOf(g); m["notices.status.leaving"] != "0" || m["notices.status.resting"] != "0" {
+		t.Errorf("status: leaving %s, resting %s", m["notices.status.leaving"], m["notices.status.resting"])
+	}
+}
--- a/gateway/traffic.go
+++ b/gateway/traffic.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/rockcroft/rockcroft/coordination/dispatch"
+	"github.com/rockcroft/rockcroft/coordination/notice"
 	"github.com/rockcroft/rockcroft/coordination/patience"
 	"github.com/rockcroft/rockcroft/coordination/retry"
 	"github.com/rockcroft/rockcroft/coordination/warmup"
@@ -264,21 +265,30 @@
 	return nil
 }
 
+// told is what an upstream tells of itself with an answer.
+type told struct {
+	// load is nil when it tells none.
+	load   *instances.Load
+	notice notice.Notice
+}
+
 // done ends a try.
 func (t *traffic) done(s *service, g dispatch.Grant, o dispatch.Outcome) {
-	t.doneTelling(s, g, o, nil)
+	t.doneTelling(s, g, o, told{})
 }
 
-// doneTelling ends a try with whose answer the upstream has told its load, if load is not
-// nil.
-func (t *traffic) doneTelling(s *service, g dispatch.Grant, o dispatch.Outcome, load *instances.Load) {
+// doneTelling ends a try with what the upstream has told of itself, and returns what of that is
+// new.
+func (t *traffic) doneTelling(s *service, g dispatch.Grant, o dispatch.Outcome, said told) notice.Change {
 	now := t.now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if load != nil {
-		s.dispatch.Told(now, g, *load)
+	if said.load != nil {
+		s.dispatch.Told(now, g, *said.load)
 	}
+	change := s.dispatch.Noticed(now, g, said.notice)
 	s.dispatch.Done(now, g, o)
+	return change
 }
 
 // first notes the first try of a request.
--- a/standin/instance/instance.go
+++ b/standin/instance/instance.go
@@ -66,6 +66,10 @@
 	arrivals []time.Time
 	// limit is how many requests a second it takes, as its answers say; negative for none.
 	limit float64
+	// leaving says that its answers tell that it leaves.
+	leaving bool
+	// rest is what its refusals for want of room ask for, as it stands in them.
+	rest []string
 
 	mu   sync.Mutex
 	mode Mode
@@ -156,6 +160,28 @@
 	i.limit = -1
 }
 
+// Leave lets the instance say with each answer from now on that it leaves.
+func (i *Instance) Leave() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.leaving = true
+}
+
+// Rest lets the instance turn requests away from now on and ask for rest in these words, seconds
+// as a rule.
+func (i *Instance) Rest(asked ...string) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.mode, i.rest = Sheds, asked
+}
+
+// Resume ends that.
+func (i *Instance) Resume() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.mode, i.rest = Serves, nil
+}
+
 // Arrivals returns when requests came, as far as it is remembered.
 func (i *Instance) Arrivals() []time.Time {
 	i.mu.Lock()
@@ -163,7 +189,7 @@
 	return slices.Clone(i.arrivals)
 }
 
-// arrived notes a request, and names the limit in its answer.
+// arrived notes a request, and says in its answer what the instance says of itself.
 func (i *Instance) arrived(h http.Header) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
@@ -174,6 +200,12 @@
 	if i.limit >= 0 {
 		h.Set(platform.LimitHeader, strconv.FormatFloat(i.limit, 'f', 1, 64))
 	}
+	if i.leaving {
+		h.Set(platform.LeavingHeader, "1")
+	}
+	if i.mode == Sheds && len(i.rest) > 0 {
+		h[platform.RestHeader] = i.rest
+	}
 }
 
 // Holds reports whether the instance holds the key now.
