--- a/standin/instance/instance.go
+++ b/standin/instance/instance.go
@@ -62,8 +62,8 @@
 	// Work is how long a request runs.
 	Work   time.Duration
 	Oracle *Oracle
-	// arrivals are when requests came, the newest of them.
-	arrivals []time.Time
+	// arrivals are the requests that came, the newest of them.
+	arrivals []Arrival
 	// limit is how many requests a second it takes, as its answers say; negative for none.
 	limit float64
 	// leaving says that its answers tell that it leaves.
@@ -182,21 +182,39 @@
 	i.mode, i.rest = Serves, nil
 }
 
-// Arrivals returns when requests came, as far as it is remembered.
-func (i *Instance) Arrivals() []time.Time {
+// Arrival is one request that came.
+type Arrival struct {
+	// Request is its id, as the client sent it.
+	Request string
+	At      time.Time
+	// Rest is the time for which the instance wanted nothing more from the sender, by its answer.
+	Rest time.Duration
+}
+
+// Arrived returns the requests that came, as far as they are remembered.
+func (i *Instance) Arrived() []Arrival {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	return slices.Clone(i.arrivals)
 }
 
+// Arrivals returns when requests came, as far as it is remembered.
+func (i *Instance) Arrivals() []time.Time {
+	var out []time.Time
+	for _, a := range i.Arrived() {
+		out = append(out, a.At)
+	}
+	return out
+}
+
 // arrived notes a request, and says in its answer what the instance says of itself.
-func (i *Instance) arrived(h http.Header) {
+func (i *Instance) arrived(id string, h http.Header) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	if len(i.arrivals) == mostArrivals {
 		i.arrivals = append(i.arrivals[:0], i.arrivals[mostArrivals/2:]...)
 	}
-	i.arrivals = append(i.arrivals, time.Now())
+	now := Arrival{Request: id, At: time.Now()}
 	if i.limit >= 0 {
 		h.Set(platform.LimitHeader, strconv.FormatFloat(i.limit, 'f', 1, 64))
 	}
@@ -205,7 +223,20 @@
 	}
 	if i.mode == Sheds && len(i.rest) > 0 {
 		h[platform.RestHeader] = i.rest
+		now.Rest = i.longestRest()
 	}
+	i.arrivals = append(i.arrivals, now)
+}
+
+// longestRest is the longest of the times that it asks for; those that are no seconds are none.
+func (i *Instance) longestRest() time.Duration {
+	longest := time.Duration(0)
+	for _, text := range i.rest {
+		if seconds, err := strconv.ParseFloat(text, 64); err == nil && seconds > 0 {
+			longest = max(longest, time.Duration(seconds*float64(time.Second)))
+		}
+	}
+	return longest
 }
 
 // Holds reports whether the instance holds the key now.
@@ -398,7 +429,7 @@
 		return
 	}
 	w.Header().Set(platform.RequestID, id)
-	i.arrived(w.Header())
+	i.arrived(id, w.Header())
 	key, hasKey := platform.Key(r.Header)
 	if i.get() == Sheds {
 		w.Header().Set(platform.NotExecuted, "1")
