Send nothing to upstreams that ask for rest until it has ended

Callers saw a third of their status requests refused for nine seconds, many after two sends to the upstream that had just turned them away, and the upstream got three times what it had got before. Cause: a 503 was taken for want of room whatever it said; the time in it was not read. Evidence: with the lines of notices in place each gateway notices the rest with the first refusal, and sends on.

A rest counts from the answer on for that start, also for keys of an owner, for what waits, for second tries and for what was granted and has only now got its connection; no other answer ends it, and none lasts longer than five minutes without a request. What cannot be served is refused at once with the time that is left, spread over 0.2 s. After a rest one request at a time goes there until one is answered.

--- a/coordination/dispatch/closed.go
+++ b/coordination/dispatch/closed.go
@@ -7,30 +7,73 @@
 // go out: a request may have waited or a connection been opened meanwhile.
 
 // closed returns why the upstream gets no request that any other may run as well, or zero.
-func (s *Service) closed(u *Upstream) Refusal {
+func (s *Service) closed(now time.Time, u *Upstream) Refusal {
 	switch {
 	case u.evacuated():
 		return Evacuated
 	case u.leaves():
 		return Leaving
+	case u.said.Resting(now):
+		return Resting
 	}
 	return 0
 }
 
 // closedOwner is the same for an owner: nobody stands in for it before its keys have moved, so it
-// gets requests for a moment more.
+// gets requests for a moment more when it is to end.
 func (s *Service) closedOwner(now time.Time, u *Upstream) Refusal {
 	switch {
 	case u.evacuated() && now.Sub(u.evacuatedSince) > evacuationDrain:
 		return Evacuated
 	case u.leaves() && now.Sub(u.leavingSince) > s.drain:
 		return Leaving
+	case u.said.Resting(now):
+		return Resting
 	}
 	return 0
 }
 
+// closedAll returns why there is no upstream to which the request may go, or zero when there is
+// one. Those that rest come back by themselves.
+func (s *Service) closedAll(now time.Time, w *Want) Refusal {
+	if w.Owner != "" {
+		u := s.upstreams[w.Owner]
+		if u == nil {
+			return NoUpstream
+		}
+		return s.closedOwner(now, u)
+	}
+	reason := NoUpstream
+	for _, u := range s.order {
+		if excluded(w, u.ID) {
+			continue
+		}
+		switch s.closed(now, u) {
+		case 0:
+			return 0
+		case Resting:
+			reason = Resting
+		}
+	}
+	return reason
+}
+
 // MaySend reports whether a request that was granted may go to its upstream now.
 func (s *Service) MaySend(now time.Time, g Grant) bool {
 	u := s.granted(g)
 	return u == nil || s.closedOwner(now, u) == 0
 }
+
+// RestLeft returns how long it takes until an upstream to which the request may go has rested.
+func (s *Service) RestLeft(now time.Time, w *Want) time.Duration {
+	least := time.Duration(0)
+	for _, u := range s.order {
+		if w.Owner != "" && u.ID != w.Owner || excluded(w, u.ID) || !u.said.Resting(now) {
+			continue
+		}
+		if left := u.said.RestUntil.Sub(now); least == 0 || left < least {
+			least = left
+		}
+	}
+	return least
+}
--- a/coordination/dispatch/limited.go
+++ b/coordination/dispatch/limited.go
@@ -108,13 +108,13 @@
 		u := s.upstreams[w.Owner]
 		return u != nil && !s.admits(now, w, u)
 	}
-	return w.heldBack && !s.unlimited(w)
+	return w.heldBack && !s.unlimited(now, w)
 }
 
 // unlimited reports whether there is an upstream for the request that names no limit.
-func (s *Service) unlimited(w *Want) bool {
+func (s *Service) unlimited(now time.Time, w *Want) bool {
 	for _, u := range s.order {
-		if u.limit == nil && s.closed(u) == 0 && !excluded(w, u.ID) {
+		if u.limit == nil && s.closed(now, u) == 0 && !excluded(w, u.ID) {
 			return true
 		}
 	}
--- a/coordination/dispatch/notices.go
+++ b/coordination/dispatch/notices.go
@@ -19,6 +19,7 @@
 	if c.Leaves {
 		s.noteLeaving(now, u)
 	}
+	u.proving = u.proving || n.Rest > 0
 	return c
 }
 
--- a/coordination/dispatch/notices_test.go
+++ b/coordination/dispatch/notices_test.go
@@ -32,7 +32,7 @@
 		}
 	}
 	s.Noticed(at(10*ms), Grant{Instance: s.upstreams["a1"].Instance}, notice.Notice{})
-	if r := s.closed(s.upstreams["a1"]); r != Leaving {
+	if r := s.closed(at(time.Hour), s.upstreams["a1"]); r != Leaving {
 		t.Errorf("after an answer without the word: %v", r)
 	}
 }
@@ -92,11 +92,11 @@
 	again := list("a1", "b1")
 	again[0].BornMs = 2000
 	s.SetUpstreams(at(2*time.Minute), again)
-	if r := s.closed(s.upstreams["a1"]); r != 0 {
+	if r := s.closed(at(time.Hour), s.upstreams["a1"]); r != 0 {
 		t.Errorf("another start: %v", r)
 	}
 	s.Noticed(at(2*time.Minute), Grant{Instance: *born[0]}, notice.Notice{Leaving: true})
-	if r := s.closed(s.upstreams["a1"]); r != 0 {
+	if r := s.closed(at(time.Hour), s.upstreams["a1"]); r != 0 {
 		t.Errorf("another start, after an answer of the former: %v", r)
 	}
 }
@@ -116,3 +116,80 @@
 		t.Errorf("within its time: %v", r)
 	}
 }
+
+// TestRestingGetsNothing, neither as an owner nor else, for as long as it has asked for, whatever it
+// answers meanwhile; then one request at a time goes there until one is answered.
+func TestRestingGetsNothing(t *testing.T) {
+	s := newService("a1", "b1")
+	asked := mustGrant(t, s, start, want())
+	early := mustGrant(t, s, start, forOwner("a1"))
+	s.Noticed(start, asked, notice.Notice{Rest: 3 * time.Second})
+	s.Done(start, asked, Full)
+	if s.MaySend(start, early) {
+		t.Error("what was granted before is sent")
+	}
+	s.Noticed(at(ms), early, notice.Notice{})
+	s.Noticed(at(2*ms), early, notice.Notice{Rest: time.Second})
+	s.Done(at(3*ms), early, Answered)
+	for _, d := range []time.Duration{4 * ms, time.Second + 3*ms, 3*time.Second - ms} {
+		later := forOwner("a1")
+		later.Until, later.Deadline = at(time.Minute), at(time.Minute)
+		if _, r, decided := s.Offer(at(d), later); !decided || r != Resting {
+			t.Errorf("its keys after %s: %v, decided %v", d, r, decided)
+		}
+		if g := mustGrant(t, s, at(d), want()); g.Instance.ID != "b1" {
+			t.Errorf("sent to %s after %s", g.Instance.ID, d)
+		} else {
+			s.Done(at(d), g, Answered)
+		}
+		if left := s.RestLeft(at(d), later); left != 3*time.Second-d {
+			t.Errorf("%s left after %s", left, d)
+		}
+	}
+	trial := mustGrant(t, s, at(3*time.Second), forOwner("a1"))
+	if _, r, decided := s.Offer(at(3*time.Second), forOwner("a1")); decided && r == 0 {
+		t.Error("two at once after the rest")
+	}
+	s.Done(at(3*time.Second+ms), trial, Answered)
+	for range 2 {
+		mustGrant(t, s, at(3*time.Second+2*ms), forOwner("a1"))
+	}
+}
+
+// TestWaitingForRestingIsRefused at once, with the time to come back, also where any could run it.
+func TestWaitingForRestingIsRefused(t *testing.T) {
+	s := known(10 * ms)
+	var last Grant
+	for range int(2 * slotFactor) {
+		w := want()
+		w.Objective = time.Minute
+		last = mustGrant(t, s, start, w)
+	}
+	refused := make(map[string]Refusal)
+	for name, w := range map[string]*Want{"owner": forOwner("a1"), "any": want()} {
+		w.Verdict = func(_ Grant, r Refusal) { refused[name] = r }
+		if _, r, decided := s.Offer(start, w); decided {
+			t.Fatalf("%s decided at once: %v", name, r)
+		}
+	}
+	s.Noticed(at(ms), last, notice.Notice{Rest: time.Second})
+	s.Done(at(ms), last, Full)
+	s.Tick(at(2 * ms))
+	if refused["owner"] != Resting || refused["any"] != Resting || s.Waiting() != 0 {
+		t.Errorf("refused %v, %d wait", refused, s.Waiting())
+	}
+	if _, r, decided := s.Offer(at(3*ms), want()); !decided || r != Resting {
+		t.Errorf("the next: %v, decided %v", r, decided)
+	}
+}
+
+// TestRestsAreBounded: an upstream that asks for a day is asked again after some minutes.
+func TestRestsAreBounded(t *testing.T) {
+	s := newService("a1")
+	g := mustGrant(t, s, start, want())
+	s.Noticed(start, g, notice.Notice{Rest: 24 * time.Hour})
+	s.Done(start, g, Full)
+	if left := s.RestLeft(start, want()); left != 5*time.Minute {
+		t.Errorf("rests for %s", left)
+	}
+}
--- a/coordination/dispatch/service.go
+++ b/coordination/dispatch/service.go
@@ -280,15 +280,12 @@
 // answers reports whether an owner takes requests: it is not about to end, was
 // reached lately and has not fallen silent.
 func (s *Service) answers(now time.Time, u *Upstream) bool {
-	if s.closedOwner(now, u) != 0 {
-		return false
-	}
-	return !now.Before(u.pausedUntil) && !u.silent(now, s.typical)
+	return s.closedOwner(now, u) == 0 && u.answers(now, s.typical)
 }
 
 // usable reports whether the upstream may get a request that any may run.
 func (s *Service) usable(now time.Time, u *Upstream) bool {
-	return s.closed(u) == 0 && u.usable(now, s.typical) && s.mayStart(now, u)
+	return s.closed(now, u) == 0 && u.usable(now, s.typical) && s.mayStart(now, u)
 }
 
 func excluded(w *Want, id string) bool {
--- a/coordination/dispatch/upstream.go
+++ b/coordination/dispatch/upstream.go
@@ -126,6 +126,8 @@
 	toldAt     time.Time
 	// said is what it has said of itself to this gateway.
 	said notice.Standing
+	// proving says that it has rested and not answered a request since: one at a time goes there.
+	proving bool
 	// leavingSince is when it was first known to be leaving; zero when it is not.
 	leavingSince time.Time
 	// evacuatedSince is when its failure domain was first seen to be evacuated; zero when
@@ -281,13 +283,19 @@
 
 // usable reports whether the upstream seems to answer requests.
 func (u *Upstream) usable(now time.Time, typical time.Duration) bool {
-	if now.Before(u.pausedUntil) {
-		return false
-	}
 	if u.pause > 0 && u.mine > 0 {
 		// One trial at a time after a failure.
 		return false
 	}
+	return u.answers(now, typical)
+}
+
+// answers reports whether the upstream was reached lately, has not fallen silent, and is not tried
+// by another request after a rest.
+func (u *Upstream) answers(now time.Time, typical time.Duration) bool {
+	if now.Before(u.pausedUntil) || u.proving && u.alive() > 0 {
+		return false
+	}
 	return !u.silent(now, typical)
 }
 
@@ -325,9 +333,11 @@
 			u.observe(now, now.Sub(began), ahead)
 		}
 		u.failures -= failureWeight * u.failures
+		u.proving = u.proving && began.Before(u.said.RestUntil)
 	case Failed:
 		u.reached(now, began, typical)
 		u.failures += failureWeight * (1 - u.failures)
+		u.proving = u.proving && began.Before(u.said.RestUntil)
 	case Full, Broken:
 		u.reached(now, now, typical)
 		u.failures += failureWeight * (1 - u.failures)
--- a/coordination/dispatch/waiting.go
+++ b/coordination/dispatch/waiting.go
@@ -4,17 +4,12 @@
 
 // hopeless reports why it makes no sense to wait behind so many, or zero.
 func (s *Service) hopeless(now time.Time, w *Want, u *Upstream, ahead int) Refusal {
-	if u != nil {
-		if r := s.closedOwner(now, u); r != 0 {
-			return r
-		}
+	if r := s.closedAll(now, w); r != 0 {
+		return r
 	}
 	if !now.Before(w.Until) {
 		return NoRoom
 	}
-	if u == nil && !s.anyKnown(w) {
-		return NoUpstream
-	}
 	if s.limitedOut(now, w) {
 		return Limited
 	}
@@ -57,18 +52,6 @@
 	return u.share.wait(float64(ahead+1), rate)
 }
 
-func (s *Service) anyKnown(w *Want) bool {
-	if w.Owner != "" {
-		return s.upstreams[w.Owner] != nil
-	}
-	for _, u := range s.order {
-		if s.closed(u) == 0 && !excluded(w, u.ID) {
-			return true
-		}
-	}
-	return false
-}
-
 // Withdraw takes a waiting request out. It reports false when the verdict was
 // given already.
 func (s *Service) Withdraw(w *Want) bool {
@@ -93,16 +76,29 @@
 		return
 	}
 	s.pumpAll(now)
-	late := func(w *Want) { s.refuse(w, s.lateReason(w)) }
+	late := func(w *Want) { s.refuse(w, s.lateReason(now, w)) }
 	for _, u := range s.order {
 		if r := s.closedOwner(now, u); r != 0 {
 			s.refuseAll(u, r)
 		}
 		u.queue.late(now, late)
 	}
+	s.refuseHopeless(now)
 	s.queue.late(now, late)
 }
 
+// refuseHopeless refuses requests that wait for any upstream when there is none to which they may
+// go.
+func (s *Service) refuseHopeless(now time.Time) {
+	if s.queue.size == 0 || s.closedAll(now, &Want{}) == 0 {
+		return
+	}
+	s.queue.each(func(w *Want) (taken, rest bool) {
+		s.refuse(w, s.closedAll(now, w))
+		return true, false
+	})
+}
+
 // refuse gives a waiting request its verdict.
 func (s *Service) refuse(w *Want, r Refusal) {
 	w.gone = true
@@ -118,9 +114,9 @@
 	})
 }
 
-func (s *Service) lateReason(w *Want) Refusal {
-	if !s.anyKnown(w) {
-		return NoUpstream
+func (s *Service) lateReason(now time.Time, w *Want) Refusal {
+	if r := s.closedAll(now, w); r != 0 {
+		return r
 	}
 	return NoRoom
 }
--- a/coordination/dispatch/want.go
+++ b/coordination/dispatch/want.go
@@ -30,6 +30,8 @@
 	WarmingUp
 	// Leaving: its owner is about to end, and has it still.
 	Leaving
+	// Resting: all that could run it want nothing more for a while.
+	Resting
 	// Limited: all that could run it name a limit, and more is asked for.
 	Limited
 )
@@ -55,6 +57,8 @@
 		return "warming up"
 	case Leaving:
 		return "leaving"
+	case Resting:
+		return "resting"
 	case Limited:
 		return "limited"
 	}
--- a/coordination/notice/notice.go
+++ b/coordination/notice/notice.go
@@ -4,6 +4,10 @@
 
 import "time"
 
+// mostRest bounds how long an upstream is left alone by one word of it: beyond that it is asked
+// whether it still wants to rest.
+const mostRest = 5 * time.Minute
+
 // Notice is what one answer says.
 type Notice struct {
 	// Leaving says that the upstream is about to end.
@@ -38,7 +42,7 @@
 		s.LeavingSince = now
 		c.Leaves = true
 	}
-	if until := now.Add(n.Rest); n.Rest > 0 && until.After(s.RestUntil) {
+	if until := now.Add(min(n.Rest, mostRest)); n.Rest > 0 && until.After(s.RestUntil) {
 		c.Rests = !s.Resting(now)
 		s.RestUntil = until
 	}
--- a/coordination/patience/patience.go
+++ b/coordination/patience/patience.go
@@ -37,6 +37,8 @@
 	// keys move off such an owner within about that time, and before that most who come back
 	// are refused again.
 	comeBackLimited = 500 * time.Millisecond
+	// restSpread is the time over which callers come back after a rest.
+	restSpread = 200 * time.Millisecond
 	// plannedMove is how long a planned move of a key takes at most, as a rule: the work
 	// on it has to end. A key that is without an owner for longer belonged to a lost one.
 	plannedMove = 500 * time.Millisecond
@@ -74,6 +76,12 @@
 // ComeBackToLimited is the same when all that could run the request name a limit.
 func ComeBackToLimited() time.Duration { return comeBackLimited }
 
+// ComeBackToResting is the same when all that could run the request have asked for rest, the first
+// of them for the time that is left. spread, 0 to 1, keeps callers from coming all at once.
+func ComeBackToResting(left time.Duration, spread float64) time.Duration {
+	return max(left, comeBackForRoom) + time.Duration(spread*float64(restSpread))
+}
+
 // ComeBackToMovingKey is the same when the key's owner gets no more requests and it is to move.
 func ComeBackToMovingKey() time.Duration { return plannedMove }
 
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -306,7 +306,6 @@
 	telemetry.Inject(ctx, h)
 	platform.SetTarget(h, grant.Instance.ID)
 	f.limits.sent(grant)
-	f.countNoticed(q, grant)
 	resp, err := f.conns.Do(ctx, grant.Instance.Address, &pool.Request{
 		Method: q.Method, Target: q.target, Host: q.Host, Header: h, Body: q.body,
 		EchoHeader: platform.RequestID, Echo: q.id, Once: !q.route.Idempotent,
@@ -323,10 +322,15 @@
 
 // still reports why the request may not go out after all, now that a connection is there.
 func (f *front) still(h http.Header, q *request, grant dispatch.Grant) error {
-	if !f.traffic.maySend(q.traffic, grant) {
+	may, said := f.traffic.maySend(q.traffic, grant)
+	if !may {
 		return errClosed
 	}
-	return f.refreshLeft(h, q)
+	if err := f.refreshLeft(h, q); err != nil {
+		return err
+	}
+	f.countNoticed(grant, said)
+	return nil
 }
 
 // refreshLeft tells the upstream the time that is left now that a connection is there. There may
--- a/gateway/notices.go
+++ b/gateway/notices.go
@@ -31,8 +31,7 @@
 }
 
 // countNoticed counts a request that is sent to an upstream which leaves or rests.
-func (f *front) countNoticed(q *request, g dispatch.Grant) {
-	said := f.traffic.said(q.traffic, g)
+func (f *front) countNoticed(g dispatch.Grant, said notice.Standing) {
 	if said.Leaving() {
 		f.meters.inc(f.meters.service(noticesSentLeaving, g.Instance.Service))
 	}
@@ -41,19 +40,13 @@
 	}
 }
 
-// maySend reports whether a request that was granted may go to its upstream now.
-func (t *traffic) maySend(s *service, g dispatch.Grant) bool {
+// maySend reports whether a request that was granted may go to its upstream now, and what that has
+// said of itself.
+func (t *traffic) maySend(s *service, g dispatch.Grant) (bool, notice.Standing) {
 	now := t.now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.dispatch.MaySend(now, g)
-}
-
-// said returns what the upstream of a grant has said of itself.
-func (t *traffic) said(s *service, g dispatch.Grant) notice.Standing {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.dispatch.Said(g)
+	return s.dispatch.MaySend(now, g), s.dispatch.Said(g)
 }
 
 // noticeGauges tells how many upstreams of each service leave and rest, by what they have said here.
--- a/gateway/traffic.go
+++ b/gateway/traffic.go
@@ -215,11 +215,11 @@
 	g, r, decided := s.dispatch.Offer(t.now(), w)
 	s.mu.Unlock()
 	if decided {
-		return g, refusalError(r)
+		return g, t.refused(s, w, r)
 	}
 	select {
 	case v := <-given:
-		return v.grant, refusalError(v.refusal)
+		return v.grant, t.refused(s, w, v.refusal)
 	case <-ctx.Done():
 	}
 	s.mu.Lock()
@@ -233,6 +233,23 @@
 	return dispatch.Grant{}, answer.Wrap(answer.DeadlinePassed, context.Cause(ctx))
 }
 
+// restLeft is how long it takes until an upstream to which the request may go has rested.
+func (t *traffic) restLeft(s *service, w *dispatch.Want) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.dispatch.RestLeft(t.now(), w)
+}
+
+// refused returns the answer to a request that was refused for the reason; nil for none.
+func (t *traffic) refused(s *service, w *dispatch.Want, r dispatch.Refusal) error {
+	if r != dispatch.Resting {
+		return refusalError(r)
+	}
+	err := answer.New(answer.Overloaded, "all that could run it want nothing more for a while")
+	err.RetryAfter = patience.ComeBackToResting(t.restLeft(s, w), t.spread())
+	return err
+}
+
 func refusalError(r dispatch.Refusal) error {
 	switch r {
 	case dispatch.NoRoom:
@@ -276,6 +293,13 @@
 	notice notice.Notice
 }
 
+// spread returns a random number from 0 to 1.
+func (t *traffic) spread() float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.rng.Float64()
+}
+
 // done ends a try.
 func (t *traffic) done(s *service, g dispatch.Grant, o dispatch.Outcome) {
 	t.doneTelling(s, g, o, told{})
