Hand over the keys of owners that tell any gateway that they leave, or ask most for rest

Callers of keys were refused for as long as their owner rested, or, with an entry that is behind, until it was gone: with both words kept nothing goes to such an owner, and the leader knew neither. Reports now carry them with what is in flight; the leader shows one that leaves as leaving to all, as one whose entry says so, and hands over the keys of one that has asked half of the gateways for half a second or more. Callers of such keys are told to come back when the keys have moved, as a rule.

--- a/coordination/dispatch/report.go
+++ b/coordination/dispatch/report.go
@@ -18,6 +18,10 @@
 	Runs    worktime.Sum
 	Silent  time.Duration
 	Refused bool
+	// Leaving says that it has told this gateway that it leaves, Rest for how long it wants
+	// nothing more from here.
+	Leaving bool
+	Rest    time.Duration
 }
 
 // Loads returns what is worth a report: upstreams with requests from here or
@@ -37,7 +41,8 @@
 		if u.pause > 0 || u.silent(now, s.typical) {
 			l.Silent = max(now.Sub(u.lastAnswer), time.Millisecond)
 		}
-		if mean > 0 || l.Silent > 0 || l.Runs.Runs > 0 {
+		l.Leaving, l.Rest = u.said.Leaving(), u.said.RestLeft(now)
+		if mean > 0 || l.Silent > 0 || l.Runs.Runs > 0 || l.Leaving || l.Rest > 0 {
 			out = append(out, l)
 		}
 	}
--- a/coordination/notice/notice.go
+++ b/coordination/notice/notice.go
@@ -4,9 +4,9 @@
 
 import "time"
 
-// mostRest bounds how long an upstream is left alone by one word of it: beyond that it is asked
+// MostRest bounds how long an upstream is left alone by one word of it: beyond that it is asked
 // whether it still wants to rest.
-const mostRest = 5 * time.Minute
+const MostRest = 5 * time.Minute
 
 // Notice is what one answer says.
 type Notice struct {
@@ -42,7 +42,7 @@
 		s.LeavingSince = now
 		c.Leaves = true
 	}
-	if until := now.Add(min(n.Rest, mostRest)); n.Rest > 0 && until.After(s.RestUntil) {
+	if until := now.Add(min(n.Rest, MostRest)); n.Rest > 0 && until.After(s.RestUntil) {
 		c.Rests = !s.Resting(now)
 		s.RestUntil = until
 	}
@@ -52,5 +52,8 @@
 // Leaving reports whether the upstream has said that it leaves.
 func (s *Standing) Leaving() bool { return !s.LeavingSince.IsZero() }
 
+// RestLeft returns for how long the upstream wants nothing yet.
+func (s *Standing) RestLeft(now time.Time) time.Duration { return max(s.RestUntil.Sub(now), 0) }
+
 // Resting reports whether the upstream wants nothing at the moment.
 func (s *Standing) Resting(now time.Time) bool { return now.Before(s.RestUntil) }
--- a/gateway/cluster.go
+++ b/gateway/cluster.go
@@ -243,6 +243,9 @@
 		s.Inflight += l.Inflight
 		s.SilentMs = max(s.SilentMs, l.SilentMs)
 		s.Refused = s.Refused || l.Refused
+		s.Leaving = s.Leaving || l.Leaving
+		s.Resting += l.Resting
+		s.RestMs = max(s.RestMs, l.RestMs)
 	}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -224,7 +224,7 @@
 	g.steward.placements = &placements{
 		store: store, steward: g.steward, leading: g.leading, cluster: g.cluster, evac: evac, suspects: g.suspects, now: g.now, log: log,
 	}
-	g.watcher.draining = g.steward.placements.draining
+	g.watcher.draining, g.watcher.toldLeaving = g.steward.placements.draining, g.steward.toldLeaving
 	g.follower.setOwn = g.steward.setOwn
 	g.front = &front{
 		view: g.view, traffic: g.traffic, splitter: routing.NewSplitter(), conns: g.conns, now: g.now,
--- a/gateway/keeper.go
+++ b/gateway/keeper.go
@@ -355,7 +355,7 @@
 		o := ownership.Owner{ID: one.ID, Incarnation: one.Incarnation(), Capacity: k.capacity(one)}
 		k.noteStart(one)
 		control := k.control(one.ID)
-		o.Keeps = !one.Leaving && !k.view.evacuated(one.Domain) && !k.isDead(one) && control.Keeps(k.now(), k.hold())
+		o.Keeps = !one.Leaving && !k.view.evacuated(one.Domain) && !k.isDead(one) && !k.rests(one.ID) && control.Keeps(k.now(), k.hold())
 		o.Usable = o.Keeps && !control.Failing()
 		o.Warming = warming[one.ID]
 		out = append(out, o)
--- a/gateway/notices_test.go
+++ b/gateway/notices_test.go
@@ -207,3 +207,37 @@
 		}
 	}
 }
+
+// TestKeysOfLeavingAndRestingOwnersMove: an owner that says with its answers that it leaves, or that
+// asks all gateways for rest, is relieved of its keys while its entry says that it is ready, and
+// callers are answered by others.
+func TestKeysOfLeavingAndRestingOwnersMove(t *testing.T) {
+	t.Parallel()
+	const settled = time.Second
+	for _, c := range []struct {
+		name string
+		say  func(*upstream)
+	}{
+		{"leaves", func(u *upstream) { u.Leave() }},
+		{"rests", func(u *upstream) { u.Rest("3") }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			b := standard(t)
+			stop := make(chan struct{})
+			asked, asking := b.askOn(8, stop)
+			time.Sleep(time.Second)
+			said := time.Now()
+			c.say(b.ups["i-s0"])
+			time.Sleep(2 * settled)
+			if n := b.ownedBy("i-s0"); n > 0 {
+				t.Errorf("it owns %d keys %s later", n, 2*settled)
+			}
+			close(stop)
+			asking.Wait()
+			if all, not := asked.served("/status/x", said.Add(settled)); all == 0 || not > all/50 {
+				t.Errorf("%d of %d requests for keys not answered from %s on", not, all, settled)
+			}
+		})
+	}
+}
--- a/gateway/peerserver.go
+++ b/gateway/peerserver.go
@@ -250,7 +250,10 @@
 	for _, l := range loads {
 		m := &syncpb.Load{
 			Instance: l.Instance, Incarnation: uint32(l.Incarnation), Inflight: float32(l.Inflight),
-			SilentMs: uint32(l.Silent.Milliseconds()), Refused: l.Refused,
+			SilentMs: uint32(l.Silent.Milliseconds()), Refused: l.Refused, Leaving: l.Leaving,
+		}
+		if l.Rest > 0 {
+			m.Resting, m.RestMs = 1, milliseconds(l.Rest)
 		}
 		setRuns(m, l.Runs)
 		out = append(out, m)
--- a/gateway/sieve.go
+++ b/gateway/sieve.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/rockcroft/rockcroft/coordination/notice"
 	"github.com/rockcroft/rockcroft/protocol/syncpb"
 	"github.com/rockcroft/rockcroft/state/instances"
 )
@@ -82,6 +83,7 @@
 				continue
 			}
 		}
+		l.RestMs = min(l.RestMs, milliseconds(notice.MostRest))
 		out = append(out, l)
 	}
 	return out
--- a/gateway/traffic.go
+++ b/gateway/traffic.go
@@ -245,8 +245,13 @@
 	if r != dispatch.Resting {
 		return refusalError(r)
 	}
+	left := t.restLeft(s, w)
+	if w.Owner != "" {
+		// Keys of an owner that rests for longer are moved.
+		left = min(left, patience.ComeBackToMovingKey())
+	}
 	err := answer.New(answer.Overloaded, "all that could run it want nothing more for a while")
-	err.RetryAfter = patience.ComeBackToResting(t.restLeft(s, w), t.spread())
+	err.RetryAfter = patience.ComeBackToResting(left, t.spread())
 	return err
 }
 
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -43,7 +43,9 @@
 	log   *slog.Logger
 	// draining reports whether an operator wants an upstream to be left alone.
 	draining func(upstream string) bool
-	// drained are the upstreams for which that was so in the last view.
+	// toldLeaving returns the upstreams that have told a gateway that they leave.
+	toldLeaving func() map[string]bool
+	// drained are the upstreams for which either was so in the last view.
 	drained map[string]bool
 	// salt tells versions of this process's view from those of others.
 	salt uint64
@@ -65,7 +67,7 @@
 func newWatcher(store *platform.Store, v *view, evac *evacuations, now func() time.Time, log *slog.Logger, m *meters, salt uint64) *watcher {
 	return &watcher{
 		drained: make(map[string]bool), salt: salt, store: store, view: v, evac: evac, now: now, log: log, meters: m,
-		badEntries: make(map[string]uint64), compacted: make(chan struct{}),
+		badEntries: make(map[string]uint64), compacted: make(chan struct{}), toldLeaving: func() map[string]bool { return nil },
 	}
 }
 
@@ -307,12 +309,14 @@
 }
 
 // publish gives the tracker's view to this process. Upstreams that an operator
-// drains are shown as leaving, as those that say so themselves. The lock is held.
+// drains, and those that say with their answers that they leave, are shown as leaving, as those
+// whose entries say so. The lock is held.
 func (w *watcher) publish() {
 	v, version := w.tracker.View()
+	told := w.toldLeaving()
 	var drained []instances.Instance
 	for _, one := range v.All() {
-		if !one.Leaving && w.draining(one.ID) {
+		if !one.Leaving && (told[one.ID] || w.draining(one.ID)) {
 			one.Leaving = true
 			drained = append(drained, one)
 		}
@@ -323,16 +327,17 @@
 	w.view.setInstances(version, v)
 }
 
-// intentsChanged reports whether operators drain other upstreams than in the
-// last view. The lock is held.
-func (w *watcher) intentsChanged() bool {
+// leaversChanged reports whether operators drain other upstreams than in the last view, or others
+// have told that they leave. The lock is held.
+func (w *watcher) leaversChanged() bool {
 	changed := false
 	v := w.view.inst.Load()
 	if v == nil {
 		return false
 	}
+	told := w.toldLeaving()
 	for _, one := range v.All() {
-		if now := w.draining(one.ID); now != w.drained[one.ID] {
+		if now := told[one.ID] || w.draining(one.ID); now != w.drained[one.ID] {
 			w.drained[one.ID] = now
 			changed = true
 		}
@@ -363,7 +368,7 @@
 	for ctx.Err() == nil {
 		pause(ctx, settleInterval)
 		w.mu.Lock()
-		if settled, drained := w.tracker.Settle(w.now()), w.intentsChanged(); settled || drained {
+		if settled, drained := w.tracker.Settle(w.now()), w.leaversChanged(); settled || drained {
 			w.publish()
 		}
 		w.mu.Unlock()
