Ask other gateways for changes when a watch of the store hears nothing

Callers were served by a configuration that had been replaced seconds before. Cause: a watch waits up to 1.2 s and shows only then that its way is dead; the next ways, two random gateways, were waited on as long, one after the other, while other calls that got through vouched for the store. Reached is not the same as current.

A call that waits now waits on one way only. A quarter of a second of silence after its wait, or its failure, ends that: the changes that there are now are asked for, without a wait, by 4, 8, 16, ... gateways each 100 ms, and the one that brings an answer is waited on next. It works as it bounds the silence by one wait and half a second however few gateways the store serves. A store that is slow to answer is waited for longer; where all were asked in vain few are for 3 s.

TestRelaysInTurn loses its row for calls that wait, which asked for the second way after 1.65 s: TestSilentWatchIsSoughtBeside asks for all within 1.95 s of 1, 11 and 100 others, and for one call only on the next watch. Metrics store.sought, watch.KIND.heard_ms_ago. go test ./gateway: ok but for what is listed.

--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -45,6 +45,9 @@
 		m.gauge(viewVersion, int64(t.Version))
 		m.gauge(viewConfigurationAge, g.configurationAge().Milliseconds())
 	}
+	for kind, age := range g.watcher.heardAges() {
+		m.gauge(fill(watchHeard, kind), age.Milliseconds())
+	}
 	evacuated := g.view.evac.Load()
 	m.gauge(viewEvacuated, int64(len(evacuated.Domains())))
 	m.gauge(viewEvacRevision, int64(evacuated.Revision()))
--- a/gateway/meternames.go
+++ b/gateway/meternames.go
@@ -39,6 +39,8 @@
 	ownersUnanswered     = "owners.{service}.calls_unanswered"
 	storeCall            = "store.{kind}.{operation}.{answer}"
 	storeRelayed         = "store.relayed"
+	storeSought          = "store.sought"
+	watchHeard           = "watch.{kind}.heard_ms_ago"
 	storeAway            = "store.away"
 	storeIn              = "store.bytes_in"
 	upstreamsUnsound     = "view.unsound.{source}"
@@ -116,6 +118,8 @@
 	{ownersUnanswered, "calls", "grants, renewals, releases and trials that were sent and not answered"},
 	{storeCall, "calls", "direct calls by kind of object, operation (list, get, watch, create, replace, remove) and answer: a status code or `none`"},
 	{storeRelayed, "calls", "by way of another gateway"},
+	{storeSought, "rounds", "in which other gateways were asked for changes, as a call that waits for them heard nothing"},
+	{watchHeard, "ms", "since this gateway's own list or watch of the kind of objects was last answered, also with no changes; it only watches while it leads or hears from no leader"},
 	{storeAway, "0 or 1", "no call succeeds, by no way"},
 	{storeIn, "bytes", "bodies of complete answers to direct calls"},
 	{upstreamsUnsound, "upstreams", "that something was said of which cannot be, and was dropped; by who said it: entry (in the store), news or report (other gateways)"},
--- a/gateway/storecall.go
+++ b/gateway/storecall.go
@@ -42,10 +42,17 @@
 	awayAfter = 900 * time.Millisecond
 )
 
+// exchanger sends one request to an address and returns the whole answer.
+type exchanger interface {
+	Do(ctx context.Context, addr string, r *pool.Request) (*pool.Response, error)
+	// Forget closes the idle connections.
+	Forget()
+}
+
 // storeCaller carries calls to the platform's store: directly, or by way of
 // other gateways when the store does not serve this machine.
 type storeCaller struct {
-	conns   *pool.Pool
+	conns   exchanger
 	address string
 	// relays returns gateways to ask, the best first.
 	relays func(most int) []syncpb.Peer
@@ -57,6 +64,14 @@
 	directUntil time.Time
 	lastOK      time.Time
 	failingFrom time.Time
+	// directFailing says that the last direct call failed, good is the gateway by way of which
+	// one has succeeded last.
+	directFailing bool
+	good          syncpb.Peer
+	// sought is when all gateways were last asked in vain, latency the mean time of a call that
+	// does not wait.
+	sought  time.Time
+	latency time.Duration
 	// onReturn is called when the store is reached again after an outage.
 	onReturn func()
 }
@@ -153,6 +168,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.directUntil = s.now().Add(directPause)
+	s.directFailing = true
 }
 
 // succeeded notes a call that the store has served.
@@ -160,6 +176,7 @@
 	s.mu.Lock()
 	if direct {
 		s.directUntil = time.Time{}
+		s.directFailing = false
 	}
 	now := s.now()
 	returned := s.awayAt(now)
--- a/gateway/storeways.go
+++ b/gateway/storeways.go
@@ -13,6 +13,10 @@
 // callResult is how one way of making a call ended.
 type callResult struct {
 	direct bool
+	// peer is the gateway by way of which it was made.
+	peer   syncpb.Peer
+	began  time.Time
+	waited bool
 	status int
 	body   []byte
 	err    error
@@ -30,6 +34,8 @@
 	// peers are the gateways left to ask one after the other, once chosen says so.
 	peers  []syncpb.Peer
 	chosen bool
+	// rounds counts those in which a call that waits was made without a wait.
+	rounds int
 	// arriving tells that bytes of an answer have arrived.
 	arriving chan struct{}
 }
@@ -37,6 +43,10 @@
 // ways returns the ways of making a call, the one to be tried first in front.
 func (s *storeCaller) ways(c platform.Call) *callWays {
 	w := &callWays{store: s, call: c, results: make(chan callResult, 1+mostRelays), arriving: make(chan struct{}, 1)}
+	if c.Wait > 0 {
+		w.left = w.watchWays()
+		return w
+	}
 	relays := []func(context.Context) int{w.relayedAtOnce}
 	if c.Method == http.MethodGet {
 		relays = slices.Repeat([]func(context.Context) int{w.relayedNext}, mostRelays)
@@ -50,14 +60,26 @@
 }
 
 // direct begins the call from here.
-func (w *callWays) direct(ctx context.Context) int {
+func (w *callWays) direct(ctx context.Context) int { return w.directly(ctx, w.call) }
+
+// directly begins a form of the call from here.
+func (w *callWays) directly(ctx context.Context, c platform.Call) int {
+	began := time.Now()
 	go func() {
-		status, body, err := w.store.directly(ctx, w.call, w.noteArriving)
-		w.results <- callResult{true, status, body, err}
+		status, body, err := w.store.directly(ctx, c, w.noteArriving)
+		w.give(ctx, callResult{direct: true, began: began, waited: c.Wait > 0, status: status, body: body, err: err})
 	}()
 	return 1
 }
 
+// give hands a result over, unless nobody wants it any more.
+func (w *callWays) give(ctx context.Context, r callResult) {
+	select {
+	case w.results <- r:
+	case <-ctx.Done():
+	}
+}
+
 // noteArriving tells that the answer is on its way. One note waits at most.
 func (w *callWays) noteArriving() {
 	select {
@@ -70,7 +92,7 @@
 func (w *callWays) relayedAtOnce(ctx context.Context) int {
 	peers := w.store.relays(mostRelays)
 	for _, peer := range peers {
-		w.relayed(ctx, peer)
+		w.relayed(ctx, w.call, peer)
 	}
 	return len(peers)
 }
@@ -83,16 +105,17 @@
 	if len(w.peers) == 0 {
 		return 0
 	}
-	w.relayed(ctx, w.peers[0])
+	w.relayed(ctx, w.call, w.peers[0])
 	w.peers = w.peers[1:]
 	return 1
 }
 
-// relayed begins the call by way of one other gateway.
-func (w *callWays) relayed(ctx context.Context, peer syncpb.Peer) {
+// relayed begins a form of the call by way of one other gateway.
+func (w *callWays) relayed(ctx context.Context, c platform.Call, peer syncpb.Peer) {
+	began := time.Now()
 	go func() {
-		status, body, err := w.store.relay(ctx, peer, w.call, w.noteArriving)
-		w.results <- callResult{false, status, body, err}
+		status, body, err := w.store.relay(ctx, peer, c, w.noteArriving)
+		w.give(ctx, callResult{peer: peer, began: began, waited: c.Wait > 0, status: status, body: body, err: err})
 	}()
 }
 
@@ -117,7 +140,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	waits := time.Now().Add(w.call.Wait)
-	patience := time.NewTimer(callPatience + w.call.Wait)
+	patience := time.NewTimer(w.patience(waits))
 	defer patience.Stop()
 	for w.goesOn(ctx) {
 		select {
@@ -125,7 +148,7 @@
 			w.running--
 			switch {
 			case served(r.status, r.err):
-				w.store.succeeded(r.direct)
+				w.succeeded(r)
 				return r.status, r.body, nil
 			case r.direct && tooMuch(r.err):
 				// The store is reached. Another way's answer would be as large.
@@ -133,16 +156,36 @@
 			case r.direct && ctx.Err() == nil:
 				w.store.directFailed()
 			}
-			patience.Reset(callPatience + w.call.Wait)
+			patience.Reset(w.patience(waits))
 		case <-w.arriving:
 			patience.Reset(callPatience + max(time.Until(waits), 0))
 		case <-patience.C:
 			w.next(ctx)
-			patience.Reset(callPatience + w.call.Wait)
+			patience.Reset(w.patience(waits))
 		case <-ctx.Done():
 			return 0, nil, context.Cause(ctx)
 		}
 	}
+	if w.rounds > 0 && len(w.peers) == 0 {
+		w.store.soughtAll()
+	}
 	w.store.failed()
 	return 0, nil, errNoWay
 }
+
+// succeeded notes what a result that the store has served says of its way. A call that waits from
+// here and was passed by one from elsewhere has been silent.
+func (w *callWays) succeeded(r callResult) {
+	w.store.succeeded(r.direct)
+	if !r.waited {
+		w.store.noteLatency(time.Since(r.began))
+	}
+	if r.direct {
+		return
+	}
+	w.store.noteRelay(r.peer)
+	if w.rounds > 0 {
+		w.store.log.Info("changes asked for by other gateways, a call that waits heard nothing", "rounds", w.rounds)
+		w.store.directFailed()
+	}
+}
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -18,6 +18,9 @@
 	// watch hears nothing and only the next one is told so, and a path may fall
 	// silent: changes are to be in force within two seconds all the same.
 	watchWait = 1200 * time.Millisecond
+	// leastWatch keeps watches apart that end at once without changes, as the way failed on which
+	// they were to wait.
+	leastWatch = 100 * time.Millisecond
 	// joinConfiguration and joinInstances are how long changes are collected before
 	// the next watch. Upstreams come and go by the dozen; the time of one that leaves
 	// is two seconds and more.
@@ -59,15 +62,14 @@
 	// compacted is closed when one watch learns that history is gone, which
 	// concerns the others as well.
 	compacted chan struct{}
-	// heard is when the store last answered a list or a watch, configHeard the same for
-	// the configuration.
-	heard, configHeard time.Time
+	// heard is when the store last answered a list or a watch, by kind of objects.
+	heard map[string]time.Time
 }
 
 func newWatcher(store *platform.Store, v *view, evac *evacuations, now func() time.Time, log *slog.Logger, m *meters, salt uint64) *watcher {
 	return &watcher{
 		drained: make(map[string]bool), salt: salt, store: store, view: v, evac: evac, now: now, log: log, meters: m,
-		badEntries: make(map[string]uint64), compacted: make(chan struct{}), toldLeaving: func() map[string]bool { return nil },
+		heard: make(map[string]time.Time), badEntries: make(map[string]uint64), compacted: make(chan struct{}), toldLeaving: func() map[string]bool { return nil },
 	}
 }
 
@@ -119,9 +121,13 @@
 		} else {
 			var changes []platform.Object
 			var next uint64
+			began := w.now()
 			if changes, next, err = w.watch(ctx, kind, revision); err == nil {
 				w.noteHeard(kind)
 			}
+			if err == nil && len(changes) == 0 && w.now().Sub(began) < leastWatch {
+				pause(ctx, leastWatch)
+			}
 			if len(changes) > 0 {
 				revision = advance(revision, changes, next)
 				events(changes, revision)
@@ -159,10 +165,7 @@
 func (w *watcher) noteHeard(kind string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.heard = w.now()
-	if kind == platform.ConfigKind {
-		w.configHeard = w.heard
-	}
+	w.heard[kind] = w.now()
 }
 
 // configurationHeard returns when the store last answered a list or a watch of the
@@ -170,14 +173,29 @@
 func (w *watcher) configurationHeard() time.Time {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.configHeard
+	return w.heard[platform.ConfigKind]
 }
 
 // lastHeard returns when the store last answered a list or a watch.
 func (w *watcher) lastHeard() time.Time {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.heard
+	var last time.Time
+	for _, at := range w.heard {
+		last = later(last, at)
+	}
+	return last
+}
+
+// heardAges returns how long ago the store last answered a list or a watch, by kind of objects.
+func (w *watcher) heardAges() map[string]time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	out := make(map[string]time.Duration, len(w.heard))
+	for kind, at := range w.heard {
+		out[kind] = w.now().Sub(at)
+	}
+	return out
 }
 
 // watch waits for changes, until another watch learns of a compaction.
