Soak: upstreams that ask for rest and that leave with a word in their answers only

At the end a checker of its own, which knows the promises only, judges each arrival by what that start of the upstream had told that gateway; kills, stops and pauses of the gateway excuse, and disturbed paths of the upstream excuse rests.

--- a/bench/soak/callers.go
+++ b/bench/soak/callers.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/rockcroft/rockcroft/platform"
+	"github.com/rockcroft/rockcroft/standin/instance"
 	"github.com/rockcroft/rockcroft/state/spans"
 )
 
@@ -51,11 +52,13 @@
 	// refusedIDs are requests that must never run.
 	refusedIDs []string
 	versions   map[string]uint64
+	asks       *asks
 }
 
 func newWatcher(s *site) *watcher {
 	return &watcher{
 		site: s, began: time.Now(), counts: make(map[int]map[outcome]int), versions: make(map[string]uint64),
+		asks:   newAsks(),
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: callers}},
 	}
 }
@@ -107,10 +110,16 @@
 		r.Header.Set(platform.ShardKey, fmt.Sprint(key))
 	}
 	kills := g.kills()
+	one := asked{gateway: g, sent: time.Now()}
+	w.asks.add(id, one)
 	resp, err := w.client.Do(r)
 	if err != nil {
 		return w.noAnswer(ctx, g, id, kills, err)
 	}
+	if resp.Header.Get(platform.LeavingHeader) != "" {
+		one.told, one.by = time.Now(), resp.Header.Get(instance.StartHeader)
+		w.asks.add(id, one)
+	}
 	data, err := io.ReadAll(resp.Body)
 	if closeErr := resp.Body.Close(); err != nil || closeErr != nil {
 		return w.noAnswer(ctx, g, id, kills, errors.Join(err, closeErr))
--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -41,11 +41,13 @@
 	case Compact:
 		s.store.Compact()
 	case UpstreamPath:
-		lasting(step.For, func() { u.relay.Set(pick(pathFaults, step.Variant)) }, func() { u.relay.Set(relay.None) })
+		u.cuts.during(func() {
+			lasting(step.For, func() { u.relay.Set(pick(pathFaults, step.Variant)) }, func() { u.relay.Set(relay.None) })
+		})
 	case UpstreamReset:
-		u.relay.ResetAll()
+		u.cuts.during(u.relay.ResetAll)
 	case UpstreamQuiet:
-		u.relay.SilenceAll()
+		u.cuts.during(u.relay.SilenceAll)
 	case UpstreamMode:
 		lasting(step.For, func() { u.Set(pick(upstreamModes, step.Variant)) }, func() { u.Set(instance.Serves) })
 	case Harm:
@@ -54,8 +56,12 @@
 		lasting(step.For, func() { s.setAll(instance.LateCalls) }, func() { s.setAll(instance.Serves) })
 	case Need:
 		lasting(step.For, func() { u.Name(pick(limits, step.Variant)) }, u.NameNone)
+	case Rest:
+		lasting(step.For, func() { u.Rest(pick(rests, step.Variant)...) }, u.Resume)
 	case Drain:
-		return s.replace(u)
+		return s.replace(u, func() { s.register(u, "draining") })
+	case Depart:
+		return s.replace(u, func() {})
 	case Restart:
 		return s.restart(u, step.For/2)
 	case Evacuate:
@@ -90,14 +96,18 @@
 		return nil
 	}
 	defer g.release()
-	switch step.Kind {
-	case Kill:
-		return g.kill(step.For / 2)
-	case Stop:
-		return g.stop(step.For / 2)
-	default:
-		return g.pauseFor(step.For)
-	}
+	var err error
+	g.faults.during(func() {
+		switch step.Kind {
+		case Kill:
+			err = g.kill(step.For / 2)
+		case Stop:
+			err = g.stop(step.For / 2)
+		default:
+			err = g.pauseFor(step.For)
+		}
+	})
+	return err
 }
 
 // lasting begins a fault, waits and ends it.
--- a/bench/soak/plan.go
+++ b/bench/soak/plan.go
@@ -32,6 +32,8 @@
 	Restart       Kind = "restart"        // an upstream's process ends and starts again under its ID
 	Evacuate      Kind = "evacuate"       // a failure domain is evacuated, and taken back
 	Need          Kind = "need"           // an upstream names a limit on what it takes
+	Rest          Kind = "rest"           // an upstream turns requests away and asks for rest
+	Depart        Kind = "depart"         // it says that it leaves with its answers only, and comes back as another
 	Harm          Kind = "harm"           // a request that ends upstreams is asked again at all gateways
 	LateCalls     Kind = "late_calls"     // all upstreams leave every second control call unanswered, and carry it out later
 )
@@ -76,6 +78,13 @@
 // needEach is the same for upstreams in need.
 const needEach = 3
 
+// restEach and departEach are the same for upstreams that ask for rest and that leave without a
+// word in their entry.
+const (
+	restEach   = 3
+	departEach = 6
+)
+
 // lateCallsEach is the same for late control calls.
 const lateCallsEach = 7
 
@@ -83,13 +92,15 @@
 const harmEach = 10
 
 // NewPlan returns the plan of a seed: so many steps, and restarts of upstreams,
-// evacuations, upstreams in need, late control calls and harmful requests beside them.
+// evacuations, upstreams in need, that rest or depart, late control calls and harmful requests beside
+// them.
 func NewPlan(seed uint64, steps int) Plan {
 	rng, restarts := rand.New(rand.NewPCG(seed, seed)), rand.New(rand.NewPCG(seed, seed+1))
 	evacuations := rand.New(rand.NewPCG(seed, seed+2))
 	needs := rand.New(rand.NewPCG(seed, seed+3))
 	lateCalls := rand.New(rand.NewPCG(seed, seed+4))
 	harmful := rand.New(rand.NewPCG(seed, seed+5))
+	notices := rand.New(rand.NewPCG(seed, seed+6))
 	p := Plan{Seed: seed}
 	for i := range steps {
 		p.Steps = append(p.Steps, Step{
@@ -106,6 +117,14 @@
 				Kind: Need, For: time.Duration(needs.Int64N(int64(longestFault))), Target: needs.IntN(1 << 16), Variant: needs.IntN(1 << 16),
 			})
 		}
+		if i%restEach == restEach-1 {
+			p.Steps = append(p.Steps, Step{
+				Kind: Rest, For: time.Duration(notices.Int64N(int64(longestFault))), Target: notices.IntN(1 << 16), Variant: notices.IntN(1 << 16),
+			})
+		}
+		if i%departEach == departEach-1 {
+			p.Steps = append(p.Steps, Step{Kind: Depart, Target: notices.IntN(1 << 16)})
+		}
 		if i%lateCallsEach == lateCallsEach-1 {
 			p.Steps = append(p.Steps, Step{Kind: LateCalls, For: time.Duration(lateCalls.Int64N(int64(longestFault)))})
 		}
--- a/bench/soak/process.go
+++ b/bench/soak/process.go
@@ -26,6 +26,9 @@
 	door                           *metastore.Door
 	relay                          *relay.Relay
 
+	// faults are when its process was killed, stopped or paused.
+	faults faultTimes
+
 	mu sync.Mutex
 	// busy says that a fault of the process is under way.
 	busy bool
--- a/bench/soak/run.go
+++ b/bench/soak/run.go
@@ -55,6 +55,11 @@
 	stop()
 	callers.Wait()
 	w.checkRefused()
+	for _, u := range s.ever {
+		for _, v := range w.asks.broken(u) {
+			w.violate("%s", v)
+		}
+	}
 	for _, v := range s.harms.tooMany() {
 		w.violate("%s", v)
 	}
--- a/bench/soak/site.go
+++ b/bench/soak/site.go
@@ -60,6 +60,8 @@
 	version   uint64
 	gateways  []*gateway
 	harms     harms
+	// ever are all upstreams that were started, those that have ended among them.
+	ever []*upstream
 	// restartErrs are errors of upstreams that harmful requests ended.
 	restartErrs []error
 }
@@ -79,6 +81,8 @@
 	server  *http.Server
 	// born is when its process started.
 	born time.Time
+	// cuts are when its path was disturbed.
+	cuts faultTimes
 	// changing says that it is being replaced or started again.
 	changing atomic.Bool
 }
@@ -193,6 +197,9 @@
 		service:  service, domain: domain, relay: r, born: time.Now(),
 	}
 	s.arm(u)
+	s.mu.Lock()
+	s.ever = append(s.ever, u)
+	s.mu.Unlock()
 	u.server = &http.Server{Handler: u.Instance}
 	// The server ends with the process or with close; its error says no more.
 	go func() { _ = u.server.Serve(l) }()
@@ -242,12 +249,14 @@
 	return s.upstreams[n%len(s.upstreams)]
 }
 
-// replace lets an upstream leave as the platform's do, and starts another.
-func (s *site) replace(u *upstream) error {
+// replace lets an upstream leave as the platform's do, and starts another. Its answers tell that it
+// leaves; announce tells it elsewhere.
+func (s *site) replace(u *upstream, announce func()) error {
 	if !u.changing.CompareAndSwap(false, true) {
 		return nil
 	}
-	s.register(u, "draining")
+	u.Leave()
+	announce()
 	time.Sleep(leaveTime)
 	s.store.Remove(platform.InstancesKind, u.ID)
 	s.mu.Lock()
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -23,7 +23,7 @@
 			t.Errorf("step %+v", step)
 		}
 	}
-	for _, k := range append([]Kind{Restart, Evacuate}, kinds...) {
+	for _, k := range append([]Kind{Restart, Evacuate, Rest, Depart}, kinds...) {
 		if !seen[k] {
 			t.Errorf("%s never comes", k)
 		}
--- a/standin/instance/instance.go
+++ b/standin/instance/instance.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rockcroft/rockcroft/platform"
@@ -66,6 +67,8 @@
 	arrivals []Arrival
 	// limit is how many requests a second it takes, as its answers say; negative for none.
 	limit float64
+	// start tells this incarnation from all others, also from those with its ID.
+	start string
 	// leaving says that its answers tell that it leaves.
 	leaving bool
 	// rest is what its refusals for want of room ask for, as it stands in them.
@@ -97,13 +100,23 @@
 	fence uint64
 }
 
+// StartHeader tells in each answer to a request which incarnation has made it.
+const StartHeader = "X-Standin-Start"
+
+// starts counts incarnations.
+var starts atomic.Int64
+
 // New returns an instance that holds nothing.
 func New(id string, keyed bool, work time.Duration, oracle *Oracle) *Instance {
-	i := &Instance{ID: id, Keyed: keyed, Work: work, Oracle: oracle, running: make(map[uint16]int), limit: -1}
+	start := id + "/" + strconv.FormatInt(starts.Add(1), 10)
+	i := &Instance{ID: id, Keyed: keyed, Work: work, Oracle: oracle, running: make(map[uint16]int), limit: -1, start: start}
 	i.idle = sync.NewCond(&i.mu)
 	return i
 }
 
+// Start is the value of StartHeader in the answers of this incarnation.
+func (i *Instance) Start() string { return i.start }
+
 // Set changes the mode.
 func (i *Instance) Set(m Mode) {
 	i.mu.Lock()
@@ -225,6 +238,7 @@
 		h[platform.RestHeader] = i.rest
 		now.Rest = i.longestRest()
 	}
+	h.Set(StartHeader, i.start)
 	i.arrivals = append(i.arrivals, now)
 }
 
