--- a/coordination/dispatch/choice.go
+++ b/coordination/dispatch/choice.go
@@ -15,10 +15,7 @@
 	// others, are compared for a request. They are the same few for one gateway and others
 	// for each: so an upstream is filled by few gateways, each of which knows a good part of
 	// what it has, and connections are used again. The best of many is what all gateways
-	// send to between two reports. (Lab, 295 gateways, 231 upstreams at 85 %: worth 0.854
-	// with the best of 16 random ones, 0.734 with 16 fixed ones of the own domain, 0.905 with
-	// six and two, 0.938 with four and two, 0.950 with three and two, 0.944 with two and two,
-	// which is best where domains are uneven; at 12 gateways no difference.)
+	// send to between two reports.
 	compared = 2
 	// mostSeen bounds the upstreams with room that are looked at for good ones.
 	mostSeen = 8
--- a/coordination/dispatch/service.go
+++ b/coordination/dispatch/service.go
@@ -15,7 +15,7 @@
 	// its leaving to arrive.
 	drainShare = 0.6
 	// firstWorkPart is the part of a route's objective that a run is assumed to
-	// take before any answer was seen: one third on all sheets.
+	// take before any answer was seen.
 	firstWorkPart = 3
 	// demandTime is how long requests count in the rate of requests.
 	demandTime = time.Second
@@ -33,8 +33,8 @@
 	coldShare = 0.5
 	// limitsFrom is the number of gateways from which the limits of hot keys hold. A dozen
 	// each see enough of a hot key to share its owner's room exactly, and a limit that follows
-	// estimates refuses what could be run (lab, 12 gateways, eight seeds: rough 0.9126 with
-	// limits, 0.9171 without; 295 gateways see a fraction of a request between two reports).
+	// estimates refuses what could be run; hundreds see a fraction of a request between two
+	// reports.
 	limitsFrom = 24
 	// limitTime is how long the limit of a hot key holds when no news come: without a
 	// leader nobody sees that the key is not hot any more.
--- a/coordination/dispatch/share.go
+++ b/coordination/dispatch/share.go
@@ -5,8 +5,7 @@
 const (
 	// roomTarget is the number of requests at an upstream, in multiples of its slots,
 	// that all gateways together aim at while more want it than it can run: half of them
-	// wait there, so that no slot idles between two reports. (Lab, overload, worth over
-	// the limit: 0.979 with 1.6, 0.985 with 2.0; four seeds each.)
+	// wait there, so that no slot idles between two reports.
 	roomTarget = 2.0
 	// roomGain is the part of the difference to the target that a report gives out.
 	// Reports are means over a quarter of a second and arrive as late again: a sum that is
@@ -50,8 +49,7 @@
 // loan is how many requests may be sent beyond the share up to the target. Among a
 // dozen gateways it is none: what a few of them send at once between two reports fills an
 // upstream. Among a hundred a part is a small fraction of one slot, and what the others
-// do meanwhile evens out, so the report tells enough. (Without a loan 90 gateways refused
-// requests for idle owners; worth over the limit, hot key in the lab, 0.950.)
+// do meanwhile evens out, so the report tells enough.
 func (s *share) loan(slots int) float64 {
 	return max(0, idleLoan/(s.part*float64(slots))-1)
 }
--- a/coordination/dispatch/told.go
+++ b/coordination/dispatch/told.go
@@ -12,13 +12,10 @@
 
 const (
 	// slownessHalf is the age at which what an upstream said of its slowness counts for half:
-	// machines that upstreams share are slow for some tenths of a second. (Lab, shared
-	// machines, worth 0.903 with nothing used, 0.908 with 100 ms, 0.913 with 200, 0.919
-	// with 400.)
+	// machines that upstreams share are slow for some tenths of a second.
 	slownessHalf = 400 * time.Millisecond
 	// othersHalf is the same for what it said of the requests that it has: others send more,
-	// and some end. (Lab, shared machines, worth 0.919 without, 0.933 with 100 ms and with
-	// 200.)
+	// and some end.
 	othersHalf = 100 * time.Millisecond
 	// heardMost is how many answers the mean slowness of an upstream remembers here.
 	heardMost = 60
--- a/coordination/dispatch/upstream.go
+++ b/coordination/dispatch/upstream.go
@@ -18,16 +18,11 @@
 	slotFactor = 2.5
 	// objectiveShare bounds the estimated delay, in multiples of a route's objective. The
 	// estimate rests on reports that are old by two or three runs: a bound below the
-	// objective refuses requests whose upstream has slots free by now (lab, overload, worth
-	// over the limit: 0.889 with 0.6, 0.924 with 0.8, 0.972 with 1.2, 0.980 with 1.6, and
-	// no more with 3; four seeds each).
+	// objective refuses requests whose upstream has slots free by now.
 	objectiveShare = 1.6
 	// crossDomainCost makes an upstream of another failure domain look slower, by
 	// crossDomainMost of the route's objective at most: bytes between domains are priced,
 	// and a queue in the own domain that makes answers late costs more than they do.
-	// (Lab, 295 gateways, one failure domain with 40 % of the clients and 25 % of the
-	// upstreams: worth 0.869 without the bound, 0.942 with 0.3, 0.948 with 0.15; with even
-	// domains 0.944, 0.955, 0.952, and 0.01, 0.12, 0.24 of the requests cross.)
 	crossDomainCost = 2.5
 	crossDomainMost = 0.3
 	// jitter spreads scores evenly by this share to both sides, so that
@@ -37,8 +32,8 @@
 	workWeight = 0.1
 	// queuedWeight is the same for a request that found all slots taken: how long it had to
 	// wait is only estimated, and mostly from too few ahead, as the others' requests since
-	// their last report are not known. (With the full weight a full upstream seemed 1.4
-	// times as slow as it was, and was given a tenth less than it could run.)
+	// their last report are not known. With the full weight a full upstream seems slower than
+	// it is, and is given less than it can run.
 	queuedWeight = 0.02
 	// failureWeight is the weight of a new outcome in the share of failures.
 	failureWeight = 0.08
@@ -262,8 +257,7 @@
 
 // room reports whether one more request keeps within the bounds. Only owners' room is
 // shared out: requests that may go anywhere go where there is room, and holding them to
-// shares sends them to slower upstreams and other failure domains (played, worth of three
-// plays of a busy day 0.755 with shares for all, 0.766 without any).
+// shares sends them to slower upstreams and other failure domains.
 func (u *Upstream) room(now time.Time, typical, objective time.Duration, owner bool) bool {
 	inflight := u.inflight(now)
 	slots := float64(u.Slots)
--- a/coordination/dispatch/waiting.go
+++ b/coordination/dispatch/waiting.go
@@ -31,8 +31,7 @@
 
 // likelyRun is within what time an upstream likely answers a request that has waited:
 // the expected time and one mean run more, as work times have tails: by the expected time
-// alone, half of those who waited longest are late. (Overload in the lab, worth over the
-// limit 0.949 without the run more, 0.980 with it; four seeds each.)
+// alone, half of those who waited longest are late.
 func (s *Service) likelyRun(now time.Time, u *Upstream) time.Duration {
 	if u == nil {
 		return 2 * s.typical
--- a/coordination/ownership/balance.go
+++ b/coordination/ownership/balance.go
@@ -13,17 +13,13 @@
 	busyUtilization = 0.6
 	// urgentUtilization is the utilization from which moves for balance do not wait: a group
 	// of hot keys on one upstream. Below, an upstream that is a little more utilized than others
-	// can wait a second, and many moves are one write to the store. (Lab, two seeds: plans with
-	// moves calm 171 to 68, busy 288 to 136, losses 263 to 100, size 117 to 89, and worth the
-	// same within 0.003. With 2.0 size loses 0.008.)
+	// can wait a second, and many moves are one write to the store.
 	urgentUtilization = 1.4
 	// unevenness is the difference in utilization that is worth a move: the
 	// noise of counts over a second or two is about half of it.
 	unevenness = 0.25
 	// leastMoves and movesShare bound the moves for balance in one plan: so many, or so
-	// many for each upstream: with 372 a hot group of 200 keys is spread by three plans.
-	// (Lab, size, worth 0.622; 0.617 with half a move for each upstream, which is
-	// no more.)
+	// many for each upstream: among hundreds a hot group of keys is spread by a few plans.
 	leastMoves = 6
 	movesShare = 0.25
 )
--- a/coordination/ownership/limits.go
+++ b/coordination/ownership/limits.go
@@ -9,10 +9,7 @@
 const (
 	// limitedTo is the multiple of an owner's capacity that the requests for its keys are
 	// limited to when they are more: limits cut off what is hopeless, and the shares of room,
-	// which are sooner and see what the owner really ends, decide about the rest. (Lab, size,
-	// three seeds: worth 0.614 with 1.0, 0.616 with 1.3, 0.621 with 1.6, 0.618 with 2.5, 0.622
-	// without limits; calls that failed 0.016 to 0.020, without limits 0.060; requests that met
-	// a full owner 5,550, 5,547, 6,321, 6,716, without 22,124.)
+	// which are sooner and see what the owner really ends, decide about the rest.
 	limitedTo = 1.6
 	// mostLimits bounds the keys of a service that are limited, the hottest first: the
 	// list goes to all gateways four times a second.
--- a/coordination/patience/patience.go
+++ b/coordination/patience/patience.go
@@ -22,9 +22,7 @@
 	hedgeFactor = 3
 	hedgeLeast  = 120 * time.Millisecond
 	// comeBackForRoom is the time to come back after a refusal for want of room. Room
-	// comes free all the time, and who comes back soon can still be answered on time: in
-	// the lab's overload worth is 0.98 of the limit with 20 or 60 ms, 0.93 with 200 ms
-	// and 0.91 with 800 ms (four seeds each).
+	// comes free all the time, and who comes back soon can still be answered on time.
 	comeBackForRoom = 60 * time.Millisecond
 	// comeBackCold is the time to come back for a key that is cold at a busy owner. The
 	// answer is late in any case, so callers leave the owner to others meanwhile.
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -12,9 +12,7 @@
 )
 
 // This file tells gateways what the others have in flight, in three bytes for each upstream.
-// A leader answers some hundred reports a second. With an ID, in flight and work time spelled
-// out for each of 3,000 upstreams an answer had 90 KB: of 300 gateways the leader sent 3.1 MB
-// a second and grew beyond its memory.
+// A leader answers some hundred reports a second, each about thousands of upstreams.
 
 const (
 	// sumInterval is how long sums over all reports are used again: reports come every
@@ -24,8 +22,6 @@
 	// gateway is told at most 17 KB a second of requests in flight, whatever other news it has.
 	fleetPause = 60 * time.Microsecond
 	// worksPause is the least time between two tellings of work times: they change slowly.
-	// With them in each telling, 300 gateways were told 50 KB a second each of 3,000 upstreams,
-	// and the leader sent 6.6 MB a second.
 	worksPause = 2 * time.Second
 	// workBytes is the size of a work time.
 	workBytes = 2
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -17,8 +17,7 @@
 	// shortestReport and longestReport bound the time between reports to the leader, which
 	// waits that long for changes before it answers; between them it grows with the gateways
 	// by reportPause, as the leader answers all. Younger reports tell better what others
-	// have in flight. (Lab, shared machines, 74 gateways, worth 0.934 with 250 ms, 0.945 with
-	// 125, 0.950 with 60; busy, 12 gateways, 0.923 with 250, 0.935 with 100.)
+	// have in flight.
 	shortestReport = 100 * time.Millisecond
 	longestReport  = 250 * time.Millisecond
 	reportPause    = time.Millisecond
--- a/gateway/keeper.go
+++ b/gateway/keeper.go
@@ -17,10 +17,8 @@
 	// holdTime is how long a grant lasts while the store is reached: keys of an
 	// upstream that is lost without a word are free after it.
 	// It must outlast the loss of a leader: a renewal interval, the term of its
-	// lease and the time to take over. Shorter ones cost more renewals and showed no gain:
-	// worth 0.788 with 3.2 s renewed each 0.6 s and a leader replaced a second sooner, 0.791
-	// with these times (means of nine plays of days on which a failure domain is cut off):
-	// keys taken sooner from owners that come back run cold for longer.
+	// lease and the time to take over. Shorter ones cost more renewals, and keys taken sooner
+	// from owners that come back run cold for longer.
 	holdTime = 4 * time.Second
 	// renewInterval is the time between renewals of a grant.
 	renewInterval = 1000 * time.Millisecond
--- a/gateway/turns.go
+++ b/gateway/turns.go
@@ -10,8 +10,7 @@
 	// mostGrantCalls bounds the grants that begin together. A leader renews each span once a
 	// second, and after a start all at once: 1,650 calls that begin together take a machine of
 	// a third of a core longer than the 250 ms that each has, all fail, are tried again
-	// together, and fail again. (Swept, 300 machines of that kind: served 0.709, never again
-	// after all were killed, without the bound.)
+	// together, and fail again.
 	mostGrantCalls = 32
 	// longestTurn is how long a call keeps its turn: one that takes longer waits for an
 	// upstream that does not answer, and keeps no processor busy. Five hundred silent owners
