--- a/coordination/dispatch/bench_test.go
+++ b/coordination/dispatch/bench_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/rockcroft/rockcroft/coordination/notice"
 	"github.com/rockcroft/rockcroft/state/instances"
 )
 
@@ -40,6 +41,20 @@
 	}
 }
 
+// BenchmarkMaySend is the last question before the bytes of a request go out. The aim is 100 ns and
+// no allocation.
+func BenchmarkMaySend(b *testing.B) {
+	s := crowded(b, 313, 0)
+	g := Grant{Instance: s.upstreams["u1"].Instance}
+	s.upstreams["u1"].said.Note(start, notice.Notice{Leaving: true, Rest: time.Second})
+	b.ReportAllocs()
+	for b.Loop() {
+		if s.MaySend(start.Add(time.Millisecond), g) {
+			b.Fatal("sent to one that rests")
+		}
+	}
+}
+
 // crowded returns a service of so many upstreams, with so many requests that wait for
 // the first one.
 func crowded(tb testing.TB, upstreams, waiting int) *Service {
