--- a/gateway/front.go
+++ b/gateway/front.go
@@ -68,6 +68,8 @@
 	limits *namedLimits
 	// suspects are requests that end upstreams.
 	suspects *suspects
+	// unread are headers of answers that no code reads.
+	unread *unreadHeaders
 	// open are the requests that are worked on.
 	open *openRequests
 }
@@ -316,6 +318,7 @@
 	}
 	said := told{load: f.load(resp), notice: f.notice(resp.Status, resp.Header)}
 	f.limits.answered(grant, resp.Header)
+	f.unread.note(grant, resp.Header)
 	answer, outcome, err := classify(resp)
 	return answer, outcome, said, err
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -194,6 +194,7 @@
 		g.traffic.setUpstreams(v)
 		g.suspects.viewChanged(v)
 	}
+	unread := newUnreadHeaders(g.now, log, g.meters)
 	store := platform.NewStore(g.calls)
 	evac := newEvacuations(g.view, g.now, log, g.meters)
 	g.watcher = newWatcher(store, g.view, evac, g.now, log, g.meters, seeds[0])
@@ -222,13 +223,13 @@
 	}
 	g.steward.leading = g.leading
 	g.steward.placements = &placements{
-		store: store, steward: g.steward, leading: g.leading, cluster: g.cluster, evac: evac, suspects: g.suspects, now: g.now, log: log,
+		store: store, steward: g.steward, leading: g.leading, cluster: g.cluster, evac: evac, suspects: g.suspects, unread: unread, now: g.now, log: log,
 	}
 	g.watcher.draining, g.watcher.toldLeaving = g.steward.placements.draining, g.steward.toldLeaving
 	g.follower.setOwn = g.steward.setOwn
 	g.front = &front{
 		view: g.view, traffic: g.traffic, splitter: routing.NewSplitter(), conns: g.conns, now: g.now,
-		log: log, meters: g.meters, domain: conf.Domain, gaps: g.gaps, limits: g.limits, suspects: g.suspects, open: newOpenRequests(),
+		log: log, meters: g.meters, domain: conf.Domain, gaps: g.gaps, limits: g.limits, suspects: g.suspects, unread: unread, open: newOpenRequests(),
 		maxHeld: int64(conf.Memory) * megabyte / mostBodyShare, configurationAge: g.configurationAge,
 	}
 	g.clock.OnSuspended(g.woken)
--- a/gateway/meternames.go
+++ b/gateway/meternames.go
@@ -79,6 +79,7 @@
 	suspectsUnsound      = "suspects.unsound"
 	limitNamed           = "limits.{service}.named"
 	limitSent            = "limits.{service}.sent"
+	answersUnread        = "answers.{service}.unread_headers"
 	restsUnsound         = "answers.rest_unsound"
 	noticesLeaving       = "notices.{service}.leaving"
 	noticesResting       = "notices.{service}.resting"
@@ -158,6 +159,7 @@
 	{suspectsUnsound, "messages", "of other gateways about such requests that are beyond the bound, and were dropped"},
 	{limitNamed, "upstreams", "that name a limit on what they take from all gateways together, as this gateway knows"},
 	{limitSent, "tries", "sent from here to upstreams that name a limit"},
+	{answersUnread, "headers", "of upstreams' answers that no code reads, each answer counted"},
 	{restsUnsound, "answers", "that asked for a rest which cannot be; it was dropped"},
 	{noticesLeaving, "upstreams", "that have said to this gateway that they leave"},
 	{noticesResting, "upstreams", "that have asked this gateway for rest, until its end"},
--- a/gateway/placements.go
+++ b/gateway/placements.go
@@ -31,8 +31,10 @@
 	evac    *evacuations
 	// suspects are requests that end upstreams.
 	suspects *suspects
-	now      func() time.Time
-	log      *slog.Logger
+	// unread are headers of answers that no code reads.
+	unread *unreadHeaders
+	now    func() time.Time
+	log    *slog.Logger
 
 	mu      sync.Mutex
 	loaded  bool
