Give owners in evacuated failure domains no second time when they are listed again

Callers of such keys were sent to an upstream in an evacuated domain for a second each time that a list without it was followed by one with it. Cause: since when a domain is evacuated is kept with the upstream and begins anew with it. One that is listed while its domain is evacuated now gets nothing: keys of it that have not moved yet are refused, as not run. Failed before: TestEvacuatedOwnerListedAgain (let through).

--- a/coordination/dispatch/evacuated_test.go
+++ b/coordination/dispatch/evacuated_test.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "testing"
+import (
+	"testing"
+	"time"
+)
 
 func inDomain(evacuated string) func(string) bool {
 	return func(domain string) bool { return domain == evacuated }
@@ -70,3 +73,15 @@
 		t.Errorf("refusal %v, decided %v", r, decided)
 	}
 }
+
+// TestEvacuatedOwnerListedAgain: an owner in an evacuated failure domain that is not listed for a
+// while has no second time in which it gets requests.
+func TestEvacuatedOwnerListedAgain(t *testing.T) {
+	s := newService("a1")
+	s.SetEvacuated(start, inDomain("a"))
+	s.SetUpstreams(at(time.Minute), nil)
+	s.SetUpstreams(at(time.Minute), list("a1"))
+	if _, r, decided := s.Offer(at(time.Minute), forOwner("a1")); !decided || r != Evacuated {
+		t.Errorf("refusal %v, decided %v", r, decided)
+	}
+}
--- a/coordination/dispatch/service.go
+++ b/coordination/dispatch/service.go
@@ -143,6 +143,10 @@
 		u.queue = former.queue
 	}
 	u.said = s.unlisted.Take(one.ID, one.Incarnation())
+	if s.evacuated(one.Domain) {
+		// Since when it is evacuated is not known of one that is listed only now.
+		u.evacuatedSince = now.Add(-2 * evacuationDrain)
+	}
 	s.noteWarming(now, u)
 	return u
 }
