Keep what starts say while they are not listed, and since when

Requests could reach an upstream that had told this gateway that it leaves or rests, by three ways: an answer that came while a list lacked the upstream was dropped; listed again, an owner that leaves had its time for keys anew; and what was granted before was sent while it was not listed. Cause: the words were kept with the listed upstream, and what stands of one that is not listed was taken for nothing. They are kept by start now, also those of answers that come meanwhile, and nothing is sent to one that is not listed.

--- a/coordination/dispatch/closed.go
+++ b/coordination/dispatch/closed.go
@@ -58,10 +58,11 @@
 	return reason
 }
 
-// MaySend reports whether a request that was granted may go to its upstream now.
+// MaySend reports whether a request that was granted may go to its upstream now. Of one that is not
+// listed any more it is not known what stands.
 func (s *Service) MaySend(now time.Time, g Grant) bool {
 	u := s.granted(g)
-	return u == nil || s.closedOwner(now, u) == 0
+	return u != nil && s.closedOwner(now, u) == 0
 }
 
 // RestLeft returns how long it takes until an upstream to which the request may go has rested.
--- a/coordination/dispatch/notices.go
+++ b/coordination/dispatch/notices.go
@@ -13,7 +13,7 @@
 func (s *Service) Noticed(now time.Time, g Grant, n notice.Notice) notice.Change {
 	u := s.granted(g)
 	if u == nil {
-		return notice.Change{}
+		return s.unlisted.Note(now, g.Instance.ID, g.Instance.Incarnation(), n)
 	}
 	c := u.said.Note(now, n)
 	if c.Leaves {
@@ -38,6 +38,9 @@
 	switch {
 	case !u.leaves():
 		u.leavingSince = time.Time{}
+	case u.leavingSince.IsZero() && u.said.Leaving():
+		// It may have said so before it was not listed for a while.
+		u.leavingSince = u.said.LeavingSince
 	case u.leavingSince.IsZero():
 		u.leavingSince = now
 	}
--- a/coordination/dispatch/notices_test.go
+++ b/coordination/dispatch/notices_test.go
@@ -193,3 +193,28 @@
 		t.Errorf("rests for %s", left)
 	}
 }
+
+// TestAnswersOfOneNotListed count when it is listed again, from when they came, and not for another
+// start whose answers come meanwhile; what was granted before is not sent.
+func TestAnswersOfOneNotListed(t *testing.T) {
+	s := newService("a1")
+	born := list("a1")
+	born[0].BornMs = 2000
+	s.SetUpstreams(start, born)
+	now, later := mustGrant(t, s, start, want()), mustGrant(t, s, start, forOwner("a1"))
+	s.SetUpstreams(at(ms), nil)
+	if s.MaySend(at(2*ms), later) {
+		t.Error("sent to one that is not listed")
+	}
+	notices(s, at(2*ms), now, notice.Notice{Leaving: true, Rest: 3 * time.Second})
+	former := now
+	former.Instance.BornMs = 1000
+	notices(s, at(3*ms), former, notice.Notice{Rest: time.Minute})
+	s.SetUpstreams(at(time.Second), born)
+	if left := s.RestLeft(at(time.Second), want()); left != 2*time.Second+2*ms {
+		t.Errorf("%s left to rest", left)
+	}
+	if r := s.closedOwner(at(3*time.Second+3*ms), s.upstreams["a1"]); r != Leaving {
+		t.Errorf("a new time for its keys: %v", r)
+	}
+}
