Play 250 random series of a store that serves few gateways

TestChangesArriveByAnyWay, in virtual time: 3, 12 and 74 gateways, ways that are silent, refuse or break, drawn anew each 3 to 6 s, one served at least; twenty changes each are known to the leader within 1.9 s, and 2.4 s at 74.

--- a/gateway/storeseek.go
+++ b/gateway/storeseek.go
@@ -73,13 +73,13 @@
 	case w.call.Wait == 0:
 		return callPatience
 	case w.rounds > 0:
-		return w.store.patience(seekPause)
+		return w.store.silenceAllowed(seekPause)
 	}
-	return w.store.patience(seekPatience) + left
+	return w.store.silenceAllowed(seekPatience) + left
 }
 
-// patience is the least silence, or more when the store is slow to answer.
-func (s *storeCaller) patience(least time.Duration) time.Duration {
+// silenceAllowed is the least silence, or more when the store is slow to answer.
+func (s *storeCaller) silenceAllowed(least time.Duration) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return min(max(least, time.Duration(latencyShare*float64(s.latency))), callPatience)
@@ -92,7 +92,7 @@
 	s.latency += time.Duration(latencyWeight * float64(took-s.latency))
 }
 
-// noteRelay notes the gateway that has brought the store's answer last, nil for none.
+// noteRelay notes the gateway that has brought the store's answer last.
 func (s *storeCaller) noteRelay(peer syncpb.Peer) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- /dev/null
+++ b/gateway/watchseries_test.go
@@ -0,0 +1,225 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rockcroft/rockcroft/platform"
+	"github.com/rockcroft/rockcroft/protocol/syncpb"
+	"github.com/rockcroft/rockcroft/transport/pool"
+)
+
+// wayState is how the store treats the calls of one gateway.
+type wayState int
+
+const (
+	wayServed wayState = iota
+	waySilent
+	wayBusy
+	wayReset
+)
+
+// patchyStore is a store that serves some gateways only, others from time to time. A call that waits
+// hears nothing once its gateway is not served any more.
+type patchyStore struct {
+	mu      sync.Mutex
+	ways    []wayState
+	changed chan struct{}
+	// revision is the newest, latency how long an answer takes.
+	revision int
+	latency  time.Duration
+}
+
+func (s *patchyStore) update(change func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change()
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+var errReset = errors.New("connection reset")
+
+// call answers a call of one gateway that knows a revision.
+func (s *patchyStore) call(ctx context.Context, gateway, known int, wait time.Duration) (int, int, error) {
+	limit := time.NewTimer(wait)
+	defer limit.Stop()
+	ended := wait == 0
+	for {
+		s.mu.Lock()
+		way, revision, changed, latency := s.ways[gateway], s.revision, s.changed, s.latency
+		s.mu.Unlock()
+		switch {
+		case way == waySilent:
+			<-ctx.Done()
+			return 0, 0, context.Cause(ctx)
+		case way == wayReset:
+			return 0, 0, errReset
+		case way == wayBusy:
+			return http.StatusServiceUnavailable, 0, nil
+		case revision > known || ended:
+			select {
+			case <-time.After(latency):
+				return http.StatusOK, revision, nil
+			case <-ctx.Done():
+				return 0, 0, context.Cause(ctx)
+			}
+		}
+		select {
+		case <-changed:
+		case <-limit.C:
+			ended = true
+		case <-ctx.Done():
+			return 0, 0, context.Cause(ctx)
+		}
+	}
+}
+
+// patchyWay is the way of the leader, which is gateway 0, to the store.
+type patchyWay struct {
+	store *patchyStore
+	known *atomic.Int64
+}
+
+// Do implements exchanger.
+func (p patchyWay) Do(ctx context.Context, _ string, r *pool.Request) (*pool.Response, error) {
+	status, revision, err := p.store.call(ctx, 0, int(p.known.Load()), waitOf(r.Target))
+	if err != nil {
+		return nil, err
+	}
+	return &pool.Response{Status: status, Body: []byte(fmt.Sprint(revision))}, nil
+}
+
+// Forget implements exchanger.
+func (patchyWay) Forget() {}
+
+// waitOf is how long a call may wait.
+func waitOf(target string) time.Duration {
+	if target == watchTarget {
+		return watchWait
+	}
+	return 0
+}
+
+const watchTarget = "/v1/objects/config?wait_ms=1200&watch=1"
+
+// patchyRelay is another gateway.
+type patchyRelay struct {
+	syncpb.Peer
+	store   *patchyStore
+	gateway int
+	known   *atomic.Int64
+}
+
+// Relay implements syncpb.Peer.
+func (p patchyRelay) Relay(ctx context.Context, r *syncpb.RelayRequest) (*syncpb.RelayResponse, error) {
+	status, revision, err := p.store.call(ctx, p.gateway, int(p.known.Load()), waitOf(r.Target))
+	if err != nil {
+		return nil, err
+	}
+	return &syncpb.RelayResponse{Status: uint32(status), Body: []byte(fmt.Sprint(revision))}, nil
+}
+
+// TestChangesArriveByAnyWay: whichever gateways the store serves, one at least, and however it treats
+// the others, a change is known to the leader within the time that leaves a part for telling all.
+func TestChangesArriveByAnyWay(t *testing.T) {
+	t.Parallel()
+	// tellingAll is kept for the way from the leader to all others.
+	const tellingAll = 100 * time.Millisecond
+	for _, c := range []struct {
+		gateways, series int
+		within           time.Duration
+	}{{3, 100, 2 * time.Second}, {12, 100, 2 * time.Second}, {74, 50, 2500 * time.Millisecond}} {
+		for seed := range uint64(c.series) {
+			synctest.Test(t, func(t *testing.T) {
+				if took := slowestChange(t.Context(), c.gateways, seed); took > c.within-tellingAll {
+					t.Errorf("%d gateways, seed %d: a change known after %s", c.gateways, seed, took)
+				}
+			})
+		}
+	}
+}
+
+// slowestChange plays a minute of changes and returns how long the slowest took.
+func slowestChange(ctx context.Context, gateways int, seed uint64) time.Duration {
+	rng := rand.New(rand.NewPCG(seed, uint64(gateways)))
+	store := &patchyStore{ways: make([]wayState, gateways), changed: make(chan struct{}), latency: 5 * time.Millisecond}
+	var known atomic.Int64
+	s := quietCaller()
+	s.conns = patchyWay{store: store, known: &known}
+	peers := make([]syncpb.Peer, 0, gateways)
+	for i := range gateways - 1 {
+		peers = append(peers, patchyRelay{store: store, gateway: i + 1, known: &known})
+	}
+	order := rand.New(rand.NewPCG(seed, 0))
+	s.relays = func(most int) []syncpb.Peer {
+		order.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+		return append([]syncpb.Peer{}, peers[:min(most, len(peers))]...)
+	}
+	redraw(rng, store)
+	const changes = 20
+	slowest, pending := time.Duration(0), time.Time{}
+	nextChange, nextWays := time.Now().Add(time.Second), time.Now().Add(3*time.Second)
+	ctx, cancel := context.WithCancel(ctx)
+	var mu sync.Mutex
+	var playing sync.WaitGroup
+	defer playing.Wait()
+	defer cancel()
+	playing.Go(func() {
+		for ctx.Err() == nil {
+			time.Sleep(10 * time.Millisecond)
+			now := time.Now()
+			if now.After(nextWays) {
+				redraw(rng, store)
+				nextWays = now.Add(3*time.Second + time.Duration(rng.Int64N(int64(3*time.Second))))
+			}
+			mu.Lock()
+			if now.After(nextChange) && pending.IsZero() {
+				store.update(func() { store.revision++ })
+				pending = now
+				nextChange = now.Add(time.Second + time.Duration(rng.Int64N(int64(3*time.Second))))
+			}
+			mu.Unlock()
+		}
+	})
+	for seen := 0; seen < changes; {
+		_, body, err := s.Call(ctx, platform.Call{Method: http.MethodGet, Target: watchTarget, Wait: watchWait})
+		revision := 0
+		if err == nil {
+			_, err = fmt.Sscan(string(body), &revision)
+		}
+		if err != nil || revision == int(known.Load()) {
+			time.Sleep(leastWatch)
+			continue
+		}
+		known.Store(int64(revision))
+		mu.Lock()
+		slowest, pending = max(slowest, time.Since(pending)), time.Time{}
+		mu.Unlock()
+		seen++
+	}
+	return slowest
+}
+
+// redraw draws which gateways the store serves: one at least.
+func redraw(rng *rand.Rand, store *patchyStore) {
+	bad := []wayState{waySilent, wayBusy, wayReset}[rng.IntN(3)]
+	share := []float64{0, 0.1, 0.5, 1}[rng.IntN(4)]
+	store.update(func() {
+		for i := range store.ways {
+			store.ways[i] = bad
+			if rng.Float64() < share {
+				store.ways[i] = wayServed
+			}
+		}
+		store.ways[rng.IntN(len(store.ways))] = wayServed
+	})
+}
