--- a/coordination/poison/poison_test.go
+++ b/coordination/poison/poison_test.go
@@ -166,14 +166,30 @@
 // 12 or 74, beside innocent ones that are sent again as often, while upstreams also end by
 // themselves. After the third end of an upstream it reaches few more, and no innocent one is refused.
 func TestGuiltyAmongMany(t *testing.T) {
+	const callers = 40
+	guiltyAmongMany(t, 8, func(rng *rand.Rand, now time.Duration) Digest {
+		// In each second some forty callers ask, and come back.
+		return Digest(2 + int(now/time.Second)*callers + rng.IntN(callers))
+	}, 30*callers)
+}
+
+// TestGuiltyAmongManyThatComeBack: the same with four hundred callers that come back all the time.
+func TestGuiltyAmongManyThatComeBack(t *testing.T) {
+	const callers = 400
+	guiltyAmongMany(t, 20, func(rng *rand.Rand, _ time.Duration) Digest { return Digest(2 + rng.IntN(callers)) }, callers)
+}
+
+// guiltyAmongMany plays so many seeds with innocent requests as the function draws them.
+func guiltyAmongMany(t *testing.T, seeds uint64, innocent func(*rand.Rand, time.Duration) Digest, innocents Digest) {
+	t.Helper()
 	for _, gateways := range []int{12, 74} {
-		for seed := range uint64(8) {
+		for seed := range seeds {
 			rng := rand.New(rand.NewPCG(seed, 1))
 			books := make([]*Book, gateways)
 			for i := range books {
 				books[i] = NewBook()
 			}
-			const upstreams, callers, tell = 11, 40, 200 * ms
+			const upstreams, tell = 11, 200 * ms
 			incarnation := make([]instances.Incarnation, upstreams)
 			crashes, after := 0, 0
 			var third time.Duration
@@ -197,9 +213,9 @@
 					}
 				}
 				if ends {
-					// Innocent ones on it: in each second some forty callers ask, and come back.
+					// Innocent ones on it.
 					for range 4 {
-						books[rng.IntN(gateways)].Broke(at(now), Digest(2+int(now/time.Second)*callers+rng.IntN(callers)), name, incarnation[u])
+						books[rng.IntN(gateways)].Broke(at(now), innocent(rng, now), name, incarnation[u])
 					}
 					for _, b := range books {
 						b.Ended(at(now+50*ms), name, incarnation[u])
@@ -220,7 +236,7 @@
 			if after > 0 || crashes < refusedFrom {
 				t.Errorf("seed %d, %d gateways: %d crashes, %d of them long after the third", seed, gateways, crashes, after)
 			}
-			for d := Digest(2); d < 2+30*callers; d++ {
+			for d := Digest(2); d < 2+innocents; d++ {
 				if books[0].Refused(at(30*time.Second), d, gateways, 1) {
 					t.Errorf("seed %d, %d gateways: innocent request refused after %d", seed, gateways, books[0].Crashes(d))
 				}
--- a/coordination/quota/quota_test.go
+++ b/coordination/quota/quota_test.go
@@ -118,13 +118,20 @@
 // than it may, by all gateways together, from three seconds after it first said so; what came in
 // the second before counts. And it gets most of it. At few gateways and many, with uneven demand
 // and bursts, and a rate below one request a second for each.
-func TestSumKeepsToTheRate(t *testing.T) {
-	for seed := range uint64(60) {
+func TestSumKeepsToTheRate(t *testing.T) { sumKeepsToTheRate(t, 60, 76*time.Second) }
+
+// TestSumReachesTheRateSoon: the same, and most of the rate is used within twelve seconds already.
+func TestSumReachesTheRateSoon(t *testing.T) { sumKeepsToTheRate(t, 100, 28*time.Second) }
+
+// sumKeepsToTheRate plays so many seeds to an end.
+func sumKeepsToTheRate(t *testing.T, seeds uint64, end time.Duration) {
+	t.Helper()
+	for seed := range seeds {
 		rng := rand.New(rand.NewPCG(seed, 1))
 		gateways := []int{1, 3, 11, 74, 300}[rng.IntN(5)]
 		perSecond := 5 + 60*rng.Float64()
 		f := newFleet(rng, gateways, (3+rng.Float64())*perSecond)
-		const named, burst, calm, end = 4 * time.Second, 12 * time.Second, 16 * time.Second, 76 * time.Second
+		const named, burst, calm = 4 * time.Second, 12 * time.Second, 16 * time.Second
 		heard := named + time.Duration(rng.Float64()*float64(250*ms))
 		f.play(0, heard, 1)
 		f.name(heard, perSecond)
