--- a/standin/instance/instance.go
+++ b/standin/instance/instance.go
@@ -5,17 +5,14 @@
 package instance
 
 import (
-	"encoding/json"
 	"io"
 	"net/http"
-	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/rockcroft/rockcroft/platform"
-	"github.com/rockcroft/rockcroft/state/spans"
 )
 
 // Mode is how an instance treats requests and calls.
@@ -89,17 +86,6 @@
 	idle    *sync.Cond
 }
 
-type hold struct {
-	spans.Keys
-	fence uint64
-	until time.Time
-}
-
-type seen struct {
-	spans.Keys
-	fence uint64
-}
-
 // StartHeader tells in each answer to a request which incarnation has made it.
 const StartHeader = "X-Standin-Start"
 
@@ -159,131 +145,6 @@
 	return i.mode
 }
 
-// Name lets the instance name a limit, in requests a second, with each answer from now on.
-func (i *Instance) Name(perSecond float64) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	i.limit = perSecond
-}
-
-// NameNone ends that.
-func (i *Instance) NameNone() {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	i.limit = -1
-}
-
-// Leave lets the instance say with each answer from now on that it leaves.
-func (i *Instance) Leave() {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	i.leaving = true
-}
-
-// Rest lets the instance turn requests away from now on and ask for rest in these words, seconds
-// as a rule.
-func (i *Instance) Rest(asked ...string) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	i.mode, i.rest = Sheds, asked
-}
-
-// Resume ends that.
-func (i *Instance) Resume() {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	i.mode, i.rest = Serves, nil
-}
-
-// Arrival is one request that came.
-type Arrival struct {
-	// Request is its id, as the client sent it.
-	Request string
-	At      time.Time
-	// Rest is the time for which the instance wanted nothing more from the sender, by its answer.
-	Rest time.Duration
-}
-
-// Arrived returns the requests that came, as far as they are remembered.
-func (i *Instance) Arrived() []Arrival {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	return slices.Clone(i.arrivals)
-}
-
-// Arrivals returns when requests came, as far as it is remembered.
-func (i *Instance) Arrivals() []time.Time {
-	var out []time.Time
-	for _, a := range i.Arrived() {
-		out = append(out, a.At)
-	}
-	return out
-}
-
-// arrived notes a request, and says in its answer what the instance says of itself.
-func (i *Instance) arrived(id string, h http.Header) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	if len(i.arrivals) == mostArrivals {
-		i.arrivals = append(i.arrivals[:0], i.arrivals[mostArrivals/2:]...)
-	}
-	now := Arrival{Request: id, At: time.Now()}
-	if i.limit >= 0 {
-		h.Set(platform.LimitHeader, strconv.FormatFloat(i.limit, 'f', 1, 64))
-	}
-	if i.leaving {
-		h.Set(platform.LeavingHeader, "1")
-	}
-	if i.mode == Sheds && len(i.rest) > 0 {
-		h[platform.RestHeader] = i.rest
-		now.Rest = i.longestRest()
-	}
-	h.Set(StartHeader, i.start)
-	i.arrivals = append(i.arrivals, now)
-}
-
-// longestRest is the longest of the times that it asks for; those that are no seconds are none.
-func (i *Instance) longestRest() time.Duration {
-	longest := time.Duration(0)
-	for _, text := range i.rest {
-		if seconds, err := strconv.ParseFloat(text, 64); err == nil && seconds > 0 {
-			longest = max(longest, time.Duration(seconds*float64(time.Second)))
-		}
-	}
-	return longest
-}
-
-// Holds reports whether the instance holds the key now.
-func (i *Instance) Holds(key uint16) bool {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	return i.holdsLocked(key)
-}
-
-func (i *Instance) holdsLocked(key uint16) bool {
-	now := time.Now()
-	for _, h := range i.holds {
-		if h.Has(key) && now.Before(h.until) {
-			return true
-		}
-	}
-	return false
-}
-
-// HeldFor returns how long the instance holds the key from now on; zero when it does
-// not hold it.
-func (i *Instance) HeldFor(key uint16) time.Duration {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	longest := time.Duration(0)
-	for _, h := range i.holds {
-		if h.Has(key) {
-			longest = max(longest, time.Until(h.until))
-		}
-	}
-	return longest
-}
-
 // ServeHTTP serves requests and calls.
 func (i *Instance) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
@@ -316,126 +177,6 @@
 	}
 }
 
-// late reports whether a control call that comes now is carried out late, and by how much.
-func (i *Instance) late() (time.Duration, bool) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	if i.mode != LateCalls {
-		return 0, false
-	}
-	i.calls++
-	return lateLeast + time.Duration(i.calls/2%lateSteps)*lateStep, i.calls%2 == 0
-}
-
-// carryOutLater carries a control call out after a time.
-func (i *Instance) carryOutLater(path string, body []byte, delay time.Duration) {
-	var c platform.GrantCall
-	if json.Unmarshal(body, &c) != nil {
-		return
-	}
-	until := time.Now().Add(time.Duration(c.Hold * float64(time.Second)))
-	time.AfterFunc(delay, func() {
-		if path == platform.GrantPath {
-			i.grant(c, until)
-			return
-		}
-		i.mu.Lock()
-		defer i.mu.Unlock()
-		if !i.ended {
-			i.release(c)
-		}
-	})
-}
-
-// release drops the keys of a call. The lock is held.
-func (i *Instance) release(c platform.GrantCall) {
-	keys := spans.Keys{First: c.From, Last: c.Target}
-	i.drop(keys)
-	i.seen = append(i.seen, seen{keys, c.Fence})
-	i.Oracle.released(i.ID, keys)
-}
-
-func (i *Instance) grantCall(w http.ResponseWriter, body []byte) {
-	var c platform.GrantCall
-	if json.Unmarshal(body, &c) != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	until := time.Now().Add(time.Duration(c.Hold * float64(time.Second)))
-	if i.get() == LateGrants {
-		time.AfterFunc(LateBy, func() { i.grant(c, until) })
-		panic(http.ErrAbortHandler)
-	}
-	w.WriteHeader(i.grant(c, until))
-}
-
-func (i *Instance) grant(c platform.GrantCall, until time.Time) int {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	if i.ended {
-		return http.StatusServiceUnavailable
-	}
-	keys := spans.Keys{First: c.From, Last: c.Target}
-	for _, s := range i.seen {
-		if overlap(s.Keys, keys) && s.fence > c.Fence {
-			return http.StatusConflict
-		}
-	}
-	i.drop(keys)
-	i.seen = append(i.seen, seen{keys, c.Fence})
-	i.holds = append(i.holds, hold{keys, c.Fence, until})
-	i.Oracle.granted(i.ID, keys, c.Fence, until)
-	return http.StatusOK
-}
-
-func overlap(a, b spans.Keys) bool { return a.First <= b.Last && b.First <= a.Last }
-
-// drop cuts the keys out of all holds.
-func (i *Instance) drop(keys spans.Keys) {
-	var kept []hold
-	for _, h := range i.holds {
-		if !overlap(h.Keys, keys) {
-			kept = append(kept, h)
-			continue
-		}
-		if h.First < keys.First {
-			low := h
-			low.Last = keys.First - 1
-			kept = append(kept, low)
-		}
-		if h.Last > keys.Last {
-			high := h
-			high.First = keys.Last + 1
-			kept = append(kept, high)
-		}
-	}
-	i.holds = kept
-}
-
-func (i *Instance) releaseCall(w http.ResponseWriter, body []byte) {
-	var c platform.GrantCall
-	if json.Unmarshal(body, &c) != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	i.release(c)
-	for i.busy(spans.Keys{First: c.From, Last: c.Target}) {
-		i.idle.Wait()
-	}
-	w.Header().Set(platform.Handover, "h-"+i.ID+"-"+strconv.FormatUint(c.Fence, 10))
-}
-
-func (i *Instance) busy(keys spans.Keys) bool {
-	for key, n := range i.running {
-		if n > 0 && keys.Has(key) {
-			return true
-		}
-	}
-	return false
-}
-
 func (i *Instance) request(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get(platform.RequestID)
 	if id == "" {
@@ -487,20 +228,3 @@
 	w.Header().Set(platform.NotExecuted, "1")
 	w.WriteHeader(http.StatusBadRequest)
 }
-
-func (i *Instance) begin(key uint16) bool {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	if !i.holdsLocked(key) {
-		return false
-	}
-	i.running[key]++
-	return true
-}
-
-func (i *Instance) end(key uint16) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	i.running[key]--
-	i.idle.Broadcast()
-}
--- a/state/capacity/capacity.go
+++ b/state/capacity/capacity.go
@@ -1,8 +1,7 @@
 // Package capacity works out what gateways cost for control at a given size, from
-// slopes that were measured at small sizes. It is arithmetic: nothing was run at the
-// sizes that it is asked about. Processor time is that of the machine on which the slopes
-// were measured; on the users' bench, with a share of a core and a charge for each system
-// call, the leader of 78 gateways took six times the estimate.
+// slopes at small sizes. It is arithmetic: nothing was run at the sizes that it is asked
+// about. Processor time is that of the machine of the slopes; docs/CAPACITY.md says which
+// that is and how far the estimate is off on others.
 package capacity
 
 import (
@@ -35,25 +34,23 @@
 	return nil
 }
 
-// Slopes measured by `make bench` on an 8-core machine that ran other things too (package
-// gateway and coordination/ownership); where both ends of a message ran in one process,
-// half is counted here.
+// Slopes; `make bench` shows those of the machine that it runs on. Where both ends of a
+// message run in one process, half is counted here.
 const (
-	// forwardCost is a gateway's part of one request: BenchmarkForward, 144 us through
-	// a gateway less 57 us straight.
+	// forwardCost is a gateway's part of one request: BenchmarkForward, through a gateway
+	// less straight.
 	forwardCost = 87 * time.Microsecond
 	// reportCost is one end of a report, reportLoadCost of each load in it:
-	// BenchmarkReport, 111 us with 10 loads and 204 us with 100.
+	// BenchmarkReport, with 10 loads and with 100.
 	reportCost     = 50 * time.Microsecond
 	reportLoadCost = 520 * time.Nanosecond
-	// renewalCost is one renewal at the leader: BenchmarkRenewal, 62 us.
+	// renewalCost is one renewal at the leader: BenchmarkRenewal.
 	renewalCost = 31 * time.Microsecond
-	// planCost is one plan, planUpstreamCost each keyed upstream in it: BenchmarkMake,
-	// 0.56 ms with 119 and 1.58 ms with 1,190.
+	// planCost is one plan, planUpstreamCost each keyed upstream in it: BenchmarkMake.
 	planCost         = 440 * time.Microsecond
 	planUpstreamCost = 950 * time.Nanosecond
-	// baseMemory and upstreamMemory, in MB: peaks of 18 MB with 35 upstreams and 25 MB
-	// with 346, on the users' bench.
+	// baseMemory and upstreamMemory are the peak of a gateway and the part of each upstream
+	// in it, in MB.
 	baseMemory     = 17.2
 	upstreamMemory = 0.0232
 	// reportBytes and loadBytes are the encoded sizes of a report and of a load in it.
