Let only a leader ask widely for changes

After a start of all at once hundreds of gateways hear from no leader and watch the store themselves, slow as they are then; each whose watch is late would have asked all others: a load that keeps itself up. Gateways that do not lead ask four, a leader 128 at most; where all were asked in vain four for 3 s. Failed before: TestWhoDoesNotLeadAsksFew (300 asked). The tests of changes at 3, 12 and 74 gateways pass as before.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -186,7 +186,7 @@
 	}}}
 	g.cluster = newCluster(self, client, g.now, mathrand.New(mathrand.NewPCG(seeds[1], seeds[0])))
 	g.calls = &storeCaller{
-		conns: pool.New(storeLimits, g.now), address: conf.Store.String(), relays: g.cluster.some,
+		conns: pool.New(storeLimits, g.now), address: conf.Store.String(), relays: g.cluster.some, leads: g.cluster.isLeading,
 		now: g.now, log: log, meters: g.meters, lastOK: g.now(),
 	}
 	g.suspects = newSuspects(g.view, g.cluster.gateways, g.now, log, g.meters, mathrand.New(mathrand.NewPCG(seeds[0], seeds[1]+1)))
--- a/gateway/storecall.go
+++ b/gateway/storecall.go
@@ -54,6 +54,8 @@
 type storeCaller struct {
 	conns   exchanger
 	address string
+	// leads reports whether this gateway leads, and the others go by what it hears.
+	leads func() bool
 	// relays returns gateways to ask, the best first.
 	relays func(most int) []syncpb.Peer
 	now    func() time.Time
--- a/gateway/storeseek.go
+++ b/gateway/storeseek.go
@@ -21,11 +21,12 @@
 	seekPause = 100 * time.Millisecond
 	firstSeek = 4
 	// mostSought bounds the gateways that are asked for one call.
-	mostSought = 512
-	// wideSeeks is how many rounds are made where all gateways were asked in vain within
-	// seekRest: the store is away then for all that count as in touch with it.
-	wideSeeks = 2
-	seekRest  = 3 * time.Second
+	mostSought = 128
+	// narrowSeeks is how many rounds are made where all gateways were asked in vain within
+	// seekRest, as the store is away then for all that count as in touch with it, and by a
+	// gateway that does not lead: hundreds that hear from no leader would ask each other.
+	narrowSeeks = 1
+	seekRest    = 3 * time.Second
 	// latencyWeight is the weight of a new call in the mean latency of the store, latencyShare
 	// how many times that it may be silent before it is asked another way.
 	latencyWeight = 0.2
@@ -60,7 +61,7 @@
 	for _, peer := range round {
 		w.relayed(ctx, call, peer)
 	}
-	if len(w.peers) > 0 && (w.rounds < wideSeeks || !w.store.soughtInVain()) {
+	if len(w.peers) > 0 && (w.rounds < narrowSeeks || w.store.seeksWidely()) {
 		w.left = append(w.left, w.seek)
 	}
 	return begun + len(round)
@@ -117,9 +118,13 @@
 	s.sought = s.now()
 }
 
-// soughtInVain reports whether that was a moment ago.
-func (s *storeCaller) soughtInVain() bool {
+// seeksWidely reports whether ever more gateways are to be asked: by a leader, unless all were asked
+// in vain a moment ago.
+func (s *storeCaller) seeksWidely() bool {
+	if !s.leads() {
+		return false
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return !s.sought.IsZero() && s.now().Sub(s.sought) < seekRest
+	return s.sought.IsZero() || s.now().Sub(s.sought) >= seekRest
 }
