--- a/gateway/storeseek.go
+++ b/gateway/storeseek.go
@@ -22,11 +22,9 @@
 	firstSeek = 4
 	// mostSought bounds the gateways that are asked for one call.
 	mostSought = 128
-	// narrowSeeks is how many rounds are made where all gateways were asked in vain within
-	// seekRest, as the store is away then for all that count as in touch with it, and by a
-	// gateway that does not lead: hundreds that hear from no leader would ask each other.
-	narrowSeeks = 1
-	seekRest    = 3 * time.Second
+	// seekRest is how long after all gateways were asked in vain only one round is made: the
+	// store is away then for all that count as in touch with it.
+	seekRest = 3 * time.Second
 	// latencyWeight is the weight of a new call in the mean latency of the store, latencyShare
 	// how many times that it may be silent before it is asked another way.
 	latencyWeight = 0.2
@@ -61,7 +59,7 @@
 	for _, peer := range round {
 		w.relayed(ctx, call, peer)
 	}
-	if len(w.peers) > 0 && (w.rounds < narrowSeeks || w.store.seeksWidely()) {
+	if len(w.peers) > 0 && w.store.seeksWidely() {
 		w.left = append(w.left, w.seek)
 	}
 	return begun + len(round)
@@ -118,8 +116,8 @@
 	s.sought = s.now()
 }
 
-// seeksWidely reports whether ever more gateways are to be asked: by a leader, unless all were asked
-// in vain a moment ago.
+// seeksWidely reports whether more than one round is to be made: by a leader, unless all were asked
+// in vain a moment ago. Hundreds of gateways that hear from no leader would ask each other.
 func (s *storeCaller) seeksWidely() bool {
 	if !s.leads() {
 		return false
