--- a/coordination/controller/controller_test.go
+++ b/coordination/controller/controller_test.go
@@ -235,3 +235,51 @@
 		t.Error("not settled after the former quorum was cleared")
 	}
 }
+
+// TestSoleVoterEndsUnseen guards against a cell that nobody can lead any more:
+// the former sole voter is silent and the document still lists its quorum. Only
+// if it was heard to use that document may another entry go on without it.
+func TestSoleVoterEndsUnseen(t *testing.T) {
+	ended := cell.Member{ID: MemberID("a", start), Cell: "c", Peer: "q"}
+	joined := &cell.Cell{
+		Name: "c", Domain: "d", Version: 6, Fence: 6,
+		Quorum:   cell.Quorum{Local: []cell.Member{ended, self}},
+		Previous: []cell.Quorum{{Local: []cell.Member{ended}}},
+	}
+	tests := []struct {
+		name   string
+		before uint64
+		after  uint64
+		want   bool
+	}{
+		{"heard before the document came", 6, 0, true},
+		{"heard after the document came", 5, 6, true},
+		{"heard of a later one", 7, 0, true},
+		{"heard with the former document only", 5, 5, false},
+		{"heard without a version", 0, 0, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := newCore()
+			c.OnVersion(start, ended, tt.before)
+			c.OnDocument(start, joined.Clone(), 10)
+			c.OnVersion(start, ended, tt.after)
+			for i := range 100 {
+				now := start.Add(time.Duration(i) * 50 * time.Millisecond)
+				if i == 20 && len(c.doc.Previous) == 0 {
+					t.Fatal("went on before the promises of the silent voter have lapsed")
+				}
+				for _, cmd := range c.Step(now) {
+					if apply, ok := cmd.(Apply); ok && apply.To.ID == ended.ID {
+						c.OnApplied(now, apply, Applied{}, errors.New("no answer"))
+						continue
+					}
+					answer(c, now, cmd)
+				}
+			}
+			if got := len(c.doc.Quorum.Local) == 1; got != tt.want {
+				t.Errorf("went on alone: %v, want %v (%s)", got, tt.want, c.Explain(start.Add(5*time.Second)))
+			}
+		})
+	}
+}
--- a/coordination/controller/core.go
+++ b/coordination/controller/core.go
@@ -131,6 +131,10 @@
 type heardMember struct {
 	member cell.Member
 	at     time.Time
+	// version of the cell document that the member uses at least, as heard
+	// first at versionAt. Zero when it told none.
+	version   uint64
+	versionAt time.Time
 }
 
 // NewCore returns a controller for the cell of self. NewID returns a fresh
@@ -201,6 +205,9 @@
 	for id, at := range c.dead {
 		c.settler.RecordDead(at, id)
 	}
+	for _, h := range c.heard {
+		c.follow(h)
+	}
 	c.succeed(now, c.self.ID)
 	for _, id := range sortedKeys(c.heard) {
 		c.succeed(now, id)
@@ -285,7 +292,31 @@
 	}
 	c.succeed(now, m.ID)
 	if m.Cell == c.self.Cell || c.doc != nil && c.isWide(m.ID) {
-		c.heard[m.ID] = heardMember{member: m, at: now}
+		h := c.heard[m.ID]
+		h.member, h.at = m, now
+		c.heard[m.ID] = h
+	}
+}
+
+// OnVersion notes that a member of the cell uses the cell document of the given
+// version or a later one. A process never goes back to an older document.
+func (c *Core) OnVersion(now time.Time, m cell.Member, version uint64) {
+	c.OnBeat(now, m)
+	h, ok := c.heard[m.ID]
+	if !ok || m.Cell != c.self.Cell || version <= h.version {
+		return
+	}
+	h.version, h.versionAt = version, now
+	c.heard[m.ID] = h
+	c.follow(h)
+}
+
+// follow tells the settler of a member that uses the document of its fence. It
+// may end before it acknowledges, and nobody else could tell then that a quorum
+// of which it was the only voter is over.
+func (c *Core) follow(h heardMember) {
+	if c.settler != nil && h.version >= c.settler.Fence() {
+		c.settler.RecordFollows(h.versionAt, h.member.ID)
 	}
 }
 
--- a/coordination/controller/explain.go
+++ b/coordination/controller/explain.go
@@ -20,6 +20,6 @@
 			silent++
 		}
 	}
-	return fmt.Sprintf("version=%d fence=%d leads=%v settled=%v can_settle=%v silent=%d busy=%d moves=%d",
-		c.doc.Version, c.doc.Fence, c.Leads(now), c.settled, c.canSettle(now), silent, busy, len(c.moves))
+	return fmt.Sprintf("version=%d fence=%d leads=%v settled=%v can_settle=%v silent=%d former=%d busy=%d moves=%d",
+		c.doc.Version, c.doc.Fence, c.Leads(now), c.settled, c.canSettle(now), silent, len(c.doc.Previous), busy, len(c.moves))
 }
--- a/coordination/controller/members.go
+++ b/coordination/controller/members.go
@@ -94,9 +94,14 @@
 
 // canSettle reports whether enough voters are in contact for a new fence to
 // become settled. Without that, a controller that is cut off would only take
-// votes and ranges away that nobody can hand out again.
+// votes and ranges away that nobody can hand out again. Former quorums count
+// until the present fence is settled: nobody follows them after that.
 func (c *Core) canSettle(now time.Time) bool {
-	for _, q := range append(slices.Clone(c.doc.Previous), c.doc.Quorum) {
+	quorums := []cell.Quorum{c.doc.Quorum}
+	if !c.settled {
+		quorums = append(quorums, c.doc.Previous...)
+	}
+	for _, q := range quorums {
 		if !c.reachesHalf(now, q.Local) || !c.reachesHalf(now, q.Wide) {
 			return false
 		}
--- a/coordination/fence/fence.go
+++ b/coordination/fence/fence.go
@@ -178,6 +178,9 @@
 	limits  Limits
 	quorums []cell.Quorum
 	acks    map[string]time.Time
+	// follows holds voters that were heard to follow the fence but have not
+	// acknowledged it, since when.
+	follows map[string]time.Time
 	// guestsTo is when promises to entries outside of the quorum have lapsed.
 	guestsTo time.Time
 	// deadAt is when the last voter that ended was known to have ended.
@@ -191,6 +194,7 @@
 		limits:  limits,
 		quorums: append(slices.Clone(doc.Previous), doc.Quorum),
 		acks:    make(map[string]time.Time),
+		follows: make(map[string]time.Time),
 	}
 }
 
@@ -243,6 +247,16 @@
 	}
 }
 
+// RecordFollows notes a voter that used a document of the fence or of a later
+// one at the given time. It promises nothing under older documents any more,
+// but what it promised guests before is not known, and what it has under way
+// neither: that has to lapse.
+func (s *Settler) RecordFollows(at time.Time, id string) {
+	if _, ok := s.follows[id]; !ok {
+		s.follows[id] = at
+	}
+}
+
 // Acked reports whether the voter has acknowledged.
 func (s *Settler) Acked(id string) bool {
 	_, ok := s.acks[id]
@@ -294,10 +308,20 @@
 	return at, true
 }
 
+// boundSince returns since when the voter certainly promises nothing under an
+// older fence.
+func (s *Settler) boundSince(id string) (time.Time, bool) {
+	if at, ok := s.acks[id]; ok {
+		return at, true
+	}
+	at, ok := s.follows[id]
+	return at, ok
+}
+
 func (s *Settler) setBlockedAt(set []cell.Member) (time.Time, bool) {
 	var times []time.Time
 	for _, m := range set {
-		if at, ok := s.acks[m.ID]; ok {
+		if at, ok := s.boundSince(m.ID); ok {
 			times = append(times, at)
 		}
 	}
--- a/coordination/fence/fence_test.go
+++ b/coordination/fence/fence_test.go
@@ -146,3 +146,28 @@
 		t.Error("settled while requests of the dead voter may be under way")
 	}
 }
+
+// TestSoleVoterThatFollowedAndEnded guards against a former quorum that nobody
+// can speak for: its only voter was heard to use the new document and ended.
+func TestSoleVoterThatFollowedAndEnded(t *testing.T) {
+	doc := &cell.Cell{
+		Fence:    2,
+		Previous: []cell.Quorum{{Local: members("a")}},
+		Quorum:   cell.Quorum{Local: members("a", "b")},
+	}
+	s := NewSettler(doc, limits)
+	s.Record(start, Ack{Voter: "b", Fence: 2})
+	if s.Settled(start.Add(time.Hour), 0) {
+		t.Fatal("settled while the sole voter may still be sending")
+	}
+	s.RecordFollows(start, "a")
+	// Guests of a may send as long as its last promise to them holds, and
+	// requests of a may be under way for the grace.
+	const grace = 10 * time.Second
+	if s.Settled(start.Add(limits.voterTTL()+grace-1), grace) {
+		t.Error("settled before what a promised and sent has lapsed")
+	}
+	if !s.Settled(start.Add(limits.voterTTL()+grace), grace) {
+		t.Error("not settled")
+	}
+}
--- a/entry/beats.go
+++ b/entry/beats.go
@@ -87,7 +87,7 @@
 	if resp.Granted && version == req.Version {
 		e.gate.Promised(resp.Responder.GetId(), askedAt)
 	}
-	e.heard(memberFrom(resp.Responder))
+	e.heard(memberFrom(resp.Responder), resp.Version)
 	if e.behind(resp) {
 		e.pull(ctx, t.peer)
 	}
@@ -132,8 +132,9 @@
 	}
 }
 
-// heard notes that an entry is alive.
-func (e *Entry) heard(m cell.Member) {
+// heard notes that an entry is alive and which version of its cell's document it
+// uses, zero when it told none.
+func (e *Entry) heard(m cell.Member, version uint64) {
 	if m.ID == "" || m.ID == e.self.ID {
 		return
 	}
@@ -141,7 +142,7 @@
 		e.stopSuperseded(m.ID)
 		return
 	}
-	e.control.note(func(core *controller.Core, now time.Time) { core.OnBeat(now, m) })
+	e.control.note(func(core *controller.Core, now time.Time) { core.OnVersion(now, m, version) })
 }
 
 // stopSuperseded ends a process whose place another one has taken: the others
@@ -171,7 +172,7 @@
 			e.peers.Bad(peer)
 			return
 		}
-		e.heard(memberFrom(resp.Responder))
+		e.heard(memberFrom(resp.Responder), resp.Version)
 		e.takeCells(resp.Cells)
 		if e.behind(resp) {
 			e.pull(ctx, peer)
--- a/entry/bed_test.go
+++ b/entry/bed_test.go
@@ -34,6 +34,9 @@
 type switchStore struct {
 	*platform.Memory
 	down atomic.Bool
+	// downAfter switches the store off right after a cell document for which
+	// it returns true was written, before the writer hears of it.
+	downAfter func(*cell.Cell) bool
 }
 
 var errDown = fmt.Errorf("the platform is down")
@@ -56,7 +59,13 @@
 	if s.down.Load() {
 		return 0, errDown
 	}
-	return s.Memory.Put(ctx, obj, expect)
+	version, err := s.Memory.Put(ctx, obj, expect)
+	if err == nil && s.downAfter != nil && obj.Kind == platform.KindCell {
+		if doc, err := cell.Decode(obj.Value); err == nil && s.downAfter(doc) {
+			s.down.Store(true)
+		}
+	}
+	return version, err
 }
 
 func (s *switchStore) Watch(ctx context.Context, kind string, after uint64, wait time.Duration) (platform.Batch, error) {
--- a/entry/control.go
+++ b/entry/control.go
@@ -189,6 +189,7 @@
 		Fence:       cmd.Doc.Fence,
 		Documents:   []*peerpb.Document{doc},
 		DrainWaitMs: cmd.DrainWait.Milliseconds(),
+		Sender:      memberTo(e.self),
 	})
 	if err != nil {
 		return controller.Applied{}, answer.Wrap(answer.Unreachable, err)
--- a/entry/faults_test.go
+++ b/entry/faults_test.go
@@ -122,6 +122,49 @@
 	b.awaitServed("svc")
 }
 
+// TestSoleVoterEndsWhileAnotherJoins guards against a cell that nobody can lead
+// any more: the only voter ends, while the store is down, right after it has
+// written that another entry votes too and before it could write that its sole
+// vote is over. The other one was heard nothing from but that document.
+func TestSoleVoterEndsWhileAnotherJoins(t *testing.T) {
+	t.Run("one cell", func(t *testing.T) { soleVoterEnds(t, newBed(t)) })
+	t.Run("beside another cell", func(t *testing.T) {
+		b := newBed(t)
+		soleVoterEnds(t, b, b.addEntry("entry-b0", "b"), b.addEntry("entry-b1", "b"))
+	})
+}
+
+func soleVoterEnds(t *testing.T, b *bed, others ...*runningEntry) {
+	b.store.downAfter = func(doc *cell.Cell) bool {
+		return doc.Name == "a" && len(doc.Quorum.Local) == 2 && len(doc.Previous) > 0
+	}
+	if len(others) > 0 {
+		b.awaitVoters("b", len(others))
+	}
+	first := b.addEntry("entry-a0", "a")
+	b.addUpstream("up-a0", "a", func(s *upstream.Settings) { s.ChecksFences = true })
+	b.awaitVoters("a", 1)
+	b.awaitDone(b.enact(b.serviceSpec("svc", true)))
+	b.awaitServed("svc")
+	second := b.addEntry("entry-a1", "a")
+	b.await("the second entry's vote", func() error {
+		doc := second.gate.Doc()
+		if doc == nil || !doc.Quorum.HasLocal(second.self.ID) {
+			return fmt.Errorf("not known to it")
+		}
+		return nil
+	})
+	if len(second.gate.Doc().Previous) == 0 {
+		t.Fatal("the sole vote is over already")
+	}
+	first.stop()
+	<-first.done
+	b.entries = append(others, second)
+	b.store.down.Store(false)
+	b.awaitVoters("a", 1)
+	b.awaitServed("svc")
+}
+
 // TestLostUpstream ends an upstream without notice under load.
 func TestLostUpstream(t *testing.T) {
 	b := twoCells(t, true)
--- a/entry/peerserver.go
+++ b/entry/peerserver.go
@@ -43,7 +43,7 @@
 		Responder: memberTo(e.self),
 		Digest:    e.docs.Digest(),
 	}
-	e.heard(sender)
+	e.heard(sender, req.Version)
 	e.control.note(func(core *controller.Core, now time.Time) {
 		if sender.Cell != e.self.Cell {
 			return
@@ -115,6 +115,7 @@
 		if doc.Name != e.self.Cell {
 			return nil, twirp.InvalidArgumentError("documents", "the document is of another cell")
 		}
+		e.heard(memberFrom(req.Sender), doc.Version)
 		a := e.applyHere(ctx, doc, time.Duration(req.DrainWaitMs)*time.Millisecond)
 		return applyResponse(a), nil
 	}
--- a/proof/nodes_test.go
+++ b/proof/nodes_test.go
@@ -165,7 +165,7 @@
 		if other.dead || other.paused || other.self.ID != to.ID {
 			return
 		}
-		other.core.OnBeat(other.clock(), self)
+		other.core.OnVersion(other.clock(), self, version)
 		for _, s := range seen {
 			if other.self.Cell == cellName {
 				other.core.OnObservation(other.clock(), self.ID, s.Upstream, s.Observation)
@@ -183,7 +183,7 @@
 			if granted {
 				e.gate.Promised(to.ID, askedAt)
 			}
-			e.core.OnBeat(e.clock(), to)
+			e.core.OnVersion(e.clock(), to, theirs)
 			if e.self.Cell == cellName && other.self.Cell == cellName && theirs > e.gate.Version() {
 				e.pull(other)
 			}
