--- a/coordination/dispatch/limited.go
+++ b/coordination/dispatch/limited.go
@@ -29,6 +29,17 @@
 	quota.Rate
 	// others is what the other gateways are asked for; negative when that is not known.
 	others float64
+	// turn says which of the requests here are let through.
+	turn quota.Turn
+}
+
+// newLimit returns a limit that is heard of first now.
+func (s *Service) newLimit(now time.Time, one Limit) *limit {
+	return &limit{
+		Rate:   quota.Rate{PerSecond: one.PerSecond, Since: now},
+		others: one.Wanted,
+		turn:   quota.NewTurn(s.rng.Float64(), s.rng.Float64()),
+	}
 }
 
 // SetLimits takes over the limits that upstreams name, by ID. Those not listed name none.
@@ -39,7 +50,7 @@
 		case !ok:
 			u.limit = nil
 		case u.limit == nil:
-			u.limit = &limit{Rate: quota.Rate{PerSecond: one.PerSecond, Since: now}, others: one.Wanted}
+			u.limit = s.newLimit(now, one)
 		default:
 			u.limit.PerSecond, u.limit.others = one.PerSecond, one.Wanted
 		}
@@ -93,7 +104,7 @@
 	if w.heldBack {
 		return false
 	}
-	if s.rng.Float64() < u.limit.Admit(now, u.wantedByAll(now)) {
+	if u.limit.turn.Take(u.limit.Admit(now, u.wantedByAll(now)), s.rng.Float64()) {
 		w.admitted = u
 		return true
 	}
--- a/coordination/dispatch/limited_test.go
+++ b/coordination/dispatch/limited_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/rockcroft/rockcroft/coordination/quota"
 	"github.com/rockcroft/rockcroft/state/instances"
 )
 
@@ -66,6 +67,25 @@
 	}
 }
 
+// TestLimitedOwnerTakesWhatItNames: of few requests too, callers get as many through as the owner
+// takes, and not by luck fewer or more.
+func TestLimitedOwnerTakesWhatItNames(t *testing.T) {
+	const perSecond, wanted, batch = 10.0, 40.0, 20
+	s := limited(map[string]float64{"a1": perSecond}, wanted, 10, "a1")
+	let := 0
+	for i := range 50 {
+		went, refused := askMany(s, batch, "a1")
+		let += went["a1"]
+		if refused[Limited]+went["a1"] != batch {
+			t.Fatalf("refused: %v", refused)
+		}
+		due := quota.Used * perSecond / wanted * batch * float64(i+1)
+		if stray := due - float64(let); stray < -2 || stray > 2 {
+			t.Errorf("%d of %d let through, %.1f due", let, batch*(i+1), due)
+		}
+	}
+}
+
 // TestLimitedUpstreamIsSpared: what any may run goes to the others, and nothing is refused.
 func TestLimitedUpstreamIsSpared(t *testing.T) {
 	s := limited(map[string]float64{"a1": 10}, 100, 40, "a1", "a2")
--- a/coordination/poison/poison.go
+++ b/coordination/poison/poison.go
@@ -4,9 +4,10 @@
 //
 // A request is known again by the digest of its path, caller and body. It is suspected when its
 // run breaks off without an answer and that start of the upstream turns out to have ended; all
-// that ran there then are. One that was there at the ends of three is sent no more. Gateways tell
-// each other what they have seen: events are merged by upstream and start, so that what two of
-// them saw of one end counts once, in whichever order they hear.
+// that ran there then are. One that was there at the ends of three is sent no more, unless it may
+// well have been there by chance (verdict.go). Gateways tell each other what they have seen: events
+// are merged by upstream and start, so that what two of them saw of one end counts once, in
+// whichever order they hear.
 package poison
 
 import (
@@ -20,10 +21,6 @@
 )
 
 const (
-	// refusedFrom is how many upstreams a request must have ended to be refused. Innocent ones
-	// are there by chance: a caller that comes back twice or three times is there at two ends of
-	// upstreams that others have caused, seldom at three.
-	refusedFrom = 3
 	// endsWithin is how long after a run broke off the end of that start of the upstream counts as
 	// its effect: the first connection that it refuses shows it at once, its next start only when
 	// it is back and has written its entry.
@@ -75,6 +72,8 @@
 	Digest Digest
 	Event  Event
 	At     time.Time
+	// Apart says that the request was sent where no other suspect ran.
+	Apart bool
 }
 
 // Clearing is the word that a request does no harm, for all its crashes until then.
@@ -85,15 +84,17 @@
 
 // suspect is what is known of one request.
 type suspect struct {
-	crashes map[Event]time.Time
+	crashes map[Event]Crash
 	last    time.Time
 	cleared time.Time
+	refused bool
 }
 
 // broken is a run that broke off without an answer.
 type broken struct {
 	digest Digest
 	at     time.Time
+	apart  bool
 }
 
 // start is one start of an upstream.
@@ -110,11 +111,17 @@
 	broken map[start][]broken
 	count  int
 	ended  map[start]time.Time
+	ends   ends
 }
 
 // NewBook returns a book that suspects no request.
 func NewBook() *Book {
-	return &Book{suspects: make(map[Digest]*suspect), broken: make(map[start][]broken), ended: make(map[start]time.Time)}
+	return &Book{
+		suspects: make(map[Digest]*suspect),
+		broken:   make(map[start][]broken),
+		ended:    make(map[start]time.Time),
+		ends:     make(ends),
+	}
 }
 
 // Empty reports whether nothing is suspected.
@@ -133,7 +140,7 @@
 // long after its last crash one of so many gateways lets it through to try.
 func (b *Book) Refused(now time.Time, d Digest, gateways int, chance float64) bool {
 	s := b.suspects[d]
-	if s == nil || len(s.crashes) < refusedFrom {
+	if s == nil || !s.refused {
 		return false
 	}
 	return now.Sub(s.last) < forgetAfter || chance*float64(max(gateways, 1)) >= 1
@@ -142,17 +149,30 @@
 // Broke notes that a run broke off without an answer, and returns the crash if that start of the
 // upstream is known to have ended.
 func (b *Book) Broke(now time.Time, d Digest, upstream string, incarnation instances.Incarnation) []Crash {
-	at := start{upstream, incarnation}
-	if ended, ok := b.ended[at]; ok && now.Sub(ended) < endsBefore {
-		return b.add(Crash{Digest: d, Event: eventOf(upstream, incarnation), At: now})
+	return b.broke(start{upstream, incarnation}, broken{digest: d, at: now})
+}
+
+// BrokeApart is Broke for a run that was sent where no other suspect ran.
+func (b *Book) BrokeApart(now time.Time, d Digest, upstream string, incarnation instances.Incarnation) []Crash {
+	return b.broke(start{upstream, incarnation}, broken{digest: d, at: now, apart: true})
+}
+
+func (b *Book) broke(at start, one broken) []Crash {
+	if ended, ok := b.ended[at]; ok && one.at.Sub(ended) < endsBefore {
+		return b.add(one.crash(at))
 	}
 	if b.count < mostBroken {
-		b.broken[at] = append(b.broken[at], broken{digest: d, at: now})
+		b.broken[at] = append(b.broken[at], one)
 		b.count++
 	}
 	return nil
 }
 
+// crash is what the run was when that start of the upstream has ended.
+func (r broken) crash(at start) Crash {
+	return Crash{Digest: r.digest, Event: eventOf(at.upstream, at.incarnation), At: r.at, Apart: r.apart}
+}
+
 // Answered notes that a start of an upstream has answered a request which was sent at a time: it
 // has not ended by what broke off before.
 func (b *Book) Answered(upstream string, incarnation instances.Incarnation, sent time.Time) {
@@ -186,7 +206,7 @@
 	var out []Crash
 	for _, one := range list {
 		if now.Sub(one.at) < endsWithin {
-			out = append(out, b.add(Crash{Digest: one.digest, Event: eventOf(upstream, incarnation), At: one.at})...)
+			out = append(out, b.add(one.crash(at))...)
 		}
 	}
 	return out
@@ -226,17 +246,22 @@
 		if len(b.suspects) >= mostSuspects {
 			return nil
 		}
-		s = &suspect{crashes: make(map[Event]time.Time)}
+		s = &suspect{crashes: make(map[Event]Crash)}
 		b.suspects[c.Digest] = s
 	}
 	_, known := s.crashes[c.Event]
 	if known || !c.At.After(s.cleared) || len(s.crashes) >= mostEvents {
 		return nil
 	}
-	s.crashes[c.Event] = c.At
+	s.crashes[c.Event] = c
+	b.ends.add(c, s.refused)
 	if c.At.After(s.last) {
 		s.last = c.At
 	}
+	if !s.refused && b.ends.guilty(s) {
+		s.refused = true
+		b.ends.explain(s)
+	}
 	return []Crash{c}
 }
 
@@ -255,18 +280,20 @@
 	for _, c := range list {
 		s := b.suspects[c.Digest]
 		if s == nil {
-			s = &suspect{crashes: make(map[Event]time.Time)}
+			s = &suspect{crashes: make(map[Event]Crash)}
 			b.suspects[c.Digest] = s
 		}
 		if !c.At.After(s.cleared) {
 			continue
 		}
 		s.cleared = c.At
-		for event, at := range s.crashes {
-			if !at.After(c.At) {
+		for event, one := range s.crashes {
+			if !one.At.After(c.At) {
 				delete(s.crashes, event)
+				b.ends.remove(event, s.refused)
 			}
 		}
+		s.refused = s.refused && len(s.crashes) >= refusedFrom
 	}
 }
 
@@ -274,15 +301,15 @@
 // and clearings of late; the requests with most crashes first, as many as one message bears.
 func (b *Book) Tell(now time.Time) (crashes []Crash, clearings []Clearing) {
 	for _, d := range b.list(func(s *suspect) bool {
-		return len(s.crashes) >= refusedFrom || now.Sub(s.last) < toldFor || now.Sub(s.cleared) < toldFor
+		return s.refused || now.Sub(s.last) < toldFor || now.Sub(s.cleared) < toldFor
 	}) {
 		s := b.suspects[d]
 		if now.Sub(s.cleared) < toldFor {
 			clearings = append(clearings, Clearing{Digest: d, At: s.cleared})
 		}
-		for event, at := range s.crashes {
+		for _, c := range s.crashes {
 			if len(crashes) < mostTold {
-				crashes = append(crashes, Crash{Digest: d, Event: event, At: at})
+				crashes = append(crashes, c)
 			}
 		}
 	}
@@ -320,7 +347,7 @@
 	var out []Suspect
 	for _, d := range b.list(func(s *suspect) bool { return len(s.crashes) > 0 }) {
 		s := b.suspects[d]
-		out = append(out, Suspect{Digest: d, Crashes: len(s.crashes), Last: s.last, Refused: len(s.crashes) >= refusedFrom})
+		out = append(out, Suspect{Digest: d, Crashes: len(s.crashes), Last: s.last, Refused: s.refused})
 	}
 	return out
 }
@@ -338,6 +365,9 @@
 	}
 	for d, s := range b.suspects {
 		if now.Sub(s.last) >= 2*forgetAfter && now.Sub(s.cleared) >= forgetAfter {
+			for event := range s.crashes {
+				b.ends.remove(event, s.refused)
+			}
 			delete(b.suspects, d)
 		}
 	}
--- a/coordination/quota/quota.go
+++ b/coordination/quota/quota.go
@@ -1,6 +1,6 @@
 // Package quota decides which part of the requests for an upstream each gateway lets through, so
-// that all gateways together keep to a rate without asking each other: each lets through at
-// random the same part, the rate over what all are asked for.
+// that all gateways together keep to a rate without asking each other: each lets the same part
+// through, the rate over what all are asked for, in even steps.
 //
 // The load that this answers: more requests want an upstream than it says it takes, at 3
 // gateways or 300, of which each may see less than one of its requests a second.
@@ -11,13 +11,11 @@
 const (
 	// Used is the part of the rate that is let through: what others are asked for is some
 	// reports old, and grows while clients come.
-	Used = 0.9
-	// queued is how much of what came before the rate was named is made up for, and makeUp the
-	// time within which: that lies in the upstream's queue, and it names a rate because it has
-	// too much already. (Arithmetic for an upstream that names a quarter of what it gets, heard
-	// by all after 0.25 s: from a second before that to three seconds after it gets 5.4 times
-	// its rate, with nothing made up for 7.5 times.)
-	queued = time.Second
+	Used = 0.92
+	// queued is how much of what came before the rate was known to all is made up for, and makeUp
+	// the time within which: that lies in the upstream's queue, and it names a rate because it
+	// has too much already.
+	queued = 1250 * time.Millisecond
 	makeUp = 4 * time.Second
 	// least is the part of the rate that is let through in any case, and trials how many requests
 	// a second, by all gateways, to an upstream that takes hardly any: its answers tell when it
@@ -48,6 +46,41 @@
 	return min(max(rate, trials)/wanted, 1)
 }
 
+// Turn lets a part of one gateway's requests through: of as many as make up one, exactly one, and
+// which of them is random, so that callers who take turns are all let through at times. A coin
+// for each request would stray from the part by the root of their number.
+type Turn struct {
+	// owed is what the requests make up since the present step began, falls where in the step
+	// one is let through. It is below zero while the one of the step before is made up for.
+	owed, falls float64
+}
+
+// NewTurn begins at a random place of a step, given two random numbers from 0 to 1, so that the
+// first ones of many gateways do not come together.
+func NewTurn(chance, falls float64) Turn {
+	t := Turn{owed: chance, falls: falls}
+	if t.owed >= t.falls {
+		// That of this step has been let through before.
+		t.owed--
+	}
+	return t
+}
+
+// Take reports whether the next request is let through, of which a part from 0 to 1 is. chance is
+// a random number from 0 to 1.
+func (t *Turn) Take(part, chance float64) bool {
+	if part >= 1 {
+		return true
+	}
+	t.owed += part
+	if t.owed < t.falls {
+		return false
+	}
+	t.owed--
+	t.falls = chance
+	return true
+}
+
 // meterTime is how long requests count in a meter's rate: long beside the interval of reports,
 // as hundreds of gateways see single requests in it.
 const meterTime = 500 * time.Millisecond
