--- a/coordination/poison/poison.go
+++ b/coordination/poison/poison.go
@@ -111,7 +111,8 @@
 	broken map[start][]broken
 	count  int
 	ended  map[start]time.Time
-	ends   ends
+	// ends are all ends that suspects were on.
+	ends map[Event]*end
 }
 
 // NewBook returns a book that suspects no request.
@@ -120,7 +121,7 @@
 		suspects: make(map[Digest]*suspect),
 		broken:   make(map[start][]broken),
 		ended:    make(map[start]time.Time),
-		ends:     make(ends),
+		ends:     make(map[Event]*end),
 	}
 }
 
@@ -254,13 +255,12 @@
 		return nil
 	}
 	s.crashes[c.Event] = c
-	b.ends.add(c, s.refused)
+	b.endAdd(c, s.refused)
 	if c.At.After(s.last) {
 		s.last = c.At
 	}
-	if !s.refused && b.ends.guilty(s) {
-		s.refused = true
-		b.ends.explain(s)
+	if !s.refused && b.guilty(s) {
+		b.refuse(s)
 	}
 	return []Crash{c}
 }
@@ -290,10 +290,10 @@
 		for event, one := range s.crashes {
 			if !one.At.After(c.At) {
 				delete(s.crashes, event)
-				b.ends.remove(event, s.refused)
+				b.endRemove(one, s.refused)
 			}
 		}
-		s.refused = s.refused && len(s.crashes) >= refusedFrom
+		b.acquit(s)
 	}
 }
 
@@ -365,8 +365,8 @@
 	}
 	for d, s := range b.suspects {
 		if now.Sub(s.last) >= 2*forgetAfter && now.Sub(s.cleared) >= forgetAfter {
-			for event := range s.crashes {
-				b.ends.remove(event, s.refused)
+			for _, c := range s.crashes {
+				b.endRemove(c, s.refused)
 			}
 			delete(b.suspects, d)
 		}
--- a/coordination/poison/verdict.go
+++ b/coordination/poison/verdict.go
@@ -1,6 +1,9 @@
 package poison
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // This file decides which suspects are refused.
 //
@@ -24,61 +27,71 @@
 // end is one end of an upstream with requests on it.
 type end struct {
 	at time.Time
-	// on is the number of suspects that were on it, refused that of those that are refused.
-	on, refused int
+	// on are the suspects that were on it, refused the number of those that are refused.
+	on      []Digest
+	refused int
 }
 
-// ends are all that suspects were on.
-type ends map[Event]*end
-
-// add notes a suspect on an end.
-func (e ends) add(c Crash, refused bool) {
-	one := e[c.Event]
+// endAdd notes a suspect on an end.
+func (b *Book) endAdd(c Crash, refused bool) {
+	one := b.ends[c.Event]
 	if one == nil {
 		one = &end{at: c.At}
-		e[c.Event] = one
+		b.ends[c.Event] = one
 	}
 	if c.At.Before(one.at) {
 		one.at = c.At
 	}
-	one.on++
+	one.on = append(one.on, c.Digest)
 	if refused {
 		one.refused++
 	}
 }
 
-// remove forgets a suspect on an end.
-func (e ends) remove(event Event, refused bool) {
-	one := e[event]
-	one.on--
+// endRemove forgets a suspect on an end.
+func (b *Book) endRemove(c Crash, refused bool) {
+	one := b.ends[c.Event]
+	one.on = slices.DeleteFunc(one.on, func(d Digest) bool { return d == c.Digest })
 	if refused {
 		one.refused--
 	}
-	if one.on == 0 {
-		delete(e, event)
+	if len(one.on) == 0 {
+		delete(b.ends, c.Event)
 	}
 }
 
-// explain notes that a suspect is refused: its ends are explained.
-func (e ends) explain(s *suspect) {
+// refuse has a suspect refused from now on: its ends are explained.
+func (b *Book) refuse(s *suspect) {
+	s.refused = true
 	for event := range s.crashes {
-		e[event].refused++
+		b.ends[event].refused++
+	}
+}
+
+// acquit lets a suspect through again that too little is left against.
+func (b *Book) acquit(s *suspect) {
+	if !s.refused || len(s.crashes) >= refusedFrom {
+		return
+	}
+	s.refused = false
+	for event := range s.crashes {
+		b.ends[event].refused--
 	}
 }
 
 // guilty reports whether a suspect that is not refused yet is to be.
-func (e ends) guilty(s *suspect) bool {
+func (b *Book) guilty(s *suspect) bool {
 	if len(s.crashes) < refusedFrom {
 		return false
 	}
 	count, apart := 0, false
 	var first, last time.Time
 	for event, c := range s.crashes {
-		if e[event].refused > 0 {
+		if b.ends[event].refused > 0 {
 			continue
 		}
 		count++
-		apart = apart || c.Apart
+		apart = apart || c.Apart && b.alone(c)
 		if first.IsZero() || c.At.Before(first) {
 			first = c.At
 		}
@@ -92,13 +105,24 @@
 	case count >= refusedAnyway || apart:
 		return true
 	}
-	return !e.passedBy(s, first, last)
+	return !b.passedBy(s, first, last)
+}
+
+// alone reports whether nothing that other gateways sent makes the end less than a proof: a gateway
+// knows only what it has sent itself.
+func (b *Book) alone(c Crash) bool {
+	for _, d := range b.ends[c.Event].on {
+		if d != c.Digest && len(b.suspects[d].crashes) >= ApartFrom {
+			return false
+		}
+	}
+	return true
 }
 
 // passedBy reports whether there was an end between two times that nothing explains and that the
 // suspect was not on.
-func (e ends) passedBy(s *suspect, first, last time.Time) bool {
-	for event, one := range e {
+func (b *Book) passedBy(s *suspect, first, last time.Time) bool {
+	for event, one := range b.ends {
 		_, on := s.crashes[event]
 		if !on && one.refused == 0 && one.at.After(first) && one.at.Before(last) {
 			return true
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -30,6 +30,8 @@
 
 	mu   sync.Mutex
 	book *poison.Book
+	// runs are those of suspects that this gateway has sent.
+	runs *poison.Runs
 	rng  *rand.Rand
 	// packed is the message that was made at packedAt.
 	packed   *syncpb.Suspects
@@ -37,7 +39,7 @@
 }
 
 func newSuspects(v *view, gateways func() int, now func() time.Time, log *slog.Logger, m *meters, rng *rand.Rand) *suspects {
-	return &suspects{view: v, now: now, log: log, meters: m, gateways: gateways, book: poison.NewBook(), rng: rng}
+	return &suspects{view: v, now: now, log: log, meters: m, gateways: gateways, book: poison.NewBook(), runs: poison.NewRuns(), rng: rng}
 }
 
 // digest tells the request again when it comes another time, by path, caller and body. It is
@@ -81,14 +83,48 @@
 	return !s.book.Empty() && s.book.Crashes(q.digest()) > 0
 }
 
-// ended notes how a try ended.
-func (s *suspects) ended(q *request, g dispatch.Grant, o dispatch.Outcome) {
+// avoid returns the upstreams at which a suspect is not to run, as others do. Where that would be
+// half of the service's and more it runs beside others, as they would wait for each other.
+func (s *suspects) avoid(q *request) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.book.Empty() || s.book.Crashes(q.digest()) == 0 {
+		return nil
+	}
+	occupied := s.runs.Occupied(q.digest())
+	if 2*len(occupied) >= len(s.view.inst.Load().Service(q.service.Name)) {
+		return nil
+	}
+	return occupied
+}
+
+// began notes that a request is sent to an upstream. It returns nil for one that is not suspected.
+func (s *suspects) began(q *request, g dispatch.Grant) *poison.Run {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.book.Empty() {
+		return nil
+	}
+	crashes := s.book.Crashes(q.digest())
+	if crashes == 0 {
+		return nil
+	}
+	return s.runs.Begin(g.Instance.ID, q.digest(), crashes)
+}
+
+// ended notes how a try ended that began as a run.
+func (s *suspects) ended(q *request, g dispatch.Grant, run *poison.Run, o dispatch.Outcome) {
 	one := &g.Instance
 	s.mu.Lock()
 	var crashes []poison.Crash
+	apart := run != nil && s.runs.End(run)
 	switch o {
 	case dispatch.Broken:
-		crashes = s.book.Broke(s.now(), q.digest(), one.ID, one.Incarnation())
+		if apart {
+			crashes = s.book.BrokeApart(s.now(), q.digest(), one.ID, one.Incarnation())
+		} else {
+			crashes = s.book.Broke(s.now(), q.digest(), one.ID, one.Incarnation())
+		}
 	case dispatch.Refused:
 		crashes = s.book.Ended(s.now(), one.ID, one.Incarnation())
 	case dispatch.Answered, dispatch.Failed, dispatch.Full:
--- a/gateway/suspects_test.go
+++ b/gateway/suspects_test.go
@@ -4,16 +4,19 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/rockcroft/rockcroft/coordination/dispatch"
 	"github.com/rockcroft/rockcroft/coordination/poison"
 	"github.com/rockcroft/rockcroft/platform"
 	"github.com/rockcroft/rockcroft/protocol/placementpb"
 	"github.com/rockcroft/rockcroft/standin/instance"
 	"github.com/rockcroft/rockcroft/state/instances"
+	"github.com/rockcroft/rockcroft/state/routing"
 )
 
 // harmful lets upstreams end by marked requests, and be back after a time. It returns how many such
@@ -128,6 +131,40 @@
 	}
 }
 
+// TestSuspectsDoNotMeet guards against ends of upstreams that do not tell which of two suspects was
+// their cause: while one runs others go elsewhere, unless hardly an upstream were left.
+func TestSuspectsDoNotMeet(t *testing.T) {
+	s := noSuspects()
+	s.view.setInstances(1, instances.NewView(1, []instances.Instance{
+		{ID: "u1", Service: "read"}, {ID: "u2", Service: "read"}, {ID: "u3", Service: "read"}, {ID: "w", Service: "pair"}, {ID: "x", Service: "pair"},
+	}))
+	ask := func(d poison.Digest, service string) *request {
+		return &request{known: d, service: &routing.Service{Name: service}}
+	}
+	sent := func(u string) dispatch.Grant { return dispatch.Grant{Instance: instances.Instance{ID: u}} }
+	if s.began(ask(1, "read"), sent("u1")) != nil {
+		t.Error("a request is watched that nothing is known of")
+	}
+	for i, d := range []poison.Digest{1, 1, 2} {
+		s.book.Told([]poison.Crash{{Digest: d, Event: poison.Event(i), At: s.now()}})
+	}
+	first := s.began(ask(1, "read"), sent("u1"))
+	if got := s.avoid(ask(2, "read")); !slices.Equal(got, []string{"u1"}) {
+		t.Errorf("another suspect avoids %v", got)
+	}
+	for what, q := range map[string]*request{
+		"itself": ask(1, "read"), "one that is not suspected": ask(3, "read"), "one for two upstreams": ask(2, "pair"),
+	} {
+		if got := s.avoid(q); len(got) > 0 {
+			t.Errorf("%s avoids %v", what, got)
+		}
+	}
+	s.ended(ask(1, "read"), sent("u1"), first, dispatch.Broken)
+	if got := s.avoid(ask(2, "read")); len(got) > 0 {
+		t.Errorf("%v avoided after the run has ended", got)
+	}
+}
+
 // TestDigestText is what operators read and write.
 func TestDigestText(t *testing.T) {
 	if d, err := parseDigest(digestText(0xab12)); err != nil || d != 0xab12 {
