--- a/ctl/ctl.go
+++ b/ctl/ctl.go
@@ -72,7 +72,7 @@
 	root.AddCommand(
 		createCommand(o), listCommand(o), showCommand(o), confirmCommand(o), cancelCommand(o),
 		statusCommand(o), checkCommand(o), leaveCommand(o), evictCommand(o), moveCommand(o),
-		storyCommand(o), placementCommand(o), evacuationsCommand(o), ownersCommand(o), suspectsCommand(o), unreadCommand(o), capacityCommand(o),
+		storyCommand(o), placementCommand(o), evacuationsCommand(o), ownersCommand(o), suspectsCommand(o), unreadCommand(o), watchesCommand(o), capacityCommand(o),
 	)
 	return root
 }
--- a/gateway/placements.go
+++ b/gateway/placements.go
@@ -33,8 +33,10 @@
 	suspects *suspects
 	// unread are headers of answers that no code reads.
 	unread *unreadHeaders
-	now    func() time.Time
-	log    *slog.Logger
+	// watches tells what the store said last to this gateway.
+	watches *watchAges
+	now     func() time.Time
+	log     *slog.Logger
 
 	mu      sync.Mutex
 	loaded  bool
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -62,14 +62,14 @@
 	// compacted is closed when one watch learns that history is gone, which
 	// concerns the others as well.
 	compacted chan struct{}
-	// heard is when the store last answered a list or a watch, by kind of objects.
-	heard map[string]time.Time
+	// ages tells how old what the store said last is.
+	ages *watchAges
 }
 
 func newWatcher(store *platform.Store, v *view, evac *evacuations, now func() time.Time, log *slog.Logger, m *meters, salt uint64) *watcher {
 	return &watcher{
 		drained: make(map[string]bool), salt: salt, store: store, view: v, evac: evac, now: now, log: log, meters: m,
-		heard: make(map[string]time.Time), badEntries: make(map[string]uint64), compacted: make(chan struct{}), toldLeaving: func() map[string]bool { return nil },
+		ages: newWatchAges(now, log), badEntries: make(map[string]uint64), compacted: make(chan struct{}), toldLeaving: func() map[string]bool { return nil },
 	}
 }
 
@@ -107,6 +107,8 @@
 // kind first if there is none, which is zero, and again when the history is gone or too
 // much of it would have to be told.
 func (w *watcher) follow(ctx context.Context, kind string, revision uint64, join time.Duration, list func([]platform.Object, uint64), events func([]platform.Object, uint64)) {
+	w.ages.begin(kind)
+	defer w.ages.end(kind)
 	backoff := firstBackoff
 	known, heard := revision > 0, false
 	for ctx.Err() == nil {
@@ -115,7 +117,7 @@
 			var objects []platform.Object
 			if objects, revision, err = w.store.List(ctx, kind); err == nil {
 				known = true
-				w.noteHeard(kind)
+				w.ages.note(kind)
 				list(objects, revision)
 			}
 		} else {
@@ -123,7 +125,7 @@
 			var next uint64
 			began := w.now()
 			if changes, next, err = w.watch(ctx, kind, revision); err == nil {
-				w.noteHeard(kind)
+				w.ages.note(kind)
 			}
 			if err == nil && len(changes) == 0 && w.now().Sub(began) < leastWatch {
 				pause(ctx, leastWatch)
@@ -162,42 +164,6 @@
 	return errors.Is(err, errTooLong) || errors.Is(err, pool.ErrTooLarge)
 }
 
-func (w *watcher) noteHeard(kind string) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.heard[kind] = w.now()
-}
-
-// configurationHeard returns when the store last answered a list or a watch of the
-// configuration.
-func (w *watcher) configurationHeard() time.Time {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.heard[platform.ConfigKind]
-}
-
-// lastHeard returns when the store last answered a list or a watch.
-func (w *watcher) lastHeard() time.Time {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	var last time.Time
-	for _, at := range w.heard {
-		last = later(last, at)
-	}
-	return last
-}
-
-// heardAges returns how long ago the store last answered a list or a watch, by kind of objects.
-func (w *watcher) heardAges() map[string]time.Duration {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	out := make(map[string]time.Duration, len(w.heard))
-	for kind, at := range w.heard {
-		out[kind] = w.now().Sub(at)
-	}
-	return out
-}
-
 // watch waits for changes, until another watch learns of a compaction.
 func (w *watcher) watch(ctx context.Context, kind string, after uint64) ([]platform.Object, uint64, error) {
 	w.mu.Lock()
@@ -385,6 +351,7 @@
 func (w *watcher) settle(ctx context.Context) {
 	for ctx.Err() == nil {
 		pause(ctx, settleInterval)
+		w.ages.check()
 		w.mu.Lock()
 		if settled, drained := w.tracker.Settle(w.now()), w.leaversChanged(); settled || drained {
 			w.publish()
