--- a/gateway/delivery.go
+++ b/gateway/delivery.go
@@ -181,6 +181,8 @@
 	switch {
 	case errors.Is(context.Cause(ctx), context.Canceled):
 		return answer.Wrap(answer.Cancelled, err)
+	case !q.mayHaveRun && answer.KindOf(err) == answer.HarmfulOnce:
+		return err
 	case !q.mayHaveRun && errors.As(err, &known) && known.Kind.Row().Ran == answer.NotRun && known.Kind != answer.DeadlinePassed:
 		return known
 	case !q.mayHaveRun && q.arrivals == 0:
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -274,6 +274,11 @@
 		if err != nil {
 			return grant, err
 		}
+		// More may be known of the request than when it came.
+		if err := f.suspects.check(q); err != nil {
+			f.traffic.done(q.traffic, grant, dispatch.Left)
+			return dispatch.Grant{}, err
+		}
 		if !q.service.Keyed || f.ownerNow(q) == grant.Instance.ID {
 			return grant, nil
 		}
--- a/gateway/suspects_test.go
+++ b/gateway/suspects_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"strings"
 	"sync/atomic"
@@ -13,6 +14,7 @@
 	"github.com/rockcroft/rockcroft/coordination/dispatch"
 	"github.com/rockcroft/rockcroft/coordination/poison"
 	"github.com/rockcroft/rockcroft/platform"
+	"github.com/rockcroft/rockcroft/protocol/answer"
 	"github.com/rockcroft/rockcroft/protocol/placementpb"
 	"github.com/rockcroft/rockcroft/standin/instance"
 	"github.com/rockcroft/rockcroft/state/instances"
@@ -165,6 +167,36 @@
 	}
 }
 
+// TestHarmfulWhileItWaits guards against a harmful request that is let through since nothing was
+// known of it when it came: it waited for an upstream while the word went round.
+func TestHarmfulWhileItWaits(t *testing.T) {
+	t.Parallel()
+	b := standard(t)
+	f := b.gateways[0].front
+	event := poison.Event(0)
+	for _, tt := range []struct {
+		method, path string
+		want         answer.Kind
+	}{{http.MethodGet, "/read/late", answer.Harmful}, {http.MethodPost, "/pay/late", answer.HarmfulOnce}} {
+		r := httptest.NewRequestWithContext(context.Background(), tt.method, "http://h.example"+tt.path, http.NoBody)
+		r.Header.Set(platform.RequestID, "late")
+		r.Header.Set(platform.Deadline, "2000")
+		q, err := f.parse(r, f.now())
+		if err != nil {
+			t.Fatal(err)
+		}
+		var crashes []poison.Crash
+		for range 4 {
+			event++
+			crashes = append(crashes, poison.Crash{Digest: q.digest(), Event: event, At: f.now()})
+		}
+		f.suspects.book.Told(crashes)
+		if _, err = f.deliver(r.Context(), q); answer.KindOf(err) != tt.want {
+			t.Errorf("%s %s: %v", tt.method, tt.path, err)
+		}
+	}
+}
+
 // TestDigestText is what operators read and write.
 func TestDigestText(t *testing.T) {
 	if d, err := parseDigest(digestText(0xab12)); err != nil || d != 0xab12 {
