--- a/coordination/poison/poison.go
+++ b/coordination/poison/poison.go
@@ -72,8 +72,6 @@
 	Digest Digest
 	Event  Event
 	At     time.Time
-	// Apart says that the request was sent where no other suspect ran.
-	Apart bool
 }
 
 // Clearing is the word that a request does no harm, for all its crashes until then.
@@ -84,7 +82,7 @@
 
 // suspect is what is known of one request.
 type suspect struct {
-	crashes map[Event]Crash
+	crashes map[Event]time.Time
 	last    time.Time
 	cleared time.Time
 	refused bool
@@ -94,7 +92,6 @@
 type broken struct {
 	digest Digest
 	at     time.Time
-	apart  bool
 }
 
 // start is one start of an upstream.
@@ -150,16 +147,8 @@
 // Broke notes that a run broke off without an answer, and returns the crash if that start of the
 // upstream is known to have ended.
 func (b *Book) Broke(now time.Time, d Digest, upstream string, incarnation instances.Incarnation) []Crash {
-	return b.broke(start{upstream, incarnation}, broken{digest: d, at: now})
-}
-
-// BrokeApart is Broke for a run that was sent where no other suspect ran.
-func (b *Book) BrokeApart(now time.Time, d Digest, upstream string, incarnation instances.Incarnation) []Crash {
-	return b.broke(start{upstream, incarnation}, broken{digest: d, at: now, apart: true})
-}
-
-func (b *Book) broke(at start, one broken) []Crash {
-	if ended, ok := b.ended[at]; ok && one.at.Sub(ended) < endsBefore {
+	at, one := start{upstream, incarnation}, broken{digest: d, at: now}
+	if ended, ok := b.ended[at]; ok && now.Sub(ended) < endsBefore {
 		return b.add(one.crash(at))
 	}
 	if b.count < mostBroken {
@@ -171,7 +160,7 @@
 
 // crash is what the run was when that start of the upstream has ended.
 func (r broken) crash(at start) Crash {
-	return Crash{Digest: r.digest, Event: eventOf(at.upstream, at.incarnation), At: r.at, Apart: r.apart}
+	return Crash{Digest: r.digest, Event: eventOf(at.upstream, at.incarnation), At: r.at}
 }
 
 // Answered notes that a start of an upstream has answered a request which was sent at a time: it
@@ -247,18 +236,16 @@
 		if len(b.suspects) >= mostSuspects {
 			return nil
 		}
-		s = &suspect{crashes: make(map[Event]Crash)}
+		s = &suspect{crashes: make(map[Event]time.Time)}
 		b.suspects[c.Digest] = s
 	}
 	_, known := s.crashes[c.Event]
 	if known || !c.At.After(s.cleared) || len(s.crashes) >= mostEvents {
 		return nil
 	}
-	s.crashes[c.Event] = c
+	s.crashes[c.Event] = c.At
 	b.endAdd(c, s.refused)
-	if c.At.After(s.last) {
-		s.last = c.At
-	}
+	s.last = later(s.last, c.At)
 	if !s.refused && b.guilty(s) {
 		b.refuse(s)
 	}
@@ -280,17 +267,17 @@
 	for _, c := range list {
 		s := b.suspects[c.Digest]
 		if s == nil {
-			s = &suspect{crashes: make(map[Event]Crash)}
+			s = &suspect{crashes: make(map[Event]time.Time)}
 			b.suspects[c.Digest] = s
 		}
 		if !c.At.After(s.cleared) {
 			continue
 		}
 		s.cleared = c.At
-		for event, one := range s.crashes {
-			if !one.At.After(c.At) {
+		for event, at := range s.crashes {
+			if !at.After(c.At) {
 				delete(s.crashes, event)
-				b.endRemove(one, s.refused)
+				b.endRemove(event, s.refused)
 			}
 		}
 		b.acquit(s)
@@ -307,9 +294,9 @@
 		if now.Sub(s.cleared) < toldFor {
 			clearings = append(clearings, Clearing{Digest: d, At: s.cleared})
 		}
-		for _, c := range s.crashes {
+		for event, at := range s.crashes {
 			if len(crashes) < mostTold {
-				crashes = append(crashes, c)
+				crashes = append(crashes, Crash{Digest: d, Event: event, At: at})
 			}
 		}
 	}
@@ -363,10 +350,11 @@
 			delete(b.ended, at)
 		}
 	}
+	b.forgetEnds(now)
 	for d, s := range b.suspects {
 		if now.Sub(s.last) >= 2*forgetAfter && now.Sub(s.cleared) >= forgetAfter {
-			for _, c := range s.crashes {
-				b.endRemove(c, s.refused)
+			for event := range s.crashes {
+				b.endRemove(event, s.refused)
 			}
 			delete(b.suspects, d)
 		}
--- a/coordination/poison/runs.go
+++ b/coordination/poison/runs.go
@@ -2,52 +2,44 @@
 
 import "slices"
 
-// Runs keeps at which upstreams suspects run that one gateway has sent, so that they do not meet: an
-// upstream's end then tells which of them it was. It is not safe for concurrent use.
+// Runs keeps at which upstreams suspects run that one gateway has sent, so that they do not meet: one
+// that ends upstreams else brings the others to the ends that it causes. It is not safe for
+// concurrent use.
 type Runs struct {
-	at map[string][]*Run
-}
-
-// Run is one run of a suspect.
-type Run struct {
-	digest   Digest
-	upstream string
-	// telling says that the end of the upstream tells something of the suspect: it had enough ends
-	// when it was sent, and no other suspect was there.
-	telling bool
+	at map[string][]Digest
 }
 
 // NewRuns returns runs of which there are none.
-func NewRuns() *Runs { return &Runs{at: make(map[string][]*Run)} }
+func NewRuns() *Runs { return &Runs{at: make(map[string][]Digest)} }
 
-// Begin notes that a suspect with so many ends is sent to an upstream.
-func (r *Runs) Begin(upstream string, d Digest, ends int) *Run {
-	run := &Run{digest: d, upstream: upstream, telling: ends >= ApartFrom}
-	for _, other := range r.at[upstream] {
-		if other.digest != d {
-			other.telling, run.telling = false, false
-		}
-	}
-	r.at[upstream] = append(r.at[upstream], run)
-	return run
+// Begin notes that a suspect is sent to an upstream.
+func (r *Runs) Begin(upstream string, d Digest) {
+	r.at[upstream] = append(r.at[upstream], d)
 }
 
-// End notes that the run has ended, and reports whether it ran apart from other suspects.
-func (r *Runs) End(run *Run) (apart bool) {
-	left := slices.DeleteFunc(r.at[run.upstream], func(other *Run) bool { return other == run })
-	if len(left) == 0 {
-		delete(r.at, run.upstream)
-	} else {
-		r.at[run.upstream] = left
+// End notes that a run which began has ended.
+func (r *Runs) End(upstream string, d Digest) {
+	list := r.at[upstream]
+	i := slices.Index(list, d)
+	if i < 0 {
+		return
+	}
+	if len(list) == 1 {
+		delete(r.at, upstream)
+		return
 	}
-	return run.telling
+	r.at[upstream] = slices.Delete(list, i, i+1)
 }
 
-// Occupied returns the upstreams at which other suspects run, in order.
-func (r *Runs) Occupied(d Digest) []string {
+// Occupied returns the upstreams at which a suspect with so many ends is not to run, in order: those
+// where others run, if it has enough of them.
+func (r *Runs) Occupied(d Digest, ends int) []string {
+	if ends < apartFrom {
+		return nil
+	}
 	var out []string
 	for upstream, list := range r.at {
-		if slices.ContainsFunc(list, func(run *Run) bool { return run.digest != d }) {
+		if slices.ContainsFunc(list, func(other Digest) bool { return other != d }) {
 			out = append(out, upstream)
 		}
 	}
--- a/coordination/poison/verdict.go
+++ b/coordination/poison/verdict.go
@@ -1,35 +1,33 @@
 package poison
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // This file decides which suspects are refused.
 //
 // A request that ends upstreams ends each that runs it. An innocent one is at their ends by
-// chance, and the more ends there are the sooner it is at three. What tells them apart:
-//   - ends with a refused request on them are explained, and speak against nobody else;
-//   - a request with two ends is sent where no other suspect runs, so that its next one tells;
-//   - others' ends between its own ones passed it by.
+// chance, and the more ends there are the sooner it is at three. What tells them apart: ends with a
+// refused request on them are explained, and speak against nobody else; ends of late that a request
+// was not on speak for it, above all those between its own ones.
 
 const (
 	// refusedFrom is how many ends of upstreams that nothing else explains a request must have
-	// been at to be refused.
+	// been at to be refused, if none passed it by in between and fewer than othersFrom before.
 	refusedFrom = 3
+	othersFrom  = 3
 	// refusedAnyway is the number from which it is refused whatever happened besides.
 	refusedAnyway = 4
-	// ApartFrom is the number of ends from which a request is to be sent where no other suspect
+	// apartFrom is the number of ends from which a request is to be sent where no other suspect
 	// runs.
-	ApartFrom = refusedFrom - 1
+	apartFrom = refusedFrom - 1
+	// endMemory is how long an end counts that no suspect is left of.
+	endMemory = 30 * time.Second
 )
 
 // end is one end of an upstream with requests on it.
 type end struct {
 	at time.Time
-	// on are the suspects that were on it, refused the number of those that are refused.
-	on      []Digest
-	refused int
+	// on is the number of suspects that were on it, refused that of those that are refused.
+	on, refused int
 }
 
 // endAdd notes a suspect on an end.
@@ -42,21 +40,27 @@
 	if c.At.Before(one.at) {
 		one.at = c.At
 	}
-	one.on = append(one.on, c.Digest)
+	one.on++
 	if refused {
 		one.refused++
 	}
 }
 
 // endRemove forgets a suspect on an end.
-func (b *Book) endRemove(c Crash, refused bool) {
-	one := b.ends[c.Event]
-	one.on = slices.DeleteFunc(one.on, func(d Digest) bool { return d == c.Digest })
+func (b *Book) endRemove(event Event, refused bool) {
+	one := b.ends[event]
+	one.on--
 	if refused {
 		one.refused--
 	}
-	if len(one.on) == 0 {
-		delete(b.ends, c.Event)
+}
+
+// forgetEnds drops ends that are too old to matter.
+func (b *Book) forgetEnds(now time.Time) {
+	for event, one := range b.ends {
+		if one.on == 0 && now.Sub(one.at) >= endMemory {
+			delete(b.ends, event)
+		}
 	}
 }
 
@@ -81,52 +85,43 @@
 
 // guilty reports whether a suspect that is not refused yet is to be.
 func (b *Book) guilty(s *suspect) bool {
-	if len(s.crashes) < refusedFrom {
-		return false
-	}
-	count, apart := 0, false
+	count := 0
 	var first, last time.Time
-	for event, c := range s.crashes {
+	for event, at := range s.crashes {
 		if b.ends[event].refused > 0 {
 			continue
 		}
 		count++
-		apart = apart || c.Apart && b.alone(c)
-		if first.IsZero() || c.At.Before(first) {
-			first = c.At
-		}
-		if c.At.After(last) {
-			last = c.At
+		if first.IsZero() || at.Before(first) {
+			first = at
 		}
+		last = later(last, at)
 	}
-	switch {
-	case count < refusedFrom:
+	if count < refusedFrom {
 		return false
-	case count >= refusedAnyway || apart:
-		return true
 	}
-	return !b.passedBy(s, first, last)
+	return count >= refusedAnyway || !b.byChance(s, first, last)
 }
 
-// alone reports whether nothing that other gateways sent makes the end less than a proof: a gateway
-// knows only what it has sent itself.
-func (b *Book) alone(c Crash) bool {
-	for _, d := range b.ends[c.Event].on {
-		if d != c.Digest && len(b.suspects[d].crashes) >= ApartFrom {
-			return false
+// byChance reports whether a suspect may well have been at its ends by chance, the first and the last
+// of them at these times: others that nothing explains passed it by.
+func (b *Book) byChance(s *suspect, first, last time.Time) bool {
+	others := 0
+	for event, one := range b.ends {
+		if _, on := s.crashes[event]; on || one.refused > 0 || !one.at.Before(last) {
+			continue
+		}
+		if one.at.After(first) {
+			return true
 		}
+		others++
 	}
-	return true
+	return others >= othersFrom
 }
 
-// passedBy reports whether there was an end between two times that nothing explains and that the
-// suspect was not on.
-func (b *Book) passedBy(s *suspect, first, last time.Time) bool {
-	for event, one := range b.ends {
-		_, on := s.crashes[event]
-		if !on && one.refused == 0 && one.at.After(first) && one.at.Before(last) {
-			return true
-		}
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
 	}
-	return false
+	return b
 }
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -289,9 +289,9 @@
 
 // try sends the request to one upstream and reports how that ended.
 func (f *front) try(ctx context.Context, q *request, grant dispatch.Grant, results chan<- result) {
-	run := f.suspects.began(q, grant)
+	suspected := f.suspects.began(q, grant)
 	resp, outcome, said, err := f.send(ctx, q, grant)
-	f.suspects.ended(q, grant, run, outcome)
+	f.suspects.ended(q, grant, suspected, outcome)
 	f.noticed(grant, said.notice, f.traffic.doneTelling(q.traffic, grant, outcome, said))
 	f.meters.inc(f.meters.service(tryOutcome, q.service.Name, f.class(grant), outcome.String()))
 	results <- result{grant: grant, resp: resp, err: err}
--- a/gateway/suspectnews.go
+++ b/gateway/suspectnews.go
@@ -38,7 +38,7 @@
 	}
 	m := &syncpb.Suspects{}
 	for _, c := range crashes {
-		m.Crashes = append(m.Crashes, &syncpb.Crash{Digest: uint64(c.Digest), Event: uint32(c.Event), AgeMs: milliseconds(now.Sub(c.At)), Apart: c.Apart})
+		m.Crashes = append(m.Crashes, &syncpb.Crash{Digest: uint64(c.Digest), Event: uint32(c.Event), AgeMs: milliseconds(now.Sub(c.At))})
 	}
 	for _, c := range clearings {
 		m.Clearings = append(m.Clearings, &syncpb.Clearing{Digest: uint64(c.Digest), AgeMs: milliseconds(now.Sub(c.At))})
@@ -67,7 +67,7 @@
 	}
 	crashes := make([]poison.Crash, 0, len(m.Crashes))
 	for _, c := range m.Crashes {
-		crashes = append(crashes, poison.Crash{Digest: poison.Digest(c.Digest), Event: poison.Event(c.Event), At: ago(c.AgeMs), Apart: c.Apart})
+		crashes = append(crashes, poison.Crash{Digest: poison.Digest(c.Digest), Event: poison.Event(c.Event), At: ago(c.AgeMs)})
 	}
 	s.book.Told(crashes)
 	for _, e := range m.Ends {
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -88,43 +88,38 @@
 func (s *suspects) avoid(q *request) []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.book.Empty() || s.book.Crashes(q.digest()) == 0 {
+	if s.book.Empty() {
 		return nil
 	}
-	occupied := s.runs.Occupied(q.digest())
+	occupied := s.runs.Occupied(q.digest(), s.book.Crashes(q.digest()))
 	if 2*len(occupied) >= len(s.view.inst.Load().Service(q.service.Name)) {
 		return nil
 	}
 	return occupied
 }
 
-// began notes that a request is sent to an upstream. It returns nil for one that is not suspected.
-func (s *suspects) began(q *request, g dispatch.Grant) *poison.Run {
+// began notes that a request is sent to an upstream, and reports whether it is suspected.
+func (s *suspects) began(q *request, g dispatch.Grant) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.book.Empty() {
-		return nil
-	}
-	crashes := s.book.Crashes(q.digest())
-	if crashes == 0 {
-		return nil
+	if s.book.Empty() || s.book.Crashes(q.digest()) == 0 {
+		return false
 	}
-	return s.runs.Begin(g.Instance.ID, q.digest(), crashes)
+	s.runs.Begin(g.Instance.ID, q.digest())
+	return true
 }
 
-// ended notes how a try ended that began as a run.
-func (s *suspects) ended(q *request, g dispatch.Grant, run *poison.Run, o dispatch.Outcome) {
+// ended notes how a try ended, which was suspected when it began or not.
+func (s *suspects) ended(q *request, g dispatch.Grant, suspected bool, o dispatch.Outcome) {
 	one := &g.Instance
 	s.mu.Lock()
 	var crashes []poison.Crash
-	apart := run != nil && s.runs.End(run)
+	if suspected {
+		s.runs.End(one.ID, q.digest())
+	}
 	switch o {
 	case dispatch.Broken:
-		if apart {
-			crashes = s.book.BrokeApart(s.now(), q.digest(), one.ID, one.Incarnation())
-		} else {
-			crashes = s.book.Broke(s.now(), q.digest(), one.ID, one.Incarnation())
-		}
+		crashes = s.book.Broke(s.now(), q.digest(), one.ID, one.Incarnation())
 	case dispatch.Refused:
 		crashes = s.book.Ended(s.now(), one.ID, one.Incarnation())
 	case dispatch.Answered, dispatch.Failed, dispatch.Full:
--- a/gateway/suspects_test.go
+++ b/gateway/suspects_test.go
@@ -144,10 +144,10 @@
 		return &request{known: d, service: &routing.Service{Name: service}}
 	}
 	sent := func(u string) dispatch.Grant { return dispatch.Grant{Instance: instances.Instance{ID: u}} }
-	if s.began(ask(1, "read"), sent("u1")) != nil {
+	if s.began(ask(1, "read"), sent("u1")) {
 		t.Error("a request is watched that nothing is known of")
 	}
-	for i, d := range []poison.Digest{1, 1, 2} {
+	for i, d := range []poison.Digest{1, 2, 2} {
 		s.book.Told([]poison.Crash{{Digest: d, Event: poison.Event(i), At: s.now()}})
 	}
 	first := s.began(ask(1, "read"), sent("u1"))
