--- a/gateway/assignmentsupervisor.go
+++ b/gateway/assignmentsupervisor.go
@@ -48,6 +48,7 @@
 	workTimes *workTimes
 	// limits are the request limits that upstreams announce.
 	limits *namedLimits
+	quotas *teamQuotas
 }
 
 // start begins to assign the keys of all services, and runs inquire concurrently. It is called
@@ -60,6 +61,7 @@
 	s.assigners = make(map[string]*keyAssigner)
 	s.workTimes.reset(s.cluster.workTimesFromParent())
 	s.rights.reset()
+	s.quotas.lead()
 	s.workers.Go(func() { s.run(ctx, term) })
 	s.workers.Go(func() { inquire(ctx) })
 	s.workers.Go(func() { s.placements.load(ctx) })
@@ -141,6 +143,7 @@
 	s.setOwnReport(own)
 	s.workTimes.record(own.loads)
 	s.workTimes.refresh()
+	s.quotas.decide()
 	s.mu.Lock()
 	for name, list := range own.keys {
 		if k := s.assigners[name]; k != nil {
--- a/gateway/classify.go
+++ b/gateway/classify.go
@@ -7,13 +7,15 @@
 
 	"github.com/rockcroft/rockcroft/coordination/dispatch"
 	"github.com/rockcroft/rockcroft/platform"
+	"github.com/rockcroft/rockcroft/protocol/answer"
 	"github.com/rockcroft/rockcroft/transport/pool"
 )
 
 // outcomeOfError returns the outcome that an error of a try has for the upstream.
 func outcomeOfError(err error) dispatch.Outcome {
+	var refusal *answer.Error
 	switch {
-	case errors.Is(err, errUpstreamClosed):
+	case errors.Is(err, errUpstreamClosed), errors.As(err, &refusal):
 		return dispatch.Canceled
 	case errors.Is(err, pool.ErrRefused):
 		return dispatch.ConnectionRefused
--- a/gateway/delivery.go
+++ b/gateway/delivery.go
@@ -141,8 +141,13 @@
 	if !q.service.Keyed {
 		q.excluded = append(q.excluded, grant.Instance.ID)
 	}
+	var refusal *answer.Error
 	if errors.Is(err, pool.ErrNotSent) {
 		q.unsentTries++
+		if errors.As(err, &refusal) {
+			// Another upstream would not change that the request must not be sent.
+			return false
+		}
 		return ctx.Err() == nil && q.unsentTries <= maxUnsentTries
 	}
 	q.arrivedTries++
--- a/gateway/follower.go
+++ b/gateway/follower.go
@@ -60,6 +60,7 @@
 	limits *namedLimits
 	// suspects are requests suspected of crashing upstreams.
 	suspects *suspects
+	quotas   *teamQuotas
 
 	mu sync.Mutex
 	// startedAt is when this process began to follow. leaderHeardAt is when it last heard from a
@@ -77,10 +78,10 @@
 	leaderResigned bool
 	// failing is the current run of failed reports to parents.
 	failing reportFailures
-	// configNewestAt is when another gateway last confirmed that the configuration in force is the
-	// newest. announcedConfig is the newest configuration that another gateway named and that was
-	// not in force here at that time.
-	configNewestAt  time.Time
+	// configCurrency is until when other gateways knew the configuration in force to be the newest.
+	// announcedConfig is the newest configuration that another gateway named and that was not in
+	// force here at that time.
+	configCurrency  currency
 	announcedConfig announcedConfiguration
 	// wantFullConfig is set when the last configuration difference could not be decoded.
 	wantFullConfig bool
@@ -124,12 +125,14 @@
 	limited, cancel := context.WithTimeout(ctx, wait+reportTimeout)
 	defer cancel()
 	began := f.now()
-	resp, err := f.cluster.client(address).Sync(limited, f.request(wait))
+	request := f.request(wait)
+	resp, err := f.cluster.client(address).Sync(limited, request)
 	if ctx.Err() == nil {
 		// A report that ends with ctx was cancelled because this process stops.
 		f.recordReport(address, reportError(resp, err), f.now().Sub(began))
 	}
 	if err != nil {
+		f.quotas.recordUses(request.TeamUses)
 		f.mu.Lock()
 		f.leaderRefused = errors.Is(err, syscall.ECONNREFUSED)
 		f.mu.Unlock()
@@ -140,7 +143,7 @@
 		}
 		return false, false
 	}
-	f.applyResponse(address, resp)
+	f.applyResponse(address, resp, began)
 	age := time.Duration(resp.HeardMs) * time.Millisecond
 	f.mu.Lock()
 	f.leaderRefused, f.leaderResigned = false, resp.Leader != nil && resp.Leader.Member.Address == address && !resp.Leading
@@ -160,6 +163,7 @@
 	f.cluster.setParentLimitedDemand(resp.Limits)
 	f.limits.recordFromGateway(resp.Limits)
 	f.suspects.applyMessage(resp.Suspects)
+	f.quotas.apply(resp.TeamLimits)
 	f.cluster.setParentRights(decodeRights(resp.Rights), f.now().Add(-time.Duration(resp.RightsMs)*time.Millisecond))
 	f.shareLoads(int(resp.Gateways))
 	if f.now().Sub(began) < immediateResponse {
@@ -224,6 +228,7 @@
 	r.Demands = encodeDemands(f.cluster.subtreeDemand(own.demand))
 	r.Limits = f.limits.encode(func(upstream string) float64 { return f.cluster.subtreeLimitedDemand(own.limitedDemand, upstream) })
 	r.Suspects = f.suspects.message()
+	r.TeamUses = f.quotas.takeUses()
 	r.Followers = f.cluster.followers()
 	f.cluster.addRuns(own.loads)
 	r.Loads = mergeRuns(f.cluster.subtreeLoads(own.loads), f.cluster.takeRuns())
@@ -281,6 +286,7 @@
 		all.Go(func() {
 			limited, cancel := context.WithTimeout(ctx, reportTimeout)
 			defer cancel()
+			asked := f.now()
 			resp, err := f.cluster.client(m.Address).Sync(limited, f.request(0))
 			if ctx.Err() == nil {
 				f.meters.inc(fillPattern(reportAnswer, reportOutcome(reportError(resp, err))))
@@ -288,7 +294,7 @@
 			if err != nil {
 				return
 			}
-			f.applyResponse(m.Address, resp)
+			f.applyResponse(m.Address, resp, asked)
 			f.recordUpdate(resp)
 			if m.Domain == f.cluster.self.Domain && stronger(m, f.cluster.self) {
 				ahead.Add(1)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -118,6 +118,7 @@
 	ownerGaps   *ownerGaps
 	limits      *namedLimits
 	suspects    *suspects
+	quotas      *teamQuotas
 	draining    atomic.Bool
 	listeners   Listeners
 	// killed is closed to end Run without a graceful stop, in tests of lost processes.
@@ -179,6 +180,7 @@
 	g.view.onSpans = g.ownerGaps.setTable
 	g.limits = newNamedLimits(g.view, g.now, log, g.meters)
 	g.limits.onChange = g.limitsChanged
+	g.quotas = newTeamQuotas(g.view, conf.QuotaSlack, g.now, mathrand.New(mathrand.NewPCG(seeds[0]+1, seeds[1])))
 	self := &syncpb.Member{
 		Node: conf.Node, Address: listeners.Peers.Addr().String(), Domain: conf.Domain, Incarnation: incarnation(),
 		Strength: uint32(strengthUnits * conf.CPUCores),
@@ -204,7 +206,7 @@
 	g.storeCalls.onRecovery = g.watcher.storeRecovered
 	g.follower = &follower{
 		view: g.view, cluster: g.cluster, traffic: g.traffic, now: g.now, log: log, meters: g.meters,
-		startedAt: g.now(), evac: evac, limits: g.limits, suspects: g.suspects,
+		startedAt: g.now(), evac: evac, limits: g.limits, suspects: g.suspects, quotas: g.quotas,
 	}
 	g.follower.validator = newPeerValidator(g.view, g.now, log, g.meters)
 	g.follower.fetcher = newFetcher(g.cluster.client, g.follower.applyPart, g.now, log, g.meters)
@@ -216,7 +218,7 @@
 	g.assignments = &assignmentSupervisor{
 		view: g.view, cluster: g.cluster, traffic: g.traffic, store: store, calls: g.storeCalls,
 		owners: platform.NewOwners(pool.New(upstreamLimits, g.now)), grantSlots: newCallSlots(maxGrantCalls), maxHold: conf.MaxGrantDuration.D(),
-		now: g.now, log: log, meters: g.meters, workTimes: newWorkTimes(g.view, g.now), limits: g.limits,
+		now: g.now, log: log, meters: g.meters, workTimes: newWorkTimes(g.view, g.now), limits: g.limits, quotas: g.quotas,
 		rights: &warmUpRights{view: g.view, cluster: g.cluster, traffic: g.traffic, now: g.now},
 	}
 	g.elector = &leaderElector{
@@ -235,6 +237,7 @@
 		view: g.view, traffic: g.traffic, splitter: routing.NewSplitter(), conns: g.conns, now: g.now,
 		log: log, meters: g.meters, domain: conf.Domain, ownerGaps: g.ownerGaps, limits: g.limits, suspects: g.suspects, unread: unread, openRequests: newOpenRequests(),
 		maxBodyBytes: int64(conf.MemoryMB) * megabyte / bodyMemoryDivisor, configurationAge: g.configurationAge,
+		revocationTimeout: conf.RevocationTimeout.D(), quotas: g.quotas,
 	}
 	g.clock.OnSuspended(g.handleWakeUp)
 	return g
@@ -247,12 +250,6 @@
 	g.view.notify()
 }
 
-// configurationAge returns the time since the configuration in force was last known to be
-// current.
-func (g *Gateway) configurationAge() time.Duration {
-	return g.follower.configurationAge(g.watcher.configurationHeard())
-}
-
 // firstRank returns the gateway's rank among those that try to acquire the lease at the first
 // start: the seeds in their order, then all others.
 func firstRank(conf settings.Gateway) int {
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -43,7 +43,9 @@
 	m.gauge(viewAge, age.Milliseconds())
 	if t := g.view.table.Load(); t != nil {
 		m.gauge(viewVersion, int64(t.Version))
-		m.gauge(viewConfigurationAge, g.configurationAge().Milliseconds())
+		heard, confirmed := g.configurationAge()
+		m.gauge(viewConfigurationAge, heard.Milliseconds())
+		m.gauge(viewConfigurationConfirmed, confirmed.Milliseconds())
 	}
 	for kind, age := range g.watcher.ages.agesByKind() {
 		m.gauge(fillPattern(watchHeard, kind), age.Milliseconds())
--- a/gateway/handlers.go
+++ b/gateway/handlers.go
@@ -51,7 +51,7 @@
 	server := &peerServer{
 		view: g.view, cluster: g.cluster, store: g.storeCalls, assignments: g.assignments, traffic: g.traffic,
 		promises: g.elector.promises, follower: g.follower, watcher: g.watcher,
-		parts: &partCache{}, log: g.log, validator: g.follower.validator, evac: g.follower.evac, limits: g.limits, suspects: g.suspects,
+		parts: &partCache{}, log: g.log, validator: g.follower.validator, evac: g.follower.evac, limits: g.limits, suspects: g.suspects, quotas: g.quotas,
 	}
 	r := mux.NewRouter()
 	r.PathPrefix(syncpb.PeerPathPrefix).Handler(syncpb.NewPeerServer(server))
--- a/gateway/news.go
+++ b/gateway/news.go
@@ -13,8 +13,9 @@
 
 // This file applies what other gateways send.
 
-// applyResponse applies everything in a response that is newer than this gateway's own view.
-func (f *follower) applyResponse(address string, resp *syncpb.SyncResponse) {
+// applyResponse applies everything in a response that is newer than this gateway's own view. asked is
+// when the response was asked for.
+func (f *follower) applyResponse(address string, resp *syncpb.SyncResponse, asked time.Time) {
 	if f.cluster.setLeader(resp.Leader) && resp.HeardMs < milliseconds(leaderSilenceTimeout) && len(resp.Members) > 0 {
 		f.cluster.setMembers(resp.MembersVersion, resp.Members)
 	}
@@ -23,7 +24,7 @@
 	f.evac.applyFromPeer(resp.Evacuations)
 	// Record the announcement before the parts are handled, because an offered part may come into
 	// force at once.
-	f.recordAnnouncement(resp)
+	f.recordAnnouncement(resp, asked)
 	f.fetcher.handleOffers(address, resp.Parts)
 	if resp.Instances != nil {
 		f.applyUpstreams(resp.Instances)
@@ -103,39 +104,3 @@
 	}
 	return nil
 }
-
-// announcedConfiguration is a revision of the configuration and the time at which another gateway
-// knew it to be the newest.
-type announcedConfiguration struct {
-	revision uint64
-	at       time.Time
-}
-
-// recordAnnouncement records when another gateway knew its configuration to be the newest.
-func (f *follower) recordAnnouncement(resp *syncpb.SyncResponse) {
-	if resp.ConfigRevision == 0 {
-		return
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	at := f.now().Add(-time.Duration(resp.ConfigMs) * time.Millisecond)
-	switch {
-	case f.view.configuration().revision >= resp.ConfigRevision:
-		f.configNewestAt = laterOf(f.configNewestAt, at)
-	case resp.ConfigRevision >= f.announcedConfig.revision:
-		f.announcedConfig = announcedConfiguration{revision: resp.ConfigRevision, at: at}
-	}
-}
-
-// configurationAge returns how long ago this gateway's configuration was known to be the newest,
-// either from another gateway or from its own watch, which last received something at watched. It
-// returns at most an hour, also if that was never known.
-func (f *follower) configurationAge(watched time.Time) time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	newest := laterOf(f.configNewestAt, watched)
-	if f.announcedConfig.revision > 0 && f.view.configuration().revision >= f.announcedConfig.revision {
-		newest = laterOf(newest, f.announcedConfig.at)
-	}
-	return min(f.now().Sub(newest), time.Hour)
-}
--- a/gateway/peerserver.go
+++ b/gateway/peerserver.go
@@ -37,6 +37,7 @@
 	limits *namedLimits
 	// suspects are requests suspected of crashing upstreams.
 	suspects *suspects
+	quotas   *teamQuotas
 	log      *slog.Logger
 }
 
@@ -51,6 +52,7 @@
 		r.Limits = p.validator.validLimits(sourceReport, r.Limits)
 		p.limits.recordFromGateway(r.Limits)
 		p.suspects.applyMessage(r.Suspects)
+		p.quotas.recordUses(r.TeamUses)
 		p.cluster.handleReport(r, p.leaderAge() < leaderSilenceTimeout)
 		if p.cluster.isLeading() {
 			p.assignments.recordRequests(r.Keys)
@@ -152,11 +154,11 @@
 func (p *peerServer) buildResponse(r *syncpb.SyncRequest) *syncpb.SyncResponse {
 	// Read the age before the revision. If a configuration arrives in between, this order reports
 	// an age that is too high, never one that is too low.
-	age := p.follower.configurationAge(p.watcher.configurationHeard())
+	heard, confirmed := configurationAge(p.follower, p.watcher)
 	resp := &syncpb.SyncResponse{
 		Leader: p.cluster.knownLeader(), Leading: p.cluster.isLeading(),
 		HeardMs: milliseconds(p.leaderAge()), NewsMs: milliseconds(p.updateAge()),
-		ConfigMs: milliseconds(age), ConfigRevision: p.view.configuration().revision,
+		ConfigMs: milliseconds(heard), ConfigConfirmedMs: milliseconds(confirmed) + 1, ConfigRevision: p.view.configuration().revision,
 	}
 	if p.hasNewerEvacuations(r) {
 		resp.Evacuations = evacuationMessages(p.view.evac.Load())
@@ -171,6 +173,7 @@
 	resp.HotKeys = p.hotKeyMessages()
 	resp.Limits = p.namedLimitMessages(r.Member.Node)
 	resp.Suspects = p.suspects.message()
+	resp.TeamLimits = p.quotas.limits()
 	resp.Rights, resp.RightsMs = p.rightsFor(r)
 	resp.MembersVersion = r.MembersVersion
 	if p.cluster.membersVersion() != r.MembersVersion {
--- a/gateway/proxy.go
+++ b/gateway/proxy.go
@@ -67,8 +67,13 @@
 	tracer        trace.Tracer
 	// domain is this gateway's failure domain.
 	domain string
-	// configurationAge returns the time since the configuration was last known to be current.
-	configurationAge func() time.Duration
+	// configurationAge returns the times since the configuration was last heard to be current and was
+	// certainly so.
+	configurationAge func() (heard, confirmed time.Duration)
+	// revocationTimeout is how long after a credential was revoked no gateway may accept it any more,
+	// including those that have not heard of it. Zero means no bound.
+	revocationTimeout time.Duration
+	quotas            *teamQuotas
 	// ownerGaps measures how long keys have been without an owner.
 	ownerGaps *ownerGaps
 	// limits holds the request limits that upstreams announce.
@@ -86,6 +91,8 @@
 	*http.Request
 	id    string
 	route *routing.Route
+	// team is nil if the route needs no credential.
+	team *routing.Team
 	// service is the one that was picked from the route's services.
 	service    *routing.Service
 	traffic    *serviceTraffic
@@ -187,6 +194,13 @@
 		return nil, f.routeNotFound(r.Host, path)
 	}
 	q := &request{Request: r, id: platform.ID(r.Header), route: route, target: target, receivedAt: began}
+	var err error
+	if q.team, err = f.identify(table, route, r.Header); err != nil {
+		return q, err
+	}
+	if err := f.quotas.check(q.team); err != nil {
+		return q, err
+	}
 	left := route.Timeout
 	if requested, ok := platform.RemainingTime(r.Header); ok {
 		left = min(left, requested)
@@ -220,10 +234,8 @@
 // the error states that nothing was executed and that a retry may succeed, since another gateway
 // may know the route.
 func (f *proxy) routeNotFound(host, path string) error {
-	if age := f.configurationAge(); age > maxConfigurationAge {
-		refusal := answer.New(answer.NoRight, "no route for %s%s in a configuration last known to be the newest %d ms ago", host, path, age.Milliseconds())
-		refusal.RetryAfter = retryAfterUnknown
-		return refusal
+	if age, _ := f.configurationAge(); age > maxConfigurationAge {
+		return outdatedError("no route for "+host+path, age)
 	}
 	return answer.New(answer.NotFound, "no route for %s%s", host, path)
 }
@@ -262,7 +274,7 @@
 	defer context.AfterFunc(q.Context(), cancel)()
 	for {
 		req := &dispatch.Request{
-			Priority: q.route.Priority, Objective: q.route.Objective, Deadline: q.deadline,
+			Priority: q.priority(), Objective: q.route.Objective, Deadline: q.deadline,
 			QueueUntil: q.queueUntil, Exclude: slices.Concat(q.excluded, f.suspects.upstreamsToAvoid(q)),
 		}
 		switch {
@@ -327,6 +339,7 @@
 	span.SetAttributes(attribute.String("rockcroft.upstream", grant.Instance.ID))
 	h := platform.EndToEndHeaders(q.Header)
 	telemetry.Inject(ctx, h)
+	platform.SetTeam(h, q.teamName())
 	platform.SetTarget(h, grant.Instance.ID)
 	f.limits.countSent(grant)
 	resp, err := f.conns.Do(ctx, grant.Instance.Address, &pool.Request{
@@ -351,9 +364,13 @@
 	if !allowed {
 		return errUpstreamClosed
 	}
+	if err := f.checkTeam(q); err != nil {
+		return err
+	}
 	if err := f.setTimeLeft(h, q); err != nil {
 		return err
 	}
+	f.quotas.recordSent(q.team)
 	f.countSentDespiteNotice(grant, change)
 	return nil
 }
--- a/gateway/testcluster_test.go
+++ b/gateway/testcluster_test.go
@@ -34,15 +34,19 @@
 	// wrapStoreEndpoint, if set, wraps the listener and the handler of each gateway's access to the
 	// store.
 	wrapStoreEndpoint func(net.Listener, http.Handler) (net.Listener, http.Handler)
-	t                 *testing.T
-	store             *metastore.Store
-	oracle            *instance.Oracle
-	gateways          []*testGateway
-	client            *http.Client
-	requestCount      atomic.Int64
-	mu                sync.Mutex
-	upstreams         map[string]*upstream
-	ports             []*port
+	// onUpstreamRequest, if set, is called with each request that reaches an upstream.
+	onUpstreamRequest func(*http.Request)
+	// changeSettings, if set, changes the settings of each gateway before it starts.
+	changeSettings func(*settings.Gateway)
+	t              *testing.T
+	store          *metastore.Store
+	oracle         *instance.Oracle
+	gateways       []*testGateway
+	client         *http.Client
+	requestCount   atomic.Int64
+	mu             sync.Mutex
+	upstreams      map[string]*upstream
+	ports          []*port
 }
 
 // testGateway is a gateway that can be stopped or killed.
@@ -144,7 +148,12 @@
 		Instance: instance.New(id, service == "status", 5*time.Millisecond, b.oracle),
 		service:  service, domain: domain, address: l.Addr().String(), born: born,
 	}
-	u.server = &http.Server{Handler: u.Instance}
+	u.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if b.onUpstreamRequest != nil {
+			b.onUpstreamRequest(r)
+		}
+		u.ServeHTTP(w, r)
+	})}
 	go func() { _ = u.server.Serve(l) }()
 	b.mu.Lock()
 	b.upstreams[id] = u
@@ -188,6 +197,9 @@
 	for _, g := range b.gateways {
 		conf.Seeds = append(conf.Seeds, jsonc.Addr{AddrPort: netip.MustParseAddrPort(g.listeners.Peers.Addr().String())})
 	}
+	if b.changeSettings != nil {
+		b.changeSettings(&conf)
+	}
 	listeners, err := Listen(conf)
 	if err != nil {
 		b.t.Fatal(err)
@@ -330,6 +342,11 @@
 
 // request sends one request through a gateway.
 func (b *testCluster) request(g *testGateway, method, path string, key int) callerResponse {
+	return b.requestWith(g, method, path, key, nil)
+}
+
+// requestWith is request with additional headers.
+func (b *testCluster) requestWith(g *testGateway, method, path string, key int, header http.Header) callerResponse {
 	id := fmt.Sprintf("r%d", b.requestCount.Add(1))
 	var body io.Reader
 	if method == http.MethodPost {
@@ -340,6 +357,9 @@
 		b.t.Fatal(err)
 	}
 	r.Host = "h.example"
+	for name, values := range header {
+		r.Header[name] = values
+	}
 	r.Header.Set(platform.RequestID, id)
 	r.Header.Set(platform.Deadline, "2000")
 	if key >= 0 {
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -118,17 +118,18 @@
 	known, answered := revision > 0, false
 	for ctx.Err() == nil {
 		var err error
+		started := w.now()
 		if !known {
 			var objects []platform.Object
 			if objects, revision, err = w.store.List(ctx, kind); err == nil {
 				known = true
 				w.ages.recordAnswer(kind)
 				onList(objects, revision)
+				w.ages.recordApplied(kind, started)
 			}
 		} else {
 			var changes []platform.Object
 			var next uint64
-			started := w.now()
 			if changes, next, err = w.watch(ctx, kind, revision); err == nil {
 				w.ages.recordAnswer(kind)
 			}
@@ -138,6 +139,11 @@
 			if len(changes) > 0 {
 				revision = nextRevision(revision, changes, next)
 				onChanges(changes, revision)
+			}
+			if err == nil {
+				w.ages.recordApplied(kind, started)
+			}
+			if len(changes) > 0 {
 				pause(ctx, batchDelay)
 			}
 		}
--- a/gateway/watchages.go
+++ b/gateway/watchages.go
@@ -27,6 +27,9 @@
 
 	mu         sync.Mutex
 	lastAnswer map[string]time.Time
+	// confirmedAt holds, for each kind, when the list or watch was started whose answer was applied
+	// last: everything that had changed by then is in the view.
+	confirmedAt map[string]time.Time
 	// watched holds since when this gateway has watched each kind; kinds that it does not watch are
 	// absent.
 	watched map[string]time.Time
@@ -34,7 +37,7 @@
 }
 
 func newWatchAges(now func() time.Time, log *slog.Logger) *watchAges {
-	return &watchAges{now: now, log: log, lastAnswer: make(map[string]time.Time), watched: make(map[string]time.Time), silent: make(map[string]bool)}
+	return &watchAges{now: now, log: log, lastAnswer: make(map[string]time.Time), confirmedAt: make(map[string]time.Time), watched: make(map[string]time.Time), silent: make(map[string]bool)}
 }
 
 // begin and end record when watching a kind starts and ends.
@@ -62,6 +65,21 @@
 	a.lastAnswer[kind] = a.now()
 }
 
+// recordApplied records that the answer to a list or a watch which was started at the given time has
+// been applied.
+func (a *watchAges) recordApplied(kind string, started time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.confirmedAt[kind] = laterOf(a.confirmedAt[kind], started)
+}
+
+// confirmed returns until when the view of a kind is known to be complete, or zero.
+func (a *watchAges) confirmed(kind string) time.Time {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.confirmedAt[kind]
+}
+
 // silentSince returns the time since which nothing has been received for a watched kind. The caller
 // holds the lock.
 func (a *watchAges) silentSince(kind string) time.Time {
@@ -126,8 +144,11 @@
 	return out
 }
 
-// configurationHeard returns when the store last answered a list or a watch of the configuration.
-func (w *watcher) configurationHeard() time.Time { return w.ages.lastHeard(platform.ConfigKind) }
+// configurationCurrency returns until when this gateway's own lists and watches show the configuration
+// in force to have been the newest.
+func (w *watcher) configurationCurrency() currency {
+	return currency{heardAt: w.ages.lastHeard(platform.ConfigKind), confirmedAt: w.ages.confirmed(platform.ConfigKind)}
+}
 
 // Watches implements placementpb.Placement. It reports what the asked gateway has received from the
 // store itself.
--- a/protocol/answer/kind.go
+++ b/protocol/answer/kind.go
@@ -21,6 +21,7 @@
 	UnknownService Kind = "unknown_service"
 	NotFound       Kind = "not_found"
 	TooLarge       Kind = "too_large"
+	Unauthorized   Kind = "unauthorized"
 	Forbidden      Kind = "forbidden"
 	DeadlinePassed Kind = "deadline_passed"
 	Overloaded     Kind = "overloaded"
@@ -80,6 +81,7 @@
 	UnknownService: {Status: http.StatusNotFound, Execution: NotExecuted},
 	NotFound:       {Status: http.StatusNotFound, Execution: NotExecuted},
 	TooLarge:       {Status: http.StatusRequestEntityTooLarge, Execution: NotExecuted},
+	Unauthorized:   {Status: http.StatusUnauthorized, Execution: NotExecuted},
 	Forbidden:      {Status: http.StatusForbidden, Execution: NotExecuted},
 	DeadlinePassed: {Status: http.StatusGatewayTimeout, Execution: NotExecuted, Retryable: true},
 	Overloaded:     {Status: http.StatusServiceUnavailable, Execution: NotExecuted, Retryable: true, RetryAfter: shortRetryDelay},
--- a/state/routing/routing.go
+++ b/state/routing/routing.go
@@ -14,6 +14,8 @@
 	Routes   map[string]*Route
 	Services map[string]*Service
 	Limits   Limits
+	// Teams is nil if requests need no credential.
+	Teams map[string]*Team
 }
 
 // Limits are the limits on requests and connections of clients.
@@ -37,6 +39,8 @@
 	Prefix string
 	// Idempotent is true if requests can safely be executed more than once.
 	Idempotent bool
+	// Anonymous is true if requests need no credential.
+	Anonymous bool
 	// Timeout is the longest time that a client waits for a response.
 	Timeout time.Duration
 	// Objective is the latency objective: slower responses count as late.
@@ -75,12 +79,13 @@
 // Table finds the route of a request by host and path. It is immutable.
 type Table struct {
 	*Configuration
-	routesByHost map[string]map[string]*Route
+	routesByHost     map[string]map[string]*Route
+	teamByCredential map[credentialDigest]*Team
 }
 
 // NewTable returns a table of the routes of a configuration.
 func NewTable(c *Configuration) *Table {
-	t := &Table{Configuration: c, routesByHost: make(map[string]map[string]*Route)}
+	t := &Table{Configuration: c, routesByHost: make(map[string]map[string]*Route), teamByCredential: indexCredentials(c.Teams)}
 	for _, r := range c.Routes {
 		byPrefix := t.routesByHost[r.Host]
 		if byPrefix == nil {
--- a/state/settings/gateway.go
+++ b/state/settings/gateway.go
@@ -49,6 +49,12 @@
 	// plus the slack. The defaults are 1 and 0.
 	WarmUpRateFactor float64 `json:"warm_up_overage"`
 	WarmUpRateSlack  float64 `json:"warm_up_slack"`
+	// RevocationTimeout is the time after which a revoked credential must not be accepted by any
+	// gateway, also by one that has not heard of its revocation. The default is 0, which means that
+	// gateways without contact to the store accept it for as long as they have not heard.
+	RevocationTimeout jsonc.Duration `json:"revocation_timeout"`
+	// QuotaSlack is how many requests beyond a team's quota are tolerated. The default is 0.
+	QuotaSlack float64 `json:"quota_slack"`
 	// CPUCores is the CPU capacity of the VM in cores; it may be a fraction, and 1 is
 	// a whole core. Gateways with more CPU are preferred as leaders and for sending
 	// the reports of other gateways.
@@ -97,6 +103,8 @@
 	add(g.RetryWindow <= 0, "retry_window", "must be positive")
 	add(g.WarmUpRateFactor < 1, "warm_up_overage", "must be at least 1")
 	add(g.WarmUpRateSlack < 0, "warm_up_slack", "must not be negative")
+	add(g.RevocationTimeout < 0, "revocation_timeout", "must not be negative")
+	add(g.QuotaSlack < 0, "quota_slack", "must not be negative")
 	add(g.CPUCores < 0, "strength", "must not be negative")
 	add(g.MemoryMB <= 0, "memory_mb", "must be positive")
 	add(!oneOf(g.LogLevel, "debug", "info", "warn", "error"), "log_level", `must be "debug", "info", "warn" or "error"`)
