Give parts that tests build by hand their quotas

Cause: TestSyncResponseBytesAreCounted ended with a nil pointer after the teams were added, as it builds a follower without quotas. Change: noQuotas beside noLimits and noSuspects in the tests that build parts by hand. Result: go test ./gateway no longer ends there.

--- a/gateway/bench_test.go
+++ b/gateway/bench_test.go
@@ -43,7 +43,7 @@
 	p := &peerServer{
 		view: v, cluster: c, assignments: &assignmentSupervisor{workTimes: newWorkTimes(v, time.Now), rights: &warmUpRights{view: v, now: time.Now}}, parts: &partCache{}, log: log,
 		follower: &follower{now: time.Now}, watcher: &watcher{ages: newWatchAges(time.Now, log)}, validator: newPeerValidator(v, time.Now, log, newMeters()), evac: &evacuations{view: v},
-		limits: newNamedLimits(v, time.Now, log, newMeters()), suspects: noSuspects(),
+		limits: newNamedLimits(v, time.Now, log, newMeters()), suspects: noSuspects(), quotas: noQuotas(),
 	}
 	server := &http.Server{Handler: syncpb.NewPeerServer(p)}
 	b.Cleanup(func() { _ = server.Close() })
--- a/gateway/reportmetrics_test.go
+++ b/gateway/reportmetrics_test.go
@@ -87,7 +87,7 @@
 		view: newView(), cluster: c, fetcher: newFetcher(c.client, nil, now, slog.New(slog.DiscardHandler), m),
 		traffic: newTraffic(settings.DefaultGateway(), now, rng), now: now,
 		log: slog.New(slog.NewJSONHandler(log, nil)), meters: m, startedAt: now(),
-		setOwnReport: func(*localReport) {}, limits: noLimits(), suspects: noSuspects(),
+		setOwnReport: func(*localReport) {}, limits: noLimits(), suspects: noSuspects(), quotas: noQuotas(),
 	}, server.Listener.Addr().String(), log
 }
 
