dispatch: keep a state only of the upstreams that a gateway deals with

Cause: each gateway walked all upstreams of all services at each tick (the total throughput, 50 times a second, though only waiting requests ask for it), at each report and at each change of the list.

Change: a listing for each upstream (instance, rank, time of its entry), a state only once a request considers it, kept for 30 s after its last use or while it holds something (requests, a backoff, a notice, a limit, a right). Reports, ticks and loads go over the states that exist. The total throughput is measured when a request would have to wait, at most once in 20 ms. The ranking is merged with what is new instead of sorted again.

Ruled out: subsets of the upstreams fixed in advance; keyed requests need any owner, and few gateways must still find room anywhere.

--- a/coordination/dispatch/bench_test.go
+++ b/coordination/dispatch/bench_test.go
@@ -45,8 +45,8 @@
 // and no allocation.
 func BenchmarkMaySend(b *testing.B) {
 	s := busyService(b, 313, 0)
-	g := Grant{Instance: s.upstreams["u1"].Instance}
-	s.upstreams["u1"].notices.Apply(start, notice.Notice{Leaving: true, Rest: time.Second})
+	g := Grant{Instance: s.upstream(start, "u1").Instance}
+	s.upstream(start, "u1").notices.Apply(start, notice.Notice{Leaving: true, Rest: time.Second})
 	b.ReportAllocs()
 	for b.Loop() {
 		if s.MaySend(start.Add(time.Millisecond), g) {
--- a/coordination/dispatch/choice.go
+++ b/coordination/dispatch/choice.go
@@ -1,8 +1,9 @@
 package dispatch
 
 import (
+	"cmp"
 	"math/rand/v2"
-	"sort"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -29,26 +30,47 @@
 	// salt makes the order differ between gateways.
 	salt uint64
 	// local are the upstreams of the own failure domain, remote all others.
-	local, remote []*Upstream
+	local, remote []*listing
 }
 
-// update replaces the list of upstreams. Those that remain keep their relative order (rendezvous
-// hashing).
-func (r *ranking) update(list []*Upstream, domain string) {
-	r.local, r.remote = r.local[:0], r.remote[:0]
-	for _, u := range list {
-		u.rank = r.rank(u.ID)
-		if u.Domain == domain {
-			r.local = append(r.local, u)
+// update adds upstreams and, if any were removed, drops those that are not of the given generation.
+// Those that remain keep their relative order (rendezvous hashing).
+func (r *ranking) update(added []*listing, removed bool, generation uint64, domain string) {
+	var local, remote []*listing
+	for _, l := range added {
+		if l.Domain == domain {
+			local = append(local, l)
 		} else {
-			r.remote = append(r.remote, u)
+			remote = append(remote, l)
 		}
 	}
-	for _, group := range [][]*Upstream{r.local, r.remote} {
-		sort.Slice(group, func(i, j int) bool { return group[i].rank < group[j].rank })
+	r.local = mergeRanked(r.local, local, removed, generation)
+	r.remote = mergeRanked(r.remote, remote, removed, generation)
+}
+
+// mergeRanked returns the ranked list with the added upstreams and, if any were removed, without those
+// that are not of the given generation.
+func mergeRanked(list, added []*listing, removed bool, generation uint64) []*listing {
+	if removed {
+		list = slices.DeleteFunc(list, func(l *listing) bool { return l.generation != generation })
 	}
+	if len(added) == 0 {
+		return list
+	}
+	slices.SortFunc(added, compareRanks)
+	out := make([]*listing, 0, len(list)+len(added))
+	for len(list) > 0 && len(added) > 0 {
+		if compareRanks(list[0], added[0]) <= 0 {
+			out, list = append(out, list[0]), list[1:]
+		} else {
+			out, added = append(out, added[0]), added[1:]
+		}
+	}
+	return append(append(out, list...), added...)
 }
 
+func compareRanks(a, b *listing) int { return cmp.Compare(a.rank, b.rank) }
+
 // rank returns the sort key of an upstream.
 func (r *ranking) rank(id string) uint64 {
 	return rand.NewPCG(xxhash.Sum64String(id), r.salt).Uint64()
@@ -97,9 +119,11 @@
 
 // considerList considers the upstreams of a list that have room, in order, until it has found enough
 // good ones.
-func (s *Service) considerList(now time.Time, req *Request, list []*Upstream, c *choice) {
+func (s *Service) considerList(now time.Time, req *Request, list []*listing, c *choice) {
 	good, examined := 0, 0
-	for _, u := range list {
+	for _, l := range list {
+		u := s.stateOf(now, l)
+		u.usedAt = now
 		if u.limit != nil && req.heldByLimit || isExcluded(req, u.ID) || !s.usable(now, u) || !u.hasCapacity(now, s.typicalWorkTime, req.Objective, false) {
 			continue
 		}
--- a/coordination/dispatch/demand.go
+++ b/coordination/dispatch/demand.go
@@ -28,12 +28,35 @@
 	return s.demand
 }
 
-// updateRate sums up the rates that the usable upstreams can serve.
-func (s *Service) updateRate(now time.Time) {
-	s.totalThroughput = 0
-	for _, u := range s.ordered {
-		if s.usable(now, u) {
-			s.totalThroughput += u.cappedRate(u.throughput(now, s.typicalWorkTime))
-		}
+// rateValidity is how long a measured total throughput is used. Only requests that would have to wait
+// ask for it.
+const rateValidity = 20 * time.Millisecond
+
+// currentThroughput returns the rate that the usable upstreams together can run, in requests per
+// second.
+func (s *Service) currentThroughput(now time.Time) float64 {
+	if !s.rateAt.IsZero() && now.Sub(s.rateAt) < rateValidity {
+		return s.totalThroughput
+	}
+	s.totalThroughput, s.rateAt = 0, now
+	for _, l := range s.ordered {
+		s.totalThroughput += s.throughputOf(now, l)
+	}
+	return s.totalThroughput
+}
+
+// throughputOf returns the rate that a listed upstream can run, in requests per second; zero if it may
+// get no requests.
+func (s *Service) throughputOf(now time.Time, l *listing) float64 {
+	if !s.listingUsable(now, l) {
+		return 0
+	}
+	if u := l.state; u != nil {
+		return u.cappedRate(u.throughput(now, s.typicalWorkTime))
+	}
+	work := s.lastReport.WorkTimes[l.ID].Work
+	if work == 0 {
+		work = s.typicalWorkTime
 	}
+	return float64(l.Slots) / max(work.Seconds(), minWorkTime.Seconds())
 }
--- a/coordination/dispatch/dispatch_test.go
+++ b/coordination/dispatch/dispatch_test.go
@@ -59,7 +59,7 @@
 // learnWorkTime makes the service see a response of the upstream after the given time.
 func learnWorkTime(s *Service, id string, took time.Duration) {
 	s.Done(at(took), Grant{Instance: instances.Instance{ID: id}, GrantedAt: start}, Answered)
-	s.upstreams[id].ownInFlight = 0
+	s.upstream(start, id).ownInFlight = 0
 }
 
 func TestOwnDomainIsPreferred(t *testing.T) {
@@ -165,12 +165,12 @@
 	now := at(200 * ms)
 	req := &Request{Objective: time.Second, Deadline: at(time.Minute), QueueUntil: at(time.Minute)}
 	mustGrant(t, s, now, req)
-	if s.upstreams["a1"].silent(now.Add(450*ms), s.typicalWorkTime) {
+	if s.upstream(start, "a1").silent(now.Add(450*ms), s.typicalWorkTime) {
 		t.Error("one slow request counts as silence")
 	}
 	mustGrant(t, s, now, req)
 	mustGrant(t, s, now, req)
-	if !s.upstreams["a1"].silent(now.Add(time.Second), s.typicalWorkTime) {
+	if !s.upstream(start, "a1").silent(now.Add(time.Second), s.typicalWorkTime) {
 		t.Error("three overdue requests do not count as silence")
 	}
 }
@@ -221,7 +221,7 @@
 // waiting for it are kept.
 func TestRestartedUpstreamStartsFresh(t *testing.T) {
 	s := newService("a1")
-	s.upstreams["a1"].StartedMs = 1
+	s.upstream(start, "a1").StartedMs = 1
 	var before []Grant
 	for {
 		req := newRequest()
@@ -239,7 +239,7 @@
 	again := instanceList("a1")
 	again[0].StartedMs = 2
 	s.SetUpstreams(at(ms), again)
-	u := s.upstreams["a1"]
+	u := s.upstream(start, "a1")
 	if u.backoff != 0 || u.ownInFlight != 1 || s.waiting != 0 {
 		t.Errorf("pause %s, %d in flight, %d waiting", u.backoff, u.ownInFlight, s.waiting)
 	}
@@ -256,7 +256,7 @@
 func TestHotKeysAreSampled(t *testing.T) {
 	s := newService("a1")
 	s.ApplyReport(start, ClusterReport{Gateways: hotKeyLimitMinGateways, HotKeyAdmission: map[uint16]float64{7: 0.25}})
-	s.upstreams["a1"].share.fraction = 1
+	s.upstream(start, "a1").share.fraction = 1
 	admitted := func(now time.Time, key uint16) int {
 		n := 0
 		for range 1000 {
@@ -289,7 +289,7 @@
 func TestAdmittedRequestIsNotSampledAgain(t *testing.T) {
 	s := newService("a1")
 	s.ApplyReport(start, ClusterReport{Gateways: hotKeyLimitMinGateways, HotKeyAdmission: map[uint16]float64{7: 0}})
-	s.upstreams["a1"].share.fraction = 1
+	s.upstream(start, "a1").share.fraction = 1
 	req := newRequest()
 	req.Owner, req.Key = "a1", 7
 	if _, r, _ := s.Offer(start, req); r != HotKey {
@@ -309,7 +309,7 @@
 	s.typicalWorkTime = 100 * ms
 	s.SetUpstreams(start, one)
 	s.ApplyReport(start, ClusterReport{Gateways: 1, WorkTimes: map[string]worktime.Estimate{"a1": {Work: 100 * ms, Slowness: 1}}})
-	u := s.upstreams["a1"]
+	u := s.upstream(start, "a1")
 	if got := u.currentWorkTime(start, s.typicalWorkTime); got != 200*ms {
 		t.Errorf("work time %s during warm-up", got)
 	}
@@ -410,7 +410,7 @@
 	if verdicts+withdrawn != offered || s.Waiting() != 0 {
 		t.Errorf("%d offered, %d verdicts, %d withdrawn, %d waiting", offered, verdicts, withdrawn, s.Waiting())
 	}
-	for _, u := range s.ordered {
+	for _, u := range s.inUse {
 		if u.ownInFlight != 0 || len(u.unanswered) != 0 {
 			t.Errorf("%s: %d in flight, %d unanswered", u.ID, u.ownInFlight, len(u.unanswered))
 		}
@@ -438,7 +438,7 @@
 func TestInflightEstimateWithoutReports(t *testing.T) {
 	fresh := NewService("a", 2*time.Second, rand.New(rand.NewPCG(1, 2)))
 	fresh.SetUpstreams(start, instanceList("a1"))
-	u := fresh.upstreams["a1"]
+	u := fresh.upstream(start, "a1")
 	u.ownInFlight = 2
 	if n := u.totalInFlight(start); n != 2*assumedGateways {
 		t.Errorf("%v in flight before any report", n)
--- a/coordination/dispatch/eligibility.go
+++ b/coordination/dispatch/eligibility.go
@@ -21,6 +21,24 @@
 	return 0
 }
 
+// listingBlockedReason is blockedReason of a listed upstream. Nothing is known that blocks one without a
+// state.
+func (s *Service) listingBlockedReason(now time.Time, l *listing) Refusal {
+	if l.state == nil {
+		return 0
+	}
+	return s.blockedReason(now, l.state)
+}
+
+// listingUsable is usable of a listed upstream. One without a state may get requests unless they are
+// limited because it warms up: this gateway has no right to send then.
+func (s *Service) listingUsable(now time.Time, l *listing) bool {
+	if l.state == nil {
+		return s.warmUp.MaxPerSecond <= 0 || !now.Before(s.warmUpEnd(l))
+	}
+	return s.usable(now, l.state)
+}
+
 // ownerBlockedReason is like blockedReason, but for requests for keys that the upstream owns. No
 // other upstream can serve these before the keys have moved, so a leaving or evacuated owner still
 // gets them for a grace period.
@@ -40,18 +58,21 @@
 // returns Resting if any of them is resting, because those become available again by themselves.
 func (s *Service) requestBlockedReason(now time.Time, req *Request) Refusal {
 	if req.Owner != "" {
-		u := s.upstreams[req.Owner]
-		if u == nil {
+		l := s.listed[req.Owner]
+		switch {
+		case l == nil:
 			return NoUpstream
+		case l.state == nil:
+			return 0
 		}
-		return s.ownerBlockedReason(now, u)
+		return s.ownerBlockedReason(now, l.state)
 	}
 	reason := NoUpstream
-	for _, u := range s.ordered {
-		if isExcluded(req, u.ID) {
+	for _, l := range s.ordered {
+		if isExcluded(req, l.ID) {
 			continue
 		}
-		switch s.blockedReason(now, u) {
+		switch s.listingBlockedReason(now, l) {
 		case 0:
 			return 0
 		case Resting:
@@ -64,7 +85,7 @@
 // MaySend reports whether a request with a grant may go to its upstream now. It returns false for an
 // upstream that is no longer listed, because that one's state is unknown.
 func (s *Service) MaySend(now time.Time, g Grant) bool {
-	u := s.grantedUpstream(g)
+	u := s.grantedUpstream(now, g)
 	return u != nil && s.ownerBlockedReason(now, u) == 0
 }
 
@@ -72,7 +93,7 @@
 // its rest, or zero if none is resting.
 func (s *Service) RestRemaining(now time.Time, req *Request) time.Duration {
 	least := time.Duration(0)
-	for _, u := range s.ordered {
+	for _, u := range s.inUse {
 		if req.Owner != "" && u.ID != req.Owner || isExcluded(req, u.ID) || !u.notices.Resting(now) {
 			continue
 		}
--- a/coordination/dispatch/evacuated.go
+++ b/coordination/dispatch/evacuated.go
@@ -13,10 +13,16 @@
 // except that owners get those for keys that have not moved yet during evacuationGrace.
 func (s *Service) SetEvacuated(now time.Time, evacuated func(domain string) bool) {
 	s.isEvacuated = evacuated
-	for _, u := range s.ordered {
-		s.updateEvacuated(now, u)
+	for _, l := range s.ordered {
+		switch {
+		case l.state != nil:
+			s.updateEvacuated(now, l.state)
+		case evacuated(l.Domain):
+			l.state = s.newState(now, l)
+			l.state.evacuatedSince = now
+		}
 	}
-	s.updateRate(now)
+	s.rateAt = time.Time{}
 	s.grantWaiting(now)
 }
 
@@ -28,6 +34,7 @@
 		u.evacuatedSince = now
 	case !evacuated && u.isEvacuated():
 		u.evacuatedSince = time.Time{}
+		s.evacuationEndedAt[u.Domain] = now
 		s.assumeWarmUp(now, u)
 	}
 }
--- a/coordination/dispatch/limited.go
+++ b/coordination/dispatch/limited.go
@@ -44,7 +44,8 @@
 
 // SetLimits sets the limits of the upstreams, by ID. Upstreams that are not listed have none.
 func (s *Service) SetLimits(now time.Time, limits map[string]Limit) {
-	for _, u := range s.ordered {
+	s.limits = limits
+	for _, u := range s.inUse {
 		limit, ok := limits[u.ID]
 		switch {
 		case !ok:
@@ -55,6 +56,11 @@
 			u.limit.PerSecond, u.limit.othersDemand = limit.PerSecond, limit.OthersDemand
 		}
 	}
+	for id, limit := range limits {
+		if l := s.listed[id]; l != nil && l.state == nil {
+			s.stateOf(now, l).limit = s.newUpstreamLimit(now, limit)
+		}
+	}
 }
 
 // LimitedDemand measures, for each upstream, how many requests a second this gateway receives that
@@ -62,7 +68,7 @@
 // once per report.
 func (s *Service) LimitedDemand(now time.Time) map[string]float64 {
 	var out map[string]float64
-	for _, u := range s.ordered {
+	for _, u := range s.inUse {
 		rate := u.demandMeter.Rate(now)
 		if u.limit == nil {
 			continue
@@ -119,7 +125,7 @@
 // a limit can serve it.
 func (s *Service) blockedByLimits(now time.Time, req *Request) bool {
 	if req.Owner != "" {
-		u := s.upstreams[req.Owner]
+		u := s.existingState(req.Owner)
 		return u != nil && !s.withinLimit(now, req, u)
 	}
 	return req.heldByLimit && !s.hasUnlimited(now, req)
@@ -127,8 +133,8 @@
 
 // hasUnlimited reports whether there is an upstream for the request that has no limit.
 func (s *Service) hasUnlimited(now time.Time, req *Request) bool {
-	for _, u := range s.ordered {
-		if u.limit == nil && s.blockedReason(now, u) == 0 && !isExcluded(req, u.ID) {
+	for _, l := range s.ordered {
+		if (l.state == nil || l.state.limit == nil) && s.listingBlockedReason(now, l) == 0 && !isExcluded(req, l.ID) {
 			return true
 		}
 	}
--- a/coordination/dispatch/limited_test.go
+++ b/coordination/dispatch/limited_test.go
@@ -20,10 +20,13 @@
 		report.Limits[id] = Limit{PerSecond: perSecond, OthersDemand: demand - own}
 	}
 	s.ApplyReport(start, report)
+	for _, l := range s.ordered {
+		s.stateOf(start, l)
+	}
 	s.LimitedDemand(start.Add(-time.Second))
-	for _, u := range s.ordered {
+	for _, l := range s.ordered {
 		for range int(own) {
-			u.demandMeter.Add()
+			s.stateOf(start, l).demandMeter.Add()
 		}
 	}
 	s.LimitedDemand(start)
@@ -157,7 +160,7 @@
 func TestUnknownDemandIsAssumedEqual(t *testing.T) {
 	s := limitedService(nil, 0, 40, "a1")
 	s.SetLimits(start, map[string]Limit{"a1": {PerSecond: 30, OthersDemand: -1}})
-	if n := s.upstreams["a1"].totalDemand(at(time.Hour)); n < 100 || n > 140 {
+	if n := s.upstream(start, "a1").totalDemand(at(time.Hour)); n < 100 || n > 140 {
 		t.Errorf("total demand %.0f of three gateways, want about three times this one's 40", n)
 	}
 }
--- a/coordination/dispatch/notices.go
+++ b/coordination/dispatch/notices.go
@@ -11,7 +11,7 @@
 // ApplyNotice applies the notice in the response to a request. It must be called before Done for
 // that request.
 func (s *Service) ApplyNotice(now time.Time, g Grant, n notice.Notice) notice.Change {
-	u := s.grantedUpstream(g)
+	u := s.grantedUpstream(now, g)
 	if u == nil {
 		return s.unlisted.Apply(now, g.Instance.ID, g.Instance.Incarnation(), n)
 	}
@@ -24,8 +24,8 @@
 }
 
 // grantedUpstream returns the upstream of a grant, or nil if it is no longer listed or has restarted.
-func (s *Service) grantedUpstream(g Grant) *Upstream {
-	u := s.upstreams[g.Instance.ID]
+func (s *Service) grantedUpstream(now time.Time, g Grant) *Upstream {
+	u := s.upstream(now, g.Instance.ID)
 	if u == nil || u.Incarnation().DiffersFrom(g.Instance.Incarnation()) {
 		return nil
 	}
@@ -52,7 +52,7 @@
 
 // CountNotices returns how many upstreams have announced their shutdown and how many are resting.
 func (s *Service) CountNotices(now time.Time) (leaving, resting int) {
-	for _, u := range s.ordered {
+	for _, u := range s.inUse {
 		if u.notices.Leaving() {
 			leaving++
 		}
@@ -65,8 +65,8 @@
 
 // NoticeState returns the notice state of a grant's upstream. It is the zero value if the upstream
 // is no longer listed or has restarted.
-func (s *Service) NoticeState(g Grant) notice.State {
-	if u := s.grantedUpstream(g); u != nil {
+func (s *Service) NoticeState(now time.Time, g Grant) notice.State {
+	if u := s.grantedUpstream(now, g); u != nil {
 		return u.notices
 	}
 	return notice.State{}
--- a/coordination/dispatch/notices_test.go
+++ b/coordination/dispatch/notices_test.go
@@ -31,8 +31,8 @@
 			t.Fatalf("sent to %s", g.Instance.ID)
 		}
 	}
-	s.ApplyNotice(at(10*ms), Grant{Instance: s.upstreams["a1"].Instance}, notice.Notice{})
-	if r := s.blockedReason(at(time.Hour), s.upstreams["a1"]); r != Leaving {
+	s.ApplyNotice(at(10*ms), Grant{Instance: s.upstream(start, "a1").Instance}, notice.Notice{})
+	if r := s.blockedReason(at(time.Hour), s.upstream(start, "a1")); r != Leaving {
 		t.Errorf("after a response without a notice: refusal %v", r)
 	}
 }
@@ -87,17 +87,17 @@
 	answerWithNotice(s, start, Grant{Instance: *born[0], GrantedAt: start}, notice.Notice{Leaving: true})
 	s.SetUpstreams(at(ms), instanceList("b1"))
 	s.SetUpstreams(at(time.Minute), born)
-	if s.ownerBlockedReason(at(time.Minute+s.drainTime+ms), s.upstreams["a1"]) != Leaving {
+	if s.ownerBlockedReason(at(time.Minute+s.drainTime+ms), s.upstream(start, "a1")) != Leaving {
 		t.Error("the leaving notice is lost")
 	}
 	again := instanceList("a1", "b1")
 	again[0].StartedMs = 2000
 	s.SetUpstreams(at(2*time.Minute), again)
-	if r := s.blockedReason(at(time.Hour), s.upstreams["a1"]); r != 0 {
+	if r := s.blockedReason(at(time.Hour), s.upstream(start, "a1")); r != 0 {
 		t.Errorf("next incarnation: refusal %v", r)
 	}
 	s.ApplyNotice(at(2*time.Minute), Grant{Instance: *born[0]}, notice.Notice{Leaving: true})
-	if r := s.blockedReason(at(time.Hour), s.upstreams["a1"]); r != 0 {
+	if r := s.blockedReason(at(time.Hour), s.upstream(start, "a1")); r != 0 {
 		t.Errorf("next incarnation, after a response of the previous one: refusal %v", r)
 	}
 }
@@ -114,7 +114,7 @@
 	g := mustGrant(t, s, at(time.Minute), newOwnerRequest("a1"))
 	s.Done(at(time.Minute), g, Answered)
 	s.SetUpstreams(at(2*time.Minute), leaving)
-	if r := s.ownerBlockedReason(at(2*time.Minute+s.drainTime), s.upstreams["a1"]); r != 0 {
+	if r := s.ownerBlockedReason(at(2*time.Minute+s.drainTime), s.upstream(start, "a1")); r != 0 {
 		t.Errorf("within the second grace period: refusal %v", r)
 	}
 }
@@ -219,7 +219,7 @@
 	if left := s.RestRemaining(at(time.Second), newRequest()); left != 2*time.Second+2*ms {
 		t.Errorf("rest of %s remaining", left)
 	}
-	if r := s.ownerBlockedReason(at(3*time.Second+3*ms), s.upstreams["a1"]); r != Leaving {
+	if r := s.ownerBlockedReason(at(3*time.Second+3*ms), s.upstream(start, "a1")); r != Leaving {
 		t.Errorf("second grace period for an owner listed again: refusal %v", r)
 	}
 }
--- a/coordination/dispatch/report.go
+++ b/coordination/dispatch/report.go
@@ -30,7 +30,7 @@
 // problems or with notices. It starts a new reporting period.
 func (s *Service) Loads(now time.Time) []Load {
 	var out []Load
-	for _, u := range s.ordered {
+	for _, u := range s.inUse {
 		u.integrateInFlight(now)
 		span := now.Sub(u.lastReportAt).Seconds()
 		mean := u.activeInFlight()
@@ -83,14 +83,19 @@
 // is empty.
 func (s *Service) Explain(now time.Time, owner string) Explanation {
 	e := Explanation{Waiting: s.waiting, RunTime: s.typicalWorkTime, Part: s.demandFraction}
-	for _, u := range s.ordered {
-		if owner != "" && u.ID != owner {
+	for _, l := range s.ordered {
+		if owner != "" && l.ID != owner {
 			continue
 		}
 		e.Upstreams++
-		if s.usable(now, u) {
+		if s.listingUsable(now, l) {
 			e.Usable++
 		}
+		u := l.state
+		if u == nil {
+			e.Slots += l.Slots
+			continue
+		}
 		e.OwnInflight += u.ownInFlight
 		e.HungInflight += u.hung
 		e.OthersInflight += u.othersInFlight
--- a/coordination/dispatch/reportedload.go
+++ b/coordination/dispatch/reportedload.go
@@ -27,7 +27,7 @@
 // ApplyLoad applies the load that an upstream reported with the response to a request. It must be
 // called before Done for that request.
 func (s *Service) ApplyLoad(now time.Time, g Grant, load instances.Load) {
-	u := s.grantedUpstream(g)
+	u := s.grantedUpstream(now, g)
 	if u == nil {
 		return
 	}
--- a/coordination/dispatch/reportedload_test.go
+++ b/coordination/dispatch/reportedload_test.go
@@ -26,7 +26,7 @@
 	if g := mustGrant(t, s, start, newRequest()); g.Instance.ID != "a1" {
 		t.Fatalf("sent to %s, which has the longer mean work time", g.Instance.ID)
 	}
-	u := s.upstreams["a1"]
+	u := s.upstream(start, "a1")
 	s.ApplyLoad(at(ms), Grant{Instance: u.Instance}, instances.Load{Running: 1, Slots: 2, Slowness: 4.2})
 	if got := u.currentWorkTime(at(ms), s.typicalWorkTime); got != 300*ms {
 		t.Errorf("work time %s in a slow period", got)
@@ -54,7 +54,7 @@
 		}
 		answerWithLoad(s, "a1", time.Duration(i+1)*time.Second, took, instances.Load{Running: 1, Slots: 2, Slowness: slowness})
 	}
-	u := s.upstreams["a1"]
+	u := s.upstream(start, "a1")
 	if u.ownWorkTime < 95*ms || u.ownWorkTime > 105*ms {
 		t.Errorf("work time %s at a slowness of 1", u.ownWorkTime)
 	}
@@ -68,7 +68,7 @@
 func TestReportedLoadOverridesPeerReports(t *testing.T) {
 	s := newService("a1")
 	s.ApplyReport(start, ClusterReport{Gateways: 3, InFlight: map[string]float64{"a1": 1}})
-	u := s.upstreams["a1"]
+	u := s.upstream(start, "a1")
 	g := mustGrant(t, s, start, newRequest())
 	s.ApplyLoad(start, g, instances.Load{Running: 2, Waiting: 5, Slots: 2})
 	if got := u.totalInFlight(start); got != 7 {
@@ -84,7 +84,7 @@
 func TestUpstreamWithoutReportedLoad(t *testing.T) {
 	s := newService("a1")
 	learnWorkTime(s, "a1", 100*ms)
-	u := s.upstreams["a1"]
+	u := s.upstream(start, "a1")
 	if got := u.currentWorkTime(at(time.Second), s.typicalWorkTime); got != 100*ms || u.unreportedRuns.MeanSlowness() != 1 {
 		t.Errorf("work time %s, runs %v", got, u.unreportedRuns)
 	}
--- a/coordination/dispatch/service.go
+++ b/coordination/dispatch/service.go
@@ -2,11 +2,9 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/rockcroft/rockcroft/coordination/notice"
-	"github.com/rockcroft/rockcroft/state/instances"
 )
 
 const (
@@ -53,8 +51,13 @@
 	// drainTime is how long an owner still gets requests after it was seen to be leaving.
 	drainTime time.Duration
 	rng       *rand.Rand
-	upstreams map[string]*Upstream
-	ordered   []*Upstream
+	// listed holds all upstreams of the service, by ID; ordered holds them as they were listed.
+	// generation counts the lists.
+	listed     map[string]*listing
+	ordered    []*listing
+	generation uint64
+	// inUse are the states that exist.
+	inUse []*Upstream
 	// unlisted keeps the notices of upstreams that are no longer listed.
 	unlisted notice.Store
 	// ranked holds the upstreams in this gateway's order of preference.
@@ -80,11 +83,18 @@
 	// reported at hotKeyAdmissionAt.
 	hotKeyAdmission   map[uint16]float64
 	hotKeyAdmissionAt time.Time
-	// totalThroughput is the rate that all usable upstreams together can run, in requests per
-	// second, as last measured.
+	// totalThroughput is the rate that all usable upstreams together could run at rateAt, in
+	// requests per second. A zero rateAt means that it must be measured again.
 	totalThroughput float64
+	rateAt          time.Time
+	// lastReport is what the other gateways reported at reportedAt; limits are those in force.
+	lastReport ClusterReport
+	reportedAt time.Time
+	limits     map[string]Limit
 	// isEvacuated reports whether a failure domain is evacuated.
 	isEvacuated func(domain string) bool
+	// evacuationEndedAt is when the evacuation of a failure domain ended last.
+	evacuationEndedAt map[string]time.Time
 	// warmUp limits the requests to upstreams that are warming up. warmingWithRight are the
 	// upstreams to which this gateway has the right to send meanwhile.
 	warmUp           WarmUp
@@ -97,81 +107,36 @@
 	return &Service{
 		domain: domain, drainTime: time.Duration(drainTimeShare * float64(drain)), rng: rng,
 		isEvacuated: func(string) bool { return false },
-		ranked:      ranking{salt: rng.Uint64()}, upstreams: make(map[string]*Upstream), demandFraction: 1.0 / assumedGateways, coldFactor: initialColdFactor,
+		ranked:      ranking{salt: rng.Uint64()}, listed: make(map[string]*listing), evacuationEndedAt: make(map[string]time.Time), demandFraction: 1.0 / assumedGateways, coldFactor: initialColdFactor,
 	}
 }
 
-// SetUpstreams replaces the list of upstreams. The state of upstreams that stay is kept, and
-// requests that wait for a removed one are refused.
-func (s *Service) SetUpstreams(now time.Time, list []*instances.Instance) {
-	known := make(map[string]*Upstream, len(list))
-	s.ordered = s.ordered[:0]
-	for _, instance := range list {
-		u := s.upstreams[instance.ID]
-		if u == nil || u.Incarnation().DiffersFrom(instance.Incarnation()) {
-			u = s.newUpstreamState(now, *instance, u)
-		}
-		s.updateEntry(now, u, *instance)
-		u.disabled = s.Disabled
-		s.updateLeaving(now, u)
-		s.updateEvacuated(now, u)
-		known[instance.ID] = u
-		s.ordered = append(s.ordered, u)
-		delete(s.upstreams, instance.ID)
-	}
-	for _, removed := range s.upstreams {
-		s.refuseAll(removed, NoUpstream)
-		s.unlisted.Save(now, removed.ID, removed.Incarnation(), removed.notices)
-	}
-	s.upstreams = known
-	s.warmingWithRight = slices.DeleteFunc(s.warmingWithRight, func(u *Upstream) bool { return known[u.ID] != u })
-	s.ranked.update(s.ordered, s.domain)
-	s.updateRate(now)
-	s.grantWaiting(now)
-}
-
-// newUpstreamState returns the state of a new upstream. former is the previous upstream with the
-// same ID, or nil. Its measurements and requests in flight do not apply to the new one, but the
-// requests that wait for it as an owner keep waiting.
-func (s *Service) newUpstreamState(now time.Time, instance instances.Instance, former *Upstream) *Upstream {
-	u := newUpstream(instance, now)
-	if s.gateways > 0 {
-		u.gateways = s.gateways
-		u.share.fraction = s.demandFraction
-	}
-	if former != nil {
-		u.queue = former.queue
-	}
-	u.notices = s.unlisted.Take(instance.ID, instance.Incarnation())
-	if s.isEvacuated(instance.Domain) {
-		// It is unknown how long the domain of a newly listed upstream has been evacuated. Assume
-		// that the drain is over.
-		u.evacuatedSince = now.Add(-2 * evacuationGrace)
-	}
-	s.scheduleFirstSend(now, u)
-	return u
-}
-
 // ApplyReport applies what the other gateways reported.
 func (s *Service) ApplyReport(now time.Time, report ClusterReport) {
 	s.gateways = max(report.Gateways, 1)
 	s.demandFraction = s.computeDemandFraction(report)
 	s.hotKeyAdmission, s.hotKeyAdmissionAt = report.HotKeyAdmission, now
-	s.applyRights(report.Rights)
+	s.lastReport, s.reportedAt = report, now
+	s.dropIdleStates(now)
+	s.applyRights(now, report.Rights)
 	s.SetLimits(now, report.Limits)
-	for _, u := range s.ordered {
+	for _, u := range s.inUse {
 		u.gateways = s.gateways
-		u.othersInFlight = report.InFlight[u.ID]
-		if workTime := report.WorkTimes[u.ID]; workTime.Work > 0 {
-			u.clusterWorkTime, u.clusterSlowness = workTime.Work, workTime.Slowness
-		}
-		u.othersInFlightAt = now
+		u.applyReport(now, report)
 		u.share.applyReport(now, u.throughput(now, s.typicalWorkTime), s.demandFraction, u.totalInFlight(now), u.Slots)
 	}
-	s.updateRate(now)
+	s.rateAt = time.Time{}
 	s.grantWaiting(now)
 }
 
+// applyReport applies what the other gateways reported about the upstream at the given time.
+func (u *Upstream) applyReport(at time.Time, report ClusterReport) {
+	u.othersInFlight, u.othersInFlightAt = report.InFlight[u.ID], at
+	if workTime := report.WorkTimes[u.ID]; workTime.Work > 0 {
+		u.clusterWorkTime, u.clusterSlowness = workTime.Work, workTime.Slowness
+	}
+}
+
 // Offer asks for an upstream. The last result is true if the request was granted or refused at
 // once. Otherwise it waits, and the decision goes to OnDecision.
 func (s *Service) Offer(now time.Time, req *Request) (Grant, Refusal, bool) {
@@ -187,7 +152,7 @@
 	}
 	q, u := &s.queue, (*Upstream)(nil)
 	if req.Owner != "" {
-		if u = s.upstreams[req.Owner]; u == nil {
+		if u = s.upstream(now, req.Owner); u == nil {
 			return Grant{}, NoUpstream, true
 		}
 		u.demandMeter.Add()
@@ -225,7 +190,7 @@
 // in the time that it runs the owner answers several others on time, and it is late in any case.
 // It never waits.
 func (s *Service) offerCold(now time.Time, req *Request) (Grant, Refusal, bool) {
-	u := s.upstreams[req.Owner]
+	u := s.upstream(now, req.Owner)
 	switch {
 	case u == nil:
 		return Grant{}, NoUpstream, true
@@ -275,7 +240,7 @@
 }
 
 func (s *Service) availableOwner(now time.Time, req *Request) *Upstream {
-	u := s.upstreams[req.Owner]
+	u := s.upstream(now, req.Owner)
 	if u == nil || !s.ownerResponsive(now, u) || !s.warmUpAllows(now, u) || !u.hasCapacity(now, s.typicalWorkTime, req.Objective, true) {
 		return nil
 	}
@@ -304,7 +269,7 @@
 
 // Done ends a try and admits waiting requests.
 func (s *Service) Done(now time.Time, g Grant, o Outcome) {
-	u := s.grantedUpstream(g)
+	u := s.grantedUpstream(now, g)
 	if u == nil {
 		return
 	}
--- a/coordination/dispatch/share_test.go
+++ b/coordination/dispatch/share_test.go
@@ -16,7 +16,7 @@
 		s := NewService("a", 2*time.Second, rand.New(rand.NewPCG(uint64(i), 1)))
 		s.SetUpstreams(start, []*instances.Instance{{ID: "u", Domain: "a", Slots: 6}})
 		s.typicalWorkTime = workTime
-		s.upstreams["u"].ownWorkTime = workTime
+		s.upstream(start, "u").ownWorkTime = workTime
 		s.ApplyReport(start, ClusterReport{Gateways: gateways})
 		out = append(out, s)
 	}
@@ -70,7 +70,7 @@
 	inFlightMillis, reported := make([]float64, gateways), make([]float64, gateways)
 	for now := time.Duration(0); now < span; now += ms {
 		for i, s := range services {
-			inFlightMillis[i] += float64(s.upstreams["u"].ownInFlight)
+			inFlightMillis[i] += float64(s.upstream(start, "u").ownInFlight)
 			if rng.IntN(20) > 0 {
 				continue
 			}
@@ -143,7 +143,7 @@
 // answers later ones, must not count as in flight until its timeout.
 func TestHungRequestsAreNotCountedInFlight(t *testing.T) {
 	s := serviceWithWorkTime(20 * ms)
-	u := s.upstreams["a1"]
+	u := s.upstream(start, "a1")
 	hung := mustGrant(t, s, start, newRequest())
 	for i := range hungAfterOvertaken + 1 {
 		now := at(time.Duration(i+1) * 100 * ms)
@@ -171,7 +171,7 @@
 		req.Deadline, req.QueueUntil = now.Add(time.Second), now
 		s.Done(now.Add(10*ms), mustGrant(t, s, now, req), Answered)
 	}
-	if s.upstreams["a1"].hung != 0 {
+	if s.upstream(start, "a1").hung != 0 {
 		t.Error("a run of normal length counts as hung")
 	}
 }
@@ -194,7 +194,7 @@
 	warm.Owner = "a1"
 	mustGrant(t, s, start, warm)
 	s.Done(at(400*ms), g, Answered)
-	if work := s.upstreams["a1"].ownWorkTime; work != 10*ms {
+	if work := s.upstream(start, "a1").ownWorkTime; work != 10*ms {
 		t.Errorf("work time is %s after a cold request", work)
 	}
 }
--- a/coordination/dispatch/upstream.go
+++ b/coordination/dispatch/upstream.go
@@ -132,8 +132,8 @@
 	inFlightSeconds   float64
 	inFlightSecondsAt time.Time
 	lastReportAt      time.Time
-	// rank is its position in this gateway's order of preference.
-	rank uint64
+	// usedAt is when the upstream was last considered for a request or answered one.
+	usedAt time.Time
 	// demandMeter measures this gateway's demand for the upstream. limit is the rate limit that the
 	// upstream announced, or nil.
 	demandMeter quota.Meter
@@ -153,7 +153,7 @@
 func newUpstream(instance instances.Instance, now time.Time) *Upstream {
 	return &Upstream{
 		Instance: instance, gateways: assumedGateways, share: newFairShare(now),
-		warmUpUntil: now.Add(instance.WarmUp), inFlightSecondsAt: now, lastReportAt: now,
+		usedAt: now, inFlightSecondsAt: now, lastReportAt: now,
 	}
 }
 
@@ -308,6 +308,7 @@
 }
 
 func (u *Upstream) recordSend(now time.Time, typicalWorkTime time.Duration) {
+	u.usedAt = now
 	u.integrateInFlight(now)
 	u.share.take(now, u.throughput(now, typicalWorkTime))
 	u.ownInFlight++
@@ -317,6 +318,7 @@
 // recordOutcome updates the state at the end of a try.
 func (u *Upstream) recordOutcome(now time.Time, g Grant, o Outcome, typicalWorkTime time.Duration) {
 	grantedAt, inFlight := g.GrantedAt, g.InFlight
+	u.usedAt = now
 	u.integrateInFlight(now)
 	u.removeInFlight(grantedAt)
 	switch o {
--- a/coordination/dispatch/waiting.go
+++ b/coordination/dispatch/waiting.go
@@ -45,7 +45,7 @@
 // this gateway's fraction of the rate at which the upstreams finish requests.
 func (s *Service) expectedWait(now time.Time, req *Request, u *Upstream, ahead int) time.Duration {
 	if u == nil {
-		return time.Duration(float64(ahead) / max(s.demandFraction*s.totalThroughput, minRate) * float64(time.Second))
+		return time.Duration(float64(ahead) / max(s.demandFraction*s.currentThroughput(now), minRate) * float64(time.Second))
 	}
 	rate := u.throughput(now, s.typicalWorkTime)
 	u.share.refill(now, rate)
@@ -60,7 +60,7 @@
 	}
 	req.dequeued = true
 	s.waiting--
-	if u := s.upstreams[req.Owner]; u != nil {
+	if u := s.existingState(req.Owner); u != nil {
 		u.queue.remove(req)
 		return true
 	}
@@ -71,13 +71,12 @@
 // Tick grants waiting requests whose upstreams have room again, and refuses those that have waited
 // too long or can no longer be served.
 func (s *Service) Tick(now time.Time) {
-	s.updateRate(now)
 	if s.waiting == 0 {
 		return
 	}
 	s.grantWaiting(now)
 	expired := func(req *Request) { s.refuse(req, s.expiryReason(now, req)) }
-	for _, u := range s.ordered {
+	for _, u := range s.inUse {
 		if r := s.ownerBlockedReason(now, u); r != 0 {
 			s.refuseAll(u, r)
 		}
@@ -126,7 +125,7 @@
 	if s.waiting == 0 {
 		return
 	}
-	for _, u := range s.ordered {
+	for _, u := range s.inUse {
 		s.grantFromQueue(now, &u.queue)
 	}
 	s.grantFromQueue(now, &s.queue)
--- a/coordination/dispatch/warming.go
+++ b/coordination/dispatch/warming.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/rockcroft/rockcroft/state/instances"
@@ -51,10 +53,10 @@
 		return
 	}
 	s.warmUp = w
-	for _, u := range s.ordered {
+	for _, u := range s.inUse {
 		s.scheduleFirstSend(now, u)
 	}
-	s.updateRate(now)
+	s.rateAt = time.Time{}
 }
 
 // warmUpLimited reports whether the upstream is warming up and its requests are limited.
@@ -81,6 +83,17 @@
 	s.scheduleFirstSend(now, u)
 }
 
+// assumeWarmUpAfterEvacuation does the same for a new state if the evacuation of the upstream's failure
+// domain has ended a short time ago.
+func (s *Service) assumeWarmUpAfterEvacuation(now time.Time, u *Upstream) {
+	ended, ok := s.evacuationEndedAt[u.Domain]
+	if !ok || now.Sub(ended) >= maxEntryAge {
+		return
+	}
+	u.assumedWarmUpUntil = ended.Add(maxEntryAge)
+	u.warmUpUntil = later(u.warmUpUntil, u.assumedWarmUpUntil)
+}
+
 // scheduleFirstSend picks a random time for this gateway's first request to a warming owner.
 // Otherwise the first requests of all gateways would arrive at once.
 func (s *Service) scheduleFirstSend(now time.Time, u *Upstream) {
@@ -109,18 +122,21 @@
 }
 
 // applyRights replaces the rights of this gateway to send to warming upstreams.
-func (s *Service) applyRights(rights map[string]time.Time) {
+func (s *Service) applyRights(now time.Time, rights map[string]time.Time) {
 	for _, u := range s.warmingWithRight {
 		u.rightUntil = time.Time{}
 	}
 	s.warmingWithRight = s.warmingWithRight[:0]
-	if len(rights) == 0 {
-		return
-	}
-	for _, u := range s.ordered {
-		u.rightUntil = rights[u.ID]
-		if !u.rightUntil.IsZero() {
-			s.warmingWithRight = append(s.warmingWithRight, u)
+	for _, id := range slices.Sorted(maps.Keys(rights)) {
+		l := s.listed[id]
+		switch {
+		case l == nil || rights[id].IsZero():
+		case l.state == nil:
+			// The new state takes its right from the report.
+			s.stateOf(now, l)
+		default:
+			l.state.rightUntil = rights[id]
+			s.warmingWithRight = append(s.warmingWithRight, l.state)
 		}
 	}
 }
@@ -140,15 +156,30 @@
 
 // Warming returns the upstreams whose requests are limited because they warm up.
 func (s *Service) Warming(now time.Time) []instances.Instance {
+	if s.warmUp.MaxPerSecond <= 0 {
+		return nil
+	}
 	var out []instances.Instance
-	for _, u := range s.ordered {
-		if s.warmUpLimited(now, u) {
-			out = append(out, u.Instance)
+	for _, l := range s.ordered {
+		if now.Before(s.warmUpEnd(l)) {
+			out = append(out, *l.Instance)
 		}
 	}
 	return out
 }
 
+// warmUpEnd returns when the warm-up of a listed upstream ends.
+func (s *Service) warmUpEnd(l *listing) time.Time {
+	if l.state != nil {
+		return l.state.warmUpUntil
+	}
+	end := l.changedAt.Add(l.WarmUp)
+	if ended, ok := s.evacuationEndedAt[l.Domain]; ok {
+		end = later(end, ended.Add(maxEntryAge))
+	}
+	return end
+}
+
 // NeedRights returns the upstreams returned by Warming to which a gateway needs a right to send.
 func (s *Service) NeedRights(now time.Time) []instances.Instance {
 	if s.warmUp.Keyed {
--- a/coordination/dispatch/warming_test.go
+++ b/coordination/dispatch/warming_test.go
@@ -152,10 +152,10 @@
 	learnWorkTime(s, "a1", 100*ms)
 	s.SetUpstreams(at(100*ms), warmingInstances(2, 3*time.Second, "a1"))
 	s.ApplyReport(at(100*ms), ClusterReport{Gateways: 1, Rights: map[string]time.Time{"a1": at(4 * time.Second)}})
-	before := s.upstreams["a1"].ownWorkTime
+	before := s.upstream(start, "a1").ownWorkTime
 	g := mustGrant(t, s, at(100*ms), newRequest())
 	s.Done(at(900*ms), g, Answered)
-	if u := s.upstreams["a1"]; u.ownWorkTime != before || u.unreportedRuns.Runs > 1 {
+	if u := s.upstream(start, "a1"); u.ownWorkTime != before || u.unreportedRuns.Runs > 1 {
 		t.Errorf("work time changed from %[2]s to %[1]s, or the run was counted", u.ownWorkTime, before)
 	}
 }
--- a/coordination/notice/store.go
+++ b/coordination/notice/store.go
@@ -52,6 +52,12 @@
 	return c
 }
 
+// Has reports whether the state of an instance is stored.
+func (s *Store) Has(upstream string, incarnation instances.Incarnation) bool {
+	_, ok := s.entries[instanceKey{upstream, incarnation}]
+	return ok
+}
+
 // Take removes and returns the state of an instance that is listed again.
 func (s *Store) Take(upstream string, incarnation instances.Incarnation) State {
 	id := instanceKey{upstream, incarnation}
--- a/gateway/notices.go
+++ b/gateway/notices.go
@@ -49,7 +49,7 @@
 	now := t.now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.dispatch.MaySend(now, g), s.dispatch.NoticeState(g)
+	return s.dispatch.MaySend(now, g), s.dispatch.NoticeState(now, g)
 }
 
 // updateNoticeGauges sets the gauges of how many upstreams of each service are leaving and resting
