instances: versions of the view share what has not changed

The leader's tracker built each version from all entries, and ten times a second the watcher copied all of them to look for drained ones.

Change: a view is one sorted list of pointers; Apply copies the list and searches for each change; the groups by service follow the changes; Diff compares pointers first. The tracker applies only what has changed. The watcher looks at the drained and announced upstreams instead of at all.

--- a/gateway/evacuationstate.go
+++ b/gateway/evacuationstate.go
@@ -45,7 +45,7 @@
 	if upstreams == nil {
 		return out
 	}
-	for _, inst := range upstreams.All() {
+	for inst := range upstreams.All() {
 		if inst.Domain == m.Domain {
 			out.Upstreams++
 		}
--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -121,16 +121,17 @@
 
 // prepare computes what is the same for all children. The lock is held.
 func (e *fleetEncoder) prepare(sum *fleetSum, v *instances.View, workTimes map[string]worktime.Estimate) {
-	ids := v.IDs()
-	e.inFlight, e.encoded, e.work = make([]float64, len(ids)), make([]byte, len(ids)), make([]byte, workTimeSize*len(ids))
+	n := v.Len()
+	e.inFlight, e.encoded, e.work = make([]float64, n), make([]byte, n), make([]byte, workTimeSize*n)
 	e.slowness = nil
-	for i, id := range ids {
+	for i := range n {
+		id := v.At(i).ID
 		if l := sum.loads[id]; l != nil {
 			e.inFlight[i] = float64(l.Inflight)
 			e.encoded[i] = smallfloat.EncodeByte(e.inFlight[i])
 		}
 		binary.BigEndian.PutUint16(e.work[workTimeSize*i:], smallfloat.EncodeWord(workTimes[id].Work.Seconds()))
-		e.setSlowness(i, len(ids), workTimes[id])
+		e.setSlowness(i, n, workTimes[id])
 	}
 }
 
@@ -154,30 +155,31 @@
 	if known == nil {
 		return nil, nil, false
 	}
-	ids := known.IDs()
-	if !hasLen(m.InFlight, len(ids)) || len(m.Work) > 0 && !hasLen(m.Work, workTimeSize*len(ids)) || len(m.Slowness) > 0 && !hasLen(m.Slowness, len(ids)) {
+	n := known.Len()
+	if !hasLen(m.InFlight, n) || len(m.Work) > 0 && !hasLen(m.Work, workTimeSize*n) || len(m.Slowness) > 0 && !hasLen(m.Slowness, n) {
 		return nil, nil, false
 	}
 	var loads []*syncpb.Load
-	for i, id := range ids {
-		if m.InFlight[i] > 0 {
+	for i, encoded := range m.InFlight {
+		if encoded > 0 {
+			inst := known.At(i)
 			loads = append(loads, &syncpb.Load{
-				Instance: id, Incarnation: uint32(known.Get(id).Incarnation()), Inflight: float32(smallfloat.DecodeByte(m.InFlight[i])),
+				Instance: inst.ID, Incarnation: uint32(inst.Incarnation()), Inflight: float32(smallfloat.DecodeByte(encoded)),
 			})
 		}
 	}
-	return loads, workTimesFromMessage(m, ids), true
+	return loads, workTimesFromMessage(m, known), true
 }
 
 func hasLen(b []byte, size int) bool { return len(b) == size }
 
 // workTimesFromMessage returns the work times in a message, or nil if it has none.
-func workTimesFromMessage(m *syncpb.Fleet, ids []string) map[string]worktime.Estimate {
+func workTimesFromMessage(m *syncpb.Fleet, known *instances.View) map[string]worktime.Estimate {
 	if len(m.Work) == 0 {
 		return nil
 	}
 	workTimes := make(map[string]worktime.Estimate)
-	for i, id := range ids {
+	for i := range known.Len() {
 		work := smallfloat.DecodeWord(binary.BigEndian.Uint16(m.Work[workTimeSize*i:]))
 		if work == 0 {
 			continue
@@ -186,7 +188,7 @@
 		if len(m.Slowness) > 0 && m.Slowness[i] > 0 {
 			estimate.Slowness = smallfloat.DecodeByte(m.Slowness[i])
 		}
-		workTimes[id] = estimate
+		workTimes[known.At(i).ID] = estimate
 	}
 	return workTimes
 }
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -127,13 +127,13 @@
 	c := newCluster(testMember("a", 0, 100), nil, func() time.Time { return now }, nil)
 	c.setLeading(true)
 	v, workTimes := testUpstreams(3000), make(map[string]worktime.Estimate)
-	for _, id := range v.IDs() {
-		workTimes[id] = worktime.Estimate{Work: 90 * time.Millisecond, Slowness: 1}
+	for inst := range v.All() {
+		workTimes[inst.ID] = worktime.Estimate{Work: 90 * time.Millisecond, Slowness: 1}
 	}
 	for g := range 100 {
 		r := &syncpb.SyncRequest{Member: testMember("a", g+1, 100)}
 		for i := range 12 {
-			r.Loads = append(r.Loads, &syncpb.Load{Instance: v.IDs()[(g*30+i)%3000], Inflight: 1})
+			r.Loads = append(r.Loads, &syncpb.Load{Instance: v.At((g*30 + i) % 3000).ID, Inflight: 1})
 		}
 		c.handleReport(r, true)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -231,7 +231,7 @@
 		store: store, assignments: g.assignments, elector: g.elector, cluster: g.cluster, evac: evac, suspects: g.suspects, unread: unread,
 		watches: g.watcher.ages, now: g.now, log: log,
 	}
-	g.watcher.isDraining, g.watcher.announcedLeaving = g.assignments.placements.draining, g.assignments.reportedLeaving
+	g.watcher.drained, g.watcher.announcedLeaving = g.assignments.placements.drained, g.assignments.reportedLeaving
 	g.follower.setOwnReport = g.assignments.setOwnReport
 	g.proxy = &proxy{
 		view: g.view, traffic: g.traffic, splitter: routing.NewSplitter(), conns: g.conns, now: g.now,
--- a/gateway/placements.go
+++ b/gateway/placements.go
@@ -83,16 +83,17 @@
 	p.intents, p.loaded = nil, false
 }
 
-// draining reports whether a confirmed intent drains the upstream.
-func (p *placements) draining(upstream string) bool {
+// drained returns the upstreams that operators are draining.
+func (p *placements) drained() map[string]bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	out := make(map[string]bool)
 	for _, s := range p.intents {
-		if s.Kind == placement.Drain && s.State == placement.Confirmed && s.Upstream == upstream {
-			return true
+		if s.Kind == placement.Drain && s.State == placement.Confirmed {
+			out[s.Upstream] = true
 		}
 	}
-	return false
+	return out
 }
 
 // pins returns where operators want keys of a service to be, ordered by intent ID.
--- a/gateway/placements_test.go
+++ b/gateway/placements_test.go
@@ -66,7 +66,7 @@
 	b.leader().kill()
 	b.eventually("another leader with the drain in force", func() bool {
 		l := b.leader()
-		return l != nil && l.assignments.placements.draining("i-s1")
+		return l != nil && l.assignments.placements.drained()["i-s1"]
 	})
 	b.ready()
 	time.Sleep(2 * planInterval)
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -120,6 +120,9 @@
 	if old := v.inst.Load(); old != nil && (next.Revision < old.Revision || version == v.instVersion) {
 		return false
 	}
+	if old := v.inst.Load(); old != nil {
+		old.ReleaseIndex()
+	}
 	v.instVersion = version
 	v.inst.Store(next)
 	v.previousInst[version] = next
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -44,8 +45,8 @@
 	evac  *evacuations
 	now   func() time.Time
 	log   *slog.Logger
-	// isDraining reports whether an operator is draining an upstream.
-	isDraining func(upstream string) bool
+	// drained returns the upstreams that operators are draining.
+	drained func() map[string]bool
 	// announcedLeaving returns the upstreams that have told a gateway that they are leaving.
 	announcedLeaving func() map[string]bool
 	// leavingShown are the upstreams that were draining or had announced that they are leaving in
@@ -72,6 +73,7 @@
 	return &watcher{
 		leavingShown: make(map[string]bool), salt: salt, store: store, view: v, evac: evac, now: now, log: log, meters: m,
 		ages: newWatchAges(now, log), badEntries: make(map[string]uint64), compacted: make(chan struct{}), announcedLeaving: func() map[string]bool { return nil },
+		drained: func() map[string]bool { return make(map[string]bool) },
 	}
 }
 
@@ -308,12 +310,12 @@
 // those whose entries contain that mark. The caller holds the lock.
 func (w *watcher) publish() {
 	v, version := w.tracker.View()
-	announced := w.announcedLeaving()
 	var leaving []instances.Instance
-	for _, inst := range v.All() {
-		if !inst.Leaving && (announced[inst.ID] || w.isDraining(inst.ID)) {
-			inst.Leaving = true
-			leaving = append(leaving, inst)
+	for id := range w.markedLeaving() {
+		if inst := v.Get(id); inst != nil && !inst.Leaving {
+			marked := *inst
+			marked.Leaving = true
+			leaving = append(leaving, marked)
 		}
 	}
 	if len(leaving) > 0 {
@@ -322,21 +324,25 @@
 	w.view.setInstances(version, v)
 }
 
-// leavingChanged reports whether the set of upstreams that operators drain or that have announced
-// that they are leaving differs from that in the last view. The caller holds the lock.
+// markedLeaving returns the upstreams that operators drain or that have announced that they are
+// leaving.
+func (w *watcher) markedLeaving() map[string]bool {
+	marked := w.drained()
+	maps.Copy(marked, w.announcedLeaving())
+	return marked
+}
+
+// leavingChanged reports whether the listed upstreams among those that are marked as leaving differ
+// from those of its last call. The caller holds the lock.
 func (w *watcher) leavingChanged() bool {
-	changed := false
 	v := w.view.inst.Load()
 	if v == nil {
 		return false
 	}
-	announced := w.announcedLeaving()
-	for _, inst := range v.All() {
-		if now := announced[inst.ID] || w.isDraining(inst.ID); now != w.leavingShown[inst.ID] {
-			w.leavingShown[inst.ID] = now
-			changed = true
-		}
-	}
+	marked := w.markedLeaving()
+	maps.DeleteFunc(marked, func(id string, _ bool) bool { return v.Get(id) == nil })
+	changed := !maps.Equal(marked, w.leavingShown)
+	w.leavingShown = marked
 	return changed
 }
 
--- a/gateway/watch_test.go
+++ b/gateway/watch_test.go
@@ -144,7 +144,6 @@
 	log, m := slog.New(w.lines), newMeters()
 	evac := newEvacuations(w.view, time.Now, log, m)
 	watcher := newWatcher(platform.NewStore(transport), w.view, evac, time.Now, log, m, 1)
-	watcher.isDraining = func(string) bool { return false }
 	return watcher
 }
 
--- a/gateway/wire.go
+++ b/gateway/wire.go
@@ -1,8 +1,6 @@
 package gateway
 
 import (
-	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -50,14 +48,14 @@
 
 func (v *view) buildInstancesMessage(now *instances.View, version, base uint64) *syncpb.Instances {
 	m := &syncpb.Instances{Revision: now.Revision, Version: version}
-	list := now.All()
-	if old := v.previousInstances(base); old != nil {
+	old := v.previousInstances(base)
+	if old != nil {
 		m.Base = base
-		list, m.Removed = instances.Diff(old, now)
+	} else {
+		old = &instances.View{}
 	}
-	// Sort, so that every gateway encodes the same message to the same bytes.
-	slices.SortFunc(list, func(a, b instances.Instance) int { return strings.Compare(a.ID, b.ID) })
-	slices.Sort(m.Removed)
+	var list []instances.Instance
+	list, m.Removed = instances.Diff(old, now)
 	for _, inst := range list {
 		m.List = append(m.List, &syncpb.Instance{
 			Id: inst.ID, Service: inst.Service, Address: inst.Address, Domain: inst.Domain,
--- a/state/instances/instances.go
+++ b/state/instances/instances.go
@@ -2,10 +2,11 @@
 package instances
 
 import (
+	"iter"
 	"maps"
 	"slices"
-	"sort"
-	"sync"
+	"strings"
+	"sync/atomic"
 	"time"
 )
 
@@ -30,132 +31,186 @@
 	Revision uint64
 }
 
-// View is the set of all known upstreams. It must not be modified once it is shared.
+// View is the set of all known upstreams. It must not be modified once it is shared. Views of
+// successive versions share the instances that have not changed.
 type View struct {
 	// Revision is the store revision up to which the view is complete.
 	Revision uint64
-	byID     map[string]*Instance
-	services map[string][]*Instance
-	// ids holds all IDs in ascending order, positions the index of each ID in IDs. Both are built
-	// on first use.
-	once      sync.Once
-	ids       []string
-	positions map[string]int
+	// all is in ascending order of the IDs.
+	all []*Instance
+	// services is built on first use.
+	services atomic.Pointer[map[string][]*Instance]
 }
 
 // NewView returns the view of the given instances.
 func NewView(revision uint64, list []Instance) *View { return (&View{}).next(revision, list) }
 
-// next returns the successor of this view with the given instances. Unchanged instances are shared:
-// a gateway keeps dozens of versions of a view of a thousand upstreams.
+// next returns the successor of this view with the given instances.
 func (v *View) next(revision uint64, list []Instance) *View {
-	next := &View{Revision: revision, byID: make(map[string]*Instance, len(list))}
+	next := &View{Revision: revision, all: make([]*Instance, 0, len(list))}
 	for i := range list {
-		next.putShared(v.byID[list[i].ID], &list[i])
+		next.all = append(next.all, v.shared(&list[i]))
 	}
-	next.groupByService()
+	slices.SortFunc(next.all, func(a, b *Instance) int { return strings.Compare(a.ID, b.ID) })
+	next.all = slices.CompactFunc(next.all, func(a, b *Instance) bool { return a.ID == b.ID })
 	return next
 }
 
-// putShared adds an instance. It reuses kept, the instance in the previous view, if that is equal;
-// kept may be nil.
-func (v *View) putShared(kept, now *Instance) {
-	if kept == nil || *kept != *now {
-		changed := *now
-		kept = &changed
+// shared returns the instance of this view if it equals the given one, else a copy of that.
+func (v *View) shared(instance *Instance) *Instance {
+	if kept := v.Get(instance.ID); kept != nil && *kept == *instance {
+		return kept
 	}
-	v.byID[now.ID] = kept
+	changed := *instance
+	return &changed
 }
 
-// groupByService builds the lists of instances by service, ordered by ID.
-func (v *View) groupByService() {
-	v.services = make(map[string][]*Instance)
-	for _, instance := range v.byID {
-		v.services[instance.Service] = append(v.services[instance.Service], instance)
-	}
-	for _, group := range v.services {
-		sort.Slice(group, func(i, j int) bool { return group[i].ID < group[j].ID })
+// Get returns the instance with the ID, or nil.
+func (v *View) Get(id string) *Instance {
+	if i, ok := v.Position(id); ok {
+		return v.all[i]
 	}
+	return nil
 }
 
-// Get returns the instance with the ID, or nil.
-func (v *View) Get(id string) *Instance { return v.byID[id] }
-
-// Service returns the instances of a service, ordered by ID.
-func (v *View) Service(name string) []*Instance { return v.services[name] }
+// Service returns the instances of a service, ordered by ID. The slice must not be modified.
+func (v *View) Service(name string) []*Instance { return v.byService()[name] }
 
 // Services returns the names of all services that have instances, in ascending order.
-func (v *View) Services() []string {
-	out := make([]string, 0, len(v.services))
-	for name := range v.services {
-		out = append(out, name)
+func (v *View) Services() []string { return slices.Sorted(maps.Keys(v.byService())) }
+
+// byService returns the instances grouped by service.
+func (v *View) byService() map[string][]*Instance {
+	if known := v.services.Load(); known != nil {
+		return *known
 	}
-	sort.Strings(out)
-	return out
+	services := make(map[string][]*Instance)
+	for _, instance := range v.all {
+		services[instance.Service] = append(services[instance.Service], instance)
+	}
+	v.services.Store(&services)
+	return services
 }
 
-// IDs returns the IDs of all instances in ascending order. The slice must not be modified.
-func (v *View) IDs() []string {
-	v.indexIDs()
-	return v.ids
-}
+// ReleaseIndex frees the memory of what was built on first use. It is called for a version that is
+// kept only to be compared with.
+func (v *View) ReleaseIndex() { v.services.Store(nil) }
 
-// Position returns the index of an ID in IDs.
-func (v *View) Position(id string) (int, bool) {
-	v.indexIDs()
-	i, ok := v.positions[id]
-	return i, ok
-}
+// At returns the instance at an index of the ascending order of the IDs.
+func (v *View) At(i int) *Instance { return v.all[i] }
 
-func (v *View) indexIDs() {
-	v.once.Do(func() {
-		v.ids = slices.Sorted(maps.Keys(v.byID))
-		v.positions = make(map[string]int, len(v.ids))
-		for i, id := range v.ids {
-			v.positions[id] = i
-		}
-	})
+// Position returns the index of an ID in the ascending order of the IDs.
+func (v *View) Position(id string) (int, bool) { return position(v.all, id) }
+
+func position(list []*Instance, id string) (int, bool) {
+	return slices.BinarySearchFunc(list, id, func(instance *Instance, id string) int { return strings.Compare(instance.ID, id) })
 }
 
 // Len returns the number of instances.
-func (v *View) Len() int { return len(v.byID) }
+func (v *View) Len() int { return len(v.all) }
 
-// All returns all instances in no particular order.
-func (v *View) All() []Instance {
-	out := make([]Instance, 0, len(v.byID))
-	for _, instance := range v.byID {
-		out = append(out, *instance)
-	}
-	return out
-}
+// All returns the instances in ascending order of their IDs.
+func (v *View) All() iter.Seq[*Instance] { return slices.Values(v.all) }
 
-// Diff returns the changes that turn the old view into the next one.
+// Diff returns the changes that turn the old view into the next one, in ascending order of the IDs.
 func Diff(old, next *View) (changed []Instance, removed []string) {
-	for id, instance := range next.byID {
-		if previous := old.byID[id]; previous == nil || *previous != *instance {
-			changed = append(changed, *instance)
+	before, after := old.all, next.all
+	for len(before) > 0 && len(after) > 0 {
+		a, b := before[0], after[0]
+		switch {
+		case a == b:
+			before, after = before[1:], after[1:]
+		case a.ID == b.ID:
+			if *a != *b {
+				changed = append(changed, *b)
+			}
+			before, after = before[1:], after[1:]
+		case a.ID < b.ID:
+			removed = append(removed, a.ID)
+			before = before[1:]
+		default:
+			changed = append(changed, *b)
+			after = after[1:]
 		}
 	}
-	for id := range old.byID {
-		if next.byID[id] == nil {
-			removed = append(removed, id)
-		}
+	for _, gone := range before {
+		removed = append(removed, gone.ID)
+	}
+	for _, added := range after {
+		changed = append(changed, *added)
 	}
 	return changed, removed
 }
 
-// Apply returns a new view with the changes applied.
+// Apply returns a new view with the changes applied, and then the removals. Its cost is that of
+// copying a pointer for each instance, whatever their number, and of a search for each change.
 func (v *View) Apply(revision uint64, changed []Instance, removed []string) *View {
-	next := &View{Revision: revision, byID: maps.Clone(v.byID)}
-	if next.byID == nil {
-		next.byID = make(map[string]*Instance, len(changed))
+	changes := v.changeSet(changed, removed)
+	next := &View{Revision: revision, all: applyChanges(v.all, changes)}
+	if known := v.services.Load(); known != nil {
+		services := v.regroup(*known, changes)
+		next.services.Store(&services)
 	}
+	return next
+}
+
+// regroup returns the groups by service after the changes. Services without changes keep their lists.
+func (v *View) regroup(services map[string][]*Instance, changes []change) map[string][]*Instance {
+	byService := make(map[string][]change)
+	for _, c := range changes {
+		former := v.Get(c.id)
+		if former != nil && (c.instance == nil || c.instance.Service != former.Service) {
+			byService[former.Service] = append(byService[former.Service], change{id: c.id})
+		}
+		if c.instance != nil {
+			byService[c.instance.Service] = append(byService[c.instance.Service], c)
+		}
+	}
+	next := maps.Clone(services)
+	for service, list := range byService {
+		next[service] = applyChanges(next[service], list)
+		if len(next[service]) == 0 {
+			delete(next, service)
+		}
+	}
+	return next
+}
+
+// applyChanges returns a copy of a list with the changes. Both are in ascending order of the IDs.
+func applyChanges(list []*Instance, changes []change) []*Instance {
+	next := make([]*Instance, 0, len(list)+len(changes))
+	for _, c := range changes {
+		i, found := position(list, c.id)
+		next = append(next, list[:i]...)
+		if c.instance != nil {
+			next = append(next, c.instance)
+		}
+		if found {
+			i++
+		}
+		list = list[i:]
+	}
+	return append(next, list...)
+}
+
+// change is the change of one instance; a nil instance is a removal.
+type change struct {
+	id       string
+	instance *Instance
+}
+
+// changeSet returns one change for each ID, in ascending order of the IDs.
+func (v *View) changeSet(changed []Instance, removed []string) []change {
+	byID := make(map[string]*Instance, len(changed)+len(removed))
 	for i := range changed {
-		next.putShared(v.byID[changed[i].ID], &changed[i])
+		byID[changed[i].ID] = v.shared(&changed[i])
 	}
 	for _, id := range removed {
-		delete(next.byID, id)
+		byID[id] = nil
 	}
-	next.groupByService()
-	return next
+	out := make([]change, 0, len(byID))
+	for _, id := range slices.Sorted(maps.Keys(byID)) {
+		out = append(out, change{id, byID[id]})
+	}
+	return out
 }
--- a/state/instances/instances_test.go
+++ b/state/instances/instances_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"github.com/google/go-cmp/cmp"
 	"testing"
 	"time"
 )
@@ -190,3 +191,27 @@
 		t.Errorf("applied: %v, %v", more, less)
 	}
 }
+
+// TestServicesFollowChanges checks that the groups by service, once built, are the same after changes
+// as those built anew, and that untouched services keep their lists.
+func TestServicesFollowChanges(t *testing.T) {
+	v := NewView(1, []Instance{{ID: "a", Service: "x"}, {ID: "b", Service: "x"}, {ID: "c", Service: "y"}, {ID: "d", Service: "z"}})
+	v.Services()
+	next := v.Apply(2, []Instance{{ID: "b", Service: "y"}, {ID: "e", Service: "x"}}, []string{"c", "absent"})
+	got := make(map[string][]string)
+	for _, service := range next.Services() {
+		for _, instance := range next.Service(service) {
+			got[service] = append(got[service], instance.ID)
+		}
+	}
+	want := map[string][]string{"x": {"a", "e"}, "y": {"b"}, "z": {"d"}}
+	if d := cmp.Diff(want, got); d != "" {
+		t.Error(d)
+	}
+	if &v.Service("z")[0] != &next.Service("z")[0] {
+		t.Error("the list of a service without changes was copied")
+	}
+	if changed, removed := Diff(v, next); len(changed) != 2 || len(removed) != 1 {
+		t.Errorf("changed %v, removed %v", changed, removed)
+	}
+}
--- a/state/instances/tracker.go
+++ b/state/instances/tracker.go
@@ -21,8 +21,9 @@
 	// reconnectedAt is when the store was last reachable again after an outage.
 	reconnectedAt time.Time
 	sequence      uint64
-	// lastView is the view that was returned last.
+	// lastView is the view that was returned last; changed are the upstreams that may differ from it.
 	lastView *View
+	changed  map[string]bool
 }
 
 type absence struct {
@@ -33,13 +34,14 @@
 // NewTracker returns a tracker that starts from the given view, which may be nil. Trackers in
 // different processes must get different salts, so that their versions differ.
 func NewTracker(v *View, now time.Time, salt uint64) *Tracker {
-	t := &Tracker{sequence: salt, lastView: &View{}, known: make(map[string]Instance), unregistered: make(map[string]absence)}
+	t := &Tracker{sequence: salt, lastView: &View{}, changed: make(map[string]bool), known: make(map[string]Instance), unregistered: make(map[string]absence)}
 	if v == nil {
 		return t
 	}
 	t.revision = v.Revision
-	for _, instance := range v.All() {
-		t.known[instance.ID] = instance
+	for instance := range v.All() {
+		t.known[instance.ID] = *instance
+		t.changed[instance.ID] = true
 		if instance.Leaving {
 			t.unregistered[instance.ID] = absence{since: now, graceEnd: now}
 		}
@@ -78,6 +80,7 @@
 		return
 	}
 	t.known[instance.ID] = instance
+	t.changed[instance.ID] = true
 	delete(t.unregistered, instance.ID)
 }
 
@@ -114,10 +117,12 @@
 		case now.Sub(a.since) > removedRetention:
 			delete(t.known, id)
 			delete(t.unregistered, id)
+			t.changed[id] = true
 			changed = true
 		case !instance.Leaving && !now.Before(a.graceEnd):
 			instance.Leaving = true
 			t.known[id] = instance
+			t.changed[id] = true
 			changed = true
 		}
 	}
@@ -127,12 +132,18 @@
 // View returns the current view and a version that differs from the versions of earlier views of
 // the same revision.
 func (t *Tracker) View() (*View, uint64) {
-	list := make([]Instance, 0, len(t.known))
-	for _, instance := range t.known {
-		list = append(list, instance)
+	var changed []Instance
+	var removed []string
+	for id := range t.changed {
+		if instance, known := t.known[id]; known {
+			changed = append(changed, instance)
+		} else {
+			removed = append(removed, id)
+		}
 	}
+	clear(t.changed)
 	t.sequence++
-	t.lastView = t.lastView.next(t.revision, list)
+	t.lastView = t.lastView.Apply(t.revision, changed, removed)
 	return t.lastView, t.revision<<sequenceBits | t.sequence%(1<<sequenceBits)
 }
 
