gateway: bounded fan-out of the reporting tree, a member list that does not grow

Cause: after a start of all at once every gateway reports to the leader, which offers each the whole list of upstreams as a part; the gateways then fetch it there. The list of members (80 bytes a gateway) went whole to every gateway with each version, and one gateway of a failure domain, or the leader in its own, answered all gateways of the domain.

Change: coordination/reporttree decides the parent. The leader answers the first head of each failure domain; a domain beyond 64 gateways has further heads between that one and the others; the leader's own domain has heads from there on too. Everyone is told the 24 strongest gateways of each domain and how many there are. A gateway that should report elsewhere is sent no large parts by the leader in the first second, and none by a gateway that it only asks for the leader. Gateways with children report at least each 150 ms, so that ages on three steps stay below the leader's silence timeout.

Ruled out: more heads that all report across domains (bytes between domains grow with them).

--- a/gateway/cluster.go
+++ b/gateway/cluster.go
@@ -33,9 +33,14 @@
 	leading bool
 	// children are the gateways that report to this one, by node.
 	children map[string]*child
-	// members are all gateways except this one, by node.
-	members map[string]*syncpb.Member
-	version uint64
+	// members are other gateways, by node: all of them in the leader, elsewhere the strongest of each
+	// failure domain. domainSizes is how many gateways each domain has; it is nil in the leader.
+	members     map[string]*syncpb.Member
+	domainSizes map[string]int
+	version     uint64
+	// listed are the members and the domain sizes that other gateways are told, as of listedVersion.
+	listed        *memberList
+	listedVersion uint64
 	// membersChanged is set if the leader's list has changed since the current version, which was
 	// made at membersListed.
 	membersChanged bool
@@ -75,7 +80,8 @@
 // child is a gateway that reports to this one, with its last report.
 type child struct {
 	*syncpb.Member
-	lastReport time.Time
+	// since is when it began to report to this one without a long interruption.
+	since, lastReport time.Time
 	// fleetSent is when it was last sent the load from other gateways, workTimesSent when it was
 	// last sent work times.
 	fleetSent, workTimesSent time.Time
@@ -129,9 +135,10 @@
 	if !leaderHeard || r.Member.Node == c.self.Node {
 		return
 	}
-	next := &child{Member: r.Member, lastReport: c.now(), loads: r.Loads, demands: r.Demands, followers: r.Followers, limitedDemand: decodeLimitedDemand(r.Limits)}
+	next := &child{Member: r.Member, since: c.now(), lastReport: c.now(), loads: r.Loads, demands: r.Demands, followers: r.Followers, limitedDemand: decodeLimitedDemand(r.Limits)}
 	previous := c.children[r.Member.Node]
 	if previous != nil {
+		next.since = previous.since
 		next.fleetSent, next.workTimesSent = previous.fleetSent, previous.workTimesSent
 	}
 	c.children[r.Member.Node] = next
@@ -158,36 +165,6 @@
 	c.parentDemands = demands
 }
 
-// parent returns the address of the gateway to report to, or "" if none is known. A former leader
-// that has restarted may still consider itself the leader. It must not report to itself, because
-// its own report would be added to its next one again and again.
-func (c *cluster) parent() string {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.leader == nil || c.leader.Member.Address == c.self.Address {
-		return ""
-	}
-	leader := c.leader.Member
-	if len(c.members)+1 < minTreeSize || c.self.Domain == leader.Domain {
-		return leader.Address
-	}
-	head := c.self
-	for _, m := range c.members {
-		if m.Domain == c.self.Domain && stronger(m, head) && c.now().After(c.avoidedUntil[m.Node]) {
-			head = m
-		}
-	}
-	if head == c.self {
-		return leader.Address
-	}
-	return head.Address
-}
-
-// minTreeSize is the number of gateways from which on reports go through one gateway in each
-// failure domain. With fewer, the leader can answer all gateways itself, and changes reach every
-// gateway one hop sooner.
-const minTreeSize = 24
-
 // avoid keeps the gateway at the address from being chosen as head for avoidDuration.
 func (c *cluster) avoid(address string) {
 	c.mu.Lock()
--- a/gateway/cluster_test.go
+++ b/gateway/cluster_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/rockcroft/rockcroft/coordination/reporttree"
 	"github.com/rockcroft/rockcroft/coordination/worktime"
 	"github.com/rockcroft/rockcroft/protocol/syncpb"
 	"github.com/rockcroft/rockcroft/state/instances"
@@ -26,7 +27,7 @@
 	for i := range size {
 		all = append(all, testMember(string(rune('a'+i%3)), i/3, 100))
 	}
-	c.setMembers(1, all)
+	c.setMembers(1, all, nil)
 	c.setLeader(&syncpb.Leader{Member: testMember("a", 0, 100), Term: 1})
 	return c
 }
@@ -38,11 +39,11 @@
 		self *syncpb.Member
 		want string
 	}{
-		{minTreeSize - 1, testMember("b", 3, 100), "a0:1"},
-		{minTreeSize, testMember("a", 3, 100), "a0:1"},
-		{minTreeSize, testMember("b", 3, 100), "b0:1"},
-		{minTreeSize, testMember("b", 0, 100), "a0:1"},
-		{minTreeSize, testMember("b", 3, 900), "a0:1"},
+		{reporttree.MinGateways - 1, testMember("b", 3, 100), "a0:1"},
+		{reporttree.MinGateways, testMember("a", 3, 100), "a0:1"},
+		{reporttree.MinGateways, testMember("b", 3, 100), "b0:1"},
+		{reporttree.MinGateways, testMember("b", 0, 100), "a0:1"},
+		{reporttree.MinGateways, testMember("b", 3, 900), "a0:1"},
 	} {
 		if got := clusterOfSize(c.size, c.self, &now).parent(); got != c.want {
 			t.Errorf("%d gateways, %s: parent %s, want %s", c.size, c.self.Node, got, c.want)
@@ -54,7 +55,7 @@
 // avoidDuration.
 func TestUnresponsiveHeadIsAvoided(t *testing.T) {
 	now := time.Now()
-	c := clusterOfSize(minTreeSize, testMember("b", 3, 100), &now)
+	c := clusterOfSize(reporttree.MinGateways, testMember("b", 3, 100), &now)
 	c.avoid("b0:1")
 	if got := c.parent(); got != "b1:1" {
 		t.Errorf("parent %s", got)
@@ -70,7 +71,7 @@
 // counted twice.
 func TestLoadsAreCountedOnce(t *testing.T) {
 	now := time.Now()
-	head := clusterOfSize(minTreeSize, testMember("b", 0, 100), &now)
+	head := clusterOfSize(reporttree.MinGateways, testMember("b", 0, 100), &now)
 	load := func(n float32) []*syncpb.Load { return []*syncpb.Load{{Instance: "i", Inflight: n}} }
 	head.handleReport(&syncpb.SyncRequest{Member: testMember("b", 1, 100), Loads: load(1)}, true)
 	head.handleReport(&syncpb.SyncRequest{Member: testMember("b", 2, 100), Loads: load(2)}, true)
@@ -121,7 +122,7 @@
 // and again until all upstreams seemed full, which lasted until 1.5 s after it led again.
 func TestGatewayDoesNotReportToItself(t *testing.T) {
 	now := time.Now()
-	for _, size := range []int{3, minTreeSize} {
+	for _, size := range []int{3, reporttree.MinGateways} {
 		if got := clusterOfSize(size, testMember("a", 0, 100), &now).parent(); got != "" {
 			t.Errorf("%d gateways: parent %s", size, got)
 		}
@@ -161,7 +162,7 @@
 		all = append(all, m)
 	}
 	all = append(all, testMember("b", 0, 800), testMember("c", 0, 800))
-	c.setMembers(1, all)
+	c.setMembers(1, all, nil)
 	address := make(map[syncpb.Peer]string)
 	for _, m := range all {
 		address[c.client(m.Address)] = m.Address
--- a/gateway/fetch_test.go
+++ b/gateway/fetch_test.go
@@ -199,7 +199,7 @@
 func TestPartEncodingIsDeterministic(t *testing.T) {
 	ids := make(map[uint64]bool)
 	for range 8 {
-		p := &peerServer{view: viewWithUpstreams(5), parts: &partCache{}, log: slog.New(slog.DiscardHandler), limits: noLimits(), suspects: noSuspects(), quotas: noQuotas()}
+		p := &peerServer{view: viewWithUpstreams(5), cluster: threeGateways(), parts: &partCache{}, log: slog.New(slog.DiscardHandler), limits: noLimits(), suspects: noSuspects(), quotas: noQuotas()}
 		resp := &syncpb.SyncResponse{}
 		p.addUpdates(&syncpb.SyncRequest{}, resp)
 		if len(resp.Parts) != 1 {
@@ -237,7 +237,7 @@
 // TestOlderUpstreamsAreNotSent checks that a gateway whose view of the upstreams is newer than
 // its parent's is not sent the older view, which it would reject.
 func TestOlderUpstreamsAreNotSent(t *testing.T) {
-	p := &peerServer{view: viewWithUpstreams(90), parts: &partCache{}, log: slog.New(slog.DiscardHandler), limits: noLimits(), suspects: noSuspects(), quotas: noQuotas()}
+	p := &peerServer{view: viewWithUpstreams(90), cluster: threeGateways(), parts: &partCache{}, log: slog.New(slog.DiscardHandler), limits: noLimits(), suspects: noSuspects(), quotas: noQuotas()}
 	for _, c := range []struct {
 		revision  uint64
 		wantParts bool
@@ -265,7 +265,7 @@
 		}
 	}
 	child.setConfiguration(again, []byte("spec"), &routing.Configuration{Version: 3})
-	p := &peerServer{view: parent, parts: &partCache{}, log: slog.New(slog.DiscardHandler), limits: noLimits(), suspects: noSuspects(), quotas: noQuotas()}
+	p := &peerServer{view: parent, cluster: threeGateways(), parts: &partCache{}, log: slog.New(slog.DiscardHandler), limits: noLimits(), suspects: noSuspects(), quotas: noQuotas()}
 	if p.hasUpdates(&syncpb.SyncRequest{ConfigRevision: child.configuration().revision}) {
 		t.Error("a gateway with the same version is considered outdated")
 	}
@@ -280,6 +280,12 @@
 }
 
 // noSuspects returns a list of suspects without any entry.
+// threeGateways returns the cluster state of the leader of three gateways.
+func threeGateways() *cluster {
+	now := time.Now()
+	return clusterOfSize(3, testMember("a", 0, 100), &now)
+}
+
 func noQuotas() *teamQuotas {
 	return newTeamQuotas(newView(), 0, time.Now, rand.New(rand.NewPCG(1, 1)))
 }
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -8,6 +8,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/rockcroft/rockcroft/coordination/reporttree"
 	"github.com/rockcroft/rockcroft/coordination/worktime"
 	"github.com/rockcroft/rockcroft/protocol/syncpb"
 	"github.com/rockcroft/rockcroft/state/instances"
@@ -82,7 +83,7 @@
 // sent the load from other gateways more often than the minimum interval allows.
 func TestFleetSendRateIsLimited(t *testing.T) {
 	now := time.Now()
-	c := clusterOfSize(minTreeSize, testMember("a", 0, 100), &now)
+	c := clusterOfSize(reporttree.MinGateways, testMember("a", 0, 100), &now)
 	report := &syncpb.SyncRequest{Member: testMember("a", 1, 100)}
 	sent, workTimesSent := 0, 0
 	for range 100 {
--- a/gateway/follower.go
+++ b/gateway/follower.go
@@ -22,6 +22,9 @@
 	minReportInterval        = 100 * time.Millisecond
 	maxReportInterval        = 250 * time.Millisecond
 	reportIntervalPerGateway = time.Millisecond
+	// headReportInterval bounds it for gateways that others report through. What they pass on becomes
+	// older with each of them, and the ages on a way must stay below leaderSilenceTimeout.
+	headReportInterval = 150 * time.Millisecond
 	// reportTimeout is how much longer than that the response to a report may take.
 	reportTimeout = 400 * time.Millisecond
 	// immediateResponse is the time within which a response counts as immediate, which shows that
@@ -92,10 +95,21 @@
 	return min(max(minReportInterval, time.Duration(gateways)*reportIntervalPerGateway), maxReportInterval)
 }
 
+// reportInterval returns the time between the reports of this gateway.
+func (c *cluster) reportInterval() time.Duration {
+	interval := reportInterval(c.gatewayCount())
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.children) > 0 {
+		return min(interval, headReportInterval)
+	}
+	return interval
+}
+
 // run follows the leader until ctx ends.
 func (f *follower) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		interval := reportInterval(f.cluster.gatewayCount())
+		interval := f.cluster.reportInterval()
 		if f.cluster.isLeading() {
 			f.recordLeaderHeard()
 			pause(ctx, interval)
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -33,7 +33,7 @@
 		}
 	}
 	c.membersChanged = c.membersChanged || !sameMembers(c.members, next)
-	c.members = next
+	c.members, c.domainSizes = next, nil
 }
 
 // memberListInterval, times the number of members, is the minimum time between two versions of
@@ -93,19 +93,6 @@
 	return out
 }
 
-// setMembers applies the leader's list of members.
-func (c *cluster) setMembers(version uint64, list []*syncpb.Member) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.version = version
-	c.members = make(map[string]*syncpb.Member, len(list))
-	for _, m := range list {
-		if m.Node != c.self.Node {
-			c.members[m.Node] = m
-		}
-	}
-}
-
 // stronger reports whether a comes before b in order of strength; ties are broken by node name.
 func stronger(a, b *syncpb.Member) bool {
 	if a.Strength != b.Strength {
@@ -162,6 +149,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	known := len(c.members) + 1
+	if c.domainSizes != nil && !c.leading {
+		known = c.memberList().gateways()
+	}
 	if c.now().Before(c.expectedUntil) {
 		return max(known, c.expected)
 	}
--- a/gateway/news.go
+++ b/gateway/news.go
@@ -17,7 +17,7 @@
 // when the response was asked for.
 func (f *follower) applyResponse(address string, resp *syncpb.SyncResponse, asked time.Time) {
 	if f.cluster.setLeader(resp.Leader) && resp.HeardMs < milliseconds(leaderSilenceTimeout) && len(resp.Members) > 0 {
-		f.cluster.setMembers(resp.MembersVersion, resp.Members)
+		f.cluster.setMembers(resp.MembersVersion, resp.Members, resp.Domains)
 	}
 	// Apply evacuations before upstreams, so that no upstream is used that is known to be in an
 	// evacuated failure domain.
--- a/gateway/ownerloss_test.go
+++ b/gateway/ownerloss_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/rockcroft/rockcroft/coordination/reporttree"
 	"github.com/rockcroft/rockcroft/protocol/syncpb"
 	"github.com/rockcroft/rockcroft/standin/instance"
 	"github.com/rockcroft/rockcroft/state/spans"
@@ -155,7 +156,7 @@
 // own demand and that of the other side, and nothing twice.
 func TestDemandIsCountedOnce(t *testing.T) {
 	now := time.Now()
-	head := clusterOfSize(minTreeSize, testMember("b", 0, 100), &now)
+	head := clusterOfSize(reporttree.MinGateways, testMember("b", 0, 100), &now)
 	demand := func(n float32) []*syncpb.Demand { return []*syncpb.Demand{{Service: "a", Requests: n}} }
 	head.handleReport(&syncpb.SyncRequest{Member: testMember("b", 1, 100), Demands: demand(1)}, true)
 	head.handleReport(&syncpb.SyncRequest{Member: testMember("b", 2, 100), Demands: demand(2)}, true)
--- a/gateway/parts.go
+++ b/gateway/parts.go
@@ -8,6 +8,7 @@
 	"github.com/twitchtv/twirp"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/rockcroft/rockcroft/coordination/reporttree"
 	"github.com/rockcroft/rockcroft/protocol/syncpb"
 	"github.com/rockcroft/rockcroft/state/delta"
 )
@@ -122,11 +123,13 @@
 	resp    *syncpb.SyncResponse
 	// remaining is the number of bytes that may still be added inline.
 	remaining int
+	// smallOnly is set if only what fits is added.
+	smallOnly bool
 }
 
 // addUpdates adds what the sender of the report neither has nor is fetching.
 func (p *peerServer) addUpdates(r *syncpb.SyncRequest, resp *syncpb.SyncResponse) {
-	b := &responseBuilder{peerServer: p, request: r, resp: resp, remaining: maxInlineBytes}
+	b := &responseBuilder{peerServer: p, request: r, resp: resp, remaining: maxInlineBytes, smallOnly: !p.servesParts(r)}
 	fetching := fetchingSet(r)
 	if !fetching[partConfiguration] {
 		b.addConfiguration()
@@ -141,6 +144,16 @@
 	}
 }
 
+// servesParts reports whether the sender of the report is offered large parts here. A gateway that only
+// asks for the leader is not, once there are heads: it gets them from its parent, and the few gateways
+// that all others ask after a start would have to send everything to everyone.
+func (p *peerServer) servesParts(r *syncpb.SyncRequest) bool {
+	if r.WaitMs == 0 {
+		return p.cluster.gatewayCount() < reporttree.MinGateways || p.leaderAge() >= leaderSilenceTimeout
+	}
+	return p.cluster.servesParts(r.Member)
+}
+
 func fetchingSet(r *syncpb.SyncRequest) map[string]bool {
 	set := make(map[string]bool, len(r.Fetching))
 	for _, name := range r.Fetching {
@@ -211,6 +224,9 @@
 		b.log.Error("cannot encode part", "part", key.name, "error", err)
 		return
 	}
+	if b.smallOnly && len(made.data) > b.remaining {
+		return
+	}
 	part := &syncpb.Part{Name: key.name, Id: made.id, Size: uint32(len(made.data)), Base: made.base, Revision: revision}
 	if len(made.data) <= b.remaining {
 		b.remaining -= len(made.data)
--- a/gateway/peerserver.go
+++ b/gateway/peerserver.go
@@ -177,7 +177,7 @@
 	resp.Rights, resp.RightsMs = p.rightsFor(r)
 	resp.MembersVersion = r.MembersVersion
 	if p.cluster.membersVersion() != r.MembersVersion {
-		resp.Members, resp.MembersVersion = p.cluster.allMembers()
+		resp.Members, resp.Domains, resp.MembersVersion = p.cluster.memberMessages()
 	}
 	return resp
 }
--- a/gateway/worktimes_test.go
+++ b/gateway/worktimes_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/rockcroft/rockcroft/coordination/reporttree"
 	"github.com/rockcroft/rockcroft/coordination/worktime"
 	"github.com/rockcroft/rockcroft/protocol/syncpb"
 	"github.com/rockcroft/rockcroft/state/instances"
@@ -13,7 +14,7 @@
 // children exactly once, together with its own.
 func TestRunsReachTheLeaderOnce(t *testing.T) {
 	now := time.Now()
-	head := clusterOfSize(minTreeSize, testMember("b", 0, 100), &now)
+	head := clusterOfSize(reporttree.MinGateways, testMember("b", 0, 100), &now)
 	seen := func(us uint32, runs float32) []*syncpb.Load {
 		return []*syncpb.Load{{Instance: "i", WorkUs: us, Runs: runs}}
 	}
