gateway: bound the memory of kept versions of key owners

Cause: each gateway kept 48 versions of every service's key owners, and unlike versions of the upstreams they share nothing: at 3,440 spans of 72 bytes that is 12 MB a service, on machines of 184 MB. Change: at most 32,768 spans of a service are kept, and always the newest two versions. Tables of up to 682 spans are kept as often as before; a gateway further behind gets the whole table, as before.

--- a/gateway/view.go
+++ b/gateway/view.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -149,11 +150,7 @@
 		next[name] = table
 	}
 	next[t.Service] = t
-	previous := append(v.previousSpans[t.Service], t)
-	if len(previous) > maxPreviousVersions {
-		previous = previous[1:]
-	}
-	v.previousSpans[t.Service] = previous
+	v.previousSpans[t.Service] = boundTables(append(v.previousSpans[t.Service], t))
 	v.owners.Store(&next)
 	v.onSpans(t)
 	v.notifyLocked()
@@ -231,6 +228,24 @@
 // some seconds with many changes.
 const maxPreviousVersions = 48
 
+// maxPreviousSpans bounds the spans in the kept versions of one service's key owners, and with them
+// their memory: unlike versions of the upstreams, they share nothing.
+const maxPreviousSpans = 1 << 15
+
+// boundTables drops the oldest tables beyond maxPreviousVersions and maxPreviousSpans, but never the
+// newest two.
+func boundTables(list []*spans.Table) []*spans.Table {
+	kept, total := 0, 0
+	for kept < min(len(list), maxPreviousVersions) {
+		total += len(list[len(list)-1-kept].Spans)
+		if kept >= 2 && total > maxPreviousSpans {
+			break
+		}
+		kept++
+	}
+	return slices.Clone(list[len(list)-kept:])
+}
+
 // previousInstances returns a kept version of the upstreams, or nil.
 func (v *view) previousInstances(version uint64) *instances.View {
 	v.mu.Lock()
