gateway: loads in messages grow with the upstreams in use

Cause: each gateway was sent a byte for every upstream each 60 us x upstreams (17 KB a second at any size from 2,000 on) and two bytes of work time for every upstream each 2 s (10 KB a second at 10,000): together above the 24 KB a second that a node may spend on control. Each head also computed all three for all upstreams for each new sum, 20 times a second.

Change: loads are sent for the upstreams with requests, as gaps and codes; work times at most 2 KB a second, each 1 ms x upstreams; they are computed when a message needs them. Dense messages are still read.

Tests: TestFleetSizeFollowsTheLoad; malformed gaps in TestMismatchedFleetIsRejected.

--- a/gateway/fleet.go
+++ b/gateway/fleet.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"cmp"
 	"encoding/binary"
+	"slices"
 	"sync"
 	"time"
 
@@ -12,8 +14,8 @@
 )
 
 // This file sends each gateway the number of requests that the other gateways have in flight at
-// each upstream. It uses three bytes per upstream: one for the requests in flight and two for the
-// work time. A leader answers some hundred reports a second, each about thousands of upstreams.
+// each upstream, in two bytes for each upstream with requests, and the work times, in two bytes for
+// every upstream. A leader answers some hundred reports a second, each about thousands of upstreams.
 
 const (
 	// sumMaxAge is how long a sum over all reports is reused. Each gateway reports every 100 ms
@@ -24,8 +26,10 @@
 	// a second per gateway, however many other updates the gateway receives.
 	fleetIntervalPerUpstream = 60 * time.Microsecond
 	// workTimesInterval is the minimum time between two messages with work times to one gateway;
-	// they change slowly.
-	workTimesInterval = 2 * time.Second
+	// they change slowly. workTimesIntervalPerUpstream, times the number of upstreams, is the
+	// minimum if that is longer. It limits the data about work times to 2 KB a second per gateway.
+	workTimesInterval            = 2 * time.Second
+	workTimesIntervalPerUpstream = time.Millisecond
 	// workTimeSize is the size of an encoded work time in bytes.
 	workTimeSize = 2
 )
@@ -78,24 +82,31 @@
 		return false, false
 	}
 	child.fleetSent = now
-	if now.Sub(child.workTimesSent) < workTimesInterval {
+	if now.Sub(child.workTimesSent) < max(workTimesInterval, time.Duration(upstreams)*workTimesIntervalPerUpstream) {
 		return true, false
 	}
 	child.workTimesSent = now
 	return true, true
 }
 
-// fleetEncoder encodes sums and caches the result for the latest sum and version of the
+// fleetEncoder encodes sums and caches the results for the latest sum and version of the
 // upstreams. It is safe for concurrent use.
 type fleetEncoder struct {
 	mu sync.Mutex
-	// sum and version are what inFlight, encoded, work and slowness were computed from.
-	sum      *fleetSum
-	version  uint64
-	inFlight []float64
-	encoded  []byte
-	work     []byte
-	slowness []byte
+	// sum and version are what the cached results were computed from.
+	sum     *fleetSum
+	version uint64
+	// loaded are the upstreams with requests, in ascending order.
+	loaded []loadedUpstream
+	// work and slowness are nil until a message needs them.
+	work, slowness []byte
+}
+
+// loadedUpstream is an upstream with requests in flight.
+type loadedUpstream struct {
+	// position is its index in the view.
+	position int
+	inFlight float64
 }
 
 // encode returns the requests in flight at the upstreams of the view, summed over all gateways
@@ -104,34 +115,60 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.sum != sum || e.version != version {
-		e.prepare(sum, v, workTimes)
 		e.sum, e.version = sum, version
+		e.loaded = loadedUpstreams(sum, v)
+		e.work, e.slowness = nil, nil
 	}
-	out := &syncpb.Fleet{InstancesVersion: version, InFlight: append([]byte(nil), e.encoded...)}
+	out := &syncpb.Fleet{InstancesVersion: version}
 	if withWorkTimes {
+		e.prepareWorkTimes(v, workTimes)
 		out.Work, out.Slowness = e.work, e.slowness
 	}
+	own := make(map[int]float64)
 	for _, l := range sum.byChild[except] {
 		if i, ok := v.Position(l.Instance); ok {
-			out.InFlight[i] = smallfloat.EncodeByte(e.inFlight[i] - float64(l.Inflight))
+			own[i] += float64(l.Inflight)
+		}
+	}
+	next := 0
+	for _, u := range e.loaded {
+		code := smallfloat.EncodeByte(u.inFlight - own[u.position])
+		if code == 0 {
+			continue
 		}
+		out.InFlight = append(out.InFlight, code)
+		out.Gaps = append(out.Gaps, uint32(u.position-next))
+		next = u.position + 1
 	}
 	return out
 }
 
-// prepare computes what is the same for all children. The lock is held.
-func (e *fleetEncoder) prepare(sum *fleetSum, v *instances.View, workTimes map[string]worktime.Estimate) {
+// loadedUpstreams returns the upstreams of the view with requests, in ascending order.
+func loadedUpstreams(sum *fleetSum, v *instances.View) []loadedUpstream {
+	var out []loadedUpstream
+	for id, l := range sum.loads {
+		if i, ok := v.Position(id); ok && l.Inflight > 0 {
+			out = append(out, loadedUpstream{i, float64(l.Inflight)})
+		}
+	}
+	slices.SortFunc(out, func(a, b loadedUpstream) int { return cmp.Compare(a.position, b.position) })
+	return out
+}
+
+// prepareWorkTimes encodes the work times of all upstreams of the view. The lock is held.
+func (e *fleetEncoder) prepareWorkTimes(v *instances.View, workTimes map[string]worktime.Estimate) {
+	if e.work != nil {
+		return
+	}
 	n := v.Len()
-	e.inFlight, e.encoded, e.work = make([]float64, n), make([]byte, n), make([]byte, workTimeSize*n)
-	e.slowness = nil
+	e.work = make([]byte, workTimeSize*n)
 	for i := range n {
-		id := v.At(i).ID
-		if l := sum.loads[id]; l != nil {
-			e.inFlight[i] = float64(l.Inflight)
-			e.encoded[i] = smallfloat.EncodeByte(e.inFlight[i])
+		estimate, known := workTimes[v.At(i).ID]
+		if !known {
+			continue
 		}
-		binary.BigEndian.PutUint16(e.work[workTimeSize*i:], smallfloat.EncodeWord(workTimes[id].Work.Seconds()))
-		e.setSlowness(i, n, workTimes[id])
+		binary.BigEndian.PutUint16(e.work[workTimeSize*i:], smallfloat.EncodeWord(estimate.Work.Seconds()))
+		e.setSlowness(i, n, estimate)
 	}
 }
 
@@ -156,19 +193,42 @@
 		return nil, nil, false
 	}
 	n := known.Len()
-	if !hasLen(m.InFlight, n) || len(m.Work) > 0 && !hasLen(m.Work, workTimeSize*n) || len(m.Slowness) > 0 && !hasLen(m.Slowness, n) {
+	if len(m.Work) > 0 && !hasLen(m.Work, workTimeSize*n) || len(m.Slowness) > 0 && !hasLen(m.Slowness, n) {
 		return nil, nil, false
 	}
-	var loads []*syncpb.Load
-	for i, encoded := range m.InFlight {
-		if encoded > 0 {
-			inst := known.At(i)
+	loads, ok := loadsFromMessage(m, known)
+	if !ok {
+		return nil, nil, false
+	}
+	return loads, workTimesFromMessage(m, known), true
+}
+
+// loadsFromMessage returns the loads in a message; ok is false if it does not fit the view.
+func loadsFromMessage(m *syncpb.Fleet, known *instances.View) (loads []*syncpb.Load, ok bool) {
+	dense := len(m.Gaps) == 0 && hasLen(m.InFlight, known.Len())
+	if !dense && len(m.Gaps) != len(m.InFlight) {
+		return nil, false
+	}
+	next := 0
+	for i, code := range m.InFlight {
+		if !dense {
+			if m.Gaps[i] > uint32(known.Len()) {
+				return nil, false
+			}
+			next += int(m.Gaps[i])
+		}
+		if next >= known.Len() {
+			return nil, false
+		}
+		if code > 0 {
+			inst := known.At(next)
 			loads = append(loads, &syncpb.Load{
-				Instance: inst.ID, Incarnation: uint32(inst.Incarnation()), Inflight: float32(smallfloat.DecodeByte(encoded)),
+				Instance: inst.ID, Incarnation: uint32(inst.Incarnation()), Inflight: float32(smallfloat.DecodeByte(code)),
 			})
 		}
+		next++
 	}
-	return loads, workTimesFromMessage(m, known), true
+	return loads, true
 }
 
 func hasLen(b []byte, size int) bool { return len(b) == size }
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -54,6 +54,21 @@
 	}
 }
 
+// TestFleetSizeFollowsTheLoad checks that a message grows with the upstreams that have requests and not
+// with all of them.
+func TestFleetSizeFollowsTheLoad(t *testing.T) {
+	size := func(upstreams int) int {
+		v, sum := testUpstreams(upstreams), &fleetSum{loads: make(map[string]*syncpb.Load)}
+		for i := range 200 {
+			sum.loads[v.At(i*upstreams/200).ID] = &syncpb.Load{Inflight: 1}
+		}
+		return proto.Size((&fleetEncoder{}).encode(sum, "", v, 1, nil, false))
+	}
+	if few, many := size(1000), size(20_000); many > few+20 {
+		t.Errorf("%d bytes at 20,000 upstreams, %d at 1,000, each with 200 in use", many, few)
+	}
+}
+
 // TestMismatchedFleetIsRejected checks that a message for another version of the upstreams or of
 // the wrong size is not applied.
 func TestMismatchedFleetIsRejected(t *testing.T) {
@@ -68,6 +83,9 @@
 	for name, corrupt := range map[string]func(*syncpb.Fleet){
 		"version":   func(m *syncpb.Fleet) { m.InstancesVersion = 8 },
 		"in flight": func(m *syncpb.Fleet) { m.InFlight = m.InFlight[:4] },
+		"gaps":      func(m *syncpb.Fleet) { m.Gaps = []uint32{0, 0, 0, 0} },
+		"positions": func(m *syncpb.Fleet) { m.InFlight, m.Gaps = []byte{9, 9}, []uint32{3, 1} },
+		"far gap":   func(m *syncpb.Fleet) { m.InFlight, m.Gaps = []byte{9}, []uint32{math.MaxUint32} },
 		"work":      func(m *syncpb.Fleet) { m.Work = append(m.Work, 0) },
 		"slowness":  func(m *syncpb.Fleet) { m.Slowness = make([]byte, 3) },
 	} {
