cluster test: read loads as a receiver does

Change: it decodes the message with loadsFromMessage and asks for the same sum, at the same upstream and no other.

--- a/gateway/cluster_test.go
+++ b/gateway/cluster_test.go
@@ -11,7 +11,6 @@
 	"github.com/rockcroft/rockcroft/coordination/worktime"
 	"github.com/rockcroft/rockcroft/protocol/syncpb"
 	"github.com/rockcroft/rockcroft/state/instances"
-	"github.com/rockcroft/rockcroft/state/smallfloat"
 )
 
 func testMember(domain string, n int, strength uint32) *syncpb.Member {
@@ -82,8 +81,8 @@
 	}
 	v, encoder := instances.NewView(1, []instances.Instance{{ID: "a"}, {ID: "i"}}), &fleetEncoder{}
 	sent := encoder.encode(head.sum(own), "b1", v, 7, map[string]worktime.Estimate{"i": {Work: 90 * time.Millisecond, Slowness: 1}}, true)
-	if got := smallfloat.DecodeByte(sent.InFlight[1]); got != 16 || sent.InFlight[0] != 0 {
-		t.Errorf("sent %v to a child, want 2+4+10", got)
+	if got, ok := loadsFromMessage(sent, v); !ok || len(got) != 1 || got[0].Instance != "i" || got[0].Inflight != 16 {
+		t.Errorf("sent %v to a child, want 2+4+10 at i", got)
 	}
 	if got := head.inFlightElsewhere()["i"]; got != 13 {
 		t.Errorf("in flight at gateways other than the head: %v, want 1+2+10", got)
