--- a/gateway/proxy.go
+++ b/gateway/proxy.go
@@ -194,6 +194,12 @@
 		return nil, f.routeNotFound(r.Host, path)
 	}
 	q := &request{Request: r, id: platform.ID(r.Header), route: route, target: target, receivedAt: began}
+	left := route.Timeout
+	if requested, ok := platform.RemainingTime(r.Header); ok {
+		left = min(left, requested)
+	}
+	q.deadline = began.Add(left)
+	q.queueUntil = began.Add(patience.MaxQueueWait(route.Objective, left))
 	var err error
 	if q.team, err = f.identify(table, route, r.Header); err != nil {
 		return q, err
@@ -201,12 +207,6 @@
 	if err := f.quotas.check(q.team); err != nil {
 		return q, err
 	}
-	left := route.Timeout
-	if requested, ok := platform.RemainingTime(r.Header); ok {
-		left = min(left, requested)
-	}
-	q.deadline = began.Add(left)
-	q.queueUntil = began.Add(patience.MaxQueueWait(route.Objective, left))
 	if err := f.readBody(q, table.Limits.MaxBody); err != nil {
 		return q, err
 	}
