--- a/coordination/reporttree/reporttree.go
+++ b/coordination/reporttree/reporttree.go
@@ -42,7 +42,10 @@
 	case p.LeaderInDomain && p.DomainGateways <= MaxChildren:
 		return 0
 	}
-	return min((p.DomainGateways+MaxChildren-1)/MaxChildren, len(p.Candidates))
+	if p.DomainGateways <= MaxChildren {
+		return min(1, len(p.Candidates))
+	}
+	return min(1+(p.DomainGateways+MaxChildren-1)/MaxChildren, len(p.Candidates))
 }
 
 // Parent returns the gateway to report to.
@@ -57,7 +60,7 @@
 	if len(heads) == 1 {
 		return heads[0]
 	}
-	// The first head answers the other heads, so the rest is divided among those.
+	// The first head answers the other heads, so that the rest is divided among those.
 	others := heads[1:]
 	return others[xxhash.Sum64String(p.Node)%uint64(len(others))]
 }
--- a/coordination/reporttree/reporttree_test.go
+++ b/coordination/reporttree/reporttree_test.go
@@ -40,7 +40,7 @@
 }
 
 // TestFanOutIsBounded checks, from a dozen gateways to the size to design for, that no gateway answers
-// many more than MaxChildren, that every gateway reaches the leader in a few steps, and that only one
+// more than MaxChildren (and as many more as chance gives to one of several heads), that every gateway reaches the leader in a few steps, and that only one
 // gateway of each other domain reports to it across domains.
 func TestFanOutIsBounded(t *testing.T) {
 	for _, c := range []struct{ domains, each, depth int }{{3, 4, 1}, {5, 18, 2}, {5, 60, 2}, {5, 197, 3}, {5, 400, 3}, {6, 884, 3}} {
@@ -48,7 +48,7 @@
 		for _, leader := range []string{"a0", "a3"} {
 			count, parents := children(domains, leader, 24)
 			for node, n := range count {
-				if bound := max(MinGateways, 2*MaxChildren); n > bound {
+				if bound := MaxChildren + MaxChildren/2; n > bound {
 					t.Errorf("%d gateways in %d domains: %s answers %d, at most %d are allowed", c.domains*c.each, c.domains, node, n, bound)
 				}
 			}
--- a/gateway/cluster.go
+++ b/gateway/cluster.go
@@ -38,9 +38,15 @@
 	members     map[string]*syncpb.Member
 	domainSizes map[string]int
 	version     uint64
+	// confirmedFollowers is the digest of this gateway's followers that each gateway has confirmed to
+	// have, by address.
+	confirmedFollowers map[string]uint64
 	// listed are the members and the domain sizes that other gateways are told, as of listedVersion.
 	listed        *memberList
 	listedVersion uint64
+	// live are the leader's members as of liveAt.
+	live   *memberList
+	liveAt time.Time
 	// membersChanged is set if the leader's list has changed since the current version, which was
 	// made at membersListed.
 	membersChanged bool
@@ -91,13 +97,15 @@
 	// announces a limit.
 	limitedDemand map[string]float64
 	followers     []*syncpb.Member
+	// followersDigest is the digest of followers as the gateway stated it; zero if it stated none.
+	followersDigest uint64
 }
 
 func newCluster(self *syncpb.Member, client *http.Client, now func() time.Time, rng *rand.Rand) *cluster {
 	return &cluster{
 		self: self, now: now, http: client, rng: rng,
 		children: make(map[string]*child), members: make(map[string]*syncpb.Member),
-		runs: make(map[string]worktime.Sum), avoidedUntil: make(map[string]time.Time), clients: make(map[string]syncpb.Peer),
+		runs: make(map[string]worktime.Sum), avoidedUntil: make(map[string]time.Time), confirmedFollowers: make(map[string]uint64), clients: make(map[string]syncpb.Peer),
 	}
 }
 
@@ -135,10 +143,10 @@
 	if !leaderHeard || r.Member.Node == c.self.Node {
 		return
 	}
-	next := &child{Member: r.Member, since: c.now(), lastReport: c.now(), loads: r.Loads, demands: r.Demands, followers: r.Followers, limitedDemand: decodeLimitedDemand(r.Limits)}
+	next := &child{Member: r.Member, since: c.now(), lastReport: c.now(), loads: r.Loads, demands: r.Demands, followers: r.Followers, followersDigest: r.FollowersDigest, limitedDemand: decodeLimitedDemand(r.Limits)}
 	previous := c.children[r.Member.Node]
 	if previous != nil {
-		next.since = previous.since
+		next.keepFrom(previous)
 		next.fleetSent, next.workTimesSent = previous.fleetSent, previous.workTimesSent
 	}
 	c.children[r.Member.Node] = next
--- a/gateway/follower.go
+++ b/gateway/follower.go
@@ -140,6 +140,7 @@
 	defer cancel()
 	began := f.now()
 	request := f.request(wait)
+	f.cluster.setFollowers(address, request)
 	resp, err := f.cluster.client(address).Sync(limited, request)
 	if ctx.Err() == nil {
 		// A report that ends with ctx was cancelled because this process stops.
@@ -158,6 +159,7 @@
 		return false, false
 	}
 	f.applyResponse(address, resp, began)
+	f.cluster.confirmFollowers(address, resp.FollowersDigest)
 	age := time.Duration(resp.HeardMs) * time.Millisecond
 	f.mu.Lock()
 	f.leaderRefused, f.leaderResigned = false, resp.Leader != nil && resp.Leader.Member.Address == address && !resp.Leading
@@ -243,7 +245,6 @@
 	r.Limits = f.limits.encode(func(upstream string) float64 { return f.cluster.subtreeLimitedDemand(own.limitedDemand, upstream) })
 	r.Suspects = f.suspects.message()
 	r.TeamUses = f.quotas.takeUses()
-	r.Followers = f.cluster.followers()
 	f.cluster.addRuns(own.loads)
 	r.Loads = mergeRuns(f.cluster.subtreeLoads(own.loads), f.cluster.takeRuns())
 	for name, list := range own.keys {
--- a/gateway/peerserver.go
+++ b/gateway/peerserver.go
@@ -174,6 +174,7 @@
 	resp.Limits = p.namedLimitMessages(r.Member.Node)
 	resp.Suspects = p.suspects.message()
 	resp.TeamLimits = p.quotas.limits()
+	resp.FollowersDigest = p.cluster.followersOf(r.Member.Node)
 	resp.Rights, resp.RightsMs = p.rightsFor(r)
 	resp.MembersVersion = r.MembersVersion
 	if p.cluster.membersVersion() != r.MembersVersion {
@@ -227,10 +228,7 @@
 // rightsFor returns the warm-up rights of the sender and of the gateways that report through it,
 // and how long ago the leader issued them.
 func (p *peerServer) rightsFor(r *syncpb.SyncRequest) ([]*syncpb.Right, uint32) {
-	nodes := map[string]bool{r.Member.Node: true}
-	for _, m := range r.Followers {
-		nodes[m.Node] = true
-	}
+	nodes := p.cluster.subtreeOf(r.Member.Node)
 	all, named := p.cluster.parentRights()
 	if p.cluster.isLeading() {
 		all, named = p.assignments.rights.current()
--- a/gateway/reportingtree.go
+++ b/gateway/reportingtree.go
@@ -1,9 +1,12 @@
 package gateway
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/rockcroft/rockcroft/coordination/reporttree"
 	"github.com/rockcroft/rockcroft/protocol/syncpb"
 )
@@ -18,6 +21,8 @@
 	// redirectTime is how long after its first report a gateway that should report to another is sent
 	// no large parts. It needs one report to learn of its parent.
 	redirectTime = time.Second
+	// liveListAge is how long the leader's own list of members is reused.
+	liveListAge = 50 * time.Millisecond
 )
 
 // memberList is what the gateways know of each other.
@@ -118,10 +123,19 @@
 	}
 }
 
+// liveList returns the members as the leader knows them now. The list of the current version may lack
+// most gateways right after a start of all at once. The lock is held.
+func (c *cluster) liveList() *memberList {
+	if c.live == nil || c.now().Sub(c.liveAt) >= liveListAge {
+		c.live, c.liveAt = c.buildMemberList(), c.now()
+	}
+	return c.live
+}
+
 // position returns where a gateway stands in the reporting tree. It leaves out heads that have not
 // answered this gateway lately. The lock is held, and a leader is known.
-func (c *cluster) position(of *syncpb.Member) (reporttree.Position, []*syncpb.Member) {
-	leader, list := c.leader.Member, c.memberList()
+func (c *cluster) position(of *syncpb.Member, list *memberList) (reporttree.Position, []*syncpb.Member) {
+	leader := c.leader.Member
 	p := reporttree.Position{
 		Node: of.Node, Leader: leader.Node, Gateways: list.gateways(), DomainGateways: list.sizes[of.Domain], LeaderInDomain: of.Domain == leader.Domain,
 	}
@@ -144,7 +158,7 @@
 	if c.leader == nil || c.leader.Member.Address == c.self.Address {
 		return ""
 	}
-	p, candidates := c.position(c.self)
+	p, candidates := c.position(c.self, c.memberList())
 	parent := p.Parent()
 	for _, m := range candidates {
 		if m.Node == parent {
@@ -164,6 +178,70 @@
 	if !c.leading || c.leader == nil || child == nil || c.now().Sub(child.since) > redirectTime {
 		return true
 	}
-	p, _ := c.position(to)
+	p, _ := c.position(to, c.liveList())
 	return p.Parent() == c.leader.Member.Node
 }
+
+// keepFrom takes over from the previous report of a gateway what goes on.
+func (c *child) keepFrom(previous *child) {
+	if c.Incarnation == previous.Incarnation {
+		c.since = previous.since
+	}
+	if c.followersDigest != 0 && len(c.followers) == 0 && c.followersDigest == previous.followersDigest {
+		c.followers = previous.followers
+	}
+}
+
+// digestOfFollowers returns the digest of a list of members in any order, never zero.
+func digestOfFollowers(list []*syncpb.Member) uint64 {
+	sum := uint64(1)
+	for _, m := range list {
+		sum += xxhash.Sum64String(fmt.Sprintf("%s %s %s %s %d %d", m.Node, m.Incarnation, m.Address, m.Domain, m.Strength, m.EvacuationsRevision))
+	}
+	return max(sum, 1)
+}
+
+// setFollowers adds this gateway's followers to a report, unless the receiver has confirmed to have
+// them.
+func (c *cluster) setFollowers(to string, r *syncpb.SyncRequest) {
+	list := c.followers()
+	r.FollowersDigest = digestOfFollowers(list)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.confirmedFollowers[to] != r.FollowersDigest {
+		r.Followers = list
+	}
+}
+
+// confirmFollowers records which followers the gateway at an address has. It forgets what others had:
+// they drop them once this gateway no longer reports to them.
+func (c *cluster) confirmFollowers(by string, digest uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	clear(c.confirmedFollowers)
+	c.confirmedFollowers[by] = digest
+}
+
+// followersOf returns the digest of the followers that this gateway has of a gateway that reports to it.
+func (c *cluster) followersOf(node string) uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	known := c.children[node]
+	if known == nil || len(known.followers) == 0 {
+		return 0
+	}
+	return known.followersDigest
+}
+
+// subtreeOf returns a gateway and those that report through it, as far as this one knows them.
+func (c *cluster) subtreeOf(node string) map[string]bool {
+	nodes := map[string]bool{node: true}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if known := c.children[node]; known != nil {
+		for _, m := range known.followers {
+			nodes[m.Node] = true
+		}
+	}
+	return nodes
+}
