--- a/gateway/placements.go
+++ b/gateway/placements.go
@@ -52,7 +52,7 @@
 // load reads all intents, retrying until that succeeds or ctx ends.
 func (p *placements) load(ctx context.Context) {
 	for backoff := initialBackoff; ctx.Err() == nil; backoff = min(2*backoff, maxBackoff) {
-		objects, _, err := p.store.List(ctx, placementsKind)
+		objects, _, err := p.store.List(ctx, placementsKind, platform.Newest)
 		if err == nil {
 			p.adopt(objects)
 			return
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -123,7 +123,7 @@
 		started := w.now()
 		if !known {
 			var objects []platform.Object
-			if objects, revision, err = w.store.List(ctx, kind); err == nil {
+			if objects, revision, err = w.store.List(ctx, kind, w.listFreshness(kind)); err == nil {
 				known = true
 				w.ages.recordAnswer(kind)
 				onList(objects, revision)
@@ -171,6 +171,16 @@
 	}
 }
 
+// listFreshness returns how current a list must be. The first list of upstreams may be stale: the watch
+// that follows brings what has changed since. Against a view that is already known, a stale list would
+// make newer upstreams look removed.
+func (w *watcher) listFreshness(kind string) platform.Freshness {
+	if kind == platform.InstancesKind && w.view.inst.Load() == nil {
+		return platform.MayBeStale
+	}
+	return platform.Newest
+}
+
 // answerTooLarge reports whether a call failed because of the size of its response, which would be
 // as large the next time.
 func answerTooLarge(err error) bool {
