gateway: read a backlog of changes at once

Cause: a watch of the store brings about 500 changes, and the leader pauses 250 ms after each. Change: an answer of 200 changes or more is followed at once by another watch that waits for nothing, up to 20,000 changes, and they are applied together.

--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -22,6 +22,12 @@
 	// minWatchInterval is the pause after a watch that ends at once without changes, which happens
 	// when the path on which it was to wait fails.
 	minWatchInterval = 100 * time.Millisecond
+	// backlogPage is the number of changes in one answer from which on there are probably more, and
+	// maxBacklog bounds those that are read before they are applied.
+	backlogPage = 200
+	maxBacklog  = 20_000
+	// minWatchWait is the wait of a watch that is to bring only what there is.
+	minWatchWait = time.Millisecond
 	// configurationBatchDelay and instancesBatchDelay are how long changes are collected before the
 	// next watch. Upstreams start and stop by the dozen, and one that leaves takes two seconds or
 	// more to do so.
@@ -132,7 +138,7 @@
 		} else {
 			var changes []platform.Object
 			var next uint64
-			if changes, next, err = w.watch(ctx, kind, revision); err == nil {
+			if changes, next, err = w.watchBacklog(ctx, kind, revision); err == nil {
 				w.ages.recordAnswer(kind)
 			}
 			if err == nil && len(changes) == 0 && w.now().Sub(started) < minWatchInterval {
@@ -204,6 +210,26 @@
 	return w.store.Watch(ctx, kind, after, watchWait)
 }
 
+// watchBacklog waits for changes, and reads on at once while each answer brings so many that there are
+// probably more: thousands of upstreams that start together would otherwise become known one answer at a
+// time, each followed by a pause.
+func (w *watcher) watchBacklog(ctx context.Context, kind string, after uint64) ([]platform.Object, uint64, error) {
+	changes, next, err := w.watch(ctx, kind, after)
+	page := changes
+	for err == nil && len(page) >= backlogPage && len(changes) < maxBacklog {
+		after = nextRevision(after, page, next)
+		var further uint64
+		page, further, err = w.store.Watch(ctx, kind, after, minWatchWait)
+		if err != nil {
+			// What has been read is applied; the next watch continues from there.
+			w.log.Info("watch of a backlog ended early", "kind", kind, "changes", len(changes), "error", err)
+			return changes, next, nil
+		}
+		changes, next = append(changes, page...), further
+	}
+	return changes, next, err
+}
+
 // cancelWatches ends the watches in progress.
 func (w *watcher) cancelWatches() {
 	w.mu.Lock()
