ownership: plans for thousands of upstreams

To fill upstreams without keys, each of them tried every other, and each try walked all upstreams and all spans: cubic. Where no key has requests, nothing can be split off, and every try fails. It held while a service had a few dozen owners.

Change: a draft keeps for each owner its load and the first keys of its spans, so a try looks at the owner's own spans; an owner with nothing that can be moved is tried once in a plan; filling ends when no owner is fuller; in services beyond 512 upstreams an upstream without keys is given one span, as in the initial assignment, and not eight; a split moves memory once.

--- a/coordination/ownership/balance.go
+++ b/coordination/ownership/balance.go
@@ -1,6 +1,10 @@
 package ownership
 
-import "slices"
+import (
+	"slices"
+
+	"github.com/rockcroft/rockcroft/state/spans"
+)
 
 // This file balances the load between upstreams.
 
@@ -27,38 +31,56 @@
 
 // fillEmptyUpstreams moves spans to usable upstreams that have none.
 func (d *draft) fillEmptyUpstreams() {
-	count := make(map[string]int)
+	count := make(map[string]int, len(d.owners))
 	for _, s := range d.table.Spans {
 		count[futureOwner(s)]++
 	}
 	for _, o := range d.usable {
-		if count[o.ID] > 0 {
-			continue
+		if count[o.ID] == 0 {
+			d.fill(o)
 		}
-		for moves := 0; moves < initialSpansPerUpstream/2; {
-			from := d.mostUtilized(o.ID)
-			if from == nil {
-				break
-			}
-			if d.shift(from, o) {
-				moves++
-			} else {
-				d.exhausted[from.ID] = true
-			}
+	}
+}
+
+// spansToFill returns how many spans an upstream without any is given, in a service with the given number
+// of upstreams: a single one where the initial assignment gives no more either.
+func spansToFill(upstreams int) int {
+	if upstreams > manyUpstreams {
+		return 1
+	}
+	return initialSpansPerUpstream / 2
+}
+
+// fill moves spans to an upstream that has none.
+func (d *draft) fill(o *draftOwner) {
+	var tried []*draftOwner
+	for moves := 0; moves < spansToFill(len(d.usable)); {
+		from := d.mostUtilized(o.ID)
+		if from == nil || from.utilization() <= o.utilization() {
+			break
 		}
-		// An upstream with nothing for this one may still have a part that fits another one.
-		clear(d.exhausted)
+		if d.shift(from, o) {
+			moves++
+			continue
+		}
+		from.exhausted = true
+		tried = append(tried, from)
+	}
+	// An upstream with nothing for this one may still have a part that fits another one.
+	for _, from := range tried {
+		from.exhausted = false
 	}
 }
 
 // mostUtilized returns the usable upstream with the highest utilization, other than avoid and those
-// that are exhausted.
-func (d *draft) mostUtilized(avoid string) *Owner {
-	var best *Owner
+// that have nothing to move.
+func (d *draft) mostUtilized(avoid string) *draftOwner {
+	var best *draftOwner
 	for _, o := range d.usable {
-		if o.ID != avoid && !d.exhausted[o.ID] && (best == nil || d.utilization(o) > d.utilization(best)) {
-			best = o
+		if o.exhausted || o.immovable || best != nil && o.utilization() <= best.utilization() || o.ID == avoid {
+			continue
 		}
+		best = o
 	}
 	return best
 }
@@ -72,11 +94,11 @@
 			return
 		}
 		to := d.leastUtilized(0, from.ID)
-		if to == nil || d.utilization(from) < busyUtilization || d.utilization(from)-d.utilization(to) < minUtilizationGap {
+		if to == nil || from.utilization() < busyUtilization || from.utilization()-to.utilization() < minUtilizationGap {
 			return
 		}
 		if !d.shift(from, to) {
-			d.exhausted[from.ID] = true
+			from.exhausted = true
 		}
 	}
 }
@@ -89,39 +111,37 @@
 		owner := futureOwner(d.table.Find(key))
 		hottestKeyLoad[owner] = max(hottestKeyLoad[owner], d.keyLoad[key])
 	}
-	return slices.ContainsFunc(d.usable, func(o *Owner) bool {
-		return d.loads[o.ID]-hottestKeyLoad[o.ID] > urgentUtilization*o.Capacity
+	return slices.ContainsFunc(d.usable, func(o *draftOwner) bool {
+		return o.load-hottestKeyLoad[o.ID] > urgentUtilization*o.Capacity
 	})
 }
 
 // shift moves a span, or a part of one, whose load brings the two upstreams close to equal
 // utilization. It reports whether it found one that fits.
-func (d *draft) shift(from, to *Owner) bool {
+func (d *draft) shift(from, to *draftOwner) bool {
 	// equalizing is the load to move so that both have the same utilization.
-	equalizing := (d.loads[from.ID]*to.Capacity - d.loads[to.ID]*from.Capacity) / max(from.Capacity+to.Capacity, minCapacity)
+	equalizing := (from.load*to.Capacity - to.load*from.Capacity) / max(from.Capacity+to.Capacity, minCapacity)
 	if equalizing <= 0 {
 		return false
 	}
 	targetLoad := equalizing
-	if headroom := d.targetUtilization*to.Capacity - d.loads[to.ID]; headroom > 0 {
+	if headroom := d.targetUtilization*to.Capacity - to.load; headroom > 0 {
 		targetLoad = min(equalizing, headroom)
 	}
-	best, bestLoad := -1, 0.0
-	for i, s := range d.table.Spans {
-		if s.Moving() || s.Owner != from.ID || d.recentlyMoved[s.First] || d.pinned(s) {
-			continue
-		}
-		if load := d.loadOf(s.KeyRange); load > bestLoad {
-			best, bestLoad = i, load
-		}
-	}
+	best, bestLoad := d.busiestSpan(from)
 	if best < 0 {
+		from.immovable = true
 		return false
 	}
 	if bestLoad <= targetLoad*1.1 {
 		d.move(best, to)
 		return true
 	}
+	if d.loadedKeys(d.table.Spans[best].KeyRange) == 0 {
+		// Nothing shows where to split it, and all other spans have no more load.
+		from.immovable = len(from.firstKeys) == 1
+		return false
+	}
 	i, ok := d.splitOff(best, targetLoad)
 	if !ok && targetLoad < equalizing {
 		i, ok = d.splitOffKey(best, equalizing)
@@ -133,6 +153,33 @@
 	return true
 }
 
+// busiestSpan returns the index of the span with the most load that may be moved away from an owner,
+// and its load. The index is negative if there is none.
+func (d *draft) busiestSpan(of *draftOwner) (best int, bestLoad float64) {
+	best = -1
+	for _, first := range of.firstKeys {
+		i := d.table.Index(first)
+		s := d.table.Spans[i]
+		if s.Moving() || s.Owner != of.ID || d.recentlyMoved[s.First] || d.pinned(s) {
+			continue
+		}
+		load := d.loadOf(s.KeyRange)
+		if load > bestLoad || load == bestLoad && best >= 0 && i < best {
+			best, bestLoad = i, load
+		}
+	}
+	return best, bestLoad
+}
+
+// loadedKeys returns how many keys of the range have requests.
+func (d *draft) loadedKeys(k spans.KeyRange) int {
+	n := 0
+	for i := d.firstLoadedKey(k.First); i < len(d.sortedKeys) && d.sortedKeys[i] <= k.Last; i++ {
+		n++
+	}
+	return n
+}
+
 // splitOff splits the span so that a part with about the target load becomes a span of its own, and
 // returns its index. Keys whose own load is higher than that are not part of it.
 func (d *draft) splitOff(i int, targetLoad float64) (int, bool) {
@@ -176,7 +223,7 @@
 func (d *draft) meanUtilization() float64 {
 	load, capacity := 0.0, 0.0
 	for _, o := range d.usable {
-		load += d.loads[o.ID]
+		load += o.load
 		capacity += o.Capacity
 	}
 	return load / max(capacity, minCapacity)
@@ -186,11 +233,20 @@
 // and returns its index.
 func (d *draft) isolate(i, first, last int) int {
 	if last < int(d.table.Spans[i].Last) {
-		d.table.Split(i, uint16(last+1))
+		d.split(i, uint16(last+1))
 	}
 	if first > int(d.table.Spans[i].First) {
-		d.table.Split(i, uint16(first))
+		d.split(i, uint16(first))
 		i++
 	}
 	return i
 }
+
+// split divides the span at index i so that a new span begins at the key first.
+func (d *draft) split(i int, first uint16) {
+	s := d.table.Spans[i]
+	if o := d.owners[s.Owner]; o != nil && !s.Moving() {
+		o.firstKeys = append(o.firstKeys, first)
+	}
+	d.table.Split(i, first)
+}
--- a/coordination/ownership/plan.go
+++ b/coordination/ownership/plan.go
@@ -140,17 +140,28 @@
 	recentlyMoved map[uint16]bool
 	pins          []Pin
 	sortedKeys    []uint16
-	owners        map[string]*Owner
-	usable        []*Owner
-	loads         map[string]float64
+	owners        map[string]*draftOwner
+	usable        []*draftOwner
 	moves         int
-	// exhausted is the set of upstreams with no load left that can be moved. Skipping them lets the
-	// others be balanced even if one key is hotter than the capacity of any upstream.
-	exhausted map[string]bool
 	// targetUtilization is the utilization up to which upstreams are filled.
 	targetUtilization float64
 }
 
+// draftOwner is an upstream in a draft.
+type draftOwner struct {
+	*Owner
+	// load is that of the keys that it will own.
+	load float64
+	// firstKeys are the first keys of its spans that do not move, in no particular order.
+	firstKeys []uint16
+	// exhausted is set if it has no load left that can be moved to the present target, immovable if it
+	// has none that can be moved to any. Skipping such upstreams lets the others be balanced even if
+	// one key is hotter than the capacity of any upstream.
+	exhausted, immovable bool
+}
+
+func (o *draftOwner) utilization() float64 { return o.load / max(o.Capacity, minCapacity) }
+
 // MakePlan returns a copy of the table with the moves that are due, or nil if there are none. It
 // does not modify the input's table.
 func MakePlan(in PlanInput) *spans.Table {
@@ -185,23 +196,28 @@
 		keyLoad:       in.Load,
 		recentlyMoved: in.RecentlyMoved,
 		pins:          in.Pins,
-		owners:        make(map[string]*Owner, len(in.Owners)),
-		loads:         make(map[string]float64, len(in.Owners)),
-		exhausted:     make(map[string]bool),
+		owners:        make(map[string]*draftOwner, len(in.Owners)),
 	}
 	for key := range in.Load {
 		d.sortedKeys = append(d.sortedKeys, key)
 	}
 	sort.Slice(d.sortedKeys, func(i, j int) bool { return d.sortedKeys[i] < d.sortedKeys[j] })
 	for i := range in.Owners {
-		o := &in.Owners[i]
+		o := &draftOwner{Owner: &in.Owners[i]}
 		d.owners[o.ID] = o
 		if o.Usable {
 			d.usable = append(d.usable, o)
 		}
 	}
 	for _, s := range d.table.Spans {
-		d.loads[futureOwner(s)] += d.loadOf(s.KeyRange)
+		o := d.owners[futureOwner(s)]
+		if o == nil {
+			continue
+		}
+		o.load += d.loadOf(s.KeyRange)
+		if !s.Moving() {
+			o.firstKeys = append(o.firstKeys, s.First)
+		}
 	}
 	d.targetUtilization = d.meanUtilization()
 	return d
@@ -229,18 +245,16 @@
 	return sort.Search(len(d.sortedKeys), func(i int) bool { return d.sortedKeys[i] >= key })
 }
 
-func (d *draft) utilization(o *Owner) float64 { return d.loads[o.ID] / max(o.Capacity, minCapacity) }
-
 // leastUtilized returns the usable upstream, other than avoid, that would have the lowest
 // utilization after taking on the load.
-func (d *draft) leastUtilized(load float64, avoid string) *Owner {
-	var best *Owner
+func (d *draft) leastUtilized(load float64, avoid string) *draftOwner {
+	var best *draftOwner
 	lowest := 0.0
 	for _, o := range d.usable {
 		if o.ID == avoid {
 			continue
 		}
-		u := (d.loads[o.ID] + load) / max(o.Capacity, minCapacity)
+		u := (o.load + load) / max(o.Capacity, minCapacity)
 		if best == nil || u < lowest {
 			best, lowest = o, u
 		}
@@ -249,11 +263,14 @@
 }
 
 // move starts a move of the span at index i to the owner, with a new fence.
-func (d *draft) move(i int, to *Owner) {
+func (d *draft) move(i int, to *draftOwner) {
 	s := &d.table.Spans[i]
 	load := d.loadOf(s.KeyRange)
-	d.loads[futureOwner(*s)] -= load
-	d.loads[to.ID] += load
+	if from := d.owners[futureOwner(*s)]; from != nil {
+		from.load -= load
+		from.firstKeys = slices.DeleteFunc(from.firstKeys, func(first uint16) bool { return first == s.First })
+	}
+	to.load += load
 	d.table.LastFence++
 	s.Next = to.ID
 	s.NextFence = d.table.LastFence
@@ -349,8 +366,8 @@
 	d.move(i, best)
 }
 
-func (d *draft) highestCapacity() *Owner {
-	var best *Owner
+func (d *draft) highestCapacity() *draftOwner {
+	var best *draftOwner
 	for _, o := range d.usable {
 		if best == nil || o.Capacity > best.Capacity {
 			best = o
--- a/state/spans/spans.go
+++ b/state/spans/spans.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 
 	"github.com/rockcroft/rockcroft/state/instances"
@@ -113,10 +114,10 @@
 	if first <= s.First || first > s.Last {
 		return
 	}
-	low, high := s, s
-	low.Last = first - 1
+	high := s
 	high.First = first
-	t.Spans = append(t.Spans[:i], append([]Span{low, high}, t.Spans[i+1:]...)...)
+	t.Spans[i].Last = first - 1
+	t.Spans = slices.Insert(t.Spans, i+1, high)
 }
 
 // Diff returns the spans of the next table that are not identical in the old one.
