gateway: a leaf of the reporting tree keeps few versions of the upstreams

Cause: each gateway kept 48 versions of the view, to send differences to others; 920 of 985 gateways send to nobody. At 10,000 upstreams a version is a list of 80 KB. Change: 8 versions without gateways that report to this one, 48 with. Test: TestLeafKeepsFewVersions.

--- a/gateway/reportingtree.go
+++ b/gateway/reportingtree.go
@@ -245,3 +245,10 @@
 	}
 	return nodes
 }
+
+// hasChildren reports whether other gateways report to this one.
+func (c *cluster) hasChildren() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.leading || len(c.children) > 0
+}
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -45,6 +45,8 @@
 	onConfiguration func(*routing.Table)
 	onSpans         func(*spans.Table)
 	onEvacuations   func(*evacuation.Set)
+	// hasReceivers reports whether other gateways are sent the changes of this view.
+	hasReceivers func() bool
 }
 
 // configVersion is one version of the configuration as stored.
@@ -59,7 +61,7 @@
 func newView() *view {
 	v := &view{
 		onInstances: func(*instances.View) {}, onSpans: func(*spans.Table) {}, onEvacuations: func(*evacuation.Set) {},
-		onConfiguration: func(*routing.Table) {},
+		onConfiguration: func(*routing.Table) {}, hasReceivers: func() bool { return true },
 		changed:         make(chan struct{}), previousInst: make(map[uint64]*instances.View), previousSpans: make(map[string][]*spans.Table),
 		spansMessages: make(map[string]*messageCache[*syncpb.Spans]),
 	}
@@ -128,7 +130,7 @@
 	v.inst.Store(next)
 	v.previousInst[version] = next
 	v.previousOrder = append(v.previousOrder, version)
-	if len(v.previousOrder) > maxPreviousVersions {
+	for len(v.previousOrder) > v.versionsToKeep() {
 		delete(v.previousInst, v.previousOrder[0])
 		v.previousOrder = v.previousOrder[1:]
 	}
@@ -228,6 +230,17 @@
 // some seconds with many changes.
 const maxPreviousVersions = 48
 
+// ownVersions is the number of versions of the upstreams kept by a gateway that sends them to no other:
+// its parent sends changes of one of its latest versions.
+const ownVersions = 8
+
+func (v *view) versionsToKeep() int {
+	if v.hasReceivers() {
+		return maxPreviousVersions
+	}
+	return ownVersions
+}
+
 // maxPreviousSpans bounds the spans in the kept versions of one service's key owners, and with them
 // their memory: unlike versions of the upstreams, they share nothing.
 const maxPreviousSpans = 1 << 15
--- a/gateway/view_test.go
+++ b/gateway/view_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"github.com/rockcroft/rockcroft/state/instances"
 	"github.com/rockcroft/rockcroft/state/spans"
 )
 
@@ -22,3 +23,26 @@
 		}
 	}
 }
+
+// TestLeafKeepsFewVersions checks that a gateway to which no other reports keeps only the versions of the
+// upstreams that its own parent may refer to, and more once another reports to it.
+func TestLeafKeepsFewVersions(t *testing.T) {
+	v, receivers := newView(), false
+	v.hasReceivers = func() bool { return receivers }
+	version := uint64(0)
+	add := func(n int) {
+		for range n {
+			version++
+			v.setInstances(version, instances.NewView(version, nil))
+		}
+	}
+	add(100)
+	if len(v.previousInst) != ownVersions || v.previousInstances(version) == nil {
+		t.Errorf("%d versions kept, want the newest %d", len(v.previousInst), ownVersions)
+	}
+	receivers = true
+	add(100)
+	if len(v.previousInst) != maxPreviousVersions {
+		t.Errorf("%d versions kept for others, want %d", len(v.previousInst), maxPreviousVersions)
+	}
+}
