Regions: requests stay in theirs, reports cross them once

Each failure domain's head reported to the leader's region, and the choice of an upstream knew its own failure domain and all others only. Change: gateways know the region of each failure domain (setting regions, from the platform's zones). A region other than the leader's has one head that reports to the leader; the first heads of its domains report to it. Requests that any upstream can run go to another region only while none of the candidates of the own one has a free slot. Nothing changes without regions, or with one. Tests: TestRegionReportsOnce, TestRequestsStayInTheirRegion. Not done: allowed regions of routes and teams; keys owned near their callers.

--- a/coordination/dispatch/choice.go
+++ b/coordination/dispatch/choice.go
@@ -29,23 +29,22 @@
 type ranking struct {
 	// salt makes the order differ between gateways.
 	salt uint64
-	// local are the upstreams of the own failure domain, remote all others.
-	local, remote []*listing
+	// local are the upstreams of the own failure domain, near those of other domains of the same
+	// region, far those of other regions.
+	local, near, far []*listing
 }
 
 // update adds upstreams and, if any were removed, drops those that are not of the given generation.
 // Those that remain keep their relative order (rendezvous hashing).
-func (r *ranking) update(added []*listing, removed bool, generation uint64, domain string) {
-	var local, remote []*listing
+func (r *ranking) update(added []*listing, removed bool, generation uint64, distanceTo func(domain string) distance) {
+	groups := make(map[distance][]*listing)
 	for _, l := range added {
-		if l.Domain == domain {
-			local = append(local, l)
-		} else {
-			remote = append(remote, l)
-		}
+		d := distanceTo(l.Domain)
+		groups[d] = append(groups[d], l)
 	}
-	r.local = mergeRanked(r.local, local, removed, generation)
-	r.remote = mergeRanked(r.remote, remote, removed, generation)
+	r.local = mergeRanked(r.local, groups[sameDomain], removed, generation)
+	r.near = mergeRanked(r.near, groups[sameRegion], removed, generation)
+	r.far = mergeRanked(r.far, groups[otherRegion], removed, generation)
 }
 
 // mergeRanked returns the ranked list with the added upstreams and, if any were removed, without those
@@ -107,12 +106,42 @@
 	return best
 }
 
+// distance tells how far an upstream is from this gateway.
+type distance int
+
+const (
+	sameDomain distance = iota
+	sameRegion
+	otherRegion
+)
+
+// SetRegions sets the region of each failure domain. Domains that are not listed count as in the same
+// region. It must be called before SetUpstreams.
+func (s *Service) SetRegions(regions map[string]string) { s.regions = regions }
+
+// distanceTo returns how far a failure domain is.
+func (s *Service) distanceTo(domain string) distance {
+	own, other := s.regions[s.domain], s.regions[domain]
+	switch {
+	case domain == s.domain:
+		return sameDomain
+	case own != "" && other != "" && own != other:
+		return otherRegion
+	}
+	return sameRegion
+}
+
 // lowestScore returns the upstream with the lowest score among a few with room, or nil. For a
-// request that a limit has rejected, it considers only upstreams without a limit.
+// request that a limit has rejected, it considers only upstreams without a limit. Other regions are
+// considered only if no upstream of the own one has a free slot: their requests take longer and share
+// the links between regions.
 func (s *Service) lowestScore(now time.Time, req *Request) *Upstream {
 	var c choice
 	s.considerList(now, req, s.ranked.local, &c)
-	s.considerList(now, req, s.ranked.remote, &c)
+	s.considerList(now, req, s.ranked.near, &c)
+	if c.best == nil || c.best.totalInFlight(now)+1 > float64(c.best.Slots) {
+		s.considerList(now, req, s.ranked.far, &c)
+	}
 	s.considerRightHolders(now, req, &c)
 	return c.best
 }
--- a/coordination/dispatch/dispatch_test.go
+++ b/coordination/dispatch/dispatch_test.go
@@ -477,3 +477,19 @@
 		}
 	}
 }
+
+// TestRequestsStayInTheirRegion checks that requests go to other regions only while no upstream of the
+// own one has a free slot.
+func TestRequestsStayInTheirRegion(t *testing.T) {
+	s := NewService("a", 2*time.Second, rand.New(rand.NewPCG(1, 2)))
+	s.SetRegions(map[string]string{"a": "north", "b": "north", "c": "south"})
+	s.SetUpstreams(start, instanceList("b1", "c1"))
+	s.ApplyReport(start, ClusterReport{Gateways: 1})
+	var ids []string
+	for range 4 {
+		ids = append(ids, mustGrant(t, s, start, newRequest()).Instance.ID)
+	}
+	if d := cmp.Diff([]string{"b1", "b1", "c1", "c1"}, ids); d != "" {
+		t.Error(d)
+	}
+}
--- a/coordination/dispatch/listing.go
+++ b/coordination/dispatch/listing.go
@@ -53,10 +53,10 @@
 	}
 	removed := s.removeUnlisted(now, former)
 	if regrouped {
-		s.ranked.local, s.ranked.remote = nil, nil
+		s.ranked.local, s.ranked.near, s.ranked.far = nil, nil, nil
 		added = slices.Clone(s.ordered)
 	}
-	s.ranked.update(added, removed, s.generation, s.domain)
+	s.ranked.update(added, removed, s.generation, s.distanceTo)
 	s.rateAt = time.Time{}
 	s.grantWaiting(now)
 }
--- a/coordination/dispatch/service.go
+++ b/coordination/dispatch/service.go
@@ -48,6 +48,8 @@
 	// Disabled holds the mechanisms that are switched off.
 	Disabled Mechanisms
 	domain   string
+	// regions are the regions of the failure domains.
+	regions map[string]string
 	// drainTime is how long an owner still gets requests after it was seen to be leaving.
 	drainTime time.Duration
 	rng       *rand.Rand
--- a/coordination/reporttree/reporttree.go
+++ b/coordination/reporttree/reporttree.go
@@ -2,7 +2,8 @@
 // gateways, whatever the number of all: small deployments report to it directly; in larger ones the
 // strongest gateway of each failure domain, its first head, reports for the others, and in a large
 // domain further heads stand between it and them. Traffic between failure domains is paid once for each
-// domain.
+// domain, and traffic between regions once for each region: the first head of one of its domains reports
+// for the other domains.
 package reporttree
 
 import (
@@ -29,6 +30,9 @@
 	Gateways, DomainGateways int
 	// LeaderInDomain is set if the leader is in the own failure domain.
 	LeaderInDomain bool
+	// RegionHead is the gateway that reports for the own region if the leader is in another one;
+	// empty if it is in the same.
+	RegionHead string
 	// Candidates are the gateways of the own failure domain that may be heads, the strongest first,
 	// without the leader. It contains the own gateway if that may be one.
 	Candidates []string
@@ -52,7 +56,11 @@
 func (p Position) Parent() string {
 	heads := p.Candidates[:p.Heads()]
 	switch own := slices.Index(heads, p.Node); {
-	case len(heads) == 0 || own == 0:
+	case len(heads) == 0:
+		return p.Leader
+	case own == 0 && p.RegionHead != "" && p.RegionHead != p.Node:
+		return p.RegionHead
+	case own == 0:
 		return p.Leader
 	case own > 0:
 		return heads[0]
--- a/coordination/reporttree/reporttree_test.go
+++ b/coordination/reporttree/reporttree_test.go
@@ -84,3 +84,35 @@
 		t.Errorf("reports to %s, want the leader", got)
 	}
 }
+
+// TestRegionReportsOnce checks that of three failure domains in another region than the leader's only one
+// gateway reports to the leader, and that all others reach it.
+func TestRegionReportsOnce(t *testing.T) {
+	domains := fleet(6, 30)
+	regionHead := domains[3][0]
+	across := 0
+	for d, nodes := range domains {
+		for _, n := range nodes {
+			p := Position{Node: n, Leader: "a0", Gateways: 180, DomainGateways: 30, LeaderInDomain: d == 0, Candidates: nodes}
+			if d == 0 {
+				p.Candidates = nodes[1:]
+			}
+			if d >= 3 {
+				p.RegionHead = regionHead
+			}
+			parent := p.Parent()
+			if d >= 3 && parent == "a0" {
+				across++
+			}
+			if n != nodes[0] && d > 0 && parent != nodes[0] {
+				t.Errorf("%s reports to %s, want the first head of its domain", n, parent)
+			}
+			if n == domains[4][0] && parent != regionHead {
+				t.Errorf("the first head %s reports to %s, want the region's head %s", n, parent, regionHead)
+			}
+		}
+	}
+	if across != 1 {
+		t.Errorf("%d gateways of the other region report to the leader, want 1", across)
+	}
+}
--- a/gateway/cluster.go
+++ b/gateway/cluster.go
@@ -27,6 +27,8 @@
 	self *syncpb.Member
 	now  func() time.Time
 	http *http.Client
+	// regions are the regions of the failure domains.
+	regions map[string]string
 
 	mu      sync.Mutex
 	leader  *syncpb.Leader
--- a/gateway/follower.go
+++ b/gateway/follower.go
@@ -25,6 +25,9 @@
 	// headReportInterval bounds it for gateways that others report through. What they pass on becomes
 	// older with each of them, and the ages on a way must stay below leaderSilenceTimeout.
 	headReportInterval = 150 * time.Millisecond
+	// farHeadReportInterval is the same in another region than the leader's, where a way has one more
+	// step.
+	farHeadReportInterval = 100 * time.Millisecond
 	// reportTimeout is how much longer than that the response to a report may take.
 	reportTimeout = 400 * time.Millisecond
 	// immediateResponse is the time within which a response counts as immediate, which shows that
@@ -100,10 +103,13 @@
 	interval := reportInterval(c.gatewayCount())
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.children) > 0 {
-		return min(interval, headReportInterval)
+	switch {
+	case len(c.children) == 0:
+		return interval
+	case c.regions[c.self.Domain] != "" && c.leader != nil && c.regions[c.leader.Member.Domain] != c.regions[c.self.Domain]:
+		return min(interval, farHeadReportInterval)
 	}
-	return interval
+	return min(interval, headReportInterval)
 }
 
 // run follows the leader until ctx ends.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -190,6 +190,7 @@
 		MaxIdleConnsPerHost: 4, IdleConnTimeout: defaultIdleTimeout,
 	}}}
 	g.cluster = newCluster(self, client, g.now, mathrand.New(mathrand.NewPCG(seeds[1], seeds[0])))
+	g.cluster.regions = conf.Regions
 	g.view.hasReceivers = g.cluster.hasChildren
 	g.storeCalls = &storeCaller{
 		conns: pool.New(storeLimits, g.now), address: conf.Store.String(), relayPeers: g.cluster.relayCandidates, isLeader: g.cluster.isLeading,
--- a/gateway/reportingtree.go
+++ b/gateway/reportingtree.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -132,8 +133,8 @@
 	return c.live
 }
 
-// position returns where a gateway stands in the reporting tree. It leaves out heads that have not
-// answered this gateway lately. The lock is held, and a leader is known.
+// position returns where a gateway stands in the reporting tree, and the gateways that may be its parent.
+// It leaves out heads that have not answered this gateway lately. The lock is held, and a leader is known.
 func (c *cluster) position(of *syncpb.Member, list *memberList) (reporttree.Position, []*syncpb.Member) {
 	leader := c.leader.Member
 	p := reporttree.Position{
@@ -146,9 +147,34 @@
 			p.Candidates = append(p.Candidates, m.Node)
 		}
 	}
+	if head := c.regionHead(of, list); head != nil {
+		p.RegionHead = head.Node
+		candidates = append(candidates, head)
+	}
 	return p, candidates
 }
 
+// regionHead returns the gateway that reports for the region of the given one: the first head of the
+// region's first failure domain. It returns nil if the leader is in the same region or regions are not
+// known. The lock is held.
+func (c *cluster) regionHead(of *syncpb.Member, list *memberList) *syncpb.Member {
+	region := c.regions[of.Domain]
+	if region == "" || c.regions[c.leader.Member.Domain] == region {
+		return nil
+	}
+	for _, domain := range slices.Sorted(maps.Keys(list.byDomain)) {
+		if c.regions[domain] != region {
+			continue
+		}
+		for _, m := range list.byDomain[domain] {
+			if m.Node == of.Node || c.now().After(c.avoidedUntil[m.Node]) {
+				return m
+			}
+		}
+	}
+	return nil
+}
+
 // parent returns the address of the gateway to report to, or "" if none is known. A former leader
 // that has restarted may still consider itself the leader. It must not report to itself, because
 // its own report would be added to its next one again and again.
--- a/gateway/traffic.go
+++ b/gateway/traffic.go
@@ -73,6 +73,7 @@
 			budget: retry.NewWindowBudget(t.now(), t.conf.RetryWindow.D(),
 				retryBudgetFraction*t.conf.RetryShare, retryBudgetFraction*t.conf.RetryAllowance),
 		}
+		s.dispatch.SetRegions(t.conf.Regions)
 		s.dispatch.SetEvacuated(t.now(), t.evacuated.Active)
 		t.services[name] = s
 	}
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -62,7 +62,7 @@
 	v := &view{
 		onInstances: func(*instances.View) {}, onSpans: func(*spans.Table) {}, onEvacuations: func(*evacuation.Set) {},
 		onConfiguration: func(*routing.Table) {}, hasReceivers: func() bool { return true },
-		changed:         make(chan struct{}), previousInst: make(map[uint64]*instances.View), previousSpans: make(map[string][]*spans.Table),
+		changed: make(chan struct{}), previousInst: make(map[uint64]*instances.View), previousSpans: make(map[string][]*spans.Table),
 		spansMessages: make(map[string]*messageCache[*syncpb.Spans]),
 	}
 	v.owners.Store(&map[string]*spans.Table{})
