Quotas: a gateway without the leader keeps to a share of its own

Cause: a gateway that is cut off went on with the leader's last decision, also when its demand rose: on both sides of a cut a hot team could use the whole quota (by reading; no play has shown it). Change: one second after the last decision each gateway admits of a team at most what it admitted before, or an equal part of the quota if that is more, with a burst of one second. Not done: the connected side does not keep back what a cut-off side may still use.

--- a/gateway/fetch_test.go
+++ b/gateway/fetch_test.go
@@ -287,7 +287,7 @@
 }
 
 func noQuotas() *teamQuotas {
-	return newTeamQuotas(newView(), 0, time.Now, rand.New(rand.NewPCG(1, 1)))
+	return newTeamQuotas(newView(), func() int { return 1 }, 0, time.Now, rand.New(rand.NewPCG(1, 1)))
 }
 
 func noSuspects() *suspects {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -180,7 +180,6 @@
 	g.view.onSpans = g.ownerGaps.setTable
 	g.limits = newNamedLimits(g.view, g.now, log, g.meters)
 	g.limits.onChange = g.limitsChanged
-	g.quotas = newTeamQuotas(g.view, conf.QuotaSlack, g.now, mathrand.New(mathrand.NewPCG(seeds[0]+1, seeds[1])))
 	self := &syncpb.Member{
 		Node: conf.Node, Address: listeners.Peers.Addr().String(), Domain: conf.Domain, Incarnation: incarnation(),
 		Strength: uint32(strengthUnits * conf.CPUCores),
@@ -196,6 +195,7 @@
 		conns: pool.New(storeLimits, g.now), address: conf.Store.String(), relayPeers: g.cluster.relayCandidates, isLeader: g.cluster.isLeading,
 		now: g.now, log: log, meters: g.meters, lastSuccess: g.now(),
 	}
+	g.quotas = newTeamQuotas(g.view, g.cluster.gatewayCount, conf.QuotaSlack, g.now, mathrand.New(mathrand.NewPCG(seeds[0]+1, seeds[1])))
 	g.suspects = newSuspects(g.view, g.cluster.gatewayCount, g.now, log, g.meters, mathrand.New(mathrand.NewPCG(seeds[0], seeds[1]+1)))
 	g.view.onInstances = func(v *instances.View) {
 		g.traffic.setUpstreams(v)
--- a/gateway/teamquotas.go
+++ b/gateway/teamquotas.go
@@ -16,6 +16,15 @@
 // This file keeps each team within its quota over all gateways. Gateways report the requests of each
 // team, the leader decides which part of them may be sent, and all gateways apply that part.
 
+const (
+	// decisionValidity is how long a gateway relies on the leader's decision. After that it keeps to a
+	// share of its own: demand may rise on both sides of a cut.
+	decisionValidity = time.Second
+	// minSharers is the number of gateways that are assumed to share a quota at least. A gateway that
+	// has just started may not know of the others.
+	minSharers = 12
+)
+
 // burstSlackShare is the fraction of the tolerated excess over a quota by which bursts may be larger.
 // The rest allows for reports that are late.
 const burstSlackShare = 0.5
@@ -38,6 +47,38 @@
 	admit map[string]*teamLimit
 	// buckets are those of the teams with quotas while this gateway leads.
 	buckets map[string]*quota.Bucket
+	// decidedAt is when the leader's decision was last received, or made here.
+	decidedAt time.Time
+	// shares are this gateway's own shares of the quotas, for the time without a decision.
+	shares map[string]*teamShare
+	// gateways returns the number of gateways.
+	gateways func() int
+}
+
+// teamShare is what this gateway may send of a team's requests without the leader: as many as it sent
+// before, or an equal part of the quota if that is more.
+type teamShare struct {
+	// meter measures the requests that were admitted here.
+	meter quota.Meter
+	// tokens is the number of requests that may be sent now, as of filledAt. A zero filledAt means
+	// that the share is not in use.
+	tokens   float64
+	filledAt time.Time
+}
+
+// take reports whether one more request may be sent, given an equal part of the quota per second.
+func (s *teamShare) take(now time.Time, equalPart float64) bool {
+	rate := max(s.meter.Last(), equalPart)
+	if s.filledAt.IsZero() {
+		s.tokens, s.filledAt = 1, now
+	}
+	s.tokens = min(s.tokens+rate*now.Sub(s.filledAt).Seconds(), max(rate, 1))
+	s.filledAt = now
+	if s.tokens < 1 {
+		return false
+	}
+	s.tokens--
+	return true
 }
 
 // teamLimit is the fraction of a team's requests that this gateway sends.
@@ -46,9 +87,9 @@
 	sampler  quota.Sampler
 }
 
-func newTeamQuotas(v *view, slack float64, now func() time.Time, rng *rand.Rand) *teamQuotas {
+func newTeamQuotas(v *view, gateways func() int, slack float64, now func() time.Time, rng *rand.Rand) *teamQuotas {
 	return &teamQuotas{
-		view: v, now: now, slack: slack, rng: rng,
+		view: v, gateways: gateways, now: now, slack: slack, rng: rng, shares: make(map[string]*teamShare),
 		uses: make(map[string]teamUse), admit: make(map[string]*teamLimit), buckets: make(map[string]*quota.Bucket),
 	}
 }
@@ -61,13 +102,41 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.addUse(team.Name, teamUse{requests: 1})
-	limit := t.admit[team.Name]
-	if limit == nil || limit.sampler.Take(limit.fraction, t.rng.Float64()) {
+	if t.admits(team) {
 		return nil
 	}
 	return answer.New(answer.CallerLimited, "team %s is beyond its quota of %g requests per second", team.Name, team.Quota.PerSecond)
 }
 
+// admits reports whether a request of the team may be sent. The lock is held.
+func (t *teamQuotas) admits(team *routing.Team) bool {
+	now, share := t.now(), t.shares[team.Name]
+	if share == nil {
+		share = &teamShare{}
+		t.shares[team.Name] = share
+	}
+	if now.Sub(t.decidedAt) > decisionValidity {
+		return share.take(now, team.Quota.PerSecond/float64(max(t.gateways(), minSharers)))
+	}
+	share.filledAt = time.Time{}
+	limit := t.admit[team.Name]
+	if limit != nil && !limit.sampler.Take(limit.fraction, t.rng.Float64()) {
+		return false
+	}
+	share.meter.Add()
+	return true
+}
+
+// measureShares updates the rates of the requests that were admitted here. It is called once per report.
+func (t *teamQuotas) measureShares(now time.Time) {
+	if now.Sub(t.decidedAt) > decisionValidity {
+		return
+	}
+	for _, share := range t.shares {
+		share.meter.Rate(now)
+	}
+}
+
 // recordSent counts a request that is sent to an upstream.
 func (t *teamQuotas) recordSent(team *routing.Team) {
 	if team == nil || !team.Quota.Limited() {
@@ -88,6 +157,7 @@
 func (t *teamQuotas) takeUses() []*syncpb.TeamUse {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.measureShares(t.now())
 	out := make([]*syncpb.TeamUse, 0, len(t.uses))
 	for team, use := range t.uses {
 		out = append(out, &syncpb.TeamUse{Team: team, Requests: uint32(use.requests), Sent: uint32(use.sent)})
@@ -129,11 +199,9 @@
 	now := t.now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for name := range t.buckets {
-		if table.Teams[name] == nil {
-			delete(t.buckets, name)
-		}
-	}
+	t.measureShares(now)
+	t.decidedAt = now
+	t.forgetTeams(table)
 	fractions := make(map[string]float64)
 	for name, team := range table.Teams {
 		if !team.Quota.Limited() {
@@ -154,6 +222,20 @@
 	t.setFractions(fractions)
 }
 
+// forgetTeams drops what is kept of teams that are no longer configured. The lock is held.
+func (t *teamQuotas) forgetTeams(table *routing.Table) {
+	for name := range t.buckets {
+		if table.Teams[name] == nil {
+			delete(t.buckets, name)
+		}
+	}
+	for name := range t.shares {
+		if table.Teams[name] == nil {
+			delete(t.shares, name)
+		}
+	}
+}
+
 // setFractions replaces the fractions in force. The lock is held.
 func (t *teamQuotas) setFractions(fractions map[string]float64) {
 	for name := range t.admit {
@@ -181,6 +263,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.decidedAt = t.now()
 	t.setFractions(fractions)
 }
 
