gateway: searches for a leader are spread in large failure domains

Cause: in a failure domain that is cut off every gateway asks the same two strongest ones ten times a second: 230 gateways make 2,300 calls a second at each, more than a machine of 0.8 cores answers at 150 to 180 us a call (BenchmarkReport). It grows with the domain. Change: at least 2 ms for each gateway of the domain between two searches; up to 50 gateways as before. Test: TestSearchesDoNotGrowWithTheDomain (at most 500 a second, up to 884 gateways).

--- a/gateway/follower.go
+++ b/gateway/follower.go
@@ -40,6 +40,10 @@
 	// seekRetryInterval is the time between searches for a leader. seekPollInterval is the time
 	// between checks, during a search, whether a parent has become known in the meantime.
 	seekRetryInterval = 100 * time.Millisecond
+	// seekIntervalPerGateway, times the number of gateways of the failure domain, is the time between
+	// searches if that is longer. All of them ask the same few gateways when the domain is cut off, and
+	// each of these answers at most 500 searches a second.
+	seekIntervalPerGateway = 2 * time.Millisecond
 	seekPollInterval  = 20 * time.Millisecond
 )
 
@@ -112,6 +116,12 @@
 	return min(interval, headReportInterval)
 }
 
+// seekInterval returns the time between searches for a leader, in a failure domain with the given number
+// of gateways.
+func seekInterval(domainGateways int) time.Duration {
+	return max(seekRetryInterval, time.Duration(domainGateways)*seekIntervalPerGateway)
+}
+
 // run follows the leader until ctx ends.
 func (f *follower) run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -134,7 +144,7 @@
 			}
 		}
 		if !f.seekLeader(ctx) {
-			pause(ctx, seekRetryInterval)
+			pause(ctx, seekInterval(f.cluster.domainGateways()))
 		}
 	}
 }
--- a/gateway/reportingtree.go
+++ b/gateway/reportingtree.go
@@ -278,3 +278,10 @@
 	defer c.mu.Unlock()
 	return c.leading || len(c.children) > 0
 }
+
+// domainGateways returns the number of gateways of the own failure domain.
+func (c *cluster) domainGateways() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.memberList().sizes[c.self.Domain]
+}
--- a/gateway/reportingtree_test.go
+++ b/gateway/reportingtree_test.go
@@ -89,3 +89,14 @@
 		t.Errorf("%d gateways, want 30", got)
 	}
 }
+
+// TestSearchesDoNotGrowWithTheDomain checks that the gateways of a failure domain that is cut off ask each
+// of the two gateways that all of them ask at most 500 times a second.
+func TestSearchesDoNotGrowWithTheDomain(t *testing.T) {
+	for _, gateways := range []int{1, 15, 60, 230, 884} {
+		perSecond := float64(gateways) * float64(time.Second) / float64(seekInterval(gateways))
+		if perSecond > 500 {
+			t.Errorf("%d gateways: %.0f searches a second", gateways, perSecond)
+		}
+	}
+}
