--- a/state/capacity/capacity.go
+++ b/state/capacity/capacity.go
@@ -50,10 +50,10 @@
 	// it: BenchmarkMake.
 	planCost         = 440 * time.Microsecond
 	planUpstreamCost = 950 * time.Nanosecond
-	// baseMemoryMB is the peak memory of a gateway, upstreamMemoryMB the share of each upstream in
-	// it.
+	// baseMemoryMB is the peak memory of the busiest gateway, upstreamMemoryMB the share of each
+	// upstream in it.
 	baseMemoryMB     = 17.2
-	upstreamMemoryMB = 0.0232
+	upstreamMemoryMB = 0.0082
 	// reportBytes and loadBytes are the encoded sizes of a report and of a load in it.
 	reportBytes = 200
 	loadBytes   = 23
@@ -68,11 +68,13 @@
 	leasesPerSecond   = 1 / 0.6
 	watchesPerSecond  = 2 / 1.2
 	// minTreeGateways is the number of gateways from which on one gateway of each failure domain
-	// aggregates the reports of the others.
+	// aggregates the reports of the others, maxChildren the number of gateways of a domain that one
+	// gateway answers. They are those of coordination/reporttree.
 	minTreeGateways = 24
-	// spansPerUpstream, maxInitialSpans and minSpansPerUpstream determine the number of spans in
-	// the initial assignment.
-	spansPerUpstream, maxInitialSpans, minSpansPerUpstream = 16, 256, 2
+	maxChildren     = 64
+	// spansPerUpstream, maxInitialSpans, minSpansPerUpstream and manyUpstreams determine the number
+	// of spans in the initial assignment. They are those of coordination/ownership.
+	spansPerUpstream, maxInitialSpans, minSpansPerUpstream, manyUpstreams = 16, 256, 2, 512
 )
 
 // Limits for the control work of one node, from the size that the system is designed for.
@@ -104,19 +106,19 @@
 		{"gateway", "serving", "cores", s.Rate / float64(s.Gateways) * forwardCost.Seconds(), 0, "requests of its own"},
 		{"gateway", "control", "cores", ordinary.cores, maxControlCores, "loads it reports"},
 		{"gateway", "control", "bytes/s", ordinary.bytes, maxControlBytes, "loads it reports"},
-		{"gateway", "memory", "MB", baseMemoryMB + upstreamMemoryMB*float64(s.Upstreams), maxMemoryMB, "upstreams"},
-		{"leader", "control", "cores", leader.cores, maxControlCores, "gateways of its failure domain, spans"},
-		{"leader", "control", "bytes/s", leader.bytes, maxControlBytes, "gateways of its failure domain"},
+		{"busiest", "memory", "MB", baseMemoryMB + upstreamMemoryMB*float64(s.Upstreams), maxMemoryMB, "upstreams"},
+		{"leader", "control", "cores", leader.cores, maxControlCores, "spans, and gateways of its failure domain up to 64"},
+		{"leader", "control", "bytes/s", leader.bytes, maxControlBytes, "gateways of its failure domain, up to 64"},
 		{"leader", "renewals", "calls/s", float64(s.initialSpans()) * renewalsPerSecond, 0, "spans of the largest keyed service"},
 		{"all", "store calls", "calls/s", leasesPerSecond + watchesPerSecond, 0, "nothing; changes and moves come on top"},
 	}
 	if s.Gateways < minTreeGateways {
 		return lines
 	}
-	head := s.controlCost(s.gatewaysPerDomain(), 0)
+	head := s.controlCost(min(s.gatewaysPerDomain(), maxChildren), 0)
 	return append(lines,
-		Line{"head", "control", "cores", head.cores, maxControlCores, "gateways of its failure domain"},
-		Line{"head", "control", "bytes/s", head.bytes, maxControlBytes, "gateways of its failure domain"})
+		Line{"head", "control", "cores", head.cores, maxControlCores, "gateways of its failure domain, up to 64"},
+		Line{"head", "control", "bytes/s", head.bytes, maxControlBytes, "gateways of its failure domain, up to 64"})
 }
 
 // gatewaysPerDomain returns the number of gateways in one failure domain.
@@ -127,7 +129,10 @@
 	if s.Gateways < minTreeGateways {
 		return s.Gateways - 1
 	}
-	return s.gatewaysPerDomain() - 1 + s.Domains - 1
+	if s.gatewaysPerDomain() <= maxChildren {
+		return s.gatewaysPerDomain() - 1 + s.Domains - 1
+	}
+	return s.Domains
 }
 
 // initialSpans returns the number of spans of the largest keyed service in the initial assignment.
@@ -135,6 +140,9 @@
 	if s.Keyed == 0 {
 		return 0
 	}
+	if s.Keyed > manyUpstreams {
+		return s.Keyed
+	}
 	return s.Keyed * max(min(spansPerUpstream, maxInitialSpans/s.Keyed), minSpansPerUpstream)
 }
 
