--- a/coordination/dispatch/listing.go
+++ b/coordination/dispatch/listing.go
@@ -29,8 +29,8 @@
 }
 
 // SetUpstreams replaces the list of upstreams. The state of upstreams that stay is kept, and
-// requests that wait for a removed one are refused. Instances are compared by their addresses first,
-// so lists that share unchanged instances are cheap to compare.
+// requests that wait for a removed one are refused. Lists that share the pointers to unchanged instances
+// are cheap to compare.
 func (s *Service) SetUpstreams(now time.Time, list []*instances.Instance) {
 	s.generation++
 	former := s.ordered
