settings: objects with any names, for the regions of the failure domains

The settings decoder knew objects only as structs, and the test that stands for a rendered template lacked the new fields. Change: maps with strings as keys; an entry of another type and a name that stands twice are reported with their line. The test has all fields of the template. Also: configuration freshness instead of currency, as newcomers would read money.

--- a/gateway/configurationage.go
+++ b/gateway/configurationage.go
@@ -9,8 +9,8 @@
 // This file tracks how current the configuration in force is known to be, from the store or from
 // other gateways. The ages add up on the way from the store to a gateway.
 
-// currency is until when a configuration is known to have been the newest.
-type currency struct {
+// freshness is until when a configuration is known to have been the newest.
+type freshness struct {
 	// heardAt is when an answer said so, less the age that the answer stated. The answer may have
 	// been on its way for a while.
 	heardAt time.Time
@@ -19,15 +19,15 @@
 }
 
 // latest returns the later times of both.
-func (c currency) latest(other currency) currency {
-	return currency{heardAt: laterOf(c.heardAt, other.heardAt), confirmedAt: laterOf(c.confirmedAt, other.confirmedAt)}
+func (c freshness) latest(other freshness) freshness {
+	return freshness{heardAt: laterOf(c.heardAt, other.heardAt), confirmedAt: laterOf(c.confirmedAt, other.confirmedAt)}
 }
 
 // announcedConfiguration is a revision of the configuration and until when another gateway knew it to
 // be the newest.
 type announcedConfiguration struct {
 	revision uint64
-	currency
+	freshness
 }
 
 // recordAnnouncement records until when another gateway knew its configuration to be the newest. It
@@ -38,26 +38,26 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	known := currency{heardAt: f.now().Add(-time.Duration(resp.ConfigMs) * time.Millisecond)}
+	known := freshness{heardAt: f.now().Add(-time.Duration(resp.ConfigMs) * time.Millisecond)}
 	if resp.ConfigConfirmedMs > 0 {
 		known.confirmedAt = asked.Add(-time.Duration(resp.ConfigConfirmedMs) * time.Millisecond)
 	}
 	switch {
 	case f.view.configuration().revision >= resp.ConfigRevision:
-		f.configCurrency = f.configCurrency.latest(known)
+		f.configFreshness = f.configFreshness.latest(known)
 	case resp.ConfigRevision >= f.announcedConfig.revision:
-		f.announcedConfig = announcedConfiguration{revision: resp.ConfigRevision, currency: known}
+		f.announcedConfig = announcedConfiguration{revision: resp.ConfigRevision, freshness: known}
 	}
 }
 
-// configurationCurrency returns until when the configuration in force is known to have been the
+// configurationFreshness returns until when the configuration in force is known to have been the
 // newest, from other gateways or from the own watch.
-func (f *follower) configurationCurrency(watched currency) currency {
+func (f *follower) configurationFreshness(watched freshness) freshness {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	known := f.configCurrency.latest(watched)
+	known := f.configFreshness.latest(watched)
 	if f.announcedConfig.revision > 0 && f.view.configuration().revision >= f.announcedConfig.revision {
-		known = known.latest(f.announcedConfig.currency)
+		known = known.latest(f.announcedConfig.freshness)
 	}
 	return known
 }
@@ -70,7 +70,7 @@
 }
 
 func configurationAge(f *follower, w *watcher) (heard, confirmed time.Duration) {
-	known := f.configurationCurrency(w.configurationCurrency())
+	known := f.configurationFreshness(w.configurationFreshness())
 	now := f.now()
 	return min(now.Sub(known.heardAt), maxReportedAge), min(now.Sub(known.confirmedAt), maxReportedAge)
 }
--- a/gateway/follower.go
+++ b/gateway/follower.go
@@ -79,10 +79,10 @@
 	leaderResigned bool
 	// failing is the current run of failed reports to parents.
 	failing reportFailures
-	// configCurrency is until when other gateways knew the configuration in force to be the newest.
+	// configFreshness is until when other gateways knew the configuration in force to be the newest.
 	// announcedConfig is the newest configuration that another gateway named and that was not in
 	// force here at that time.
-	configCurrency  currency
+	configFreshness freshness
 	announcedConfig announcedConfiguration
 	// wantFullConfig is set when the last configuration difference could not be decoded.
 	wantFullConfig bool
--- a/gateway/watchages.go
+++ b/gateway/watchages.go
@@ -144,10 +144,10 @@
 	return out
 }
 
-// configurationCurrency returns until when this gateway's own lists and watches show the configuration
+// configurationFreshness returns until when this gateway's own lists and watches show the configuration
 // in force to have been the newest.
-func (w *watcher) configurationCurrency() currency {
-	return currency{heardAt: w.ages.lastHeard(platform.ConfigKind), confirmedAt: w.ages.confirmed(platform.ConfigKind)}
+func (w *watcher) configurationFreshness() freshness {
+	return freshness{heardAt: w.ages.lastHeard(platform.ConfigKind), confirmedAt: w.ages.confirmed(platform.ConfigKind)}
 }
 
 // Watches implements placementpb.Placement. It reports what the asked gateway has received from the
--- a/state/jsonc/jsonc.go
+++ b/state/jsonc/jsonc.go
@@ -129,6 +129,8 @@
 		d.decodeObject(v, target, path)
 	case reflect.Slice:
 		d.decodeArray(v, target, path)
+	case reflect.Map:
+		d.decodeMap(v, target, path)
 	case reflect.Pointer:
 		target.Set(reflect.New(target.Type().Elem()))
 		d.decodeValue(v, target.Elem(), path)
@@ -185,6 +187,30 @@
 	}
 }
 
+// decodeMap decodes an object into a map with strings as keys, with any names.
+func (d *decoder) decodeMap(v *hujson.Value, target reflect.Value, path string) {
+	obj, ok := v.Value.(*hujson.Object)
+	if !ok {
+		d.addDiagnostic(v, path, "want an object")
+		return
+	}
+	entries := reflect.MakeMapWithSize(target.Type(), len(obj.Members))
+	for i := range obj.Members {
+		m := &obj.Members[i]
+		name := m.Name.Value.(hujson.Literal).String()
+		child := joinPath(path, name)
+		key := reflect.ValueOf(name).Convert(target.Type().Key())
+		if entries.MapIndex(key).IsValid() {
+			d.addDiagnostic(&m.Name, child, "field stands twice")
+			continue
+		}
+		entry := reflect.New(target.Type().Elem()).Elem()
+		d.decodeValue(&m.Value, entry, child)
+		entries.SetMapIndex(key, entry)
+	}
+	target.Set(entries)
+}
+
 func joinPath(path, name string) string {
 	if path == "" {
 		return name
--- a/state/settings/gateway_test.go
+++ b/state/settings/gateway_test.go
@@ -4,6 +4,8 @@
 	"strings"
 	"testing"
 
+	"github.com/google/go-cmp/cmp"
+
 	"github.com/rockcroft/rockcroft/state/jsonc"
 )
 
@@ -13,6 +15,8 @@
   "metrics": "127.0.0.1:4", "store": "127.0.0.1:5", "seeds": ["127.0.0.1:3"],
   "stop_limit": "6s", "upstream_drain": "2s", "longest_hold": "10s",
   "retry_share": 0.2, "retry_allowance": 62, "retry_window": "10s", "strength": 0.32, "memory_mb": 284,
+  "regions": {"a": "north", "b": "south"}, "warm_up_overage": 1.5, "warm_up_slack": 8,
+  "revocation_timeout": "5s", "quota_slack": 20,
 }`
 
 // TestGatewaySettings checks that valid settings decode and that the error for an invalid
@@ -22,6 +26,9 @@
 	if err := jsonc.Decode([]byte(gatewaySettings), &g); err != nil {
 		t.Fatal(err)
 	}
+	if d := cmp.Diff(map[string]string{"a": "north", "b": "south"}, g.Regions); d != "" {
+		t.Error(d)
+	}
 	for name, c := range map[string]struct{ old, replacement, path string }{
 		"missing":          {`"node": "edge-1", `, ``, "node"},
 		"empty template":   {`"stop_limit": "6s"`, `"stop_limit": "s"`, "stop_limit"},
@@ -32,6 +39,10 @@
 		"unknown field":    {`"node"`, `"nodes": 1, "node"`, "nodes"},
 		"negative":         {`"strength": 0.32`, `"strength": -1`, "strength"},
 		"host name":        {`"127.0.0.1:1"`, `"localhost:1"`, "callers"},
+		"no regions":       {`{"a": "north", "b": "south"}`, `["north"]`, "regions"},
+		"region type":      {`"b": "south"`, `"b": 7`, "regions.b"},
+		"region twice":     {`"b": "south"`, `"a": "south"`, "regions.a"},
+		"negative timeout": {`"revocation_timeout": "5s"`, `"revocation_timeout": "-5s"`, "revocation_timeout"},
 		"missing duration": {`"longest_hold": "10s",`, ``, "longest_hold"},
 	} {
 		text := strings.Replace(gatewaySettings, c.old, c.replacement, 1)
