--- a/state/jsonc/jsonc.go
+++ b/state/jsonc/jsonc.go
@@ -189,6 +189,10 @@
 
 // decodeMap decodes an object into a map with strings as keys, with any names.
 func (d *decoder) decodeMap(v *hujson.Value, target reflect.Value, path string) {
+	if lit, ok := v.Value.(hujson.Literal); ok && lit.Kind() == 'n' {
+		// Without entries a template may render null.
+		return
+	}
 	obj, ok := v.Value.(*hujson.Object)
 	if !ok {
 		d.addDiagnostic(v, path, "want an object")
--- a/state/settings/gateway.go
+++ b/state/settings/gateway.go
@@ -15,7 +15,7 @@
 	Domain string `json:"domain"`
 	// Regions are the regions of all failure domains, by domain. Traffic within a region is
 	// preferred. Without it, all domains count as in one region.
-	Regions map[string]string `json:"regions"`
+	Regions map[string]string `json:"regions,omitempty"`
 	// Callers is the address that accepts requests from callers.
 	Callers jsonc.Addr `json:"callers"`
 	// Ready is the address that serves the load balancer's readiness checks.
--- a/state/settings/gateway_test.go
+++ b/state/settings/gateway_test.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"encoding/json"
 	"strings"
 	"testing"
 
@@ -53,3 +54,31 @@
 		}
 	}
 }
+
+// TestGatewaySettingsAreReadAsWritten checks that settings which a program writes are valid, with and
+// without regions.
+func TestGatewaySettingsAreReadAsWritten(t *testing.T) {
+	g := DefaultGateway()
+	if err := jsonc.Decode([]byte(gatewaySettings), &g); err != nil {
+		t.Fatal(err)
+	}
+	for _, regions := range []map[string]string{nil, {"a": "north"}} {
+		g.Regions = regions
+		data, err := json.Marshal(g)
+		if err != nil {
+			t.Fatal(err)
+		}
+		read := DefaultGateway()
+		if err := jsonc.Decode(data, &read); err != nil {
+			t.Errorf("regions %v: %v", regions, err)
+		}
+		if d := cmp.Diff(g, read, cmp.Comparer(func(a, b jsonc.Addr) bool { return a == b })); d != "" {
+			t.Error(d)
+		}
+	}
+	read := DefaultGateway()
+	text := strings.Replace(gatewaySettings, `{"a": "north", "b": "south"}`, "null", 1)
+	if err := jsonc.Decode([]byte(text), &read); err != nil || read.Regions != nil {
+		t.Errorf("regions null: read as %v, error %v", read.Regions, err)
+	}
+}
