--- a/bench/lab/delivery.go
+++ b/bench/lab/delivery.go
@@ -111,7 +111,7 @@
 		until = until.Add(patience.MaxQueueWait(d.route.Objective.D(), d.deadline-d.sim.elapsed))
 	}
 	req := &dispatch.Request{
-		Owner: owner, Exclude: d.exclude, Priority: d.route.Priority, Objective: d.route.Objective.D(),
+		Route: d.route.Name, ReceivedAt: start.Add(d.try.startedAt), Owner: owner, Exclude: d.exclude, Priority: d.route.Priority, Objective: d.route.Objective.D(),
 		Deadline: start.Add(d.deadline), QueueUntil: until,
 	}
 	if d.keyed {
@@ -122,8 +122,9 @@
 	if !hedge && len(d.attempts) == 0 {
 		req.LateAt = start.Add(d.try.startedAt + d.route.Objective.D())
 	}
-	req.OnDecision = func(g dispatch.Grant, r dispatch.Refusal) { d.onDecision(req, g, r) }
-	g, r, decided := d.service.Offer(d.sim.now(), req)
+	req.OnDecision = func(decision dispatch.Decision) { d.onDecision(req, decision) }
+	decision, decided := d.service.Offer(d.sim.now(), req)
+	g, r := decision.Grant, decision.Refusal
 	switch {
 	case !decided:
 		d.queued = req
@@ -152,14 +153,15 @@
 
 // onDecision handles the decision about a queued request. Several requests may be decided in the
 // same call, so the rest runs as an event of its own.
-func (d *delivery) onDecision(req *dispatch.Request, g dispatch.Grant, r dispatch.Refusal) {
+func (d *delivery) onDecision(req *dispatch.Request, decision dispatch.Decision) {
 	d.queued = nil
+	g := decision.Grant
 	d.sim.after(0, func() {
 		switch {
-		case r == 0 && d.ended:
+		case decision.Granted() && d.ended:
 			d.service.Done(d.sim.now(), g, dispatch.Canceled)
 		case d.ended:
-		case r != 0:
+		case !decision.Granted():
 			d.refuseNoCapacity()
 		case req.Owner != "" && d.currentOwner() != req.Owner:
 			d.service.Done(d.sim.now(), g, dispatch.Canceled)
--- a/coordination/dispatch/bench_test.go
+++ b/coordination/dispatch/bench_test.go
@@ -26,11 +26,11 @@
 				s := busyService(b, c.upstreams, c.waiting)
 				now := start.Add(time.Second)
 				req := &Request{Owner: owner, Objective: time.Second, Deadline: now.Add(time.Hour), QueueUntil: now.Add(time.Hour)}
-				req.OnDecision = func(Grant, Refusal) { b.Fatal("the request had to wait") }
+				req.OnDecision = func(Decision) { b.Fatal("the request had to wait") }
 				b.ReportAllocs()
 				for b.Loop() {
 					now = now.Add(100 * time.Microsecond)
-					g, r, decided := s.Offer(now, req)
+					g, r, decided := offer(s, now, req)
 					if !decided || r != 0 {
 						b.Fatalf("not granted: refusal %v, decided %v", r, decided)
 					}
@@ -69,8 +69,8 @@
 	req := Request{Owner: "u0", Objective: time.Hour, Deadline: start.Add(time.Hour), QueueUntil: start.Add(time.Hour)}
 	for s.Waiting() < waiting {
 		one := req
-		one.OnDecision = func(Grant, Refusal) {}
-		s.Offer(start, &one)
+		one.OnDecision = func(Decision) {}
+		offer(s, start, &one)
 	}
 	return s
 }
@@ -83,7 +83,7 @@
 		req := &Request{Owner: owner, Objective: time.Second, Deadline: now.Add(time.Hour), QueueUntil: now.Add(time.Hour)}
 		allocs := testing.AllocsPerRun(100, func() {
 			now = now.Add(time.Millisecond)
-			g, _, _ := s.Offer(now, req)
+			g, _, _ := offer(s, now, req)
 			s.Done(now, g, Answered)
 		})
 		if allocs > 0 {
--- a/coordination/dispatch/dispatch_test.go
+++ b/coordination/dispatch/dispatch_test.go
@@ -36,12 +36,18 @@
 }
 
 func newRequest() *Request {
-	return &Request{Objective: 300 * ms, Deadline: at(time.Second), QueueUntil: at(60 * ms), OnDecision: func(Grant, Refusal) {}}
+	return &Request{Objective: 300 * ms, Deadline: at(time.Second), QueueUntil: at(60 * ms), OnDecision: func(Decision) {}}
+}
+
+// offer asks for an upstream and returns the parts of the decision.
+func offer(s *Service, now time.Time, req *Request) (Grant, Refusal, bool) {
+	d, decided := s.Offer(now, req)
+	return d.Grant, d.Refusal, decided
 }
 
 func mustGrant(t *testing.T, s *Service, now time.Time, req *Request) Grant {
 	t.Helper()
-	g, r, decided := s.Offer(now, req)
+	g, r, decided := offer(s, now, req)
 	if !decided || r != 0 {
 		t.Fatalf("not granted: refusal %v, decided %v", r, decided)
 	}
@@ -92,8 +98,8 @@
 	for _, priority := range []int{2, 0, 1} {
 		req := newRequest()
 		req.Priority = priority
-		req.OnDecision = func(_ Grant, r Refusal) { verdicts[priority] = r == 0 }
-		if _, r, decided := s.Offer(start, req); decided {
+		req.OnDecision = func(d Decision) { verdicts[priority] = d.Granted() }
+		if _, r, decided := offer(s, start, req); decided {
 			t.Fatalf("priority %d decided at once: refusal %v", priority, r)
 		}
 	}
@@ -130,7 +136,7 @@
 		}
 	}
 	s.SetUpstreams(start, nil)
-	if _, r, decided := s.Offer(start, newRequest()); !decided || r != NoUpstream {
+	if _, r, decided := offer(s, start, newRequest()); !decided || r != NoUpstream {
 		t.Errorf("refusal %v", r)
 	}
 }
@@ -142,13 +148,13 @@
 	s.Done(at(10*ms), mustGrant(t, s, start, newRequest()), Unreachable)
 	req := newRequest()
 	req.QueueUntil = at(10 * ms)
-	if _, r, _ := s.Offer(at(10*ms), req); r != NoCapacity {
+	if _, r, _ := offer(s, at(10*ms), req); r != NoCapacity {
 		t.Errorf("refusal %v right after the failure, want no room", r)
 	}
 	now := at(10*ms + minBackoff)
 	req.QueueUntil, req.Deadline = now.Add(time.Minute), now.Add(time.Minute)
 	probe := mustGrant(t, s, now, req)
-	if _, _, decided := s.Offer(now, req); decided {
+	if _, _, decided := offer(s, now, req); decided {
 		t.Error("a second probe before the first has ended")
 	}
 	s.Done(now.Add(20*ms), probe, Answered)
@@ -197,7 +203,7 @@
 	}
 	req := newRequest()
 	req.Deadline = at(10 * ms)
-	if _, r, decided := s.Offer(start, req); !decided || r != TooLate {
+	if _, r, decided := offer(s, start, req); !decided || r != TooLate {
 		t.Errorf("refusal %v, decided %v", r, decided)
 	}
 }
@@ -211,7 +217,7 @@
 		t.Errorf("sent to %s", g.Instance.ID)
 	}
 	req.Owner = "gone"
-	if _, r, decided := s.Offer(start, req); !decided || r != NoUpstream {
+	if _, r, decided := offer(s, start, req); !decided || r != NoUpstream {
 		t.Errorf("refusal %v", r)
 	}
 }
@@ -226,7 +232,7 @@
 	for {
 		req := newRequest()
 		req.Owner = "a1"
-		g, _, decided := s.Offer(start, req)
+		g, _, decided := offer(s, start, req)
 		if !decided {
 			break
 		}
@@ -262,7 +268,7 @@
 		for range 1000 {
 			req := newRequest()
 			req.Owner, req.Key = "a1", key
-			g, r, decided := s.Offer(now, req)
+			g, r, decided := offer(s, now, req)
 			if !decided || r != 0 && r != HotKey {
 				t.Fatalf("refusal %v, decided %v", r, decided)
 			}
@@ -292,7 +298,7 @@
 	s.upstream(start, "a1").share.fraction = 1
 	req := newRequest()
 	req.Owner, req.Key = "a1", 7
-	if _, r, _ := s.Offer(start, req); r != HotKey {
+	if _, r, _ := offer(s, start, req); r != HotKey {
 		t.Errorf("refusal %v", r)
 	}
 	req = newRequest()
@@ -368,14 +374,14 @@
 		case 0, 1:
 			offered++
 			req := &Request{Objective: 200 * ms, Deadline: now.Add(400 * ms), QueueUntil: now.Add(50 * ms), Priority: rng.IntN(3)}
-			req.OnDecision = func(g Grant, r Refusal) {
+			req.OnDecision = func(d Decision) {
 				verdicts++
-				if r == 0 {
-					running = append(running, g)
+				if d.Granted() {
+					running = append(running, d.Grant)
 				}
 			}
-			if g, r, decided := s.Offer(now, req); decided {
-				req.OnDecision(g, r)
+			if d, decided := s.Offer(now, req); decided {
+				req.OnDecision(d)
 			} else {
 				waiting = append(waiting, req)
 			}
@@ -427,7 +433,7 @@
 	req := newRequest()
 	req.Owner, req.QueueUntil, req.Deadline = "a1", at(time.Minute), at(time.Minute)
 	mustGrant(t, s, at(time.Second), req)
-	if _, r, decided := s.Offer(at(2*time.Second), req); decided && r == 0 {
+	if _, r, decided := offer(s, at(2*time.Second), req); decided && r == 0 {
 		t.Error("granted two seconds after the owner was first seen leaving")
 	}
 }
@@ -471,8 +477,8 @@
 		s.Done(at(ms), last, ConnectionBroken)
 		again := newRequest()
 		again.Objective = time.Minute
-		again.OnDecision = func(Grant, Refusal) {}
-		if _, _, decided := s.Offer(at(ms), again); decided != c.want {
+		again.OnDecision = func(Decision) {}
+		if _, _, decided := offer(s, at(ms), again); decided != c.want {
 			t.Errorf("%s: decided at once: %t", name, decided)
 		}
 	}
--- a/coordination/dispatch/evacuated_test.go
+++ b/coordination/dispatch/evacuated_test.go
@@ -21,12 +21,12 @@
 	}
 	again := newRequest()
 	again.Retry, again.Exclude = true, []string{"b1"}
-	if _, r, decided := s.Offer(start, again); !decided || r != NoUpstream {
+	if _, r, decided := offer(s, start, again); !decided || r != NoUpstream {
 		t.Errorf("second try: refusal %v, decided %v", r, decided)
 	}
 	s.SetUpstreams(start, instanceList("a1", "a2", "b1"))
 	s.SetEvacuated(start, func(string) bool { return true })
-	if _, r, decided := s.Offer(start, newRequest()); !decided || r != NoUpstream {
+	if _, r, decided := offer(s, start, newRequest()); !decided || r != NoUpstream {
 		t.Errorf("with all domains evacuated: refusal %v, decided %v", r, decided)
 	}
 	s.SetEvacuated(start, onlyDomain("b"))
@@ -41,13 +41,13 @@
 	s := newService("a1")
 	var sent []Grant
 	for range 5 {
-		if g, _, decided := s.Offer(start, newRequest()); decided {
+		if g, _, decided := offer(s, start, newRequest()); decided {
 			sent = append(sent, g)
 		}
 	}
 	req, refused := newRequest(), Refusal(0)
-	req.OnDecision = func(_ Grant, r Refusal) { refused = r }
-	if _, _, decided := s.Offer(start, req); decided {
+	req.OnDecision = func(d Decision) { refused = d.Refusal }
+	if _, _, decided := offer(s, start, req); decided {
 		t.Fatal("the request does not wait")
 	}
 	s.SetEvacuated(at(ms), onlyDomain("a"))
@@ -70,7 +70,7 @@
 	mustGrant(t, s, at(evacuationGrace/2), owned)
 	late := newRequest()
 	late.Owner, late.QueueUntil, late.Deadline = "a1", at(2*evacuationGrace), at(3*evacuationGrace)
-	if _, r, decided := s.Offer(at(evacuationGrace+ms), late); !decided || r != Evacuated {
+	if _, r, decided := offer(s, at(evacuationGrace+ms), late); !decided || r != Evacuated {
 		t.Errorf("refusal %v, decided %v", r, decided)
 	}
 }
@@ -82,7 +82,7 @@
 	s.SetEvacuated(start, onlyDomain("a"))
 	s.SetUpstreams(at(time.Minute), nil)
 	s.SetUpstreams(at(time.Minute), instanceList("a1"))
-	if _, r, decided := s.Offer(at(time.Minute), newOwnerRequest("a1")); !decided || r != Evacuated {
+	if _, r, decided := offer(s, at(time.Minute), newOwnerRequest("a1")); !decided || r != Evacuated {
 		t.Errorf("refusal %v, decided %v", r, decided)
 	}
 }
--- a/coordination/dispatch/limited_test.go
+++ b/coordination/dispatch/limited_test.go
@@ -39,8 +39,8 @@
 	sent, refused = make(map[string]int), make(map[Refusal]int)
 	for i := range n {
 		now := at(time.Minute + time.Duration(i)*20*ms)
-		req := &Request{Owner: owner, Objective: 300 * ms, Deadline: now.Add(time.Second), QueueUntil: now.Add(60 * ms), OnDecision: func(Grant, Refusal) {}}
-		g, r, decided := s.Offer(now, req)
+		req := &Request{Owner: owner, Objective: 300 * ms, Deadline: now.Add(time.Second), QueueUntil: now.Add(60 * ms), OnDecision: func(Decision) {}}
+		g, r, decided := offer(s, now, req)
 		switch {
 		case !decided:
 			s.Withdraw(req)
@@ -115,17 +115,17 @@
 func TestWaitingRequestsAreSampledOnce(t *testing.T) {
 	s := limitedService(nil, 0, 40, "a1")
 	granted, refused := 0, 0
-	onDecision := func(_ Grant, r Refusal) {
-		if r == 0 {
+	onDecision := func(d Decision) {
+		if d.Granted() {
 			granted++
-		} else if r == Limited {
+		} else if d.Refusal == Limited {
 			refused++
 		}
 	}
 	var grants []Grant
 	for range 30 {
 		req := &Request{Owner: "a1", Objective: time.Second, Deadline: at(time.Minute), QueueUntil: at(time.Minute), OnDecision: onDecision}
-		if g, _, decided := s.Offer(start, req); decided {
+		if g, _, decided := offer(s, start, req); decided {
 			grants = append(grants, g)
 		}
 	}
@@ -196,8 +196,8 @@
 			if rng.Float64() >= 3*perSecond*ms.Seconds()/gateways {
 				continue
 			}
-			req := &Request{Owner: "u", Objective: 400 * ms, Deadline: at(now + time.Second), QueueUntil: at(now), OnDecision: func(Grant, Refusal) {}}
-			if g, r, decided := s.Offer(at(now), req); decided && r == 0 {
+			req := &Request{Owner: "u", Objective: 400 * ms, Deadline: at(now + time.Second), QueueUntil: at(now), OnDecision: func(Decision) {}}
+			if g, r, decided := offer(s, at(now), req); decided && r == 0 {
 				arrivals = append(arrivals, now)
 				s.Done(at(now), g, Answered)
 			}
--- a/coordination/dispatch/notices_test.go
+++ b/coordination/dispatch/notices_test.go
@@ -46,14 +46,14 @@
 	answerWithNotice(s, start, g, notice.Notice{Leaving: true})
 	granted := mustGrant(t, s, at(s.drainTime), newOwnerRequest("a1"))
 	for range 8 {
-		s.Offer(at(s.drainTime), newOwnerRequest("a1"))
+		offer(s, at(s.drainTime), newOwnerRequest("a1"))
 	}
 	refused := Refusal(0)
 	req := newOwnerRequest("a1")
 	req.QueueUntil, req.Deadline = at(time.Minute), at(time.Hour)
 	req.Objective = time.Hour
-	req.OnDecision = func(_ Grant, r Refusal) { refused = r }
-	if _, r, decided := s.Offer(at(s.drainTime), req); decided {
+	req.OnDecision = func(d Decision) { refused = d.Refusal }
+	if _, r, decided := offer(s, at(s.drainTime), req); decided {
 		t.Fatalf("decided at once: refusal %v", r)
 	}
 	if !s.MaySend(at(s.drainTime), granted) {
@@ -67,12 +67,12 @@
 	if s.MaySend(after, granted) {
 		t.Error("granted request may be sent after the grace period")
 	}
-	if _, r, decided := s.Offer(after, newOwnerRequest("a1")); !decided || r != Leaving {
+	if _, r, decided := offer(s, after, newOwnerRequest("a1")); !decided || r != Leaving {
 		t.Errorf("after the grace period: refusal %v, decided %v", r, decided)
 	}
 	cold := newOwnerRequest("a1")
 	cold.Cold = true
-	if _, r, decided := s.Offer(after, cold); !decided || r != Leaving {
+	if _, r, decided := offer(s, after, cold); !decided || r != Leaving {
 		t.Errorf("cold key after the grace period: refusal %v, decided %v", r, decided)
 	}
 }
@@ -137,7 +137,7 @@
 	for _, d := range []time.Duration{4 * ms, time.Second + 3*ms, 3*time.Second - ms} {
 		later := newOwnerRequest("a1")
 		later.QueueUntil, later.Deadline = at(time.Minute), at(time.Minute)
-		if _, r, decided := s.Offer(at(d), later); !decided || r != Resting {
+		if _, r, decided := offer(s, at(d), later); !decided || r != Resting {
 			t.Errorf("owner after %s: refusal %v, decided %v", d, r, decided)
 		}
 		if g := mustGrant(t, s, at(d), newRequest()); g.Instance.ID != "b1" {
@@ -150,7 +150,7 @@
 		}
 	}
 	probe := mustGrant(t, s, at(3*time.Second), newOwnerRequest("a1"))
-	if _, r, decided := s.Offer(at(3*time.Second), newOwnerRequest("a1")); decided && r == 0 {
+	if _, r, decided := offer(s, at(3*time.Second), newOwnerRequest("a1")); decided && r == 0 {
 		t.Error("two requests at once after the rest")
 	}
 	s.Done(at(3*time.Second+ms), probe, Answered)
@@ -171,8 +171,8 @@
 	}
 	refused := make(map[string]Refusal)
 	for name, req := range map[string]*Request{"owner": newOwnerRequest("a1"), "any": newRequest()} {
-		req.OnDecision = func(_ Grant, r Refusal) { refused[name] = r }
-		if _, r, decided := s.Offer(start, req); decided {
+		req.OnDecision = func(d Decision) { refused[name] = d.Refusal }
+		if _, r, decided := offer(s, start, req); decided {
 			t.Fatalf("%s decided at once: refusal %v", name, r)
 		}
 	}
@@ -182,7 +182,7 @@
 	if refused["owner"] != Resting || refused["any"] != Resting || s.Waiting() != 0 {
 		t.Errorf("refused %v, %d waiting", refused, s.Waiting())
 	}
-	if _, r, decided := s.Offer(at(3*ms), newRequest()); !decided || r != Resting {
+	if _, r, decided := offer(s, at(3*ms), newRequest()); !decided || r != Resting {
 		t.Errorf("next request: refusal %v, decided %v", r, decided)
 	}
 }
--- a/coordination/dispatch/noticesrandom_test.go
+++ b/coordination/dispatch/noticesrandom_test.go
@@ -80,12 +80,12 @@
 	if m.rng.IntN(2) == 0 {
 		request.Owner = []string{"a1", "a2", "b1", "b2"}[m.rng.IntN(4)]
 	}
-	request.OnDecision = func(g Grant, r Refusal) {
-		if r == 0 {
-			m.granted = append(m.granted, g)
+	request.OnDecision = func(d Decision) {
+		if d.Granted() {
+			m.granted = append(m.granted, d.Grant)
 		}
 	}
-	if g, r, decided := m.service.Offer(m.now, request); decided && r == 0 {
+	if g, r, decided := offer(m.service, m.now, request); decided && r == 0 {
 		m.granted = append(m.granted, g)
 	}
 }
--- a/coordination/dispatch/request.go
+++ b/coordination/dispatch/request.go
@@ -75,6 +75,12 @@
 	Owner string
 	// Key is the request's key if Owner is set.
 	Key uint16
+	// Route is the name of the request's route.
+	Route string
+	// Caller identifies who sent the request: its team, or else its address. Zero means unknown.
+	Caller uint64
+	// ReceivedAt is when the gateway received the request.
+	ReceivedAt time.Time
 	// Retry is set when the request was granted before and this is not a hedge, a second try in
 	// parallel with the first.
 	Retry bool
@@ -95,7 +101,7 @@
 	QueueUntil time.Time
 	LateAt     time.Time
 	// OnDecision is called once for a request that had to wait, unless it is withdrawn.
-	OnDecision func(Grant, Refusal)
+	OnDecision func(Decision)
 
 	// dequeued is set when the request no longer waits.
 	dequeued bool
@@ -105,6 +111,22 @@
 	heldByLimit bool
 }
 
+// Decision is the answer to a request for an upstream.
+type Decision struct {
+	// Grant is valid if Refusal is zero.
+	Grant   Grant
+	Refusal Refusal
+	// RetryAfter is the time after which a refused caller is likely to find capacity. Zero means that
+	// it depends on the refusal alone.
+	RetryAfter time.Duration
+}
+
+// Granted reports whether the request may be sent.
+func (d Decision) Granted() bool { return d.Refusal == 0 }
+
+// refused returns the decision to refuse a request.
+func refused(r Refusal) Decision { return Decision{Refusal: r} }
+
 // Grant is the permission to send one request to an upstream.
 type Grant struct {
 	Instance instances.Instance
--- a/coordination/dispatch/service.go
+++ b/coordination/dispatch/service.go
@@ -26,9 +26,6 @@
 	// demandFloor is added to each gateway's demand, in requests per second, so that a gateway
 	// without recent requests still has a fraction of the capacity.
 	demandFloor = 0.5
-	// maxColdUtilization is the fraction of an owner's slots up to which requests for cold keys
-	// are admitted. The other half is kept for the owner's other keys.
-	maxColdUtilization = 0.5
 	// hotKeyLimitMinGateways is the number of gateways from which hot key limits apply. A dozen
 	// gateways each see enough requests for a hot key to share its owner's capacity exactly, and a
 	// limit based on estimates would refuse requests that could be run. Each of hundreds sees only
@@ -37,9 +34,6 @@
 	// hotKeyLimitTTL is how long a hot key limit stays in force without a new report: without a
 	// leader nothing lifts the limit when the key is no longer hot.
 	hotKeyLimitTTL = 2 * time.Second
-	// initialColdFactor is how many times as long as usual a request for a cold key is assumed to
-	// run before the first one has been answered.
-	initialColdFactor = 3
 )
 
 // Service makes the dispatch decisions for the upstreams of one service. It is not safe for
@@ -141,39 +135,46 @@
 
 // Offer asks for an upstream. The last result is true if the request was granted or refused at
 // once. Otherwise it waits, and the decision goes to OnDecision.
-func (s *Service) Offer(now time.Time, req *Request) (Grant, Refusal, bool) {
+func (s *Service) Offer(now time.Time, req *Request) (Decision, bool) {
 	s.offered++
 	if s.typicalWorkTime == 0 {
 		s.typicalWorkTime = req.Objective / initialWorkTimeDivisor
 	}
 	if req.Owner != "" && !req.Retry && s.rejectsHotKey(now, req.Key) {
-		return Grant{}, HotKey, true
+		return refused(HotKey), true
 	}
 	if req.Cold && !s.Disabled.NoCold {
-		return s.offerCold(now, req)
+		return s.offerCold(now, req), true
 	}
+	return s.grantOrWait(now, req)
+}
+
+// grantOrWait grants the request if there is capacity and nothing waits ahead of it. Otherwise the
+// request waits, unless it would wait in vain.
+func (s *Service) grantOrWait(now time.Time, req *Request) (Decision, bool) {
 	q, u := &s.queue, (*Upstream)(nil)
 	if req.Owner != "" {
 		if u = s.upstream(now, req.Owner); u == nil {
-			return Grant{}, NoUpstream, true
+			return refused(NoUpstream), true
 		}
 		u.demandMeter.Add()
 		if !s.withinLimit(now, req, u) {
-			return Grant{}, Limited, true
+			return refused(Limited), true
 		}
 		q = &u.queue
 	}
-	if q.ahead(req.Priority) == 0 {
+	ahead := q.ahead(req.Priority)
+	if ahead == 0 {
 		if g, ok := s.tryGrant(now, req); ok {
-			return g, 0, true
+			return Decision{Grant: g}, true
 		}
 	}
-	if r := s.waitRefusal(now, req, u, q.ahead(req.Priority)); r != 0 {
-		return Grant{}, r, true
+	if r := s.waitRefusal(now, req, u, ahead); r != 0 {
+		return refused(r), true
 	}
 	q.add(req)
 	s.waiting++
-	return Grant{}, 0, false
+	return Decision{}, false
 }
 
 // rejectsHotKey decides at random whether to refuse a request for a hot key. Each of 300 gateways
@@ -188,33 +189,6 @@
 	return s.rng.Float64() >= admission
 }
 
-// offerCold admits a request for a cold key only while at most half of its owner's slots are used:
-// in the time that it runs the owner answers several others on time, and it is late in any case.
-// It never waits.
-func (s *Service) offerCold(now time.Time, req *Request) (Grant, Refusal, bool) {
-	u := s.upstream(now, req.Owner)
-	switch {
-	case u == nil:
-		return Grant{}, NoUpstream, true
-	case s.ownerBlockedReason(now, u) != 0:
-		return Grant{}, s.ownerBlockedReason(now, u), true
-	case !s.ownerResponsive(now, u):
-		return Grant{}, OwnerUnresponsive, true
-	case !s.warmUpAllows(now, u):
-		return Grant{}, WarmingUp, true
-	case u.totalInFlight(now)+1 > maxColdUtilization*float64(u.Slots):
-		return Grant{}, ColdKey, true
-	}
-	u.demandMeter.Add()
-	if !s.withinLimit(now, req, u) {
-		return Grant{}, Limited, true
-	}
-	g := s.issueGrant(now, u)
-	g.Cold = true
-	g.ExpectedLatency = time.Duration(s.coldFactor * float64(g.ExpectedLatency))
-	return g, 0, true
-}
-
 // tryGrant grants the request the best upstream that has capacity.
 func (s *Service) tryGrant(now time.Time, req *Request) (Grant, bool) {
 	var best *Upstream
@@ -285,9 +259,3 @@
 	s.grantFromQueue(now, &u.queue)
 	s.grantFromQueue(now, &s.queue)
 }
-
-// updateColdFactor updates how many times as long as usual requests for cold keys run.
-func (s *Service) updateColdFactor(took, work time.Duration) {
-	sample := max(1, took.Seconds()/max(work, minWorkTime).Seconds())
-	s.coldFactor += workTimeWeight * (sample - s.coldFactor)
-}
--- a/coordination/dispatch/share_test.go
+++ b/coordination/dispatch/share_test.go
@@ -38,8 +38,8 @@
 	inFlight := -completed
 	for now := time.Duration(0); now < 250*ms; now += ms {
 		for _, s := range services {
-			req := &Request{Owner: "u", Objective: 400 * ms, Deadline: at(now + time.Second), QueueUntil: at(now), OnDecision: func(Grant, Refusal) {}}
-			if _, r, decided := s.Offer(at(now), req); decided && r == 0 {
+			req := &Request{Owner: "u", Objective: 400 * ms, Deadline: at(now + time.Second), QueueUntil: at(now), OnDecision: func(Decision) {}}
+			if _, r, decided := offer(s, at(now), req); decided && r == 0 {
 				inFlight++
 			}
 		}
@@ -75,8 +75,8 @@
 				continue
 			}
 			// About 600 requests per second compete for an owner that completes 60.
-			req := &Request{Owner: "u", Objective: 400 * ms, Deadline: at(now + time.Second), QueueUntil: at(now), OnDecision: func(Grant, Refusal) {}}
-			if g, r, decided := s.Offer(at(now), req); decided && r == 0 {
+			req := &Request{Owner: "u", Objective: 400 * ms, Deadline: at(now + time.Second), QueueUntil: at(now), OnDecision: func(Decision) {}}
+			if g, r, decided := offer(s, at(now), req); decided && r == 0 {
 				grants, senders = append(grants, g), append(senders, s)
 				sent++
 			}
@@ -187,7 +187,7 @@
 	if !g.Cold || g.ExpectedLatency <= 10*ms {
 		t.Errorf("expected latency %s, cold %v", g.ExpectedLatency, g.Cold)
 	}
-	if _, r, decided := s.Offer(start, req); !decided || r != ColdKey {
+	if _, r, decided := offer(s, start, req); !decided || r != ColdKey {
 		t.Errorf("second cold request at an owner with two slots: %v, decided %v", r, decided)
 	}
 	warm := newRequest()
@@ -206,8 +206,8 @@
 	accepted := 0
 	for ; accepted < 100; accepted++ {
 		req := &Request{Owner: "u", Objective: 400 * ms, Deadline: at(2 * time.Second), QueueUntil: at(time.Second), LateAt: at(400 * ms)}
-		req.OnDecision = func(Grant, Refusal) {}
-		if _, r, decided := s.Offer(start, req); decided && r != 0 {
+		req.OnDecision = func(Decision) {}
+		if _, r, decided := offer(s, start, req); decided && r != 0 {
 			break
 		}
 	}
--- a/coordination/dispatch/waiting.go
+++ b/coordination/dispatch/waiting.go
@@ -101,7 +101,7 @@
 func (s *Service) refuse(req *Request, r Refusal) {
 	req.dequeued = true
 	s.waiting--
-	req.OnDecision(Grant{}, r)
+	req.OnDecision(refused(r))
 }
 
 // refuseAll refuses all requests that wait for one upstream.
@@ -149,7 +149,7 @@
 		}
 		req.dequeued = true
 		s.waiting--
-		req.OnDecision(g, 0)
+		req.OnDecision(Decision{Grant: g})
 		return true, false
 	})
 }
--- a/coordination/dispatch/warming_test.go
+++ b/coordination/dispatch/warming_test.go
@@ -45,8 +45,8 @@
 func (f *gatewayGroup) offerLoad(from, to time.Duration, owner string) {
 	for now := from; now < to; now += 10 * ms {
 		for _, s := range f.services {
-			req := &Request{Owner: owner, Objective: 300 * ms, Deadline: at(now + time.Second), QueueUntil: at(now), OnDecision: func(Grant, Refusal) {}}
-			g, r, decided := s.Offer(at(now), req)
+			req := &Request{Owner: owner, Objective: 300 * ms, Deadline: at(now + time.Second), QueueUntil: at(now), OnDecision: func(Decision) {}}
+			g, r, decided := offer(s, at(now), req)
 			if !decided || r != 0 {
 				continue
 			}
@@ -116,7 +116,7 @@
 	req.Owner, req.QueueUntil, req.Deadline = "a1", at(time.Second+60*ms), at(2*time.Second)
 	refused := 0
 	for _, s := range f.services {
-		if _, r, decided := s.Offer(at(time.Second), req); decided && r == WarmingUp {
+		if _, r, decided := offer(s, at(time.Second), req); decided && r == WarmingUp {
 			refused++
 		}
 	}
--- a/gateway/hotkeys_test.go
+++ b/gateway/hotkeys_test.go
@@ -38,7 +38,7 @@
 	})
 	b.eventually("the end of the limit arrives", func() bool { return !limited() })
 	var refusal *answer.Error
-	if !errors.As(refusalError(dispatch.HotKey), &refusal) || refusal.RetryAfter <= patience.RetryAfterNoCapacity() {
+	if !errors.As(refusalError(dispatch.Decision{Refusal: dispatch.HotKey}), &refusal) || refusal.RetryAfter <= patience.RetryAfterNoCapacity() {
 		t.Errorf("refused by %v", refusal)
 	}
 }
--- a/gateway/proxy.go
+++ b/gateway/proxy.go
@@ -184,7 +184,7 @@
 	defer context.AfterFunc(q.Context(), cancel)()
 	for {
 		req := &dispatch.Request{
-			Priority: q.priority(), Objective: q.route.Objective, Deadline: q.deadline,
+			Route: q.route.Name, ReceivedAt: q.receivedAt, Priority: q.priority(), Objective: q.route.Objective, Deadline: q.deadline,
 			QueueUntil: q.queueUntil, Exclude: slices.Concat(q.excluded, f.suspects.upstreamsToAvoid(q)),
 		}
 		switch {
--- a/gateway/traffic.go
+++ b/gateway/traffic.go
@@ -206,29 +206,25 @@
 
 // acquire waits for a grant to send the request to an upstream.
 func (t *traffic) acquire(ctx context.Context, s *serviceTraffic, req *dispatch.Request) (dispatch.Grant, error) {
-	type decision struct {
-		grant   dispatch.Grant
-		refusal dispatch.Refusal
-	}
-	decisions := make(chan decision, 1)
-	req.OnDecision = func(g dispatch.Grant, r dispatch.Refusal) { decisions <- decision{g, r} }
+	decisions := make(chan dispatch.Decision, 1)
+	req.OnDecision = func(d dispatch.Decision) { decisions <- d }
 	s.mu.Lock()
-	g, r, decided := s.dispatch.Offer(t.now(), req)
+	d, decided := s.dispatch.Offer(t.now(), req)
 	s.mu.Unlock()
 	if decided {
-		return g, t.refusalAnswer(s, req, r)
+		return d.Grant, t.refusalAnswer(s, req, d)
 	}
 	select {
-	case v := <-decisions:
-		return v.grant, t.refusalAnswer(s, req, v.refusal)
+	case d := <-decisions:
+		return d.Grant, t.refusalAnswer(s, req, d)
 	case <-ctx.Done():
 	}
 	s.mu.Lock()
 	withdrawn := s.dispatch.Withdraw(req)
 	s.mu.Unlock()
 	if !withdrawn {
-		if v := <-decisions; v.refusal == 0 {
-			t.endTry(s, v.grant, dispatch.Canceled)
+		if d := <-decisions; d.Granted() {
+			t.endTry(s, d.Grant, dispatch.Canceled)
 		}
 	}
 	return dispatch.Grant{}, answer.Wrap(answer.DeadlinePassed, context.Cause(ctx))
@@ -242,9 +238,12 @@
 }
 
 // refusalAnswer returns the error for a refusal, or nil if the request was not refused.
-func (t *traffic) refusalAnswer(s *serviceTraffic, req *dispatch.Request, r dispatch.Refusal) error {
-	if r != dispatch.Resting {
-		return refusalError(r)
+func (t *traffic) refusalAnswer(s *serviceTraffic, req *dispatch.Request, d dispatch.Decision) error {
+	if d.Granted() {
+		return nil
+	}
+	if d.Refusal != dispatch.Resting {
+		return refusalError(d)
 	}
 	left := t.restRemaining(s, req)
 	if req.Owner != "" {
@@ -256,10 +255,19 @@
 	return err
 }
 
-func refusalError(r dispatch.Refusal) error {
+// refusalError returns the error for a refusal, with the time after which the caller should retry.
+func refusalError(d dispatch.Decision) error {
+	err := refusalKind(d.Refusal)
+	err.RetryAfter = d.RetryAfter
+	if err.RetryAfter == 0 {
+		err.RetryAfter = defaultRetryAfter(d.Refusal)
+	}
+	return err
+}
+
+// refusalKind returns the error for a reason.
+func refusalKind(r dispatch.Refusal) *answer.Error {
 	switch r {
-	case dispatch.NoCapacity:
-		return answer.New(answer.Overloaded, "no upstream has room")
 	case dispatch.NoUpstream:
 		return answer.New(answer.NoOwner, "no upstream is known that could run it")
 	case dispatch.OwnerUnresponsive:
@@ -267,29 +275,35 @@
 	case dispatch.Evacuated:
 		return answer.New(answer.NoOwner, "the owner of the key is in an evacuated failure domain")
 	case dispatch.Leaving:
-		err := answer.New(answer.NoOwner, "the owner of the key leaves")
-		err.RetryAfter = patience.RetryAfterMovingKey()
-		return err
+		return answer.New(answer.NoOwner, "the owner of the key leaves")
 	case dispatch.WarmingUp:
-		err := answer.New(answer.Overloaded, "the owner of the key warms up")
-		err.RetryAfter = patience.RetryAfterColdKey()
-		return err
+		return answer.New(answer.Overloaded, "the owner of the key warms up")
 	case dispatch.ColdKey:
-		err := answer.New(answer.Overloaded, "the key is cold at a busy owner")
-		err.RetryAfter = patience.RetryAfterColdKey()
-		return err
+		return answer.New(answer.Overloaded, "the key is cold at a busy owner")
 	case dispatch.HotKey:
-		err := answer.New(answer.Overloaded, "the key is asked for more often than its owner can run")
-		err.RetryAfter = patience.RetryAfterHotKey()
-		return err
+		return answer.New(answer.Overloaded, "the key is asked for more often than its owner can run")
 	case dispatch.Limited:
-		err := answer.New(answer.Overloaded, "all that could run it name a limit, and more is asked for")
-		err.RetryAfter = patience.RetryAfterLimited()
-		return err
+		return answer.New(answer.Overloaded, "all that could run it name a limit, and more is asked for")
 	case dispatch.TooLate:
 		return answer.New(answer.Overloaded, "it cannot be answered in time")
 	}
-	return nil
+	return answer.New(answer.Overloaded, "no upstream has room")
+}
+
+// defaultRetryAfter returns the retry time for a reason if nothing more is known. Zero leaves the
+// choice to the kind of the error.
+func defaultRetryAfter(r dispatch.Refusal) time.Duration {
+	switch r {
+	case dispatch.Leaving:
+		return patience.RetryAfterMovingKey()
+	case dispatch.WarmingUp, dispatch.ColdKey:
+		return patience.RetryAfterColdKey()
+	case dispatch.HotKey:
+		return patience.RetryAfterHotKey()
+	case dispatch.Limited:
+		return patience.RetryAfterLimited()
+	}
+	return 0
 }
 
 // upstreamFeedback is what an upstream reports about itself in a response.
