--- a/gateway/callslots_test.go
+++ b/gateway/callslots_test.go
@@ -36,7 +36,7 @@
 	lead.right.Extend(time.Now().Add(time.Hour - leadership.LeaseDuration))
 	s := &assignmentSupervisor{
 		view: newView(), cluster: c, now: time.Now, log: slog.New(slog.DiscardHandler), elector: lead,
-		owners: platform.NewOwners(pool.New(upstreamLimits, time.Now)), grantSlots: newCallSlots(maxGrantCalls),
+		owners: platform.NewOwners(pool.New(upstreamLimits, time.Now)), grantSlots: newCallSlots(maxGrantCalls, time.Now),
 	}
 	k := newKeyAssigner(s, "s", 1)
 	to := &instances.Instance{ID: "i-1", Address: l.Addr().String()}
@@ -51,15 +51,15 @@
 		})
 	}
 	running.Wait()
-	if len(s.grantSlots) != 0 {
-		t.Errorf("%d call slots not released", len(s.grantSlots))
+	if inUse := s.grantSlots.inUse(); inUse != 0 {
+		t.Errorf("%d call slots not released", inUse)
 	}
 	if all.Load() != calls {
 		t.Errorf("%d of %d grants made", all.Load(), calls)
 	}
 	ended, cancel := context.WithCancel(context.Background())
 	cancel()
-	full := newCallSlots(0)
+	full := newCallSlots(0, time.Now)
 	if _, ok := full.acquire(ended); ok {
 		t.Error("a slot was acquired after the context ended")
 	}
@@ -68,7 +68,7 @@
 // TestSilentUpstreamsReleaseCallSlots checks that calls waiting for a response do not keep others
 // from starting.
 func TestSilentUpstreamsReleaseCallSlots(t *testing.T) {
-	one := newCallSlots(1)
+	one := newCallSlots(1, time.Now)
 	waits, ok := one.acquire(context.Background())
 	if !ok {
 		t.Fatal("no slot")
@@ -78,9 +78,46 @@
 		t.Fatal("the silent call kept its slot")
 	}
 	// The first call must not release the slot of the second.
-	waits()
-	if len(one) != 1 {
+	waits(false)
+	if one.inUse() != 1 {
 		t.Error("the slot of the second call was released")
 	}
-	next()
+	next(true)
+}
+
+// TestSlowCallsKeepTheirSlots guards against calls that lose their slots because the machine is short
+// of CPU: as many again were started, and all of them timed out.
+func TestSlowCallsKeepTheirSlots(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	slots := newCallSlots(2, func() time.Time { return now })
+	if got := slots.holdTime(); got != maxSlotHold {
+		t.Errorf("hold before the first answer %v instead of %v", got, maxSlotHold)
+	}
+	answerAfter := func(took time.Duration) {
+		end, ok := slots.acquire(context.Background())
+		if !ok {
+			t.Fatal("no slot")
+		}
+		now = now.Add(took)
+		end(true)
+	}
+	for range 40 {
+		answerAfter(2 * time.Millisecond)
+	}
+	if got := slots.holdTime(); got != minSlotHold {
+		t.Errorf("hold with fast answers %v instead of %v", got, minSlotHold)
+	}
+	for range 40 {
+		answerAfter(60 * time.Millisecond)
+	}
+	if got := slots.holdTime(); got != maxSlotHold {
+		t.Errorf("hold with slow answers %v instead of %v", got, maxSlotHold)
+	}
+	if end, ok := slots.acquire(context.Background()); ok {
+		now = now.Add(time.Hour)
+		end(false)
+	}
+	if got := slots.holdTime(); got != maxSlotHold || slots.inUse() != 0 {
+		t.Errorf("an unanswered call changed the hold to %v, %d slots in use", got, slots.inUse())
+	}
 }
--- a/gateway/grants.go
+++ b/gateway/grants.go
@@ -180,17 +180,17 @@
 // grant makes one grant call and records until when the upstream may hold the keys. The right to
 // lead is checked last, right before the call is sent.
 func (k *keyAssigner) grant(ctx context.Context, keys spans.KeyRange, to *instances.Instance, fence uint64, token string) (platform.GrantResult, error) {
-	releaseSlot, ok := k.grantSlots.acquire(ctx)
+	endCall, ok := k.grantSlots.acquire(ctx)
 	if !ok {
 		return 0, errNoCallSlot
 	}
-	defer releaseSlot()
 	hold := k.grantDuration()
 	call, cancel := context.WithTimeout(ctx, grantTimeout)
 	defer cancel()
 	// checkMayAct is checked again once the connection is open, as opening it may have outlasted
 	// the right to lead.
 	result, err := k.owners.Grant(call, to.ID, to.Address, keys, fence, hold, token, k.elector.checkMayAct)
+	endCall(err == nil)
 	if err == nil && result == platform.Granted || err != nil && !errors.Is(err, pool.ErrNotSent) {
 		until := k.now().Add(holdWithMargin(hold))
 		k.mu.Lock()
