--- a/coordination/patience/patience.go
+++ b/coordination/patience/patience.go
@@ -43,7 +43,7 @@
 	configurationWait = 600 * time.Millisecond
 	// startDuration is how long it takes after a start of all gateways at once until they know the
 	// configuration, the upstreams and the owners, if the former leader does not start with them:
-	// one missed renewal of its lease (0.95 s), and the lists. 1.25 s were measured with six gateways.
+	// one missed renewal of its lease (0.95 s), and the lists.
 	// minRetryAfterStart is the shortest retry time after a refusal for that reason.
 	startDuration      = 1300 * time.Millisecond
 	minRetryAfterStart = 300 * time.Millisecond
