--- a/coordination/dispatch/choice.go
+++ b/coordination/dispatch/choice.go
@@ -153,10 +153,10 @@
 	for _, l := range list {
 		u := s.stateOf(now, l)
 		u.usedAt = now
-		if u.limit != nil && req.heldByLimit || isExcluded(req, u.ID) || !s.usable(now, u) || !u.hasCapacity(now, s.typicalWorkTime, req.Objective, false) {
+		if u.limit != nil && req.heldByLimit || isExcluded(req, u.ID) || !s.usable(now, u) || !u.hasCapacity(now, s.typicalWorkTime, req, false) {
 			continue
 		}
-		c.consider(u, u.score(now, s.typicalWorkTime, req.Objective, s.domain, s.rng))
+		c.consider(u, u.score(now, s.typicalWorkTime, req, s.domain, s.rng))
 		if u.failureRate < badFailureRate {
 			good++
 		}
--- a/coordination/dispatch/cold.go
+++ b/coordination/dispatch/cold.go
@@ -35,7 +35,7 @@
 	if !s.withinLimit(now, req, u) {
 		return refused(Limited)
 	}
-	g := s.issueGrant(now, u)
+	g := s.issueGrant(now, u, req)
 	g.Cold = true
 	g.ExpectedLatency = time.Duration(s.coldFactor * float64(g.ExpectedLatency))
 	return Decision{Grant: g}
--- a/coordination/dispatch/demand.go
+++ b/coordination/dispatch/demand.go
@@ -58,5 +58,5 @@
 	if work == 0 {
 		work = s.typicalWorkTime
 	}
-	return float64(l.Slots) / max(work.Seconds(), minWorkTime.Seconds())
+	return float64(l.Slots) / max(s.routes.Mix()*work.Seconds(), minWorkTime.Seconds())
 }
--- a/coordination/dispatch/dispatch_test.go
+++ b/coordination/dispatch/dispatch_test.go
@@ -185,11 +185,11 @@
 // count as work time.
 func TestWorkTimeExcludesQueueing(t *testing.T) {
 	u := newUpstream(instances.Instance{ID: "a1", Slots: 2}, start)
-	u.observeWorkTime(start, 300*ms, 5)
+	u.observeWorkTime(start, 300*ms, 5, nil, 0)
 	if u.ownWorkTime != 100*ms {
 		t.Errorf("work time %s, want 100ms: a third of 300ms, for three rounds of two requests", u.ownWorkTime)
 	}
-	if d := u.expectedDelay(start, 0); d != 100*ms {
+	if d := u.expectedDelay(start, 0, 1); d != 100*ms {
 		t.Errorf("delay of an idle upstream %s, want 100ms", d)
 	}
 }
--- a/coordination/dispatch/listing.go
+++ b/coordination/dispatch/listing.go
@@ -140,7 +140,7 @@
 func (s *Service) newState(now time.Time, l *listing) *Upstream {
 	u := newUpstream(*l.Instance, now)
 	u.warmUpUntil = l.changedAt.Add(l.WarmUp)
-	u.disabled = s.Disabled
+	u.disabled, u.routes = s.Disabled, s.routes
 	if s.gateways > 0 {
 		u.gateways = s.gateways
 		u.share.fraction = s.demandFraction
--- a/coordination/dispatch/mechanisms.go
+++ b/coordination/dispatch/mechanisms.go
@@ -15,4 +15,6 @@
 	NoLimits bool `json:"no_limits"`
 	// NoNamedLimits ignores the rate limits that upstreams announce.
 	NoNamedLimits bool `json:"no_named_limits"`
+	// NoRoutes treats all routes of a service as equally long.
+	NoRoutes bool `json:"no_routes"`
 }
--- a/coordination/dispatch/report.go
+++ b/coordination/dispatch/report.go
@@ -51,6 +51,9 @@
 	return out
 }
 
+// RouteWork returns what is known about the work of the service's routes, by name.
+func (s *Service) RouteWork() map[string]worktime.RouteWork { return s.routes.All() }
+
 // Explanation holds the inputs of a decision, summed over the upstreams in question.
 type Explanation struct {
 	// Upstreams is the number of known upstreams, Usable how many of them may get requests.
--- a/coordination/dispatch/request.go
+++ b/coordination/dispatch/request.go
@@ -103,6 +103,8 @@
 	// OnDecision is called once for a request that had to wait, unless it is withdrawn.
 	OnDecision func(Decision)
 
+	// route is what is known about the runs of the request's route.
+	route *worktime.Route
 	// dequeued is set when the request no longer waits.
 	dequeued bool
 	// admittedTo is the upstream whose rate limit admitted the request. heldByLimit is set when a
@@ -140,6 +142,8 @@
 	Cold bool
 	// Warming is set if the upstream was warming up and its requests were rate-limited.
 	Warming bool
+	// route is that of the request.
+	route *worktime.Route
 }
 
 // ClusterReport holds what the other gateways reported.
--- a/coordination/dispatch/service.go
+++ b/coordination/dispatch/service.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/rockcroft/rockcroft/coordination/notice"
+	"github.com/rockcroft/rockcroft/coordination/worktime"
 )
 
 const (
@@ -62,8 +63,10 @@
 	// upstream's queue.
 	queue   queue
 	waiting int
-	// typicalWorkTime is the mean work time over all upstreams.
+	// typicalWorkTime is the mean time of a run of mean work, over all upstreams; routes holds how the
+	// routes of the service differ from that.
 	typicalWorkTime time.Duration
+	routes          *worktime.Routes
 	// gateways is the number of all gateways; zero before the first report.
 	gateways int
 	// demandFraction is this gateway's fraction of the service's demand.
@@ -104,6 +107,7 @@
 		domain: domain, drainTime: time.Duration(drainTimeShare * float64(drain)), rng: rng,
 		isEvacuated: func(string) bool { return false },
 		ranked:      ranking{salt: rng.Uint64()}, listed: make(map[string]*listing), evacuationEndedAt: make(map[string]time.Time), demandFraction: 1.0 / assumedGateways, coldFactor: initialColdFactor,
+		routes: worktime.NewRoutes(),
 	}
 }
 
@@ -137,6 +141,9 @@
 // once. Otherwise it waits, and the decision goes to OnDecision.
 func (s *Service) Offer(now time.Time, req *Request) (Decision, bool) {
 	s.offered++
+	if !s.Disabled.NoRoutes {
+		req.route = s.routes.Get(req.Route)
+	}
 	if s.typicalWorkTime == 0 {
 		s.typicalWorkTime = req.Objective / initialWorkTimeDivisor
 	}
@@ -200,24 +207,25 @@
 	if best == nil {
 		return Grant{}, false
 	}
-	return s.issueGrant(now, best), true
+	return s.issueGrant(now, best, req), true
 }
 
 // issueGrant records one more request to the upstream and returns its grant.
-func (s *Service) issueGrant(now time.Time, u *Upstream) Grant {
+func (s *Service) issueGrant(now time.Time, u *Upstream, req *Request) Grant {
 	inFlight := u.totalInFlight(now)
 	g := Grant{
-		Instance: u.Instance, GrantedAt: now, InFlight: inFlight, ExpectedLatency: u.expectedDelayBehind(now, inFlight, s.typicalWorkTime),
-		Warming: s.warmUpLimited(now, u),
+		Instance: u.Instance, GrantedAt: now, InFlight: inFlight, ExpectedLatency: u.expectedDelayBehind(now, inFlight, s.typicalWorkTime, req.route.Factor()),
+		Warming: s.warmUpLimited(now, u), route: req.route,
 	}
-	u.recordSend(now, s.typicalWorkTime)
+	req.route.Send()
+	u.recordSend(now, s.typicalWorkTime, req.route.Factor())
 	s.recordWarmUpSend(now, u)
 	return g
 }
 
 func (s *Service) availableOwner(now time.Time, req *Request) *Upstream {
 	u := s.upstream(now, req.Owner)
-	if u == nil || !s.ownerResponsive(now, u) || !s.warmUpAllows(now, u) || !u.hasCapacity(now, s.typicalWorkTime, req.Objective, true) {
+	if u == nil || !s.ownerResponsive(now, u) || !s.warmUpAllows(now, u) || !u.hasCapacity(now, s.typicalWorkTime, req, true) {
 		return nil
 	}
 	return u
@@ -250,7 +258,7 @@
 		return
 	}
 	if g.Cold && o == Answered {
-		s.updateColdFactor(now.Sub(g.GrantedAt), u.currentWorkTime(now, s.typicalWorkTime))
+		s.updateColdFactor(now.Sub(g.GrantedAt), u.routeWorkTime(now, s.typicalWorkTime, g.route.Factor()))
 	}
 	u.recordOutcome(now, g, o, s.typicalWorkTime)
 	if o == Answered && u.ownWorkTime > 0 && !g.Cold && !g.Warming {
--- a/coordination/dispatch/upstream.go
+++ b/coordination/dispatch/upstream.go
@@ -73,6 +73,9 @@
 type Upstream struct {
 	instances.Instance
 	disabled Mechanisms
+	// routes holds how the work of the service's routes differs. Work times of the upstream are those
+	// of a run of mean work.
+	routes *worktime.Routes
 	// ownInFlight counts this gateway's unanswered requests. hung counts those of them that the
 	// upstream will apparently never answer.
 	ownInFlight, hung int
@@ -145,6 +148,8 @@
 // inFlightRequest is one request in flight.
 type inFlightRequest struct {
 	sentAt time.Time
+	// factor is the work of the request's route as a factor of the service's mean.
+	factor float64
 	// overtaken counts answers to requests that were sent later.
 	overtaken int
 	hung      bool
@@ -194,27 +199,34 @@
 	if u.silenceDuration(now) <= minSilence {
 		return false
 	}
-	delay := u.expectedDelay(now, typicalWorkTime)
-	overdueCount := 0
+	inFlight := u.totalInFlight(now)
+	overdueCount, longest := 0, 0.0
 	for i := range u.unanswered {
-		if now.Sub(u.unanswered[i].sentAt) > overdueFactor*delay {
+		f := &u.unanswered[i]
+		if now.Sub(f.sentAt) > overdueFactor*u.expectedDelayBehind(now, inFlight, typicalWorkTime, f.factor) {
 			overdueCount++
+			longest = max(longest, f.factor)
 		}
 	}
 	if overdueCount == 0 {
 		return false
 	}
 	factor := silentFactors[min(overdueCount, len(silentFactors))-1]
-	return u.silenceDuration(now) > factor*delay
+	return u.silenceDuration(now) > factor*u.expectedDelayBehind(now, inFlight, typicalWorkTime, longest)
 }
 
-// currentWorkTime returns the present time of one run without queueing: the mean, adjusted by the
-// upstream's recently reported slowness.
+// currentWorkTime returns the present time of one run of mean work without queueing: the mean over
+// time, adjusted by the upstream's recently reported slowness.
 func (u *Upstream) currentWorkTime(now time.Time, typicalWorkTime time.Duration) time.Duration {
 	return time.Duration(u.relativeSlowness(now) * float64(u.meanWorkTime(now, typicalWorkTime)))
 }
 
-// meanWorkTime returns the mean time of one run without queueing, over the upstream's slow and
+// routeWorkTime returns the present time of one run without queueing, for a route with the given factor.
+func (u *Upstream) routeWorkTime(now time.Time, typicalWorkTime time.Duration, factor float64) time.Duration {
+	return time.Duration(factor * float64(u.currentWorkTime(now, typicalWorkTime)))
+}
+
+// meanWorkTime returns the mean time of one run of mean work without queueing, over the upstream's slow and
 // fast periods. The estimate of all gateways takes precedence over this gateway's own.
 func (u *Upstream) meanWorkTime(now time.Time, typicalWorkTime time.Duration) time.Duration {
 	warming := now.Before(u.warmUpUntil)
@@ -232,31 +244,32 @@
 	return typicalWorkTime
 }
 
-// throughput returns how many requests per second the upstream completes when all slots are busy.
+// throughput returns how many requests of the present mix of routes the upstream completes per second
+// when all slots are busy.
 func (u *Upstream) throughput(now time.Time, typicalWorkTime time.Duration) float64 {
-	return float64(u.Slots) / max(u.currentWorkTime(now, typicalWorkTime).Seconds(), minWorkTime.Seconds())
+	return float64(u.Slots) / max(u.routeWorkTime(now, typicalWorkTime, u.routes.Mix()).Seconds(), minWorkTime.Seconds())
 }
 
 // minWorkTime keeps rates finite before any work time is known.
 const minWorkTime = time.Millisecond
 
-// expectedDelay estimates the time until one more request is answered.
-func (u *Upstream) expectedDelay(now time.Time, typicalWorkTime time.Duration) time.Duration {
-	return u.expectedDelayBehind(now, u.totalInFlight(now), typicalWorkTime)
+// expectedDelay estimates the time until one more request of a route with the given factor is answered.
+func (u *Upstream) expectedDelay(now time.Time, typicalWorkTime time.Duration, factor float64) time.Duration {
+	return u.expectedDelayBehind(now, u.totalInFlight(now), typicalWorkTime, factor)
 }
 
-// expectedDelayBehind estimates the time until a request is answered when inFlight requests were
-// sent before it.
-func (u *Upstream) expectedDelayBehind(now time.Time, inFlight float64, typicalWorkTime time.Duration) time.Duration {
+// expectedDelayBehind estimates the time until a request of a route with the given factor is answered
+// when inFlight requests, of the present mix of routes, were sent before it.
+func (u *Upstream) expectedDelayBehind(now time.Time, inFlight float64, typicalWorkTime time.Duration, factor float64) time.Duration {
 	inFlightPerSlot := inFlight / float64(u.Slots)
-	runs := max(1, inFlightPerSlot+1/float64(u.Slots)) + min(1, inFlightPerSlot)/2
-	return time.Duration(runs * float64(u.currentWorkTime(now, typicalWorkTime)))
+	behind := max(0, inFlightPerSlot+1/float64(u.Slots)-1) + min(1, inFlightPerSlot)/2
+	return u.routeWorkTime(now, typicalWorkTime, behind*u.routes.Mix()+factor)
 }
 
 // hasCapacity reports whether one more request stays within the bounds. Shares of the capacity
 // apply only to requests for an owner. Other requests go wherever there is capacity; limiting them
 // to shares would send them to slower upstreams and other failure domains.
-func (u *Upstream) hasCapacity(now time.Time, typicalWorkTime, objective time.Duration, owner bool) bool {
+func (u *Upstream) hasCapacity(now time.Time, typicalWorkTime time.Duration, req *Request, owner bool) bool {
 	inFlight := u.totalInFlight(now)
 	slots := float64(u.Slots)
 	slotFree := inFlight+1 <= slots
@@ -269,8 +282,8 @@
 	if now.Before(u.overloadedUntil) || inFlight+1 > maxInFlightPerSlot*slots {
 		return false
 	}
-	maxDelay := time.Duration(maxDelayPerObjective * float64(objective))
-	return slotFree || u.expectedDelayBehind(now, inFlight, typicalWorkTime) <= maxDelay
+	maxDelay := time.Duration(maxDelayPerObjective * float64(req.Objective))
+	return slotFree || u.expectedDelayBehind(now, inFlight, typicalWorkTime, req.route.Factor()) <= maxDelay
 }
 
 // usable reports whether the upstream appears to answer requests.
@@ -293,10 +306,10 @@
 
 // score returns the expected delay, increased by penalties for silence, for a different failure
 // domain and for failures. Lower is better.
-func (u *Upstream) score(now time.Time, typicalWorkTime, objective time.Duration, domain string, rng *rand.Rand) float64 {
-	score := float64(u.expectedDelay(now, typicalWorkTime) + u.silenceDuration(now)/2)
+func (u *Upstream) score(now time.Time, typicalWorkTime time.Duration, req *Request, domain string, rng *rand.Rand) float64 {
+	score := float64(u.expectedDelay(now, typicalWorkTime, req.route.Factor()) + u.silenceDuration(now)/2)
 	if u.Domain != domain {
-		score += min((crossDomainFactor-1)*score, crossDomainMaxPenalty*float64(objective))
+		score += min((crossDomainFactor-1)*score, crossDomainMaxPenalty*float64(req.Objective))
 	}
 	successRate := 1 - min(u.failureRate, 0.9)
 	return score / (successRate * successRate) * (1 - scoreJitter + 2*scoreJitter*rng.Float64())
@@ -307,12 +320,12 @@
 	u.inFlightSecondsAt = now
 }
 
-func (u *Upstream) recordSend(now time.Time, typicalWorkTime time.Duration) {
+func (u *Upstream) recordSend(now time.Time, typicalWorkTime time.Duration, factor float64) {
 	u.usedAt = now
 	u.integrateInFlight(now)
 	u.share.take(now, u.throughput(now, typicalWorkTime))
 	u.ownInFlight++
-	u.unanswered = append(u.unanswered, inFlightRequest{sentAt: now})
+	u.unanswered = append(u.unanswered, inFlightRequest{sentAt: now, factor: factor})
 }
 
 // recordOutcome updates the state at the end of a try.
@@ -325,7 +338,7 @@
 	case Answered:
 		u.recordAnswer(now, grantedAt, typicalWorkTime)
 		if !g.Cold && !g.Warming {
-			u.observeWorkTime(now, now.Sub(grantedAt), inFlight)
+			u.observeWorkTime(now, now.Sub(grantedAt), inFlight, g.route, typicalWorkTime)
 		}
 		u.failureRate -= failureWeight * u.failureRate
 		u.probing = u.probing && grantedAt.Before(u.notices.RestUntil)
@@ -383,7 +396,7 @@
 			return
 		}
 		f.overtaken++
-		if !u.disabled.NoHung && !f.hung && f.overtaken >= hungAfterOvertaken && now.Sub(f.sentAt) > overdueFactor*u.expectedDelay(now, typicalWorkTime) {
+		if !u.disabled.NoHung && !f.hung && f.overtaken >= hungAfterOvertaken && now.Sub(f.sentAt) > overdueFactor*u.expectedDelay(now, typicalWorkTime, f.factor) {
 			f.hung = true
 			u.hung++
 		}
@@ -391,16 +404,18 @@
 }
 
 // observeWorkTime updates the mean work time from one complete run. The time spent behind the
-// requests in flight and the slowness that the upstream reported are factored out.
-func (u *Upstream) observeWorkTime(now time.Time, took time.Duration, inFlight float64) {
-	rounds := (inFlight + 1) / float64(u.Slots)
+// requests in flight, the slowness that the upstream reported and the work of the route are factored
+// out.
+func (u *Upstream) observeWorkTime(now time.Time, took time.Duration, inFlight float64, route *worktime.Route, typicalWorkTime time.Duration) {
+	roundsBefore := max(0, (inFlight+1)/float64(u.Slots)-1) * u.routes.Mix()
 	slowness := u.answerSlowness(now)
-	sample := time.Duration(float64(took) / max(1, rounds) / slowness)
+	sample := time.Duration(float64(took) / (roundsBefore + route.Factor()) / slowness)
 	weight := float64(workTimeWeight)
-	if rounds > 1 {
+	if roundsBefore > 0 {
 		weight = queuedWorkTimeWeight
 	}
 	sampleCount := weight / workTimeWeight
+	u.observeRoute(now, took, roundsBefore, route, sampleCount, typicalWorkTime)
 	u.unreportedRuns = u.unreportedRuns.Add(worktime.Sum{Total: time.Duration(sampleCount * float64(sample)), Runs: sampleCount, Slowness: sampleCount * slowness})
 	if u.ownWorkTime == 0 {
 		u.ownWorkTime = sample
@@ -408,3 +423,14 @@
 	}
 	u.ownWorkTime += time.Duration(weight * float64(sample-u.ownWorkTime))
 }
+
+// observeRoute updates the work of a route from one complete run that found so many rounds of mean work
+// before it. Only an upstream whose work time has been measured can show it.
+func (u *Upstream) observeRoute(now time.Time, took time.Duration, roundsBefore float64, route *worktime.Route, sampleCount float64, typicalWorkTime time.Duration) {
+	if u.clusterWorkTime == 0 && u.ownWorkTime == 0 {
+		return
+	}
+	expected := time.Duration(float64(u.meanWorkTime(now, typicalWorkTime)) * u.answerSlowness(now) / u.meanSlowness())
+	work := max(took-time.Duration(roundsBefore*float64(expected)), 0)
+	route.Observe(work, expected, sampleCount)
+}
--- a/coordination/dispatch/waiting.go
+++ b/coordination/dispatch/waiting.go
@@ -17,28 +17,29 @@
 	if u != nil && !s.warmUpAllows(now, u) && u.nextSendAt.After(req.QueueUntil) {
 		return WarmingUp
 	}
-	if now.Add(s.typicalWorkTime / 2).After(req.Deadline) {
+	if now.Add(time.Duration(req.route.Factor() * float64(s.typicalWorkTime) / 2)).After(req.Deadline) {
 		return TooLate
 	}
 	wait := s.expectedWait(now, req, u, ahead)
 	if wait > req.QueueUntil.Sub(now) {
 		return NoCapacity
 	}
-	if !req.LateAt.IsZero() && !s.Disabled.NoLikelihood && now.Add(wait+s.likelyRunTime(now, u)).After(req.LateAt) {
+	if !req.LateAt.IsZero() && !s.Disabled.NoLikelihood && now.Add(wait+s.likelyRunTime(now, req, u)).After(req.LateAt) {
 		return NoCapacity
 	}
 	return 0
 }
 
 // likelyRunTime returns the time within which an upstream will probably respond to a request that
-// has waited. It is the expected time plus one mean run, because run times have long tails: with the
-// expected time alone, half of the requests that waited longest would be late.
-func (s *Service) likelyRunTime(now time.Time, u *Upstream) time.Duration {
+// has waited. It is the expected time plus the spread of its route's runs, because run times have long
+// tails: with the expected time alone, half of the requests that waited longest would be late.
+func (s *Service) likelyRunTime(now time.Time, req *Request, u *Upstream) time.Duration {
+	factor, spread := req.route.Factor(), req.route.Spread()
 	if u == nil {
-		return 2 * s.typicalWorkTime
+		return time.Duration((1 + spread) * factor * float64(s.typicalWorkTime))
 	}
-	expected := u.expectedDelayBehind(now, min(u.totalInFlight(now), targetLoad*float64(u.Slots)), s.typicalWorkTime)
-	return expected + u.currentWorkTime(now, s.typicalWorkTime)
+	expected := u.expectedDelayBehind(now, min(u.totalInFlight(now), targetLoad*float64(u.Slots)), s.typicalWorkTime, factor)
+	return expected + u.routeWorkTime(now, s.typicalWorkTime, spread*factor)
 }
 
 // expectedWait estimates how long the request would wait behind the given number of others, from
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -69,6 +70,10 @@
 		m.gauge(m.service(capacityInFlight, name), int64(e.OwnInflight)+int64(e.OthersInflight))
 		m.gauge(m.service(capacityUsable, name), int64(e.Usable))
 		m.gauge(m.service(budgetLeft, name), int64(g.traffic.retriesLeft(s)))
+		for route, work := range g.traffic.routeWork(s) {
+			m.gauge(m.route(routeWork, route), int64(math.Round(100*work.Factor)))
+			m.gauge(m.route(routeSpread, route), int64(math.Round(100*work.Spread)))
+		}
 	}
 }
 
--- a/gateway/meternames.go
+++ b/gateway/meternames.go
@@ -22,6 +22,8 @@
 	routeWait                  = "route.{route}.wait_us"
 	routeUpstream              = "route.{route}.upstream_us"
 	routeTotal                 = "route.{route}.total_us"
+	routeWork                  = "route.{route}.work_percent"
+	routeSpread                = "route.{route}.spread_percent"
 	tryOutcome                 = "tries.{service}.{class}.{outcome}"
 	budgetLeft                 = "budget.{service}.left"
 	budgetRefused              = "budget.{service}.refused"
@@ -103,6 +105,8 @@
 	{routeWait, "µs", "phase: waiting in this gateway for capacity of an upstream or for the owner of a key, first try"},
 	{routeUpstream, "µs", "phase: from the first send to the response that is forwarded"},
 	{routeTotal, "µs", "from the headers to the end of writing the response, for answered requests"},
+	{routeWork, "percent", "mean work of the route's runs, of the mean of its service; 100 until this gateway has seen enough runs of two routes"},
+	{routeSpread, "percent", "standard deviation of the work of the route's runs, of their mean; 100 until it is known"},
 	{tryOutcome, "tries", "outcomes of tries, by whether the upstream is in this gateway's failure domain (class `own`) or not (`other`): answered, failed, broken, full, not_owner, unreachable, refused, silent, left"},
 	{budgetLeft, "tries", "retries that this gateway may still make in the window"},
 	{budgetRefused, "tries", "retries not made because the budget was used up"},
--- a/gateway/traffic.go
+++ b/gateway/traffic.go
@@ -12,6 +12,7 @@
 	"github.com/rockcroft/rockcroft/coordination/patience"
 	"github.com/rockcroft/rockcroft/coordination/retry"
 	"github.com/rockcroft/rockcroft/coordination/warmup"
+	"github.com/rockcroft/rockcroft/coordination/worktime"
 	"github.com/rockcroft/rockcroft/protocol/answer"
 	"github.com/rockcroft/rockcroft/protocol/syncpb"
 	"github.com/rockcroft/rockcroft/state/evacuation"
@@ -422,6 +423,13 @@
 	}
 }
 
+// routeWork returns what is known about the work of the service's routes, by name.
+func (t *traffic) routeWork(s *serviceTraffic) map[string]worktime.RouteWork {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.dispatch.RouteWork()
+}
+
 // explain returns the inputs of a dispatch decision for the given owner, or for any upstream if
 // the owner is empty.
 func (t *traffic) explain(s *serviceTraffic, owner string) dispatch.Explanation {
