--- a/gateway/grants.go
+++ b/gateway/grants.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -198,6 +199,7 @@
 		k.holdDeadlines[id] = laterOf(k.holdDeadlines[id], until)
 		if err == nil {
 			k.grantRenewedAt[keys.First], k.lastGranted[to.ID] = k.now(), k.now()
+			k.recordFirstGrant(keys.First)
 		}
 		k.mu.Unlock()
 	}
@@ -317,12 +319,19 @@
 		return
 	}
 	if !k.controlHealth(id).Failing() {
-		for _, s := range list {
+		for i, s := range list {
+			if i == 1 && k.neverGranted(list[i:]) {
+				// The first call was answered. At the start of a leader callers may wait for all keys.
+				list = list[i:]
+				break
+			}
 			if !k.renewGrant(ctx, owner, s) {
 				return
 			}
+			if i == len(list)-1 {
+				return
+			}
 		}
-		return
 	}
 	var calls sync.WaitGroup
 	for _, s := range list {
@@ -331,6 +340,22 @@
 	calls.Wait()
 }
 
+// neverGranted reports whether this leader has granted none of the spans yet.
+func (k *keyAssigner) neverGranted(list []spans.Span) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return !slices.ContainsFunc(list, func(s spans.Span) bool { return !k.grantRenewedAt[s.First].IsZero() })
+}
+
+// recordFirstGrant records a grant of the span with that first key. The caller holds k.mu.
+func (k *keyAssigner) recordFirstGrant(first uint16) {
+	if k.firstGrants == nil || !k.firstGrants.Granted(k.now(), first) {
+		return
+	}
+	k.log.Info("all keys granted", "spans", k.firstGrants.Total(), "first_ms", k.firstGrants.First().Milliseconds(),
+		"all_ms", k.firstGrants.All().Milliseconds(), "since_start_ms", k.now().Sub(k.elector.startedAt).Milliseconds())
+}
+
 // renewGrant renews one grant and reports whether the owner's other grants may be renewed after
 // it.
 func (k *keyAssigner) renewGrant(ctx context.Context, owner *instances.Instance, s spans.Span) bool {
--- a/gateway/keyassigner.go
+++ b/gateway/keyassigner.go
@@ -121,6 +121,10 @@
 	lastGranted map[string]time.Time
 	// terminated are the starts of upstreams that are known to have ended, by upstream ID.
 	terminated map[string]upstreamStart
+	// firstGrants records this leader's first grant of each span. withheld is set while the assignment is
+	// not published because of them.
+	firstGrants *ownership.FirstGrants
+	withheld    bool
 	// lastStarts are the starts of the upstreams as of the last plan, by upstream ID.
 	lastStarts map[string]upstreamStart
 	// stuckLoggedAt is when it was last logged that keys cannot leave a busy owner.
@@ -167,14 +171,17 @@
 	}
 	planned := time.Time{}
 	for ctx.Err() == nil && !k.isSuperseded() {
-		if k.elector.mayAct() {
+		// Without a list of the upstreams no owner can be called, which must not count as a failure of the
+		// owners.
+		if k.elector.mayAct() && k.view.inst.Load() != nil {
+			// Owners may have lost their keys while no gateway ran, and a plan may wait for the store.
+			k.startRenewals(ctx)
 			if k.now().Sub(planned) >= planInterval {
 				planned = k.now()
 				k.plan(ctx)
 				k.clearColdMarks()
 			}
 			k.startMoves(ctx)
-			k.startRenewals(ctx)
 			k.startProbes(ctx)
 			k.saveEndedMoves(ctx)
 		}
@@ -282,6 +289,10 @@
 	k.table = table.Clone()
 	k.revision = revision
 	k.tookOverAt = k.now()
+	k.firstGrants = ownership.NewFirstGrants(k.tookOverAt, k.table)
+	k.withheld = k.view.spansOf(k.service) == nil
+	// The rates of the keys are not known yet, and by any others the load would be balanced anew.
+	k.rebalancedAt = k.tookOverAt
 	for _, s := range k.table.Spans {
 		if s.Moving() {
 			k.inheritedMoves[s.NextFence] = true
@@ -328,12 +339,15 @@
 // publishDue reports whether the last version was published long enough ago. The caller
 // holds k.mu.
 func (k *keyAssigner) publishDue() bool {
+	if k.withheld && !k.firstGrants.MayPublish(k.now()) {
+		return false
+	}
 	pause := max(publishInterval, time.Duration(k.cluster.gatewayCount())*publishIntervalPerGateway)
 	return k.now().Sub(k.publishedAt) >= pause
 }
 
 func (k *keyAssigner) publishLocked() {
-	k.publishedAt, k.unpublished = k.now(), false
+	k.publishedAt, k.unpublished, k.withheld = k.now(), false, false
 	k.view.setSpans(k.table.Clone())
 }
 
--- a/gateway/ownerstate.go
+++ b/gateway/ownerstate.go
@@ -60,6 +60,8 @@
 	k.meters.gauge(k.meters.service(ownersMean, k.service), int64(percent*u.Mean))
 	k.meters.gauge(k.meters.service(ownersMoving, k.service), int64(len(k.activeMoves)))
 	k.meters.gauge(k.meters.service(ownersFailing, k.service), int64(len(k.failing)))
+	k.meters.gauge(k.meters.service(ownersFirstGrant, k.service), k.firstGrants.First().Milliseconds())
+	k.meters.gauge(k.meters.service(ownersAllGranted, k.service), k.firstGrants.All().Milliseconds())
 }
 
 // allAssigners returns the key assigners of all services that this process manages, sorted by service
--- a/gateway/upstreamcontrol.go
+++ b/gateway/upstreamcontrol.go
@@ -125,6 +125,9 @@
 	}
 	f.lastFailed, f.probeAnswered = k.now(), false
 	k.failing[id] = f
+	if k.firstGrants != nil {
+		k.firstGrants.Failed(id)
+	}
 }
 
 // recordProbeAnswer records that an upstream answered a probe. An upstream that owns keys
