--- a/coordination/leadership/leadership.go
+++ b/coordination/leadership/leadership.go
@@ -98,6 +98,15 @@
 // takeoverDelay is how long a lease must be unchanged before another gateway may take it over.
 const takeoverDelay = LeaseDuration + LeaseDuration*clockDriftPercent/100 + takeoverMargin
 
+// EarliestTakeOver returns when the lease may be taken over from a holder that is silent, or whose address
+// refuses connections, unless it is renewed. ok is false before the lease was observed.
+func (o *LeaseObservation) EarliestTakeOver(refused bool) (at time.Time, ok bool) {
+	if refused {
+		return o.since.Add(RenewInterval + missedRenewalMargin), o.known
+	}
+	return o.HolderExpiry(), o.known
+}
+
 // CanTakeOver reports whether the process that serves the address self may take over the lease. A
 // lease with that address belongs to an earlier process at the same address, which has ended.
 // refused reports whether the address of the holder refuses connections: the holder has probably
@@ -106,8 +115,6 @@
 	if l.Released || l.Address == self {
 		return true
 	}
-	if refused {
-		return o.known && now.Sub(o.since) >= RenewInterval+missedRenewalMargin
-	}
-	return o.known && now.Sub(o.since) >= takeoverDelay
+	at, ok := o.EarliestTakeOver(refused)
+	return ok && !now.Before(at)
 }
--- a/coordination/leadership/leadership_test.go
+++ b/coordination/leadership/leadership_test.go
@@ -93,3 +93,21 @@
 		t.Error("an older revision restarts the wait")
 	}
 }
+
+// The moment at which a gateway reads the lease again must be that from which it may take it over: read
+// earlier it may not, and a read up to half a second later delays the service of all keys.
+func TestEarliestTakeOver(t *testing.T) {
+	start := time.Unix(1, 0)
+	var o LeaseObservation
+	if _, ok := o.EarliestTakeOver(true); ok {
+		t.Error("a takeover is possible before the lease was observed")
+	}
+	o.Observe(start, 1)
+	for _, refused := range []bool{false, true} {
+		at, _ := o.EarliestTakeOver(refused)
+		l := Lease{Node: "a", Address: "a:1"}
+		if o.CanTakeOver(at.Add(-time.Millisecond), l, "b:1", refused) || !o.CanTakeOver(at, l, "b:1", refused) {
+			t.Errorf("refused %v: %v is not the first moment", refused, at.Sub(start))
+		}
+	}
+}
--- a/gateway/coldstart_test.go
+++ b/gateway/coldstart_test.go
@@ -14,11 +14,15 @@
 	"testing"
 	"time"
 
+	"github.com/rockcroft/rockcroft/coordination/leadership"
 	"github.com/rockcroft/rockcroft/protocol/answer"
+	"github.com/rockcroft/rockcroft/protocol/syncpb"
 	"github.com/rockcroft/rockcroft/standin/metastore"
 	"github.com/rockcroft/rockcroft/state/instances"
+	"github.com/rockcroft/rockcroft/state/jsonc"
 	"github.com/rockcroft/rockcroft/state/routing"
 	"github.com/rockcroft/rockcroft/state/spans"
+	"github.com/rockcroft/rockcroft/transport/eventlog"
 )
 
 // This file tests the start of all gateways at once, beside upstreams that still run and a store that
@@ -27,6 +31,7 @@
 const (
 	coldStartGateways  = 6
 	coldStartUpstreams = 40
+	coldStartSeeds     = 3
 	// storeDelay is the time that each call to the store takes in these tests.
 	storeDelay = 15 * time.Millisecond
 )
@@ -69,10 +74,11 @@
 	return former
 }
 
-// startAgain starts gateways again at their former addresses.
-func (b *testCluster) startAgain(former ...*testGateway) {
+// startAgain starts gateways again at their former addresses, with the given seeds.
+func (b *testCluster) startAgain(seeds []jsonc.Addr, former ...*testGateway) {
 	b.t.Helper()
 	for _, g := range former {
+		g.conf.Seeds = seeds
 		b.reopenPorts(g.ports.callers, g.ports.ready, g.ports.peers)
 		b.startGateway(g.conf, g.ports)
 	}
@@ -200,7 +206,7 @@
 
 // TestStartOfAllGateways checks that no request is refused because the gateways have only just started,
 // whether the upstreams still hold their keys or not, and whether the former leader starts with the others
-// or not.
+// or not. Owners that hold no keys any more must be granted them before requests are sent there.
 func TestStartOfAllGateways(t *testing.T) {
 	for name, c := range map[string]struct {
 		off        time.Duration
@@ -215,11 +221,15 @@
 			leader := b.leader().conf.Node
 			former := b.killAll()
 			time.Sleep(c.off)
+			var seeds []jsonc.Addr
+			for _, g := range former[:coldStartSeeds] {
+				seeds = append(seeds, g.conf.Peers)
+			}
 			if c.leaderGone {
 				former = slices.DeleteFunc(former, func(g *testGateway) bool { return g.conf.Node == leader })
 			}
 			began := time.Now()
-			b.startAgain(former...)
+			b.startAgain(seeds, former...)
 			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 			defer cancel()
 			var times startTimes
@@ -229,7 +239,18 @@
 			watching.Wait()
 			t.Logf("all gateways: %+v", times)
 			r.log(t)
+			var granted time.Duration
+			if l := b.leader(); l != nil {
+				k := l.assignments.assigner("status")
+				k.mu.Lock()
+				granted = k.firstGrants.All()
+				k.mu.Unlock()
+				t.Logf("all spans granted %v after the takeover", granted)
+			}
 			for cause, n := range r.refused {
+				if strings.Contains(cause, "does not hold the key") && 0 < granted && granted < 400*time.Millisecond {
+					t.Errorf("sent to owners without grants: %d requests: %s", n.count, cause)
+				}
 				if n.answerless || strings.Contains(cause, "no upstream is known") || strings.Contains(cause, "no configuration yet") {
 					t.Errorf("%d requests: %s", n.count, cause)
 				}
@@ -308,3 +329,58 @@
 		t.Errorf("a request that waited is refused: %v", err)
 	}
 }
+
+// idleGateway returns a gateway that does not run and calls the store of the cluster.
+func (b *testCluster) idleGateway(g *testGateway) *Gateway {
+	b.t.Helper()
+	conf := g.conf
+	conf.Node = "idle"
+	ports := gatewayPorts{callers: b.port(), ready: b.port(), peers: b.port()}
+	conf.Callers, conf.Ready, conf.Peers = ports.callers.addr(), ports.ready.addr(), ports.peers.addr()
+	listeners, err := Listen(conf)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	b.t.Cleanup(func() {
+		for _, l := range []net.Listener{listeners.Callers, listeners.Ready, listeners.Peers} {
+			_ = l.Close()
+		}
+	})
+	clock, _ := suspendableClock()
+	return newGateway(conf, listeners, eventlog.New(time.Now), clock)
+}
+
+// TestLoserOfLeaseRaceFollowsWinner checks that a gateway whose write of the lease is refused knows the new
+// leader at once. After a start of all gateways without the former leader it used to learn of it at its next
+// read, up to 500 ms later.
+func TestLoserOfLeaseRaceFollowsWinner(t *testing.T) {
+	t.Parallel()
+	b := newStandardCluster(t)
+	other := b.idleGateway(b.gateways[0])
+	other.elector.acquire(context.Background(), leadership.Lease{}, 1, time.Now())
+	if l := other.cluster.knownLeader(); l == nil || l.Member.Node != b.leader().conf.Node {
+		t.Errorf("the known leader is %v", l)
+	}
+}
+
+// TestSeedReadsLeaseAtStart checks that a seed's first read of the lease, at its start, counts for the time
+// that the lease must be unchanged, and that a gateway that learns that the lease is its former process's
+// takes it over without a wait.
+func TestSeedReadsLeaseAtStart(t *testing.T) {
+	t.Parallel()
+	b := newStandardCluster(t)
+	other := b.idleGateway(b.gateways[0])
+	l := other.elector
+	l.observe(context.Background())
+	if _, ok := l.claim.EarliestTakeOver(true); !ok || l.cluster.knownLeader() == nil {
+		t.Error("the first read is not taken note of")
+	}
+	if l.acquireDue(0, false) {
+		t.Error("takes over from another gateway at its start")
+	}
+	self := l.cluster.self
+	l.cluster.setLeader(&syncpb.Leader{Member: &syncpb.Member{Node: self.Node, Address: self.Address, Incarnation: "former"}, Term: 1 << 20})
+	if !l.acquireDue(0, false) {
+		t.Error("waits for the lease of its own former process")
+	}
+}
--- a/gateway/leaderelector.go
+++ b/gateway/leaderelector.go
@@ -105,6 +105,10 @@
 	var watch sync.WaitGroup
 	l.startedAt = l.now()
 	lastClaim := time.Time{}
+	if l.readsFirst() {
+		// The time that a lease must be unchanged counts from the first read.
+		watch.Go(func() { l.observe(ctx) })
+	}
 	for ctx.Err() == nil {
 		lost, refused, resigned := l.follower.leaderSilence()
 		wantWatch := l.cluster.isLeading() || l.follower.needsStore(l.watcher.ages.lastHeardAny())
@@ -123,7 +127,7 @@
 			if !l.resigning.Load() {
 				l.renewIfDue(ctx)
 			}
-		} else if l.acquireDue(lost, refused || resigned) && l.now().Sub(lastClaim) > leaseReadInterval {
+		} else if l.acquireDue(lost, refused || resigned) && l.leaseReadDue(lastClaim, refused) {
 			lastClaim = l.now()
 			l.tryAcquire(ctx, refused)
 		}
@@ -135,6 +139,48 @@
 	watch.Wait()
 }
 
+// readsFirst reports whether this gateway reads the lease as soon as it has started: the seeds do, which
+// the others ask for the leader.
+func (l *leaderElector) readsFirst() bool { return l.follower.isSeed || len(l.follower.seeds) == 0 }
+
+// leaseReadDue reports whether the lease should be read again: after leaseReadInterval, and at the moment
+// from which it may be taken over.
+func (l *leaderElector) leaseReadDue(last time.Time, refused bool) bool {
+	now := l.now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	at, ok := l.claim.EarliestTakeOver(refused)
+	at = at.Add(l.startDelay())
+	return now.Sub(last) > leaseReadInterval || ok && last.Before(at) && !now.Before(at)
+}
+
+// startDelay is how much longer this gateway waits for the lease of a silent holder while it knows no other
+// gateways: the seeds come first, as the others ask them for the leader.
+func (l *leaderElector) startDelay() time.Duration {
+	if l.readsFirst() || l.cluster.gatewayCount() > 1 {
+		return 0
+	}
+	return rankDelay
+}
+
+// observe reads the lease and takes note of its holder.
+func (l *leaderElector) observe(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	object, err := l.store.Get(ctx, leaseKind, leaseName)
+	if err != nil {
+		return
+	}
+	var lease leadership.Lease
+	if err := platform.Decode(object, &lease); err != nil {
+		return
+	}
+	l.mu.Lock()
+	l.claim.Observe(l.now(), object.Revision)
+	l.mu.Unlock()
+	l.cluster.setLeader(leaderMessage(lease, object.Revision))
+}
+
 // runExtensions asks the voters for promises while the renewal of the lease is overdue, until
 // ctx ends.
 func (l *leaderElector) runExtensions(ctx context.Context) {
@@ -154,9 +200,13 @@
 	if l.resigning.Load() {
 		return false
 	}
-	if l.cluster.knownLeader() == nil {
+	leader := l.cluster.knownLeader()
+	switch {
+	case leader == nil:
 		// The lease may belong to the previous process at this address.
 		return l.follower.startedAlone() || lost > leaderSilenceTimeout
+	case leader.Member.Address == l.cluster.self.Address && leader.Member.Incarnation != l.cluster.self.Incarnation:
+		return true
 	}
 	wait := leaderSilenceTimeout
 	if ended {
@@ -187,7 +237,7 @@
 	now := l.now()
 	l.mu.Lock()
 	l.claim.Observe(now, object.Revision)
-	may := l.claim.CanTakeOver(now, lease, l.cluster.self.Address, refused)
+	may := l.claim.CanTakeOver(now.Add(-l.startDelay()), lease, l.cluster.self.Address, refused)
 	ends := l.claim.HolderExpiry()
 	l.mu.Unlock()
 	if lease.Released || lease.Address == l.cluster.self.Address {
@@ -222,6 +272,7 @@
 	}
 	if err != nil && !l.isOwnWrite(object, newLease) {
 		l.log.Info("lease could not be acquired", "term", newLease.Term, "error", err)
+		l.followHolder(object)
 		return
 	}
 	l.mu.Lock()
@@ -239,6 +290,15 @@
 	l.assignments.start(newLease.Term, func(ctx context.Context) { l.inquire(ctx, former, ends, l.maxHold) })
 }
 
+// followHolder takes note of the holder of a lease that a refused write returned.
+func (l *leaderElector) followHolder(o platform.Object) {
+	var stored leadership.Lease
+	if len(o.Spec) == 0 || platform.Decode(o, &stored) != nil {
+		return
+	}
+	l.cluster.setLeader(leaderMessage(stored, o.Revision))
+}
+
 // isOwnWrite reports whether the object that a refused write returned is the one that was to
 // be written: that write succeeded and its response was lost.
 func (l *leaderElector) isOwnWrite(o platform.Object, newLease leadership.Lease) bool {
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -102,15 +102,17 @@
 	all.Go(func() {
 		w.follow(ctx, platform.EvacuationsKind, 0, evacuationsBatchDelay, onEvacuationList, w.evac.applyChanges)
 	})
-	all.Go(func() {
+	onUpstreamList := func(objects []platform.Object, at uint64) {
 		// Evacuations must be known before any upstream is: no upstream of an evacuated failure
 		// domain may be used.
 		select {
 		case <-listed:
+			w.instancesListed(objects, at)
 		case <-ctx.Done():
-			return
 		}
-		w.follow(ctx, platform.InstancesKind, 0, instancesBatchDelay, w.instancesListed, w.instancesChanged)
+	}
+	all.Go(func() {
+		w.follow(ctx, platform.InstancesKind, 0, instancesBatchDelay, onUpstreamList, w.instancesChanged)
 	})
 	all.Go(func() { w.settle(ctx) })
 	all.Wait()
