--- a/bench/lab/delivery.go
+++ b/bench/lab/delivery.go
@@ -234,6 +234,7 @@
 	a.run.reply = func(o dispatch.Outcome) { d.onReply(a, o) }
 	d.attempts = append(d.attempts, a)
 	d.countCrossDomain(g)
+	d.connect(a.run.upstream)
 	d.sim.after(d.sim.hopDelay(), func() { a.run.upstream.receive(a.run) })
 	if d.hedged || !d.route.Idempotent || d.reached+d.running() >= d.route.Attempts {
 		return
@@ -250,6 +251,14 @@
 	})
 }
 
+// connect counts the sender, and the connection if a new one is opened.
+func (d *delivery) connect(u *upstream) {
+	u.senders[d.index] = true
+	if !d.connections.take(u) {
+		u.opened++
+	}
+}
+
 // countCrossDomain counts attempts for services without keys, and those of them that are sent to
 // another failure domain.
 func (d *delivery) countCrossDomain(g dispatch.Grant) {
@@ -268,6 +277,9 @@
 		return
 	}
 	a.ended = true
+	if o == dispatch.Answered || o == dispatch.Overloaded {
+		d.connections.put(a.run.upstream)
+	}
 	if o == dispatch.Answered || a.run.limitNamed {
 		d.recordLimit(a.run.upstream, a.grant.GrantedAt, a.run.limit, a.run.limitNamed)
 	}
--- a/bench/lab/gateway.go
+++ b/bench/lab/gateway.go
@@ -41,6 +41,7 @@
 	// serviceNames are the services in a fixed order.
 	serviceNames []string
 	deliveries   []*delivery
+	connections  connections
 	// limits are the rate limits that upstreams name; otherLimitedDemand is the request rate that
 	// the other gateways would send to each of these upstreams.
 	limits             *limits.Registry
@@ -52,7 +53,7 @@
 	for i := range sim.sc.Gateways {
 		g := &gateway{
 			sim: sim, index: i, dispatch: make(map[string]*dispatch.Service), budget: make(map[string]*retry.WindowBudget),
-			keys: make(map[string][]uint16), limits: limits.NewRegistry(),
+			keys: make(map[string][]uint16), limits: limits.NewRegistry(), connections: make(connections),
 		}
 		for j := range sim.sc.Services {
 			s := &sim.sc.Services[j]
--- a/bench/lab/report.go
+++ b/bench/lab/report.go
@@ -33,7 +33,7 @@
 		return nil
 	}
 	n := float64(len(of))
-	sum := &Result{Scenario: scenario, Policy: p, Routes: make([]RouteResult, len(of[0].Routes))}
+	sum := &Result{Scenario: scenario, Policy: p, Routes: make([]RouteResult, len(of[0].Routes)), Pools: make([]PoolResult, len(of[0].Pools))}
 	for _, r := range of {
 		sum.Worth += r.Worth / n
 		sum.Imbalance += r.Imbalance / n
@@ -46,6 +46,9 @@
 		for i, one := range r.Routes {
 			sum.Routes[i].add(one, n)
 		}
+		for i, one := range r.Pools {
+			sum.Pools[i].add(one, n)
+		}
 	}
 	return sum
 }
@@ -66,6 +69,16 @@
 	r.Worth += one.Worth / n
 }
 
+// add adds one of n results to a mean; Arrivals is summed.
+func (r *PoolResult) add(one PoolResult, n float64) {
+	r.Service = one.Service
+	r.Arrivals += one.Arrivals
+	r.Rejected += one.Rejected / n
+	r.Busiest += one.Busiest / n
+	r.Connections += one.Connections / n
+	r.Subset += one.Subset / n
+}
+
 // printRun prints the means over the seeds as a table.
 func printRun(out io.Writer, scenarios []*Scenario, results []*Result) error {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
@@ -84,6 +97,15 @@
 			}
 		}
 	}
+	row("\n")
+	row("scenario\tpolicy\tpool\tarrivals\trejected\tbusiest/mean\topened\tsubset\n")
+	for _, sc := range scenarios {
+		for _, p := range []Policy{Product, Ideal, Plain} {
+			for _, x := range mean(results, sc.Name, p).Pools {
+				row("%s\t%s\t%s\t%d\t%.4f\t%.2f\t%.3f\t%.1f\n", sc.Name, p, x.Service, x.Arrivals, x.Rejected, x.Busiest, x.Connections, x.Subset)
+			}
+		}
+	}
 	return w.Flush()
 }
 
--- a/bench/lab/result.go
+++ b/bench/lab/result.go
@@ -68,10 +68,12 @@
 	PeakOverLimit float64 `json:"over_limit"`
 	// Moved is the number of keys moved divided by the number of all keys; Plans is the number of
 	// plans with moves.
-	Moved   float64  `json:"moved"`
-	Plans   int      `json:"plans"`
-	WallMs  float64  `json:"wall_ms"`
-	Seconds []Second `json:"seconds"`
+	Moved  float64 `json:"moved"`
+	Plans  int     `json:"plans"`
+	WallMs float64 `json:"wall_ms"`
+	// Pools are the results of the services without keys.
+	Pools   []PoolResult `json:"pools"`
+	Seconds []Second     `json:"seconds"`
 }
 
 // Second counts the outcomes of the calls that started in one second.
@@ -140,6 +142,7 @@
 	}
 	r.Worth = worth / max(possible, 1)
 	r.Imbalance = sim.imbalance()
+	r.Pools = sim.poolResults()
 	for _, u := range sim.allUpstreams {
 		r.PeakPerSlot = max(r.PeakPerSlot, float64(u.peak)/float64(u.service.Slots))
 	}
--- a/bench/lab/upstream.go
+++ b/bench/lab/upstream.go
@@ -47,6 +47,10 @@
 	busy             time.Duration
 	peak             int
 	suspectedLost    bool
+	// arrived and rejected count requests, opened the connections for them; senders are the gateways
+	// that sent requests.
+	arrived, rejected, opened int
+	senders                   map[int]bool
 	// arrivals are the times of recent arrivals; limit is the rate limit that it names, or nil.
 	arrivals []time.Duration
 	limit    *namedLimit
@@ -62,7 +66,7 @@
 		speed = s.Speeds[(i/failureDomains+i)%len(s.Speeds)]
 	}
 	u := &upstream{
-		sim: sim, service: s, speed: speed, slowdown: 1, noise: 1,
+		sim: sim, service: s, speed: speed, slowdown: 1, noise: 1, senders: make(map[int]bool),
 		instance: instances.Instance{
 			ID: fmt.Sprintf("%s-%d", s.Name, i), Service: s.Name, Slots: s.Slots,
 			Domain: domainName(i % failureDomains),
@@ -97,6 +101,7 @@
 // receive handles a request from a gateway.
 func (u *upstream) receive(r *run) {
 	u.recordArrival()
+	u.arrived++
 	switch {
 	case r.ended || u.silent:
 		return
@@ -119,6 +124,7 @@
 // rejectFull handles a request for which there is no slot or queue place, according to WhenFull.
 func (u *upstream) rejectFull(r *run) {
 	u.sim.tally.fullUpstream++
+	u.rejected++
 	switch u.service.WhenFull {
 	case FullRefuses:
 		u.respond(r, dispatch.Overloaded)
