--- a/gateway/callslots_test.go
+++ b/gateway/callslots_test.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -60,20 +61,23 @@
 	ended, cancel := context.WithCancel(context.Background())
 	cancel()
 	full := newCallSlots(0, time.Now)
-	if _, ok := full.acquire(ended); ok {
+	if _, ok := full.acquire(ended, time.Now()); ok {
 		t.Error("a slot was acquired after the context ended")
 	}
+	if len(full.waiting) != 0 {
+		t.Error("a call that ended still waits for a slot")
+	}
 }
 
 // TestSilentUpstreamsReleaseCallSlots checks that calls waiting for a response do not keep others
 // from starting.
 func TestSilentUpstreamsReleaseCallSlots(t *testing.T) {
 	one := newCallSlots(1, time.Now)
-	waits, ok := one.acquire(context.Background())
+	waits, ok := one.acquire(context.Background(), time.Now())
 	if !ok {
 		t.Fatal("no slot")
 	}
-	next, ok := one.acquire(context.Background())
+	next, ok := one.acquire(context.Background(), time.Now())
 	if !ok {
 		t.Fatal("the silent call kept its slot")
 	}
@@ -94,7 +98,7 @@
 		t.Errorf("hold before the first answer %v instead of %v", got, maxSlotHold)
 	}
 	answerAfter := func(took time.Duration) {
-		end, ok := slots.acquire(context.Background())
+		end, ok := slots.acquire(context.Background(), now)
 		if !ok {
 			t.Fatal("no slot")
 		}
@@ -113,7 +117,7 @@
 	if got := slots.holdTime(); got != maxSlotHold {
 		t.Errorf("hold with slow answers %v instead of %v", got, maxSlotHold)
 	}
-	if end, ok := slots.acquire(context.Background()); ok {
+	if end, ok := slots.acquire(context.Background(), now); ok {
 		now = now.Add(time.Hour)
 		end(false)
 	}
@@ -121,3 +125,41 @@
 		t.Errorf("an unanswered call changed the hold to %v, %d slots in use", got, slots.inUse())
 	}
 }
+
+// TestCallSlotsAreGivenInOrderOfDueTimes checks that keys in demand are granted before others. Slots used
+// to be given in no particular order, so after a start of all gateways callers waited for the grants of
+// keys that nobody asked for.
+func TestCallSlotsAreGivenInOrderOfDueTimes(t *testing.T) {
+	const calls = 50
+	slots, now := newCallSlots(0, time.Now), time.Now()
+	var mu sync.Mutex
+	var order []time.Duration
+	var all sync.WaitGroup
+	for i := range calls {
+		due := time.Duration(i*7919%calls) * time.Millisecond
+		all.Go(func() {
+			if !slots.wait(context.Background(), now.Add(due)) {
+				t.Error("no slot")
+				return
+			}
+			mu.Lock()
+			order = append(order, due)
+			mu.Unlock()
+			slots.release()
+		})
+	}
+	for {
+		slots.mu.Lock()
+		waiting := len(slots.waiting)
+		slots.mu.Unlock()
+		if waiting == calls {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	slots.release()
+	all.Wait()
+	if !slices.IsSorted(order) || len(order) != calls {
+		t.Errorf("slots were given in the order %v", order)
+	}
+}
