--- a/coordination/dispatch/rejections_test.go
+++ b/coordination/dispatch/rejections_test.go
@@ -73,7 +73,7 @@
 		}
 		for i := range hungAfterOvertaken {
 			sent := at(time.Duration(1600+200*i) * ms)
-			g := s.issueGrant(sent, u)
+			g := s.issueGrant(sent, u, newRequest())
 			s.Done(sent.Add(200*ms), g, Answered)
 		}
 		if u.hung != 1 {
