--- a/coordination/dispatch/cold.go
+++ b/coordination/dispatch/cold.go
@@ -149,12 +149,18 @@
 // hasRoomForCold reports whether a request for a cold key with the given expected latency may go to
 // its owner now.
 func (s *Service) hasRoomForCold(now time.Time, u *Upstream, req *Request, latency time.Duration) bool {
-	if u.queue.ahead(req.Priority) > 0 {
+	req.startBy = s.startBy(now, req)
+	if _, any := u.queue.ahead(&s.kinds, req); any {
 		return false
 	}
 	if u.hasSpareSlot(now) {
 		return true
 	}
+	req.maxDelay = s.kinds.maxDelay(req)
+	if req.maxDelay == 0 {
+		// A more important kind is granted less often, and a long run would take several of its turns.
+		return false
+	}
 	return latency <= remainingObjective(now, req) && u.hasCapacity(now, s.typicalWorkTime, req, true)
 }
 
--- a/coordination/dispatch/lostowner.go
+++ b/coordination/dispatch/lostowner.go
@@ -43,7 +43,7 @@
 		return
 	}
 	lost := u.lostFor(now, s.typicalWorkTime)
-	u.queue.forEach(func(req *Request) (remove, stop bool) {
+	u.queue.forEach(&s.kinds, func(req *Request) (remove, stop bool) {
 		if lost < req.QueueUntil.Sub(req.ReceivedAt) {
 			return false, false
 		}
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -70,6 +70,8 @@
 		placed, unplaced := s.retryPlaces()
 		m.gauge(m.service(retryPlaced, name), int64(placed))
 		m.gauge(m.service(retryUnplaced, name), int64(unplaced))
+		m.gauge(m.service(queueLate, name), int64(e.ShedLate))
+		m.gauge(m.service(queueExcess, name), int64(e.ShedExcess))
 		m.gauge(m.service(capacitySlots, name), int64(e.Slots))
 		m.gauge(m.service(capacityInFlight, name), int64(e.OwnInflight)+int64(e.OthersInflight))
 		m.gauge(m.service(capacityUsable, name), int64(e.Usable))
--- a/gateway/meternames.go
+++ b/gateway/meternames.go
@@ -30,6 +30,8 @@
 	queueWaiting               = "queue.{service}.waiting"
 	retryPlaced                = "retry.{service}.placed"
 	retryUnplaced              = "retry.{service}.unplaced"
+	queueLate                  = "queue.{service}.late"
+	queueExcess                = "queue.{service}.excess"
 	capacitySlots              = "room.{service}.slots"
 	capacityInFlight           = "room.{service}.in_flight"
 	capacityUsable             = "room.{service}.usable_upstreams"
@@ -122,6 +124,8 @@
 	{queueWaiting, "requests", "waiting in this gateway's queue"},
 	{retryPlaced, "requests", "refused for want of room with the time of a place that is likely to be free"},
 	{retryUnplaced, "requests", "refused for want of room when no place was left within the caller's time"},
+	{queueLate, "requests", "refused while they waited because they could no longer be in time or had waited long enough"},
+	{queueExcess, "requests", "refused while they waited because more work waited than can be run in time; of those, the callers with most time left"},
 	{capacitySlots, "requests", "slots of all known upstreams"},
 	{capacityInFlight, "requests", "in flight at the upstreams, from this gateway and as reported by the others"},
 	{capacityUsable, "upstreams", "that may currently get requests"},
