--- a/bench/lab/pools_test.go
+++ b/bench/lab/pools_test.go
@@ -31,10 +31,26 @@
 func TestPoolSurvivesLosses(t *testing.T) {
 	sc := find(t, "pool-lost")
 	product, ideal := Simulate(sc, Product, 1), Simulate(sc, Ideal, 1)
-	if got := product.Worth / ideal.Worth; got < 0.96 {
+	if got := product.Worth / ideal.Worth; got < 0.97 {
 		t.Errorf("worth %.3f of the ideal", got)
 	}
 	if got := product.Pools[0].Rejected; got > 0.01 {
 		t.Errorf("%.4f of the arrivals rejected", got)
 	}
 }
+
+// TestUnevenPoolWithinItsCapacity checks a pool whose upstreams differ in speed and are slow at times.
+// Gateways that compared two upstreams of their own failure domain and two others sent a quarter of the
+// requests to other domains, and 0.073 of them were late.
+func TestUnevenPoolWithinItsCapacity(t *testing.T) {
+	r := Simulate(find(t, "pool-62"), Product, 1)
+	if late := r.Routes[0].Late; late > 0.071 {
+		t.Errorf("%.3f late", late)
+	}
+	if r.CrossDomain > 0.21 {
+		t.Errorf("%.3f of the attempts crossed domains", r.CrossDomain)
+	}
+	if got := r.Pools[0].Connections; got > 0.12 {
+		t.Errorf("%.3f connections opened per arrival", got)
+	}
+}
--- a/coordination/dispatch/choice.go
+++ b/coordination/dispatch/choice.go
@@ -18,6 +18,15 @@
 	// of which knows a good part of the upstream's load, and connections are reused. If each
 	// gateway compared all upstreams, all of them would send to the same one between two reports.
 	candidates = 2
+	// wideCandidates is the number for an uneven pool below wideLoad, while the ones found so far are busy
+	// or slow, but at most one of wideListShare in a list: gateways that compare most of the upstreams
+	// choose the same ones (payments of the lab's shared-machines, 10 upstreams: 0.83 in time instead of
+	// 0.85). wideLoad is a fraction of the requests in a full pool.
+	wideCandidates = 4
+	wideListShare  = 6
+	wideLoad       = 0.4
+	// slowFactor is how many times as long as usual a run takes at an upstream that counts as slow.
+	slowFactor = 1.2
 	// maxExamined bounds how many upstreams with room are examined to find good ones.
 	maxExamined = 8
 	// badFailureRate is the failure rate from which an upstream does not count as good, so that
@@ -161,7 +170,7 @@
 // considerList considers the upstreams of a list that have room, in order, until it has found enough
 // good ones.
 func (s *Service) considerList(now time.Time, req *Request, list []*listing, c *choice) {
-	good, examined := 0, 0
+	good, examined, wanted := 0, 0, s.candidatesOf(now, list)
 	for _, l := range list {
 		u := s.stateOf(now, l)
 		u.usedAt = now
@@ -172,8 +181,24 @@
 		if u.failureRate < badFailureRate {
 			good++
 		}
-		if examined++; good == candidates || examined == maxExamined {
+		if examined++; good >= wanted || good >= candidates && s.isGoodChoice(now, c.best) || examined == maxExamined {
 			return
 		}
 	}
 }
+
+// candidatesOf returns how many good upstreams of a list are compared. More than usual help in an uneven
+// pool if this gateway receives so many requests that each of them reports its load again before the last
+// report has lost its worth. With fewer requests a wider choice is a worse one: of 985 gateways with 1.3
+// requests a second each, 0.183 of the requests were late instead of 0.168 (the lab's pool-few).
+func (s *Service) candidatesOf(now time.Time, list []*listing) int {
+	if !s.pool.applies(now) || s.pool.load() >= wideLoad || s.demand*slownessHalfLife.Seconds() < wideCandidates {
+		return candidates
+	}
+	return max(candidates, min(wideCandidates, len(list)/wideListShare))
+}
+
+// isGoodChoice reports whether the upstream seems to have a free slot and is not slow.
+func (s *Service) isGoodChoice(now time.Time, u *Upstream) bool {
+	return u.totalInFlight(now)+1 <= float64(u.Slots) && float64(u.currentWorkTime(now, s.typicalWorkTime)) <= slowFactor*float64(s.typicalWorkTime)
+}
