--- a/coordination/dispatch/choice_test.go
+++ b/coordination/dispatch/choice_test.go
@@ -40,7 +40,9 @@
 		if s.pool.applies(now) && s.pool.load() >= drawLoad {
 			t.Fatalf("%s: upstreams are drawn at this load", name)
 		}
-		u := s.selectUpstream(now, &Request{Objective: 500 * ms})
+		req := &Request{Objective: 500 * ms}
+		req.maxDelay = ownMaxDelay(req)
+		u := s.selectUpstream(now, req)
 		if u == nil {
 			t.Fatalf("%s: none chosen", name)
 		}
