--- a/gateway/coldstart_test.go
+++ b/gateway/coldstart_test.go
@@ -292,7 +292,7 @@
 	t.Parallel()
 	unavailable := false
 	v, began := newView(), time.Now()
-	s := &startup{view: v, now: time.Now, startedAt: began, storeUnavailable: func() bool { return unavailable }}
+	s := &startup{view: v, now: time.Now, startedAt: began, storeUnavailable: func() bool { return unavailable }, meters: newMeters()}
 	ask := func(objective time.Duration) error {
 		q := &request{
 			route: &routing.Route{Objective: objective}, service: &routing.Service{Name: "status", Keyed: true},
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -238,7 +238,7 @@
 		maxBodyBytes: int64(conf.MemoryMB) * megabyte / bodyMemoryDivisor, configurationAge: g.configurationAge,
 		revocationTimeout: conf.RevocationTimeout.D(), quotas: g.quotas,
 		leaderSilence: g.leaderSilence,
-		startup:       &startup{view: g.view, now: g.now, startedAt: g.now(), storeUnavailable: g.storeCalls.unavailable},
+		startup:       &startup{view: g.view, now: g.now, startedAt: g.now(), storeUnavailable: g.storeCalls.unavailable, log: log, meters: g.meters},
 	}
 	g.clock.OnSuspended(g.handleWakeUp)
 	return g
@@ -321,6 +321,7 @@
 	loops.Go(func() { g.traffic.run(work) })
 	loops.Go(func() { g.closeIdleConnections(work) })
 	loops.Go(func() { g.logHangups(work, hangups) })
+	loops.Go(func() { g.proxy.startup.logReady(work, g.ready) })
 	server := &callerServer{handler: g.proxy, listener: g.listeners.Callers, log: g.log}
 	go func() { failed <- fmt.Errorf("callers: %w", server.serve(work, g.view)) }()
 	select {
--- a/gateway/meternames.go
+++ b/gateway/meternames.go
@@ -14,6 +14,9 @@
 
 // Patterns of metric names. The methods of meters fill in the parts in braces.
 const (
+	startReady                 = "start.ready_ms"
+	startWaited                = "start.waited"
+	startRefused               = "start.refused"
 	routeOutcome               = "route.{route}.{outcome}"
 	routeTries                 = "route.{route}.tries"
 	routeRepeated              = "route.{route}.repeated"
@@ -97,6 +100,9 @@
 
 // catalog lists all metrics.
 var catalog = []metric{
+	{startReady, "ms", "from the start of the process until it was ready for the first time; none before that"},
+	{startWaited, "waits", "of requests for the first configuration, list of upstreams or table of owners"},
+	{startRefused, "requests", "refused because one of these did not come in time, or is not to be expected while the store is away"},
 	{routeOutcome, "requests", "final responses: `answered`, or the kind of the error (protocol/answer)"},
 	{routeTries, "tries", "requests sent to an upstream, first tries included"},
 	{routeRepeated, "tries", "retries after a failure or a refusal"},
--- a/gateway/startup.go
+++ b/gateway/startup.go
@@ -28,10 +28,40 @@
 	// storeUnavailable reports whether the store has not answered for a while. What is still missing
 	// then will not arrive in time for any request.
 	storeUnavailable func() bool
+	log              *slog.Logger
+	meters           *meters
+}
+
+// logReady waits until this gateway is ready for the first time, and logs when each part of its view was
+// known, in milliseconds since its start.
+func (s *startup) logReady(ctx context.Context, ready func() bool) {
+	var configuration, upstreams int64
+	for {
+		changed := s.view.nextChange()
+		since := max(s.now().Sub(s.startedAt).Milliseconds(), 1)
+		if configuration == 0 && s.view.table.Load() != nil {
+			configuration = since
+		}
+		if upstreams == 0 && s.view.inst.Load() != nil {
+			upstreams = since
+		}
+		if ready() {
+			s.meters.gauge(startReady, since)
+			s.log.Info("ready", "configuration_ms", configuration, "upstreams_ms", upstreams, "ready_ms", since,
+				"waited", s.meters.counter(startWaited).Count(), "refused", s.meters.counter(startRefused).Count())
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
 }
 
 // error returns the error for a request that cannot be sent because something is not known yet.
 func (s *startup) error(kind answer.Kind, missing string) error {
+	s.meters.inc(startRefused)
 	err := answer.New(kind, "this gateway has no %s yet", missing)
 	err.RetryAfter = patience.RetryAfterStart(s.now().Sub(s.startedAt))
 	return err
@@ -49,6 +79,7 @@
 		case s.storeUnavailable():
 			return false, nil
 		case timer == nil:
+			s.meters.inc(startWaited)
 			timer = time.NewTimer(until.Sub(s.now()))
 			defer timer.Stop()
 		}
