--- a/bench/lab/client.go
+++ b/bench/lab/client.go
@@ -6,9 +6,11 @@
 
 // call is a request of a client, including its retries.
 type call struct {
-	sim       *simulation
-	route     *Route
-	key       uint16
+	sim   *simulation
+	route *Route
+	key   uint16
+	// caller is the number of the caller, from 1; 0 if gateways do not know it. The first ones are greedy.
+	caller    int
 	startedAt time.Duration
 	tries     int
 	// refusals counts the tries that gateways refused.
@@ -84,10 +86,14 @@
 	t.call.refusals++
 	t.call.sim.tally.route(t.call.route).addRefusal(t.call.refusals)
 	t.deliver(func(c *call) {
-		if c.tries > c.route.Retries {
+		if c.tries > c.retries() {
 			c.finish(refused)
 			return
 		}
+		if c.greedy() {
+			c.sendTry()
+			return
+		}
 		c.sim.after(min(retryAfter, c.remaining()/3), c.sendTry)
 	})
 }
@@ -103,6 +109,20 @@
 	})
 }
 
+// greedy reports whether the caller ignores the time to come back.
+func (c *call) greedy() bool { return c.caller > 0 && c.caller <= c.route.GreedyCallers }
+
+// retries returns how often the caller retries a refused call.
+func (c *call) retries() int {
+	if c.greedy() {
+		return greedyFactor*(c.route.Retries+1) - 1
+	}
+	return c.route.Retries
+}
+
+// greedyFactor is how many times as many requests, and tries of each, greedy callers make.
+const greedyFactor = 3
+
 // clientRetryDelay is how long clients wait before they retry after a failure.
 const clientRetryDelay = 30 * time.Millisecond
 
--- a/bench/lab/delivery.go
+++ b/bench/lab/delivery.go
@@ -122,6 +122,7 @@
 	}
 	if !hedge && len(d.attempts) == 0 {
 		req.LateAt = start.Add(d.try.startedAt + d.route.Objective.D())
+		req.Caller = uint64(d.try.call.caller)
 	}
 	req.OnDecision = func(decision dispatch.Decision) { d.onDecision(req, decision) }
 	decision, decided := d.service.Offer(d.sim.now(), req)
--- a/bench/lab/report.go
+++ b/bench/lab/report.go
@@ -20,6 +20,7 @@
 	{"hot keys limited", func(m *dispatch.Mechanisms) { m.NoLimits = true }},
 	{"importance bounds room", func(m *dispatch.Mechanisms) { m.NoKinds = true }},
 	{"work by route", func(m *dispatch.Mechanisms) { m.NoRoutes = true }},
+	{"room by caller", func(m *dispatch.Mechanisms) { m.NoCallers = true }},
 }
 
 // mean returns the mean over the seeds of one scenario and policy. Some counts are summed instead:
@@ -67,6 +68,8 @@
 	r.Refusals += one.Refusals / n
 	r.RefusedAgain += one.RefusedAgain / n
 	r.RefusedThrice += one.RefusedThrice / n
+	r.OthersServed += one.OthersServed / n
+	r.GreedyRatio += one.GreedyRatio / n
 	r.WastedS += one.WastedS / n
 	r.P50Ms += one.P50Ms / n
 	r.P99Ms += one.P99Ms / n
--- a/bench/lab/result.go
+++ b/bench/lab/result.go
@@ -40,6 +40,11 @@
 	// the calls refused three times or more.
 	RefusedAgain  float64 `json:"refused_again"`
 	RefusedThrice float64 `json:"refused_thrice"`
+	// OthersServed is the share of the calls of callers that are not greedy that were served.
+	// GreedyRatio is the number of served calls of a greedy caller over that of another caller, zero
+	// without greedy callers.
+	OthersServed float64 `json:"others_served"`
+	GreedyRatio  float64 `json:"greedy_ratio"`
 	// WastedS is the time that upstreams spent on runs that were cancelled.
 	WastedS float64 `json:"wasted_s"`
 	P50Ms   float64 `json:"p50_ms"`
@@ -165,6 +170,7 @@
 		Route: t.route.Name, Calls: t.calls(), OnTime: share(onTime), Late: share(late), Refused: share(refused),
 		Failed: share(failed), HeldMs: ms(t.heldTime) / float64(max(t.count[refused], 1)), Refusals: float64(t.refusals) / n,
 		RefusedAgain: float64(t.refusedAgain) / n, RefusedThrice: float64(t.refusedThrice) / n,
+		OthersServed: float64(t.othersServed()) / float64(max(t.calls()-t.greedyCalls, 1)), GreedyRatio: t.greedyRatio(),
 		WastedS: t.wastedTime.Seconds(), P50Ms: quantile(50), P99Ms: quantile(99), Worth: t.worth() / max(t.maxWorth(), 1),
 	}
 }
--- a/bench/lab/scenario.go
+++ b/bench/lab/scenario.go
@@ -85,6 +85,11 @@
 	// Popular keys are adjacent.
 	Keys int     `json:"keys"`
 	Skew float64 `json:"skew"`
+	// Callers is the number of callers, 0 if gateways do not know them. GreedyCallers of them send three
+	// times as many requests as the others, and retry them at once and three times as often, whatever
+	// time to come back they are given.
+	Callers       int `json:"callers"`
+	GreedyCallers int `json:"greedy_callers"`
 }
 
 // Kinds of disturbances.
@@ -255,6 +260,8 @@
 	add(r.Worth < 0 || r.LateWorth < 0, path+"worth", "must not be negative")
 	add(r.Keys < 0, path+"keys", "must not be negative")
 	add(r.Skew < 0, path+"skew", "must not be negative")
+	add(r.Callers < 0, path+"callers", "must not be negative")
+	add(r.GreedyCallers < 0 || r.GreedyCallers > r.Callers, path+"greedy_callers", "must lie between 0 and the number of callers")
 }
 
 func (d *Disturbance) check(path string, services, routes map[string]bool, add addDiagnostic) {
--- a/bench/lab/simulation.go
+++ b/bench/lab/simulation.go
@@ -29,7 +29,9 @@
 	sc  *Scenario
 	rng *rand.Rand
 	// noiseRNG draws the noise of upstreams.
-	noiseRNG     *rand.Rand
+	noiseRNG *rand.Rand
+	// callerRNG draws the callers.
+	callerRNG    *rand.Rand
 	upstreams    map[string][]*upstream
 	upstreamByID map[string]*upstream
 	// allUpstreams are the upstreams in a fixed order.
@@ -55,11 +57,12 @@
 	trafficStream = 1
 	policyStream  = 2
 	noiseStream   = 3
+	callerStream  = 4
 )
 
 func newSimulation(sc *Scenario, seed uint64) *simulation {
 	sim := &simulation{
-		sc: sc, rng: rand.New(rand.NewPCG(seed, trafficStream)), noiseRNG: rand.New(rand.NewPCG(seed, noiseStream)), upstreams: make(map[string][]*upstream),
+		sc: sc, rng: rand.New(rand.NewPCG(seed, trafficStream)), noiseRNG: rand.New(rand.NewPCG(seed, noiseStream)), callerRNG: rand.New(rand.NewPCG(seed, callerStream)), upstreams: make(map[string][]*upstream),
 		upstreamByID: make(map[string]*upstream), ownerView: make(map[string]*spans.Table), tally: newTally(sc),
 		gatewayDown: make([]bool, sc.Gateways), popularity: make(map[string][]float64), workTimes: make(map[string]distuv.LogNormal),
 	}
@@ -130,6 +133,15 @@
 	return sim.firstKey + uint16(k)
 }
 
+// drawCaller draws the caller of a request. Greedy callers are the first ones.
+func (sim *simulation) drawCaller(r *Route) int {
+	n := sim.callerRNG.IntN(r.Callers + (greedyFactor-1)*r.GreedyCallers)
+	if n < greedyFactor*r.GreedyCallers {
+		return 1 + n/greedyFactor
+	}
+	return 1 + n - (greedyFactor-1)*r.GreedyCallers
+}
+
 // hotKey returns the hot key of an active disturbance, for its share of the requests.
 func (sim *simulation) hotKey(r *Route) (uint16, bool) {
 	for i := range sim.sc.Disturbances {
@@ -174,6 +186,9 @@
 			return
 		}
 		c := &call{sim: sim, route: r, key: sim.drawKey(r), startedAt: sim.elapsed}
+		if r.Callers > 0 {
+			c.caller = sim.drawCaller(r)
+		}
 		c.sendTry()
 		sim.after(r.Patience.D(), c.giveUp)
 		sim.generateCalls(r)
--- a/bench/lab/tally.go
+++ b/bench/lab/tally.go
@@ -44,6 +44,8 @@
 	route    *Route
 	count    [outcomes]int
 	refusals int
+	// greedyCalls counts the calls of greedy callers, greedyServed those of them that were served.
+	greedyCalls, greedyServed int
 	// refusedAgain counts calls that were refused twice or more, refusedThrice those refused three
 	// times or more.
 	refusedAgain, refusedThrice int
@@ -67,6 +69,12 @@
 func (t *tally) end(c *call, o outcome) {
 	one := t.route(c.route)
 	one.count[o]++
+	if c.greedy() {
+		one.greedyCalls++
+		if o == onTime || o == late {
+			one.greedyServed++
+		}
+	}
 	if o == refused {
 		one.heldTime += c.heldFor
 	}
@@ -97,6 +105,20 @@
 	return t.count[onTime] + t.count[late] + t.count[refused] + t.count[failed]
 }
 
+// othersServed returns the number of served calls of callers that are not greedy.
+func (t *routeTally) othersServed() int {
+	return t.count[onTime] + t.count[late] - t.greedyServed
+}
+
+// greedyRatio returns the number of served calls of a greedy caller over that of another caller.
+func (t *routeTally) greedyRatio() float64 {
+	greedy, others := t.route.GreedyCallers, t.route.Callers-t.route.GreedyCallers
+	if greedy == 0 || others == 0 {
+		return 0
+	}
+	return float64(t.greedyServed) / float64(greedy) / (float64(max(t.othersServed(), 1)) / float64(others))
+}
+
 // worth returns the worth that the calls achieved, maxWorth the worth if all were served on time.
 func (t *routeTally) worth() float64 {
 	return t.route.Worth*float64(t.count[onTime]) + t.route.LateWorth*float64(t.count[late])
--- a/coordination/dispatch/cold.go
+++ b/coordination/dispatch/cold.go
@@ -131,6 +131,7 @@
 	if !s.withinLimit(now, req, u) {
 		return refused(Limited)
 	}
+	s.recordCallerGrant(now, req)
 	g := s.issueGrant(now, u, req)
 	g.Cold, g.Fence, g.ExpectedLatency = true, req.Fence, latency
 	s.coldGranted++
--- a/coordination/dispatch/mechanisms.go
+++ b/coordination/dispatch/mechanisms.go
@@ -20,4 +20,6 @@
 	NoKinds bool `json:"no_kinds"`
 	// NoRoutes treats all routes of a service as equally long.
 	NoRoutes bool `json:"no_routes"`
+	// NoCallers divides room without regard to callers.
+	NoCallers bool `json:"no_callers"`
 }
--- a/coordination/dispatch/request.go
+++ b/coordination/dispatch/request.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/rockcroft/rockcroft/coordination/callers"
 	"github.com/rockcroft/rockcroft/coordination/worktime"
 	"github.com/rockcroft/rockcroft/state/instances"
 )
@@ -38,6 +39,9 @@
 	// Limited means that all upstreams that could run the request have announced a rate limit, and
 	// demand exceeds it.
 	Limited
+	// CallerShare means that requests are refused for lack of room and that the caller has more than
+	// its share of it.
+	CallerShare
 )
 
 // String returns a description of the reason.
@@ -65,6 +69,8 @@
 		return "resting"
 	case Limited:
 		return "limited"
+	case CallerShare:
+		return "caller share"
 	}
 	return "none"
 }
@@ -112,6 +118,8 @@
 	maxDelay time.Duration
 	// dequeued is set when the request no longer waits.
 	dequeued bool
+	// room is divided among callers; nil if it is not or if the caller is not known.
+	room *callers.Room
 	// admittedTo is the upstream whose rate limit admitted the request. heldByLimit is set when a
 	// rate limit has rejected it.
 	admittedTo  *Upstream
--- a/coordination/dispatch/retryafter.go
+++ b/coordination/dispatch/retryafter.go
@@ -35,8 +35,13 @@
 	switch r {
 	case HotKey:
 		// The place of such a caller is usually beyond its time.
+		s.recordNoRoom(now, req)
+		return retryafter.Longest(remaining, s.rng.Float64())
+	case CallerShare:
+		// The places are for the callers within their shares.
 		return retryafter.Longest(remaining, s.rng.Float64())
 	case NoCapacity, ColdKey:
+		s.recordNoRoom(now, req)
 	default:
 		return 0
 	}
--- a/coordination/dispatch/service.go
+++ b/coordination/dispatch/service.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/rockcroft/rockcroft/coordination/callers"
 	"github.com/rockcroft/rockcroft/coordination/notice"
 	"github.com/rockcroft/rockcroft/coordination/retryafter"
 	"github.com/rockcroft/rockcroft/coordination/worktime"
@@ -64,6 +65,10 @@
 	// upstream's queue.
 	queue   queue
 	waiting int
+	// room is divided among the callers of requests that any upstream can serve. overShare counts the
+	// requests refused because of their callers' shares.
+	room      callers.Room
+	overShare uint64
 	// retryTimes are the times to come back for refused requests that any upstream can serve.
 	// ownerPlaced and ownerUnplaced count the callers with and without a place at an owner.
 	retryTimes                 retryafter.Schedule
@@ -185,9 +190,13 @@
 	if !s.Disabled.NoKinds {
 		s.kinds.offer(now, req)
 	}
-	if req.Owner != "" && !req.Retry && s.rejectsHotKey(now, req.Key) {
+	s.recordCaller(now, req)
+	if s.rejectsHotKey(now, req) {
 		return refused(HotKey), true
 	}
+	if s.exceedsCallerShare(now, req) {
+		return refused(CallerShare), true
+	}
 	if s.treatsAsCold(req) {
 		return s.offerCold(now, req), true
 	}
@@ -232,12 +241,19 @@
 // sees two or three of its requests per second, and together they admit about what its owner can
 // run. Without this limit, all gateways filled the owner whenever a report showed free capacity,
 // and it broke the connections of requests that it could not queue.
-func (s *Service) rejectsHotKey(now time.Time, key uint16) bool {
-	admission, hot := s.hotKeyAdmission[key]
-	if !hot || s.Disabled.NoLimits || s.gateways < hotKeyLimitMinGateways || now.Sub(s.hotKeyAdmissionAt) > hotKeyLimitTTL {
-		return false
+func (s *Service) rejectsHotKey(now time.Time, req *Request) bool {
+	admission, hot := s.hotKeyLimit(now, req)
+	return hot && s.rng.Float64() >= admission*s.callerOdds(now, req)
+}
+
+// hotKeyLimit returns the fraction of the requests for a hot key that can be run, and whether the
+// request's key is one.
+func (s *Service) hotKeyLimit(now time.Time, req *Request) (admission float64, hot bool) {
+	if req.Owner == "" || req.Retry || s.Disabled.NoLimits || s.gateways < hotKeyLimitMinGateways || now.Sub(s.hotKeyAdmissionAt) > hotKeyLimitTTL {
+		return 0, false
 	}
-	return s.rng.Float64() >= admission
+	admission, hot = s.hotKeyAdmission[req.Key]
+	return admission, hot
 }
 
 // tryGrant grants the request the best upstream that has capacity.
@@ -259,6 +275,7 @@
 	if best == nil {
 		return Grant{}, false
 	}
+	s.recordCallerGrant(now, req)
 	g := s.issueGrant(now, best, req)
 	if req.Cold {
 		g.Fence = req.Fence
--- a/coordination/dispatch/upstream.go
+++ b/coordination/dispatch/upstream.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/rockcroft/rockcroft/coordination/callers"
 	"github.com/rockcroft/rockcroft/coordination/notice"
 	"github.com/rockcroft/rockcroft/coordination/quota"
 	"github.com/rockcroft/rockcroft/coordination/retryafter"
@@ -148,6 +149,8 @@
 	queue queue
 	// retryTimes are the times to come back for refused requests for keys that the upstream owns.
 	retryTimes retryafter.Schedule
+	// room is divided among the callers of these requests.
+	room callers.Room
 }
 
 // inFlightRequest is one request in flight.
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -67,6 +67,7 @@
 	for name, s := range g.traffic.all() {
 		e := g.traffic.explain(s, "")
 		m.gauge(m.service(queueWaiting, name), int64(e.Waiting))
+		m.gauge(m.service(callersOverShare, name), int64(s.overShare()))
 		placed, unplaced := s.retryPlaces()
 		m.gauge(m.service(retryPlaced, name), int64(placed))
 		m.gauge(m.service(retryUnplaced, name), int64(unplaced))
--- a/gateway/meternames.go
+++ b/gateway/meternames.go
@@ -31,6 +31,7 @@
 	budgetLeft                 = "budget.{service}.left"
 	budgetRefused              = "budget.{service}.refused"
 	queueWaiting               = "queue.{service}.waiting"
+	callersOverShare           = "callers.{service}.over_share"
 	retryPlaced                = "retry.{service}.placed"
 	retryUnplaced              = "retry.{service}.unplaced"
 	queueLate                  = "queue.{service}.late"
@@ -128,6 +129,7 @@
 	{budgetLeft, "tries", "retries that this gateway may still make in the window"},
 	{budgetRefused, "tries", "retries not made because the budget was used up"},
 	{queueWaiting, "requests", "waiting in this gateway's queue"},
+	{callersOverShare, "requests", "refused while there was no room because their callers asked for more than their shares"},
 	{retryPlaced, "requests", "refused for want of room with the time of a place that is likely to be free"},
 	{retryUnplaced, "requests", "refused for want of room when no place was left within the caller's time"},
 	{queueLate, "requests", "refused while they waited because they could no longer be in time or had waited long enough"},
--- a/gateway/parse.go
+++ b/gateway/parse.go
@@ -42,6 +42,7 @@
 	if q.team, err = f.identify(table, route, r.Header); err != nil {
 		return q, err
 	}
+	q.caller = callerOf(q)
 	if err := f.quotas.check(q.team); err != nil {
 		return q, err
 	}
--- a/gateway/proxy.go
+++ b/gateway/proxy.go
@@ -102,6 +102,8 @@
 	body       []byte
 	target     string
 	receivedAt time.Time
+	// caller identifies who sent the request; see callerOf.
+	caller uint64
 	// bodyReadAt is when the body was read completely, firstSentAt when the request was first
 	// sent to an upstream.
 	bodyReadAt, firstSentAt time.Time
@@ -199,6 +201,7 @@
 			req.QueueUntil = f.now()
 		case q.arrivedTries+q.unsentTries == 0:
 			req.LateAt = q.receivedAt.Add(q.route.Objective)
+			req.Caller = q.caller
 		default:
 			// A retry may wait as long in the queue as the first try.
 			req.QueueUntil = f.now().Add(q.queueUntil.Sub(q.receivedAt))
--- a/gateway/teams.go
+++ b/gateway/teams.go
@@ -1,9 +1,12 @@
 package gateway
 
 import (
+	"net"
 	"net/http"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/rockcroft/rockcroft/platform"
 	"github.com/rockcroft/rockcroft/protocol/answer"
 	"github.com/rockcroft/rockcroft/state/routing"
@@ -75,6 +78,19 @@
 	return q.route.Priority
 }
 
+// callerOf identifies who sent a request, for the division of room among callers: its team, or else the
+// address of the connection's remote end. A port would change with each connection.
+func callerOf(q *request) uint64 {
+	if q.team != nil {
+		return xxhash.Sum64String("team " + q.team.Name)
+	}
+	host, _, err := net.SplitHostPort(q.RemoteAddr)
+	if err != nil {
+		host = q.RemoteAddr
+	}
+	return xxhash.Sum64String(host)
+}
+
 // teamName returns the name of the request's team, or "" if it has none.
 func (q *request) teamName() string {
 	if q.team == nil {
--- a/gateway/traffic.go
+++ b/gateway/traffic.go
@@ -254,6 +254,13 @@
 	return q.traffic.dispatch.RetryAfter(t.now(), req)
 }
 
+// overShare returns how many requests were refused because of their callers' shares.
+func (s *serviceTraffic) overShare() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.dispatch.OverShare()
+}
+
 // retryPlaces returns how many refused callers were given a place, and how many were not.
 func (s *serviceTraffic) retryPlaces() (placed, unplaced uint64) {
 	s.mu.Lock()
@@ -308,6 +315,8 @@
 		return answer.New(answer.Overloaded, "the key is asked for more often than its owner can run")
 	case dispatch.Limited:
 		return answer.New(answer.Overloaded, "all that could run it name a limit, and more is asked for")
+	case dispatch.CallerShare:
+		return answer.New(answer.Overloaded, "no upstream has room, and the caller asks for more than its share")
 	case dispatch.TooLate:
 		return answer.New(answer.Overloaded, "it cannot be answered in time")
 	}
