--- a/coordination/dispatch/rejections.go
+++ b/coordination/dispatch/rejections.go
@@ -46,6 +46,11 @@
 	r.lowered, r.loweredAt = max(rejectionFactor*r.boundPerSlot(now), 1), now
 }
 
+// recent reports whether the upstream is known to have rejected a request lately.
+func (r *rejections) recent(now time.Time) bool {
+	return !r.loweredAt.IsZero() && now.Sub(r.loweredAt) < MaxRejectionAge
+}
+
 // recordOwn records that this gateway's request was rejected.
 func (r *rejections) recordOwn(now time.Time) {
 	r.ownAt = now
--- a/coordination/dispatch/rejections_test.go
+++ b/coordination/dispatch/rejections_test.go
@@ -22,6 +22,9 @@
 			t.Errorf("bound %.2f per slot after report %d", got, i)
 		}
 	}
+	if e := s.Explain(at(900*ms), ""); e.Rejecting != 1 {
+		t.Errorf("%d upstreams known to reject", e.Rejecting)
+	}
 	if got := u.rejections.boundPerSlot(at(time.Minute)); got != maxInFlightPerSlot {
 		t.Errorf("bound %.2f per slot after a minute", got)
 	}
--- a/coordination/dispatch/report.go
+++ b/coordination/dispatch/report.go
@@ -81,12 +81,20 @@
 	LimitedUpstreams int
 	Limit            float64
 	TotalDemand      float64
+	// PoolLoad is the number of requests in an uneven pool as a fraction of those in a full one, and
+	// PoolCredit how many this gateway may send out of its share; both are zero for an owner and in an even
+	// pool. Rejecting is the number of upstreams that lately had no room for a request.
+	PoolLoad, PoolCredit float64
+	Rejecting            int
 }
 
 // Explain returns the inputs of a decision for a request to the owner, or to any upstream if owner
 // is empty.
 func (s *Service) Explain(now time.Time, owner string) Explanation {
 	e := Explanation{Waiting: s.waiting, RunTime: s.typicalWorkTime, Part: s.demandFraction}
+	if owner == "" && s.pool.applies(now) {
+		e.PoolLoad, e.PoolCredit = s.pool.load(), s.pool.share.credit
+	}
 	for _, l := range s.ordered {
 		if owner != "" && l.ID != owner {
 			continue
@@ -100,6 +108,9 @@
 			e.Slots += l.Slots
 			continue
 		}
+		if u.rejections.recent(now) {
+			e.Rejecting++
+		}
 		e.OwnInflight += u.ownInFlight
 		e.HungInflight += u.hung
 		e.OthersInflight += u.othersInFlight
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -68,6 +68,8 @@
 		m.gauge(m.service(capacitySlots, name), int64(e.Slots))
 		m.gauge(m.service(capacityInFlight, name), int64(e.OwnInflight)+int64(e.OthersInflight))
 		m.gauge(m.service(capacityUsable, name), int64(e.Usable))
+		m.gauge(m.service(capacityRejecting, name), int64(e.Rejecting))
+		m.gauge(m.service(poolLoad, name), int64(100*e.PoolLoad))
 		m.gauge(m.service(budgetLeft, name), int64(g.traffic.retriesLeft(s)))
 	}
 }
--- a/gateway/meternames.go
+++ b/gateway/meternames.go
@@ -29,6 +29,8 @@
 	capacitySlots              = "room.{service}.slots"
 	capacityInFlight           = "room.{service}.in_flight"
 	capacityUsable             = "room.{service}.usable_upstreams"
+	capacityRejecting          = "room.{service}.rejecting_upstreams"
+	poolLoad                   = "room.{service}.pool_load_percent"
 	keysWithoutOwner           = "owners.{service}.keys_without_owner"
 	longestOwnerGap            = "owners.{service}.longest_without_owner_ms"
 	ownerGapDuration           = "owners.{service}.without_owner_us"
@@ -110,6 +112,8 @@
 	{capacitySlots, "requests", "slots of all known upstreams"},
 	{capacityInFlight, "requests", "in flight at the upstreams, from this gateway and as reported by the others"},
 	{capacityUsable, "upstreams", "that may currently get requests"},
+	{capacityRejecting, "upstreams", "that had no room for a request in the last second, at any gateway, as far as this one deals with them"},
+	{poolLoad, "percent", "requests in flight at an uneven pool, from all gateways, relative to a full pool; from 85 on each gateway keeps to its share; 0 for keyed services and even pools"},
 	{keysWithoutOwner, "keys", "without an owner, according to this gateway's view"},
 	{longestOwnerGap, "ms", "the longest time that a key has been without an owner so far"},
 	{ownerGapDuration, "µs", "time that spans of keys were without an owner, recorded when they get one"},
