--- a/gateway/meternames.go
+++ b/gateway/meternames.go
@@ -44,6 +44,8 @@
 	coldAsUsual                = "cold.{service}.as_usual"
 	coldFactor                 = "cold.{service}.factor_percent"
 	coldShare                  = "cold.{service}.share_percent"
+	capacityRejecting          = "room.{service}.rejecting_upstreams"
+	poolLoad                   = "room.{service}.pool_load_percent"
 	keysWithoutOwner           = "owners.{service}.keys_without_owner"
 	longestOwnerGap            = "owners.{service}.longest_without_owner_ms"
 	ownerGapDuration           = "owners.{service}.without_owner_us"
@@ -142,6 +144,8 @@
 	{coldAsUsual, "requests", "for keys marked cold that were treated as any other, because runs have shown that the keys are not cold"},
 	{coldFactor, "percent", "measured run time of requests for cold keys, relative to the usual one"},
 	{coldShare, "percent", "share of the runs for keys marked cold that were cold"},
+	{capacityRejecting, "upstreams", "that had no room for a request in the last second, at any gateway, as far as this one deals with them"},
+	{poolLoad, "percent", "requests in flight at an uneven pool, from all gateways, relative to a full pool; from 85 on each gateway keeps to its share; 0 for keyed services and even pools"},
 	{keysWithoutOwner, "keys", "without an owner, according to this gateway's view"},
 	{longestOwnerGap, "ms", "the longest time that a key has been without an owner so far"},
 	{ownerGapDuration, "µs", "time that spans of keys were without an owner, recorded when they get one"},
