--- a/bench/lab/client.go
+++ b/bench/lab/client.go
@@ -32,6 +32,17 @@
 // remaining returns the time until the client stops waiting.
 func (c *call) remaining() time.Duration { return c.startedAt + c.route.Patience.D() - c.sim.elapsed }
 
+// service returns the service of the call's route.
+func (c *call) service() *Service {
+	services := c.sim.sc.Services
+	for i := range services {
+		if services[i].Name == c.route.Service {
+			return &services[i]
+		}
+	}
+	return nil
+}
+
 // sendTry sends a try to a random gateway that is up.
 func (c *call) sendTry() {
 	if c.ended {
--- a/bench/lab/control.go
+++ b/bench/lab/control.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/rockcroft/rockcroft/coordination/dispatch"
 	"github.com/rockcroft/rockcroft/coordination/ownership"
 	"github.com/rockcroft/rockcroft/coordination/quota"
 	"github.com/rockcroft/rockcroft/coordination/warmup"
@@ -44,8 +45,8 @@
 	totals      map[string]upstreamReport
 	workTimes   map[string]*worktime.Estimator
 	lastReports []map[string]upstreamReport
-	// demand is the request rate of each gateway, by service.
-	demand []map[string]float64
+	// demand is what each gateway is asked for, by service.
+	demand []map[string]dispatch.Demand
 	// hotKeyAdmission is the share of the requests for each hot key that its owner can run, by service.
 	hotKeyAdmission map[string]map[uint16]float64
 	lastMoved       map[string]map[uint16]time.Duration
@@ -73,7 +74,7 @@
 	c := &controller{
 		sim: sim, tables: make(map[string]*spans.Table), keyRates: make(map[string]*ownership.RateEstimator),
 		totals: make(map[string]upstreamReport), workTimes: make(map[string]*worktime.Estimator), lastReports: make([]map[string]upstreamReport, sim.sc.Gateways),
-		demand: make([]map[string]float64, sim.sc.Gateways), hotKeyAdmission: make(map[string]map[uint16]float64), lastBalanced: make(map[string]time.Duration),
+		demand: make([]map[string]dispatch.Demand, sim.sc.Gateways), hotKeyAdmission: make(map[string]map[uint16]float64), lastBalanced: make(map[string]time.Duration),
 		unownedKeys: make(map[string]*spans.UnownedTracker), lastMoved: make(map[string]map[uint16]time.Duration), coldUntil: make(map[string]map[uint16]time.Duration),
 	}
 	c.limits, c.limitedDemand = limits.NewRegistry(), make([]map[string]float64, sim.sc.Gateways)
@@ -134,7 +135,7 @@
 }
 
 // applyReport replaces the last report of a gateway.
-func (c *controller) applyReport(g int, loads map[string]upstreamReport, demand map[string]float64, keys map[string][]uint16) {
+func (c *controller) applyReport(g int, loads map[string]upstreamReport, demand map[string]dispatch.Demand, keys map[string][]keyRequest) {
 	for id, r := range c.lastReports[g] {
 		c.totals[id] = upstreamReport{inflight: c.totals[id].inflight - r.inflight}
 	}
@@ -149,8 +150,8 @@
 	c.lastReports[g], c.demand[g] = loads, demand
 	for name, list := range keys {
 		if rates := c.keyRates[name]; rates != nil {
-			for _, key := range list {
-				rates.Add(key)
+			for _, r := range list {
+				rates.Add(r.key, r.work)
 			}
 		}
 	}
@@ -178,15 +179,15 @@
 	return out
 }
 
-// otherDemand returns the total request rate of all gateways except one, by service.
-func (c *controller) otherDemand(g int) map[string]float64 {
-	out := make(map[string]float64)
+// otherDemand returns what all gateways except one are asked for, by service.
+func (c *controller) otherDemand(g int) map[string]dispatch.Demand {
+	out := make(map[string]dispatch.Demand)
 	for other, demand := range c.demand {
 		if other == g {
 			continue
 		}
-		for name, rate := range demand {
-			out[name] += rate
+		for name, d := range demand {
+			out[name] = out[name].Add(d)
 		}
 	}
 	return out
--- a/bench/lab/gateway.go
+++ b/bench/lab/gateway.go
@@ -37,7 +37,7 @@
 	index    int
 	dispatch map[string]*dispatch.Service
 	budget   map[string]*retry.WindowBudget
-	keys     map[string][]uint16
+	keys     map[string][]keyRequest
 	// serviceNames are the services in a fixed order.
 	serviceNames []string
 	deliveries   []*delivery
@@ -47,12 +47,18 @@
 	otherLimitedDemand map[string]float64
 }
 
+// keyRequest is a request for a key, with the work of its route.
+type keyRequest struct {
+	key  uint16
+	work float64
+}
+
 func newProduct(sim *simulation, seed uint64) *product {
 	p := &product{sim: sim}
 	for i := range sim.sc.Gateways {
 		g := &gateway{
 			sim: sim, index: i, dispatch: make(map[string]*dispatch.Service), budget: make(map[string]*retry.WindowBudget),
-			keys: make(map[string][]uint16), limits: limits.NewRegistry(),
+			keys: make(map[string][]keyRequest), limits: limits.NewRegistry(),
 		}
 		for j := range sim.sc.Services {
 			s := &sim.sc.Services[j]
@@ -103,7 +109,7 @@
 	g.deliveries = append(g.deliveries, d)
 	g.budget[d.route.Service].RecordRequest(p.sim.now())
 	if d.keyed {
-		g.keys[d.route.Service] = append(g.keys[d.route.Service], t.call.key)
+		g.keys[d.route.Service] = append(g.keys[d.route.Service], keyRequest{t.call.key, d.service.RouteFactor(d.route.Name)})
 	}
 	p.sim.after(d.deadline-p.sim.elapsed, d.onTimeout)
 	d.acquire(false)
@@ -123,7 +129,7 @@
 	if g.sim.gatewayDown[g.index] {
 		return
 	}
-	loads, demand := make(map[string]upstreamReport), make(map[string]float64)
+	loads, demand := make(map[string]upstreamReport), make(map[string]dispatch.Demand)
 	for _, name := range g.serviceNames {
 		demand[name] = g.dispatch[name].Demand(g.sim.now())
 		for _, l := range g.dispatch[name].Loads(g.sim.now()) {
@@ -135,7 +141,7 @@
 		maps.Copy(limitedDemand, g.dispatch[name].LimitedDemand(g.sim.now()))
 	}
 	keys := g.keys
-	g.keys = make(map[string][]uint16)
+	g.keys = make(map[string][]keyRequest)
 	g.sim.after(g.sim.hopDelay(), func() {
 		g.sim.controller.applyReport(g.index, loads, demand, keys)
 		g.sim.controller.limitedDemand[g.index] = limitedDemand
--- a/bench/lab/ideal.go
+++ b/bench/lab/ideal.go
@@ -112,7 +112,7 @@
 	p.enqueue(one)
 	name := t.call.route.Service
 	if table := p.sim.controller.tables[name]; table != nil {
-		p.sim.controller.keyRates[name].Add(t.call.key)
+		p.sim.controller.keyRates[name].Add(t.call.key, t.call.route.WorkTime.D().Seconds()/p.sim.meanWorkTime(t.call.service()))
 		if u := p.sim.upstreamByID[table.Find(t.call.key).Owner]; u != nil {
 			p.fill(u)
 		}
--- a/coordination/dispatch/report.go
+++ b/coordination/dispatch/report.go
@@ -54,6 +54,9 @@
 // RouteWork returns what is known about the work of the service's routes, by name.
 func (s *Service) RouteWork() map[string]worktime.RouteWork { return s.routes.All() }
 
+// RouteFactor returns the work of a route's runs as a factor of the service's mean.
+func (s *Service) RouteFactor(route string) float64 { return s.routes.Factor(route) }
+
 // Explanation holds the inputs of a decision, summed over the upstreams in question.
 type Explanation struct {
 	// Upstreams is the number of known upstreams, Usable how many of them may get requests.
--- a/coordination/dispatch/request.go
+++ b/coordination/dispatch/request.go
@@ -162,8 +162,8 @@
 	// WorkTimes are estimates from the runs that all gateways have measured, by upstream. For
 	// upstreams that are not listed, the previous estimate stays.
 	WorkTimes map[string]worktime.Estimate
-	// Demand is the rate of requests that the other gateways receive, per second.
-	Demand float64
+	// Demand is what the other gateways are asked for.
+	Demand Demand
 	// Gateways is the number of all gateways, including this one.
 	Gateways int
 	// HotKeyAdmission is the fraction of requests that can be run, by key. For keys that are not
--- a/coordination/dispatch/service.go
+++ b/coordination/dispatch/service.go
@@ -76,9 +76,14 @@
 	gateways int
 	// demandFraction is this gateway's fraction of the service's demand.
 	demandFraction float64
-	// offered counts the requests since demandMeasuredAt. demand is their rate per second.
+	// offered counts the requests since demandMeasuredAt, offeredWork sums up their work as factors of
+	// the mean, and demand is the rate of both. meanWork is the time of a run of mean work, computed at
+	// meanWorkAt.
 	offered          int
-	demand           float64
+	offeredWork      float64
+	demand           Demand
+	meanWork         time.Duration
+	meanWorkAt       time.Time
 	demandMeasuredAt time.Time
 	demandSpan       time.Duration
 	// coldFactor is how many times as long as usual requests for cold keys run.
@@ -149,6 +154,7 @@
 	if !s.Disabled.NoRoutes {
 		req.route = s.routes.Get(req.Route)
 	}
+	s.offeredWork += req.route.Factor()
 	if s.typicalWorkTime == 0 {
 		s.typicalWorkTime = req.Objective / initialWorkTimeDivisor
 	}
--- a/coordination/dispatch/share_test.go
+++ b/coordination/dispatch/share_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/rockcroft/rockcroft/coordination/worktime"
 	"github.com/rockcroft/rockcroft/state/instances"
 )
 
@@ -115,17 +116,45 @@
 		s.offered = 100
 		s.Demand(at(time.Duration(i) * time.Second))
 	}
-	s.ApplyReport(at(time.Minute), ClusterReport{Gateways: 4, Demand: 100})
+	s.ApplyReport(at(time.Minute), ClusterReport{Gateways: 4, Demand: Demand{Requests: 100}})
 	if s.demandFraction < 0.45 || s.demandFraction > 0.55 {
 		t.Errorf("fraction %.2f with half of the demand", s.demandFraction)
 	}
-	s.demand = 0
-	s.ApplyReport(at(time.Minute), ClusterReport{Gateways: 4, Demand: 1000})
+	s.demand = Demand{}
+	s.ApplyReport(at(time.Minute), ClusterReport{Gateways: 4, Demand: Demand{Requests: 1000}})
 	if s.demandFraction != minRelativeFraction/4 {
 		t.Errorf("fraction %.3f without demand", s.demandFraction)
 	}
 }
 
+// TestCapacityFractionFollowsWork guards against shares by the number of requests: a gateway whose
+// callers ask for the long route would get as much of an owner as one whose callers ask for the short
+// one. Without the work of all, requests count.
+func TestCapacityFractionFollowsWork(t *testing.T) {
+	s := serviceWithRoutes(t)
+	s.ApplyReport(learnedAt, ClusterReport{Gateways: 2, WorkTimes: map[string]worktime.Estimate{"a1": {Work: 100 * ms, Slowness: 1}}})
+	for i := range 8 {
+		for range 100 {
+			s.offered++
+			s.offeredWork += s.RouteFactor("long")
+		}
+		s.Demand(learnedAt.Add(time.Duration(i+1) * time.Second))
+	}
+	// 100 requests a second of 150 ms each, and of 50 ms each elsewhere.
+	if work := s.demand.Work; work < 13 || work > 17 {
+		t.Errorf("%.1f seconds of work a second, want about 15", work)
+	}
+	for _, c := range []struct{ work, want float64 }{{5, 0.75}, {0, 0.5}} {
+		s.ApplyReport(learnedAt.Add(time.Minute), ClusterReport{Gateways: 2, Demand: Demand{Requests: 100, Work: c.work}})
+		if s.demandFraction < c.want-0.05 || s.demandFraction > c.want+0.05 {
+			t.Errorf("fraction %.2f with others' work %g, want %.2f", s.demandFraction, c.work, c.want)
+		}
+	}
+	if sum := (Demand{Requests: 1, Work: 1}).Add(Demand{Requests: 1}).Add(Demand{Requests: 1, Work: 1}); sum != (Demand{Requests: 3}) {
+		t.Errorf("sum %+v of gateways of which one does not know its work", sum)
+	}
+}
+
 // TestEqualFractionBeforeDemandIsKnown: right after a simultaneous start only some gateways
 // have reported their demand. That must not give this one a large fraction.
 func TestEqualFractionBeforeDemandIsKnown(t *testing.T) {
@@ -133,7 +162,7 @@
 	s.Demand(start)
 	s.offered = 100
 	s.Demand(at(time.Second))
-	s.ApplyReport(at(time.Second), ClusterReport{Gateways: 12, Demand: 10})
+	s.ApplyReport(at(time.Second), ClusterReport{Gateways: 12, Demand: Demand{Requests: 10}})
 	if s.demandFraction > 1.0/12 {
 		t.Errorf("fraction %.2f after the first report", s.demandFraction)
 	}
--- a/coordination/ownership/plan.go
+++ b/coordination/ownership/plan.go
@@ -49,7 +49,7 @@
 	MayKeep bool
 	// Warming is true while the upstream warms up and can handle only a few requests.
 	Warming bool
-	// Capacity is the number of requests a second that the upstream can run.
+	// Capacity is the number of runs of mean work a second that the upstream can complete.
 	Capacity float64
 	// Incarnation identifies the current process start of the upstream.
 	Incarnation instances.Incarnation
@@ -64,7 +64,7 @@
 	Table *spans.Table
 	// Owners lists the upstreams of the service. An owner in Table that is not listed is lost.
 	Owners []Owner
-	// Load is the number of requests a second for each key.
+	// Load is the work asked for each key, in runs of mean work a second.
 	Load map[uint16]float64
 	// Pins lists the keys that operators have assigned to upstreams.
 	Pins []Pin
--- a/coordination/ownership/plan_test.go
+++ b/coordination/ownership/plan_test.go
@@ -355,7 +355,7 @@
 	start := time.Now()
 	h := NewRateEstimator(start)
 	for range 50 {
-		h.Add(7)
+		h.Add(7, 1)
 	}
 	if r := h.Rates(start.Add(500 * time.Millisecond))[7]; r < 60 || r > 130 {
 		t.Errorf("rate %.0f after 100 requests a second for half a second", r)
@@ -367,7 +367,7 @@
 func TestRateRightAfterStart(t *testing.T) {
 	start := time.Now()
 	h := NewRateEstimator(start)
-	h.Add(7)
+	h.Add(7, 1)
 	if r := h.Rates(start.Add(10 * time.Millisecond))[7]; r > 3 {
 		t.Errorf("rate %.0f after a single request", r)
 	}
@@ -377,7 +377,7 @@
 	start := time.Now()
 	h := NewRateEstimator(start)
 	for i := range 300 {
-		h.Add(7)
+		h.Add(7, 1)
 		if i%30 == 29 {
 			h.Rates(start.Add(time.Duration(i) * 10 * time.Millisecond))
 		}
@@ -455,3 +455,55 @@
 		}
 	}
 }
+
+// TestWorkIsBalanced guards against owners that are balanced by the number of requests: the owner of keys
+// with a long route would get twice the work of the other one.
+func TestWorkIsBalanced(t *testing.T) {
+	rates := NewRateEstimator(start)
+	for i := range 4000 {
+		key := uint16(i % 200)
+		work := 0.5
+		if key < 100 {
+			work = 1.5
+		}
+		rates.Add(key, work)
+	}
+	load := rates.Rates(start.Add(time.Second))
+	long, short := 0.0, 0.0
+	for key, rate := range load {
+		if key < 100 {
+			long += rate
+		} else {
+			short += rate
+		}
+	}
+	if ratio := long / short; ratio < 2.9 || ratio > 3.1 {
+		t.Errorf("work of the long route over that of the short one %.2f, want 3", ratio)
+	}
+	table := &spans.Table{Service: "s", LastFence: 2, Spans: []spans.Span{
+		{KeyRange: spans.KeyRange{First: 0, Last: 99}, Owner: "a", Fence: 1},
+		{KeyRange: spans.KeyRange{First: 100, Last: spans.MaxKey}, Owner: "b", Fence: 2},
+	}}
+	owners := []Owner{
+		{ID: "a", Usable: true, MayKeep: true, Capacity: 1500}, {ID: "b", Usable: true, MayKeep: true, Capacity: 1500},
+	}
+	for range 10 {
+		next := MakePlan(PlanInput{Table: table, Owners: owners, Load: load, BalanceDue: true})
+		if next == nil {
+			break
+		}
+		for i := range next.Spans {
+			if s := &next.Spans[i]; s.Moving() {
+				s.Owner, s.Fence, s.Next, s.NextFence = s.Next, s.NextFence, "", 0
+			}
+		}
+		table = next
+	}
+	sum := make(map[string]float64)
+	for key, rate := range load {
+		sum[table.Find(key).Owner] += rate
+	}
+	if most := max(sum["a"], sum["b"]); most > 0.6*(sum["a"]+sum["b"]) {
+		t.Errorf("work of the owners %v", sum)
+	}
+}
--- a/coordination/ownership/rates.go
+++ b/coordination/ownership/rates.go
@@ -18,7 +18,7 @@
 	minTrackedRate = 0.02
 )
 
-// RateEstimator estimates the requests a second for each key. It is not safe for concurrent use.
+// RateEstimator estimates the work asked for each key, in runs of mean work a second. It is not safe for concurrent use.
 type RateEstimator struct {
 	// rates holds the decayed rates before the correction for a short observation time.
 	rates map[uint16]float64
@@ -31,8 +31,10 @@
 	return &RateEstimator{rates: make(map[uint16]float64), startedAt: now, decayedAt: now}
 }
 
-// Add counts one request for a key.
-func (e *RateEstimator) Add(key uint16) { e.rates[key] += math.Ln2 / rateHalfLife.Seconds() }
+// Add counts one request for a key, with the work of its route as a factor of the service's mean.
+func (e *RateEstimator) Add(key uint16, work float64) {
+	e.rates[key] += work * math.Ln2 / rateHalfLife.Seconds()
+}
 
 // Rates returns the estimated rate of each key at the given time. The caller owns the map.
 func (e *RateEstimator) Rates(now time.Time) map[uint16]float64 {
--- a/coordination/worktime/routes.go
+++ b/coordination/worktime/routes.go
@@ -75,6 +75,12 @@
 	return one
 }
 
+// Factor returns the factor of the route of the given name, 1 if it is not known.
+func (r *Routes) Factor(name string) float64 { return r.byName[name].Factor() }
+
+// Differ reports whether the work of the service's routes is known to differ.
+func (r *Routes) Differ() bool { return r.known > 1 }
+
 // removeOldest removes the route that has gone longest without a request.
 func (r *Routes) removeOldest() {
 	var oldest *Route
--- a/gateway/assignmentsupervisor.go
+++ b/gateway/assignmentsupervisor.go
@@ -147,9 +147,7 @@
 	s.mu.Lock()
 	for name, list := range own.keys {
 		if k := s.assigners[name]; k != nil {
-			for _, key := range list {
-				k.recordRequest(key)
-			}
+			k.recordRequests(list)
 		}
 	}
 	s.mu.Unlock()
@@ -183,12 +181,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, c := range counts {
-		k := s.assigners[c.Service]
-		if k == nil {
-			continue
-		}
-		for _, key := range c.Keys {
-			k.recordRequest(uint16(min(key, spans.MaxKey)))
+		if k := s.assigners[c.Service]; k != nil {
+			k.recordRequests(decodeKeys(c))
 		}
 	}
 }
--- a/gateway/follower.go
+++ b/gateway/follower.go
@@ -249,11 +249,7 @@
 	f.cluster.addRuns(own.loads)
 	r.Loads = mergeRuns(f.cluster.subtreeLoads(own.loads), f.cluster.takeRuns())
 	for name, list := range own.keys {
-		k := &syncpb.KeyCounts{Service: name}
-		for _, key := range list {
-			k.Keys = append(k.Keys, uint32(key))
-		}
-		r.Keys = append(r.Keys, k)
+		r.Keys = append(r.Keys, encodeKeys(name, list))
 	}
 	return r
 }
--- a/gateway/keyassigner.go
+++ b/gateway/keyassigner.go
@@ -147,11 +147,13 @@
 	}
 }
 
-// recordRequest counts one request for a key.
-func (k *keyAssigner) recordRequest(key uint16) {
+// recordRequests counts requests for keys.
+func (k *keyAssigner) recordRequests(requests []keyRequest) {
 	k.rateMu.Lock()
 	defer k.rateMu.Unlock()
-	k.rateEstimator.Add(key)
+	for _, r := range requests {
+		k.rateEstimator.Add(r.key, r.work)
+	}
 }
 
 func (k *keyAssigner) rates() map[uint16]float64 {
--- a/gateway/ownerloss_test.go
+++ b/gateway/ownerloss_test.go
@@ -1,12 +1,14 @@
 package gateway
 
 import (
+	"math"
 	"net/http"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/rockcroft/rockcroft/coordination/dispatch"
 	"github.com/rockcroft/rockcroft/coordination/reporttree"
 	"github.com/rockcroft/rockcroft/protocol/syncpb"
 	"github.com/rockcroft/rockcroft/standin/instance"
@@ -157,18 +159,22 @@
 func TestDemandIsCountedOnce(t *testing.T) {
 	now := time.Now()
 	head := clusterOfSize(reporttree.MinGateways, testMember("b", 0, 100), &now)
-	demand := func(n float32) []*syncpb.Demand { return []*syncpb.Demand{{Service: "a", Requests: n}} }
+	demand := func(n float32) []*syncpb.Demand { return []*syncpb.Demand{{Service: "a", Requests: n, Work: n / 4}} }
 	head.handleReport(&syncpb.SyncRequest{Member: testMember("b", 1, 100), Demands: demand(1)}, true)
 	head.handleReport(&syncpb.SyncRequest{Member: testMember("b", 2, 100), Demands: demand(2)}, true)
 	head.setParentDemands(demand(10))
-	own := map[string]float64{"a": 4}
-	if got := head.subtreeDemand(own)["a"]; got != 7 {
+	own := map[string]dispatch.Demand{"a": {Requests: 4, Work: 1}}
+	if got := head.subtreeDemand(own)["a"]; got != (dispatch.Demand{Requests: 7, Work: 1.75}) {
 		t.Errorf("reported to the leader: %v, want 1+2+4", got)
 	}
-	if got := head.demandExcept("b1", own)["a"]; got != 16 {
+	if got := head.demandExcept("b1", own)["a"]; got != (dispatch.Demand{Requests: 16, Work: 4}) {
 		t.Errorf("reported to a child: %v, want 2+4+10", got)
 	}
-	if got := head.demandExcept("b0", nil)["a"]; got != 13 {
+	if got := head.demandExcept("b0", nil)["a"]; got != (dispatch.Demand{Requests: 13, Work: 3.25}) {
 		t.Errorf("demand elsewhere is %v, want 1+2+10", got)
 	}
+	head.setParentDemands([]*syncpb.Demand{{Service: "a", Requests: float32(math.NaN())}, {Service: "a", Requests: 1, Work: -1}})
+	if got := head.demandExcept("b0", nil)["a"]; got != (dispatch.Demand{Requests: 3, Work: 0.75}) {
+		t.Errorf("demand elsewhere is %v with invalid messages, want 1+2", got)
+	}
 }
--- a/gateway/parse.go
+++ b/gateway/parse.go
@@ -60,7 +60,7 @@
 			return q, answer.New(answer.NoKey, "the request has no valid key")
 		}
 		q.key = key
-		q.traffic.recordKey(key)
+		q.traffic.recordKey(key, route.Name)
 	}
 	f.traffic.recordRequest(q.traffic)
 	return q, f.suspects.check(q)
--- a/gateway/peerserver.go
+++ b/gateway/peerserver.go
@@ -11,7 +11,6 @@
 	"github.com/rockcroft/rockcroft/coordination/worktime"
 	"github.com/rockcroft/rockcroft/protocol/syncpb"
 	"github.com/rockcroft/rockcroft/state/evacuation"
-	"github.com/rockcroft/rockcroft/state/spans"
 )
 
 // maxWait bounds how long the response to a report is delayed while there are no changes to send.
@@ -70,10 +69,7 @@
 // report.
 func (p *peerServer) forwardKeys(counts []*syncpb.KeyCounts) {
 	for _, c := range counts {
-		s := p.traffic.get(c.Service)
-		for _, key := range c.Keys {
-			s.recordKey(uint16(min(key, spans.MaxKey)))
-		}
+		p.traffic.get(c.Service).forwardKeys(decodeKeys(c))
 	}
 }
 
--- a/gateway/traffic.go
+++ b/gateway/traffic.go
@@ -52,7 +52,7 @@
 	dispatch *dispatch.Service
 	budget   *retry.WindowBudget
 	// keys are the keys requested since the last report.
-	keys []uint16
+	keys []keyRequest
 }
 
 func newTraffic(conf settings.Gateway, now func() time.Time, rng *rand.Rand) *traffic {
@@ -363,29 +363,37 @@
 	return s.budget.Remaining(t.now(), n)
 }
 
-// recordKey records a requested key for the next report.
-func (s *serviceTraffic) recordKey(key uint16) {
+// recordKey records a request of a route for a key, for the next report.
+func (s *serviceTraffic) recordKey(key uint16, route string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.keys) < maxReportedKeys {
-		s.keys = append(s.keys, key)
+		s.keys = append(s.keys, keyRequest{key: key, work: s.dispatch.RouteFactor(route)})
 	}
 }
 
+// forwardKeys records the requests that another gateway reported, for the next report.
+func (s *serviceTraffic) forwardKeys(requests []keyRequest) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.keys = append(s.keys, requests[:min(len(requests), max(maxReportedKeys-len(s.keys), 0))]...)
+}
+
 // localReport is this gateway's own part of a report to the leader.
 type localReport struct {
 	loads []*syncpb.Load
-	// demand is the rate of requests per second by service. limitedDemand is the part of it
-	// that would go to upstreams which announce a limit, by upstream.
-	demand, limitedDemand map[string]float64
-	// keys are the keys requested since the last report, by service.
-	keys map[string][]uint16
+	// demand is what this gateway is asked for, by service. limitedDemand is the part of the requests
+	// per second that would go to upstreams which announce a limit, by upstream.
+	demand        map[string]dispatch.Demand
+	limitedDemand map[string]float64
+	// keys are the requests for keys since the last report, by service.
+	keys map[string][]keyRequest
 }
 
 // takeReport returns the local report and clears the collected keys.
 func (t *traffic) takeReport() *localReport {
 	now := t.now()
-	r := &localReport{keys: make(map[string][]uint16), demand: make(map[string]float64), limitedDemand: make(map[string]float64)}
+	r := &localReport{keys: make(map[string][]keyRequest), demand: make(map[string]dispatch.Demand), limitedDemand: make(map[string]float64)}
 	for name, s := range t.all() {
 		s.mu.Lock()
 		r.loads = append(r.loads, loadMessages(s.dispatch.Loads(now))...)
@@ -412,7 +420,7 @@
 
 // applyReport applies what the other gateways reported, their demand by service and the
 // admission limits of hot keys.
-func (t *traffic) applyReport(report dispatch.ClusterReport, demand map[string]float64, limits admittedShares) {
+func (t *traffic) applyReport(report dispatch.ClusterReport, demand map[string]dispatch.Demand, limits admittedShares) {
 	t.setGateways(report.Gateways)
 	now := t.now()
 	for name, s := range t.all() {
