--- a/coordination/dispatch/request.go
+++ b/coordination/dispatch/request.go
@@ -176,8 +176,8 @@
 	// Rejected is the time since upstreams last had no room for another gateway's request, by upstream.
 	// Upstreams that are not listed have rejected none lately.
 	Rejected map[string]time.Duration
-	// Demand is the rate of requests that the other gateways receive, per second.
-	Demand float64
+	// Demand is what the other gateways are asked for.
+	Demand Demand
 	// Gateways is the number of all gateways, including this one.
 	Gateways int
 	// HotKeyAdmission is the fraction of requests that can be run, by key. For keys that are not
--- a/coordination/dispatch/service.go
+++ b/coordination/dispatch/service.go
@@ -86,9 +86,14 @@
 	gateways int
 	// demandFraction is this gateway's fraction of the service's demand.
 	demandFraction float64
-	// offered counts the requests since demandMeasuredAt. demand is their rate per second.
+	// offered counts the requests since demandMeasuredAt, offeredWork sums up their work as factors of
+	// the mean, and demand is the rate of both. meanWork is the time of a run of mean work, computed at
+	// meanWorkAt.
 	offered          int
-	demand           float64
+	offeredWork      float64
+	demand           Demand
+	meanWork         time.Duration
+	meanWorkAt       time.Time
 	demandMeasuredAt time.Time
 	demandSpan       time.Duration
 	// cold is what runs for keys marked cold have shown. The others count requests for them.
@@ -184,6 +189,7 @@
 	if !s.Disabled.NoRoutes {
 		req.route = s.routes.Get(req.Route)
 	}
+	s.offeredWork += req.route.Factor()
 	if s.typicalWorkTime == 0 {
 		s.typicalWorkTime = req.Objective / initialWorkTimeDivisor
 	}
