--- a/coordination/dispatch/choice.go
+++ b/coordination/dispatch/choice.go
@@ -192,7 +192,7 @@
 // report has lost its worth. With fewer requests a wider choice is a worse one: of 985 gateways with 1.3
 // requests a second each, 0.183 of the requests were late instead of 0.168 (the lab's pool-few).
 func (s *Service) candidatesOf(now time.Time, list []*listing) int {
-	if !s.pool.applies(now) || s.pool.load() >= wideLoad || s.demand*slownessHalfLife.Seconds() < wideCandidates {
+	if !s.pool.applies(now) || s.pool.load() >= wideLoad || s.demand.Requests*slownessHalfLife.Seconds() < wideCandidates {
 		return candidates
 	}
 	return max(candidates, min(wideCandidates, len(list)/wideListShare))
--- a/coordination/dispatch/choice_test.go
+++ b/coordination/dispatch/choice_test.go
@@ -22,7 +22,7 @@
 		"loaded uneven pool": {true, 20, 4, false},
 	} {
 		s := newPool(1, 30)[0]
-		s.demand = c.demand
+		s.demand.Requests = c.demand
 		if c.uneven {
 			reportLoad([]*Service{s}, start)
 		}
