--- a/coordination/dispatch/callers.go
+++ b/coordination/dispatch/callers.go
@@ -61,7 +61,8 @@
 		u := s.existingState(req.Owner)
 		return u != nil && u.queue.size == 0 && u.totalInFlight(now)+1 <= float64(u.Slots)
 	}
-	if s.queue.size > 0 {
+	if s.queue.size > 0 || !s.pool.allows(now) {
+		// A slot that seems free in a full pool is in the share of other gateways.
 		return false
 	}
 	best := s.lowestScore(now, req)
