--- a/coordination/dispatch/cold.go
+++ b/coordination/dispatch/cold.go
@@ -122,7 +122,7 @@
 	case !s.warmUpAllows(now, u):
 		return refused(WarmingUp)
 	}
-	u.demandMeter.Add()
+	s.recordArrival(u, req.Objective)
 	latency := s.coldLatency(now, u, req)
 	if !s.hasRoomForCold(now, u, req, latency) {
 		s.coldRefused++
--- a/coordination/dispatch/listing.go
+++ b/coordination/dispatch/listing.go
@@ -165,6 +165,10 @@
 		return
 	}
 	u.applyReport(s.reportedAt, s.lastReport)
+	if _, contended := s.lastReport.OwnerDemands[u.ID]; contended && u.sharedByMany() {
+		u.contendedAt = s.reportedAt
+		s.applyShare(s.reportedAt, u, s.lastReport)
+	}
 	u.rightUntil = s.lastReport.Rights[u.ID]
 	if !u.rightUntil.IsZero() {
 		s.warmingWithRight = append(s.warmingWithRight, u)
--- a/coordination/dispatch/report.go
+++ b/coordination/dispatch/report.go
@@ -72,6 +72,12 @@
 	// still send out of its share of the owner's room.
 	Part       float64
 	SavedShare float64
+	// ContendedOwners is the number of contended owners, OwnersByOdds how many of them get requests
+	// by odds. Odds is the probability with which a request to the owner is admitted in a report
+	// interval, zero if it is not by odds. OwnerDemand is the demand for the owner on all gateways, in
+	// requests a second, zero if unknown.
+	ContendedOwners, OwnersByOdds int
+	Odds, OwnerDemand             float64
 	// ColdFactor is how many times as long as usual requests for cold keys run.
 	ColdFactor float64
 	// LimitedUpstreams is the number of upstreams with a rate limit. Limit is the owner's limit,
@@ -111,6 +117,18 @@
 		if owner != "" && u.limit != nil {
 			e.Limit, e.TotalDemand = u.limit.PerSecond, u.totalDemand(now)
 		}
+		if u.contended(now) {
+			e.ContendedOwners++
+		}
+		if u.share.byOdds {
+			e.OwnersByOdds++
+		}
+		if owner != "" && u.share.byOdds {
+			e.Odds = u.share.odds
+		}
+		if others, known := s.lastReport.OwnerDemands[owner]; owner != "" && known {
+			e.OwnerDemand = others + s.demandFor(u)
+		}
 		if owner != "" {
 			e.RunTime = u.currentWorkTime(now, s.typicalWorkTime)
 			e.SavedShare = u.share.credit
--- a/coordination/dispatch/request.go
+++ b/coordination/dispatch/request.go
@@ -155,6 +155,9 @@
 	WorkTimes map[string]worktime.Estimate
 	// Demand is the rate of requests that the other gateways receive, per second.
 	Demand float64
+	// OwnerDemands are the rates of requests that the other gateways receive for contended owners,
+	// per second, by upstream. For owners that are not listed they are unknown.
+	OwnerDemands map[string]float64
 	// Gateways is the number of all gateways, including this one.
 	Gateways int
 	// HotKeyAdmission is the fraction of requests that can be run, by key. For keys that are not
--- a/coordination/dispatch/service.go
+++ b/coordination/dispatch/service.go
@@ -88,6 +88,10 @@
 	lastReport ClusterReport
 	reportedAt time.Time
 	limits     map[string]Limit
+	// ownerObjective is the mean objective of the requests for owners.
+	ownerObjective time.Duration
+	// reportInterval is the mean time between reports.
+	reportInterval time.Duration
 	// isEvacuated reports whether a failure domain is evacuated.
 	isEvacuated func(domain string) bool
 	// evacuationEndedAt is when the evacuation of a failure domain ended last.
@@ -113,6 +117,7 @@
 	s.gateways = max(report.Gateways, 1)
 	s.demandFraction = s.computeDemandFraction(report)
 	s.hotKeyAdmission, s.hotKeyAdmissionAt = report.HotKeyAdmission, now
+	s.observeReportInterval(now)
 	s.lastReport, s.reportedAt = report, now
 	s.dropIdleStates(now)
 	s.applyRights(now, report.Rights)
@@ -120,7 +125,7 @@
 	for _, u := range s.inUse {
 		u.gateways = s.gateways
 		u.applyReport(now, report)
-		u.share.applyReport(now, u.throughput(now, s.typicalWorkTime), s.demandFraction, u.totalInFlight(now), u.Slots)
+		s.applyShare(now, u, report)
 	}
 	s.rateAt = time.Time{}
 	s.grantWaiting(now)
@@ -141,7 +146,7 @@
 	if s.typicalWorkTime == 0 {
 		s.typicalWorkTime = req.Objective / initialWorkTimeDivisor
 	}
-	if req.Owner != "" && !req.Retry && s.rejectsHotKey(now, req.Key) {
+	if req.Owner != "" && !req.Retry && s.rejectsHotKey(now, req.Key) && !s.sharedByOdds(now, req.Owner) {
 		return refused(HotKey), true
 	}
 	if s.treatsAsCold(req) {
@@ -161,7 +166,7 @@
 		if u = s.upstream(now, req.Owner); u == nil {
 			return refused(NoUpstream), true
 		}
-		u.demandMeter.Add()
+		s.recordArrival(u, req.Objective)
 		if !s.withinLimit(now, req, u) {
 			return refused(Limited), true
 		}
--- a/coordination/dispatch/upstream.go
+++ b/coordination/dispatch/upstream.go
@@ -138,6 +138,13 @@
 	// upstream announced, or nil.
 	demandMeter quota.Meter
 	limit       *upstreamLimit
+	// arrivalRate is the rate of requests for the upstream as an owner, per second; arrivals counts
+	// those since arrivalsAt.
+	arrivalRate float64
+	arrivals    int
+	arrivalsAt  time.Time
+	// contendedAt is when the upstream, as an owner, last had as many requests as slots.
+	contendedAt time.Time
 	// queue holds the requests that wait for this upstream only.
 	queue queue
 }
@@ -258,9 +265,12 @@
 // to shares would send them to slower upstreams and other failure domains.
 func (u *Upstream) hasCapacity(now time.Time, typicalWorkTime, objective time.Duration, owner bool) bool {
 	inFlight := u.totalInFlight(now)
+	if owner {
+		inFlight = u.totalAtOwner(now)
+	}
 	slots := float64(u.Slots)
 	slotFree := inFlight+1 <= slots
-	if owner && !u.disabled.NoShares && !u.share.allows(now, u.throughput(now, typicalWorkTime), u.Slots, inFlight) {
+	if owner && !u.disabled.NoShares && !u.withinShare(now, typicalWorkTime, inFlight) {
 		return false
 	}
 	if u.ownInFlight == 0 && inFlight < slots {
@@ -273,6 +283,19 @@
 	return slotFree || u.expectedDelayBehind(now, inFlight, typicalWorkTime) <= maxDelay
 }
 
+// withinShare reports whether this gateway's share of the upstream allows one more request. An owner
+// with slots to spare needs no shares.
+func (u *Upstream) withinShare(now time.Time, typicalWorkTime time.Duration, inFlight float64) bool {
+	fresh := now.Sub(u.othersInFlightAt) <= maxReportAge
+	if !fresh {
+		u.share.endOdds(u.othersInFlightAt.Add(maxReportAge), u.gateways)
+	}
+	if fresh && !u.share.byOdds && u.sharedByMany() && !u.share.ownsSlots(u.Slots) {
+		return inFlight+1 <= targetLoad*float64(u.Slots)
+	}
+	return u.share.allows(now, u.throughput(now, typicalWorkTime), u.Slots, inFlight)
+}
+
 // usable reports whether the upstream appears to answer requests.
 func (u *Upstream) usable(now time.Time, typicalWorkTime time.Duration) bool {
 	if u.backoff > 0 && u.ownInFlight > 0 {
@@ -325,7 +348,7 @@
 	case Answered:
 		u.recordAnswer(now, grantedAt, typicalWorkTime)
 		if !g.Cold && !g.Warming {
-			u.observeWorkTime(now, now.Sub(grantedAt), inFlight)
+			u.observeWorkTime(now, now.Sub(grantedAt), u.inFlightDuring(now, inFlight))
 		}
 		u.failureRate -= failureWeight * u.failureRate
 		u.probing = u.probing && grantedAt.Before(u.notices.RestUntil)
@@ -334,6 +357,7 @@
 		u.failureRate += failureWeight * (1 - u.failureRate)
 		u.probing = u.probing && grantedAt.Before(u.notices.RestUntil)
 	case Overloaded, ConnectionBroken:
+		u.contendedAt = now
 		u.recordAnswer(now, now, typicalWorkTime)
 		u.failureRate += failureWeight * (1 - u.failureRate)
 		if inFlight+1 > float64(u.Slots) {
--- a/coordination/dispatch/waiting.go
+++ b/coordination/dispatch/waiting.go
@@ -48,6 +48,10 @@
 		return time.Duration(float64(ahead) / max(s.demandFraction*s.currentThroughput(now), minRate) * float64(time.Second))
 	}
 	rate := u.throughput(now, s.typicalWorkTime)
+	if u.share.byOdds && u.totalAtOwner(now)+1 <= float64(u.Slots) {
+		// With a free slot the next report raises the odds.
+		return u.share.interval
+	}
 	u.share.refill(now, rate)
 	return u.share.waitTime(float64(ahead+1), rate)
 }
--- a/gateway/assignmentsupervisor.go
+++ b/gateway/assignmentsupervisor.go
@@ -158,6 +158,7 @@
 	s.traffic.applyReport(dispatch.ClusterReport{
 		InFlight: s.cluster.inFlightElsewhere(), WorkTimes: s.workTimes.estimates(), Gateways: s.cluster.gatewayCount(),
 		Rights: heldRights(s.view.inst.Load(), rights, named, s.cluster.self.Node), Limits: s.limits.inForce(s.cluster.limitedDemandElsewhere),
+		OwnerDemands: s.cluster.ownerDemandElsewhere(),
 	}, elsewhere, decodeHotKeys(s.hotKeys.encode()))
 }
 
--- a/gateway/cluster.go
+++ b/gateway/cluster.go
@@ -74,6 +74,8 @@
 	// parentLimitedDemand is the rate of requests, per second, that the other gateways receive for
 	// upstreams that announce a limit, by upstream, as received from the parent.
 	parentLimitedDemand map[string]float64
+	// parentOwnerDemand is the same for contended owners of keys.
+	parentOwnerDemand map[string]float64
 	// expected is the number of gateways under the previous leader, some of which may not have
 	// reported yet. It applies until expectedUntil.
 	expected      int
@@ -98,7 +100,9 @@
 	// limitedDemand is the rate of requests, per second, that it receives for each upstream that
 	// announces a limit.
 	limitedDemand map[string]float64
-	followers     []*syncpb.Member
+	// ownerDemand is the same for contended owners of keys.
+	ownerDemand map[string]float64
+	followers   []*syncpb.Member
 	// followersDigest is the digest of followers as the gateway stated it; zero if it stated none.
 	followersDigest uint64
 }
@@ -145,7 +149,7 @@
 	if !leaderHeard || r.Member.Node == c.self.Node {
 		return
 	}
-	next := &child{Member: r.Member, since: c.now(), lastReport: c.now(), loads: r.Loads, demands: r.Demands, followers: r.Followers, followersDigest: r.FollowersDigest, limitedDemand: decodeLimitedDemand(r.Limits)}
+	next := &child{Member: r.Member, since: c.now(), lastReport: c.now(), loads: r.Loads, demands: r.Demands, followers: r.Followers, followersDigest: r.FollowersDigest, limitedDemand: decodeLimitedDemand(r.Limits), ownerDemand: decodeOwnerDemands(r.OwnerDemands)}
 	previous := c.children[r.Member.Node]
 	if previous != nil {
 		next.keepFrom(previous)
--- a/gateway/follower.go
+++ b/gateway/follower.go
@@ -178,6 +178,7 @@
 	f.cluster.setParentHotKeys(resp.HotKeys)
 	resp.Limits = f.validator.validLimits(sourceUpdate, resp.Limits)
 	f.cluster.setParentLimitedDemand(resp.Limits)
+	f.cluster.setParentOwnerDemand(f.validator.validOwnerDemands(sourceUpdate, resp.OwnerDemands))
 	f.limits.recordFromGateway(resp.Limits)
 	f.suspects.applyMessage(resp.Suspects)
 	f.quotas.apply(resp.TeamLimits)
@@ -216,6 +217,7 @@
 	f.traffic.applyReport(dispatch.ClusterReport{
 		InFlight: f.cluster.inFlightElsewhere(), WorkTimes: f.cluster.workTimesFromParent(), Gateways: gateways,
 		Rights: heldRights(f.view.inst.Load(), rights, named, self), Limits: f.limits.inForce(f.cluster.limitedDemandElsewhere),
+		OwnerDemands: f.cluster.ownerDemandElsewhere(),
 	}, f.cluster.demandExcept(self, nil), decodeHotKeys(f.cluster.parentHotKeys()))
 }
 
@@ -244,6 +246,7 @@
 	f.setOwnReport(own)
 	r.Demands = encodeDemands(f.cluster.subtreeDemand(own.demand))
 	r.Limits = f.limits.encode(func(upstream string) float64 { return f.cluster.subtreeLimitedDemand(own.limitedDemand, upstream) })
+	r.OwnerDemands = encodeOwnerDemands(f.cluster.subtreeOwnerDemand(own.ownerDemand))
 	r.Suspects = f.suspects.message()
 	r.TeamUses = f.quotas.takeUses()
 	f.cluster.addRuns(own.loads)
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -69,6 +69,8 @@
 		m.gauge(m.service(capacitySlots, name), int64(e.Slots))
 		m.gauge(m.service(capacityInFlight, name), int64(e.OwnInflight)+int64(e.OthersInflight))
 		m.gauge(m.service(capacityUsable, name), int64(e.Usable))
+		m.gauge(m.service(ownersContended, name), int64(e.ContendedOwners))
+		m.gauge(m.service(sharesByOdds, name), int64(e.OwnersByOdds))
 		m.gauge(m.service(budgetLeft, name), int64(g.traffic.retriesLeft(s)))
 	}
 }
--- a/gateway/meternames.go
+++ b/gateway/meternames.go
@@ -29,6 +29,8 @@
 	capacitySlots              = "room.{service}.slots"
 	capacityInFlight           = "room.{service}.in_flight"
 	capacityUsable             = "room.{service}.usable_upstreams"
+	ownersContended            = "room.{service}.contended_owners"
+	sharesByOdds               = "room.{service}.owners_by_odds"
 	coldGranted                = "cold.{service}.granted"
 	coldRefused                = "cold.{service}.refused"
 	coldAsUsual                = "cold.{service}.as_usual"
@@ -115,6 +117,8 @@
 	{capacitySlots, "requests", "slots of all known upstreams"},
 	{capacityInFlight, "requests", "in flight at the upstreams, from this gateway and as reported by the others"},
 	{capacityUsable, "upstreams", "that may currently get requests"},
+	{ownersContended, "upstreams", "owners of keys that had as many requests as slots in the last 3 s, according to this gateway"},
+	{sharesByOdds, "upstreams", "contended owners to which this gateway admits requests by odds, because its share is less than half a slot"},
 	{coldGranted, "requests", "for cold keys that were sent to the owner"},
 	{coldRefused, "requests", "refused because their key is cold and its owner has no room for that"},
 	{coldAsUsual, "requests", "for keys marked cold that were treated as any other, because runs have shown that the keys are not cold"},
--- a/gateway/peerserver.go
+++ b/gateway/peerserver.go
@@ -50,6 +50,7 @@
 	if r.WaitMs > 0 {
 		r.Loads = p.validator.filterLoads(r.Loads)
 		r.Limits = p.validator.validLimits(sourceReport, r.Limits)
+		r.OwnerDemands = p.validator.validOwnerDemands(sourceReport, r.OwnerDemands)
 		p.limits.recordFromGateway(r.Limits)
 		p.suspects.applyMessage(r.Suspects)
 		p.quotas.recordUses(r.TeamUses)
@@ -169,6 +170,7 @@
 	}
 	resp.Fleet = p.fleetMessage(r)
 	resp.Demands = encodeDemands(p.cluster.demandExcept(r.Member.Node, p.assignments.lastOwnReport().demand))
+	resp.OwnerDemands = encodeOwnerDemands(p.cluster.ownerDemandExcept(r.Member.Node, p.assignments.lastOwnReport().ownerDemand))
 	resp.Gateways = uint32(p.cluster.gatewayCount())
 	resp.HotKeys = p.hotKeyMessages()
 	resp.Limits = p.namedLimitMessages(r.Member.Node)
--- a/gateway/requestlog.go
+++ b/gateway/requestlog.go
@@ -37,7 +37,7 @@
 	}
 	e := f.traffic.explain(q.traffic, owner)
 	attrs = append(attrs, "service", q.service.Name, "upstreams", e.Upstreams, "usable", e.Usable, "waiting", e.Waiting,
-		"mine", e.OwnInflight, "hung", e.HungInflight, "part", e.Part, "saved", e.SavedShare, "others", int(e.OthersInflight), "others_age_ms", e.ReportAge.Milliseconds(), "slots", e.Slots, "limited", e.LimitedUpstreams, "limit", e.Limit, "wanted", e.TotalDemand, "work_ms", e.RunTime.Milliseconds(), "cold_factor", e.ColdFactor)
+		"mine", e.OwnInflight, "hung", e.HungInflight, "part", e.Part, "saved", e.SavedShare, "others", int(e.OthersInflight), "others_age_ms", e.ReportAge.Milliseconds(), "slots", e.Slots, "limited", e.LimitedUpstreams, "limit", e.Limit, "wanted", e.TotalDemand, "work_ms", e.RunTime.Milliseconds(), "cold_factor", e.ColdFactor, "odds", e.Odds, "owner_demand", e.OwnerDemand)
 	f.log.Warn("request not answered", attrs...)
 }
 
--- a/gateway/traffic.go
+++ b/gateway/traffic.go
@@ -377,6 +377,8 @@
 	// demand is the rate of requests per second by service. limitedDemand is the part of it
 	// that would go to upstreams which announce a limit, by upstream.
 	demand, limitedDemand map[string]float64
+	// ownerDemand is the part of demand for contended owners of keys, by upstream.
+	ownerDemand map[string]float64
 	// keys are the keys requested since the last report, by service.
 	keys map[string][]uint16
 }
@@ -384,12 +386,13 @@
 // takeReport returns the local report and clears the collected keys.
 func (t *traffic) takeReport() *localReport {
 	now := t.now()
-	r := &localReport{keys: make(map[string][]uint16), demand: make(map[string]float64), limitedDemand: make(map[string]float64)}
+	r := &localReport{keys: make(map[string][]uint16), demand: make(map[string]float64), limitedDemand: make(map[string]float64), ownerDemand: make(map[string]float64)}
 	for name, s := range t.all() {
 		s.mu.Lock()
 		r.loads = append(r.loads, loadMessages(s.dispatch.Loads(now))...)
 		r.demand[name] = s.dispatch.Demand(now)
 		maps.Copy(r.limitedDemand, s.dispatch.LimitedDemand(now))
+		maps.Copy(r.ownerDemand, s.dispatch.OwnerDemand(now))
 		if len(s.keys) > 0 {
 			r.keys[name] = s.keys
 			s.keys = nil
