--- a/bench/lab/control.go
+++ b/bench/lab/control.go
@@ -61,6 +61,8 @@
 	// request rate that it would send to each of these upstreams.
 	limits        *limits.Registry
 	limitedDemand []map[string]float64
+	// ownerDemand is the demand for contended owners.
+	ownerDemand *ownerDemands
 }
 
 // upstreamReport is a gateway's report about one upstream.
@@ -77,6 +79,7 @@
 		unownedKeys: make(map[string]*spans.UnownedTracker), lastMoved: make(map[string]map[uint16]time.Duration), coldUntil: make(map[string]map[uint16]time.Duration),
 	}
 	c.limits, c.limitedDemand = limits.NewRegistry(), make([]map[string]float64, sim.sc.Gateways)
+	c.ownerDemand = newOwnerDemands(sim.sc.Gateways)
 	c.assignments = warmup.NewAssignments(sim.now().Add(-warmup.RightDuration))
 	for i := range sim.sc.Services {
 		s := &sim.sc.Services[i]
--- a/bench/lab/delivery.go
+++ b/bench/lab/delivery.go
@@ -126,6 +126,9 @@
 	req.OnDecision = func(decision dispatch.Decision) { d.onDecision(req, decision) }
 	decision, decided := d.service.Offer(d.sim.now(), req)
 	g, r := decision.Grant, decision.Refusal
+	if decided && !hedge && d.keyed && r != 0 {
+		d.countRefusal(owner, r)
+	}
 	switch {
 	case !decided:
 		d.queued = req
@@ -163,6 +166,9 @@
 			d.service.Done(d.sim.now(), g, dispatch.Canceled)
 		case d.ended:
 		case !decision.Granted():
+			if d.keyed {
+				d.countRefusal(req.Owner, decision.Refusal)
+			}
 			d.refuseNoCapacity()
 		case req.Owner != "" && d.currentOwner() != req.Owner:
 			d.service.Done(d.sim.now(), g, dispatch.Canceled)
@@ -229,6 +235,22 @@
 	d.try.refuse(retryAfter)
 }
 
+// countRefusal counts a refusal by the dispatcher if the owner of the key is able and has a free slot: according
+// to the gateway's own estimate, and in fact.
+func (d *delivery) countRefusal(owner string, r dispatch.Refusal) {
+	u := d.sim.upstreamByID[owner]
+	if u == nil || u.silent || u.refusing || u.leaving || r == dispatch.NoUpstream || r == dispatch.OwnerUnresponsive || r == dispatch.Limited || r == dispatch.Leaving {
+		return
+	}
+	e := d.service.Explain(d.sim.now(), owner)
+	if float64(e.OwnInflight-e.HungInflight)+e.OthersInflight+1 <= float64(e.Slots) {
+		d.sim.tally.refusedWithFreeSlot++
+	}
+	if len(u.running) < u.service.Slots {
+		d.sim.tally.refusedAtIdleOwner++
+	}
+}
+
 // send starts an attempt at an upstream.
 func (d *delivery) send(g dispatch.Grant) {
 	a := &attempt{grant: g, run: &run{call: d.try.call, upstream: d.sim.upstreamByID[g.Instance.ID]}}
--- a/bench/lab/gateway.go
+++ b/bench/lab/gateway.go
@@ -82,6 +82,7 @@
 func (p *product) gatewayFailed(g int) {
 	lost := p.gateways[g]
 	p.sim.controller.applyReport(g, nil, nil, nil)
+	p.sim.controller.ownerDemand.set(g, nil)
 	open := lost.deliveries
 	lost.deliveries = nil
 	for _, d := range open {
@@ -103,6 +104,7 @@
 	g.deliveries = append(g.deliveries, d)
 	g.budget[d.route.Service].RecordRequest(p.sim.now())
 	if d.keyed {
+		p.sim.tally.keyedTries++
 		g.keys[d.route.Service] = append(g.keys[d.route.Service], t.call.key)
 	}
 	p.sim.after(d.deadline-p.sim.elapsed, d.onTimeout)
@@ -130,15 +132,18 @@
 			loads[l.Instance] = upstreamReport{inflight: l.Inflight, runs: l.Runs}
 		}
 	}
-	limitedDemand := make(map[string]float64)
+	limitedDemand, ownerDemand := make(map[string]float64), make(map[string]float64)
 	for _, name := range g.serviceNames {
 		maps.Copy(limitedDemand, g.dispatch[name].LimitedDemand(g.sim.now()))
+		maps.Copy(ownerDemand, g.dispatch[name].OwnerDemand(g.sim.now()))
 	}
 	keys := g.keys
 	g.keys = make(map[string][]uint16)
 	g.sim.after(g.sim.hopDelay(), func() {
 		g.sim.controller.applyReport(g.index, loads, demand, keys)
 		g.sim.controller.limitedDemand[g.index] = limitedDemand
+		g.sim.controller.ownerDemand.set(g.index, ownerDemand)
+		ownerDemands := g.sim.controller.ownerDemand.othersThan(g.index)
 		otherLimitedDemand := g.sim.controller.otherLimitedDemand(g.index)
 		others := g.sim.controller.otherReports(g.index)
 		inflight := make(map[string]float64, len(others))
@@ -154,7 +159,7 @@
 			for _, name := range g.serviceNames {
 				g.dispatch[name].ApplyReport(g.sim.now(), dispatch.ClusterReport{
 					InFlight: inflight, WorkTimes: workEstimates, Demand: otherDemand[name], Gateways: g.sim.sc.Gateways, HotKeyAdmission: admission[name], Rights: rights,
-					Limits: limits,
+					Limits: limits, OwnerDemands: ownerDemands,
 				})
 			}
 		})
--- a/bench/lab/result.go
+++ b/bench/lab/result.go
@@ -61,6 +61,13 @@
 	CrossDomain float64 `json:"crossed"`
 	// FullUpstream counts requests that reached an upstream without a free slot or queue place.
 	FullUpstream int `json:"full"`
+	// OwnerRejections is the share of the arrivals at owners of keys for which the owner had no slot
+	// or queue place. RefusedWithFreeSlot is the share of the tries for services with keys that were
+	// refused although the gateway's estimate showed a free slot at the owner, RefusedAtIdleOwner of
+	// those refused while the owner had one.
+	OwnerRejections     float64 `json:"rejected_by_owners"`
+	RefusedWithFreeSlot float64 `json:"refused_with_free_slot"`
+	RefusedAtIdleOwner  float64 `json:"refused_at_idle_owner"`
 	// WarmUpFailures counts upstreams that failed from overload while they were warming up.
 	WarmUpFailures int `json:"fell"`
 	// PeakOverLimit is the highest ratio of the requests that reached an upstream to those that its
@@ -130,6 +137,9 @@
 
 func (sim *simulation) result(p Policy, seed uint64) *Result {
 	r := &Result{Scenario: sim.sc.Name, Policy: p, Seed: seed, FullUpstream: sim.tally.fullUpstream, CrossDomain: float64(sim.tally.crossDomain) / float64(max(sim.tally.sent, 1))}
+	r.OwnerRejections = float64(sim.tally.ownerRejections) / float64(max(sim.tally.ownerArrivals, 1))
+	r.RefusedWithFreeSlot = float64(sim.tally.refusedWithFreeSlot) / float64(max(sim.tally.keyedTries, 1))
+	r.RefusedAtIdleOwner = float64(sim.tally.refusedAtIdleOwner) / float64(max(sim.tally.keyedTries, 1))
 	r.WarmUpFailures, r.PeakOverLimit = sim.tally.warmUpFailures, sim.tally.peakOverLimit
 	r.Moved, r.Plans = float64(sim.tally.movedKeys)/(spans.MaxKey+1), sim.tally.plans
 	worth, possible := 0.0, 0.0
--- a/bench/lab/tally.go
+++ b/bench/lab/tally.go
@@ -25,6 +25,11 @@
 	routes map[string]*routeTally
 	// fullUpstream counts requests that reached an upstream without a free slot or queue place.
 	fullUpstream int
+	// ownerArrivals counts requests that reached the owner of a key, ownerRejections those of them
+	// for which it had no slot or queue place. keyedTries counts tries for services with keys,
+	// refusedWithFreeSlot those refused although the gateway's estimate showed a free slot at the
+	// owner, and refusedAtIdleOwner those refused while the owner had one.
+	ownerArrivals, ownerRejections, keyedTries, refusedWithFreeSlot, refusedAtIdleOwner int
 	// peakOverLimit is the highest ratio, within a window, of the requests that reached an upstream
 	// to those that its named limit allows.
 	peakOverLimit float64
--- a/bench/lab/upstream.go
+++ b/bench/lab/upstream.go
@@ -97,6 +97,9 @@
 // receive handles a request from a gateway.
 func (u *upstream) receive(r *run) {
 	u.recordArrival()
+	if u.service.Keyed {
+		u.sim.tally.ownerArrivals++
+	}
 	switch {
 	case r.ended || u.silent:
 		return
@@ -119,6 +122,9 @@
 // rejectFull handles a request for which there is no slot or queue place, according to WhenFull.
 func (u *upstream) rejectFull(r *run) {
 	u.sim.tally.fullUpstream++
+	if u.service.Keyed {
+		u.sim.tally.ownerRejections++
+	}
 	switch u.service.WhenFull {
 	case FullRefuses:
 		u.respond(r, dispatch.Overloaded)
