--- a/bench/lab/control.go
+++ b/bench/lab/control.go
@@ -64,6 +64,8 @@
 	limitedDemand []map[string]float64
 	// rejectedAt is when each upstream last rejected a request, as reported.
 	rejectedAt map[string]time.Duration
+	// ownerDemand is the demand for contended owners.
+	ownerDemand *ownerDemands
 }
 
 // upstreamReport is a gateway's report about one upstream.
@@ -83,6 +85,7 @@
 	}
 	c.rejectedAt = make(map[string]time.Duration)
 	c.limits, c.limitedDemand = limits.NewRegistry(), make([]map[string]float64, sim.sc.Gateways)
+	c.ownerDemand = newOwnerDemands(sim.sc.Gateways)
 	c.assignments = warmup.NewAssignments(sim.now().Add(-warmup.RightDuration))
 	for i := range sim.sc.Services {
 		s := &sim.sc.Services[i]
--- a/bench/lab/upstream.go
+++ b/bench/lab/upstream.go
@@ -102,6 +102,9 @@
 func (u *upstream) receive(r *run) {
 	u.recordArrival()
 	u.arrived++
+	if u.service.Keyed {
+		u.sim.tally.ownerArrivals++
+	}
 	switch {
 	case r.ended || u.silent:
 		return
@@ -125,6 +128,9 @@
 func (u *upstream) rejectFull(r *run) {
 	u.sim.tally.fullUpstream++
 	u.rejected++
+	if u.service.Keyed {
+		u.sim.tally.ownerRejections++
+	}
 	switch u.service.WhenFull {
 	case FullRefuses:
 		u.respond(r, dispatch.Overloaded)
--- a/coordination/dispatch/callers.go
+++ b/coordination/dispatch/callers.go
@@ -40,13 +40,13 @@
 }
 
 // exceedsCallerShare reports whether the request is refused because its caller has more than its share
-// of an overloaded owner or pool. A request for which a slot is free is never refused for that. For a
-// hot key the odds of admission depend on the share already.
+// of an overloaded owner or pool. A request for which a slot is free is never refused for that. Where a
+// hot key is limited, the odds of admission depend on the share already.
 func (s *Service) exceedsCallerShare(now time.Time, req *Request) bool {
 	if req.room == nil || !req.room.Overloaded(now) {
 		return false
 	}
-	if _, hot := s.hotKeyLimit(now, req); hot || !req.room.Exceeds(now, req.Caller, s.rng.Float64()) || s.slotFree(now, req) {
+	if s.limitedByHotKey(now, req) || !req.room.Exceeds(now, req.Caller, s.rng.Float64()) || s.slotFree(now, req) {
 		return false
 	}
 	req.room.Shed(now)
@@ -54,6 +54,16 @@
 	return true
 }
 
+// limitedByHotKey reports whether the limit of a hot key decides about the request.
+func (s *Service) limitedByHotKey(now time.Time, req *Request) bool {
+	_, hot := s.hotKeyLimit(now, req)
+	if !hot {
+		return false
+	}
+	u := s.existingState(req.Owner)
+	return u == nil || !u.sharedByOdds(now)
+}
+
 // slotFree reports whether an upstream that could run the request has a free slot for which nothing
 // waits.
 func (s *Service) slotFree(now time.Time, req *Request) bool {
--- a/coordination/dispatch/poolroom.go
+++ b/coordination/dispatch/poolroom.go
@@ -122,7 +122,7 @@
 		// One upstream that is lost or reports too much must not hold back requests for the others.
 		p.inFlight += min(inFlight, maxInFlightPerSlot*float64(l.Slots))
 	}
-	p.share.applyReport(now, p.rate, s.demandFraction, p.shareLoad(), p.slots)
+	p.share.applyReport(now, shareReport{rate: p.rate, slots: p.slots, fraction: s.demandFraction, inFlight: p.shareLoad()})
 }
 
 // targetOf returns how many requests all gateways together aim to have at an upstream of a full pool.
--- a/coordination/dispatch/request.go
+++ b/coordination/dispatch/request.go
@@ -178,6 +178,9 @@
 	Rejected map[string]time.Duration
 	// Demand is what the other gateways are asked for.
 	Demand Demand
+	// OwnerDemands are the rates of requests that the other gateways receive for contended owners,
+	// per second, by upstream. For owners that are not listed they are unknown.
+	OwnerDemands map[string]float64
 	// Gateways is the number of all gateways, including this one.
 	Gateways int
 	// HotKeyAdmission is the fraction of requests that can be run, by key. For keys that are not
--- a/coordination/dispatch/service.go
+++ b/coordination/dispatch/service.go
@@ -111,6 +111,10 @@
 	lastReport ClusterReport
 	reportedAt time.Time
 	limits     map[string]Limit
+	// ownerObjective is the mean objective of the requests for owners.
+	ownerObjective time.Duration
+	// reportInterval is the mean time between reports.
+	reportInterval time.Duration
 	// isEvacuated reports whether a failure domain is evacuated.
 	isEvacuated func(domain string) bool
 	// evacuationEndedAt is when the evacuation of a failure domain ended last.
@@ -144,6 +148,7 @@
 	s.gateways = max(report.Gateways, 1)
 	s.demandFraction = s.computeDemandFraction(report)
 	s.hotKeyAdmission, s.hotKeyAdmissionAt = report.HotKeyAdmission, now
+	s.observeReportInterval(now)
 	s.lastReport, s.reportedAt = report, now
 	s.dropIdleStates(now)
 	s.applyRights(now, report.Rights)
@@ -151,7 +156,7 @@
 	for _, u := range s.inUse {
 		u.gateways = s.gateways
 		u.applyReport(now, report)
-		u.share.applyReport(now, u.throughput(now, s.typicalWorkTime), s.demandFraction, u.totalInFlight(now), u.Slots)
+		s.applyShare(now, u, report)
 	}
 	if len(report.Rejected) > 0 {
 		s.learnRejections(now, report.Rejected)
@@ -220,7 +225,7 @@
 		if u = s.upstream(now, req.Owner); u == nil {
 			return refused(NoUpstream), true
 		}
-		u.demandMeter.Add()
+		s.recordArrival(u, req.Objective)
 		if !s.withinLimit(now, req, u) {
 			return refused(Limited), true
 		}
@@ -249,7 +254,19 @@
 // and it broke the connections of requests that it could not queue.
 func (s *Service) rejectsHotKey(now time.Time, req *Request) bool {
 	admission, hot := s.hotKeyLimit(now, req)
-	return hot && s.rng.Float64() >= admission*s.callerOdds(now, req)
+	if !hot || s.rng.Float64() < admission*s.callerOdds(now, req) {
+		return false
+	}
+	u := s.upstream(now, req.Owner)
+	switch {
+	case u == nil:
+		return true
+	case u.sharedByOdds(now):
+		return false
+	}
+	// The odds would else be those of the requests that this limit lets through.
+	u.arrivals++
+	return true
 }
 
 // hotKeyLimit returns the fraction of the requests for a hot key that can be run, and whether the
@@ -274,7 +291,7 @@
 		best = s.chooseUpstream(now, req)
 		// The bound must not decide where the request goes: if gateways looked on for an upstream within
 		// it, all of them would send to the few that seem free, and fill those.
-		if best != nil && bound < req.maxDelay && !best.answersWithin(now, s.typicalWorkTime, req, bound) {
+		if best != nil && bound < req.maxDelay && !best.answersWithin(now, s.typicalWorkTime, req, best.totalInFlight(now), bound) {
 			best = nil
 		}
 	}
--- a/coordination/dispatch/upstream.go
+++ b/coordination/dispatch/upstream.go
@@ -145,6 +145,13 @@
 	// upstream announced, or nil.
 	demandMeter quota.Meter
 	limit       *upstreamLimit
+	// arrivalRate is the rate of requests for the upstream as an owner, per second; arrivals counts
+	// those since arrivalsAt.
+	arrivalRate float64
+	arrivals    int
+	arrivalsAt  time.Time
+	// contendedAt is when the upstream, as an owner, last had as many requests as slots.
+	contendedAt time.Time
 	// queue holds the requests that wait for this upstream only.
 	queue queue
 	// retryTimes are the times to come back for refused requests for keys that the upstream owns.
@@ -281,8 +288,11 @@
 // to shares would send them to slower upstreams and other failure domains.
 func (u *Upstream) hasCapacity(now time.Time, typicalWorkTime time.Duration, req *Request, owner bool) bool {
 	inFlight := u.totalInFlight(now)
+	if owner {
+		inFlight = u.totalAtOwner(now)
+	}
 	slots := float64(u.Slots)
-	if owner && !u.disabled.NoShares && !u.share.allows(now, u.throughput(now, typicalWorkTime), u.Slots, inFlight) {
+	if owner && !u.disabled.NoShares && !u.withinShare(now, typicalWorkTime, inFlight) {
 		return false
 	}
 	if u.ownInFlight == 0 && inFlight < slots {
@@ -291,16 +301,28 @@
 	if now.Before(u.overloadedUntil) || inFlight+1 > maxInFlightPerSlot*slots {
 		return false
 	}
-	return u.answersWithin(now, typicalWorkTime, req, req.maxDelay)
+	return u.answersWithin(now, typicalWorkTime, req, inFlight, req.maxDelay)
 }
 
-// answersWithin reports whether the upstream has a free slot or probably answers one more request within
-// the given time.
-func (u *Upstream) answersWithin(now time.Time, typicalWorkTime time.Duration, req *Request, most time.Duration) bool {
-	inFlight := u.totalInFlight(now)
+// answersWithin reports whether the upstream, with the given number of requests in flight, has a free slot
+// or probably answers one more request within the given time.
+func (u *Upstream) answersWithin(now time.Time, typicalWorkTime time.Duration, req *Request, inFlight float64, most time.Duration) bool {
 	return inFlight+1 <= float64(u.Slots) || u.expectedDelayBehind(now, inFlight, typicalWorkTime, req.route.Factor()) <= most
 }
 
+// withinShare reports whether this gateway's share of the upstream allows one more request. An owner
+// with slots to spare needs no shares.
+func (u *Upstream) withinShare(now time.Time, typicalWorkTime time.Duration, inFlight float64) bool {
+	fresh := now.Sub(u.othersInFlightAt) <= maxReportAge
+	if !fresh {
+		u.share.endOdds(u.othersInFlightAt.Add(maxReportAge), u.gateways)
+	}
+	if fresh && !u.share.byOdds && u.sharedByMany() && !u.share.ownsSlots(u.Slots) {
+		return inFlight+1 <= targetLoad*float64(u.Slots)
+	}
+	return u.share.allows(now, u.throughput(now, typicalWorkTime), u.Slots, inFlight)
+}
+
 // usable reports whether the upstream appears to answer requests.
 func (u *Upstream) usable(now time.Time, typicalWorkTime time.Duration) bool {
 	if u.backoff > 0 && u.ownInFlight > 0 {
@@ -353,7 +375,7 @@
 	case Answered:
 		u.recordAnswer(now, grantedAt, typicalWorkTime)
 		if !g.Cold && !g.Warming {
-			u.observeWorkTime(now, now.Sub(grantedAt), inFlight, g.route, typicalWorkTime)
+			u.observeWorkTime(now, now.Sub(grantedAt), u.inFlightDuring(now, inFlight), g.route, typicalWorkTime)
 		}
 		u.failureRate -= failureWeight * u.failureRate
 		u.probing = u.probing && grantedAt.Before(u.notices.RestUntil)
@@ -362,6 +384,7 @@
 		u.failureRate += failureWeight * (1 - u.failureRate)
 		u.probing = u.probing && grantedAt.Before(u.notices.RestUntil)
 	case Overloaded, ConnectionBroken:
+		u.contendedAt = now
 		u.recordAnswer(now, now, typicalWorkTime)
 		u.failureRate += failureWeight * (1 - u.failureRate)
 		if inFlight+1 > float64(u.Slots) {
--- a/coordination/dispatch/waiting.go
+++ b/coordination/dispatch/waiting.go
@@ -54,6 +54,10 @@
 		return time.Duration(ahead / rate * float64(time.Second))
 	}
 	rate := u.throughput(now, s.typicalWorkTime)
+	if u.share.byOdds && u.totalAtOwner(now)+1 <= float64(u.Slots) {
+		// With a free slot the next report raises the odds.
+		return u.share.interval
+	}
 	u.share.refill(now, rate)
 	return u.share.waitTime(ahead/s.routes.Mix()+1, rate)
 }
--- a/gateway/traffic.go
+++ b/gateway/traffic.go
@@ -418,6 +418,8 @@
 	// per second that would go to upstreams which announce a limit, by upstream.
 	demand        map[string]dispatch.Demand
 	limitedDemand map[string]float64
+	// ownerDemand is the part of demand for contended owners of keys, by upstream.
+	ownerDemand map[string]float64
 	// keys are the requests for keys since the last report, by service.
 	keys map[string][]keyRequest
 }
@@ -425,12 +427,13 @@
 // takeReport returns the local report and clears the collected keys.
 func (t *traffic) takeReport() *localReport {
 	now := t.now()
-	r := &localReport{keys: make(map[string][]keyRequest), demand: make(map[string]dispatch.Demand), limitedDemand: make(map[string]float64)}
+	r := &localReport{keys: make(map[string][]keyRequest), demand: make(map[string]dispatch.Demand), limitedDemand: make(map[string]float64), ownerDemand: make(map[string]float64)}
 	for name, s := range t.all() {
 		s.mu.Lock()
 		r.loads = append(r.loads, loadMessages(s.dispatch.Loads(now))...)
 		r.demand[name] = s.dispatch.Demand(now)
 		maps.Copy(r.limitedDemand, s.dispatch.LimitedDemand(now))
+		maps.Copy(r.ownerDemand, s.dispatch.OwnerDemand(now))
 		if len(s.keys) > 0 {
 			r.keys[name] = s.keys
 			s.keys = nil
