--- a/coordination/dispatch/ownerdemand.go
+++ b/coordination/dispatch/ownerdemand.go
@@ -50,15 +50,15 @@
 	s.reportInterval += time.Duration(reportIntervalWeight * float64(interval-s.reportInterval))
 }
 
-// OwnerDemand returns this gateway's demand for each contended owner, in requests a second. A request
-// that waits counts once per report, because it asks for a slot again. It must be called once per
+// OwnerDemand returns this gateway's demand for each contended owner that is shared by many gateways, in
+// requests a second; fewer gateways need no demand to share it. A request that waits counts once per report, because it asks for a slot again. It must be called once per
 // report, after LimitedDemand.
 func (s *Service) OwnerDemand(now time.Time) map[string]float64 {
 	var out map[string]float64
 	for _, u := range s.inUse {
 		u.measureArrivals(now)
 		demand := s.demandFor(u)
-		if !u.contended(now) || demand <= 0 {
+		if !u.contended(now) || !u.sharedByMany() || demand <= 0 {
 			continue
 		}
 		if out == nil {
