--- a/coordination/callers/room.go
+++ b/coordination/callers/room.go
@@ -9,9 +9,9 @@
 	// roomHalfLife is the time after which a refusal counts half. One gateway of many gets a request for
 	// an owner only every few seconds.
 	roomHalfLife = 5 * time.Second
-	// overloadMemory is how long after the last refusal there still is an overload. With 1 s, the requests of
-	// callers above their shares were let in again and again (lab, greedy-caller: worth 0.668 instead of
-	// 0.679).
+	// overloadMemory is how long after the last refusal there still is an overload. It is
+	// longer than the pauses between refusals that the shares themselves bring about: else the requests of
+	// callers above their shares would be let in again and again.
 	overloadMemory = 2 * time.Second
 	// minRefused is the number of recent refusals for lack of room below which there is no overload.
 	minRefused = 1.5
@@ -27,7 +27,8 @@
 )
 
 // Room divides the room of one owner or pool. It counts callers from the first overload on until half a
-// minute after the last one, so that only overloaded owners take memory. The zero value is ready for use. It is not safe for concurrent use.
+// minute after the last one, so that only overloaded owners take memory. The zero value is ready for
+// use. It is not safe for concurrent use.
 type Room struct {
 	// refused counts refusals for lack of room and decays. The last one was at refusedAt.
 	refused              float64
--- a/coordination/callers/shares.go
+++ b/coordination/callers/shares.go
@@ -18,8 +18,7 @@
 	// maxWeight is the weight of a new request from which on all counts are scaled down.
 	maxWeight = 1 << 20
 	// minExcess is how many times as many requests as the mean a caller must have for its share to apply. If
-	// callers with as many as others are refused as well, more room goes unused (lab, greedy-caller
-	// without greedy callers: 0.722 of the lookups served instead of 0.731).
+	// callers with as many as others were refused as well, room would go unused.
 	minExcess = 1.5
 	// minGrants is the lowest share that grants are compared with: a caller without a recent grant is
 	// within it.
--- a/coordination/dispatch/choice.go
+++ b/coordination/dispatch/choice.go
@@ -20,8 +20,7 @@
 	candidates = 2
 	// wideCandidates is the number for an uneven pool below wideLoad, while the ones found so far are busy
 	// or slow, but at most one of wideListShare in a list: gateways that compare most of the upstreams
-	// choose the same ones (payments of the lab's shared-machines, 10 upstreams: 0.83 in time instead of
-	// 0.85). wideLoad is a fraction of the requests in a full pool.
+	// choose the same ones. wideLoad is a fraction of the requests in a full pool.
 	wideCandidates = 4
 	wideListShare  = 6
 	wideLoad       = 0.4
@@ -189,8 +188,7 @@
 
 // candidatesOf returns how many good upstreams of a list are compared. More than usual help in an uneven
 // pool if this gateway receives so many requests that each of them reports its load again before the last
-// report has lost its worth. With fewer requests a wider choice is a worse one: of 985 gateways with 1.3
-// requests a second each, 0.183 of the requests were late instead of 0.168 (the lab's pool-few).
+// report has lost its worth. With fewer requests a wider choice goes by outdated loads.
 func (s *Service) candidatesOf(now time.Time, list []*listing) int {
 	if !s.pool.applies(now) || s.pool.load() >= wideLoad || s.demand.Requests*slownessHalfLife.Seconds() < wideCandidates {
 		return candidates
--- a/coordination/dispatch/kinds.go
+++ b/coordination/dispatch/kinds.go
@@ -15,7 +15,8 @@
 
 const (
 	// lesserDelayShare bounds the expected delay at an upstream for a request, as a share of the
-	// objective of any more important kind. In the lab 0.4 to 0.8 came to the same worth and 1 to less.
+	// objective of any more important kind. The rest of the
+	// objective is for run times above the mean.
 	lesserDelayShare = 0.6
 	// starvedShare is the bound of importance: a kind that is granted less often than this share of a more
 	// important one goes first until it is not.
--- a/coordination/dispatch/poolroom.go
+++ b/coordination/dispatch/poolroom.go
@@ -12,15 +12,13 @@
 	// unevenFor is how long a pool counts as uneven after an upstream has reported its load or rejected
 	// a request. Bursts of demand are some seconds apart.
 	unevenFor = 5 * time.Second
-	// sharedLoad is the number of requests per slot in the whole pool from which each gateway keeps to
-	// its share. Requests come at random, so shares leave room unused that a gateway without requests
-	// has: from a load of 1.0 on, 0.73 of the payments of the lab's shared-machines (10 upstreams, 74
-	// gateways) were in time, and 0.80 without shares.
+	// sharedLoad is the fraction of the requests in a full pool from which each gateway keeps to its
+	// share. Requests come at random, so shares leave room unused that a gateway without requests has.
+	// At lower loads that costs more than the rejections that the shares prevent.
 	sharedLoad = 0.85
-	// drawLoad is the number of requests per slot in the whole pool from which upstreams are drawn by
-	// their room instead of compared. Below it, the few upstreams that a gateway prefers have room, and
-	// their reported loads are worth more than a wider choice: drawn from 0.5 requests per slot on, 0.16
-	// of the requests were late in the lab's pool-62, and 0.07 compared.
+	// drawLoad is the fraction of the requests in a full pool from which upstreams are drawn by their room
+	// instead of compared. Below it, the few upstreams that a gateway prefers have room, and their reported
+	// loads are worth more than a wider choice.
 	drawLoad = 0.75
 	// draws is how many upstreams of each list are drawn for a request, from the first drawRange of the
 	// gateway's order, so that the gateway deals with a bounded number of them.
--- a/coordination/dispatch/rejections.go
+++ b/coordination/dispatch/rejections.go
@@ -5,8 +5,8 @@
 // This file learns from rejections how many requests an upstream of a full pool may have. Upstreams differ
 // in the length of their queues, and gateways estimate the requests at an upstream from reports that are
 // some hundred milliseconds old. The bound lowers the upstream's part of the pool's room (poolroom.go). It
-// does not exclude the upstream: then fewer upstreams show room, and more requests come to each of those
-// (0.036 of the arrivals rejected in the lab's pool-downloads instead of 0.017).
+// does not exclude the upstream: then fewer upstreams would show room, and more requests would come to each
+// of those.
 
 const (
 	// rejectionInterval is the time in which rejections count as one: about the time until all gateways
--- a/coordination/dispatch/retryafter.go
+++ b/coordination/dispatch/retryafter.go
@@ -9,10 +9,8 @@
 // This file computes when refused callers should come back.
 
 // usefulRuns is the number of mean runs for which a caller that comes back must have time until its
-// response is late. Run times have long tails: with 1, callers came back within their objective and
-// were answered late (lab, overload: worth 0.768 instead of 0.799). With 3, they came back too soon
-// and more of them were refused again (refused-again with one retry: 0.047 instead of 0.041 of the
-// lookups).
+// response is late. Run times have long tails: with less time, callers come back within their objective
+// and are answered late. With more, they come back too soon and are refused again.
 const usefulRuns = 2.5
 
 // RetryAfter returns the time after which the caller of a request that found no room should come back.
--- a/coordination/dispatch/share.go
+++ b/coordination/dispatch/share.go
@@ -27,8 +27,8 @@
 	// drainGain is the fraction of a surplus that odds correct in one report interval. Reports are up
 	// to two intervals old, and an owner has finished much of a surplus by then. A lack is corrected
 	// by correctionGain, or by freeSlotGain while the report shows a free slot or nearly one: by the
-	// time that the correction shows, as much again has been finished. With a freeSlotGain of 1, 0.2
-	// of 100 requests were refused at owners with a free slot instead of 0.02.
+	// time that the correction shows, as much again has been finished. With a lower
+	// freeSlotGain, requests are refused while slots are free.
 	drainGain    = 0.25
 	freeSlotGain = 2.0
 	// An owner with less than minInFlight requests per slot gets at least twice the former odds, and
--- a/coordination/retryafter/retryafter.go
+++ b/coordination/retryafter/retryafter.go
@@ -16,8 +16,7 @@
 	// minRate keeps the interval between two places finite, in places per second.
 	minRate = 0.01
 	// spread is the part of the longest useful time over which the callers without a place come back.
-	// With 0.8 they come back sooner and more of them are refused again (lab, refused-again with one
-	// retry: 0.045 instead of 0.041 of the lookups).
+	// Spread over more of it, they come back sooner and more of them are refused again.
 	spread = 0.3
 )
 
