--- a/gateway/traffic.go
+++ b/gateway/traffic.go
@@ -2,19 +2,16 @@
 
 import (
 	"context"
-	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/rockcroft/rockcroft/coordination/dispatch"
 	"github.com/rockcroft/rockcroft/coordination/notice"
-	"github.com/rockcroft/rockcroft/coordination/patience"
 	"github.com/rockcroft/rockcroft/coordination/retry"
 	"github.com/rockcroft/rockcroft/coordination/warmup"
 	"github.com/rockcroft/rockcroft/coordination/worktime"
 	"github.com/rockcroft/rockcroft/protocol/answer"
-	"github.com/rockcroft/rockcroft/protocol/syncpb"
 	"github.com/rockcroft/rockcroft/state/evacuation"
 	"github.com/rockcroft/rockcroft/state/instances"
 	"github.com/rockcroft/rockcroft/state/routing"
@@ -27,8 +24,6 @@
 	// retryBudgetFraction is the fraction of the retry budget that is used. The rest is a
 	// margin, because gateways count the same window at slightly different times.
 	retryBudgetFraction = 0.9
-	// maxReportedKeys bounds the keys that are collected for one report.
-	maxReportedKeys = 512
 )
 
 // traffic makes the dispatch decisions for all services of one gateway. It is safe for
@@ -268,77 +263,6 @@
 	return s.dispatch.RetryPlaces()
 }
 
-// refusalAnswer returns the error for a refusal, or nil if the request was not refused.
-func (t *traffic) refusalAnswer(s *serviceTraffic, req *dispatch.Request, d dispatch.Decision) error {
-	if d.Granted() {
-		return nil
-	}
-	if d.Refusal != dispatch.Resting {
-		return refusalError(d)
-	}
-	left := t.restRemaining(s, req)
-	if req.Owner != "" {
-		// If an owner rests for longer than that, its keys are moved.
-		left = min(left, patience.RetryAfterMovingKey())
-	}
-	err := answer.New(answer.Overloaded, "all that could run it want nothing more for a while")
-	err.RetryAfter = patience.RetryAfterRest(left, t.randomFraction())
-	return err
-}
-
-// refusalError returns the error for a refusal, with the time after which the caller should retry.
-func refusalError(d dispatch.Decision) error {
-	err := refusalKind(d.Refusal)
-	err.RetryAfter = d.RetryAfter
-	if err.RetryAfter == 0 {
-		err.RetryAfter = defaultRetryAfter(d.Refusal)
-	}
-	return err
-}
-
-// refusalKind returns the error for a reason.
-func refusalKind(r dispatch.Refusal) *answer.Error {
-	switch r {
-	case dispatch.NoUpstream:
-		return answer.New(answer.NoOwner, "no upstream is known that could run it")
-	case dispatch.OwnerUnresponsive:
-		return answer.New(answer.NoOwner, "the owner of the key does not answer")
-	case dispatch.Evacuated:
-		return answer.New(answer.NoOwner, "the owner of the key is in an evacuated failure domain")
-	case dispatch.Leaving:
-		return answer.New(answer.NoOwner, "the owner of the key leaves")
-	case dispatch.WarmingUp:
-		return answer.New(answer.Overloaded, "the owner of the key warms up")
-	case dispatch.ColdKey:
-		return answer.New(answer.Overloaded, "the key is cold at a busy owner")
-	case dispatch.HotKey:
-		return answer.New(answer.Overloaded, "the key is asked for more often than its owner can run")
-	case dispatch.Limited:
-		return answer.New(answer.Overloaded, "all that could run it name a limit, and more is asked for")
-	case dispatch.CallerShare:
-		return answer.New(answer.Overloaded, "no upstream has room, and the caller asks for more than its share")
-	case dispatch.TooLate:
-		return answer.New(answer.Overloaded, "it cannot be answered in time")
-	}
-	return answer.New(answer.Overloaded, "no upstream has room")
-}
-
-// defaultRetryAfter returns the retry time for a reason if nothing more is known. Zero leaves the
-// choice to the kind of the error.
-func defaultRetryAfter(r dispatch.Refusal) time.Duration {
-	switch r {
-	case dispatch.Leaving:
-		return patience.RetryAfterMovingKey()
-	case dispatch.WarmingUp, dispatch.ColdKey:
-		return patience.RetryAfterColdKey()
-	case dispatch.HotKey:
-		return patience.RetryAfterHotKey()
-	case dispatch.Limited:
-		return patience.RetryAfterLimited()
-	}
-	return 0
-}
-
 // upstreamFeedback is what an upstream reports about itself in a response.
 type upstreamFeedback struct {
 	// load is nil if the upstream reported none.
@@ -395,54 +319,6 @@
 	return s.budget.Remaining(t.now(), n)
 }
 
-// recordKey records a request of a route for a key, for the next report.
-func (s *serviceTraffic) recordKey(key uint16, route string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if len(s.keys) < maxReportedKeys {
-		s.keys = append(s.keys, keyRequest{key: key, work: s.dispatch.RouteFactor(route)})
-	}
-}
-
-// forwardKeys records the requests that another gateway reported, for the next report.
-func (s *serviceTraffic) forwardKeys(requests []keyRequest) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.keys = append(s.keys, requests[:min(len(requests), max(maxReportedKeys-len(s.keys), 0))]...)
-}
-
-// localReport is this gateway's own part of a report to the leader.
-type localReport struct {
-	loads []*syncpb.Load
-	// demand is what this gateway is asked for, by service. limitedDemand is the part of the requests
-	// per second that would go to upstreams which announce a limit, by upstream.
-	demand        map[string]dispatch.Demand
-	limitedDemand map[string]float64
-	// ownerDemand is the part of demand for contended owners of keys, by upstream.
-	ownerDemand map[string]float64
-	// keys are the requests for keys since the last report, by service.
-	keys map[string][]keyRequest
-}
-
-// takeReport returns the local report and clears the collected keys.
-func (t *traffic) takeReport() *localReport {
-	now := t.now()
-	r := &localReport{keys: make(map[string][]keyRequest), demand: make(map[string]dispatch.Demand), limitedDemand: make(map[string]float64), ownerDemand: make(map[string]float64)}
-	for name, s := range t.all() {
-		s.mu.Lock()
-		r.loads = append(r.loads, loadMessages(s.dispatch.Loads(now))...)
-		r.demand[name] = s.dispatch.Demand(now)
-		maps.Copy(r.limitedDemand, s.dispatch.LimitedDemand(now))
-		maps.Copy(r.ownerDemand, s.dispatch.OwnerDemand(now))
-		if len(s.keys) > 0 {
-			r.keys[name] = s.keys
-			s.keys = nil
-		}
-		s.mu.Unlock()
-	}
-	return r
-}
-
 // setLimits applies the limits that upstreams announce.
 func (t *traffic) setLimits(limits map[string]dispatch.Limit) {
 	now := t.now()
@@ -453,19 +329,6 @@
 	}
 }
 
-// applyReport applies what the other gateways reported, their demand by service and the
-// admission limits of hot keys.
-func (t *traffic) applyReport(report dispatch.ClusterReport, demand map[string]dispatch.Demand, limits admittedShares) {
-	t.setGateways(report.Gateways)
-	now := t.now()
-	for name, s := range t.all() {
-		s.mu.Lock()
-		report.Demand, report.HotKeyAdmission = demand[name], limits[name]
-		s.dispatch.ApplyReport(now, report)
-		s.mu.Unlock()
-	}
-}
-
 // routeWork returns what is known about the work of the service's routes, by name.
 func (t *traffic) routeWork(s *serviceTraffic) map[string]worktime.RouteWork {
 	s.mu.Lock()
