--- a/gateway/bench_test.go
+++ b/gateway/bench_test.go
@@ -208,6 +208,14 @@
 	b.Helper()
 	conf := settings.DefaultGateway()
 	conf.Domain, conf.RetryWindow, conf.MemoryMB = "a", jsonc.Duration(10*time.Second), 200
+	_, addr := startCallerHandler(b, upstream, conf)
+	return addr
+}
+
+// startCallerHandler starts the caller-facing handler of a gateway as startBenchGateway does, with the
+// given settings.
+func startCallerHandler(b testing.TB, upstream string, conf settings.Gateway) (*Gateway, string) {
+	b.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		b.Fatal(err)
@@ -225,8 +233,8 @@
 	g.view.setConfiguration(1, body, c)
 	g.view.setInstances(1, instances.NewView(1, []instances.Instance{{ID: "i-1", Service: "pay", Address: upstream, Domain: "a", Slots: 4}}))
 	g.proxy.tracer = noop.NewTracerProvider().Tracer("")
-	server := &http.Server{Handler: g.proxy}
+	server := &http.Server{Handler: g.proxy, ConnContext: limitSocketBuffers}
 	b.Cleanup(func() { _ = server.Close() })
 	go func() { _ = server.Serve(l) }()
-	return l.Addr().String()
+	return g, l.Addr().String()
 }
--- a/gateway/delivery.go
+++ b/gateway/delivery.go
@@ -44,11 +44,11 @@
 // a second time while the first try goes on, and the first response wins.
 func (f *proxy) deliver(ctx context.Context, q *request) (*pool.Response, error) {
 	d := &delivery{proxy: f, request: q, results: make(chan tryResult, q.route.MaxAttempts+maxUnsentTries+1)}
-	grant, err := f.acquire(ctx, q, false)
+	a, err := d.admit(ctx, false)
 	if err != nil {
 		return nil, f.finalError(ctx, q, err)
 	}
-	d.startTry(ctx, grant)
+	d.startTry(ctx, a)
 	for {
 		r, ended := d.awaitTry()
 		if !ended {
@@ -70,8 +70,8 @@
 		}
 		if retry {
 			f.logRetry(q, r.grant, r.err)
-			if grant, err = f.acquire(ctx, q, false); err == nil {
-				d.startTry(ctx, grant)
+			if a, err = d.admit(ctx, false); err == nil {
+				d.startTry(ctx, a)
 				continue
 			}
 			r.err = err
@@ -83,15 +83,30 @@
 	}
 }
 
+// admit counts the response to a try and acquires a grant for it. What does not fit is refused at once,
+// before the request waits in the queue.
+func (d *delivery) admit(ctx context.Context, atOnce bool) (admission, error) {
+	response, err := d.expectResponse(d.request)
+	if err != nil {
+		return admission{}, err
+	}
+	grant, err := d.acquire(ctx, d.request, atOnce)
+	if err != nil {
+		response.Abandon(d.now())
+		return admission{}, err
+	}
+	return admission{grant: grant, response: response}, nil
+}
+
 // startTry starts a try in the background.
-func (d *delivery) startTry(ctx context.Context, grant dispatch.Grant) {
+func (d *delivery) startTry(ctx context.Context, a admission) {
 	d.runningTries++
-	d.lastGrant = grant
+	d.lastGrant = a.grant
 	if d.firstSentAt.IsZero() {
 		d.firstSentAt = d.now()
 	}
 	d.meters.inc(d.meters.route(routeTries, d.route.Name))
-	go d.try(ctx, d.request, grant, d.results)
+	go d.try(ctx, d.request, a, d.results)
 }
 
 // awaitTry waits for the result of a try. It returns false if the only running try becomes
@@ -123,17 +138,18 @@
 	if !d.service.Keyed {
 		d.excluded = append(d.excluded, d.lastGrant.Instance.ID)
 	}
-	grant, err := d.acquire(ctx, d.request, true)
+	a, err := d.admit(ctx, true)
 	if err != nil {
 		return
 	}
 	if !d.spendRetry(d.request) {
-		d.proxy.traffic.endTry(d.request.traffic, grant, dispatch.Canceled)
+		a.response.Abandon(d.now())
+		d.proxy.traffic.endTry(d.request.traffic, a.grant, dispatch.Canceled)
 		return
 	}
 	d.meters.inc(d.meters.route(routeHedged, d.route.Name))
 	d.logRetry(d.request, d.lastGrant, nil)
-	d.startTry(ctx, grant)
+	d.startTry(ctx, a)
 }
 
 // shouldRetry updates the request after a failed try and reports whether it is sent again.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -26,6 +26,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/rockcroft/rockcroft/coordination/bytebudget"
 	"github.com/rockcroft/rockcroft/platform"
 	"github.com/rockcroft/rockcroft/protocol/syncpb"
 	"github.com/rockcroft/rockcroft/state/instances"
@@ -235,7 +236,8 @@
 	g.proxy = &proxy{
 		view: g.view, traffic: g.traffic, splitter: routing.NewSplitter(), conns: g.conns, now: g.now,
 		log: log, meters: g.meters, domain: conf.Domain, ownerGaps: g.ownerGaps, limits: g.limits, suspects: g.suspects, unread: unread, openRequests: newOpenRequests(),
-		maxBodyBytes: int64(conf.MemoryMB) * megabyte / bodyMemoryDivisor, configurationAge: g.configurationAge,
+		maxWriteStall: maxWriteStall,
+		bytes:         bytebudget.New(byteLimits(conf), mathrand.New(mathrand.NewPCG(seeds[1]+1, seeds[0]))), configurationAge: g.configurationAge,
 		revocationTimeout: conf.RevocationTimeout.D(), quotas: g.quotas,
 		leaderSilence: g.leaderSilence,
 		startup:       &startup{view: g.view, now: g.now, startedAt: g.now(), storeUnavailable: g.storeCalls.unavailable, log: log, meters: g.meters},
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -339,7 +339,7 @@
 	if a := b.request(g, http.MethodPost, "/none/", -1); a.status != http.StatusNotFound {
 		t.Errorf("status %d", a.status)
 	}
-	b.eventually("no body bytes are held", func() bool { return g.proxy.bodyBytes.Load() == 0 })
+	b.eventually("no body bytes are held", func() bool { return g.proxy.bytes.Stats().Held == 0 })
 }
 
 // TestQueuedRequestOfGoneCallerIsDropped: a request that is not idempotent must not be started
--- a/gateway/meternames.go
+++ b/gateway/meternames.go
@@ -108,6 +108,9 @@
 	noticesSentResting         = "notices.{service}.sent_to_resting"
 	clockSuspensions           = "clock.suspensions"
 	clockSuspended             = "clock.suspended_ms"
+	bytesHeld                  = "bytes.held"
+	bytesRefused               = "bytes.refused"
+	bytesRefusedLink           = "bytes.refused_link"
 	logWritten                 = "log.lines_written"
 	logDropped                 = "log.lines_dropped"
 )
@@ -208,6 +211,9 @@
 	{noticesSentResting, "tries", "sent by this gateway to upstreams during a rest that they had asked for"},
 	{clockSuspensions, "suspensions", "of the machine, detected from its clocks"},
 	{clockSuspended, "ms", "total time for which the machine was suspended"},
+	{bytesHeld, "bytes", "of requests, of responses and of those still expected from upstreams, held for callers; new requests are refused beyond a quarter of `memory_mb`"},
+	{bytesRefused, "requests", "refused at once, and second tries not made, because too many bytes are held"},
+	{bytesRefusedLink, "requests", "of `bytes.refused`, large responses that the link would not carry in time"},
 	{logWritten, "lines", "written"},
 	{logDropped, "lines", "dropped because they exceeded the rate limits or were not written out in time"},
 }
--- a/gateway/parse.go
+++ b/gateway/parse.go
@@ -35,7 +35,7 @@
 	if route == nil {
 		return nil, f.routeNotFound(r.Host, path)
 	}
-	q := &request{Request: r, id: platform.ID(r.Header), route: route, target: target, receivedAt: began}
+	q := &request{Request: r, id: platform.ID(r.Header), route: route, target: target, receivedAt: began, held: f.bytes.Begin()}
 	left := min(route.Timeout, requested)
 	q.deadline = began.Add(left)
 	q.queueUntil = began.Add(patience.MaxQueueWait(route.Objective, left))
@@ -88,18 +88,20 @@
 	if q.ContentLength > limit {
 		return answer.New(answer.TooLarge, "the body has %d bytes, at most %d are allowed", q.ContentLength, limit)
 	}
-	if f.bodyBytes.Load()+max(q.ContentLength, 0) > f.maxBodyBytes {
-		return answer.New(answer.Overloaded, "too many bytes of bodies are held")
+	if refusal := q.held.CheckBody(f.now(), max(q.ContentLength, 0)); refusal != nil {
+		return f.tooManyBytes(q, refusal)
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(nil, q.Body, limit))
+	body, err := io.ReadAll(countedBody{Reader: http.MaxBytesReader(nil, q.Body, limit), proxy: f, q: q})
 	var tooLarge *http.MaxBytesError
+	var refused *answer.Error
 	switch {
 	case errors.As(err, &tooLarge):
 		return answer.New(answer.TooLarge, "the body has more than %d bytes", limit)
+	case errors.As(err, &refused):
+		return refused
 	case err != nil:
 		return answer.Wrap(answer.BadRequest, err)
 	}
 	q.body = body
-	f.bodyBytes.Add(int64(len(body)))
 	return nil
 }
--- a/gateway/proxy.go
+++ b/gateway/proxy.go
@@ -13,6 +13,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
+	"github.com/rockcroft/rockcroft/coordination/bytebudget"
 	"github.com/rockcroft/rockcroft/coordination/dispatch"
 	"github.com/rockcroft/rockcroft/coordination/patience"
 	"github.com/rockcroft/rockcroft/coordination/poison"
@@ -43,23 +44,22 @@
 	// leader's watch takes 1.2 s and each of two reporting steps 250 ms at most, together 1.7 s
 	// plus the delay of a slow store.
 	maxConfigurationAge = 2200 * time.Millisecond
-	// bodyMemoryDivisor limits the request bodies held at once to the allowed memory divided by
-	// this number.
-	bodyMemoryDivisor = 4
 )
 
 // proxy is the HTTP handler for callers. It forwards their requests to upstreams.
 type proxy struct {
-	view         *view
-	traffic      *traffic
-	splitter     *routing.Splitter
-	conns        *pool.Pool
-	now          func() time.Time
-	log          *slog.Logger
-	meters       *meters
-	draining     atomic.Bool
-	bodyBytes    atomic.Int64
-	maxBodyBytes int64
+	view     *view
+	traffic  *traffic
+	splitter *routing.Splitter
+	conns    *pool.Pool
+	now      func() time.Time
+	log      *slog.Logger
+	meters   *meters
+	draining atomic.Bool
+	// maxWriteStall is the time after which a caller that takes nothing of a response is given up.
+	maxWriteStall time.Duration
+	// bytes bounds the bodies and responses held.
+	bytes *bytebudget.Budget
 	// answeredCount counts successful responses, to select those that are logged.
 	answeredCount atomic.Uint64
 	tracer        trace.Tracer
@@ -96,10 +96,12 @@
 	// team is nil if the route needs no credential.
 	team *routing.Team
 	// service is the one that was picked from the route's services.
-	service    *routing.Service
-	traffic    *serviceTraffic
-	key        uint16
-	body       []byte
+	service *routing.Service
+	traffic *serviceTraffic
+	key     uint16
+	body    []byte
+	// held counts the bytes of the body and of the responses.
+	held       *bytebudget.Hold
 	target     string
 	receivedAt time.Time
 	// caller identifies who sent the request; see callerOf.
@@ -131,7 +133,7 @@
 	began := f.now()
 	q, err := f.parse(r, began)
 	if q != nil {
-		defer f.bodyBytes.Add(-int64(len(q.body)))
+		defer func() { q.held.Release(f.now()) }()
 	}
 	if err != nil {
 		f.writeError(w, r, q, err)
@@ -234,9 +236,15 @@
 }
 
 // try sends the request to one upstream and delivers the result to the channel.
-func (f *proxy) try(ctx context.Context, q *request, grant dispatch.Grant, results chan<- tryResult) {
+func (f *proxy) try(ctx context.Context, q *request, a admission, results chan<- tryResult) {
+	grant := a.grant
 	suspected := f.suspects.recordStarted(q, grant)
-	resp, outcome, feedback, err := f.send(ctx, q, grant)
+	resp, outcome, feedback, err := f.send(ctx, q, a)
+	if resp != nil {
+		a.response.Complete(f.now(), int64(len(resp.Body)), outcome != dispatch.Answered)
+	} else {
+		a.response.Abandon(f.now())
+	}
 	f.suspects.recordEnded(q, grant, suspected, outcome)
 	f.logNotice(grant, feedback.notice, f.traffic.endTryWithFeedback(q.traffic, grant, outcome, feedback))
 	f.meters.inc(f.meters.service(tryOutcome, q.service.Name, f.domainClass(grant), outcome.String()))
@@ -254,7 +262,8 @@
 
 // send makes one try. A response with the outcome Failed is a failure reported by the upstream
 // itself.
-func (f *proxy) send(ctx context.Context, q *request, grant dispatch.Grant) (*pool.Response, dispatch.Outcome, upstreamFeedback, error) {
+func (f *proxy) send(ctx context.Context, q *request, a admission) (*pool.Response, dispatch.Outcome, upstreamFeedback, error) {
+	grant := a.grant
 	ctx, span := f.tracer.Start(ctx, "upstream", trace.WithSpanKind(trace.SpanKindClient))
 	defer span.End()
 	span.SetAttributes(attribute.String("rockcroft.upstream", grant.Instance.ID))
@@ -267,6 +276,7 @@
 		Method: q.Method, Target: q.target, Host: q.Host, Header: h, Body: q.body,
 		EchoHeader: platform.RequestID, EchoValue: q.id, NonIdempotent: !q.route.Idempotent,
 		BeforeSend: func() error { return f.checkBeforeSend(h, q, grant) },
+		OnLength:   a.response.Announced, OnRead: a.response.Received,
 	})
 	if err != nil {
 		return nil, outcomeOfError(err), upstreamFeedback{}, err
@@ -329,7 +339,7 @@
 	h["Content-Length"] = []string{strconv.Itoa(len(resp.Body))}
 	f.closeWhenDraining(h)
 	w.WriteHeader(resp.Status)
-	if _, err := w.Write(resp.Body); err != nil {
+	if err := f.writeBody(w, resp.Body); err != nil {
 		f.meters.inc(responsesNotWritten)
 	}
 }
--- a/gateway/requestlog.go
+++ b/gateway/requestlog.go
@@ -14,7 +14,7 @@
 	if kind == answer.Cancelled {
 		return
 	}
-	attrs := []any{"request", platform.ID(r.Header), "kind", kind, "cause", err.Error(), "retry_after_ms", retryAfter.Milliseconds()}
+	attrs := []any{"request", platform.ID(r.Header), "kind", kind, "cause", err.Error(), "retry_after_ms", retryAfter.Milliseconds(), "bytes_held", f.bytes.Stats().Held}
 	if t := f.view.table.Load(); t != nil {
 		attrs = append(attrs, "configuration", t.Version)
 	}
--- a/gateway/startup.go
+++ b/gateway/startup.go
@@ -174,7 +174,7 @@
 // add adds a server with the given limits, or returns nil if the callerServer has been stopped.
 func (c *callerServer) add(limits routing.Limits) *http.Server {
 	s := &http.Server{
-		Handler: c.handler, ReadHeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout,
+		Handler: c.handler, ConnContext: limitSocketBuffers, ReadHeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout,
 		MaxHeaderBytes: limits.MaxHeader, ErrorLog: slog.NewLogLogger(c.log.Handler(), slog.LevelDebug),
 	}
 	c.mu.Lock()
--- a/state/settings/gateway.go
+++ b/state/settings/gateway.go
@@ -64,6 +64,9 @@
 	CPUCores float64 `json:"strength"`
 	// MemoryMB is the memory limit of the process in MB.
 	MemoryMB int `json:"memory_mb"`
+	// LinkMbps is what the network link of the VM carries, in Mbit/s. Zero means that it is not known and
+	// that large responses are not bound by it. The default is 0.
+	LinkMbps float64 `json:"link_mbps"`
 	// LogLevel is "debug", "info", "warn" or "error". The default is "info".
 	LogLevel string `json:"log_level"`
 	// Trace configures the export of trace spans.
@@ -74,6 +77,10 @@
 // checks readiness once per second and removes the gateway after two failed checks.
 const defaultGatewayDrainNotice = 2400 * time.Millisecond
 
+// maxLinkMbps bounds the rate of a link. No link of a VM carries a Tbit/s, so a higher value is probably
+// in another unit.
+const maxLinkMbps = 1e6
+
 // DefaultGateway returns the default settings of a gateway.
 func DefaultGateway() Gateway {
 	return Gateway{
@@ -109,6 +116,7 @@
 	add(g.RevocationTimeout < 0, "revocation_timeout", "must not be negative")
 	add(g.QuotaSlack < 0, "quota_slack", "must not be negative")
 	add(g.CPUCores < 0, "strength", "must not be negative")
+	add(g.LinkMbps < 0 || g.LinkMbps > maxLinkMbps, "link_mbps", "must be between 0 and 1000000")
 	add(g.MemoryMB <= 0, "memory_mb", "must be positive")
 	add(!oneOf(g.LogLevel, "debug", "info", "warn", "error"), "log_level", `must be "debug", "info", "warn" or "error"`)
 	add(!oneOf(g.Trace.Exporter, "off", "stdout", "otlp"), "trace.exporter", `must be "off", "stdout" or "otlp"`)
--- a/state/settings/gateway_test.go
+++ b/state/settings/gateway_test.go
@@ -15,7 +15,7 @@
   "node": "edge-1", "domain": "a", "callers": "127.0.0.1:1", "ready": "127.0.0.1:2", "peers": "127.0.0.1:3",
   "metrics": "127.0.0.1:4", "store": "127.0.0.1:5", "seeds": ["127.0.0.1:3"],
   "stop_limit": "6s", "upstream_drain": "2s", "longest_hold": "10s",
-  "retry_share": 0.2, "retry_allowance": 62, "retry_window": "10s", "strength": 0.32, "memory_mb": 284,
+  "retry_share": 0.2, "retry_allowance": 62, "retry_window": "10s", "strength": 0.32, "memory_mb": 284, "link_mbps": 12.5,
   "regions": {"a": "north", "b": "south"}, "warm_up_overage": 1.5, "warm_up_slack": 8,
   "revocation_timeout": "5s", "quota_slack": 20,
 }`
@@ -43,6 +43,8 @@
 		"no regions":       {`{"a": "north", "b": "south"}`, `["north"]`, "regions"},
 		"region type":      {`"b": "south"`, `"b": 7`, "regions.b"},
 		"region twice":     {`"b": "south"`, `"a": "south"`, "regions.a"},
+		"negative link":    {`"link_mbps": 12.5`, `"link_mbps": -1`, "link_mbps"},
+		"link in bits":     {`"link_mbps": 12.5`, `"link_mbps": 12500000`, "link_mbps"},
 		"negative timeout": {`"revocation_timeout": "5s"`, `"revocation_timeout": "-5s"`, "revocation_timeout"},
 		"missing duration": {`"longest_hold": "10s",`, ``, "longest_hold"},
 	} {
--- a/transport/pool/conn.go
+++ b/transport/pool/conn.go
@@ -170,6 +170,9 @@
 		if httpResp.StatusCode < http.StatusOK {
 			continue
 		}
+		if r.OnLength != nil && httpResp.ContentLength >= 0 && httpResp.ContentLength <= maxBody {
+			r.OnLength(httpResp.ContentLength)
+		}
 		body, err := readBody(httpResp, maxBody)
 		if err != nil {
 			return nil, false, err
--- a/transport/pool/pool.go
+++ b/transport/pool/pool.go
@@ -46,6 +46,9 @@
 	// because the permission to send may have expired while the connection was opened. If it
 	// returns an error, nothing is sent.
 	BeforeSend func() error
+	// OnLength, if set, is called with the length of the body that the response announces, before
+	// memory for the body is allocated, by the goroutine that called Do.
+	OnLength func(n int64)
 	// OnRead, if set, is called with the number of bytes of each part of the response, head or
 	// body, as it arrives. It is called by the goroutine that called Do, which does not read on
 	// until OnRead has returned. It is not called after Do has returned.
