--- a/gateway/heldbytes.go
+++ b/gateway/heldbytes.go
@@ -111,3 +111,20 @@
 	}
 	return response, nil
 }
+
+// countReceived returns the function that counts the bytes of a response as they arrive, also as bytes
+// that cross failure domains if the upstream is in another one.
+func (f *proxy) countReceived(q *request, a admission) func(n int) {
+	if a.grant.Instance.Domain == f.domain {
+		return a.response.Received
+	}
+	kind := "pools"
+	if q.service.Keyed {
+		kind = "owners"
+	}
+	crossed := f.meters.counter(fillPattern(bytesCrossed, kind))
+	return func(n int) {
+		a.response.Received(n)
+		crossed.Inc(int64(n))
+	}
+}
--- a/gateway/heldbytes_test.go
+++ b/gateway/heldbytes_test.go
@@ -229,3 +229,22 @@
 		})
 	}
 }
+
+// TestBytesFromOtherDomainsAreCounted guards against counting the traffic within a failure domain as
+// crossing, and against missing what crosses.
+func TestBytesFromOtherDomainsAreCounted(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		domain   string
+		min, max int64
+	}{{"a", 0, 0}, {"b", 10000, 11000}} {
+		g := newByteGateway(t, 16, 0)
+		g.proxy.domain = c.domain
+		if status, _, _ := g.ask("/read/x", 10000, ""); status != http.StatusOK {
+			t.Fatalf("status %d", status)
+		}
+		if n := g.meters.counter(fillPattern(bytesCrossed, "pools")).Count(); n < c.min || n > c.max {
+			t.Errorf("%d bytes crossed to domain %s", n, c.domain)
+		}
+	}
+}
--- a/gateway/meternames.go
+++ b/gateway/meternames.go
@@ -110,6 +110,7 @@
 	clockSuspended             = "clock.suspended_ms"
 	bytesHeld                  = "bytes.held"
 	bytesRefused               = "bytes.refused"
+	bytesCrossed               = "bytes.crossed.{kind}"
 	bytesRefusedLink           = "bytes.refused_link"
 	logWritten                 = "log.lines_written"
 	logDropped                 = "log.lines_dropped"
@@ -213,6 +214,7 @@
 	{clockSuspended, "ms", "total time for which the machine was suspended"},
 	{bytesHeld, "bytes", "of requests, of responses and of those still expected from upstreams, held for callers; new requests are refused beyond a quarter of `memory_mb`"},
 	{bytesRefused, "requests", "refused at once, and second tries not made, because too many bytes are held"},
+	{bytesCrossed, "bytes", "of responses received from upstreams in other failure domains, complete or not, by kind: owners (of keys) and pools"},
 	{bytesRefusedLink, "requests", "of `bytes.refused`, large responses that the link would not carry in time"},
 	{logWritten, "lines", "written"},
 	{logDropped, "lines", "dropped because they exceeded the rate limits or were not written out in time"},
--- a/gateway/proxy.go
+++ b/gateway/proxy.go
@@ -276,7 +276,7 @@
 		Method: q.Method, Target: q.target, Host: q.Host, Header: h, Body: q.body,
 		EchoHeader: platform.RequestID, EchoValue: q.id, NonIdempotent: !q.route.Idempotent,
 		BeforeSend: func() error { return f.checkBeforeSend(h, q, grant) },
-		OnLength:   a.response.Announced, OnRead: a.response.Received,
+		OnLength:   a.response.Announced, OnRead: f.countReceived(q, a),
 	})
 	if err != nil {
 		return nil, outcomeOfError(err), upstreamFeedback{}, err
