--- a/gateway/meternames.go
+++ b/gateway/meternames.go
@@ -110,6 +110,10 @@
 	noticesSentResting         = "notices.{service}.sent_to_resting"
 	clockSuspensions           = "clock.suspensions"
 	clockSuspended             = "clock.suspended_ms"
+	bytesHeld                  = "bytes.held"
+	bytesRefused               = "bytes.refused"
+	bytesCrossed               = "bytes.crossed.{kind}"
+	bytesRefusedLink           = "bytes.refused_link"
 	logWritten                 = "log.lines_written"
 	logDropped                 = "log.lines_dropped"
 )
@@ -212,6 +216,10 @@
 	{noticesSentResting, "tries", "sent by this gateway to upstreams during a rest that they had asked for"},
 	{clockSuspensions, "suspensions", "of the machine, detected from its clocks"},
 	{clockSuspended, "ms", "total time for which the machine was suspended"},
+	{bytesHeld, "bytes", "of requests, of responses and of those still expected from upstreams, held for callers; new requests are refused beyond a quarter of `memory_mb`"},
+	{bytesRefused, "requests", "refused at once, and second tries not made, because too many bytes are held"},
+	{bytesCrossed, "bytes", "of responses received from upstreams in other failure domains, complete or not, by kind: owners (of keys) and pools"},
+	{bytesRefusedLink, "requests", "of `bytes.refused`, large responses that the link would not carry in time"},
 	{logWritten, "lines", "written"},
 	{logDropped, "lines", "dropped because they exceeded the rate limits or were not written out in time"},
 }
