--- a/gateway/heldbytes_test.go
+++ b/gateway/heldbytes_test.go
@@ -213,6 +213,8 @@
 			if status, _, _ := g.ask("/read/x", size, ""); status != http.StatusOK {
 				t.Fatalf("%v Mbit/s: status %d on the idle link", c.mbps, status)
 			}
+			// The caller has the whole response before the gateway releases it.
+			g.eventually("nothing is held", func() bool { return g.held() == 0 })
 		}
 		if !c.refused {
 			for range 10 {
