--- a/bench/lab/delivery.go
+++ b/bench/lab/delivery.go
@@ -253,8 +253,8 @@
 	d.try.refuse(retryAfter)
 }
 
-// countRefusal counts a refusal by the dispatcher if the owner of the key is able and has a free slot: according
-// to the gateway's own estimate, and in fact.
+// countRefusal counts a refusal by the dispatcher if the owner of the key is able to serve and has a free
+// slot: according to the gateway's own estimate, and in fact.
 func (d *delivery) countRefusal(owner string, r dispatch.Refusal) {
 	u := d.sim.upstreamByID[owner]
 	if u == nil || u.silent || u.refusing || u.leaving || r == dispatch.NoUpstream || r == dispatch.OwnerUnresponsive || r == dispatch.Limited || r == dispatch.Leaving {
--- a/bench/lab/load_test.go
+++ b/bench/lab/load_test.go
@@ -144,7 +144,8 @@
 // TestContendedOwners guards against two failures at once while groups of keys ask their owners for
 // more than they can run: owners that reject what the gateways send, and gateways that refuse
 // although they see a free slot. Before admission by odds, 0.014 of the tries were refused so with 62
-// gateways, 0.027 with 300 and 0.110 with 985; the target is 0.002: means of three seeds are 0.0015, 0.0019 and, missing it, 0.003.
+// gateways, 0.027 with 300 and 0.110 with 985. The target is 0.002: means of three seeds are 0.0015,
+// 0.0019 and, missing it, 0.003.
 func TestContendedOwners(t *testing.T) {
 	for name, maxRefused := range map[string]float64{"contended-owners-62": 0.002, "contended-owners-300": 0.003, "contended-owners-985": 0.004} {
 		t.Run(name, func(t *testing.T) {
--- a/coordination/callers/room.go
+++ b/coordination/callers/room.go
@@ -9,9 +9,9 @@
 	// roomHalfLife is the time after which a refusal counts half. One gateway of many gets a request for
 	// an owner only every few seconds.
 	roomHalfLife = 5 * time.Second
-	// overloadMemory is how long after the last refusal there still is an overload. It is
-	// longer than the pauses between refusals that the shares themselves bring about: else the requests of
-	// callers above their shares would be let in again and again.
+	// overloadMemory is how long after the last refusal there still is an overload. It is longer than the
+	// pauses between refusals that the shares themselves bring about: else the requests of callers above
+	// their shares would be let in again and again.
 	overloadMemory = 2 * time.Second
 	// minRefused is the number of recent refusals for lack of room below which there is no overload.
 	minRefused = 1.5
--- a/coordination/callers/shares.go
+++ b/coordination/callers/shares.go
@@ -17,8 +17,8 @@
 	ways = 4
 	// maxWeight is the weight of a new request from which on all counts are scaled down.
 	maxWeight = 1 << 20
-	// minExcess is how many times as many requests as the mean a caller must have for its share to apply. If
-	// callers with as many as others were refused as well, room would go unused.
+	// minExcess is how many times as many requests as the mean a caller must have for its share to apply.
+	// If callers with as many as others were refused as well, room would go unused.
 	minExcess = 1.5
 	// minGrants is the lowest share that grants are compared with: a caller without a recent grant is
 	// within it.
--- a/coordination/dispatch/choice.go
+++ b/coordination/dispatch/choice.go
@@ -19,8 +19,8 @@
 	// gateway compared all upstreams, all of them would send to the same one between two reports.
 	candidates = 2
 	// wideCandidates is the number for an uneven pool below wideLoad, while the ones found so far are busy
-	// or slow, but at most one of wideListShare in a list: gateways that compare most of the upstreams
-	// choose the same ones. wideLoad is a fraction of the requests in a full pool.
+	// or slow. At most one in wideListShare upstreams of a list is compared: gateways that compare most of
+	// the upstreams choose the same ones. wideLoad is a fraction of the requests in a full pool.
 	wideCandidates = 4
 	wideListShare  = 6
 	wideLoad       = 0.4
--- a/coordination/dispatch/hotkeys.go
+++ b/coordination/dispatch/hotkeys.go
@@ -17,8 +17,8 @@
 
 // rejectsHotKey decides at random whether to refuse a request for a hot key. Each of 300 gateways
 // sees two or three of its requests per second, and together they admit about what its owner can
-// run. Without this limit, all gateways filled the owner whenever a report showed free capacity,
-// and it broke the connections of requests that it could not queue.
+// run. Without this limit, all gateways would fill the owner whenever a report shows free
+// capacity, and it would break the connections of requests that it cannot queue.
 func (s *Service) rejectsHotKey(now time.Time, req *Request) bool {
 	admission, hot := s.hotKeyLimit(now, req)
 	if !hot || s.rng.Float64() < admission*s.callerOdds(now, req) {
--- a/coordination/dispatch/kinds.go
+++ b/coordination/dispatch/kinds.go
@@ -10,19 +10,18 @@
 //
 // An upstream runs its requests in the order in which they come, so importance has no effect on what it
 // has queued. Kinds with a long objective fill that queue beyond what a more important kind with a short
-// objective can bear: with objectives of 500 ms and 1 s under 1.4 times the load, the important kind was
-// served 0.59 in time and the other one 0.84.
+// objective can bear, so that under overload fewer requests of the important kind are served in time than
+// of the other.
 
 const (
 	// lesserDelayShare bounds the expected delay at an upstream for a request, as a share of the
-	// objective of any more important kind. The rest of the
-	// objective is for run times above the mean.
+	// objective of any more important kind. The rest of the objective is for run times above the mean.
 	lesserDelayShare = 0.6
 	// starvedShare is the bound of importance: a kind that is granted less often than this share of a more
 	// important one goes first until it is not.
 	starvedShare = 0.25
-	// heldMargin is how much more often a kind may be granted than a more important one before it gets only free
-	// slots. Kinds that ask rarely differ by chance.
+	// heldMargin is how much more often a kind may be granted than a more important one before it gets only
+	// free slots. Kinds that ask rarely differ by chance.
 	heldMargin = 0.03
 	// kindHalfLife is the time in which the weight of a request halves in the counts of its kind. Waves and
 	// bursts of demand last for several seconds.
--- a/coordination/dispatch/ownerdemand.go
+++ b/coordination/dispatch/ownerdemand.go
@@ -1,8 +1,6 @@
 package dispatch
 
-import (
-	"time"
-)
+import "time"
 
 // This file measures the demand for contended owners: owners of keys that have as many requests as
 // slots. Each gateway reports its own demand for them and learns that of all others, so that its
@@ -51,8 +49,9 @@
 }
 
 // OwnerDemand returns this gateway's demand for each contended owner that is shared by many gateways, in
-// requests a second; fewer gateways need no demand to share it. A request that waits counts once per report, because it asks for a slot again. It must be called once per
-// report, after LimitedDemand.
+// requests a second; fewer gateways need no demand to share it. A request that waits counts once per
+// report, because it asks for a slot again. OwnerDemand must be called once per report, after
+// LimitedDemand.
 func (s *Service) OwnerDemand(now time.Time) map[string]float64 {
 	var out map[string]float64
 	for _, u := range s.inUse {
@@ -98,9 +97,10 @@
 }
 
 // totalAtOwner estimates the requests of all gateways at an owner. For an owner shared by many gateways
-// it differs from totalInFlight: it takes the last report as it is while that is fresh. That the others have as many requests as this gateway
-// is a good assumption for a pool, whose upstreams a gateway uses evenly, but not for the owners of
-// keys: one request at an idle owner would count as dozens with hundreds of gateways.
+// it differs from totalInFlight: it takes the last report as it is while that is fresh. That the
+// others have as many requests as this gateway is a good assumption for a pool, whose upstreams a gateway
+// uses evenly, but not for the owners of keys: one request at an idle owner would count as dozens with
+// hundreds of gateways.
 func (u *Upstream) totalAtOwner(now time.Time) float64 {
 	if !u.sharedByMany() || u.othersInFlightAt.IsZero() || now.Sub(u.othersInFlightAt) > maxReportAge {
 		return u.totalInFlight(now)
@@ -110,15 +110,15 @@
 
 // sharedByOdds reports whether odds bound what all gateways send to the owner, so that a hot key needs no
 // limit of its own. That limit is computed from the demand for a key and an estimate of what its owner
-// can run, and left slots free.
+// can run, and would leave slots free.
 func (u *Upstream) sharedByOdds(now time.Time) bool {
 	return u.share.byOdds && now.Sub(u.othersInFlightAt) <= maxReportAge
 }
 
 // inFlightDuring returns the number of requests that a request just answered probably found, given the
 // estimate when it was sent. At a contended owner that estimate is often two reports old and too low,
-// and work times came out at up to three times their value. The report that has arrived since shows
-// the requests of that time.
+// and the work time computed with it too high. The report that has arrived since shows the requests of
+// that time.
 func (u *Upstream) inFlightDuring(now time.Time, sent float64) float64 {
 	if !u.sharedByMany() || !u.contended(now) {
 		return sent
--- a/coordination/dispatch/poolroom.go
+++ b/coordination/dispatch/poolroom.go
@@ -70,16 +70,14 @@
 	return p.share.allows(now, p.rate, p.slots, p.shareLoad())
 }
 
-// recordOutcome returns the share of a request that has used no room. rejected is set if the upstream had
-// no room for it.
+// recordOutcome records how a request ended. A request that has used no room is credited to the share.
+// rejected is set if the upstream had no room for it.
 func (p *poolRoom) recordOutcome(now time.Time, o Outcome, rejected bool) {
 	if rejected {
 		p.markUneven(now)
 	}
 	switch o {
-	case Overloaded, ConnectionBroken:
-		p.share.credit++
-	case NotOwner, Unreachable, ConnectionRefused:
+	case Overloaded, ConnectionBroken, NotOwner, Unreachable, ConnectionRefused:
 		p.share.credit++
 	}
 }
--- a/coordination/dispatch/retryafter.go
+++ b/coordination/dispatch/retryafter.go
@@ -44,7 +44,8 @@
 		return 0
 	}
 	if req.Owner == "" {
-		// New requests take their room first: without them, callers came back to a pool that they had filled.
+		// New requests take their room first. Otherwise callers would come back to a pool that these have
+		// filled.
 		rate := s.demandFraction*s.currentThroughput(now) - s.demand.Requests
 		return s.retryTimes.Next(now, rate, remaining, s.usefulDelay(now, req, s.typicalWorkTime), s.rng.Float64())
 	}
--- a/coordination/dispatch/share.go
+++ b/coordination/dispatch/share.go
@@ -128,7 +128,7 @@
 }
 
 // endOdds replaces odds by an even share when no report has arrived for long. Without reports there is
-// no overdraft: it is per gateway, and that of hundreds overran an owner. The credit of the gateways
+// no overdraft: it is per gateway, and that of hundreds would overrun an owner. The credit of the gateways
 // starts at random, because each of hundreds accrues one request in many seconds.
 func (s *fairShare) endOdds(since time.Time, gateways int) {
 	if s.byOdds {
--- a/coordination/dispatch/waiting.go
+++ b/coordination/dispatch/waiting.go
@@ -164,8 +164,9 @@
 	s.grantFromQueue(now, &s.queue)
 }
 
-// grantFromQueue grants the requests of one queue for which there is room, in their order. It stops at the first request without room, unless that request excludes
-// upstreams: the next one may find room there.
+// grantFromQueue grants the requests of one queue for which there is room, in their order. It stops at
+// the first request without room, unless that request excludes upstreams: the next one may find room
+// there.
 func (s *Service) grantFromQueue(now time.Time, q *queue) {
 	if q.size == 0 {
 		return
--- a/coordination/ownership/demand.go
+++ b/coordination/ownership/demand.go
@@ -8,8 +8,8 @@
 )
 
 // grantSlack bounds how long the grant of keys that nobody asks for is put back behind grants of keys in
-// demand, when more are due than can be made at a time. It is the time between two renewals less what
-// remains for a hold of 4 s to bridge three failed ones, so renewals may have it as well.
+// demand, when more are due than can be made at a time. A hold of 4 s
+// still bridges three failed renewals if they begin this much later, so renewals may be put back as well.
 const grantSlack = 300 * time.Millisecond
 
 // SpanDemand is the demand for the spans of a service, from which the order of their grants follows. The
--- a/coordination/ownership/firstgrants.go
+++ b/coordination/ownership/firstgrants.go
@@ -7,8 +7,8 @@
 )
 
 // firstPublicationLimit bounds how long a new leader withholds the assignment while it grants the keys.
-// 400 spans at 200 upstreams take some 100 ms. Requests may wait 300 ms and more, and if their owners
-// still hold the keys, they would be answered without the grants.
+// Grants of all keys usually take less. Requests may wait no longer than that, and they would be answered
+// without the grants if their owners still hold the keys.
 const firstPublicationLimit = 400 * time.Millisecond
 
 // FirstGrants records a new leader's first grant of each span. After all gateways were off, the owners
--- a/coordination/ownership/plan.go
+++ b/coordination/ownership/plan.go
@@ -35,8 +35,8 @@
 	// which a hot key moves there.
 	hotKeyMinGain = 1.25
 	// isolatedHotKeyMinGain is the same ratio for a hot key that already has a span of its own.
-	// Under its load the owner's capacity is underestimated by a factor of up to about 2.2, as logs
-	// of a quiet run with one hot key show. An upstream that has become slow exceeds the ratio.
+	// Under its load the owner's capacity is underestimated by a factor of somewhat more than two. An
+	// upstream that has become slow exceeds the ratio.
 	isolatedHotKeyMinGain = 3.0
 	// coldKeyFactor is how many times as long requests run for keys that came to their owner without a
 	// handover.
--- a/coordination/ownership/rates.go
+++ b/coordination/ownership/rates.go
@@ -18,7 +18,8 @@
 	minTrackedRate = 0.02
 )
 
-// RateEstimator estimates the work asked for each key, in runs of mean work a second. It is not safe for concurrent use.
+// RateEstimator estimates the work asked for each key, in runs of mean work a second. It is not safe
+// for concurrent use.
 type RateEstimator struct {
 	// rates holds the decayed rates before the correction for a short observation time.
 	rates map[uint16]float64
--- a/coordination/worktime/routes.go
+++ b/coordination/worktime/routes.go
@@ -10,11 +10,11 @@
 // slow or fast.
 
 const (
-	// minRouteRuns is how many runs of a route are needed before its factor counts. With the run times
-	// seen, the mean of eight is off by a third.
+	// minRouteRuns is how many runs of a route are needed before its factor counts. Run times vary so much
+	// that the mean of fewer says little.
 	minRouteRuns = 8
-	// maxRouteRuns is how many runs the factor of a route covers: newer runs displace older ones. With
-	// 300 its standard error is some 4 %.
+	// maxRouteRuns is how many runs the factor of a route covers: newer runs displace older ones. The
+	// standard error of the factor is then a few percent.
 	maxRouteRuns = 300
 	// priorRouteRuns is the weight, in runs, of the factor 1 in the estimate. It also holds the scale:
 	// the work of upstreams is measured in units of the factors and the factors in units of that work,
--- a/gateway/callslots.go
+++ b/gateway/callslots.go
@@ -9,9 +9,8 @@
 
 const (
 	// maxGrantCalls is the number of call slots for grants. A leader renews each span once a second,
-	// and all spans at once after a start. 1,650 calls started together take longer on a machine
-	// with a third of a core than the 250 ms timeout of each: all fail, are retried together and
-	// fail again.
+	// and all spans at once after a start. If a leader with little CPU starts more than a thousand calls
+	// together, they take longer than the timeout of each: all fail, are retried together and fail again.
 	maxGrantCalls = 32
 	// A call that takes slotHoldFactor times as long as answered calls do is assumed to be waiting
 	// for an upstream that does not answer, which uses no CPU, and loses its slot. Five hundred
--- a/gateway/keyrequests_test.go
+++ b/gateway/keyrequests_test.go
@@ -10,7 +10,8 @@
 )
 
 // TestKeyRequestsKeepTheirWork guards against owners that are balanced by the number of requests: the
-// work of a request's route must reach the leader, in no bytes if all have the mean. Work from a wrong message is bounded.
+// work of a request's route must reach the leader, in no bytes if all have the mean. Work from a wrong
+// message is bounded.
 func TestKeyRequestsKeepTheirWork(t *testing.T) {
 	requests := []keyRequest{{1, 0.77}, {2, 1}, {2, 1.24}}
 	m := encodeKeys("s", requests)
