--- a/coordination/dispatch/choice.go
+++ b/coordination/dispatch/choice.go
@@ -173,7 +173,7 @@
 	for _, l := range list {
 		u := s.stateOf(now, l)
 		u.usedAt = now
-		if u.limit != nil && req.heldByLimit || isExcluded(req, u.ID) || !s.usable(now, u) || !u.hasCapacity(now, s.typicalWorkTime, req, false) {
+		if !s.eligible(now, u, req) || !u.hasCapacity(now, s.typicalWorkTime, req, false) {
 			continue
 		}
 		c.consider(u, u.score(now, s.typicalWorkTime, req, s.domain, s.rng))
--- a/coordination/dispatch/cold.go
+++ b/coordination/dispatch/cold.go
@@ -112,11 +112,12 @@
 // others leave. Neither waits.
 func (s *Service) offerCold(now time.Time, req *Request) Decision {
 	u := s.upstream(now, req.Owner)
-	switch {
-	case u == nil:
+	if u == nil {
 		return refused(NoUpstream)
-	case s.ownerBlockedReason(now, u) != 0:
-		return refused(s.ownerBlockedReason(now, u))
+	}
+	switch r := s.ownerBlockedReason(now, u); {
+	case r != 0:
+		return refused(r)
 	case !s.ownerResponsive(now, u):
 		return refused(OwnerUnresponsive)
 	case !s.warmUpAllows(now, u):
--- a/coordination/dispatch/eligibility.go
+++ b/coordination/dispatch/eligibility.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // This file decides whether an upstream may get requests at the moment, given its notices, its
 // registry entry and the operators' settings. Each send checks this twice, when the upstream is
@@ -69,7 +72,7 @@
 	}
 	reason := NoUpstream
 	for _, l := range s.ordered {
-		if isExcluded(req, l.ID) {
+		if slices.Contains(req.Exclude, l.ID) {
 			continue
 		}
 		switch s.listingBlockedReason(now, l) {
@@ -94,7 +97,7 @@
 func (s *Service) RestRemaining(now time.Time, req *Request) time.Duration {
 	least := time.Duration(0)
 	for _, u := range s.inUse {
-		if req.Owner != "" && u.ID != req.Owner || isExcluded(req, u.ID) || !u.notices.Resting(now) {
+		if req.Owner != "" && u.ID != req.Owner || slices.Contains(req.Exclude, u.ID) || !u.notices.Resting(now) {
 			continue
 		}
 		if left := u.notices.RestRemaining(now); least == 0 || left < least {
--- a/coordination/dispatch/limited.go
+++ b/coordination/dispatch/limited.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/rockcroft/rockcroft/coordination/quota"
@@ -134,7 +135,7 @@
 // hasUnlimited reports whether there is an upstream for the request that has no limit.
 func (s *Service) hasUnlimited(now time.Time, req *Request) bool {
 	for _, l := range s.ordered {
-		if (l.state == nil || l.state.limit == nil) && s.listingBlockedReason(now, l) == 0 && !isExcluded(req, l.ID) {
+		if (l.state == nil || l.state.limit == nil) && s.listingBlockedReason(now, l) == 0 && !slices.Contains(req.Exclude, l.ID) {
 			return true
 		}
 	}
--- a/coordination/dispatch/outcomes.go
+++ b/coordination/dispatch/outcomes.go
@@ -36,17 +36,21 @@
 		u.recordAnswer(now, now, typicalWorkTime)
 	case Unreachable, ConnectionRefused:
 		u.connectionRefused = o == ConnectionRefused
-		u.backoff = min(max(minBackoff, 2*u.backoff), maxBackoff)
-		u.backoffUntil = now.Add(u.backoff)
+		u.extendBackoff(now)
 	case TimedOut:
 		if now.Sub(u.lastAnswerAt) > now.Sub(grantedAt) {
-			u.backoff = min(max(minBackoff, 2*u.backoff), maxBackoff)
-			u.backoffUntil = now.Add(u.backoff)
+			u.extendBackoff(now)
 		}
 	case Canceled:
 	}
 }
 
+// extendBackoff starts a time without requests, twice as long as the one before.
+func (u *Upstream) extendBackoff(now time.Time) {
+	u.backoff = min(max(minBackoff, 2*u.backoff), maxBackoff)
+	u.backoffUntil = now.Add(u.backoff)
+}
+
 // removeInFlight removes a request from those in flight.
 func (u *Upstream) removeInFlight(grantedAt time.Time) {
 	u.ownInFlight--
--- a/coordination/dispatch/poolroom.go
+++ b/coordination/dispatch/poolroom.go
@@ -163,7 +163,7 @@
 	for range min(draws, n) {
 		u := s.stateOf(now, list[s.rng.IntN(n)])
 		u.usedAt = now
-		if u.limit != nil && req.heldByLimit || isExcluded(req, u.ID) || !s.usable(now, u) || now.Before(u.overloadedUntil) {
+		if !s.eligible(now, u, req) || now.Before(u.overloadedUntil) {
 			continue
 		}
 		w := weight * s.roomOf(now, u)
--- a/coordination/dispatch/retryafter.go
+++ b/coordination/dispatch/retryafter.go
@@ -44,15 +44,24 @@
 		return 0
 	}
 	if req.Owner == "" {
-		// New requests take their room first. Otherwise callers would come back to a pool that these have
-		// filled.
-		rate := s.demandFraction*s.currentThroughput(now) - s.demand.Requests
-		return s.retryTimes.Next(now, rate, remaining, s.usefulDelay(now, req, s.typicalWorkTime), s.rng.Float64())
+		return s.poolRetryAfter(now, req, remaining)
 	}
-	u := s.existingState(req.Owner)
-	if u == nil {
-		return 0
+	if u := s.existingState(req.Owner); u != nil {
+		return s.ownerRetryAfter(now, req, u, r, remaining)
 	}
+	return 0
+}
+
+// poolRetryAfter returns the time of the next place in the pool.
+func (s *Service) poolRetryAfter(now time.Time, req *Request, remaining time.Duration) time.Duration {
+	// New requests take their room first. Otherwise callers would come back to a pool that these have
+	// filled.
+	rate := s.demandFraction*s.currentThroughput(now) - s.demand.Requests
+	return s.retryTimes.Next(now, rate, remaining, s.usefulDelay(now, req, s.typicalWorkTime), s.rng.Float64())
+}
+
+// ownerRetryAfter returns the time of the next place at the owner of the request's key.
+func (s *Service) ownerRetryAfter(now time.Time, req *Request, u *Upstream, r Refusal, remaining time.Duration) time.Duration {
 	work := u.currentWorkTime(now, s.typicalWorkTime)
 	useful := s.usefulDelay(now, req, work)
 	if r == ColdKey {
--- a/coordination/dispatch/service.go
+++ b/coordination/dispatch/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/rockcroft/rockcroft/coordination/callers"
@@ -301,13 +302,10 @@
 	return s.blockedReason(now, u) == 0 && u.usable(now, s.typicalWorkTime) && s.warmUpAllows(now, u)
 }
 
-func isExcluded(req *Request, id string) bool {
-	for _, other := range req.Exclude {
-		if other == id {
-			return true
-		}
-	}
-	return false
+// eligible reports whether the upstream may get a request that any upstream may run, apart from room.
+func (s *Service) eligible(now time.Time, u *Upstream, req *Request) bool {
+	heldByLimit := u.limit != nil && req.heldByLimit
+	return !heldByLimit && !slices.Contains(req.Exclude, u.ID) && s.usable(now, u)
 }
 
 // Done ends a try and admits waiting requests.
--- a/coordination/dispatch/warming.go
+++ b/coordination/dispatch/warming.go
@@ -145,7 +145,7 @@
 // slow, so a request goes there only if its response would be on time.
 func (s *Service) considerRightHolders(now time.Time, req *Request, c *choice) {
 	for _, u := range s.warmingWithRight {
-		if !s.warmUpLimited(now, u) || u.limit != nil && req.heldByLimit || isExcluded(req, u.ID) || !s.usable(now, u) || !u.hasCapacity(now, s.typicalWorkTime, req, false) {
+		if !s.warmUpLimited(now, u) || !s.eligible(now, u, req) || !u.hasCapacity(now, s.typicalWorkTime, req, false) {
 			continue
 		}
 		if u.expectedDelay(now, s.typicalWorkTime, req.route.Factor()) <= req.Objective {
--- a/gateway/cluster.go
+++ b/gateway/cluster.go
@@ -202,14 +202,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	sum := make(map[string]*syncpb.Load)
-	for _, child := range c.children {
-		if c.now().Sub(child.lastReport) < reportExpiry {
-			addLoads(sum, child.loads, c.now().Sub(child.lastReport))
-		}
-	}
-	if !c.leading {
-		addLoads(sum, c.parentLoads, c.now().Sub(c.parentLoadsAt))
-	}
+	c.forEachLoads(func(loads []*syncpb.Load, age time.Duration) { addLoads(sum, loads, age) })
 	others := make(map[string]float64, len(sum))
 	for id, l := range sum {
 		others[id] = float64(l.Inflight)
@@ -217,6 +210,20 @@
 	return others
 }
 
+// forEachLoads calls visit with the loads from all other gateways, as received from the children and the
+// parent, and the time since then. The lock is held.
+func (c *cluster) forEachLoads(visit func(loads []*syncpb.Load, age time.Duration)) {
+	now := c.now()
+	for _, child := range c.children {
+		if age := now.Sub(child.lastReport); age < reportExpiry {
+			visit(child.loads, age)
+		}
+	}
+	if !c.leading {
+		visit(c.parentLoads, now.Sub(c.parentLoadsAt))
+	}
+}
+
 // subtreeLoads returns the load from this gateway and from those that report to it, by upstream.
 func (c *cluster) subtreeLoads(own []*syncpb.Load) map[string]*syncpb.Load {
 	c.mu.Lock()
@@ -269,9 +276,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var out map[string]time.Duration
-	add := func(loads []*syncpb.Load, received time.Time) {
+	c.forEachLoads(func(loads []*syncpb.Load, received time.Duration) {
 		for _, l := range loads {
-			ms := agedRejection(l, c.now().Sub(received))
+			ms := agedRejection(l, received)
 			if ms == 0 {
 				continue
 			}
@@ -283,15 +290,7 @@
 				out[l.Instance] = age
 			}
 		}
-	}
-	for _, child := range c.children {
-		if c.now().Sub(child.lastReport) < reportExpiry {
-			add(child.loads, child.lastReport)
-		}
-	}
-	if !c.leading {
-		add(c.parentLoads, c.parentLoadsAt)
-	}
+	})
 	return out
 }
 
