--- a/coordination/callers/shares.go
+++ b/coordination/callers/shares.go
@@ -62,6 +62,10 @@
 	mean, meanOdds float64
 }
 
+func newShares(sets int, now time.Time) *shares {
+	return &shares{table: make([][ways]entry, sets), weightOneAt: now}
+}
+
 // weight returns the weight of a new request.
 func (s *shares) weight(now time.Time) float64 {
 	w := math.Exp2(max(float64(now.Sub(s.weightOneAt))/float64(halfLife), 0))
@@ -92,10 +96,6 @@
 	return nil
 }
 
-func newShares(sets int, now time.Time) *shares {
-	return &shares{table: make([][ways]entry, sets), weightOneAt: now}
-}
-
 // record counts a request of a caller, which must not be zero.
 func (s *shares) record(now time.Time, caller uint64) {
 	w := s.weight(now)
--- a/coordination/dispatch/cold.go
+++ b/coordination/dispatch/cold.go
@@ -152,7 +152,7 @@
 // its owner now.
 func (s *Service) hasRoomForCold(now time.Time, u *Upstream, req *Request, latency time.Duration) bool {
 	req.startBy = s.startBy(now, req)
-	if _, any := u.queue.ahead(&s.kinds, req); any {
+	if _, found := u.queue.ahead(&s.kinds, req); found {
 		return false
 	}
 	if u.hasSpareSlot(now) {
--- a/coordination/dispatch/queue.go
+++ b/coordination/dispatch/queue.go
@@ -100,7 +100,7 @@
 }
 
 // ahead returns the work that would be sent before a new request, and whether there is any.
-func (q *queue) ahead(k *kinds, req *Request) (work float64, any bool) {
+func (q *queue) ahead(k *kinds, req *Request) (work float64, found bool) {
 	if q.size == 0 {
 		return 0, false
 	}
@@ -110,7 +110,7 @@
 		case len(l.waiting) == 0:
 		case l.priority == req.Priority:
 			n := l.position(req.startBy)
-			any = any || n > 0
+			found = found || n > 0
 			if n == len(l.waiting) {
 				work += l.work
 				continue
@@ -119,10 +119,10 @@
 				work += w.work
 			}
 		case k.before(l.priority, req.Priority):
-			work, any = work+l.work, true
+			work, found = work+l.work, true
 		}
 	}
-	return work, any
+	return work, found
 }
 
 // forEach calls visit for each request in the order in which they are to be sent. It removes the request
--- a/coordination/dispatch/service.go
+++ b/coordination/dispatch/service.go
@@ -227,8 +227,8 @@
 		s.pool.offered = true
 	}
 	req.startBy = s.startBy(now, req)
-	ahead, any := q.ahead(&s.kinds, req)
-	if !any {
+	ahead, found := q.ahead(&s.kinds, req)
+	if !found {
 		if g, ok := s.tryGrant(now, req); ok {
 			return Decision{Grant: g}, true
 		}
