--- a/coordination/dispatch/poolroom.go
+++ b/coordination/dispatch/poolroom.go
@@ -70,16 +70,14 @@
 	return p.share.allows(now, p.rate, p.slots, p.shareLoad())
 }
 
-// recordOutcome returns the share of a request that has used no room. rejected is set if the upstream had
-// no room for it.
+// recordOutcome records how a request ended. A request that has used no room is credited to the share.
+// rejected is set if the upstream had no room for it.
 func (p *poolRoom) recordOutcome(now time.Time, o Outcome, rejected bool) {
 	if rejected {
 		p.markUneven(now)
 	}
 	switch o {
-	case Overloaded, ConnectionBroken:
-		p.share.credit++
-	case NotOwner, Unreachable, ConnectionRefused:
+	case Overloaded, ConnectionBroken, NotOwner, Unreachable, ConnectionRefused:
 		p.share.credit++
 	}
 }
@@ -165,7 +163,7 @@
 	for range min(draws, n) {
 		u := s.stateOf(now, list[s.rng.IntN(n)])
 		u.usedAt = now
-		if u.limit != nil && req.heldByLimit || isExcluded(req, u.ID) || !s.usable(now, u) || now.Before(u.overloadedUntil) {
+		if !s.eligible(now, u, req) || now.Before(u.overloadedUntil) {
 			continue
 		}
 		w := weight * s.roomOf(now, u)
