--- a/coordination/retryafter/retryafter.go
+++ b/coordination/retryafter/retryafter.go
@@ -51,7 +51,8 @@
 	if !(rate > minRate) {
 		rate = minRate
 	}
-	interval := time.Duration(float64(time.Second) / rate)
+	// The rate of a moment without free room must not block the schedule for longer than one caller waits.
+	interval := min(time.Duration(float64(time.Second)/rate), Limit(remaining))
 	s.next = s.next.Add(interval)
 	return min(delay+time.Duration(random*float64(interval)), limit)
 }
--- a/coordination/retryafter/retryafter_test.go
+++ b/coordination/retryafter/retryafter_test.go
@@ -102,3 +102,17 @@
 		t.Errorf("%d with a place, %d without", s.Placed, s.Unplaced)
 	}
 }
+
+// TestScheduleRecovers guards against a moment without free room that blocks the schedule: one refusal at a
+// negative rate put the next place 100 s ahead, and callers without a place came back too soon until then.
+func TestScheduleRecovers(t *testing.T) {
+	var s Schedule
+	const remaining, useful = 2500 * time.Millisecond, time.Second
+	s.Next(start, -50, remaining, useful, 0.5)
+	later := start.Add(Limit(remaining))
+	placed := s.Placed
+	s.Next(later, 200, remaining, useful, 0.5)
+	if s.Placed != placed+1 {
+		t.Error("no place after the longest time of a caller")
+	}
+}
