--- a/coordination/dispatch/queue.go
+++ b/coordination/dispatch/queue.go
@@ -209,7 +209,7 @@
 	if p.perSecond <= 0 {
 		return late, 0
 	}
-	for excess < min(q.size, maxShed) {
+	for excess < maxShed {
 		victim := q.excess(now, k, p)
 		if victim == nil {
 			break
--- a/coordination/dispatch/queue_test.go
+++ b/coordination/dispatch/queue_test.go
@@ -127,6 +127,20 @@
 	}
 }
 
+// TestAllExcessLeavesAtOnce guards against a queue that keeps half of the requests that cannot be in time
+// until the next tick.
+func TestAllExcessLeavesAtOnce(t *testing.T) {
+	var q queue
+	for i := range 10 {
+		q.add(queued(0, 5*ms+time.Duration(i)*time.Microsecond, time.Second))
+	}
+	left := 0
+	q.shed(start, &kinds{}, pace{perSecond: 0.1}, func(*Request) { left++ })
+	if left != 9 {
+		t.Errorf("%d of the 9 requests behind the first one left", left)
+	}
+}
+
 // kindsUnderLoad returns the kinds of a service of which the given shares of the requests were granted.
 func kindsUnderLoad(granted ...float64) *kinds {
 	k := &kinds{}
