--- a/coordination/dispatch/callers.go
+++ b/coordination/dispatch/callers.go
@@ -8,6 +8,11 @@
 
 // This file divides room among callers while requests are refused for lack of it.
 
+// freePoolLoad is the fraction of the requests in a full pool from which a slot that seems free does not
+// exempt a caller from its share: half of it is one request per slot, so the slot is free only until the
+// requests of the other gateways arrive.
+const freePoolLoad = 0.5
+
 // recordCaller finds the room that is divided among the callers of such requests, and counts the request.
 func (s *Service) recordCaller(now time.Time, req *Request) {
 	if req.room = s.dividedRoom(req); req.room != nil {
@@ -71,8 +76,7 @@
 		u := s.existingState(req.Owner)
 		return u != nil && u.queue.size == 0 && u.totalInFlight(now)+1 <= float64(u.Slots)
 	}
-	if s.queue.size > 0 || !s.pool.allows(now) {
-		// A slot that seems free in a full pool is in the share of other gateways.
+	if s.queue.size > 0 || s.pool.applies(now) && s.pool.load() >= freePoolLoad {
 		return false
 	}
 	best := s.lowestScore(now, req)
