--- a/bench/lab/delivery.go
+++ b/bench/lab/delivery.go
@@ -164,6 +164,9 @@
 	d.queued = nil
 	g := decision.Grant
 	d.sim.after(0, func() {
+		if !decision.Granted() && !d.ended && d.keyed {
+			d.countRefusal(req.Owner, decision.Refusal)
+		}
 		switch {
 		case decision.Granted() && d.ended:
 			d.service.Done(d.sim.now(), g, dispatch.Canceled)
@@ -171,9 +174,6 @@
 		case !decision.Granted() && decision.RetryAfter > 0:
 			d.refuseWithRetryAfter(decision.RetryAfter)
 		case !decision.Granted():
-			if d.keyed {
-				d.countRefusal(req.Owner, decision.Refusal)
-			}
 			d.refuseNoCapacity()
 		case req.Owner != "" && d.currentOwner() != req.Owner:
 			d.service.Done(d.sim.now(), g, dispatch.Canceled)
