--- a/gateway/leaderelector.go
+++ b/gateway/leaderelector.go
@@ -178,7 +178,9 @@
 	l.mu.Lock()
 	l.claim.Observe(l.now(), object.Revision)
 	l.mu.Unlock()
-	l.cluster.setLeader(leaderMessage(lease, object.Revision))
+	if !lease.Released {
+		l.cluster.setLeader(leaderMessage(lease, object.Revision))
+	}
 }
 
 // runExtensions asks the voters for promises while the renewal of the lease is overdue, until
