--- a/coordination/dispatch/demand.go
+++ b/coordination/dispatch/demand.go
@@ -68,6 +68,10 @@
 		s.demand.Work += min(weight, 1) * (s.offeredWork*s.meanWork.Seconds()/span.Seconds() - s.demand.Work)
 	}
 	s.offered, s.offeredWork, s.demandMeasuredAt = 0, 0, now
+	if !s.routes.Differ() {
+		// In proportion to the requests. Leaving it out saves its bytes in each report.
+		return Demand{Requests: s.demand.Requests}
+	}
 	return s.demand
 }
 
