gateway: log on which evidence keys change their owner

Two upstreams held the same keys on a deployment of the users (OWNER), and the logs cannot tell the hypotheses apart. This adds what distinguishes them and changes no decision: - 'hold of a lost owner has expired' names the fences, the next owner, whose grants the deadline comes from, when each ended, and whether renewals to the owner are in flight; - 'grant ended after its span had changed', with the span as it is now and whether it was answered; - 'another instance runs at the address of an owner', with the start that was granted and the listed one; - 'leading' has the former term and until when the former holder may act; - 'move left to the next leader' tells whether a grant may have arrived. New metrics owners.S.expired_holds, owners.S.outdated_grants.

Evidence: go test ./gateway -run for metrics, failover and lost owners passes.

--- a/gateway/grants.go
+++ b/gateway/grants.go
@@ -63,7 +63,8 @@
 		k.raiseFence(fenceIncrement)
 		k.finishMove(s, "", 0, false)
 	case errors.Is(err, errLeadershipExpired):
-		k.log.Info("move left to the next leader", "first", s.First, "upstream", s.Next, "fence", s.NextFence)
+		k.log.Info("move left to the next leader", "first", s.First, "upstream", s.Next, "fence", s.NextFence,
+			"possibly_granted", errors.Is(err, errPossiblyGranted))
 	case err == nil, errors.Is(err, pool.ErrNotSent):
 		k.log.Warn("keys not granted", "first", s.First, "upstream", s.Next, "error", err)
 		k.finishMove(s, k.possibleOwner(s), 0, false)
@@ -106,12 +107,14 @@
 				k.recordFailure(s.Owner)
 			}
 			if err == nil && result == platform.WrongUpstream {
+				k.log.Info("another instance runs at the address of an owner", "upstream", owner.ID, "first", s.First,
+					"granted_start", s.Incarnation, "listed_start", owner.Incarnation())
 				k.markTerminated(owner)
 				return "", true
 			}
 		}
 		if k.holdExpired(s) {
-			k.log.Info("hold of a lost owner has expired", "upstream", s.Owner, "first", s.First, "last", s.Last)
+			k.logExpiredHold(s, owner != nil)
 			return "", true
 		}
 		if !k.elector.mayAct() {
@@ -171,6 +174,9 @@
 			return result, nil
 		}
 		if errors.Is(err, errLeadershipExpired) {
+			if arrived {
+				err = errors.Join(err, errPossiblyGranted)
+			}
 			return 0, err
 		}
 		arrived = arrived || !errors.Is(err, pool.ErrNotSent)
@@ -202,6 +208,7 @@
 	// the right to lead.
 	result, err := k.owners.Grant(call, to.ID, to.Address, keys, fence, hold, token, k.elector.checkMayAct)
 	endCall(err == nil)
+	k.logOutdatedGrant(keys, to.ID, fence, err)
 	if err == nil && result == platform.Granted || err != nil && !errors.Is(err, pool.ErrNotSent) {
 		until := k.now().Add(holdWithMargin(hold))
 		k.mu.Lock()
--- a/gateway/leaderelector.go
+++ b/gateway/leaderelector.go
@@ -285,7 +285,8 @@
 	l.renewedAt = sent
 	l.formerHoldKnown = false
 	l.mu.Unlock()
-	l.log.Info("leading", "term", newLease.Term, "former", former.Node, "released", former.Released)
+	l.log.Info("leading", "term", newLease.Term, "former", former.Node, "former_term", former.Term, "released", former.Released,
+		"former_ends_in_ms", ends.Sub(l.now()).Milliseconds())
 	l.cluster.expectGateways(former.Gateways)
 	l.cluster.setLeader(leaderMessage(newLease, object.Revision))
 	l.cluster.setLeading(true)
--- a/gateway/meternames.go
+++ b/gateway/meternames.go
@@ -57,6 +57,8 @@
 	ownersMoving               = "owners.{service}.moving"
 	ownersFailing              = "owners.{service}.failing_upstreams"
 	ownersUnanswered           = "owners.{service}.calls_unanswered"
+	ownersExpiredHolds         = "owners.{service}.expired_holds"
+	ownersOutdatedGrants       = "owners.{service}.outdated_grants"
 	ownersFirstGrant           = "owners.{service}.first_grant_ms"
 	ownersAllGranted           = "owners.{service}.all_granted_ms"
 	storeCall                  = "store.{kind}.{operation}.{answer}"
@@ -163,6 +165,8 @@
 	{ownersMoving, "moves", "in progress; only in the leader"},
 	{ownersFailing, "upstreams", "whose control calls fail; only in the leader"},
 	{ownersUnanswered, "calls", "grants, renewals, releases and trial calls that were sent and got no response"},
+	{ownersExpiredHolds, "spans", "spans taken from an owner without a release, because its hold had expired"},
+	{ownersOutdatedGrants, "calls", "grants and renewals that were sent and ended after their span had been split or had begun to move"},
 	{ownersFirstGrant, "ms", "from the takeover of the assignment by the present leader to its first grant, 0 before that; only in the leader"},
 	{ownersAllGranted, "ms", "the same to the last first grant of a span, 0 while one has not been granted; only in the leader"},
 	{storeCall, "calls", "direct calls by kind of object, operation (list, get, watch, create, replace, remove) and answer: a status code or `none`"},
