gateway: record grants by key and before they are sent

What callers saw: two upstreams held the same keys (OWNER) on a deployment where hot keys are split off while owners are cut off.

Cause: the time until which an owner may hold keys was recorded when a renewal ended, under the first key and fence of the span as it was when the renewal began. If the span was split meanwhile, the renewal extended the owner's hold of all parts but was recorded for the first part only. If the owner then did not answer the release of a part that moves, the part was granted to another upstream up to a renewal interval too early. Class: the result of a call is recorded under an identity that a change made during the call replaces.

Change: ownership.Holds records the holds of one leader by key. A grant is recorded before it is sent and counts as just arrived until it ends; a release ends what grants with a lower fence may still do; no key is granted while another upstream may hold it. A renewal that waited for a call slot is not sent if its span has changed.

TestGrantToNextOwnerIsRecordedSeparately now asks that the grant to another upstream is not sent at all.

--- /dev/null
+++ b/coordination/ownership/holds.go
@@ -0,0 +1,206 @@
+package ownership
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/rockcroft/rockcroft/state/spans"
+)
+
+const (
+	// maxClockSlowdown is the factor by which the clock of an upstream that measures a grant
+	// may run slower than the local clock.
+	maxClockSlowdown = 1.02
+	// grantTransitMargin is added to the end of a grant for the time that its call is in transit.
+	grantTransitMargin = 200 * time.Millisecond
+)
+
+// HoldWithMargin returns how long an upstream may hold keys after a grant of the given duration has
+// arrived, measured by the local clock.
+func HoldWithMargin(hold time.Duration) time.Duration {
+	return time.Duration(float64(hold)*maxClockSlowdown) + grantTransitMargin
+}
+
+// Holds records which upstream may hold each key by the grants of one leader, and until when. It
+// records by key, not by span, because spans are split and moved while grants for them are in flight.
+// A grant is recorded before it is sent: until it has ended it counts as one that has just arrived.
+//
+// No key is granted to an upstream while another one may hold it. It is not safe for concurrent use.
+type Holds struct {
+	began time.Time
+	// upstreams are the numbers of upstreams in keys; ids is the reverse. Number 0 is no upstream.
+	upstreams map[string]int32
+	ids       []string
+	keys      [spans.MaxKey + 1]keyHold
+	inFlight  map[*GrantCall]struct{}
+}
+
+// keyHold is the latest hold of one key.
+type keyHold struct {
+	// until is measured from the creation of the Holds.
+	until    time.Duration
+	upstream int32
+}
+
+// GrantCall is a grant in flight.
+type GrantCall struct {
+	keys     spans.KeyRange
+	upstream string
+	fence    uint64
+	hold     time.Duration
+	// revoked are keys that the upstream has released since by a higher fence: it refuses the call.
+	revoked []spans.KeyRange
+	// ended is set if the process that was called has ended.
+	ended bool
+}
+
+// HeldError reports that keys cannot be granted because another upstream may hold one of them.
+type HeldError struct {
+	Upstream string
+	Until    time.Time
+}
+
+func (e *HeldError) Error() string {
+	return fmt.Sprintf("upstream %s may hold the keys until %s", e.Upstream, e.Until.Format(time.RFC3339Nano))
+}
+
+// NewHolds returns a Holds without any holds. began is the current time.
+func NewHolds(began time.Time) *Holds {
+	return &Holds{began: began, upstreams: make(map[string]int32), ids: []string{""}, inFlight: make(map[*GrantCall]struct{})}
+}
+
+// Begin records a grant that is about to be sent. It returns a *HeldError if another upstream may hold
+// one of the keys.
+func (h *Holds) Begin(now time.Time, keys spans.KeyRange, upstream string, fence uint64, hold time.Duration) (*GrantCall, error) {
+	if other, until := h.Other(now, keys, upstream); other != "" {
+		return nil, &HeldError{Upstream: other, Until: until}
+	}
+	c := &GrantCall{keys: keys, upstream: upstream, fence: fence, hold: hold}
+	h.inFlight[c] = struct{}{}
+	return c, nil
+}
+
+// End records the end of a grant. arrived reports whether the upstream may have accepted it.
+func (h *Holds) End(now time.Time, c *GrantCall, arrived bool) {
+	delete(h.inFlight, c)
+	if !arrived || c.ended {
+		return
+	}
+	number, until := h.number(c.upstream), now.Add(HoldWithMargin(c.hold)).Sub(h.began)
+	for key := int(c.keys.First); key <= int(c.keys.Last); key++ {
+		k := &h.keys[key]
+		if c.isRevoked(uint16(key)) || k.upstream == number && k.until > until {
+			continue
+		}
+		*k = keyHold{until: until, upstream: number}
+	}
+}
+
+// Release records that the upstream has released the keys and refuses grants with a lower fence.
+func (h *Holds) Release(keys spans.KeyRange, upstream string, fence uint64) {
+	number := h.number(upstream)
+	for key := int(keys.First); key <= int(keys.Last); key++ {
+		if h.keys[key].upstream == number {
+			h.keys[key] = keyHold{}
+		}
+	}
+	for c := range h.inFlight {
+		if c.upstream == upstream && c.fence < fence && c.keys.Overlaps(keys) {
+			c.revoked = append(c.revoked, keys)
+		}
+	}
+}
+
+// Terminated records that the process of the upstream has ended and holds nothing.
+func (h *Holds) Terminated(upstream string) {
+	number := h.number(upstream)
+	for key := range h.keys {
+		if h.keys[key].upstream == number {
+			h.keys[key] = keyHold{}
+		}
+	}
+	for c := range h.inFlight {
+		if c.upstream == upstream {
+			c.ended = true
+		}
+	}
+}
+
+// Until returns until when the upstream may hold one of the keys; the zero time if it holds none. While
+// a grant to it is in flight, that is the time for a grant that arrives now.
+func (h *Holds) Until(now time.Time, keys spans.KeyRange, upstream string) time.Time {
+	number, latest := h.number(upstream), keyHold{}
+	for _, k := range h.keys[int(keys.First) : int(keys.Last)+1] {
+		if k.upstream == number && k.until > latest.until {
+			latest = k
+		}
+	}
+	until := h.timeOf(latest)
+	for c := range h.inFlight {
+		if at := now.Add(HoldWithMargin(c.hold)); c.upstream == upstream && c.mayTakeEffect(keys) && at.After(until) {
+			until = at
+		}
+	}
+	return until
+}
+
+// Other returns an upstream other than the given one that may hold one of the keys now, and until when;
+// "" if there is none.
+func (h *Holds) Other(now time.Time, keys spans.KeyRange, except string) (upstream string, until time.Time) {
+	for c := range h.inFlight {
+		if c.upstream != except && c.mayTakeEffect(keys) {
+			return c.upstream, now.Add(HoldWithMargin(c.hold))
+		}
+	}
+	number := h.number(except)
+	for _, k := range h.keys[int(keys.First) : int(keys.Last)+1] {
+		if at := h.timeOf(k); k.upstream != number && now.Before(at) {
+			return h.ids[k.upstream], at
+		}
+	}
+	return "", time.Time{}
+}
+
+// timeOf returns the end of a hold; the zero time if there is none.
+func (h *Holds) timeOf(k keyHold) time.Time {
+	if k.upstream == 0 {
+		return time.Time{}
+	}
+	return h.began.Add(k.until)
+}
+
+// number returns the number of the upstream, and assigns one if it has none.
+func (h *Holds) number(upstream string) int32 {
+	n, ok := h.upstreams[upstream]
+	if !ok && upstream != "" {
+		n = int32(len(h.ids))
+		h.upstreams[upstream] = n
+		h.ids = append(h.ids, upstream)
+	}
+	return n
+}
+
+// mayTakeEffect reports whether the grant may give its upstream one of the keys.
+func (c *GrantCall) mayTakeEffect(keys spans.KeyRange) bool {
+	if c.ended || !c.keys.Overlaps(keys) {
+		return false
+	}
+	if len(c.revoked) == 0 {
+		return true
+	}
+	for key := int(max(keys.First, c.keys.First)); key <= int(min(keys.Last, c.keys.Last)); key++ {
+		if !c.isRevoked(uint16(key)) {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *GrantCall) isRevoked(key uint16) bool {
+	for _, keys := range c.revoked {
+		if keys.Contains(key) {
+			return true
+		}
+	}
+	return false
+}
--- a/gateway/callslots_test.go
+++ b/gateway/callslots_test.go
@@ -45,7 +45,7 @@
 	var running sync.WaitGroup
 	for i := range calls {
 		running.Go(func() {
-			result, err := k.grant(context.Background(), spans.KeyRange{First: uint16(i), Last: uint16(i)}, to, 1, "")
+			result, err := k.grant(context.Background(), spans.KeyRange{First: uint16(i), Last: uint16(i)}, to, 1, "", nil)
 			if err != nil || result != platform.Granted {
 				t.Errorf("grant %d: %v, %v", i, result, err)
 			}
--- a/gateway/delivery.go
+++ b/gateway/delivery.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/rockcroft/rockcroft/coordination/dispatch"
+	"github.com/rockcroft/rockcroft/coordination/ownership"
 	"github.com/rockcroft/rockcroft/coordination/patience"
 	"github.com/rockcroft/rockcroft/protocol/answer"
 	"github.com/rockcroft/rockcroft/transport/pool"
@@ -177,7 +178,7 @@
 		return false
 	case q.mayHaveRun && !q.route.Idempotent:
 		return false
-	case errors.Is(err, errNotOwner) && f.leaderSilence() > holdWithMargin(holdDuration):
+	case errors.Is(err, errNotOwner) && f.leaderSilence() > ownership.HoldWithMargin(holdDuration):
 		// Without a leader in reach the grants have ended, and no update of the owner will come.
 		return false
 	case f.suspects.isSuspected(q):
--- a/gateway/failover_test.go
+++ b/gateway/failover_test.go
@@ -9,6 +9,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/rockcroft/rockcroft/coordination/leadership"
+	"github.com/rockcroft/rockcroft/coordination/ownership"
 	"github.com/rockcroft/rockcroft/platform"
 	"github.com/rockcroft/rockcroft/protocol/syncpb"
 	"github.com/rockcroft/rockcroft/standin/instance"
@@ -137,15 +138,15 @@
 	if l.votersMayChange() {
 		t.Error("the voters change before the end of the former leader's grants is known")
 	}
-	l.setFormerHoldDeadline(8, now.Add(holdWithMargin(holdDuration)), false)
+	l.setFormerHoldDeadline(8, now.Add(ownership.HoldWithMargin(holdDuration)), false)
 	if !l.votersMayChange() {
 		t.Error("the voters do not change although no promises were made to the former leader")
 	}
-	l.setFormerHoldDeadline(8, now.Add(holdWithMargin(holdDuration)), true)
+	l.setFormerHoldDeadline(8, now.Add(ownership.HoldWithMargin(holdDuration)), true)
 	if l.votersMayChange() {
 		t.Error("the voters change while grants made by promises to the former leader are in force")
 	}
-	now = now.Add(holdWithMargin(holdDuration) + time.Millisecond)
+	now = now.Add(ownership.HoldWithMargin(holdDuration) + time.Millisecond)
 	l.right.Extend(now)
 	if !l.votersMayChange() {
 		t.Error("the voters never change")
--- a/gateway/grantlog.go
+++ b/gateway/grantlog.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 
+	"github.com/rockcroft/rockcroft/state/instances"
 	"github.com/rockcroft/rockcroft/state/spans"
 	"github.com/rockcroft/rockcroft/transport/pool"
 )
@@ -10,22 +11,25 @@
 // This file logs what an investigation of two owners of one key needs: on which evidence keys were
 // taken from an owner that released none, and which grants ended after the assignment had changed.
 
-// logExpiredHold logs that keys are taken from an owner without its release. listed reports whether
-// the owner is in the list of upstreams.
-func (k *keyAssigner) logExpiredHold(s spans.Span, listed bool) {
+// logExpiredHold logs that keys are taken from an upstream without its release. listed reports whether
+// the upstream is in the list of upstreams.
+func (k *keyAssigner) logExpiredHold(s spans.Span, holder string, listed bool) {
 	k.meters.inc(k.meters.service(ownersExpiredHolds, k.service))
 	k.mu.Lock()
-	own, recorded, sole := k.holdDeadlines[ownerGrant(s)], true, k.onlyGranter
-	if own.IsZero() {
-		recorded = false
-	}
-	inFlight, renewed := k.callsInFlight[s.Owner], k.grantRenewedAt[s.First]
+	now := k.now()
+	own, sole := k.holds.Until(now, s.KeyRange, holder), k.onlyGranter
+	renewed := k.grantRenewedAt[s.First]
 	k.mu.Unlock()
 	former, _ := k.elector.latestFormerHold()
-	now := k.now()
-	k.log.Info("hold of a lost owner has expired", "upstream", s.Owner, "first", s.First, "last", s.Last, "fence", s.Fence,
-		"next", s.Next, "next_fence", s.NextFence, "listed", listed, "granted_here", recorded, "own_ended_ms", now.Sub(own).Milliseconds(),
-		"sole", sole, "former_ended_ms", now.Sub(former).Milliseconds(), "renewals_in_flight", inFlight, "renewed_ms_ago", now.Sub(renewed).Milliseconds())
+	k.log.Info("hold of a lost owner has expired", "upstream", holder, "first", s.First, "last", s.Last, "fence", s.Fence,
+		"next", s.Next, "next_fence", s.NextFence, "listed", listed, "granted_here", !own.IsZero(), "own_ended_ms", now.Sub(own).Milliseconds(),
+		"sole", sole, "former_ended_ms", now.Sub(former).Milliseconds(), "renewed_ms_ago", now.Sub(renewed).Milliseconds())
+}
+
+// logWrongUpstream logs that another instance runs at the address of an upstream.
+func (k *keyAssigner) logWrongUpstream(s spans.Span, at *instances.Instance) {
+	k.log.Info("another instance runs at the address of an owner", "upstream", at.ID, "first", s.First,
+		"granted_start", s.Incarnation, "listed_start", at.Incarnation())
 }
 
 // logOutdatedGrant logs a grant whose span was split or began to move while the call waited or was in
--- a/gateway/grants.go
+++ b/gateway/grants.go
@@ -36,11 +36,7 @@
 // move releases the keys of a span from their owner and grants them to the next one.
 func (k *keyAssigner) move(ctx context.Context, s spans.Span) {
 	began := k.now()
-	token, free := "", true
-	if s.Next != s.Owner {
-		// If they are the same, the owner has restarted and no upstream holds the keys.
-		token, free = k.releaseFromOwner(ctx, s)
-	}
+	token, free := k.releaseFromOwner(ctx, s)
 	if !free || !k.elector.mayAct() {
 		return
 	}
@@ -62,6 +58,9 @@
 		k.log.Warn("grant refused: the upstream has seen a higher fence", "first", s.First, "upstream", s.Next, "fence", s.NextFence)
 		k.raiseFence(fenceIncrement)
 		k.finishMove(s, "", 0, false)
+	case errors.As(err, new(*ownership.HeldError)):
+		// The move is carried out again from its release on.
+		k.log.Warn("keys not granted", "first", s.First, "upstream", s.Next, "error", err)
 	case errors.Is(err, errLeadershipExpired):
 		k.log.Info("move left to the next leader", "first", s.First, "upstream", s.Next, "fence", s.NextFence,
 			"possibly_granted", errors.Is(err, errPossiblyGranted))
@@ -88,47 +87,59 @@
 	return ""
 }
 
-// releaseFromOwner releases keys from their owner, or waits until the owner's hold has expired.
-// free reports whether no upstream holds the keys any more.
+// releaseFromOwner releases the keys of a move from their owner. It is not called if the owner is also the
+// next one: it has restarted then, and no upstream holds the keys.
 func (k *keyAssigner) releaseFromOwner(ctx context.Context, s spans.Span) (token string, free bool) {
-	if s.Owner == "" {
+	if s.Owner == "" || s.Owner == s.Next {
 		return "", true
 	}
+	return k.releaseFrom(ctx, s, s.Owner)
+}
+
+// releaseFrom releases keys from an upstream, or waits until its hold has expired. free reports whether
+// the upstream holds the keys no more.
+func (k *keyAssigner) releaseFrom(ctx context.Context, s spans.Span, holder string) (token string, free bool) {
 	for ctx.Err() == nil {
-		owner := k.instance(s.Owner)
-		if limit := k.releaseCallTimeout(s); owner != nil && limit > 0 {
+		owner := k.instance(holder)
+		if limit := k.releaseCallTimeout(s.KeyRange, holder); owner != nil && limit > 0 {
 			call, cancel := context.WithTimeout(ctx, limit)
 			result, token, err := k.owners.Release(call, owner.ID, owner.Address, s.KeyRange, s.NextFence)
 			cancel()
-			if err == nil && result == platform.Granted {
+			switch {
+			case err != nil:
+				k.recordFailure(holder)
+			case result == platform.Granted:
+				k.recordRelease(s, holder)
 				return token, true
-			}
-			if err != nil {
-				k.recordFailure(s.Owner)
-			}
-			if err == nil && result == platform.WrongUpstream {
-				k.log.Info("another instance runs at the address of an owner", "upstream", owner.ID, "first", s.First,
-					"granted_start", s.Incarnation, "listed_start", owner.Incarnation())
+			case result == platform.WrongUpstream:
+				k.logWrongUpstream(s, owner)
 				k.markTerminated(owner)
 				return "", true
 			}
 		}
-		if k.holdExpired(s) {
-			k.logExpiredHold(s, owner != nil)
+		if k.holdExpired(s.KeyRange, holder) {
+			k.logExpiredHold(s, holder, owner != nil)
 			return "", true
 		}
 		if !k.elector.mayAct() {
 			return "", false
 		}
-		pause(ctx, k.releaseRetryDelay(s))
+		pause(ctx, k.releaseRetryDelay(s.KeyRange, holder))
 	}
 	return "", false
 }
 
+// recordRelease records that the upstream has released the keys of a move.
+func (k *keyAssigner) recordRelease(s spans.Span, upstream string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.holds.Release(s.KeyRange, upstream, s.NextFence)
+}
+
 // releaseRetryDelay returns the time to the next release call, or to the end of the hold if that is
 // sooner.
-func (k *keyAssigner) releaseRetryDelay(s spans.Span) time.Duration {
-	ends, known := k.holdExpiry(s)
+func (k *keyAssigner) releaseRetryDelay(keys spans.KeyRange, holder string) time.Duration {
+	ends, known := k.holdExpiry(keys, holder)
 	if left := ends.Sub(k.now()); known && left > 0 {
 		return min(controlRetryInterval, left+time.Millisecond)
 	}
@@ -136,24 +147,24 @@
 }
 
 // releaseCallTimeout returns the timeout of one release call.
-func (k *keyAssigner) releaseCallTimeout(s spans.Span) time.Duration {
-	ends, known := k.holdExpiry(s)
+func (k *keyAssigner) releaseCallTimeout(keys spans.KeyRange, holder string) time.Duration {
+	ends, known := k.holdExpiry(keys, holder)
 	if !known {
 		return releaseTimeout
 	}
-	return ownership.ReleaseTimeout(releaseTimeout, ends.Sub(k.now()), k.failingFor(s.Owner) > 0)
+	return ownership.ReleaseTimeout(releaseTimeout, ends.Sub(k.now()), k.failingFor(holder) > 0)
 }
 
-func (k *keyAssigner) holdExpired(s spans.Span) bool {
-	ends, known := k.holdExpiry(s)
+func (k *keyAssigner) holdExpired(keys spans.KeyRange, holder string) bool {
+	ends, known := k.holdExpiry(keys, holder)
 	return known && k.now().After(ends)
 }
 
-// holdExpiry returns until when the owner of the span may hold its keys by grants of this leader
-// or of former ones. known is false while the grants of former leaders are not known.
-func (k *keyAssigner) holdExpiry(s spans.Span) (ends time.Time, known bool) {
+// holdExpiry returns until when the upstream may hold one of the keys by grants of this leader or of
+// former ones. known is false while the grants of former leaders are not known.
+func (k *keyAssigner) holdExpiry(keys spans.KeyRange, holder string) (ends time.Time, known bool) {
 	k.mu.Lock()
-	own, sole := k.holdDeadlines[ownerGrant(s)], k.onlyGranter
+	own, sole := k.holds.Until(k.now(), keys, holder), k.onlyGranter
 	k.mu.Unlock()
 	if sole {
 		return own, true
@@ -169,10 +180,13 @@
 func (k *keyAssigner) grantWithRetries(ctx context.Context, s spans.Span, next *instances.Instance, token string) (platform.GrantResult, error) {
 	arrived := false
 	for {
-		result, err := k.grant(ctx, s.KeyRange, next, s.NextFence, token)
+		result, err := k.grant(ctx, s.KeyRange, next, s.NextFence, token, nil)
 		if err == nil {
 			return result, nil
 		}
+		if errors.As(err, new(*ownership.HeldError)) {
+			return 0, err
+		}
 		if errors.Is(err, errLeadershipExpired) {
 			if arrived {
 				err = errors.Join(err, errPossiblyGranted)
@@ -194,35 +208,60 @@
 // errPossiblyGranted reports that no call was answered although one may have arrived.
 var errPossiblyGranted = errors.New("no call was answered, but one may have arrived")
 
-// grant makes one grant call and records until when the upstream may hold the keys. The right to
-// lead is checked last, right before the call is sent.
-func (k *keyAssigner) grant(ctx context.Context, keys spans.KeyRange, to *instances.Instance, fence uint64, token string) (platform.GrantResult, error) {
+// grant makes one grant call. Right before it is sent, the right to lead is checked, check is called if
+// it is not nil, and the grant is recorded. The call is not sent while another upstream may hold one of
+// the keys.
+func (k *keyAssigner) grant(ctx context.Context, keys spans.KeyRange, to *instances.Instance, fence uint64, token string, check func() error) (platform.GrantResult, error) {
 	endCall, ok := k.grantSlots.acquire(ctx, k.grantDue(keys.First))
 	if !ok {
 		return 0, errNoCallSlot
 	}
 	hold := k.grantDuration()
-	call, cancel := context.WithTimeout(ctx, grantTimeout)
+	timeout, cancel := context.WithTimeout(ctx, grantTimeout)
 	defer cancel()
-	// checkMayAct is checked again once the connection is open, as opening it may have outlasted
-	// the right to lead.
-	result, err := k.owners.Grant(call, to.ID, to.Address, keys, fence, hold, token, k.elector.checkMayAct)
-	endCall(err == nil)
-	k.logOutdatedGrant(keys, to.ID, fence, err)
-	if err == nil && result == platform.Granted || err != nil && !errors.Is(err, pool.ErrNotSent) {
-		until := k.now().Add(holdWithMargin(hold))
-		k.mu.Lock()
-		id := grantID{first: keys.First, fence: fence}
-		k.holdDeadlines[id] = laterOf(k.holdDeadlines[id], until)
-		if err == nil {
-			k.grantRenewedAt[keys.First], k.lastGranted[to.ID] = k.now(), k.now()
-			k.recordFirstGrant(keys.First)
+	var call *ownership.GrantCall
+	// Opening the connection may have outlasted the right to lead.
+	beforeSend := func() (err error) {
+		if err := k.elector.checkMayAct(); err != nil {
+			return err
 		}
-		k.mu.Unlock()
+		call, err = k.beginGrant(keys, to.ID, fence, hold, check)
+		return err
+	}
+	result, err := k.owners.Grant(timeout, to.ID, to.Address, keys, fence, hold, token, beforeSend)
+	endCall(err == nil)
+	if call != nil {
+		k.endGrant(call, keys, to.ID, result, err)
+		k.logOutdatedGrant(keys, to.ID, fence, err)
 	}
 	return result, err
 }
 
+// beginGrant records a grant that is about to be sent, unless check fails, which is called under the lock.
+func (k *keyAssigner) beginGrant(keys spans.KeyRange, to string, fence uint64, hold time.Duration, check func() error) (*ownership.GrantCall, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if check != nil {
+		if err := check(); err != nil {
+			return nil, err
+		}
+	}
+	return k.holds.Begin(k.now(), keys, to, fence, hold)
+}
+
+// endGrant records the result of a grant.
+func (k *keyAssigner) endGrant(call *ownership.GrantCall, keys spans.KeyRange, to string, result platform.GrantResult, err error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.now()
+	arrived := err == nil && result == platform.Granted || err != nil && !errors.Is(err, pool.ErrNotSent)
+	k.holds.End(now, call, arrived)
+	if err == nil && result == platform.Granted {
+		k.grantRenewedAt[keys.First], k.lastGranted[to] = now, now
+		k.recordFirstGrant(keys.First)
+	}
+}
+
 // grantDue returns by when the grant of the span with that first key should begin.
 func (k *keyAssigner) grantDue(first uint16) time.Time {
 	k.mu.Lock()
@@ -245,6 +284,7 @@
 var (
 	errLeadershipExpired = errors.New("the right to lead has expired")
 	errNoCallSlot        = fmt.Errorf("%w: leadership has ended", pool.ErrNotSent)
+	errSpanChanged       = errors.New("the span was split or has begun to move")
 )
 
 // grantDuration returns how long a grant lasts. Grants last longer while this leader acts by
@@ -327,8 +367,7 @@
 		}
 		late := now.Sub(k.grantRenewedAt[s.First]) >= renewInterval
 		// A leader that acts by promises extends every grant at once.
-		stretch := long && k.holdDeadlines[ownerGrant(s)].Sub(now) < k.maxHold-renewInterval
-		if late || stretch {
+		if late || long && k.holds.Until(now, s.KeyRange, s.Owner).Sub(now) < k.maxHold-renewInterval {
 			due[s.Owner] = append(due[s.Owner], s)
 		}
 	}
@@ -400,10 +439,18 @@
 		// The owner has other keys by now, or has restarted and holds none.
 		return true
 	}
-	result, err := k.grant(ctx, s.KeyRange, owner, s.Fence, "")
+	// The span may change while the call waits for a slot.
+	result, err := k.grant(ctx, s.KeyRange, owner, s.Fence, "", func() error {
+		if k.table.Find(s.First) != s {
+			return errSpanChanged
+		}
+		return nil
+	})
 	switch {
 	case errors.Is(err, errLeadershipExpired) || ctx.Err() != nil:
 		return false
+	case errors.Is(err, errSpanChanged):
+		return true
 	case err != nil:
 		k.recordFailure(owner.ID)
 		return false
--- a/gateway/keyassigner.go
+++ b/gateway/keyassigner.go
@@ -22,11 +22,6 @@
 	holdDuration = 4 * time.Second
 	// renewInterval is the time between renewals of a grant.
 	renewInterval = 1000 * time.Millisecond
-	// maxClockSlowdown is the factor by which the clock of an upstream that measures a grant
-	// may run slower than the local clock.
-	maxClockSlowdown = 1.02
-	// grantTransitMargin is added to the end of a grant for the time that its call is in transit.
-	grantTransitMargin = 200 * time.Millisecond
 	// planInterval is the time between plans.
 	planInterval = 250 * time.Millisecond
 	// rebalanceInterval is the time between plans that rebalance load when nothing is urgent.
@@ -96,8 +91,8 @@
 	// rebalancedAt is when a plan last rebalanced load.
 	rebalancedAt time.Time
 	writeCount   int
-	// holdDeadlines is until when an upstream may hold keys by the grants that this leader made.
-	holdDeadlines map[grantID]time.Time
+	// holds are the holds of keys by the grants that this leader made.
+	holds *ownership.Holds
 	// onlyGranter is set when no other leader has ever granted keys of the service.
 	onlyGranter bool
 	// movedAt is when the last move of a span ended, by the span's first key.
@@ -134,22 +129,14 @@
 	tasks         sync.WaitGroup
 }
 
-// grantID identifies the grants of a span to one owner. Every later owner has another fence.
-type grantID struct {
-	first uint16
-	fence uint64
-}
-
-// ownerGrant identifies the grants to the current owner of a span.
-func ownerGrant(s spans.Span) grantID { return grantID{first: s.First, fence: s.Fence} }
-
 func newKeyAssigner(s *assignmentSupervisor, service string, term uint64) *keyAssigner {
 	return &keyAssigner{
 		assignmentSupervisor: s, service: service, term: term, log: s.log.With("service", service),
-		rateEstimator: ownership.NewRateEstimator(s.now()), holdDeadlines: make(map[grantID]time.Time), demand: &ownership.SpanDemand{}, grantRenewedAt: make(map[uint16]time.Time), movedAt: make(map[uint16]time.Time),
-		coldSince:   make(map[uint16]time.Time),
+		rateEstimator: ownership.NewRateEstimator(s.now()), holds: ownership.NewHolds(s.now()), demand: &ownership.SpanDemand{},
+		grantRenewedAt: make(map[uint16]time.Time), movedAt: make(map[uint16]time.Time), coldSince: make(map[uint16]time.Time),
 		activeMoves: make(map[uint64]bool), inheritedMoves: make(map[uint64]bool), callsInFlight: make(map[string]bool),
-		failing: make(map[string]controlFailure), lastGranted: make(map[string]time.Time), terminated: make(map[string]upstreamStart), lastStarts: make(map[string]upstreamStart),
+		failing: make(map[string]controlFailure), lastGranted: make(map[string]time.Time), terminated: make(map[string]upstreamStart),
+		lastStarts: make(map[string]upstreamStart),
 	}
 }
 
@@ -310,12 +297,6 @@
 	k.log.Info("assignment claimed", "spans", len(table.Spans), "last_fence", table.LastFence)
 }
 
-// holdWithMargin returns how long an upstream may hold keys after a grant of the given
-// duration has arrived, measured by the local clock.
-func holdWithMargin(hold time.Duration) time.Duration {
-	return time.Duration(float64(hold)*maxClockSlowdown) + grantTransitMargin
-}
-
 // initialTable waits until the upstreams have registered and assigns the keys to them.
 func (k *keyAssigner) initialTable(ctx context.Context) *spans.Table {
 	began := k.now()
--- a/gateway/keyassignerstore.go
+++ b/gateway/keyassignerstore.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"errors"
-	"maps"
-	"time"
 
 	"github.com/rockcroft/rockcroft/coordination/ownership"
 	"github.com/rockcroft/rockcroft/platform"
@@ -68,8 +66,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.revision = got
-	k.inheritSplitHolds(before, next)
-	k.dropExpiredHolds()
+	k.inheritSplitTimes(before, next)
 	k.table, k.unsaved = k.mergeEndedMoves(next)
 	k.savedAt = k.now()
 	k.publish()
@@ -93,26 +90,19 @@
 	return next, changed
 }
 
-// inheritSplitHolds copies the recorded state of a span to the parts it was split into. The
+// inheritSplitTimes copies the recorded times of a span to the parts it was split into. The
 // caller holds k.mu.
-func (k *keyAssigner) inheritSplitHolds(before, next *spans.Table) {
+func (k *keyAssigner) inheritSplitTimes(before, next *spans.Table) {
 	for _, s := range next.Spans {
 		from := before.Find(s.First)
 		if from.First == s.First {
 			continue
 		}
-		k.holdDeadlines[ownerGrant(s)] = k.holdDeadlines[ownerGrant(from)]
 		k.grantRenewedAt[s.First] = k.grantRenewedAt[from.First]
 		k.coldSince[s.First] = k.coldSince[from.First]
 	}
 }
 
-// dropExpiredHolds removes expired hold deadlines. The caller holds k.mu.
-func (k *keyAssigner) dropExpiredHolds() {
-	now := k.now()
-	maps.DeleteFunc(k.holdDeadlines, func(_ grantID, until time.Time) bool { return now.After(until) })
-}
-
 // handleSaveError handles a write that was not acknowledged.
 func (k *keyAssigner) handleSaveError(ctx context.Context, err error) {
 	if !errors.Is(err, platform.ErrConflict) {
--- a/gateway/ownerloss_test.go
+++ b/gateway/ownerloss_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"errors"
 	"math"
 	"net/http"
 	"testing"
@@ -9,6 +10,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/rockcroft/rockcroft/coordination/dispatch"
+	"github.com/rockcroft/rockcroft/coordination/ownership"
 	"github.com/rockcroft/rockcroft/coordination/reporttree"
 	"github.com/rockcroft/rockcroft/protocol/syncpb"
 	"github.com/rockcroft/rockcroft/standin/instance"
@@ -30,7 +32,7 @@
 	holds := make(map[uint64]time.Time)
 	for _, s := range k.table.Spans {
 		if s.Owner == "i-s0" {
-			holds[s.Fence] = k.holdDeadlines[ownerGrant(s)]
+			holds[s.Fence] = k.holds.Until(k.now(), s.KeyRange, s.Owner)
 		}
 	}
 	k.mu.Unlock()
@@ -38,8 +40,8 @@
 		k.mu.Lock()
 		for _, s := range k.table.Spans {
 			before, known := holds[s.Fence]
-			if s.Owner == "i-s0" && known && k.holdDeadlines[ownerGrant(s)].After(before) {
-				t.Errorf("span %d is held for %s longer", s.First, k.holdDeadlines[ownerGrant(s)].Sub(before))
+			if s.Owner == "i-s0" && known && k.holds.Until(k.now(), s.KeyRange, s.Owner).After(before) {
+				t.Errorf("span %d is held for %s longer", s.First, k.holds.Until(k.now(), s.KeyRange, s.Owner).Sub(before))
 			}
 		}
 		k.mu.Unlock()
@@ -58,10 +60,10 @@
 		k.mu.Lock()
 		defer k.mu.Unlock()
 		s := k.table.Spans[0]
-		return s, k.holdDeadlines[ownerGrant(s)]
+		return s, k.holds.Until(k.now(), s.KeyRange, s.Owner)
 	}
 	s, before := granted()
-	ends, known := k.holdExpiry(s)
+	ends, known := k.holdExpiry(s.KeyRange, s.Owner)
 	if _, after := granted(); !known || ends.Before(before) || ends.After(after) {
 		t.Errorf("held for %s longer than granted, known %t", ends.Sub(after), known)
 	}
@@ -75,15 +77,15 @@
 	k := b.leader().assignments.assigner("status")
 	k.mu.Lock()
 	s := k.table.Spans[0]
-	before := k.holdDeadlines[ownerGrant(s)]
+	before := k.holds.Until(k.now(), s.KeyRange, s.Owner)
 	k.mu.Unlock()
 	b.upstreams["i-s1"].SetMode(instance.Unresponsive)
-	if _, err := k.grant(t.Context(), s.KeyRange, k.instance("i-s1"), s.Fence+fenceIncrement, ""); err == nil {
-		t.Fatal("a silent upstream answered")
+	if _, err := k.grant(t.Context(), s.KeyRange, k.instance("i-s1"), s.Fence+fenceIncrement, "", nil); !errors.As(err, new(*ownership.HeldError)) {
+		t.Fatalf("granted to another upstream while the owner may hold the keys: %v", err)
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if after := k.holdDeadlines[ownerGrant(s)]; after.Sub(before) > holdWithMargin(holdDuration)-renewInterval {
+	if after := k.holds.Until(k.now(), s.KeyRange, s.Owner); after.Sub(before) > ownership.HoldWithMargin(holdDuration)-renewInterval {
 		t.Errorf("the owner's hold grew by %s with a grant to another", after.Sub(before))
 	}
 }
--- a/gateway/promises.go
+++ b/gateway/promises.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/rockcroft/rockcroft/coordination/leadership"
+	"github.com/rockcroft/rockcroft/coordination/ownership"
 	"github.com/rockcroft/rockcroft/protocol/syncpb"
 )
 
@@ -113,13 +114,13 @@
 func (l *leaderElector) inquire(ctx context.Context, former leadership.Lease, ends time.Time, longest time.Duration) {
 	term := former.Term + 1
 	if former.Term == 0 {
-		l.setFormerHoldDeadline(term, l.now().Add(holdWithMargin(longest)), false)
+		l.setFormerHoldDeadline(term, l.now().Add(ownership.HoldWithMargin(longest)), false)
 		return
 	}
 	for ctx.Err() == nil && l.cluster.isLeading() {
 		if until, ok := l.inquireFormerHolds(ctx, former, ends, longest); ok {
 			l.log.Info("end of the former leader's grants is known", "term", former.Term, "in_ms", until.Sub(l.now()).Milliseconds())
-			l.setFormerHoldDeadline(term, until, until.After(ends.Add(holdWithMargin(holdDuration))))
+			l.setFormerHoldDeadline(term, until, until.After(ends.Add(ownership.HoldWithMargin(holdDuration))))
 			return
 		}
 		pause(ctx, inquiryRetryInterval)
@@ -131,13 +132,13 @@
 func (l *leaderElector) inquireFormerHolds(ctx context.Context, former leadership.Lease, ends time.Time, longest time.Duration) (time.Time, bool) {
 	answers := l.askVoters(ctx, former.Voters, &syncpb.PromiseRequest{Term: former.Term + 1, Inquire: true})
 	now := l.now()
-	normal := ends.Add(holdWithMargin(holdDuration))
+	normal := ends.Add(ownership.HoldWithMargin(holdDuration))
 	var until []time.Time
 	for _, a := range answers {
 		end := normal
 		if a.Asked {
 			age := time.Duration(a.AgeMs) * time.Millisecond
-			end = laterOf(end, now.Add(-age).Add(leadership.LeaseDuration).Add(holdWithMargin(longest)))
+			end = laterOf(end, now.Add(-age).Add(leadership.LeaseDuration).Add(ownership.HoldWithMargin(longest)))
 		}
 		until = append(until, end)
 	}
--- a/state/spans/spans.go
+++ b/state/spans/spans.go
@@ -25,6 +25,11 @@
 // Contains reports whether the key lies in the range.
 func (k KeyRange) Contains(key uint16) bool { return key >= k.First && key <= k.Last }
 
+// Overlaps reports whether the ranges have a key in common.
+func (k KeyRange) Overlaps(other KeyRange) bool {
+	return k.First <= other.Last && other.First <= k.Last
+}
+
 // Span is a range of keys with its owner.
 type Span struct {
 	KeyRange
