gateway: a move that is tried again remembers its first grant

Cause: a move whose grant got no answer is left as it is if the leader's right to act lapses before the grant is repeated. When the right is back, the move starts anew, and only grants of former leaders counted as possibly answered. If the next owner was leaving, evacuated or out of reach by then, the keys were taken for unowned and granted to a third upstream at once, while the second one held them.

Change: the next owner counts as the owner if this leader's record says that it may hold a key. Before each grant of a move the keys are taken from every other upstream that may hold one, not only from the owner in the table.

--- a/gateway/grants.go
+++ b/gateway/grants.go
@@ -36,7 +36,7 @@
 // move releases the keys of a span from their owner and grants them to the next one.
 func (k *keyAssigner) move(ctx context.Context, s spans.Span) {
 	began := k.now()
-	token, free := k.releaseFromOwner(ctx, s)
+	token, free := k.takeKeys(ctx, s)
 	if !free || !k.elector.mayAct() {
 		return
 	}
@@ -75,25 +75,46 @@
 	}
 }
 
-// possibleOwner returns the next owner of a move whose grant this leader has not sent, if a
-// former leader may have sent it: that upstream then counts as the owner. Otherwise it returns
-// "".
+// possibleOwner returns the next owner of a move whose grant was not answered, if a former leader or
+// an earlier attempt of this one may have granted it the keys: that upstream then counts as the owner.
+// Otherwise it returns "".
 func (k *keyAssigner) possibleOwner(s spans.Span) string {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.inheritedMoves[s.NextFence] {
+	if k.inheritedMoves[s.NextFence] || k.holds.Until(k.now(), s.KeyRange, s.Next).After(k.now()) {
 		return s.Next
 	}
 	return ""
 }
 
-// releaseFromOwner releases the keys of a move from their owner. It is not called if the owner is also the
-// next one: it has restarted then, and no upstream holds the keys.
-func (k *keyAssigner) releaseFromOwner(ctx context.Context, s spans.Span) (token string, free bool) {
-	if s.Owner == "" || s.Owner == s.Next {
-		return "", true
+// takeKeys takes the keys of a move from every upstream but the next owner: from the owner, unless
+// it is the same one after a restart, and from others that may have been granted them by this leader.
+// free reports whether none of them holds the keys any more. token is the owner's handover.
+func (k *keyAssigner) takeKeys(ctx context.Context, s spans.Span) (token string, free bool) {
+	if s.Owner != "" && s.Owner != s.Next {
+		if token, free = k.releaseFrom(ctx, s, s.Owner); !free {
+			return "", false
+		}
 	}
-	return k.releaseFrom(ctx, s, s.Owner)
+	for {
+		other := k.otherHolder(s)
+		if other == "" {
+			return token, true
+		}
+		k.log.Warn("an upstream that is not the owner may hold keys", "upstream", other, "first", s.First, "owner", s.Owner, "next", s.Next)
+		if _, free := k.releaseFrom(ctx, s, other); !free {
+			return "", false
+		}
+	}
+}
+
+// otherHolder returns an upstream other than the next owner of a move that may hold one of its keys by
+// the grants of this leader; "" if there is none.
+func (k *keyAssigner) otherHolder(s spans.Span) string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	other, _ := k.holds.Other(k.now(), s.KeyRange, s.Next)
+	return other
 }
 
 // releaseFrom releases keys from an upstream, or waits until its hold has expired. free reports whether
--- a/gateway/oneowner_test.go
+++ b/gateway/oneowner_test.go
@@ -5,14 +5,19 @@
 	"context"
 	"encoding/json"
 	"io"
+	"log/slog"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/rockcroft/rockcroft/platform"
+	"github.com/rockcroft/rockcroft/protocol/syncpb"
+	"github.com/rockcroft/rockcroft/state/instances"
 	"github.com/rockcroft/rockcroft/state/spans"
+	"github.com/rockcroft/rockcroft/transport/pool"
 )
 
 // controlCall returns the body of a grant or release call. ok is false for other requests. The body of r
@@ -96,3 +101,68 @@
 		return s.Owner != silent && !s.Moving()
 	})
 }
+
+// newLoneAssigner returns an assigner without a cluster for the given upstreams, which it lists as they
+// are, and whose right to lead is measured by the given clock.
+func newLoneAssigner(t *testing.T, b *testCluster, leaderClock func() time.Time, list ...instances.Instance) *keyAssigner {
+	t.Helper()
+	c := newCluster(&syncpb.Member{Incarnation: "a"}, http.DefaultClient, time.Now, nil)
+	lead := &leaderElector{now: leaderClock, cluster: c, formerHoldKnown: true, log: slog.New(slog.DiscardHandler)}
+	lead.right.Extend(time.Now().Add(time.Minute))
+	s := &assignmentSupervisor{
+		view: newView(), cluster: c, now: time.Now, log: slog.New(slog.DiscardHandler), elector: lead, maxHold: 10 * time.Second,
+		owners: platform.NewOwners(pool.New(upstreamLimits, time.Now)), grantSlots: newCallSlots(maxGrantCalls, time.Now),
+		meters: newMeters(),
+	}
+	s.view.setInstances(1, instances.NewView(1, list))
+	return newKeyAssigner(s, "status", 1)
+}
+
+// TestRepeatedMoveLeavesOneOwner guards against keys that are given to a third upstream while the next
+// owner of a move holds them by a grant without a response, after the right to lead had lapsed in between.
+func TestRepeatedMoveLeavesOneOwner(t *testing.T) {
+	t.Parallel()
+	b := newTestCluster(t)
+	arrived := make(chan struct{})
+	var isGranted, lapsed atomic.Bool
+	b.onUpstreamRequest = func(r *http.Request) {
+		if call, ok := controlCall(r); ok && r.URL.Path == platform.GrantPath && call.Fence == 2 && isGranted.CompareAndSwap(false, true) {
+			close(arrived)
+			loseResponse(b.upstreams["i-s1"], r)
+		}
+	}
+	var list []instances.Instance
+	for _, id := range []string{"i-s0", "i-s1", "i-s2"} {
+		u := b.upstream(id, "status")
+		list = append(list, instances.Instance{ID: id, Service: "status", Address: u.address})
+	}
+	// The right lapses after the check that follows the lost response.
+	var checks atomic.Int64
+	k := newLoneAssigner(t, b, func() time.Time {
+		select {
+		case <-arrived:
+			if lapsed.Load() || checks.Add(1) == 1 {
+				return time.Now()
+			}
+			return time.Now().Add(time.Hour)
+		default:
+			return time.Now()
+		}
+	}, list...)
+	all := spans.KeyRange{First: 0, Last: spans.MaxKey}
+	k.table = &spans.Table{Service: "status", LastFence: 2, Spans: []spans.Span{{KeyRange: all, Owner: "i-s0", Fence: 1, Next: "i-s1", NextFence: 2}}}
+	k.move(t.Context(), k.table.Spans[0])
+	if !k.table.Spans[0].Moving() {
+		t.Fatalf("the move has ended: %+v", k.table.Spans[0])
+	}
+	lapsed.Store(true)
+	list[1].Leaving = true
+	k.view.setInstances(2, instances.NewView(2, list))
+	k.move(t.Context(), k.table.Spans[0])
+	s := &k.table.Spans[0]
+	s.Next, s.NextFence = "i-s2", 3
+	k.move(t.Context(), *s)
+	if s.Owner != "i-s2" {
+		t.Errorf("the keys did not reach the third upstream: %+v", *s)
+	}
+}
