gateway: a successor knows the moves of the plan that was stored last

What callers saw: two upstreams held the same keys (OWNER) after the loss of a leader that moved keys.

Cause: while a plan is being stored, moves end and are published with versions above that of the plan. If the leader stores the plan, carries out its moves and is lost before it publishes that, or before the next version reaches its successor, the successor takes the published assignment for the newer one. It then renews the grants of the former owners, is refused by the fences of the moves, takes the keys for unowned and grants them to a third upstream at once, while their owners hold them.

Change: the successor always begins with the stored assignment and copies to it the moves that have ended in the published one, as a leader does with moves that end while it stores a plan (ownership.CopyEndedMoves).

TestSuccessorUsesNewerPublishedTable compared tables that no leader makes: two owners by one fence, without a move in the stored one. It now has the move in the stored table, keeps its cases and has two more.

--- a/gateway/failover_test.go
+++ b/gateway/failover_test.go
@@ -167,30 +167,34 @@
 // were not stored yet, if the former leader published their completion to it.
 func TestSuccessorUsesNewerPublishedTable(t *testing.T) {
 	const term = 3
-	table := func(term, write uint64, owner string) *spans.Table {
-		return &spans.Table{
-			Service: "status", Version: term<<termShift | write, LastFence: 10 + write,
-			Spans: []spans.Span{{KeyRange: spans.KeyRange{Last: spans.MaxKey}, Owner: owner, Fence: 10}},
-		}
+	table := func(term, write uint64, s spans.Span) *spans.Table {
+		s.KeyRange = spans.KeyRange{Last: spans.MaxKey}
+		return &spans.Table{Service: "status", Version: term<<termShift | write, LastFence: 10 + write, Spans: []spans.Span{s}}
 	}
+	before := spans.Span{Owner: "stored", Fence: 9}
+	moving := spans.Span{Owner: "stored", Fence: 9, Next: "told", NextFence: 10}
+	ended := spans.Span{Owner: "told", Fence: 10, Incarnation: 7, Cold: true}
 	for name, c := range map[string]struct {
-		published *spans.Table
-		want      string
+		published    *spans.Table
+		stored, want spans.Span
 	}{
-		"nothing published":            {nil, "stored"},
-		"newer published":              {table(term, 8, "told"), "told"},
-		"older published":              {table(term, 2, "told"), "stored"},
-		"published in an earlier term": {table(term-1, 9, "told"), "stored"},
+		"nothing published":            {nil, moving, moving},
+		"newer published":              {table(term, 8, ended), moving, ended},
+		"older published":              {table(term, 2, before), moving, moving},
+		"older plan published later":   {table(term, 8, before), moving, moving},
+		"earlier move published later": {table(term, 8, moving), ended, ended},
+		"published in an earlier term": {table(term-1, 9, ended), moving, moving},
 	} {
 		v := newView()
 		if c.published != nil {
 			v.setSpans(c.published)
 		}
 		k := &keyAssigner{assignmentSupervisor: &assignmentSupervisor{view: v}, service: "status"}
-		stored := table(term, 5, "stored")
+		stored := table(term, 5, c.stored)
 		got := k.newestTable(stored)
-		if got.Spans[0].Owner != c.want || got.LastFence < stored.LastFence {
-			t.Errorf("%s: owner %s, last fence %d", name, got.Spans[0].Owner, got.LastFence)
+		got.Spans[0].KeyRange = spans.KeyRange{}
+		if got.Spans[0] != c.want || got.LastFence < stored.LastFence {
+			t.Errorf("%s: %+v, last fence %d", name, got.Spans[0], got.LastFence)
 		}
 	}
 }
--- a/gateway/keyassigner.go
+++ b/gateway/keyassigner.go
@@ -230,16 +230,16 @@
 	return false
 }
 
-// newestTable returns the assignment that the former leader published to this gateway when
-// it is newer than the stored one, as completed moves are stored with a delay. Every fence
-// in a published table is already reserved in the store.
+// newestTable returns the stored assignment with the moves that have ended in the one that the former
+// leader published to this gateway, as ended moves are stored with a delay. Plans are stored before they
+// begin, so the published one has no others.
 func (k *keyAssigner) newestTable(stored *spans.Table) *spans.Table {
 	published := k.view.spansOf(k.service)
-	if published == nil || published.Version <= stored.Version || published.Version>>termShift != stored.Version>>termShift {
+	if published == nil || published.Version>>termShift != stored.Version>>termShift {
 		return stored
 	}
-	next := published.Clone()
-	next.LastFence = max(published.LastFence, stored.LastFence)
+	next := stored.Clone()
+	ownership.CopyEndedMoves(next, published)
 	return next
 }
 
--- a/gateway/oneowner_test.go
+++ b/gateway/oneowner_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/rockcroft/rockcroft/coordination/ownership"
 	"github.com/rockcroft/rockcroft/platform"
 	"github.com/rockcroft/rockcroft/protocol/syncpb"
 	"github.com/rockcroft/rockcroft/state/instances"
@@ -166,3 +167,59 @@
 		t.Errorf("the keys did not reach the third upstream: %+v", *s)
 	}
 }
+
+// TestSuccessorKnowsThePlanStoredLast guards against a successor that takes a published assignment for newer
+// than the stored one although it lacks moves that were stored and carried out: a move that ends while a plan
+// is being stored is published with a later version than the plan.
+func TestSuccessorKnowsThePlanStoredLast(t *testing.T) {
+	t.Parallel()
+	b := newTestCluster(t)
+	var all []instances.Instance
+	for _, id := range []string{"i-s0", "i-s1", "i-s2"} {
+		all = append(all, instances.Instance{ID: id, Service: "status", Address: b.upstream(id, "status").address})
+	}
+	former := newLoneAssigner(t, b, time.Now, all...)
+	low, high := spans.KeyRange{First: 0, Last: 99}, spans.KeyRange{First: 100, Last: spans.MaxKey}
+	former.adopt(&spans.Table{Service: "status", LastFence: 3, Spans: []spans.Span{
+		{KeyRange: low, Owner: "i-s0", Fence: 1, Next: "i-s1", NextFence: 3}, {KeyRange: high, Owner: "i-s0", Fence: 2},
+	}}, 1)
+	former.renewGrant(t.Context(), &all[0], former.table.Find(high.First))
+	// The former leader stores a plan. Meanwhile the move of the low keys ends and is published.
+	stored := former.table.Clone()
+	stored.LastFence++
+	stored.Spans[1].Next, stored.Spans[1].NextFence = "i-s1", stored.LastFence
+	former.stamp(stored)
+	former.move(t.Context(), former.table.Spans[0])
+	former.publishedAt = time.Time{}
+	former.publishPending()
+	published := former.view.spansOf("status")
+	// The plan is stored, its move is carried out, and the leader is lost before it publishes that.
+	planned := stored.Clone()
+	ownership.CopyEndedMoves(planned, former.table)
+	former.table = planned
+	former.move(t.Context(), former.table.Find(high.First))
+
+	successor := newLoneAssigner(t, b, time.Now, all...)
+	successor.elector.formerHoldDeadline = time.Now().Add(ownership.HoldWithMargin(holdDuration))
+	successor.view.setSpans(published.Clone())
+	successor.adopt(successor.newestTable(stored), 2)
+	for _, s := range successor.table.Spans {
+		if owner := successor.instance(s.Owner); !s.Moving() {
+			successor.renewGrant(t.Context(), owner, s)
+		}
+	}
+	for i, s := range successor.table.Spans {
+		if s.Owner == "" {
+			successor.table.LastFence++
+			successor.table.Spans[i].Next, successor.table.Spans[i].NextFence = "i-s2", successor.table.LastFence
+		}
+		if successor.table.Spans[i].Moving() {
+			successor.move(t.Context(), successor.table.Spans[i])
+		}
+	}
+	for _, s := range successor.table.Spans {
+		if s.Owner != "i-s1" {
+			t.Errorf("keys %d-%d belong to %q", s.First, s.Last, s.Owner)
+		}
+	}
+}
