gateway: a restart known from an old list of upstreams frees no keys

What callers saw: two upstreams held the same keys (OWNER) after a change of leaders.

Cause: keys whose owner has another start in the list of upstreams than in the assignment are granted to it anew, because no process holds them. A new leader reads the assignment from the store, but its list of upstreams may be older, if it was cut off from the former leader or the store turns its watch away. The grant then goes to an address of before. If that refuses the connection, the keys were taken for unowned and granted to another upstream at once, while their owner held them by the former leader's grants.

Change: until the grants of former leaders have ended, such an owner remains the owner.

--- a/gateway/grants.go
+++ b/gateway/grants.go
@@ -75,13 +75,16 @@
 	}
 }
 
-// possibleOwner returns the next owner of a move whose grant was not answered, if a former leader or
-// an earlier attempt of this one may have granted it the keys: that upstream then counts as the owner.
+// possibleOwner returns the next owner of a move whose grant was not answered, if it may hold one of the
+// keys by a grant of a former leader or by an earlier attempt of this one: it then counts as the owner.
 // Otherwise it returns "".
 func (k *keyAssigner) possibleOwner(s spans.Span) string {
+	formerEnded := k.elector.formerHoldsEnded()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.inheritedMoves[s.NextFence] || k.holds.Until(k.now(), s.KeyRange, s.Next).After(k.now()) {
+	// That the owner has restarted may come from a list of upstreams that is older than the assignment.
+	mayHold := s.Owner == s.Next && !k.onlyGranter && !formerEnded
+	if mayHold || k.inheritedMoves[s.NextFence] || k.holds.Until(k.now(), s.KeyRange, s.Next).After(k.now()) {
 		return s.Next
 	}
 	return ""
--- a/gateway/oneowner_test.go
+++ b/gateway/oneowner_test.go
@@ -223,3 +223,40 @@
 		}
 	}
 }
+
+// TestOutdatedListOfUpstreamsLeavesOneOwner guards against a successor that takes an owner for restarted because
+// its list of upstreams is older than the assignment, and grants the keys to another one when the owner's former
+// address does not answer.
+func TestOutdatedListOfUpstreamsLeavesOneOwner(t *testing.T) {
+	t.Parallel()
+	b := newTestCluster(t)
+	former := b.upstream("i-s0", "status")
+	outdated := instances.Instance{ID: "i-s0", Service: "status", Address: former.address, StartedMs: 1}
+	owner := b.restart(former)
+	next := instances.Instance{ID: "i-s1", Service: "status", Address: b.upstream("i-s1", "status").address}
+	current := instances.Instance{ID: "i-s0", Service: "status", Address: owner.address, StartedMs: 2}
+	table := &spans.Table{Service: "status", LastFence: 1, Spans: []spans.Span{
+		{KeyRange: spans.KeyRange{Last: spans.MaxKey}, Owner: "i-s0", Fence: 1, Incarnation: current.Incarnation()},
+	}}
+	first := newLoneAssigner(t, b, time.Now, current, next)
+	first.table = table
+	first.renewGrant(t.Context(), &current, table.Spans[0])
+
+	k := newLoneAssigner(t, b, time.Now, outdated, next)
+	k.elector.formerHoldDeadline = time.Now().Add(ownership.HoldWithMargin(holdDuration))
+	k.adopt(table, 1)
+	owners := []ownership.Owner{
+		{ID: "i-s0", Incarnation: outdated.Incarnation(), Usable: true, MayKeep: true, Capacity: 1}, {ID: "i-s1", Usable: true, MayKeep: true, Capacity: 1},
+	}
+	for range 2 {
+		if plan := ownership.MakePlan(ownership.PlanInput{Table: k.table, Owners: owners}); plan != nil {
+			k.table = plan
+			k.move(t.Context(), plan.Spans[0])
+		}
+		// Calls to the former address fail.
+		owners[0].Usable, owners[0].MayKeep = false, false
+	}
+	if s := k.table.Spans[0]; s.Owner != "i-s1" {
+		t.Errorf("the keys did not reach the other upstream: %+v", s)
+	}
+}
