gateway: the end of an earlier start of an owner leaves its present holds

Cause: Holds knew upstreams by ID. When an upstream had restarted at another address, and a call to its former address showed that another instance runs there, all holds under the ID were forgotten, with those of the present start. If that one then answered no release, the keys were granted to another upstream at once. It takes a call to the former start that waits for a call slot or for its response while the keys are granted to the present one.

Change: Holds records the address with each grant, and only ends holds and grants in flight at the address of the call. Where calls to both starts overlap, the higher fence tells which one is the present.

TestEndOfFormerStartEndsNoOtherHolds covers grants that overlap. An unused field of the model in holds_test.go is removed.

--- a/coordination/ownership/holds.go
+++ b/coordination/ownership/holds.go
@@ -31,23 +31,32 @@
 	// upstreams are the numbers of upstreams in keys; ids is the reverse. Number 0 is no upstream.
 	upstreams map[string]int32
 	ids       []string
+	// addresses are the numbers of addresses in keys.
+	addresses map[string]int32
 	keys      [spans.MaxKey + 1]keyHold
 	inFlight  map[*GrantCall]struct{}
 }
 
+// Process is where an upstream is called. An upstream that has restarted keeps its ID and may have another
+// address.
+type Process struct{ ID, Address string }
+
 // keyHold is the latest hold of one key.
 type keyHold struct {
 	// until is measured from the creation of the Holds.
-	until    time.Duration
-	upstream int32
+	until time.Duration
+	// fence is the highest one with which the upstream was granted the key, address the one it was
+	// granted at.
+	fence             uint64
+	upstream, address int32
 }
 
 // GrantCall is a grant in flight.
 type GrantCall struct {
-	keys     spans.KeyRange
-	upstream string
-	fence    uint64
-	hold     time.Duration
+	keys  spans.KeyRange
+	to    Process
+	fence uint64
+	hold  time.Duration
 	// revoked are keys that the upstream has released since by a higher fence: it refuses the call.
 	revoked []spans.KeyRange
 	// ended is set if the process that was called has ended.
@@ -66,16 +75,16 @@
 
 // NewHolds returns a Holds without any holds. began is the current time.
 func NewHolds(began time.Time) *Holds {
-	return &Holds{began: began, upstreams: make(map[string]int32), ids: []string{""}, inFlight: make(map[*GrantCall]struct{})}
+	return &Holds{began: began, upstreams: make(map[string]int32), ids: []string{""}, addresses: make(map[string]int32), inFlight: make(map[*GrantCall]struct{})}
 }
 
 // Begin records a grant that is about to be sent. It returns a *HeldError if another upstream may hold
 // one of the keys.
-func (h *Holds) Begin(now time.Time, keys spans.KeyRange, upstream string, fence uint64, hold time.Duration) (*GrantCall, error) {
-	if other, until := h.Other(now, keys, upstream); other != "" {
+func (h *Holds) Begin(now time.Time, keys spans.KeyRange, to Process, fence uint64, hold time.Duration) (*GrantCall, error) {
+	if other, until := h.Other(now, keys, to.ID); other != "" {
 		return nil, &HeldError{Upstream: other, Until: until}
 	}
-	c := &GrantCall{keys: keys, upstream: upstream, fence: fence, hold: hold}
+	c := &GrantCall{keys: keys, to: to, fence: fence, hold: hold}
 	h.inFlight[c] = struct{}{}
 	return c, nil
 }
@@ -86,16 +95,30 @@
 	if !arrived || c.ended {
 		return
 	}
-	number, until := h.number(c.upstream), now.Add(HoldWithMargin(c.hold)).Sub(h.began)
+	ends := keyHold{
+		until: now.Add(HoldWithMargin(c.hold)).Sub(h.began), fence: c.fence, upstream: h.number(c.to.ID), address: h.addressNumber(c.to.Address),
+	}
 	for key := int(c.keys.First); key <= int(c.keys.Last); key++ {
-		k := &h.keys[key]
-		if c.isRevoked(uint16(key)) || k.upstream == number && k.until > until {
-			continue
+		if !c.isRevoked(uint16(key)) {
+			h.keys[key] = h.keys[key].extend(ends)
 		}
-		*k = keyHold{until: until, upstream: number}
 	}
 }
 
+// extend returns the hold after a grant that has ended. Grants to an earlier start of the upstream, which may
+// end later, have lower fences.
+func (k keyHold) extend(by keyHold) keyHold {
+	if k.upstream != by.upstream {
+		return by
+	}
+	until := max(k.until, by.until)
+	if k.fence > by.fence {
+		by = k
+	}
+	by.until = until
+	return by
+}
+
 // Release records that the upstream has released the keys and refuses grants with a lower fence.
 func (h *Holds) Release(keys spans.KeyRange, upstream string, fence uint64) {
 	number := h.number(upstream)
@@ -105,22 +128,23 @@
 		}
 	}
 	for c := range h.inFlight {
-		if c.upstream == upstream && c.fence < fence && c.keys.Overlaps(keys) {
+		if c.to.ID == upstream && c.fence < fence && c.keys.Overlaps(keys) {
 			c.revoked = append(c.revoked, keys)
 		}
 	}
 }
 
-// Terminated records that the process of the upstream has ended and holds nothing.
-func (h *Holds) Terminated(upstream string) {
-	number := h.number(upstream)
-	for key := range h.keys {
-		if h.keys[key].upstream == number {
+// Terminated records that the process has ended and holds nothing. Another process of the same upstream may
+// run at another address.
+func (h *Holds) Terminated(p Process) {
+	upstream, address := h.number(p.ID), h.addressNumber(p.Address)
+	for key, k := range h.keys {
+		if k.upstream == upstream && k.address == address {
 			h.keys[key] = keyHold{}
 		}
 	}
 	for c := range h.inFlight {
-		if c.upstream == upstream {
+		if c.to == p {
 			c.ended = true
 		}
 	}
@@ -137,7 +161,7 @@
 	}
 	until := h.timeOf(latest)
 	for c := range h.inFlight {
-		if at := now.Add(HoldWithMargin(c.hold)); c.upstream == upstream && c.mayTakeEffect(keys) && at.After(until) {
+		if at := now.Add(HoldWithMargin(c.hold)); c.to.ID == upstream && c.mayTakeEffect(keys) && at.After(until) {
 			until = at
 		}
 	}
@@ -148,8 +172,8 @@
 // "" if there is none.
 func (h *Holds) Other(now time.Time, keys spans.KeyRange, except string) (upstream string, until time.Time) {
 	for c := range h.inFlight {
-		if c.upstream != except && c.mayTakeEffect(keys) {
-			return c.upstream, now.Add(HoldWithMargin(c.hold))
+		if c.to.ID != except && c.mayTakeEffect(keys) {
+			return c.to.ID, now.Add(HoldWithMargin(c.hold))
 		}
 	}
 	number := h.number(except)
@@ -180,6 +204,16 @@
 	return n
 }
 
+// addressNumber returns the number of the address, and assigns one if it has none.
+func (h *Holds) addressNumber(address string) int32 {
+	n, ok := h.addresses[address]
+	if !ok {
+		n = int32(len(h.addresses) + 1)
+		h.addresses[address] = n
+	}
+	return n
+}
+
 // mayTakeEffect reports whether the grant may give its upstream one of the keys.
 func (c *GrantCall) mayTakeEffect(keys spans.KeyRange) bool {
 	if c.ended || !c.keys.Overlaps(keys) {
--- a/coordination/ownership/holds_test.go
+++ b/coordination/ownership/holds_test.go
@@ -26,7 +26,6 @@
 	leases [modelKeys][]holdLease
 	flying []*flyingGrant
 	fence  uint64
-	owners [modelKeys]uint64
 }
 
 // flyingGrant is a grant that arrives at some moment before it ends, or never.
@@ -50,7 +49,7 @@
 func (m *holdModel) arrive(f *flyingGrant) {
 	f.arrived = true
 	c := f.call
-	seen := m.fences[c.upstream]
+	seen := m.fences[c.to.ID]
 	for key := c.keys.First; key <= c.keys.Last; key++ {
 		f.refused = f.refused || seen[key] > c.fence
 	}
@@ -60,12 +59,12 @@
 	for key := c.keys.First; key <= c.keys.Last; key++ {
 		seen[key] = c.fence
 		for _, l := range m.leases[key] {
-			if l.upstream != c.upstream && m.now.Before(l.until) {
-				m.t.Fatalf("key %d granted to %s while %s holds it for %s", key, c.upstream, l.upstream, l.until.Sub(m.now))
+			if l.upstream != c.to.ID && m.now.Before(l.until) {
+				m.t.Fatalf("key %d granted to %s while %s holds it for %s", key, c.to.ID, l.upstream, l.until.Sub(m.now))
 			}
 		}
 		// The clock of the upstream is slow.
-		m.leases[key] = append(m.leases[key], holdLease{upstream: c.upstream, fence: c.fence, until: m.now.Add(c.hold * 102 / 100)})
+		m.leases[key] = append(m.leases[key], holdLease{upstream: c.to.ID, fence: c.fence, until: m.now.Add(c.hold * 102 / 100)})
 	}
 }
 
@@ -89,7 +88,7 @@
 
 // send begins a grant of keys, which may be a part or a union of what was granted before.
 func (m *holdModel) send(keys spans.KeyRange, upstream string, fence uint64) {
-	c, err := m.holds.Begin(m.now, keys, upstream, fence, modelHold)
+	c, err := m.holds.Begin(m.now, keys, Process{ID: upstream}, fence, modelHold)
 	if err != nil {
 		if !errors.As(err, new(*HeldError)) {
 			m.t.Fatal(err)
@@ -157,20 +156,20 @@
 	now := time.Unix(1_000_000, 0)
 	h := NewHolds(now)
 	whole, part := spans.KeyRange{First: 0, Last: 99}, spans.KeyRange{First: 50, Last: 59}
-	first, err := h.Begin(now, whole, "a", 1, 4*time.Second)
+	first, err := h.Begin(now, whole, Process{ID: "a"}, 1, 4*time.Second)
 	if err != nil {
 		t.Fatal(err)
 	}
 	h.End(now, first, true)
-	renewal, err := h.Begin(now, whole, "a", 1, 4*time.Second)
+	renewal, err := h.Begin(now, whole, Process{ID: "a"}, 1, 4*time.Second)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, err := h.Begin(now, part, "b", 2, 4*time.Second); !errors.As(err, new(*HeldError)) {
+	if _, err := h.Begin(now, part, Process{ID: "b"}, 2, 4*time.Second); !errors.As(err, new(*HeldError)) {
 		t.Fatalf("granted while the owner holds the keys: %v", err)
 	}
 	h.Release(part, "a", 2)
-	next, err := h.Begin(now, part, "b", 2, 4*time.Second)
+	next, err := h.Begin(now, part, Process{ID: "b"}, 2, 4*time.Second)
 	if err != nil {
 		t.Fatalf("released keys are not free: %v", err)
 	}
@@ -183,8 +182,41 @@
 	if at := h.Until(now, whole, "a"); !at.Equal(want) {
 		t.Errorf("the rest is held until %s, want %s", at, want)
 	}
-	h.Terminated("a")
+	h.Terminated(Process{ID: "a"})
 	if other, _ := h.Other(now, whole, "b"); other != "" {
 		t.Errorf("%s has terminated and holds keys", other)
 	}
 }
+
+// TestEndOfFormerStartEndsNoOtherHolds guards against holds that are forgotten when an earlier start of the
+// upstream is found to have ended, also while grants to both are in flight.
+func TestEndOfFormerStartEndsNoOtherHolds(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	keys, other := spans.KeyRange{First: 0, Last: 9}, spans.KeyRange{First: 10, Last: 19}
+	former, current := Process{"a", "10.0.0.1:1"}, Process{"a", "10.0.0.2:1"}
+	h := NewHolds(now)
+	begin := func(keys spans.KeyRange, to Process, fence uint64) *GrantCall {
+		c, err := h.Begin(now, keys, to, fence, 4*time.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return c
+	}
+	renewal, grant := begin(keys, former, 1), begin(keys, current, 2)
+	h.End(now, begin(other, former, 1), true)
+	h.End(now, grant, true)
+	h.End(now.Add(time.Millisecond), renewal, true)
+	pending := begin(keys, current, 2)
+	h.Terminated(former)
+	h.End(now, pending, true)
+	if id, _ := h.Other(now, keys, "b"); id != "a" {
+		t.Error("the hold of the current start was forgotten")
+	}
+	if id, _ := h.Other(now, other, "b"); id != "" {
+		t.Error("the former start has ended and holds keys")
+	}
+	h.Terminated(current)
+	if id, _ := h.Other(now, keys, "b"); id != "" {
+		t.Error("the current start has ended and holds keys")
+	}
+}
--- a/gateway/grants.go
+++ b/gateway/grants.go
@@ -137,8 +137,9 @@
 				return token, true
 			case result == platform.WrongUpstream:
 				k.logWrongUpstream(s, owner)
-				k.markTerminated(owner)
-				return "", true
+				if k.markTerminated(owner); !k.heldByOwnGrants(s.KeyRange, holder) {
+					return "", true
+				}
 			}
 		}
 		if k.holdExpired(s.KeyRange, holder) {
@@ -153,6 +154,13 @@
 	return "", false
 }
 
+// heldByOwnGrants reports whether the upstream may hold one of the keys by a grant of this leader.
+func (k *keyAssigner) heldByOwnGrants(keys spans.KeyRange, holder string) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.holds.Until(k.now(), keys, holder).After(k.now())
+}
+
 // recordRelease records that the upstream has released the keys of a move.
 func (k *keyAssigner) recordRelease(s spans.Span, upstream string) {
 	k.mu.Lock()
@@ -249,7 +257,7 @@
 		if err := k.elector.checkMayAct(); err != nil {
 			return err
 		}
-		call, err = k.beginGrant(keys, to.ID, fence, hold, check)
+		call, err = k.beginGrant(keys, ownership.Process{ID: to.ID, Address: to.Address}, fence, hold, check)
 		return err
 	}
 	result, err := k.owners.Grant(timeout, to.ID, to.Address, keys, fence, hold, token, beforeSend)
@@ -262,7 +270,7 @@
 }
 
 // beginGrant records a grant that is about to be sent, unless check fails, which is called under the lock.
-func (k *keyAssigner) beginGrant(keys spans.KeyRange, to string, fence uint64, hold time.Duration, check func() error) (*ownership.GrantCall, error) {
+func (k *keyAssigner) beginGrant(keys spans.KeyRange, to ownership.Process, fence uint64, hold time.Duration, check func() error) (*ownership.GrantCall, error) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if check != nil {
--- a/gateway/oneowner_test.go
+++ b/gateway/oneowner_test.go
@@ -260,3 +260,32 @@
 		t.Errorf("the keys did not reach the other upstream: %+v", s)
 	}
 }
+
+// TestEndOfFormerStartLeavesOneOwner guards against keys that are granted to another upstream while their
+// owner holds them, after a call to an earlier start of the owner has shown that this start has ended.
+func TestEndOfFormerStartLeavesOneOwner(t *testing.T) {
+	t.Parallel()
+	b := newTestCluster(t)
+	former := b.upstream("i-s0", "status")
+	start := func(u *upstream, ms uint64) instances.Instance {
+		return instances.Instance{ID: u.ID, Service: "status", Address: u.address, StartedMs: ms}
+	}
+	ended := start(former, 1)
+	current := b.restart(former)
+	restarted, next := start(current, 2), start(b.upstream("i-s1", "status"), 1)
+	k := newLoneAssigner(t, b, time.Now, restarted, next)
+	k.onlyGranter = true
+	k.table = &spans.Table{Service: "status", LastFence: 2, Spans: []spans.Span{
+		{KeyRange: spans.KeyRange{Last: spans.MaxKey}, Owner: "i-s0", Fence: 1, Incarnation: ended.Incarnation(), Next: "i-s0", NextFence: 2},
+	}}
+	k.move(t.Context(), k.table.Spans[0])
+	k.markTerminated(&ended)
+	// The owner answers no control call.
+	_ = current.server.Close()
+	s := &k.table.Spans[0]
+	s.Next, s.NextFence = "i-s1", 3
+	k.move(t.Context(), *s)
+	if s.Owner != "i-s1" {
+		t.Errorf("the keys did not reach the other upstream: %+v", *s)
+	}
+}
--- a/gateway/upstreamcontrol.go
+++ b/gateway/upstreamcontrol.go
@@ -45,7 +45,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.terminated[inst.ID] = startOfUpstream(inst)
-	k.holds.Terminated(inst.ID)
+	k.holds.Terminated(ownership.Process{ID: inst.ID, Address: inst.Address})
 }
 
 // recordStart records the current start of the upstream. After a restart it discards what
