--- a/gateway/oneowner_test.go
+++ b/gateway/oneowner_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/rockcroft/rockcroft/coordination/ownership"
 	"github.com/rockcroft/rockcroft/platform"
 	"github.com/rockcroft/rockcroft/protocol/syncpb"
 	"github.com/rockcroft/rockcroft/state/instances"
@@ -166,3 +167,125 @@
 		t.Errorf("the keys did not reach the third upstream: %+v", *s)
 	}
 }
+
+// TestSuccessorKnowsThePlanStoredLast guards against a successor that takes a published assignment for newer
+// than the stored one although it lacks moves that were stored and carried out: a move that ends while a plan
+// is being stored is published with a later version than the plan.
+func TestSuccessorKnowsThePlanStoredLast(t *testing.T) {
+	t.Parallel()
+	b := newTestCluster(t)
+	var all []instances.Instance
+	for _, id := range []string{"i-s0", "i-s1", "i-s2"} {
+		all = append(all, instances.Instance{ID: id, Service: "status", Address: b.upstream(id, "status").address})
+	}
+	former := newLoneAssigner(t, b, time.Now, all...)
+	low, high := spans.KeyRange{First: 0, Last: 99}, spans.KeyRange{First: 100, Last: spans.MaxKey}
+	former.adopt(&spans.Table{Service: "status", LastFence: 3, Spans: []spans.Span{
+		{KeyRange: low, Owner: "i-s0", Fence: 1, Next: "i-s1", NextFence: 3}, {KeyRange: high, Owner: "i-s0", Fence: 2},
+	}}, 1)
+	former.renewGrant(t.Context(), &all[0], former.table.Find(high.First))
+	// The former leader stores a plan. Meanwhile the move of the low keys ends and is published.
+	stored := former.table.Clone()
+	stored.LastFence++
+	stored.Spans[1].Next, stored.Spans[1].NextFence = "i-s1", stored.LastFence
+	former.stamp(stored)
+	former.move(t.Context(), former.table.Spans[0])
+	former.publishedAt = time.Time{}
+	former.publishPending()
+	published := former.view.spansOf("status")
+	// The plan is stored, its move is carried out, and the leader is lost before it publishes that.
+	planned := stored.Clone()
+	ownership.CopyEndedMoves(planned, former.table)
+	former.table = planned
+	former.move(t.Context(), former.table.Find(high.First))
+
+	successor := newLoneAssigner(t, b, time.Now, all...)
+	successor.elector.formerHoldDeadline = time.Now().Add(ownership.HoldWithMargin(holdDuration))
+	successor.view.setSpans(published.Clone())
+	successor.adopt(successor.newestTable(stored), 2)
+	for _, s := range successor.table.Spans {
+		if owner := successor.instance(s.Owner); !s.Moving() {
+			successor.renewGrant(t.Context(), owner, s)
+		}
+	}
+	for i, s := range successor.table.Spans {
+		if s.Owner == "" {
+			successor.table.LastFence++
+			successor.table.Spans[i].Next, successor.table.Spans[i].NextFence = "i-s2", successor.table.LastFence
+		}
+		if successor.table.Spans[i].Moving() {
+			successor.move(t.Context(), successor.table.Spans[i])
+		}
+	}
+	for _, s := range successor.table.Spans {
+		if s.Owner != "i-s1" {
+			t.Errorf("keys %d-%d belong to %q", s.First, s.Last, s.Owner)
+		}
+	}
+}
+
+// TestOutdatedListOfUpstreamsLeavesOneOwner guards against a successor that takes an owner for restarted because
+// its list of upstreams is older than the assignment, and grants the keys to another one when the owner's former
+// address does not answer.
+func TestOutdatedListOfUpstreamsLeavesOneOwner(t *testing.T) {
+	t.Parallel()
+	b := newTestCluster(t)
+	former := b.upstream("i-s0", "status")
+	outdated := instances.Instance{ID: "i-s0", Service: "status", Address: former.address, StartedMs: 1}
+	owner := b.restart(former)
+	next := instances.Instance{ID: "i-s1", Service: "status", Address: b.upstream("i-s1", "status").address}
+	current := instances.Instance{ID: "i-s0", Service: "status", Address: owner.address, StartedMs: 2}
+	table := &spans.Table{Service: "status", LastFence: 1, Spans: []spans.Span{
+		{KeyRange: spans.KeyRange{Last: spans.MaxKey}, Owner: "i-s0", Fence: 1, Incarnation: current.Incarnation()},
+	}}
+	first := newLoneAssigner(t, b, time.Now, current, next)
+	first.table = table
+	first.renewGrant(t.Context(), &current, table.Spans[0])
+
+	k := newLoneAssigner(t, b, time.Now, outdated, next)
+	k.elector.formerHoldDeadline = time.Now().Add(ownership.HoldWithMargin(holdDuration))
+	k.adopt(table, 1)
+	owners := []ownership.Owner{
+		{ID: "i-s0", Incarnation: outdated.Incarnation(), Usable: true, MayKeep: true, Capacity: 1}, {ID: "i-s1", Usable: true, MayKeep: true, Capacity: 1},
+	}
+	for range 2 {
+		if plan := ownership.MakePlan(ownership.PlanInput{Table: k.table, Owners: owners}); plan != nil {
+			k.table = plan
+			k.move(t.Context(), plan.Spans[0])
+		}
+		// Calls to the former address fail.
+		owners[0].Usable, owners[0].MayKeep = false, false
+	}
+	if s := k.table.Spans[0]; s.Owner != "i-s1" {
+		t.Errorf("the keys did not reach the other upstream: %+v", s)
+	}
+}
+
+// TestEndOfFormerStartLeavesOneOwner guards against keys that are granted to another upstream while their
+// owner holds them, after a call to an earlier start of the owner has shown that this start has ended.
+func TestEndOfFormerStartLeavesOneOwner(t *testing.T) {
+	t.Parallel()
+	b := newTestCluster(t)
+	former := b.upstream("i-s0", "status")
+	start := func(u *upstream, ms uint64) instances.Instance {
+		return instances.Instance{ID: u.ID, Service: "status", Address: u.address, StartedMs: ms}
+	}
+	ended := start(former, 1)
+	current := b.restart(former)
+	restarted, next := start(current, 2), start(b.upstream("i-s1", "status"), 1)
+	k := newLoneAssigner(t, b, time.Now, restarted, next)
+	k.onlyGranter = true
+	k.table = &spans.Table{Service: "status", LastFence: 2, Spans: []spans.Span{
+		{KeyRange: spans.KeyRange{Last: spans.MaxKey}, Owner: "i-s0", Fence: 1, Incarnation: ended.Incarnation(), Next: "i-s0", NextFence: 2},
+	}}
+	k.move(t.Context(), k.table.Spans[0])
+	k.markTerminated(&ended)
+	// The owner answers no control call.
+	_ = current.server.Close()
+	s := &k.table.Spans[0]
+	s.Next, s.NextFence = "i-s1", 3
+	k.move(t.Context(), *s)
+	if s.Owner != "i-s1" {
+		t.Errorf("the keys did not reach the other upstream: %+v", *s)
+	}
+}
