gateway: control calls accept only the response to the call

What callers would see: two upstreams at work on one key (OWNER), and keys that come cold to their next owner although it was reachable.

Cause: grants and releases carried no request ID and checked no echo. An extra response to an earlier control call that arrives where the next one is expected was taken for the response to it; the check for unread bytes sees only what is there before the call is sent. Taken for the response to a release, it gives the keys to the next owner while the former one still works on them.

A response with another ID is skipped and the connection is not used again. Whether upstreams echo the ID of these calls is not specified, so a response without one is accepted from a server that has not echoed on the connection; releases then take a new connection, on which no earlier response can arrive.

Ruled out: a new connection for every release. An upstream that is full resets new connections, so keys could not leave a busy owner.

The stand-in echoes the ID of control calls, sends extra responses in mode ExtraResponses, and its oracle reports a grant of keys that another upstream has released but still runs requests for.

TestOptionalEcho checks the pool.

--- a/standin/instance/grants.go
+++ b/standin/instance/grants.go
@@ -93,7 +93,18 @@
 	keys := spans.KeyRange{First: c.From, Last: c.Target}
 	i.cutLeases(keys)
 	i.fences = append(i.fences, fenceRecord{keys, c.Fence})
-	i.Oracle.recordRelease(i.ID, keys)
+	i.Oracle.recordRelease(i.ID, keys, i.runningKeys(keys))
+}
+
+// runningKeys returns those of the keys for which requests run. The caller holds the lock.
+func (i *Instance) runningKeys(keys spans.KeyRange) []uint16 {
+	var out []uint16
+	for key, n := range i.running {
+		if n > 0 && keys.Contains(key) {
+			out = append(out, key)
+		}
+	}
+	return out
 }
 
 func (i *Instance) serveGrant(w http.ResponseWriter, body []byte) {
@@ -162,21 +173,12 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.release(c)
-	for i.hasRunning(spans.KeyRange{First: c.From, Last: c.Target}) {
+	for len(i.runningKeys(spans.KeyRange{First: c.From, Last: c.Target})) > 0 {
 		i.idle.Wait()
 	}
 	w.Header().Set(platform.Handover, "h-"+i.ID+"-"+strconv.FormatUint(c.Fence, 10))
 }
 
-func (i *Instance) hasRunning(keys spans.KeyRange) bool {
-	for key, n := range i.running {
-		if n > 0 && keys.Contains(key) {
-			return true
-		}
-	}
-	return false
-}
-
 func (i *Instance) beginRequest(key uint16) bool {
 	i.mu.Lock()
 	defer i.mu.Unlock()
@@ -191,5 +193,8 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.running[key]--
+	if i.running[key] == 0 {
+		i.Oracle.recordIdle(i.ID, key)
+	}
 	i.idle.Broadcast()
 }
--- a/standin/instance/instance.go
+++ b/standin/instance/instance.go
@@ -36,6 +36,9 @@
 	// later. A late release applies regardless of later grants, and the duration of a late
 	// grant counts from the arrival of the call.
 	LateCalls
+	// ExtraResponses sends its previous response on the connection again before it executes a grant or
+	// release call, and then the response to the call.
+	ExtraResponses
 )
 
 // maxArrivals bounds the number of arrivals that are remembered.
@@ -67,6 +70,11 @@
 	limit float64
 	// incarnation is unique among all instances, including those with the same ID.
 	incarnation string
+	// OmitsControlIDs is set if responses to control calls do not carry the ID of the call.
+	OmitsControlIDs bool
+	// formerResponses are the latest responses to control calls in mode ExtraResponses, by the address of
+	// the caller.
+	formerResponses map[string]*controlResponse
 	// leaving is set if its responses announce that it is leaving.
 	leaving bool
 	// retryAfter holds the header values with which an overloaded instance asks senders to pause.
@@ -96,7 +104,7 @@
 // New returns an instance that holds no keys.
 func New(id string, keyed bool, serviceTime time.Duration, oracle *Oracle) *Instance {
 	incarnation := id + "/" + strconv.FormatInt(incarnations.Add(1), 10)
-	i := &Instance{ID: id, Keyed: keyed, ServiceTime: serviceTime, Oracle: oracle, running: make(map[uint16]int), limit: -1, incarnation: incarnation}
+	i := &Instance{ID: id, Keyed: keyed, ServiceTime: serviceTime, Oracle: oracle, running: make(map[uint16]int), formerResponses: make(map[string]*controlResponse), limit: -1, incarnation: incarnation}
 	i.idle = sync.NewCond(&i.mu)
 	return i
 }
@@ -157,26 +165,37 @@
 		<-r.Context().Done()
 		return
 	}
+	isControl := r.URL.Path == platform.GrantPath || r.URL.Path == platform.ReleasePath
+	if id := r.Header.Get(platform.RequestID); id != "" && !(isControl && i.OmitsControlIDs) {
+		w.Header().Set(platform.RequestID, id)
+	}
 	if target := r.Header.Get(platform.TargetInstance); target != "" && target != i.ID {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	switch r.URL.Path {
-	case platform.GrantPath, platform.ReleasePath:
-		if delay, late := i.nextLateDelay(); late {
-			i.applyLater(r.URL.Path, body, delay)
-			<-r.Context().Done()
-			return
-		}
+	if !isControl {
+		i.serveRequest(w, r)
+		return
+	}
+	if delay, late := i.nextLateDelay(); late {
+		i.applyLater(r.URL.Path, body, delay)
+		<-r.Context().Done()
+		return
+	}
+	if i.currentMode() == ExtraResponses {
+		i.serveWithExtraResponse(w, r, body)
+		return
 	}
-	switch r.URL.Path {
-	case platform.GrantPath:
+	i.serveControl(w, r.URL.Path, body)
+}
+
+// serveControl serves a grant or release call.
+func (i *Instance) serveControl(w http.ResponseWriter, path string, body []byte) {
+	if path == platform.GrantPath {
 		i.serveGrant(w, body)
-	case platform.ReleasePath:
-		i.serveRelease(w, body)
-	default:
-		i.serveRequest(w, r)
+		return
 	}
+	i.serveRelease(w, body)
 }
 
 func (i *Instance) serveRequest(w http.ResponseWriter, r *http.Request) {
@@ -185,7 +204,6 @@
 		i.refuseWithoutID(w, r)
 		return
 	}
-	w.Header().Set(platform.RequestID, id)
 	i.recordArrival(id, w.Header())
 	key, hasKey := platform.RequestKey(r.Header)
 	if i.currentMode() == Overloaded {
--- a/standin/instance/oracle.go
+++ b/standin/instance/oracle.go
@@ -9,13 +9,17 @@
 )
 
 // Oracle records what all instances do and detects violations: two owners of one key at the
-// same time, a new owner whose fence is not higher than that of the previous one, a request
+// same time, a new owner while the former one still runs requests for released keys whose lease would
+// not have expired, a new owner whose fence is not higher than that of the previous one, a request
 // that runs twice although it must not, and a request that arrives without the ID set by its
 // client. All clients of the instances must therefore set IDs.
 type Oracle struct {
 	mu sync.Mutex
 	// leases are the current leases by instance.
 	leases map[string][]lease
+	// finishing are the keys that each instance has released but still runs requests for, with the time at
+	// which its lease would have expired.
+	finishing map[string]map[uint16]time.Time
 	// grants are all grants so far, with their owners and fences.
 	grants         []grantRecord
 	runs           map[string]int
@@ -32,7 +36,7 @@
 
 // NewOracle returns an oracle without records.
 func NewOracle() *Oracle {
-	return &Oracle{leases: make(map[string][]lease), runs: make(map[string]int), runsByInstance: make(map[string]int)}
+	return &Oracle{leases: make(map[string][]lease), finishing: make(map[string]map[uint16]time.Time), runs: make(map[string]int), runsByInstance: make(map[string]int)}
 }
 
 func (o *Oracle) recordGrant(id string, keys spans.KeyRange, fence uint64, expires time.Time) {
@@ -46,6 +50,13 @@
 			}
 		}
 	}
+	for other, released := range o.finishing {
+		for key, expires := range released {
+			if other != id && keys.Contains(key) && now.Before(expires) {
+				o.addViolation("keys %d-%d granted to %s while %s runs requests for key %d", keys.First, keys.Last, id, other, key)
+			}
+		}
+	}
 	for _, g := range o.grants {
 		if g.owner != id && overlap(g.KeyRange, keys) && g.fence >= fence {
 			o.addViolation("keys %d-%d granted to %s with fence %d, %s had %d", keys.First, keys.Last, id, fence, g.owner, g.fence)
@@ -56,12 +67,35 @@
 	o.grants = append(o.grants, grantRecord{keys, id, fence})
 }
 
-func (o *Oracle) recordRelease(id string, keys spans.KeyRange) {
+// recordRelease records a release of keys, for some of which requests still run.
+func (o *Oracle) recordRelease(id string, keys spans.KeyRange, running []uint16) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	for _, key := range running {
+		for _, l := range o.leases[id] {
+			if l.Contains(key) {
+				o.recordFinishing(id, key, l.expires)
+			}
+		}
+	}
 	o.cutLeases(id, keys)
 }
 
+// recordFinishing records a released key for which requests run. The caller holds o.mu.
+func (o *Oracle) recordFinishing(id string, key uint16, expires time.Time) {
+	if o.finishing[id] == nil {
+		o.finishing[id] = make(map[uint16]time.Time)
+	}
+	o.finishing[id][key] = expires
+}
+
+// recordIdle records that an instance runs no requests for the key any more.
+func (o *Oracle) recordIdle(id string, key uint16) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.finishing[id], key)
+}
+
 func (o *Oracle) cutLeases(id string, keys spans.KeyRange) {
 	scratch := Instance{leases: o.leases[id]}
 	scratch.cutLeases(keys)
@@ -95,6 +129,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	delete(o.leases, id)
+	delete(o.finishing, id)
 }
 
 // Runs returns how often a request was executed.
--- a/transport/pool/conn.go
+++ b/transport/pool/conn.go
@@ -37,6 +37,8 @@
 	announcedTimeout time.Duration
 	// mismatched counts the responses to other requests.
 	mismatched int
+	// echoes is set once a response has carried the echo that its request asked for.
+	echoes bool
 	// onRead, if set, is called with the number of bytes of each read.
 	onRead func(n int)
 }
@@ -177,7 +179,7 @@
 		if err != nil {
 			return nil, false, err
 		}
-		if r.EchoValue != "" && httpResp.Header.Get(r.EchoHeader) != r.EchoValue {
+		if !c.isResponseTo(r, httpResp.Header) {
 			c.mismatched++
 			if c.mismatched > maxMismatched || httpResp.Close {
 				return nil, false, ErrMismatchedResponse
@@ -190,6 +192,19 @@
 	}
 }
 
+// isResponseTo reports whether a response with the given headers belongs to the request.
+func (c *conn) isResponseTo(r *Request, h http.Header) bool {
+	if r.EchoValue == "" {
+		return true
+	}
+	echo := h.Get(r.EchoHeader)
+	if echo == "" && r.EchoOptional && !c.echoes {
+		return true
+	}
+	c.echoes = c.echoes || echo == r.EchoValue
+	return echo == r.EchoValue
+}
+
 func readBody(httpResp *http.Response, maxBody int64) ([]byte, error) {
 	if httpResp.ContentLength > maxBody {
 		return nil, ErrTooLarge
--- a/transport/pool/pool.go
+++ b/transport/pool/pool.go
@@ -40,6 +40,12 @@
 	// EchoHeader is accepted as the response to the request.
 	EchoHeader string
 	EchoValue  string
+	// EchoOptional also accepts a response without EchoHeader, unless the server has sent one with it
+	// on the connection.
+	EchoOptional bool
+	// EchoOrNewConn sends the request on an idle connection only if the server has sent a response with
+	// the right EchoValue on it. On a new connection no response to an earlier request can arrive.
+	EchoOrNewConn bool
 	// NonIdempotent marks a request that must not run twice.
 	NonIdempotent bool
 	// BeforeSend, if set, is called once a connection is open, right before anything is sent,
@@ -117,7 +123,7 @@
 // Do sends the request at most once and returns the complete response. When ctx ends, the
 // connection is reset, so that bytes still in transit are lost.
 func (p *Pool) Do(ctx context.Context, addr string, r *Request) (*Response, error) {
-	c := p.takeIdle(addr, r.NonIdempotent)
+	c := p.takeIdle(addr, r)
 	reused := c != nil
 	if !reused {
 		var err error
@@ -204,7 +210,7 @@
 }
 
 // takeIdle removes and returns the most recently used idle connection that can be reused, or nil.
-func (p *Pool) takeIdle(addr string, nonIdempotent bool) *conn {
+func (p *Pool) takeIdle(addr string, r *Request) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.now()
@@ -215,7 +221,10 @@
 		}
 		c := list[len(list)-1]
 		age := now.Sub(c.idleSince)
-		if nonIdempotent && age > p.limits.MaxIdleTimeNonIdempotent && age <= p.maxIdleTime(c) {
+		if r.EchoOrNewConn && !c.echoes {
+			return nil
+		}
+		if r.NonIdempotent && age > p.limits.MaxIdleTimeNonIdempotent && age <= p.maxIdleTime(c) {
 			return nil
 		}
 		p.idle[addr] = list[:len(list)-1]
--- a/transport/pool/pool_test.go
+++ b/transport/pool/pool_test.go
@@ -109,6 +109,58 @@
 	}
 }
 
+// TestOptionalEcho checks which responses are accepted if the server may omit the echo.
+func TestOptionalEcho(t *testing.T) {
+	for name, c := range map[string]struct {
+		// ids are the IDs in the responses to the second request; empty for a response without one.
+		firstID   string
+		ids       []string
+		orNewConn bool
+		accepted  int
+		conns     int32
+	}{
+		"echoed":                                {"1", []string{"2"}, false, 0, 1},
+		"never echoed":                          {"", []string{""}, false, 0, 1},
+		"never echoed, new connection":          {"", []string{""}, true, 0, 2},
+		"echoed, no new connection":             {"1", []string{"2"}, true, 0, 1},
+		"extra response to another request":     {"1", []string{"1", "2"}, false, 1, 1},
+		"extra response without ID":             {"1", []string{"", "2"}, false, 1, 1},
+		"another ID from a server without echo": {"", []string{"1", ""}, false, 1, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := serve(t, func(_, _ int, r *http.Request, conn net.Conn) bool {
+				ids := []string{c.firstID}
+				if r.Header.Get("Id") == "2" {
+					ids = c.ids
+				}
+				for n, id := range ids {
+					if id == "" {
+						_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n%d", n)
+						continue
+					}
+					respond(conn, id, fmt.Sprint(n))
+				}
+				return true
+			})
+			p := New(testLimits, time.Now)
+			for _, id := range []string{"1", "2"} {
+				r := newRequest(id)
+				r.EchoOptional, r.EchoOrNewConn = true, c.orNewConn
+				resp, err := p.Do(context.Background(), s.addr, r)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if id == "2" && string(resp.Body) != fmt.Sprint(c.accepted) {
+					t.Errorf("response %s was accepted, want %d", resp.Body, c.accepted)
+				}
+			}
+			if n := s.conns.Load(); n != c.conns {
+				t.Errorf("%d connections, want %d", n, c.conns)
+			}
+		})
+	}
+}
+
 func TestOnlyMismatchedResponses(t *testing.T) {
 	s := serve(t, func(_, _ int, _ *http.Request, c net.Conn) bool {
 		for range maxMismatched + 1 {
