gateway: a 421 from an address of an earlier start frees no keys

What callers would see: two upstreams hold the same keys (OWNER) for up to the rest of the former owner's hold, after an owner has started again under its ID at another address and the leader changed since.

Cause: a 421 to a release was taken for the end of the owner, and its keys were free at once. The address comes from the leader's list of upstreams. If the list is older than the one by which a former leader granted the keys, another instance may run at the old address while the owner lives at its new one. The start in the span was not compared with the listed one.

Change: the 421 frees the keys only if the listed start is the one that was granted them. Otherwise the release is repeated, by the list as it is then, until the holds of former leaders have expired. Where upstreams tell no starts both are unknown, an ID starts only once, and the 421 stays proof. A 421 still ends what this leader itself has granted, as its list never goes back to an earlier start. The end of an upstream is logged once, not with each repeated release.

Why it works: whoever was granted the keys by the table is the start in the span; the 421 speaks of the listed one.

--- a/gateway/controlresponses_test.go
+++ b/gateway/controlresponses_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/rockcroft/rockcroft/coordination/ownership"
 	"github.com/rockcroft/rockcroft/platform"
 	"github.com/rockcroft/rockcroft/standin/instance"
 	"github.com/rockcroft/rockcroft/state/instances"
@@ -84,3 +85,72 @@
 		})
 	}
 }
+
+// Starts of an upstream in Unix milliseconds, and how long a former leader's grant lasts in these tests.
+const (
+	formerStart  = 1_000_000
+	currentStart = 2_000_000
+	formerHold   = time.Second
+)
+
+// startBehindList starts upstreams i-s0 and i-s1, and returns the list of a leader that knows only the
+// former start of i-s0, at whose address another instance runs.
+func (b *testCluster) startBehindList() []instances.Instance {
+	b.t.Helper()
+	list := b.listedUpstreams("i-s0", "i-s1")
+	list[0].StartedMs = formerStart
+	list[0].Address = b.upstream("i-p0", "pay").address
+	return list
+}
+
+// grantAsFormerLeader grants keys to an upstream for formerHold, and lets the successor know until when such
+// grants may last.
+func (b *testCluster) grantAsFormerLeader(k *keyAssigner, to string, keys spans.KeyRange, fence uint64) {
+	b.t.Helper()
+	result, err := k.owners.Grant(b.t.Context(), to, b.upstreams[to].address, keys, fence, formerHold, "", nil)
+	if err != nil || result != platform.Granted {
+		b.t.Fatalf("grant to %s: result %v, error %v", to, result, err)
+	}
+	k.elector.formerHoldDeadline = time.Now().Add(ownership.HoldWithMargin(formerHold))
+}
+
+// TestWrongUpstreamAtFormerAddressFreesNoKeys guards against a second owner when the leader knows only the
+// address of an earlier start of the owner, which another instance uses now.
+func TestWrongUpstreamAtFormerAddressFreesNoKeys(t *testing.T) {
+	t.Parallel()
+	b := newTestCluster(t)
+	k := newLoneAssigner(t, b, time.Now, b.startBehindList()...)
+	b.grantAsFormerLeader(k, "i-s0", allKeys, 1)
+	k.table = oneSpanTable("i-s0", 1, "i-s1", 2)
+	granted := instances.Instance{StartedMs: currentStart}
+	k.table.Spans[0].Incarnation = granted.Incarnation()
+	k.move(t.Context(), k.table.Spans[0])
+	if s := k.table.Spans[0]; s.Owner != "i-s1" {
+		t.Errorf("the keys did not move: %+v", s)
+	}
+}
+
+// TestWrongUpstreamFreesKeysAtOnce checks that the keys of an owner that has ended do not wait for its hold if
+// another instance runs at the address of the start that was granted them.
+func TestWrongUpstreamFreesKeysAtOnce(t *testing.T) {
+	t.Parallel()
+	for name, start := range map[string]uint64{"start known": formerStart, "no starts": 0} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := newTestCluster(t)
+			list := b.startBehindList()
+			list[0].StartedMs = start
+			k := newLoneAssigner(t, b, time.Now, list...)
+			b.grantAsFormerLeader(k, "i-s0", allKeys, 1)
+			b.upstreams["i-s0"].Terminate()
+			// If the move waited for this, the test would not end.
+			k.elector.formerHoldDeadline = time.Now().Add(time.Hour)
+			k.table = oneSpanTable("i-s0", 1, "i-s1", 2)
+			k.table.Spans[0].Incarnation = list[0].Incarnation()
+			k.move(t.Context(), k.table.Spans[0])
+			if s := k.table.Spans[0]; s.Owner != "i-s1" {
+				t.Errorf("the keys did not move: %+v", s)
+			}
+		})
+	}
+}
--- a/gateway/grants.go
+++ b/gateway/grants.go
@@ -133,9 +133,11 @@
 				k.recordRelease(s, holder)
 				return token, true
 			case result == platform.WrongUpstream:
-				k.logWrongUpstream(s, owner)
 				k.markTerminated(owner)
-				return "", true
+				if k.isLastHolder(s, owner) {
+					k.logWrongUpstream(s, owner)
+					return "", true
+				}
 			}
 		}
 		if k.holdExpired(s.KeyRange, holder) {
@@ -150,6 +152,14 @@
 	return "", false
 }
 
+// isLastHolder reports whether an upstream as it is listed, which has terminated, was the last one of its ID
+// that may hold the keys. The span's owner was granted them in the incarnation in the span. If the list has
+// another one, it may be older than the grant, which then still counts until it expires. Other holders were
+// granted the keys by this leader, whose list never goes back.
+func (k *keyAssigner) isLastHolder(s spans.Span, listed *instances.Instance) bool {
+	return listed.ID != s.Owner || listed.Incarnation() == s.Incarnation
+}
+
 // recordRelease records that the upstream has released the keys of a move.
 func (k *keyAssigner) recordRelease(s spans.Span, upstream string) {
 	k.mu.Lock()
--- a/gateway/upstreamcontrol.go
+++ b/gateway/upstreamcontrol.go
@@ -41,10 +41,12 @@
 
 // markTerminated records that the start of the upstream that was called has ended.
 func (k *keyAssigner) markTerminated(inst *instances.Instance) {
-	k.log.Info("owner has terminated, its address now belongs to another instance", "upstream", inst.ID, "address", inst.Address)
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.terminated[inst.ID] = startOfUpstream(inst)
+	if at := startOfUpstream(inst); k.terminated[inst.ID] != at {
+		k.log.Info("owner has terminated, its address now belongs to another instance", "upstream", inst.ID, "address", inst.Address)
+		k.terminated[inst.ID] = at
+	}
 	k.holds.Terminated(inst.ID)
 }
 
