gateway: an owner that only seems to have restarted keeps its keys

What callers would see: two upstreams hold the same keys (OWNER) for up to the rest of the former owner's hold, after a change of the leader.

Cause: a plan takes an owner for restarted if its listed start is not the one in the span, and grants it its keys again without a release, as no process holds them. The list of a new leader may be older than the grant; then the start in the span still holds the keys at another address. The grant to the old address is refused, answered with 421 or not answered. In the first two cases the keys were taken for unowned, in the third for granted to the old start, and a 421 that followed freed them. The next plan granted them to another upstream at once.

Change: while grants of former leaders may last, a move of keys to their own owner that was not granted leaves the owner and the start in the table as they are. The keys are then taken from it by a release or the end of its hold, like those of any owner. If this leader granted the keys itself its list has not gone back, so a start that is listed now is a later one and nothing is held. An upstream that answers a move's grant with 421 counts as terminated, like one that answers a renewal or a release so, and is not planned for again.

What a restarted owner gets is unchanged if its grant is answered. If it is not, its keys now wait for the holds of former leaders in the first seconds after a change of the leader.

--- a/gateway/controlresponses_test.go
+++ b/gateway/controlresponses_test.go
@@ -90,7 +90,7 @@
 const (
 	formerStart  = 1_000_000
 	currentStart = 2_000_000
-	formerHold   = time.Second
+	formerHold   = 3 * time.Second
 )
 
 // startBehindList starts upstreams i-s0 and i-s1, and returns the list of a leader that knows only the
@@ -154,3 +154,55 @@
 		})
 	}
 }
+
+// planAndMove carries out all moves of a plan for upstreams that may all be given keys.
+func planAndMove(t *testing.T, k *keyAssigner, list ...instances.Instance) {
+	t.Helper()
+	var owners []ownership.Owner
+	for i := range list {
+		owners = append(owners, ownership.Owner{ID: list[i].ID, Usable: true, MayKeep: true, Capacity: 100, Incarnation: list[i].Incarnation()})
+	}
+	if next := ownership.MakePlan(ownership.PlanInput{Table: k.table, Owners: owners}); next != nil {
+		k.table = next
+	}
+	for _, s := range k.table.Clone().Spans {
+		if s.Moving() {
+			k.move(t.Context(), s)
+		}
+	}
+}
+
+// TestFailedGrantAfterRestartFreesNoKeys guards against a second owner when the list of a new leader is older
+// than the owner's start, so that the owner appears to have restarted and cannot be granted its keys again.
+func TestFailedGrantAfterRestartFreesNoKeys(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct{ first, later func(u *upstream) }{
+		"another instance": {first: func(*upstream) {}, later: func(*upstream) {}},
+		"refused":          {first: func(u *upstream) { _ = u.server.Close() }, later: func(*upstream) {}},
+		"not answered": {
+			first: func(u *upstream) { u.SetMode(instance.Unresponsive) },
+			later: func(u *upstream) { u.SetMode(instance.Healthy) },
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := newTestCluster(t)
+			list := b.startBehindList()
+			k := newLoneAssigner(t, b, time.Now, list...)
+			b.grantAsFormerLeader(k, "i-s0", allKeys, 1)
+			c.first(b.upstreams["i-p0"])
+			k.table = &spans.Table{Service: "status", LastFence: 1, Spans: []spans.Span{{KeyRange: allKeys, Owner: "i-s0", Fence: 1}}}
+			granted := instances.Instance{StartedMs: currentStart}
+			k.table.Spans[0].Incarnation = granted.Incarnation()
+			planAndMove(t, k, list...)
+			c.later(b.upstreams["i-p0"])
+			// The owner is not usable any more.
+			for range 2 {
+				planAndMove(t, k, list[1])
+			}
+			if s := k.table.Spans[0]; s.Owner != "i-s1" {
+				t.Errorf("the keys did not move: %+v", s)
+			}
+		})
+	}
+}
--- a/gateway/grants.go
+++ b/gateway/grants.go
@@ -43,7 +43,7 @@
 	taken := k.now()
 	next := k.instance(s.Next)
 	if next == nil || next.Leaving || k.view.evacuated(next.Domain) {
-		k.finishMove(s, k.possibleOwner(s), 0, false)
+		k.finishWithoutGrant(s)
 		return
 	}
 	cold := token == "" && s.Fence > 0
@@ -64,15 +64,45 @@
 	case errors.Is(err, errLeadershipExpired):
 		k.log.Info("move left to the next leader", "first", s.First, "upstream", s.Next, "fence", s.NextFence,
 			"possibly_granted", errors.Is(err, errPossiblyGranted))
-	case err == nil, errors.Is(err, pool.ErrNotSent):
+	case err == nil:
+		k.markTerminated(next)
+		k.finishWithoutGrant(s)
+	case errors.Is(err, pool.ErrNotSent):
 		k.log.Warn("keys not granted", "first", s.First, "upstream", s.Next, "error", err)
-		k.finishMove(s, k.possibleOwner(s), 0, false)
+		k.finishWithoutGrant(s)
 	default:
 		// The grant may still arrive, so the upstream counts as the owner until the hold that the
 		// grant would have started has expired.
 		k.log.Warn("grant not answered", "first", s.First, "upstream", s.Next, "error", err)
-		k.finishMove(s, s.Next, next.Incarnation(), cold)
+		granted := next.Incarnation()
+		if k.mayHoldAsBefore(s) {
+			granted = s.Incarnation
+		}
+		k.finishMove(s, s.Next, granted, cold)
+	}
+}
+
+// finishWithoutGrant ends a move whose grant was not sent or was rejected by another instance. The keys then
+// belong to the upstream that may hold them by an earlier grant, if any.
+func (k *keyAssigner) finishWithoutGrant(s spans.Span) {
+	if k.mayHoldAsBefore(s) {
+		k.finishMove(s, s.Owner, s.Incarnation, s.Cold)
+		return
 	}
+	k.finishMove(s, k.possibleOwner(s), 0, false)
+}
+
+// mayHoldAsBefore reports whether the owner of keys that are granted to it again may hold them by the grant
+// of a former leader. It is planned so if the listed start of the owner is not the one that was granted the
+// keys: either the owner has restarted, or the list of a new leader is older than the grant.
+func (k *keyAssigner) mayHoldAsBefore(s spans.Span) bool {
+	if s.Owner != s.Next {
+		return false
+	}
+	k.mu.Lock()
+	sole := k.onlyGranter
+	k.mu.Unlock()
+	return !sole && !k.elector.formerHoldsEnded()
 }
 
 // possibleOwner returns the next owner of a move whose grant was not answered, if a former leader or
