--- /dev/null
+++ b/gateway/controlresponses_test.go
@@ -0,0 +1,208 @@
+package gateway
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/rockcroft/rockcroft/coordination/ownership"
+	"github.com/rockcroft/rockcroft/platform"
+	"github.com/rockcroft/rockcroft/standin/instance"
+	"github.com/rockcroft/rockcroft/state/instances"
+	"github.com/rockcroft/rockcroft/state/spans"
+)
+
+// This file tests what the leader concludes from the responses to control calls.
+
+// allKeys are all keys of a service.
+var allKeys = spans.KeyRange{First: 0, Last: spans.MaxKey}
+
+// listedUpstreams starts keyed upstreams and returns them as a list of upstreams has them.
+func (b *testCluster) listedUpstreams(ids ...string) []instances.Instance {
+	b.t.Helper()
+	var list []instances.Instance
+	for _, id := range ids {
+		u := b.upstream(id, "status")
+		list = append(list, instances.Instance{ID: id, Service: "status", Address: u.address})
+	}
+	return list
+}
+
+// oneSpanTable returns the table of a service with one span that moves.
+func oneSpanTable(owner string, fence uint64, next string, nextFence uint64) *spans.Table {
+	return &spans.Table{Service: "status", LastFence: nextFence, Spans: []spans.Span{
+		{KeyRange: allKeys, Owner: owner, Fence: fence, Next: next, NextFence: nextFence},
+	}}
+}
+
+// startRequest starts a request for key 0 at an upstream that holds it, and returns once it runs. The
+// channel is closed when it has ended.
+func (b *testCluster) startRequest(u *upstream, id string) (ended chan struct{}) {
+	b.t.Helper()
+	ended = make(chan struct{})
+	go func() {
+		defer close(ended)
+		r, err := http.NewRequest(http.MethodGet, "http://"+u.address+"/status/x", nil)
+		if err != nil {
+			b.t.Error(err)
+			return
+		}
+		r.Header.Set(platform.RequestID, id)
+		r.Header.Set(platform.ShardKey, "0")
+		resp, err := b.client.Do(r)
+		if err != nil {
+			b.t.Error(err)
+			return
+		}
+		_ = resp.Body.Close()
+	}()
+	b.eventually("the request runs", func() bool { return b.oracle.Runs(id) == 1 })
+	return ended
+}
+
+// TestExtraResponseIsNoRelease guards against granting keys on which their owner still works because an
+// extra response to an earlier control call was taken for the response to the release.
+func TestExtraResponseIsNoRelease(t *testing.T) {
+	t.Parallel()
+	for name, omitsIDs := range map[string]bool{"with IDs": false, "without IDs": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := newTestCluster(t)
+			list := b.listedUpstreams("i-s0", "i-s1")
+			owner := b.upstreams["i-s0"]
+			owner.ServiceTime, owner.OmitsControlIDs = 500*time.Millisecond, omitsIDs
+			owner.SetMode(instance.ExtraResponses)
+			k := newLoneAssigner(t, b, time.Now, list...)
+			k.table = oneSpanTable("", 0, "i-s0", 1)
+			k.move(t.Context(), k.table.Spans[0])
+			ended := b.startRequest(owner, "r")
+			k.table = oneSpanTable("i-s0", 1, "i-s1", 2)
+			k.move(t.Context(), k.table.Spans[0])
+			if s := k.table.Spans[0]; s.Owner != "i-s1" || s.Cold {
+				t.Errorf("the keys did not move with their handover: %+v", s)
+			}
+			<-ended
+		})
+	}
+}
+
+// Starts of an upstream in Unix milliseconds, and how long a former leader's grant lasts in these tests.
+const (
+	formerStart  = 1_000_000
+	currentStart = 2_000_000
+	formerHold   = 3 * time.Second
+)
+
+// startBehindList starts upstreams i-s0 and i-s1, and returns the list of a leader that knows only the
+// former start of i-s0, at whose address another instance runs.
+func (b *testCluster) startBehindList() []instances.Instance {
+	b.t.Helper()
+	list := b.listedUpstreams("i-s0", "i-s1")
+	list[0].StartedMs = formerStart
+	list[0].Address = b.upstream("i-p0", "pay").address
+	return list
+}
+
+// grantAsFormerLeader grants keys to an upstream for formerHold, and lets the successor know until when such
+// grants may last.
+func (b *testCluster) grantAsFormerLeader(k *keyAssigner, to string, keys spans.KeyRange, fence uint64) {
+	b.t.Helper()
+	result, err := k.owners.Grant(b.t.Context(), to, b.upstreams[to].address, keys, fence, formerHold, "", nil)
+	if err != nil || result != platform.Granted {
+		b.t.Fatalf("grant to %s: result %v, error %v", to, result, err)
+	}
+	k.elector.formerHoldDeadline = time.Now().Add(ownership.HoldWithMargin(formerHold))
+}
+
+// TestWrongUpstreamAtFormerAddressFreesNoKeys guards against a second owner when the leader knows only the
+// address of an earlier start of the owner, which another instance uses now.
+func TestWrongUpstreamAtFormerAddressFreesNoKeys(t *testing.T) {
+	t.Parallel()
+	b := newTestCluster(t)
+	k := newLoneAssigner(t, b, time.Now, b.startBehindList()...)
+	b.grantAsFormerLeader(k, "i-s0", allKeys, 1)
+	k.table = oneSpanTable("i-s0", 1, "i-s1", 2)
+	granted := instances.Instance{StartedMs: currentStart}
+	k.table.Spans[0].Incarnation = granted.Incarnation()
+	k.move(t.Context(), k.table.Spans[0])
+	if s := k.table.Spans[0]; s.Owner != "i-s1" {
+		t.Errorf("the keys did not move: %+v", s)
+	}
+}
+
+// TestWrongUpstreamFreesKeysAtOnce checks that the keys of an owner that has ended do not wait for its hold if
+// another instance runs at the address of the start that was granted them.
+func TestWrongUpstreamFreesKeysAtOnce(t *testing.T) {
+	t.Parallel()
+	for name, start := range map[string]uint64{"start known": formerStart, "no starts": 0} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := newTestCluster(t)
+			list := b.startBehindList()
+			list[0].StartedMs = start
+			k := newLoneAssigner(t, b, time.Now, list...)
+			b.grantAsFormerLeader(k, "i-s0", allKeys, 1)
+			b.upstreams["i-s0"].Terminate()
+			// If the move waited for this, the test would not end.
+			k.elector.formerHoldDeadline = time.Now().Add(time.Hour)
+			k.table = oneSpanTable("i-s0", 1, "i-s1", 2)
+			k.table.Spans[0].Incarnation = list[0].Incarnation()
+			k.move(t.Context(), k.table.Spans[0])
+			if s := k.table.Spans[0]; s.Owner != "i-s1" {
+				t.Errorf("the keys did not move: %+v", s)
+			}
+		})
+	}
+}
+
+// planAndMove carries out all moves of a plan for upstreams that may all be given keys.
+func planAndMove(t *testing.T, k *keyAssigner, list ...instances.Instance) {
+	t.Helper()
+	var owners []ownership.Owner
+	for i := range list {
+		owners = append(owners, ownership.Owner{ID: list[i].ID, Usable: true, MayKeep: true, Capacity: 100, Incarnation: list[i].Incarnation()})
+	}
+	if next := ownership.MakePlan(ownership.PlanInput{Table: k.table, Owners: owners}); next != nil {
+		k.table = next
+	}
+	for _, s := range k.table.Clone().Spans {
+		if s.Moving() {
+			k.move(t.Context(), s)
+		}
+	}
+}
+
+// TestFailedGrantAfterRestartFreesNoKeys guards against a second owner when the list of a new leader is older
+// than the owner's start, so that the owner appears to have restarted and cannot be granted its keys again.
+func TestFailedGrantAfterRestartFreesNoKeys(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct{ first, later func(u *upstream) }{
+		"another instance": {first: func(*upstream) {}, later: func(*upstream) {}},
+		"refused":          {first: func(u *upstream) { _ = u.server.Close() }, later: func(*upstream) {}},
+		"not answered": {
+			first: func(u *upstream) { u.SetMode(instance.Unresponsive) },
+			later: func(u *upstream) { u.SetMode(instance.Healthy) },
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := newTestCluster(t)
+			list := b.startBehindList()
+			k := newLoneAssigner(t, b, time.Now, list...)
+			b.grantAsFormerLeader(k, "i-s0", allKeys, 1)
+			c.first(b.upstreams["i-p0"])
+			k.table = &spans.Table{Service: "status", LastFence: 1, Spans: []spans.Span{{KeyRange: allKeys, Owner: "i-s0", Fence: 1}}}
+			granted := instances.Instance{StartedMs: currentStart}
+			k.table.Spans[0].Incarnation = granted.Incarnation()
+			planAndMove(t, k, list...)
+			c.later(b.upstreams["i-p0"])
+			// The owner is not usable any more.
+			for range 2 {
+				planAndMove(t, k, list[1])
+			}
+			if s := k.table.Spans[0]; s.Owner != "i-s1" {
+				t.Errorf("the keys did not move: %+v", s)
+			}
+		})
+	}
+}
--- a/gateway/grants.go
+++ b/gateway/grants.go
@@ -43,7 +43,7 @@
 	taken := k.now()
 	next := k.instance(s.Next)
 	if next == nil || next.Leaving || k.view.evacuated(next.Domain) {
-		k.finishMove(s, k.possibleOwner(s), 0, false)
+		k.finishWithoutGrant(s)
 		return
 	}
 	cold := token == "" && s.Fence > 0
@@ -64,27 +64,54 @@
 	case errors.Is(err, errLeadershipExpired):
 		k.log.Info("move left to the next leader", "first", s.First, "upstream", s.Next, "fence", s.NextFence,
 			"possibly_granted", errors.Is(err, errPossiblyGranted))
-	case err == nil, errors.Is(err, pool.ErrNotSent):
+	case err == nil:
+		k.markTerminated(next)
+		k.finishWithoutGrant(s)
+	case errors.Is(err, pool.ErrNotSent):
 		k.log.Warn("keys not granted", "first", s.First, "upstream", s.Next, "error", err)
-		k.finishMove(s, k.possibleOwner(s), 0, false)
+		k.finishWithoutGrant(s)
 	default:
 		// The grant may still arrive, so the upstream counts as the owner until the hold that the
 		// grant would have started has expired.
 		k.log.Warn("grant not answered", "first", s.First, "upstream", s.Next, "error", err)
-		k.finishMove(s, s.Next, next.Incarnation(), cold)
+		granted := next.Incarnation()
+		if k.mayHoldAsBefore(s) {
+			granted = s.Incarnation
+		}
+		k.finishMove(s, s.Next, granted, cold)
+	}
+}
+
+// finishWithoutGrant ends a move whose grant was not sent or was rejected by another instance. The keys then
+// belong to the upstream that may hold them by an earlier grant, if any.
+func (k *keyAssigner) finishWithoutGrant(s spans.Span) {
+	if k.mayHoldAsBefore(s) {
+		k.finishMove(s, s.Owner, s.Incarnation, s.Cold)
+		return
+	}
+	k.finishMove(s, k.possibleOwner(s), 0, false)
+}
+
+// mayHoldAsBefore reports whether the owner of keys that are granted to it again may hold them by the grant
+// of a former leader. It is planned so if the listed start of the owner is not the one that was granted the
+// keys: either the owner has restarted, or the list of a new leader is older than the grant.
+func (k *keyAssigner) mayHoldAsBefore(s spans.Span) bool {
+	if s.Owner != s.Next {
+		return false
 	}
+	k.mu.Lock()
+	sole := k.onlyGranter
+	k.mu.Unlock()
+	return !sole && !k.elector.formerHoldsEnded()
 }
 
 // possibleOwner returns the next owner of a move whose grant was not answered, if it may hold one of the
 // keys by a grant of a former leader or by an earlier attempt of this one: it then counts as the owner.
 // Otherwise it returns "".
 func (k *keyAssigner) possibleOwner(s spans.Span) string {
-	formerEnded := k.elector.formerHoldsEnded()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	// That the owner has restarted may come from a list of upstreams that is older than the assignment.
-	mayHold := s.Owner == s.Next && !k.onlyGranter && !formerEnded
-	if mayHold || k.inheritedMoves[s.NextFence] || k.holds.Until(k.now(), s.KeyRange, s.Next).After(k.now()) {
+	if k.inheritedMoves[s.NextFence] || k.holds.Until(k.now(), s.KeyRange, s.Next).After(k.now()) {
 		return s.Next
 	}
 	return ""
@@ -136,8 +163,9 @@
 				k.recordRelease(s, holder)
 				return token, true
 			case result == platform.WrongUpstream:
-				k.logWrongUpstream(s, owner)
-				if k.markTerminated(owner); !k.heldByOwnGrants(s.KeyRange, holder) {
+				k.markTerminated(owner)
+				if k.isLastHolder(s, owner) && !k.heldByOwnGrants(s.KeyRange, holder) {
+					k.logWrongUpstream(s, owner)
 					return "", true
 				}
 			}
@@ -161,6 +189,14 @@
 	return k.holds.Until(k.now(), keys, holder).After(k.now())
 }
 
+// isLastHolder reports whether an upstream as it is listed, which has terminated, was the last one of its ID
+// that may hold the keys. The span's owner was granted them in the incarnation in the span. If the list has
+// another one, it may be older than the grant, which then still counts until it expires. Other holders were
+// granted the keys by this leader, whose list never goes back.
+func (k *keyAssigner) isLastHolder(s spans.Span, listed *instances.Instance) bool {
+	return listed.ID != s.Owner || listed.Incarnation() == s.Incarnation
+}
+
 // recordRelease records that the upstream has released the keys of a move.
 func (k *keyAssigner) recordRelease(s spans.Span, upstream string) {
 	k.mu.Lock()
