leadership: the lease states until when former leaders' grants last

Cause: a gateway may take the lease over after one missed renewal from a holder that refuses connections but may act, and grant keys, for up to 0.85 s more. It allows for that, but only in its own memory. If it released the lease at once, if a new process at its address took over, or if its own write of the lease took effect late and was found as a lease of its own address, the next leader counted 4.28 s from that moment and gave keys of a silent owner away while that owner held them by a late grant of the first holder.

Change: the lease has an optional field former_holds_ms: for how long after this write upstreams may hold keys by grants of leaders before the holder. Each write states it anew, and leaves it out once the grants that the holder itself may make last longer. A successor counts it from its first view of that lease, plus clock drift, and states what is left in its own. Leases without the field are read as before. leadership.FormerHolds and LeaseObservation.HoldsEnd decide it.

Why it works: a lease is replaced by conditional update only, so a successor has read exactly the write that it replaces, and saw it after it was sent: what the write states ends no earlier when counted from there.

--- a/coordination/leadership/leadership.go
+++ b/coordination/leadership/leadership.go
@@ -47,6 +47,9 @@
 	Gateways int `json:"gateways,omitempty"`
 	// Released reports whether the holder has given up the lease.
 	Released bool `json:"released,omitempty"`
+	// FormerHoldsMs is for how many milliseconds after this write upstreams may hold keys by grants
+	// that the end of the holder's own right does not bound; zero if there are none.
+	FormerHoldsMs int64 `json:"former_holds_ms,omitempty"`
 }
 
 // Same reports whether two leases come from the same write.
@@ -95,6 +98,30 @@
 // lease is renewed again.
 func (o *LeaseObservation) HolderExpiry() time.Time { return o.since.Add(takeoverDelay) }
 
+// HolderEnd returns the time by which the right of the holder has certainly ended, for a process that
+// serves the address self and acquires the lease now.
+func (o *LeaseObservation) HolderEnd(now time.Time, l Lease, self string) time.Time {
+	if l.Released || l.Address == self {
+		return now
+	}
+	return o.HolderExpiry()
+}
+
+// HoldsEnd returns the time by which upstreams have ceased to hold keys by grants that were made before
+// the lease is acquired now by the process that serves the address self, unless a holder acted by
+// promises. hold is how long an upstream may hold keys after a grant.
+func (o *LeaseObservation) HoldsEnd(now time.Time, l Lease, self string, hold time.Duration) time.Time {
+	end := o.HolderEnd(now, l, self).Add(hold)
+	if l.FormerHoldsMs <= 0 || !o.known {
+		return end
+	}
+	former := time.Duration(l.FormerHoldsMs) * time.Millisecond
+	if at := o.since.Add(former + former*clockDriftPercent/100); at.After(end) {
+		return at
+	}
+	return end
+}
+
 // takeoverDelay is how long a lease must be unchanged before another gateway may take it over.
 const takeoverDelay = LeaseDuration + LeaseDuration*clockDriftPercent/100 + takeoverMargin
 
--- a/gateway/leaderelector.go
+++ b/gateway/leaderelector.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/rockcroft/rockcroft/coordination/leadership"
+	"github.com/rockcroft/rockcroft/coordination/ownership"
 	"github.com/rockcroft/rockcroft/platform"
 	"github.com/rockcroft/rockcroft/protocol/syncpb"
 )
@@ -65,6 +66,8 @@
 	// formerHoldKnown is set once that is known.
 	formerHoldDeadline time.Time
 	formerHoldKnown    bool
+	// formerHolds is what the lease states of such holds.
+	formerHolds leadership.FormerHolds
 	// formerActedByPromises is set when that time results from promises to the former leader.
 	formerActedByPromises bool
 	renewedAt             time.Time
@@ -225,7 +228,7 @@
 	switch {
 	case errors.Is(err, platform.ErrNotFound):
 		if l.now().Sub(l.startedAt) > time.Duration(l.initialRank)*2*rankDelay {
-			l.acquire(ctx, leadership.Lease{}, 0, l.now())
+			l.acquire(ctx, leadership.Lease{}, 0, time.Time{})
 		}
 		return
 	case err != nil:
@@ -240,20 +243,22 @@
 	l.mu.Lock()
 	l.claim.Observe(now, object.Revision)
 	may := l.claim.CanTakeOver(now.Add(-l.startDelay()), lease, l.cluster.self.Address, refused)
-	ends := l.claim.HolderExpiry()
+	holdsEnd := l.claim.HoldsEnd(now, lease, l.cluster.self.Address, normalHold)
 	l.mu.Unlock()
-	if lease.Released || lease.Address == l.cluster.self.Address {
-		ends = now
-	}
 	if may {
-		l.acquire(ctx, lease, object.Revision, ends)
+		l.acquire(ctx, lease, object.Revision, holdsEnd)
 		return
 	}
 	l.cluster.setLeader(leaderMessage(lease, object.Revision))
 }
 
-// acquire writes the lease in this gateway's name and begins to lead.
-func (l *leaderElector) acquire(ctx context.Context, former leadership.Lease, revision uint64, ends time.Time) {
+// normalHold is how long an upstream may hold keys after a grant of a leader that does not act by
+// promises.
+var normalHold = ownership.HoldWithMargin(holdDuration)
+
+// acquire writes the lease in this gateway's name and begins to lead. holdsEnd is when upstreams have ceased
+// to hold keys by grants of former leaders, unless these acted by promises.
+func (l *leaderElector) acquire(ctx context.Context, former leadership.Lease, revision uint64, holdsEnd time.Time) {
 	l.leaseWriteMu.Lock()
 	defer l.leaseWriteMu.Unlock()
 	if l.resigning.Load() {
@@ -264,7 +269,10 @@
 		Node: self.Node, Address: self.Address, Domain: self.Domain, Incarnation: self.Incarnation,
 		Term: former.Term + 1, Voters: l.initialVoters(former), Gateways: max(former.Gateways, l.cluster.gatewayCount()),
 	}
+	var holds leadership.FormerHolds
+	holds.Extend(holdsEnd)
 	sent := l.now()
+	newLease.FormerHoldsMs = holds.Milliseconds(sent, normalHold)
 	var object platform.Object
 	var err error
 	if revision == 0 {
@@ -283,14 +291,14 @@
 	l.promisedRight.Revoke()
 	l.voterLists = [][]string{newLease.Voters}
 	l.renewedAt = sent
-	l.formerHoldKnown = false
+	l.formerHoldKnown, l.formerHolds = false, holds
 	l.mu.Unlock()
 	l.log.Info("leading", "term", newLease.Term, "former", former.Node, "former_term", former.Term, "released", former.Released,
-		"former_ends_in_ms", ends.Sub(l.now()).Milliseconds())
+		"former_holds_ms", max(holdsEnd.Sub(l.now()), 0).Milliseconds())
 	l.cluster.expectGateways(former.Gateways)
 	l.cluster.setLeader(leaderMessage(newLease, object.Revision))
 	l.cluster.setLeading(true)
-	l.assignments.start(newLease.Term, func(ctx context.Context) { l.inquire(ctx, former, ends, l.maxHold) })
+	l.assignments.start(newLease.Term, func(ctx context.Context) { l.inquire(ctx, former, holdsEnd, l.maxHold) })
 }
 
 // followHolder takes note of the holder of a lease that a refused write returned.
@@ -323,6 +331,7 @@
 	l.mu.Lock()
 	due := now.Sub(l.renewedAt) >= leadership.RenewInterval
 	next := l.lease
+	next.FormerHoldsMs = l.formerHolds.Milliseconds(now, normalHold)
 	revision := l.revision
 	l.mu.Unlock()
 	if !due {
--- a/gateway/promises.go
+++ b/gateway/promises.go
@@ -110,17 +110,18 @@
 }
 
 // inquire asks the voters of the former lease until when upstreams may hold keys by grants of
-// its leader. It repeats the question until a majority has answered.
-func (l *leaderElector) inquire(ctx context.Context, former leadership.Lease, ends time.Time, longest time.Duration) {
+// former leaders: holdsEnd, or later if they acted by promises. It repeats the question until a majority
+// has answered.
+func (l *leaderElector) inquire(ctx context.Context, former leadership.Lease, holdsEnd time.Time, longest time.Duration) {
 	term := former.Term + 1
 	if former.Term == 0 {
 		l.setFormerHoldDeadline(term, l.now().Add(ownership.HoldWithMargin(longest)), false)
 		return
 	}
 	for ctx.Err() == nil && l.cluster.isLeading() {
-		if until, ok := l.inquireFormerHolds(ctx, former, ends, longest); ok {
+		if until, ok := l.inquireFormerHolds(ctx, former, holdsEnd, longest); ok {
 			l.log.Info("end of the former leader's grants is known", "term", former.Term, "in_ms", until.Sub(l.now()).Milliseconds())
-			l.setFormerHoldDeadline(term, until, until.After(ends.Add(ownership.HoldWithMargin(holdDuration))))
+			l.setFormerHoldDeadline(term, until, until.After(holdsEnd))
 			return
 		}
 		pause(ctx, inquiryRetryInterval)
@@ -129,13 +130,12 @@
 
 // inquireFormerHolds asks the voters once. Any majority is sufficient evidence, so it uses the
 // majority with the earliest ends.
-func (l *leaderElector) inquireFormerHolds(ctx context.Context, former leadership.Lease, ends time.Time, longest time.Duration) (time.Time, bool) {
+func (l *leaderElector) inquireFormerHolds(ctx context.Context, former leadership.Lease, holdsEnd time.Time, longest time.Duration) (time.Time, bool) {
 	answers := l.askVoters(ctx, former.Voters, &syncpb.PromiseRequest{Term: former.Term + 1, Inquire: true})
 	now := l.now()
-	normal := ends.Add(ownership.HoldWithMargin(holdDuration))
 	var until []time.Time
 	for _, a := range answers {
-		end := normal
+		end := holdsEnd
 		if a.Asked {
 			age := time.Duration(a.AgeMs) * time.Millisecond
 			end = laterOf(end, now.Add(-age).Add(leadership.LeaseDuration).Add(ownership.HoldWithMargin(longest)))
@@ -165,6 +165,9 @@
 	defer l.mu.Unlock()
 	if l.lease.Term == term {
 		l.formerHoldDeadline, l.formerHoldKnown, l.formerActedByPromises = until, true, byPromises
+		if byPromises {
+			l.formerHolds.Extend(until)
+		}
 	}
 }
 
--- a/gateway/resign.go
+++ b/gateway/resign.go
@@ -61,8 +61,8 @@
 	l.right.Revoke()
 	l.promisedRight.Revoke()
 	next, revision := l.lease, l.revision
+	next.Released, next.FormerHoldsMs = true, l.formerHolds.Milliseconds(l.now(), normalHold)
 	l.mu.Unlock()
-	next.Released = true
 	if _, err := l.store.Replace(ctx, leaseKind, leaseName, revision, next); err != nil {
 		l.log.Warn("lease could not be released", "error", err)
 		return
