gateway: new voters hide no promises to the former ones

Cause: the list of voters was kept only while promises to the former leader mattered, not those to this leader. Its second renewal after the store's return could name voters that never promised anything. A successor then learned of no promise and counted with grants of 4 s while owners held 10 s ones. Of the same kind: promises that were requested before a renewal that changed the voters, and arrived after it, still gave a right to act, although a successor asks the new voters.

Ruled out: to keep the voters until the grants made by promises have ended. In an outage that takes gateways along, a majority of a list that may not change can be lost, and a successor would then never learn when keys of silent owners are free.

Change: a leader that acts by promises extends what its lease states of holds (former_holds_ms) up to the end of its longest grants, so every later write states them, whoever its voters are. The voters and that field are chosen in one step, and promises count only if the lists of voters are still the same when they arrive. Leadership that has ended leaves no list, so late promises cannot revive the right.

Why it works: a grant by promises is known either to the voters of the stored lease, if it was made after the last write, or to that write itself.

--- a/coordination/leadership/holds.go
+++ b/coordination/leadership/holds.go
@@ -3,8 +3,8 @@
 import "time"
 
 // FormerHolds is until when upstreams may hold keys by grants that a successor cannot bound by the end of
-// the holder's right: those of earlier leaders. The holder states it in the lease, because a
-// successor knows the lease of the holder only.
+// the holder's right: those of earlier leaders, and those that the holder made by promises. The holder
+// states it in the lease, because a successor knows only this lease and the voters that it names.
 type FormerHolds struct{ until time.Time }
 
 // Extend records that upstreams may hold keys until the given time.
--- a/gateway/leaderelector.go
+++ b/gateway/leaderelector.go
@@ -57,7 +57,7 @@
 	// promisedRight is the right to act that voter promises give without the store.
 	promisedRight leadership.Right
 	// voterLists are the lists of voters that may be in force: normally one, two while a
-	// renewal that changed the list has not been answered.
+	// renewal that changed the list has not been answered, none after leadership has ended.
 	voterLists [][]string
 	claim      leadership.LeaseObservation
 	lease      leadership.Lease
@@ -66,7 +66,8 @@
 	// formerHoldKnown is set once that is known.
 	formerHoldDeadline time.Time
 	formerHoldKnown    bool
-	// formerHolds is what the lease states of such holds.
+	// formerHolds is what the lease states of such holds, and of those by grants that this leader
+	// made by promises: a later list of voters does not know of these promises.
 	formerHolds leadership.FormerHolds
 	// formerActedByPromises is set when that time results from promises to the former leader.
 	formerActedByPromises bool
@@ -328,23 +329,10 @@
 		return
 	}
 	now := l.now()
-	l.mu.Lock()
-	due := now.Sub(l.renewedAt) >= leadership.RenewInterval
-	next := l.lease
-	next.FormerHoldsMs = l.formerHolds.Milliseconds(now, normalHold)
-	revision := l.revision
-	l.mu.Unlock()
+	next, revision, due := l.beginRenewal(now)
 	if !due {
 		return
 	}
-	next.Renewals++
-	next.Gateways = l.cluster.gatewayCount()
-	if voters := l.chooseVoters(next.Voters); l.votersMayChange() && !slices.Equal(voters, next.Voters) {
-		next.Voters = voters
-		l.mu.Lock()
-		l.voterLists = append(l.voterLists, voters)
-		l.mu.Unlock()
-	}
 	call, cancel := context.WithTimeout(ctx, storeTimeout+relayTimeout)
 	object, err := l.store.Replace(call, leaseKind, leaseName, revision, next)
 	cancel()
@@ -366,6 +354,26 @@
 	l.cluster.expire()
 }
 
+// beginRenewal returns the lease that a renewal which is sent now writes over the given revision. If it
+// changes the voters, both lists may be in force from now on.
+func (l *leaderElector) beginRenewal(now time.Time) (next leadership.Lease, revision uint64, due bool) {
+	gateways, mayChange := l.cluster.gatewayCount(), l.votersMayChange()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now.Sub(l.renewedAt) < leadership.RenewInterval {
+		return leadership.Lease{}, 0, false
+	}
+	next = l.lease
+	next.Renewals++
+	next.Gateways = gateways
+	next.FormerHoldsMs = l.formerHolds.Milliseconds(now, normalHold)
+	if voters := l.chooseVoters(next.Voters); mayChange && !slices.Equal(voters, next.Voters) {
+		next.Voters = voters
+		l.voterLists = append(l.voterLists, voters)
+	}
+	return next, l.revision, true
+}
+
 // renewalOverdue reports whether the lease was not renewed when it was due.
 func (l *leaderElector) renewalOverdue() bool {
 	return l.rightLeft() < leadership.LeaseDuration-leadership.RenewInterval-renewalGrace
@@ -392,14 +400,20 @@
 		l.mu.Unlock()
 		return
 	}
-	l.right.Revoke()
-	l.promisedRight.Revoke()
+	l.revokeRights()
 	l.mu.Unlock()
 	l.log.Info("no longer leading", "leader", stored.Node, "term", stored.Term)
 	l.stepDown()
 	l.cluster.setLeader(leaderMessage(stored, o.Revision))
 }
 
+// revokeRights ends the right to act. The caller holds l.mu.
+func (l *leaderElector) revokeRights() {
+	l.right.Revoke()
+	l.promisedRight.Revoke()
+	l.voterLists = nil
+}
+
 func (l *leaderElector) stepDown() {
 	l.cluster.setLeading(false)
 	l.assignments.stop()
--- a/gateway/promises.go
+++ b/gateway/promises.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -77,6 +78,9 @@
 	l.mu.Lock()
 	term, lists := l.lease.Term, l.voterLists
 	l.mu.Unlock()
+	if len(lists) == 0 {
+		return
+	}
 	sent := l.now()
 	asked := make(map[string]bool)
 	var voters []string
@@ -103,10 +107,15 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.lease.Term != term || !slices.EqualFunc(l.voterLists, lists, slices.Equal) {
+		// The voters that have promised may not be those that a successor asks.
+		return
+	}
 	if !l.promisedRight.Valid(sent) {
 		l.log.Info("leading without the store by voter promises", "term", term, "answers", len(answers))
 	}
 	l.promisedRight.Extend(sent)
+	l.formerHolds.Extend(sent.Add(leadership.LeaseDuration + ownership.HoldWithMargin(l.maxHold)))
 }
 
 // inquire asks the voters of the former lease until when upstreams may hold keys by grants of
--- a/gateway/resign.go
+++ b/gateway/resign.go
@@ -58,8 +58,7 @@
 	l.assignments.finish(ctx)
 	l.cluster.setLeading(false)
 	l.mu.Lock()
-	l.right.Revoke()
-	l.promisedRight.Revoke()
+	l.revokeRights()
 	next, revision := l.lease, l.revision
 	next.Released, next.FormerHoldsMs = true, l.formerHolds.Milliseconds(l.now(), normalHold)
 	l.mu.Unlock()
--- a/gateway/succession_test.go
+++ b/gateway/succession_test.go
@@ -8,8 +8,10 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -44,6 +46,9 @@
 	transport *faultyTransport
 	listener  net.Listener
 	server    *http.Server
+	// calls counts the calls of other gateways, which wait while gate is locked.
+	calls atomic.Int64
+	gate  sync.RWMutex
 	// holdsUntil is until when upstreams may hold keys by its grants.
 	holdsUntil time.Time
 }
@@ -158,7 +163,14 @@
 	transport := &faultyTransport{endpoint: s.store.Endpoint(node)}
 	store := platform.NewStore(transport)
 	g.elector.store, g.assignments.store, g.assignments.placements.store = store, store, store
-	e := &elector{leaderElector: g.elector, s: s, transport: transport, listener: l, server: &http.Server{Handler: g.peerHandler()}}
+	e := &elector{leaderElector: g.elector, s: s, transport: transport, listener: l}
+	peers := g.peerHandler()
+	e.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		e.calls.Add(1)
+		e.gate.RLock()
+		defer e.gate.RUnlock()
+		peers.ServeHTTP(w, r)
+	})}
 	go func() { _ = e.server.Serve(l) }()
 	s.t.Cleanup(e.end)
 	return e
@@ -401,3 +413,83 @@
 	}
 	b.eventually("the keys have another owner", func() bool { return next.allOwned() && b.spansOwnedBy(owner.ID) == 0 })
 }
+
+// voters returns the voters in the stored lease.
+func (s *successions) voters() []string {
+	s.t.Helper()
+	var l leadership.Lease
+	if err := platform.Decode(platform.Object{Spec: s.store.Spec(leaseKind, leaseName)}, &l); err != nil {
+		s.t.Fatal(err)
+	}
+	return l.Voters
+}
+
+// actByPromises makes the store fail for the leader until it acts by promises.
+func (e *elector) actByPromises() {
+	e.s.t.Helper()
+	e.transport.set(storeDown)
+	e.s.advance(leadership.LeaseDuration - leadership.RenewInterval/2)
+	e.extend(context.Background())
+	e.s.advance(leadership.RenewInterval)
+	e.mustGrant(true)
+	e.transport.set(storeHealthy)
+}
+
+// TestNewVotersHideNoPromises guards against keys that a successor takes for free because the voters that
+// it asks have replaced those that promised the former leader its support.
+func TestNewVotersHideNoPromises(t *testing.T) {
+	t.Parallel()
+	s := newSuccessions(t)
+	a, b, c := s.startLeader()
+	d, e := s.gateway("d"), s.gateway("e")
+	s.advance(uptime)
+	a.renew(true)
+	a.actByPromises()
+	a.renew(true)
+	b.end()
+	c.end()
+	a.setMembers(d, e)
+	s.advance(leadership.RenewInterval)
+	a.renew(true)
+	d.observe(t.Context())
+	a.end()
+	if voters := s.voters(); slices.Contains(voters, b.cluster.self.Address) {
+		t.Errorf("lost gateways remain voters: %v", voters)
+	}
+	s.advance(missedRenewal)
+	d.lead(true)
+	d.checkWaitsFor(a)
+}
+
+// TestLatePromisesGiveNoRight guards against a right to act by promises that were requested before the
+// lease was renewed: the voters may have changed since.
+func TestLatePromisesGiveNoRight(t *testing.T) {
+	t.Parallel()
+	s := newSuccessions(t)
+	a, b, c := s.startLeader()
+	d := s.gateway("d")
+	s.advance(uptime)
+	a.renew(true)
+	s.advance(leadership.LeaseDuration - leadership.RenewInterval/2)
+	b.gate.Lock()
+	c.gate.Lock()
+	before := b.calls.Load()
+	extended := make(chan struct{})
+	go func() {
+		defer close(extended)
+		a.extend(t.Context())
+	}()
+	for b.calls.Load() == before {
+		time.Sleep(time.Millisecond)
+	}
+	a.renew(true)
+	a.setMembers(d)
+	s.advance(leadership.RenewInterval)
+	a.renew(true)
+	b.gate.Unlock()
+	c.gate.Unlock()
+	<-extended
+	if a.actsByPromises() {
+		t.Errorf("the leader acts by promises of former voters; the voters are %v", s.voters())
+	}
+}
