leadership: attempts to write the lease are told apart

Cause: a renewal that was sent again after a lost response looked like its first attempt, as both had the same number. When the store refused the second because the first was stored, the leader took the second for stored. Its right to act then counted from the second attempt, although other gateways had seen the lease unchanged since the first, and a successor did not allow for its last grants. If the voters had changed between the two, it asked voters that are not those in the store, and a successor would not learn of their promises.

Change: leadership.Writes numbers each attempt of a process and knows when it was sent. If an earlier attempt turns out to be stored, the leader adopts that one, with its voters, and its right counts from when that one was sent.

Why it works: all attempts on one revision exclude each other, so the stored number tells which one took effect, and the others cannot any more.

--- a/coordination/leadership/leadership.go
+++ b/coordination/leadership/leadership.go
@@ -37,7 +37,7 @@
 	Incarnation string `json:"incarnation"`
 	// Term increases with each new holder.
 	Term uint64 `json:"term"`
-	// Renewals makes each write differ from the previous one.
+	// Renewals is the number of the attempt by which the holder's process wrote the lease.
 	Renewals uint64 `json:"renewals"`
 	// Voters holds the peer addresses of the gateways whose promises let the holder continue while
 	// the store is unavailable.
--- a/gateway/leaderelector.go
+++ b/gateway/leaderelector.go
@@ -59,6 +59,7 @@
 	// voterLists are the lists of voters that may be in force: normally one, two while a
 	// renewal that changed the list has not been answered, none after leadership has ended.
 	voterLists [][]string
+	writes     leadership.Writes
 	claim      leadership.LeaseObservation
 	lease      leadership.Lease
 	revision   uint64
@@ -274,6 +275,9 @@
 	holds.Extend(holdsEnd)
 	sent := l.now()
 	newLease.FormerHoldsMs = holds.Milliseconds(sent, normalHold)
+	l.mu.Lock()
+	newLease.Renewals = l.writes.Begin(sent)
+	l.mu.Unlock()
 	var object platform.Object
 	var err error
 	if revision == 0 {
@@ -287,11 +291,8 @@
 		return
 	}
 	l.mu.Lock()
-	l.lease, l.revision = newLease, object.Revision
-	l.right.Extend(sent)
+	l.adoptWrite(newLease, object.Revision)
 	l.promisedRight.Revoke()
-	l.voterLists = [][]string{newLease.Voters}
-	l.renewedAt = sent
 	l.formerHoldKnown, l.formerHolds = false, holds
 	l.mu.Unlock()
 	l.log.Info("leading", "term", newLease.Term, "former", former.Node, "former_term", former.Term, "released", former.Released,
@@ -302,10 +303,11 @@
 	l.assignments.start(newLease.Term, func(ctx context.Context) { l.inquire(ctx, former, holdsEnd, l.maxHold) })
 }
 
-// followHolder takes note of the holder of a lease that a refused write returned.
+// followHolder takes note of the holder of a lease that a refused write returned. An earlier attempt of
+// this process is acquired again when the lease is read next.
 func (l *leaderElector) followHolder(o platform.Object) {
 	var stored leadership.Lease
-	if len(o.Spec) == 0 || platform.Decode(o, &stored) != nil {
+	if len(o.Spec) == 0 || platform.Decode(o, &stored) != nil || stored.Incarnation == l.cluster.self.Incarnation {
 		return
 	}
 	l.cluster.setLeader(leaderMessage(stored, o.Revision))
@@ -339,11 +341,8 @@
 	switch {
 	case err == nil || l.isOwnWrite(object, next):
 		l.mu.Lock()
-		l.lease, l.revision = next, object.Revision
-		l.voterLists = [][]string{next.Voters}
-		l.right.Extend(now)
+		l.adoptWrite(next, object.Revision)
 		l.promisedRight.Revoke()
-		l.renewedAt = now
 		l.mu.Unlock()
 		l.cluster.setLeader(leaderMessage(next, object.Revision))
 	case errors.Is(err, platform.ErrConflict):
@@ -364,7 +363,7 @@
 		return leadership.Lease{}, 0, false
 	}
 	next = l.lease
-	next.Renewals++
+	next.Renewals = l.writes.Begin(now)
 	next.Gateways = gateways
 	next.FormerHoldsMs = l.formerHolds.Milliseconds(now, normalHold)
 	if voters := l.chooseVoters(next.Voters); mayChange && !slices.Equal(voters, next.Voters) {
@@ -395,8 +394,7 @@
 	}
 	l.mu.Lock()
 	if stored.Incarnation == l.lease.Incarnation && stored.Term == l.lease.Term {
-		l.lease, l.revision = stored, o.Revision
-		l.voterLists = [][]string{stored.Voters}
+		l.adoptWrite(stored, o.Revision)
 		l.mu.Unlock()
 		return
 	}
@@ -407,6 +405,16 @@
 	l.cluster.setLeader(leaderMessage(stored, o.Revision))
 }
 
+// adoptWrite takes note of a write of this leader that is stored. The caller holds l.mu.
+func (l *leaderElector) adoptWrite(stored leadership.Lease, revision uint64) {
+	l.lease, l.revision = stored, revision
+	l.voterLists = [][]string{stored.Voters}
+	if sent, ok := l.writes.Accepted(stored.Renewals); ok {
+		l.right.Extend(sent)
+		l.renewedAt = sent
+	}
+}
+
 // revokeRights ends the right to act. The caller holds l.mu.
 func (l *leaderElector) revokeRights() {
 	l.right.Revoke()
--- a/gateway/succession_test.go
+++ b/gateway/succession_test.go
@@ -60,6 +60,8 @@
 	storeHealthy storeFault = iota
 	// storeDown executes nothing.
 	storeDown
+	// storeLosesResponses executes calls without a response.
+	storeLosesResponses
 	// storeDelaysWrites executes writes when deliver is called.
 	storeDelaysWrites
 )
@@ -86,6 +88,9 @@
 		return 0, nil, errNoResponse
 	}
 	w := f.execute(c)
+	if f.fault == storeLosesResponses {
+		return 0, nil, errNoResponse
+	}
 	return w.Code, w.Body.Bytes(), nil
 }
 
@@ -493,3 +498,51 @@
 		t.Errorf("the leader acts by promises of former voters; the voters are %v", s.voters())
 	}
 }
+
+// TestLostResponseExtendsNoRight guards against a right to act that counts from the repetition of a renewal
+// whose first attempt was accepted: others have seen the lease unchanged since then.
+func TestLostResponseExtendsNoRight(t *testing.T) {
+	t.Parallel()
+	s := newSuccessions(t)
+	a, b, _ := s.startLeader()
+	s.advance(leadership.RenewInterval)
+	a.transport.set(storeLosesResponses)
+	a.renew(false)
+	b.observe(t.Context())
+	a.transport.set(storeHealthy)
+	s.advance(leadership.RenewInterval)
+	a.renewIfDue(t.Context())
+	a.transport.set(storeDown)
+	for !b.cluster.isLeading() {
+		s.advance(10 * time.Millisecond)
+		a.grant()
+		b.tryAcquire(t.Context(), false)
+	}
+	for a.grant() {
+		s.advance(10 * time.Millisecond)
+	}
+	b.checkWaitsFor(a)
+}
+
+// TestLostResponseKeepsStoredVoters guards against voters that are not those of the stored lease: a
+// successor would not ask them.
+func TestLostResponseKeepsStoredVoters(t *testing.T) {
+	t.Parallel()
+	s := newSuccessions(t)
+	a, b, c := s.startLeader()
+	s.advance(leadership.RenewInterval)
+	a.transport.set(storeLosesResponses)
+	a.setMembers(b)
+	a.renew(false)
+	a.transport.set(storeHealthy)
+	a.setMembers(c)
+	a.renewIfDue(t.Context())
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, list := range a.voterLists {
+		if slices.Equal(list, s.voters()) {
+			return
+		}
+	}
+	t.Errorf("voter lists of the leader: %v, stored: %v", a.voterLists, s.voters())
+}
