leadership: restarted voters support no former leader

Cause: a voter keeps the terms it has heard of in memory. Once it had told a successor when it last promised anything, it refused the former leader, but after a restart it had forgotten that and promised anew. With one such voter the former leader had a majority again and made grants of 10 s for as long as it stayed cut off, while the successor took the keys of owners that it could not reach for free.

Ruled out: to let a new voter read the lease first. Promises are asked for when the store is away.

Change: a new process makes no promise for as long as a lease seen at its start could still give a right to act (1.99 s). A leader whose right has lapsed counts promises only of processes that have run since that long before the lapse; the response to a request for a promise tells how long the voter has run (age_ms, unused there before). Earlier versions tell nothing, and then do not revive a lapsed right; valid rights are extended by them as before.

Why it works: the right of a leader whose lease was replaced ends at most 1.8 s after a successor's first inquiry. Each majority has a voter that answered it. That voter refuses, or has restarted later and then refuses until the right has ended, or has run for too short a time to revive it.

--- a/coordination/leadership/leadership.go
+++ b/coordination/leadership/leadership.go
@@ -76,6 +76,9 @@
 // Remaining returns how long the right remains valid.
 func (r *Right) Remaining(now time.Time) time.Duration { return max(r.until.Sub(now), 0) }
 
+// Lapsed returns how long ago the right ended; zero or less while it is valid.
+func (r *Right) Lapsed(now time.Time) time.Duration { return now.Sub(r.until) }
+
 // LeaseObservation is what a gateway has seen of the lease of another gateway.
 type LeaseObservation struct {
 	revision uint64
--- a/coordination/leadership/promise.go
+++ b/coordination/leadership/promise.go
@@ -10,26 +10,40 @@
 const MaxVoters = 7
 
 // Promises records what one gateway has promised. It is kept in memory only, so a new process is
-// treated as having promised at its start, because the previous process may have done so.
+// treated as having promised at its start, because the previous process may have done so. A new process
+// does not know either which later terms the previous one has heard of.
 type Promises struct {
-	term  uint64
-	last  time.Time
-	given bool
+	// started is when the process began.
+	started time.Time
+	term    uint64
+	last    time.Time
+	given   bool
 }
 
 // NewPromises returns the promises of a process that starts now.
-func NewPromises(now time.Time) *Promises { return &Promises{last: now, given: true} }
+func NewPromises(now time.Time) *Promises { return &Promises{started: now, last: now, given: true} }
 
 // Grant promises the leader of the term not to support another leader for LeaseDuration. It returns
-// false if a later term is known.
+// false if a later term is known, or if the previous process at this address may have told a successor of
+// the leader that it had promised nothing more, while the leader may still act.
 func (p *Promises) Grant(now time.Time, term uint64) bool {
-	if term < p.term {
+	if term < p.term || p.Uptime(now) < takeoverDelay {
 		return false
 	}
 	p.term, p.last, p.given = term, now, true
 	return true
 }
 
+// Uptime returns how long the process has run.
+func (p *Promises) Uptime(now time.Time) time.Duration { return now.Sub(p.started) }
+
+// PromiseCounts reports whether a promise supports a holder whose right ended the given time ago. The
+// process of the voter, which has run for uptime, must have made promises while that right was valid:
+// otherwise the previous process may have answered a successor since then.
+func PromiseCounts(lapsed, uptime time.Duration) bool {
+	return lapsed <= 0 || uptime-uptime*clockDriftPercent/100-takeoverDelay >= lapsed
+}
+
 // Inquire records a later term and returns whether a promise was given to an earlier one, and how
 // long ago.
 func (p *Promises) Inquire(now time.Time, term uint64) (given bool, age time.Duration) {
--- a/coordination/leadership/promise_test.go
+++ b/coordination/leadership/promise_test.go
@@ -27,6 +27,23 @@
 	}
 }
 
+// The process before may have told a successor of the leader of its promises: a new process supports the
+// leader only once its right at the time of the start has certainly ended, and only if it lasted on.
+func TestRestartedVoterSupportsOnlyLastingRights(t *testing.T) {
+	p := NewPromises(start)
+	if p.Grant(at(takeoverDelay-time.Millisecond), 1) || !p.Grant(at(takeoverDelay), 1) {
+		t.Error("the first promise is not made exactly at the end of the wait")
+	}
+	const uptime = 10 * time.Second
+	for lapsed, want := range map[time.Duration]bool{
+		-time.Second: true, 0: true, uptime - takeoverDelay - uptime/50: true, uptime - takeoverDelay: false, uptime: false, 1<<63 - 1: false,
+	} {
+		if PromiseCounts(lapsed, uptime) != want {
+			t.Errorf("right ended %s ago: a promise counts: %v", lapsed, !want)
+		}
+	}
+}
+
 // Whichever majorities the holder and its successor reach, and whichever voters restart in between,
 // the successor must not assume that the holder has stopped before the right that the holder has by
 // promises has expired.
--- a/gateway/promises.go
+++ b/gateway/promises.go
@@ -36,7 +36,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !r.Inquire {
-		return &syncpb.PromiseResponse{Given: p.state.Grant(p.now(), r.Term)}
+		now := p.now()
+		return &syncpb.PromiseResponse{Given: p.state.Grant(now, r.Term), AgeMs: uint64(p.state.Uptime(now).Milliseconds())}
 	}
 	given, age := p.state.Inquire(p.now(), r.Term)
 	return &syncpb.PromiseResponse{Asked: given, AgeMs: uint64(age.Milliseconds())}
@@ -76,12 +77,12 @@
 // needs a majority of each voter list that may be in force.
 func (l *leaderElector) extend(ctx context.Context) {
 	l.mu.Lock()
-	term, lists := l.lease.Term, l.voterLists
+	sent, term, lists := l.now(), l.lease.Term, l.voterLists
+	lapsed := min(l.right.Lapsed(sent), l.promisedRight.Lapsed(sent))
 	l.mu.Unlock()
 	if len(lists) == 0 {
 		return
 	}
-	sent := l.now()
 	asked := make(map[string]bool)
 	var voters []string
 	for _, list := range lists {
@@ -96,7 +97,7 @@
 	for _, list := range lists {
 		given := 0
 		for _, v := range list {
-			if a := answers[v]; a != nil && a.Given {
+			if a := answers[v]; a != nil && a.Given && leadership.PromiseCounts(lapsed, time.Duration(a.AgeMs)*time.Millisecond) {
 				given++
 			}
 		}
--- a/gateway/succession_test.go
+++ b/gateway/succession_test.go
@@ -546,3 +546,44 @@
 	}
 	t.Errorf("voter lists of the leader: %v, stored: %v", a.voterLists, s.voters())
 }
+
+// TestRestartedVoterSupportsNoFormerLeader guards against a voter that has told a successor of its promises
+// and, after a restart, supports the former leader again.
+func TestRestartedVoterSupportsNoFormerLeader(t *testing.T) {
+	t.Parallel()
+	s := newSuccessions(t)
+	a, b, c := s.startLeader()
+	s.advance(leadership.RenewInterval)
+	a.renew(true)
+	c.observe(t.Context())
+	// The former leader is cut off from the store and from its successor.
+	a.transport.set(storeDown)
+	_ = a.server.Close()
+	s.advance(missedRenewal)
+	c.lead(true)
+	c.checkWaitsFor()
+	s.restart(b)
+	for range 100 {
+		s.advance(100 * time.Millisecond)
+		a.extend(t.Context())
+		a.grant()
+	}
+	c.checkWaitsFor(a)
+}
+
+// TestLapsedLeaderResumesByPromises checks that a leader whose right has lapsed leads again by promises of
+// voters that have run since before.
+func TestLapsedLeaderResumesByPromises(t *testing.T) {
+	t.Parallel()
+	s := newSuccessions(t)
+	a, _, _ := s.startLeader()
+	s.advance(leadership.RenewInterval)
+	a.renew(true)
+	a.transport.set(storeDown)
+	s.advance(holdDuration)
+	if a.mayAct() {
+		t.Fatal("the right has not lapsed")
+	}
+	a.extend(t.Context())
+	a.mustGrant(true)
+}
