--- a/coordination/leadership/leadership.go
+++ b/coordination/leadership/leadership.go
@@ -37,7 +37,7 @@
 	Incarnation string `json:"incarnation"`
 	// Term increases with each new holder.
 	Term uint64 `json:"term"`
-	// Renewals makes each write differ from the previous one.
+	// Renewals is the number of the attempt by which the holder's process wrote the lease.
 	Renewals uint64 `json:"renewals"`
 	// Voters holds the peer addresses of the gateways whose promises let the holder continue while
 	// the store is unavailable.
@@ -47,6 +47,9 @@
 	Gateways int `json:"gateways,omitempty"`
 	// Released reports whether the holder has given up the lease.
 	Released bool `json:"released,omitempty"`
+	// FormerHoldsMs is for how many milliseconds after this write upstreams may hold keys by grants
+	// that the end of the holder's own right does not bound; zero if there are none.
+	FormerHoldsMs int64 `json:"former_holds_ms,omitempty"`
 }
 
 // Same reports whether two leases come from the same write.
@@ -73,6 +76,9 @@
 // Remaining returns how long the right remains valid.
 func (r *Right) Remaining(now time.Time) time.Duration { return max(r.until.Sub(now), 0) }
 
+// Lapsed returns how long ago the right ended; zero or less while it is valid.
+func (r *Right) Lapsed(now time.Time) time.Duration { return now.Sub(r.until) }
+
 // LeaseObservation is what a gateway has seen of the lease of another gateway.
 type LeaseObservation struct {
 	revision uint64
@@ -95,6 +101,30 @@
 // lease is renewed again.
 func (o *LeaseObservation) HolderExpiry() time.Time { return o.since.Add(takeoverDelay) }
 
+// HolderEnd returns the time by which the right of the holder has certainly ended, for a process that
+// serves the address self and acquires the lease now.
+func (o *LeaseObservation) HolderEnd(now time.Time, l Lease, self string) time.Time {
+	if l.Released || l.Address == self {
+		return now
+	}
+	return o.HolderExpiry()
+}
+
+// HoldsEnd returns the time by which upstreams have ceased to hold keys by grants that were made before
+// the lease is acquired now by the process that serves the address self, unless a holder acted by
+// promises. hold is how long an upstream may hold keys after a grant.
+func (o *LeaseObservation) HoldsEnd(now time.Time, l Lease, self string, hold time.Duration) time.Time {
+	end := o.HolderEnd(now, l, self).Add(hold)
+	if l.FormerHoldsMs <= 0 || !o.known {
+		return end
+	}
+	former := time.Duration(l.FormerHoldsMs) * time.Millisecond
+	if at := o.since.Add(former + former*clockDriftPercent/100); at.After(end) {
+		return at
+	}
+	return end
+}
+
 // takeoverDelay is how long a lease must be unchanged before another gateway may take it over.
 const takeoverDelay = LeaseDuration + LeaseDuration*clockDriftPercent/100 + takeoverMargin
 
--- a/gateway/leaderelector.go
+++ b/gateway/leaderelector.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/rockcroft/rockcroft/coordination/leadership"
+	"github.com/rockcroft/rockcroft/coordination/ownership"
 	"github.com/rockcroft/rockcroft/platform"
 	"github.com/rockcroft/rockcroft/protocol/syncpb"
 )
@@ -56,8 +57,9 @@
 	// promisedRight is the right to act that voter promises give without the store.
 	promisedRight leadership.Right
 	// voterLists are the lists of voters that may be in force: normally one, two while a
-	// renewal that changed the list has not been answered.
+	// renewal that changed the list has not been answered, none after leadership has ended.
 	voterLists [][]string
+	writes     leadership.Writes
 	claim      leadership.LeaseObservation
 	lease      leadership.Lease
 	revision   uint64
@@ -65,6 +67,9 @@
 	// formerHoldKnown is set once that is known.
 	formerHoldDeadline time.Time
 	formerHoldKnown    bool
+	// formerHolds is what the lease states of such holds, and of those by grants that this leader
+	// made by promises: a later list of voters does not know of these promises.
+	formerHolds leadership.FormerHolds
 	// formerActedByPromises is set when that time results from promises to the former leader.
 	formerActedByPromises bool
 	renewedAt             time.Time
@@ -225,7 +230,7 @@
 	switch {
 	case errors.Is(err, platform.ErrNotFound):
 		if l.now().Sub(l.startedAt) > time.Duration(l.initialRank)*2*rankDelay {
-			l.acquire(ctx, leadership.Lease{}, 0, l.now())
+			l.acquire(ctx, leadership.Lease{}, 0, time.Time{})
 		}
 		return
 	case err != nil:
@@ -240,20 +245,22 @@
 	l.mu.Lock()
 	l.claim.Observe(now, object.Revision)
 	may := l.claim.CanTakeOver(now.Add(-l.startDelay()), lease, l.cluster.self.Address, refused)
-	ends := l.claim.HolderExpiry()
+	holdsEnd := l.claim.HoldsEnd(now, lease, l.cluster.self.Address, normalHold)
 	l.mu.Unlock()
-	if lease.Released || lease.Address == l.cluster.self.Address {
-		ends = now
-	}
 	if may {
-		l.acquire(ctx, lease, object.Revision, ends)
+		l.acquire(ctx, lease, object.Revision, holdsEnd)
 		return
 	}
 	l.cluster.setLeader(leaderMessage(lease, object.Revision))
 }
 
-// acquire writes the lease in this gateway's name and begins to lead.
-func (l *leaderElector) acquire(ctx context.Context, former leadership.Lease, revision uint64, ends time.Time) {
+// normalHold is how long an upstream may hold keys after a grant of a leader that does not act by
+// promises.
+var normalHold = ownership.HoldWithMargin(holdDuration)
+
+// acquire writes the lease in this gateway's name and begins to lead. holdsEnd is when upstreams have ceased
+// to hold keys by grants of former leaders, unless these acted by promises.
+func (l *leaderElector) acquire(ctx context.Context, former leadership.Lease, revision uint64, holdsEnd time.Time) {
 	l.leaseWriteMu.Lock()
 	defer l.leaseWriteMu.Unlock()
 	if l.resigning.Load() {
@@ -264,7 +271,13 @@
 		Node: self.Node, Address: self.Address, Domain: self.Domain, Incarnation: self.Incarnation,
 		Term: former.Term + 1, Voters: l.initialVoters(former), Gateways: max(former.Gateways, l.cluster.gatewayCount()),
 	}
+	var holds leadership.FormerHolds
+	holds.Extend(holdsEnd)
 	sent := l.now()
+	newLease.FormerHoldsMs = holds.Milliseconds(sent, normalHold)
+	l.mu.Lock()
+	newLease.Renewals = l.writes.Begin(sent)
+	l.mu.Unlock()
 	var object platform.Object
 	var err error
 	if revision == 0 {
@@ -278,25 +291,23 @@
 		return
 	}
 	l.mu.Lock()
-	l.lease, l.revision = newLease, object.Revision
-	l.right.Extend(sent)
+	l.adoptWrite(newLease, object.Revision)
 	l.promisedRight.Revoke()
-	l.voterLists = [][]string{newLease.Voters}
-	l.renewedAt = sent
-	l.formerHoldKnown = false
+	l.formerHoldKnown, l.formerHolds = false, holds
 	l.mu.Unlock()
 	l.log.Info("leading", "term", newLease.Term, "former", former.Node, "former_term", former.Term, "released", former.Released,
-		"former_ends_in_ms", ends.Sub(l.now()).Milliseconds())
+		"former_holds_ms", max(holdsEnd.Sub(l.now()), 0).Milliseconds())
 	l.cluster.expectGateways(former.Gateways)
 	l.cluster.setLeader(leaderMessage(newLease, object.Revision))
 	l.cluster.setLeading(true)
-	l.assignments.start(newLease.Term, func(ctx context.Context) { l.inquire(ctx, former, ends, l.maxHold) })
+	l.assignments.start(newLease.Term, func(ctx context.Context) { l.inquire(ctx, former, holdsEnd, l.maxHold) })
 }
 
-// followHolder takes note of the holder of a lease that a refused write returned.
+// followHolder takes note of the holder of a lease that a refused write returned. An earlier attempt of
+// this process is acquired again when the lease is read next.
 func (l *leaderElector) followHolder(o platform.Object) {
 	var stored leadership.Lease
-	if len(o.Spec) == 0 || platform.Decode(o, &stored) != nil {
+	if len(o.Spec) == 0 || platform.Decode(o, &stored) != nil || stored.Incarnation == l.cluster.self.Incarnation {
 		return
 	}
 	l.cluster.setLeader(leaderMessage(stored, o.Revision))
@@ -320,33 +331,18 @@
 		return
 	}
 	now := l.now()
-	l.mu.Lock()
-	due := now.Sub(l.renewedAt) >= leadership.RenewInterval
-	next := l.lease
-	revision := l.revision
-	l.mu.Unlock()
+	next, revision, due := l.beginRenewal(now)
 	if !due {
 		return
 	}
-	next.Renewals++
-	next.Gateways = l.cluster.gatewayCount()
-	if voters := l.chooseVoters(next.Voters); l.votersMayChange() && !slices.Equal(voters, next.Voters) {
-		next.Voters = voters
-		l.mu.Lock()
-		l.voterLists = append(l.voterLists, voters)
-		l.mu.Unlock()
-	}
 	call, cancel := context.WithTimeout(ctx, storeTimeout+relayTimeout)
 	object, err := l.store.Replace(call, leaseKind, leaseName, revision, next)
 	cancel()
 	switch {
 	case err == nil || l.isOwnWrite(object, next):
 		l.mu.Lock()
-		l.lease, l.revision = next, object.Revision
-		l.voterLists = [][]string{next.Voters}
-		l.right.Extend(now)
+		l.adoptWrite(next, object.Revision)
 		l.promisedRight.Revoke()
-		l.renewedAt = now
 		l.mu.Unlock()
 		l.cluster.setLeader(leaderMessage(next, object.Revision))
 	case errors.Is(err, platform.ErrConflict):
@@ -357,6 +353,26 @@
 	l.cluster.expire()
 }
 
+// beginRenewal returns the lease that a renewal which is sent now writes over the given revision. If it
+// changes the voters, both lists may be in force from now on.
+func (l *leaderElector) beginRenewal(now time.Time) (next leadership.Lease, revision uint64, due bool) {
+	gateways, mayChange := l.cluster.gatewayCount(), l.votersMayChange()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now.Sub(l.renewedAt) < leadership.RenewInterval {
+		return leadership.Lease{}, 0, false
+	}
+	next = l.lease
+	next.Renewals = l.writes.Begin(now)
+	next.Gateways = gateways
+	next.FormerHoldsMs = l.formerHolds.Milliseconds(now, normalHold)
+	if voters := l.chooseVoters(next.Voters); mayChange && !slices.Equal(voters, next.Voters) {
+		next.Voters = voters
+		l.voterLists = append(l.voterLists, voters)
+	}
+	return next, l.revision, true
+}
+
 // renewalOverdue reports whether the lease was not renewed when it was due.
 func (l *leaderElector) renewalOverdue() bool {
 	return l.rightLeft() < leadership.LeaseDuration-leadership.RenewInterval-renewalGrace
@@ -378,19 +394,34 @@
 	}
 	l.mu.Lock()
 	if stored.Incarnation == l.lease.Incarnation && stored.Term == l.lease.Term {
-		l.lease, l.revision = stored, o.Revision
-		l.voterLists = [][]string{stored.Voters}
+		l.adoptWrite(stored, o.Revision)
 		l.mu.Unlock()
 		return
 	}
-	l.right.Revoke()
-	l.promisedRight.Revoke()
+	l.revokeRights()
 	l.mu.Unlock()
 	l.log.Info("no longer leading", "leader", stored.Node, "term", stored.Term)
 	l.stepDown()
 	l.cluster.setLeader(leaderMessage(stored, o.Revision))
 }
 
+// adoptWrite takes note of a write of this leader that is stored. The caller holds l.mu.
+func (l *leaderElector) adoptWrite(stored leadership.Lease, revision uint64) {
+	l.lease, l.revision = stored, revision
+	l.voterLists = [][]string{stored.Voters}
+	if sent, ok := l.writes.Accepted(stored.Renewals); ok {
+		l.right.Extend(sent)
+		l.renewedAt = sent
+	}
+}
+
+// revokeRights ends the right to act. The caller holds l.mu.
+func (l *leaderElector) revokeRights() {
+	l.right.Revoke()
+	l.promisedRight.Revoke()
+	l.voterLists = nil
+}
+
 func (l *leaderElector) stepDown() {
 	l.cluster.setLeading(false)
 	l.assignments.stop()
--- a/gateway/promises.go
+++ b/gateway/promises.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -35,7 +36,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !r.Inquire {
-		return &syncpb.PromiseResponse{Given: p.state.Grant(p.now(), r.Term)}
+		now := p.now()
+		return &syncpb.PromiseResponse{Given: p.state.Grant(now, r.Term), AgeMs: uint64(p.state.Uptime(now).Milliseconds())}
 	}
 	given, age := p.state.Inquire(p.now(), r.Term)
 	return &syncpb.PromiseResponse{Asked: given, AgeMs: uint64(age.Milliseconds())}
@@ -75,9 +77,12 @@
 // needs a majority of each voter list that may be in force.
 func (l *leaderElector) extend(ctx context.Context) {
 	l.mu.Lock()
-	term, lists := l.lease.Term, l.voterLists
+	sent, term, lists := l.now(), l.lease.Term, l.voterLists
+	lapsed := min(l.right.Lapsed(sent), l.promisedRight.Lapsed(sent))
 	l.mu.Unlock()
-	sent := l.now()
+	if len(lists) == 0 {
+		return
+	}
 	asked := make(map[string]bool)
 	var voters []string
 	for _, list := range lists {
@@ -92,7 +97,7 @@
 	for _, list := range lists {
 		given := 0
 		for _, v := range list {
-			if a := answers[v]; a != nil && a.Given {
+			if a := answers[v]; a != nil && a.Given && leadership.PromiseCounts(lapsed, time.Duration(a.AgeMs)*time.Millisecond) {
 				given++
 			}
 		}
@@ -103,24 +108,30 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.lease.Term != term || !slices.EqualFunc(l.voterLists, lists, slices.Equal) {
+		// The voters that have promised may not be those that a successor asks.
+		return
+	}
 	if !l.promisedRight.Valid(sent) {
 		l.log.Info("leading without the store by voter promises", "term", term, "answers", len(answers))
 	}
 	l.promisedRight.Extend(sent)
+	l.formerHolds.Extend(sent.Add(leadership.LeaseDuration + ownership.HoldWithMargin(l.maxHold)))
 }
 
 // inquire asks the voters of the former lease until when upstreams may hold keys by grants of
-// its leader. It repeats the question until a majority has answered.
-func (l *leaderElector) inquire(ctx context.Context, former leadership.Lease, ends time.Time, longest time.Duration) {
+// former leaders: holdsEnd, or later if they acted by promises. It repeats the question until a majority
+// has answered.
+func (l *leaderElector) inquire(ctx context.Context, former leadership.Lease, holdsEnd time.Time, longest time.Duration) {
 	term := former.Term + 1
 	if former.Term == 0 {
 		l.setFormerHoldDeadline(term, l.now().Add(ownership.HoldWithMargin(longest)), false)
 		return
 	}
 	for ctx.Err() == nil && l.cluster.isLeading() {
-		if until, ok := l.inquireFormerHolds(ctx, former, ends, longest); ok {
+		if until, ok := l.inquireFormerHolds(ctx, former, holdsEnd, longest); ok {
 			l.log.Info("end of the former leader's grants is known", "term", former.Term, "in_ms", until.Sub(l.now()).Milliseconds())
-			l.setFormerHoldDeadline(term, until, until.After(ends.Add(ownership.HoldWithMargin(holdDuration))))
+			l.setFormerHoldDeadline(term, until, until.After(holdsEnd))
 			return
 		}
 		pause(ctx, inquiryRetryInterval)
@@ -129,13 +140,12 @@
 
 // inquireFormerHolds asks the voters once. Any majority is sufficient evidence, so it uses the
 // majority with the earliest ends.
-func (l *leaderElector) inquireFormerHolds(ctx context.Context, former leadership.Lease, ends time.Time, longest time.Duration) (time.Time, bool) {
+func (l *leaderElector) inquireFormerHolds(ctx context.Context, former leadership.Lease, holdsEnd time.Time, longest time.Duration) (time.Time, bool) {
 	answers := l.askVoters(ctx, former.Voters, &syncpb.PromiseRequest{Term: former.Term + 1, Inquire: true})
 	now := l.now()
-	normal := ends.Add(ownership.HoldWithMargin(holdDuration))
 	var until []time.Time
 	for _, a := range answers {
-		end := normal
+		end := holdsEnd
 		if a.Asked {
 			age := time.Duration(a.AgeMs) * time.Millisecond
 			end = laterOf(end, now.Add(-age).Add(leadership.LeaseDuration).Add(ownership.HoldWithMargin(longest)))
@@ -165,6 +175,9 @@
 	defer l.mu.Unlock()
 	if l.lease.Term == term {
 		l.formerHoldDeadline, l.formerHoldKnown, l.formerActedByPromises = until, true, byPromises
+		if byPromises {
+			l.formerHolds.Extend(until)
+		}
 	}
 }
 
--- a/gateway/resign.go
+++ b/gateway/resign.go
@@ -58,11 +58,10 @@
 	l.assignments.finish(ctx)
 	l.cluster.setLeading(false)
 	l.mu.Lock()
-	l.right.Revoke()
-	l.promisedRight.Revoke()
+	l.revokeRights()
 	next, revision := l.lease, l.revision
+	next.Released, next.FormerHoldsMs = true, l.formerHolds.Milliseconds(l.now(), normalHold)
 	l.mu.Unlock()
-	next.Released = true
 	if _, err := l.store.Replace(ctx, leaseKind, leaseName, revision, next); err != nil {
 		l.log.Warn("lease could not be released", "error", err)
 		return
