gateway: a successor drops no move that the former leader stored

What callers would see: two upstreams hold the same keys (OWNER) after a leader is lost while keys move, for up to the rest of the hold that the lost leader granted, and a renewal by a fence below that of the keys' present holder.

Cause: a successor took the assignment that the former leader had published to it if its version was higher than that of the stored one. While a plan is being stored, ended moves are published by versions that are higher than the plan's and do not contain it. As soon as the plan is stored its moves begin, up to publishInterval before it is published, and longer if the leader is cut off from its successor but not from upstreams. A successor that knew such a version dropped the splits and moves of the plan: it took the former owner for the owner of keys that the next one held. The renewal of the whole span was refused by the part's higher fence, the span was taken for unowned, and granted to any upstream.

Change: the stored assignment holds all plans, so it is the basis. From a newer published one only the results of moves are taken that are under way in the stored one and have ended in the published one: the rule by which a leader merges moves that ended during its own write, now spans.Table.AdoptEndedMoves.

Ruled out: a plan's version taken when it is adopted. The stored version would then be that of the write after, and versions published before it would still have to be told from it.

TestSuccessorUsesNewerPublishedTable compared tables in which an owner changed without a move and a higher fence, which cannot occur.

--- a/gateway/controlresponses_test.go
+++ b/gateway/controlresponses_test.go
@@ -1,7 +1,12 @@
 package gateway
 
 import (
+	"context"
+	"net"
 	"net/http"
+	"slices"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -206,3 +211,104 @@
 		})
 	}
 }
+
+// runAfterWrite calls f once a write of the assignment has been executed by the store, before the response
+// is sent.
+func runAfterWrite(f func()) func(net.Listener, http.Handler) (net.Listener, http.Handler) {
+	return func(l net.Listener, h http.Handler) (net.Listener, http.Handler) {
+		return l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			h.ServeHTTP(w, r)
+			if r.Method == http.MethodPut && strings.HasSuffix(r.URL.Path, spansKind+"/status") {
+				f()
+			}
+		})
+	}
+}
+
+// splitAll returns a copy of the table in which the second half of every span moves to the next of the
+// upstreams.
+func splitAll(table *spans.Table, upstreams []string) *spans.Table {
+	next := table.Clone()
+	for i := 0; i < len(next.Spans); i += 2 {
+		next.Split(i, next.Spans[i].First+uint16(next.Spans[i].Count()/2))
+		s := &next.Spans[i+1]
+		next.LastFence++
+		s.Next, s.NextFence = upstreams[(slices.Index(upstreams, s.Owner)+1)%len(upstreams)], next.LastFence
+	}
+	return next
+}
+
+// TestSuccessorKnowsMovesOfTheLastPlan guards against a second owner of keys that a leader moved by its last
+// plan, if it published an assignment while it stored the plan and was lost before it published the plan.
+func TestSuccessorKnowsMovesOfTheLastPlan(t *testing.T) {
+	t.Parallel()
+	b := newTestCluster(t)
+	var duringWrite atomic.Pointer[func()]
+	b.wrapStoreEndpoint = runAfterWrite(func() {
+		if f := duringWrite.Load(); f != nil {
+			(*f)()
+		}
+	})
+	var lastFence atomic.Uint64
+	granted := make(chan struct{}, 1)
+	b.onUpstreamRequest = func(r *http.Request) {
+		call, ok := controlCall(r)
+		if fence := lastFence.Load(); ok && fence > 0 && r.URL.Path == platform.GrantPath && call.Fence > fence {
+			defer func() {
+				select {
+				case granted <- struct{}{}:
+				default:
+				}
+			}()
+		}
+	}
+	b.startStandard()
+	l := b.leader()
+	k := l.assignments.assigner("status")
+	b.eventually("a plan is stored and an assignment without it published", func() bool {
+		k.mu.Lock()
+		next := splitAll(k.table, []string{"i-s0", "i-s1", "i-s2"})
+		lastFence.Store(k.table.LastFence)
+		k.mu.Unlock()
+		publish := func() {
+			k.mu.Lock()
+			defer k.mu.Unlock()
+			k.publishedAt = time.Time{}
+			k.publish()
+			// Nothing is published from now on.
+			k.publishedAt = k.now().Add(time.Hour)
+		}
+		duringWrite.Store(&publish)
+		k.commit(context.Background(), next)
+		duringWrite.Store(nil)
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		return len(k.table.Spans) == len(next.Spans)
+	})
+	<-granted
+	published := k.view.spansOf("status")
+	b.eventually("the others have the published assignment", func() bool {
+		for _, g := range b.gateways {
+			if g.view.spansOf("status").Version != published.Version {
+				return false
+			}
+		}
+		return true
+	})
+	l.kill()
+	b.eventually("another gateway has granted all keys", func() bool {
+		next := b.leader()
+		if next == nil || !next.allOwned() {
+			return false
+		}
+		k := next.assignments.assigner("status")
+		if k == nil {
+			return false
+		}
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		return k.table != nil && !slices.ContainsFunc(k.table.Spans, func(s spans.Span) bool {
+			return s.Owner == "" || s.Moving() || k.grantRenewedAt[s.First].IsZero()
+		})
+	})
+}
--- a/gateway/failover_test.go
+++ b/gateway/failover_test.go
@@ -164,33 +164,45 @@
 }
 
 // TestSuccessorUsesNewerPublishedTable: a successor does not repeat moves that had completed but
-// were not stored yet, if the former leader published their completion to it.
+// were not stored yet, if the former leader published their completion to it, and drops no stored move that
+// a published assignment lacks.
 func TestSuccessorUsesNewerPublishedTable(t *testing.T) {
 	const term = 3
-	table := func(term, write uint64, owner string) *spans.Table {
-		return &spans.Table{
-			Service: "status", Version: term<<termShift | write, LastFence: 10 + write,
-			Spans: []spans.Span{{KeyRange: spans.KeyRange{Last: spans.MaxKey}, Owner: owner, Fence: 10}},
-		}
+	low, high := spans.KeyRange{Last: 99}, spans.KeyRange{First: 100, Last: spans.MaxKey}
+	moving := spans.Span{KeyRange: low, Owner: "a", Fence: 8, Next: "b", NextFence: 9}
+	moved := spans.Span{KeyRange: low, Owner: "b", Fence: 9, Incarnation: 7, Cold: true}
+	unmoved := spans.Span{KeyRange: low, Owner: "a", Fence: 8}
+	lost := spans.Span{KeyRange: low, Fence: 9}
+	rest := spans.Span{KeyRange: high, Owner: "c", Fence: 7}
+	whole := spans.Span{KeyRange: spans.KeyRange{Last: spans.MaxKey}, Owner: "a", Fence: 8}
+	table := func(term, write uint64, list ...spans.Span) *spans.Table {
+		return &spans.Table{Service: "status", Version: term<<termShift | write, LastFence: 10 + write, Spans: list}
 	}
 	for name, c := range map[string]struct {
 		published *spans.Table
-		want      string
+		want      spans.Span
 	}{
-		"nothing published":            {nil, "stored"},
-		"newer published":              {table(term, 8, "told"), "told"},
-		"older published":              {table(term, 2, "told"), "stored"},
-		"published in an earlier term": {table(term-1, 9, "told"), "stored"},
+		"nothing published":                    {nil, moving},
+		"newer published":                      {table(term, 8, moved, rest), moved},
+		"newer published, refused":             {table(term, 8, lost, rest), lost},
+		"newer published, still moving":        {table(term, 8, moving, rest), moving},
+		"newer published, from before a plan":  {table(term, 8, unmoved, rest), moving},
+		"newer published, from before a split": {table(term, 8, whole), moving},
+		"older published":                      {table(term, 2, moved, rest), moving},
+		"published in an earlier term":         {table(term-1, 9, moved, rest), moving},
 	} {
 		v := newView()
 		if c.published != nil {
 			v.setSpans(c.published)
 		}
 		k := &keyAssigner{assignmentSupervisor: &assignmentSupervisor{view: v}, service: "status"}
-		stored := table(term, 5, "stored")
+		stored := table(term, 5, moving, rest)
 		got := k.newestTable(stored)
-		if got.Spans[0].Owner != c.want || got.LastFence < stored.LastFence {
-			t.Errorf("%s: owner %s, last fence %d", name, got.Spans[0].Owner, got.LastFence)
+		if diff := cmp.Diff([]spans.Span{c.want, rest}, got.Spans); diff != "" || got.LastFence < stored.LastFence {
+			t.Errorf("%s: last fence %d, %s", name, got.LastFence, diff)
+		}
+		if c.published != nil && c.want != moving && got.LastFence < c.published.LastFence {
+			t.Errorf("%s: last fence %d", name, got.LastFence)
 		}
 	}
 }
--- a/gateway/keyassigner.go
+++ b/gateway/keyassigner.go
@@ -28,7 +28,7 @@
 	// Each plan with moves costs a store write and an update to all gateways.
 	rebalanceInterval = time.Second
 	// saveInterval is how long completed moves are collected for one write. If the leader is lost
-	// before the write, its successor uses the newest assignment that was published to it, and
+	// before the write, its successor learns of them from the assignment that was published to it, and
 	// repeats every move whose completion it did not learn of.
 	saveInterval = time.Second
 	// assignerTick is the time between checks for due work.
@@ -230,16 +230,17 @@
 	return false
 }
 
-// newestTable returns the assignment that the former leader published to this gateway when
-// it is newer than the stored one, as completed moves are stored with a delay. Every fence
-// in a published table is already reserved in the store.
+// newestTable returns the stored assignment with the results of the moves that have ended by the one that the
+// former leader published to this gateway, as completed moves are stored with a delay. Nothing else is taken
+// from a published assignment, even one with a higher version: while a plan is being stored, versions without
+// it are published, and its moves begin as soon as it is stored.
 func (k *keyAssigner) newestTable(stored *spans.Table) *spans.Table {
 	published := k.view.spansOf(k.service)
 	if published == nil || published.Version <= stored.Version || published.Version>>termShift != stored.Version>>termShift {
 		return stored
 	}
-	next := published.Clone()
-	next.LastFence = max(published.LastFence, stored.LastFence)
+	next := stored.Clone()
+	next.AdoptEndedMoves(published)
 	return next
 }
 
--- a/gateway/keyassignerstore.go
+++ b/gateway/keyassignerstore.go
@@ -67,29 +67,13 @@
 	defer k.mu.Unlock()
 	k.revision = got
 	k.inheritSplitTimes(before, next)
-	k.table, k.unsaved = k.mergeEndedMoves(next)
+	// The store does not have the results of moves that ended during the write.
+	k.unsaved = next.AdoptEndedMoves(k.table)
+	k.table = next
 	k.savedAt = k.now()
 	k.publish()
 }
 
-// mergeEndedMoves copies moves that completed while the table was being stored into it, and
-// reports whether there were any, as the store does not have them yet. The caller holds k.mu.
-func (k *keyAssigner) mergeEndedMoves(next *spans.Table) (merged *spans.Table, changed bool) {
-	for i := range next.Spans {
-		s := &next.Spans[i]
-		now := k.table.Find(s.First)
-		s.Cold = now.Cold
-		ended := s.Moving() && !now.Moving() && now.Fence == s.NextFence
-		if ended && (now.Owner == s.Next || now.Owner == "") {
-			s.Owner, s.Fence, s.Incarnation = now.Owner, now.Fence, now.Incarnation
-			s.Next, s.NextFence = "", 0
-			changed = true
-		}
-	}
-	next.LastFence = max(next.LastFence, k.table.LastFence)
-	return next, changed
-}
-
 // inheritSplitTimes copies the recorded times of a span to the parts it was split into. The
 // caller holds k.mu.
 func (k *keyAssigner) inheritSplitTimes(before, next *spans.Table) {
--- a/state/spans/spans.go
+++ b/state/spans/spans.go
@@ -125,6 +125,27 @@
 	t.Spans = slices.Insert(t.Spans, i+1, high)
 }
 
+// AdoptEndedMoves copies the results of moves that are under way in this table but have ended in the other one,
+// and reports whether there were any. It ignores all other differences: the other table may be from before
+// spans were split or began to move.
+func (t *Table) AdoptEndedMoves(other *Table) (changed bool) {
+	for i := range t.Spans {
+		s := &t.Spans[i]
+		now := other.Find(s.First)
+		ended := s.Moving() && !now.Moving() && now.Fence == s.NextFence
+		if ended || now.Fence == s.Fence {
+			s.Cold = now.Cold
+		}
+		if ended && (now.Owner == s.Next || now.Owner == "") {
+			s.Owner, s.Fence, s.Incarnation = now.Owner, now.Fence, now.Incarnation
+			s.Next, s.NextFence = "", 0
+			changed = true
+		}
+	}
+	t.LastFence = max(t.LastFence, other.LastFence)
+	return changed
+}
+
 // Diff returns the spans of the next table that are not identical in the old one.
 func Diff(old, next *Table) []Span {
 	var out []Span
