--- a/gateway/failover_test.go
+++ b/gateway/failover_test.go
@@ -164,37 +164,45 @@
 }
 
 // TestSuccessorUsesNewerPublishedTable: a successor does not repeat moves that had completed but
-// were not stored yet, if the former leader published their completion to it.
+// were not stored yet, if the former leader published their completion to it, and drops no stored move that
+// a published assignment lacks.
 func TestSuccessorUsesNewerPublishedTable(t *testing.T) {
 	const term = 3
-	table := func(term, write uint64, s spans.Span) *spans.Table {
-		s.KeyRange = spans.KeyRange{Last: spans.MaxKey}
-		return &spans.Table{Service: "status", Version: term<<termShift | write, LastFence: 10 + write, Spans: []spans.Span{s}}
+	low, high := spans.KeyRange{Last: 99}, spans.KeyRange{First: 100, Last: spans.MaxKey}
+	moving := spans.Span{KeyRange: low, Owner: "a", Fence: 8, Next: "b", NextFence: 9}
+	moved := spans.Span{KeyRange: low, Owner: "b", Fence: 9, Incarnation: 7, Cold: true}
+	unmoved := spans.Span{KeyRange: low, Owner: "a", Fence: 8}
+	lost := spans.Span{KeyRange: low, Fence: 9}
+	rest := spans.Span{KeyRange: high, Owner: "c", Fence: 7}
+	whole := spans.Span{KeyRange: spans.KeyRange{Last: spans.MaxKey}, Owner: "a", Fence: 8}
+	table := func(term, write uint64, list ...spans.Span) *spans.Table {
+		return &spans.Table{Service: "status", Version: term<<termShift | write, LastFence: 10 + write, Spans: list}
 	}
-	before := spans.Span{Owner: "stored", Fence: 9}
-	moving := spans.Span{Owner: "stored", Fence: 9, Next: "told", NextFence: 10}
-	ended := spans.Span{Owner: "told", Fence: 10, Incarnation: 7, Cold: true}
 	for name, c := range map[string]struct {
-		published    *spans.Table
-		stored, want spans.Span
+		published *spans.Table
+		want      spans.Span
 	}{
-		"nothing published":            {nil, moving, moving},
-		"newer published":              {table(term, 8, ended), moving, ended},
-		"older published":              {table(term, 2, before), moving, moving},
-		"older plan published later":   {table(term, 8, before), moving, moving},
-		"earlier move published later": {table(term, 8, moving), ended, ended},
-		"published in an earlier term": {table(term-1, 9, ended), moving, moving},
+		"nothing published":                    {nil, moving},
+		"newer published":                      {table(term, 8, moved, rest), moved},
+		"newer published, refused":             {table(term, 8, lost, rest), lost},
+		"newer published, still moving":        {table(term, 8, moving, rest), moving},
+		"newer published, from before a plan":  {table(term, 8, unmoved, rest), moving},
+		"newer published, from before a split": {table(term, 8, whole), moving},
+		"older published":                      {table(term, 2, moved, rest), moving},
+		"published in an earlier term":         {table(term-1, 9, moved, rest), moving},
 	} {
 		v := newView()
 		if c.published != nil {
 			v.setSpans(c.published)
 		}
 		k := &keyAssigner{assignmentSupervisor: &assignmentSupervisor{view: v}, service: "status"}
-		stored := table(term, 5, c.stored)
+		stored := table(term, 5, moving, rest)
 		got := k.newestTable(stored)
-		got.Spans[0].KeyRange = spans.KeyRange{}
-		if got.Spans[0] != c.want || got.LastFence < stored.LastFence {
-			t.Errorf("%s: %+v, last fence %d", name, got.Spans[0], got.LastFence)
+		if diff := cmp.Diff([]spans.Span{c.want, rest}, got.Spans); diff != "" || got.LastFence < stored.LastFence {
+			t.Errorf("%s: last fence %d, %s", name, got.LastFence, diff)
+		}
+		if c.published != nil && c.want != moving && got.LastFence < c.published.LastFence {
+			t.Errorf("%s: last fence %d", name, got.LastFence)
 		}
 	}
 }
--- a/gateway/keyassignerstore.go
+++ b/gateway/keyassignerstore.go
@@ -67,6 +67,7 @@
 	defer k.mu.Unlock()
 	k.revision = got
 	k.inheritSplitTimes(before, next)
+	// The store does not have the results of moves that ended during the write.
 	k.unsaved = ownership.CopyEndedMoves(next, k.table)
 	k.table = next
 	k.savedAt = k.now()
