gateway: random faults that strike the moves of keys

TestRandomTroubles has no hot keys, and its upstreams fail control calls and requests together. TestRandomOwnershipFaults has wandering hot keys that force splits and moves, upstreams that answer requests but no control calls, responses of control calls that are lost, upstreams that leave or are removed with control calls unanswered, restarts, losses of leaders, store faults, and rights of leaders that lapse and return. ROCKCROFT_OWNERSHIP_FAULTS=FROM-TO runs other seeds.

--- a/gateway/randomfaults_test.go
+++ b/gateway/randomfaults_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/rockcroft/rockcroft/platform"
 	"github.com/rockcroft/rockcroft/standin/instance"
 	"github.com/rockcroft/rockcroft/standin/metastore"
 	"github.com/rockcroft/rockcroft/state/spans"
@@ -22,7 +23,7 @@
 // list. ROCKCROFT_TROUBLES=FROM-TO runs other seeds.
 func TestRandomTroubles(t *testing.T) {
 	t.Parallel()
-	for _, seed := range faultSeeds(t) {
+	for _, seed := range faultSeeds(t, "ROCKCROFT_TROUBLES", 1, 2, 3) {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
 			t.Parallel()
 			newFaultRun(t, seed).run()
@@ -30,14 +31,15 @@
 	}
 }
 
-func faultSeeds(t *testing.T) []uint64 {
-	text := os.Getenv("ROCKCROFT_TROUBLES")
+// faultSeeds returns the seeds FROM-TO that the environment variable gives, or else the usual ones.
+func faultSeeds(t *testing.T, variable string, usual ...uint64) []uint64 {
+	text := os.Getenv(variable)
 	if text == "" {
-		return []uint64{1, 2, 3}
+		return usual
 	}
 	var from, to uint64
 	if _, err := fmt.Sscanf(text, "%d-%d", &from, &to); err != nil {
-		t.Fatalf("ROCKCROFT_TROUBLES: %v", err)
+		t.Fatalf("%s: %v", variable, err)
 	}
 	var out []uint64
 	for seed := from; seed <= to; seed++ {
@@ -223,3 +225,227 @@
 	}
 	return true
 }
+
+// TestRandomOwnershipFaults runs seeded sequences of faults that strike the moves of keys: hot keys that wander,
+// control calls without responses, upstreams that leave meanwhile, and leaders whose right lapses and returns.
+// The oracle must see no key with two owners, and afterwards every key must be served again.
+// ROCKCROFT_OWNERSHIP_FAULTS=FROM-TO runs other seeds.
+func TestRandomOwnershipFaults(t *testing.T) {
+	t.Parallel()
+	for _, seed := range faultSeeds(t, "ROCKCROFT_OWNERSHIP_FAULTS", 1, 2, 3) {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			t.Parallel()
+			newOwnershipFaultRun(t, seed).run()
+		})
+	}
+}
+
+const (
+	ownershipFaultSteps = 20
+	// maxOwnershipFaultGap is the longest pause between two fault changes. Holds of 4 s outlast several of them.
+	maxOwnershipFaultGap = 500 * time.Millisecond
+	// keyedRequestTime makes the hot keys overload one upstream.
+	keyedRequestTime = 20 * time.Millisecond
+	// hotKeyCount is the number of adjacent hot keys, which get hotShare of ten requests.
+	hotKeyCount = 24
+	hotShare    = 6
+	keyedCount  = 5
+	hotClients  = 12
+)
+
+// controlFault tells how an upstream treats control calls. Requests are not affected.
+type controlFault int
+
+const (
+	controlHealthy controlFault = iota
+	// controlIgnored: calls are neither carried out nor answered.
+	controlIgnored
+	// controlUnanswered: calls are carried out, but their responses are lost.
+	controlUnanswered
+	// controlHalfUnanswered: every second response is lost.
+	controlHalfUnanswered
+)
+
+var controlFaults = []controlFault{controlHealthy, controlIgnored, controlUnanswered, controlHalfUnanswered}
+
+// ownershipFaultRun is one run of TestRandomOwnershipFaults.
+type ownershipFaultRun struct {
+	*faultRun
+	firstHot     atomic.Int64
+	controlCalls atomic.Int64
+	faultMu      sync.Mutex
+	// faults are the faults of control calls by address.
+	faults map[string]controlFault
+	// away are the upstreams that are leaving or not listed.
+	away map[string]bool
+}
+
+func newOwnershipFaultRun(t *testing.T, seed uint64) *ownershipFaultRun {
+	b := newTestCluster(t)
+	p := &ownershipFaultRun{
+		faultRun: &faultRun{testCluster: b, rng: rand.New(rand.NewPCG(seed, 2)), nextID: 100, stopClients: make(chan struct{})},
+		faults:   make(map[string]controlFault), away: make(map[string]bool),
+	}
+	b.onUpstreamRequest = p.onRequest
+	for i := range keyedCount {
+		b.upstream(fmt.Sprintf("i-s%d", i), "status")
+	}
+	b.upstream("i-p0", "pay")
+	for i := range 3 {
+		b.gateway(fmt.Sprintf("g%d", i))
+	}
+	b.ready()
+	return p
+}
+
+func (p *ownershipFaultRun) run() {
+	for n := range hotClients {
+		p.clients.Go(func() { p.client(n) })
+	}
+	for range ownershipFaultSteps {
+		p.changeFaults()
+		time.Sleep(time.Duration(p.rng.Int64N(int64(maxOwnershipFaultGap))))
+	}
+	p.endFaults()
+	p.eventually("every key served again", p.allServed)
+	close(p.stopClients)
+	p.clients.Wait()
+	p.eventually("a leader", func() bool { return p.leader() != nil })
+	table := p.leader().view.spansOf("status")
+	p.t.Logf("%d served, %d refused, %d spans, last fence %d", p.served.Load(), p.refused.Load(), len(table.Spans), table.LastFence)
+}
+
+// client sends requests for hot keys and for others.
+func (p *ownershipFaultRun) client(n int) {
+	for i := n; ; i++ {
+		select {
+		case <-p.stopClients:
+			return
+		default:
+		}
+		g := p.runningGateway(i)
+		if g == nil {
+			time.Sleep(10 * time.Millisecond)
+			continue
+		}
+		key := (i*7919 + n*131) % (spans.MaxKey + 1)
+		if i%10 < hotShare {
+			key = int(p.firstHot.Load()) + i%hotKeyCount
+		}
+		p.check(p.request(g, http.MethodGet, "/status/x", key))
+	}
+}
+
+// onRequest applies the faults of control calls, and makes requests last longer.
+func (p *ownershipFaultRun) onRequest(r *http.Request) {
+	if _, ok := controlCall(r); !ok {
+		time.Sleep(keyedRequestTime)
+		return
+	}
+	u := p.upstreamAt(r.Host)
+	p.faultMu.Lock()
+	fault := p.faults[r.Host]
+	p.faultMu.Unlock()
+	switch {
+	case fault == controlHealthy, fault == controlHalfUnanswered && p.controlCalls.Add(1)%2 == 0:
+	case u != nil && (fault == controlUnanswered || fault == controlHalfUnanswered):
+		loseResponse(u, r)
+	default:
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// upstreamAt returns the upstream that runs at an address, or nil.
+func (p *ownershipFaultRun) upstreamAt(address string) *upstream {
+	p.testCluster.mu.Lock()
+	defer p.testCluster.mu.Unlock()
+	for _, u := range p.upstreams {
+		if u.address == address {
+			return u
+		}
+	}
+	return nil
+}
+
+// keyed returns a random keyed upstream.
+func (p *ownershipFaultRun) keyed() *upstream {
+	p.testCluster.mu.Lock()
+	defer p.testCluster.mu.Unlock()
+	return p.upstreams[fmt.Sprintf("i-s%d", p.rng.IntN(keyedCount))]
+}
+
+func (p *ownershipFaultRun) setControlFault(u *upstream, f controlFault) {
+	p.faultMu.Lock()
+	defer p.faultMu.Unlock()
+	p.faults[u.address] = f
+}
+
+// changeFaults starts one random fault, or ends some.
+func (p *ownershipFaultRun) changeFaults() {
+	switch p.rng.IntN(14) {
+	case 0, 1, 2:
+		p.setControlFault(p.keyed(), controlFaults[p.rng.IntN(len(controlFaults))])
+	case 3, 4:
+		p.firstHot.Store(p.rng.Int64N(spans.MaxKey - hotKeyCount))
+	case 5, 6:
+		p.leave(p.keyed())
+	case 7:
+		p.register(p.keyed(), "ready")
+	case 8, 9:
+		p.lapse()
+	case 10:
+		p.restart(p.keyed())
+	case 11:
+		p.killOne(p.rng.IntN(3) > 0)
+	case 12:
+		modes := []metastore.Mode{metastore.Unavailable, metastore.TooManyRequests, metastore.Unresponsive, metastore.LoseResponse, metastore.ApplyLate}
+		mode := modes[p.rng.IntN(len(modes))]
+		if l := p.leader(); l != nil && p.rng.IntN(2) > 0 {
+			l.storeEndpoint.SetMode(mode)
+			return
+		}
+		p.store.SetAllModes(mode)
+	case 13:
+		p.store.SetAllModes(metastore.Healthy)
+	}
+}
+
+// leave lets an upstream leave, which may answer no control call any more and may not be listed any more. Its
+// process goes on. At most two are away at a time.
+func (p *ownershipFaultRun) leave(u *upstream) {
+	if len(p.away) >= 2 {
+		for id := range p.away {
+			p.register(p.upstreams[id], "ready")
+		}
+		clear(p.away)
+		return
+	}
+	p.away[u.ID] = true
+	p.setControlFault(u, controlFaults[p.rng.IntN(len(controlFaults))])
+	if p.rng.IntN(2) > 0 {
+		p.register(u, "draining")
+		return
+	}
+	p.store.Remove(platform.InstancesKind, u.ID)
+}
+
+// lapse ends the leader's right to act until its next renewal or promise.
+func (p *ownershipFaultRun) lapse() {
+	l := p.leader()
+	if l == nil {
+		return
+	}
+	l.elector.mu.Lock()
+	defer l.elector.mu.Unlock()
+	l.elector.right.Revoke()
+	l.elector.promisedRight.Revoke()
+}
+
+// endFaults ends all faults.
+func (p *ownershipFaultRun) endFaults() {
+	p.faultMu.Lock()
+	clear(p.faults)
+	p.faultMu.Unlock()
+	p.faultRun.endFaults()
+}
