gateway: an owner that refuses a renewal is granted its keys anew

What callers saw: nothing that was traced to this; found by reading. It made two owners of what the commit on the plan that was stored last describes, and would of any assignment that is older than the upstreams'.

Cause: an upstream refuses a grant if it has seen a higher fence on one of the keys. The leader then took the whole span for unowned and granted it to any upstream at once. The owner may hold the other keys. The leader that granted them knows until when (Holds), but its successor does not. The same holds for a move whose grant is refused after the next owner may have been granted the keys by a former leader.

Change: the owner remains in the assignment, and the next plan grants it the span again by a higher fence, as after a restart; if it may not be given keys, they are released from it or its hold is waited for. A refused grant of a move leaves the next owner as the owner if it may hold a key.

TestOwnerThatRefusedARenewalIsGrantedItsKeysAgain covers the plan.

--- a/coordination/ownership/plan_test.go
+++ b/coordination/ownership/plan_test.go
@@ -101,6 +101,26 @@
 	}
 }
 
+// TestOwnerThatRefusedARenewalIsGrantedItsKeysAgain guards against keys that are given to another upstream
+// because their owner has seen a higher fence on some of them.
+func TestOwnerThatRefusedARenewalIsGrantedItsKeysAgain(t *testing.T) {
+	table, list := settledTable(3), owners(3)
+	first := table.Spans[1].First
+	owner := table.Spans[1].Owner
+	in := PlanInput{Table: table, Owners: list, Refused: map[uint16]bool{first: true}}
+	for _, s := range MakePlan(in).Spans {
+		if again := s.First == first; again != s.Moving() || again && (s.Next != owner || s.NextFence <= s.Fence) {
+			t.Errorf("span of %s moves to %q with fence %d, previous fence %d", s.Owner, s.Next, s.NextFence, s.Fence)
+		}
+	}
+	for i := range list {
+		list[i].Usable = list[i].ID != owner
+	}
+	if s := MakePlan(in).Find(first); !s.Moving() || s.Next == owner {
+		t.Errorf("span of the unusable owner moves to %q", s.Next)
+	}
+}
+
 // TestSuspectedOwnerKeepsItsKeysAndGetsNoOthers checks that an owner that is not usable but may
 // keep its keys neither loses nor gains any.
 func TestSuspectedOwnerKeepsItsKeysAndGetsNoOthers(t *testing.T) {
--- a/gateway/grants.go
+++ b/gateway/grants.go
@@ -57,7 +57,7 @@
 	case err == nil && result == platform.Fenced:
 		k.log.Warn("grant refused: the upstream has seen a higher fence", "first", s.First, "upstream", s.Next, "fence", s.NextFence)
 		k.raiseFence(fenceIncrement)
-		k.finishMove(s, "", 0, false)
+		k.finishMove(s, k.possibleOwner(s), 0, false)
 	case errors.As(err, new(*ownership.HeldError)):
 		// The move is carried out again from its release on.
 		k.log.Warn("keys not granted", "first", s.First, "upstream", s.Next, "error", err)
@@ -75,7 +75,7 @@
 	}
 }
 
-// possibleOwner returns the next owner of a move whose grant was not answered, if it may hold one of the
+// possibleOwner returns the next owner of a move whose grant did not succeed, if it may hold one of the
 // keys by a grant of a former leader or by an earlier attempt of this one: it then counts as the owner.
 // Otherwise it returns "".
 func (k *keyAssigner) possibleOwner(s spans.Span) string {
@@ -394,7 +394,7 @@
 	due := make(map[string][]spans.Span)
 	for _, s := range k.table.Spans {
 		_, failing := k.failing[s.Owner]
-		if s.Owner == "" || s.Moving() || k.callsInFlight[s.Owner] || failing && !k.controlHealthLocked(s.Owner).MayRenew() {
+		if s.Owner == "" || s.Moving() || k.refusedLocked(s) || k.callsInFlight[s.Owner] || failing && !k.controlHealthLocked(s.Owner).MayRenew() {
 			continue
 		}
 		late := now.Sub(k.grantRenewedAt[s.First]) >= renewInterval
@@ -491,7 +491,7 @@
 		return false
 	case result == platform.Fenced:
 		k.log.Warn("renewal refused: the upstream has seen a higher fence", "first", s.First, "upstream", owner.ID, "fence", s.Fence)
-		k.markUnowned(s)
+		k.markRefused(s)
 	default:
 		k.clearFailure(owner.ID)
 	}
@@ -567,16 +567,20 @@
 	return k.table.Find(s.First) == s
 }
 
-// markUnowned records that the owner no longer holds the keys of the span, and raises the last
-// assigned fence beyond the one that the owner has seen.
-func (k *keyAssigner) markUnowned(s spans.Span) {
+// refusedLocked reports whether the owner has refused a renewal of the span by its present fence. The lock is
+// held.
+func (k *keyAssigner) refusedLocked(s spans.Span) bool {
+	fence, refused := k.refusedFences[s.First]
+	return refused && fence == s.Fence
+}
+
+// markRefused records that the owner has seen a higher fence on a key of the span, and raises the last
+// assigned fence beyond it. The owner may hold the other keys, so the next plan grants it the span anew.
+func (k *keyAssigner) markRefused(s spans.Span) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	i := k.table.Index(s.First)
-	if k.table.Spans[i] == s {
-		k.table.Spans[i].Owner = ""
+	if k.table.Find(s.First) == s {
+		k.refusedFences[s.First] = s.Fence
 		k.table.LastFence += fenceIncrement
-		k.unsaved = true
-		k.publish()
 	}
 }
--- a/gateway/keyassigner.go
+++ b/gateway/keyassigner.go
@@ -103,6 +103,8 @@
 	tookOverAt time.Time
 	// grantRenewedAt is when the grant of a span was last renewed.
 	grantRenewedAt map[uint16]time.Time
+	// refusedFences are the fences by which owners have refused renewals, by the first key of the span.
+	refusedFences map[uint16]uint64
 	// activeMoves are the fences of the moves that this leader is carrying out.
 	activeMoves map[uint64]bool
 	// inheritedMoves are the fences of moves that a former leader began: their next owner may
@@ -134,7 +136,8 @@
 		assignmentSupervisor: s, service: service, term: term, log: s.log.With("service", service),
 		rateEstimator: ownership.NewRateEstimator(s.now()), holds: ownership.NewHolds(s.now()), demand: &ownership.SpanDemand{},
 		grantRenewedAt: make(map[uint16]time.Time), movedAt: make(map[uint16]time.Time), coldSince: make(map[uint16]time.Time),
-		activeMoves: make(map[uint64]bool), inheritedMoves: make(map[uint64]bool), callsInFlight: make(map[string]bool),
+		refusedFences: make(map[uint16]uint64),
+		activeMoves:   make(map[uint64]bool), inheritedMoves: make(map[uint64]bool), callsInFlight: make(map[string]bool),
 		failing: make(map[string]controlFailure), lastGranted: make(map[string]time.Time), terminated: make(map[string]upstreamStart),
 		lastStarts: make(map[string]upstreamStart),
 	}
--- a/gateway/keyassignerstore.go
+++ b/gateway/keyassignerstore.go
@@ -24,7 +24,7 @@
 	}
 	next := ownership.MakePlan(ownership.PlanInput{
 		BalanceDue: balance, Table: k.table, Owners: owners, Load: load, RecentlyMoved: k.recentlyMoved(), Pins: pins,
-		ControlUnreliable: unreliable,
+		ControlUnreliable: unreliable, Refused: k.refusedSpans(),
 	})
 	k.mu.Unlock()
 	k.hotKeys.set(k.service, limits)
@@ -47,6 +47,20 @@
 	return out
 }
 
+// refusedSpans returns the first keys of the spans whose owner has refused a renewal by their present fence.
+// The caller holds k.mu.
+func (k *keyAssigner) refusedSpans() map[uint16]bool {
+	out := make(map[uint16]bool)
+	for first := range k.refusedFences {
+		if s := k.table.Find(first); k.refusedLocked(s) && !s.Moving() {
+			out[first] = true
+			continue
+		}
+		delete(k.refusedFences, first)
+	}
+	return out
+}
+
 // commit stores a table with new moves and adopts it once it is stored.
 func (k *keyAssigner) commit(ctx context.Context, next *spans.Table) {
 	if err := next.Validate(); err != nil {
--- a/gateway/oneowner_test.go
+++ b/gateway/oneowner_test.go
@@ -289,3 +289,41 @@
 		t.Errorf("the keys did not reach the other upstream: %+v", *s)
 	}
 }
+
+// TestRefusedRenewalLeavesOneOwner guards against a span that counts as unowned, and is granted to another
+// upstream, because its owner has seen a higher fence on one of the keys: a new leader does not know until when
+// the owner holds the others.
+func TestRefusedRenewalLeavesOneOwner(t *testing.T) {
+	t.Parallel()
+	b := newTestCluster(t)
+	var list []instances.Instance
+	for _, id := range []string{"i-s0", "i-s1"} {
+		list = append(list, instances.Instance{ID: id, Service: "status", Address: b.upstream(id, "status").address})
+	}
+	all := spans.KeyRange{Last: spans.MaxKey}
+	table := &spans.Table{Service: "status", LastFence: 1, Spans: []spans.Span{{KeyRange: all, Owner: "i-s0", Fence: 1}}}
+	former := newLoneAssigner(t, b, time.Now, list...)
+	former.table = table.Clone()
+	former.renewGrant(t.Context(), &list[0], table.Spans[0])
+	k := newLoneAssigner(t, b, time.Now, list...)
+	k.elector.formerHoldDeadline = time.Now().Add(ownership.HoldWithMargin(holdDuration))
+	k.adopt(table, 1)
+	part := spans.KeyRange{First: 5, Last: 5}
+	if _, _, err := k.owners.Release(t.Context(), "i-s0", list[0].Address, part, 9); err != nil {
+		t.Fatal(err)
+	}
+	k.renewGrant(t.Context(), &list[0], k.table.Spans[0])
+	// The owner has less room than the other upstream.
+	owners := []ownership.Owner{
+		{ID: "i-s0", Usable: true, MayKeep: true, Capacity: 1}, {ID: "i-s1", Usable: true, MayKeep: true, Capacity: 100},
+	}
+	plan := ownership.MakePlan(ownership.PlanInput{Table: k.table, Owners: owners, Refused: k.refusedSpans()})
+	if plan == nil {
+		t.Fatal("the keys are not granted anew")
+	}
+	k.table = plan
+	k.move(t.Context(), plan.Spans[0])
+	if s := k.table.Spans[0]; s.Owner == "" || s.Moving() {
+		t.Errorf("the keys have no owner: %+v", s)
+	}
+}
