proof, quota, poison: independent simulations of the tests run side by side

Change: the four tests of ownership are parallel, and their counts of work belong to the test. The seeds of the simulations in quota and poison are parallel subtests. Same seeds, lengths and bounds.

--- a/coordination/poison/poison_test.go
+++ b/coordination/poison/poison_test.go
@@ -170,6 +170,7 @@
 // its third crash it must end no more upstreams once the reports have spread, and no harmless
 // request may be refused.
 func TestHarmfulAmongMany(t *testing.T) {
+	t.Parallel()
 	const callers = 40
 	testHarmfulAmongMany(t, 8, func(rng *rand.Rand, now time.Duration) Digest {
 		// About forty callers send requests and retries in each second.
@@ -179,6 +180,7 @@
 
 // The same with four hundred callers that retry all the time.
 func TestHarmfulAmongManyReturningCallers(t *testing.T) {
+	t.Parallel()
 	const callers = 400
 	testHarmfulAmongMany(t, 20, func(rng *rand.Rand, _ time.Duration) Digest { return Digest(2 + rng.IntN(callers)) }, callers)
 }
@@ -189,63 +191,71 @@
 	t.Helper()
 	for _, gateways := range []int{12, 74} {
 		for seed := range seeds {
-			rng := rand.New(rand.NewPCG(seed, 1))
-			trackers := make([]*Tracker, gateways)
-			for i := range trackers {
-				trackers[i] = NewTracker()
-			}
-			const upstreams, reportInterval = 11, 200 * ms
-			incarnation := make([]instances.Incarnation, upstreams)
-			crashes, after := 0, 0
-			var third time.Duration
-			for now := time.Duration(0); now < 30*time.Second; now += 100 * ms {
-				u := rng.IntN(upstreams)
-				name := fmt.Sprint("u", u)
-				harmful := now%(500*ms) == 0
-				ends := harmful || rng.Float64() < 0.03
-				if harmful {
-					g := rng.IntN(gateways)
-					if trackers[g].Refused(at(now), 1, gateways, rng.Float64()) {
-						ends = false
-					} else {
-						if crashes++; crashes == refusalThreshold {
-							third = now
-						}
-						if crashes > refusalThreshold && now > third+3*time.Second {
-							after++
-						}
-						trackers[g].RequestAborted(at(now), 1, name, incarnation[u])
-					}
-				}
-				if ends {
-					// Harmless requests on the same upstream.
-					for range 4 {
-						trackers[rng.IntN(gateways)].RequestAborted(at(now), harmless(rng, now), name, incarnation[u])
-					}
-					for _, tr := range trackers {
-						tr.UpstreamEnded(at(now+50*ms), name, incarnation[u])
-					}
-					incarnation[u]++
+			t.Run(fmt.Sprintf("%d gateways, seed %d", gateways, seed), func(t *testing.T) {
+				t.Parallel()
+				testHarmfulWithSeed(t, gateways, seed, harmless, harmlessCount)
+			})
+		}
+	}
+}
+
+func testHarmfulWithSeed(t *testing.T, gateways int, seed uint64, harmless func(*rand.Rand, time.Duration) Digest, harmlessCount Digest) {
+	t.Helper()
+	rng := rand.New(rand.NewPCG(seed, 1))
+	trackers := make([]*Tracker, gateways)
+	for i := range trackers {
+		trackers[i] = NewTracker()
+	}
+	const upstreams, reportInterval = 11, 200 * ms
+	incarnation := make([]instances.Incarnation, upstreams)
+	crashes, after := 0, 0
+	var third time.Duration
+	for now := time.Duration(0); now < 30*time.Second; now += 100 * ms {
+		u := rng.IntN(upstreams)
+		name := fmt.Sprint("u", u)
+		harmful := now%(500*ms) == 0
+		ends := harmful || rng.Float64() < 0.03
+		if harmful {
+			g := rng.IntN(gateways)
+			if trackers[g].Refused(at(now), 1, gateways, rng.Float64()) {
+				ends = false
+			} else {
+				if crashes++; crashes == refusalThreshold {
+					third = now
 				}
-				if now%reportInterval == 0 {
-					var all []Crash
-					for _, tr := range trackers {
-						crashes, _ := tr.Export(at(now))
-						all = append(all, crashes...)
-					}
-					for _, tr := range trackers {
-						tr.Merge(all)
-					}
+				if crashes > refusalThreshold && now > third+3*time.Second {
+					after++
 				}
+				trackers[g].RequestAborted(at(now), 1, name, incarnation[u])
 			}
-			if after > 0 || crashes < refusalThreshold {
-				t.Errorf("seed %d, %d gateways: %d crashes, %d of them more than 3 s after the third", seed, gateways, crashes, after)
+		}
+		if ends {
+			// Harmless requests on the same upstream.
+			for range 4 {
+				trackers[rng.IntN(gateways)].RequestAborted(at(now), harmless(rng, now), name, incarnation[u])
 			}
-			for d := Digest(2); d < 2+harmlessCount; d++ {
-				if trackers[0].Refused(at(30*time.Second), d, gateways, 1) {
-					t.Errorf("seed %d, %d gateways: harmless request refused after %d crashes", seed, gateways, trackers[0].CrashCount(d))
-				}
+			for _, tr := range trackers {
+				tr.UpstreamEnded(at(now+50*ms), name, incarnation[u])
+			}
+			incarnation[u]++
+		}
+		if now%reportInterval == 0 {
+			var all []Crash
+			for _, tr := range trackers {
+				crashes, _ := tr.Export(at(now))
+				all = append(all, crashes...)
 			}
+			for _, tr := range trackers {
+				tr.Merge(all)
+			}
+		}
+	}
+	if after > 0 || crashes < refusalThreshold {
+		t.Errorf("%d crashes, %d of them more than 3 s after the third", crashes, after)
+	}
+	for d := Digest(2); d < 2+harmlessCount; d++ {
+		if trackers[0].Refused(at(30*time.Second), d, gateways, 1) {
+			t.Errorf("harmless request refused after %d crashes", trackers[0].CrashCount(d))
 		}
 	}
 }
--- a/coordination/poison/refusal_test.go
+++ b/coordination/poison/refusal_test.go
@@ -118,39 +118,48 @@
 // other runs are answered. The harmful request may end at most four upstreams, and no caller may be
 // refused.
 func TestHarmfulAmongUnrelatedEnds(t *testing.T) {
-	const callers, upstreams, tick = 400, 11, 100 * ms
+	t.Parallel()
 	for seed := range uint64(200) {
-		rng := rand.New(rand.NewPCG(seed, 1))
-		tr := NewTracker()
-		incarnation := make([]instances.Incarnation, upstreams)
-		reached, refusals := 0, 0
-		for now := time.Duration(0); now < 30*time.Second; now += tick {
-			for range 20 {
-				d := Digest(2 + rng.IntN(callers))
-				if tr.Refused(at(now), d, 1, 1) {
-					refusals++
-				} else if tr.CrashCount(d) > 0 {
-					tr.Clear(Clearing{Digest: d, At: at(now)})
-				}
-			}
-			u := rng.IntN(upstreams)
-			name := fmt.Sprint("u", u)
-			harmful := now%(500*ms) == 0 && !tr.Refused(at(now), 1, 1, 1)
-			if !harmful && rng.Float64() >= 0.1 {
-				continue
-			}
-			if harmful {
-				reached++
-				tr.RequestAborted(at(now), 1, name, incarnation[u])
-			}
-			for range 4 {
-				tr.RequestAborted(at(now), Digest(2+rng.IntN(callers)), name, incarnation[u])
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			testHarmfulAmongUnrelatedEnds(t, seed)
+		})
+	}
+}
+
+func testHarmfulAmongUnrelatedEnds(t *testing.T, seed uint64) {
+	t.Helper()
+	const callers, upstreams, tick = 400, 11, 100 * ms
+	rng := rand.New(rand.NewPCG(seed, 1))
+	tr := NewTracker()
+	incarnation := make([]instances.Incarnation, upstreams)
+	reached, refusals := 0, 0
+	for now := time.Duration(0); now < 30*time.Second; now += tick {
+		for range 20 {
+			d := Digest(2 + rng.IntN(callers))
+			if tr.Refused(at(now), d, 1, 1) {
+				refusals++
+			} else if tr.CrashCount(d) > 0 {
+				tr.Clear(Clearing{Digest: d, At: at(now)})
 			}
-			tr.UpstreamEnded(at(now+50*ms), name, incarnation[u])
-			incarnation[u]++
 		}
-		if reached > certainThreshold || refusals > 0 {
-			t.Errorf("seed %d: %d upstreams ended, harmless requests refused %d times", seed, reached, refusals)
+		u := rng.IntN(upstreams)
+		name := fmt.Sprint("u", u)
+		harmful := now%(500*ms) == 0 && !tr.Refused(at(now), 1, 1, 1)
+		if !harmful && rng.Float64() >= 0.1 {
+			continue
 		}
+		if harmful {
+			reached++
+			tr.RequestAborted(at(now), 1, name, incarnation[u])
+		}
+		for range 4 {
+			tr.RequestAborted(at(now), Digest(2+rng.IntN(callers)), name, incarnation[u])
+		}
+		tr.UpstreamEnded(at(now+50*ms), name, incarnation[u])
+		incarnation[u]++
+	}
+	if reached > certainThreshold || refusals > 0 {
+		t.Errorf("%d upstreams ended, harmless requests refused %d times", reached, refusals)
 	}
 }
--- a/coordination/quota/bucket_test.go
+++ b/coordination/quota/bucket_test.go
@@ -73,6 +73,7 @@
 // many gateways and with late reports, stays within the bound of each window and still uses what it
 // is entitled to.
 func TestHotTeamStaysWithinItsQuota(t *testing.T) {
+	t.Parallel()
 	const window = 5 * time.Second
 	for seed := uint64(1); seed <= 20; seed++ {
 		for _, rate := range []float64{5, 60, 300} {
@@ -104,6 +105,7 @@
 // TestTeamBelowItsQuotaIsNotLimited checks that no request of a team is refused whose demand stays
 // below its quota on average, though its requests arrive at random.
 func TestTeamBelowItsQuotaIsNotLimited(t *testing.T) {
+	t.Parallel()
 	for seed := uint64(1); seed <= 20; seed++ {
 		for _, rate := range []float64{5, 60, 300} {
 			l := &teamLoad{gateways: 80, delay: 400 * time.Millisecond, perSecond: rate, burst: rate + 10, duration: 20 * time.Second}
--- a/coordination/quota/quota_test.go
+++ b/coordination/quota/quota_test.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -125,38 +126,52 @@
 // window must never exceed the bound; the first such window still includes the last second before
 // the announcement. Most of the rate must be used. It covers few and many gateways, uneven demand,
 // bursts, and rates below one request a second for each gateway.
-func TestTotalKeepsToRate(t *testing.T) { testTotalKeepsToRate(t, 60, 76*time.Second) }
+func TestTotalKeepsToRate(t *testing.T) {
+	t.Parallel()
+	testTotalKeepsToRate(t, 60, 76*time.Second)
+}
 
 // TestTotalReachesRateSoon checks the same, and that most of the rate is already used within the
 // first 12 s after the burst.
-func TestTotalReachesRateSoon(t *testing.T) { testTotalKeepsToRate(t, 100, 28*time.Second) }
+func TestTotalReachesRateSoon(t *testing.T) {
+	t.Parallel()
+	testTotalKeepsToRate(t, 100, 28*time.Second)
+}
 
 // testTotalKeepsToRate runs one simulation for each seed until end.
 func testTotalKeepsToRate(t *testing.T, seeds uint64, end time.Duration) {
 	t.Helper()
 	for seed := range seeds {
-		rng := rand.New(rand.NewPCG(seed, 1))
-		gateways := []int{1, 3, 11, 74, 300}[rng.IntN(5)]
-		perSecond := 5 + 60*rng.Float64()
-		f := newFleet(rng, gateways, (3+rng.Float64())*perSecond)
-		const named, burst, calm = 4 * time.Second, 12 * time.Second, 16 * time.Second
-		heard := named + time.Duration(rng.Float64()*float64(250*ms))
-		f.run(0, heard, 1)
-		f.setRate(heard, perSecond)
-		f.run(heard, burst, 1)
-		f.run(burst, calm, 1+0.7*rng.Float64())
-		f.run(calm, end, 1)
-		for at := named + settledAfter; at <= end; at += 50 * ms {
-			got := f.sentInWindow(at)
-			if most := maxFactor*window.Seconds()*perSecond + allowance; float64(got) > most {
-				t.Fatalf("seed %d: %d gateways, rate %.1f/s: %d requests in 4 s, allowed %.0f, %s after the announcement",
-					seed, gateways, perSecond, got, most, at-named)
-			}
-		}
-		if got, want := float64(f.sentSince(calm))/(end-calm).Seconds(), minFactor*perSecond; got < want {
-			t.Errorf("seed %d: %d gateways, rate %.1f/s: used %.1f/s, want %.1f/s", seed, gateways, perSecond, got, want)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			testSeedKeepsToRate(t, seed, end)
+		})
+	}
+}
+
+func testSeedKeepsToRate(t *testing.T, seed uint64, end time.Duration) {
+	t.Helper()
+	rng := rand.New(rand.NewPCG(seed, 1))
+	gateways := []int{1, 3, 11, 74, 300}[rng.IntN(5)]
+	perSecond := 5 + 60*rng.Float64()
+	f := newFleet(rng, gateways, (3+rng.Float64())*perSecond)
+	const named, burst, calm = 4 * time.Second, 12 * time.Second, 16 * time.Second
+	heard := named + time.Duration(rng.Float64()*float64(250*ms))
+	f.run(0, heard, 1)
+	f.setRate(heard, perSecond)
+	f.run(heard, burst, 1)
+	f.run(burst, calm, 1+0.7*rng.Float64())
+	f.run(calm, end, 1)
+	for at := named + settledAfter; at <= end; at += 50 * ms {
+		got := f.sentInWindow(at)
+		if most := maxFactor*window.Seconds()*perSecond + allowance; float64(got) > most {
+			t.Fatalf("%d gateways, rate %.1f/s: %d requests in 4 s, allowed %.0f, %s after the announcement",
+				gateways, perSecond, got, most, at-named)
 		}
 	}
+	if got, want := float64(f.sentSince(calm))/(end-calm).Seconds(), minFactor*perSecond; got < want {
+		t.Errorf("%d gateways, rate %.1f/s: used %.1f/s, want %.1f/s", gateways, perSecond, got, want)
+	}
 }
 
 // TestSamplerAdmitsItsFraction checks that the number of admitted requests stays within two of the
--- a/proof/fuzz_test.go
+++ b/proof/fuzz_test.go
@@ -186,7 +186,7 @@
 			m.setDesired()
 		},
 		"": func(*rapid.T) {
-			stats.actions++
+			m.counts.actions++
 			m.checkSingleOwner()
 		},
 	}
@@ -303,8 +303,8 @@
 // runSimulation starts a simulation, runs random actions on it, ends all faults, and
 // checks that every entry then serves every key. If only is given, the actions are
 // limited to these.
-func runSimulation(t *rapid.T, fencedUpstreams bool, entries, witnesses int, only ...string) {
-	m := &stateMachine{newSimulation(t, fencedUpstreams, entries, witnesses, 3)}
+func runSimulation(t *rapid.T, counts *workCounts, fencedUpstreams bool, entries, witnesses int, only ...string) {
+	m := &stateMachine{newSimulation(t, counts, fencedUpstreams, entries, witnesses, 3)}
 	m.setDesired()
 	for range 25 {
 		m.advance(100 * time.Millisecond)
@@ -318,37 +318,41 @@
 	t.Repeat(actions)
 	m.heal()
 	m.checkAvailability(t)
-	stats.runs++
-	stats.requests += m.executed
+	counts.runs++
+	counts.requests += m.executed
 }
 
-// stats counts the work done by the runs of one test.
-var stats struct {
+// workCounts counts the work done by the runs of one test.
+type workCounts struct {
 	runs, actions, ticks, messages, requests int
 }
 
-// logStats resets the counts and logs them when the test ends.
-func logStats(t *testing.T) {
-	stats.runs, stats.actions, stats.ticks, stats.messages, stats.requests = 0, 0, 0, 0, 0
+// logWork returns the counts of a test and logs them when the test ends.
+func logWork(t *testing.T) *workCounts {
+	c := &workCounts{}
 	t.Cleanup(func() {
 		t.Logf("%d runs: %d actions, %d ticks of all entries, %d messages, %d requests run",
-			stats.runs, stats.actions, stats.ticks, stats.messages, stats.requests)
+			c.runs, c.actions, c.ticks, c.messages, c.requests)
 	})
+	return c
 }
 
 func TestOneOwnerWithFencedUpstreams(t *testing.T) {
-	logStats(t)
-	rapid.Check(t, func(t *rapid.T) { runSimulation(t, true, 3, 2) })
+	t.Parallel()
+	counts := logWork(t)
+	rapid.Check(t, func(t *rapid.T) { runSimulation(t, counts, true, 3, 2) })
 }
 
 func TestOneOwnerWithTwoEntries(t *testing.T) {
-	logStats(t)
-	rapid.Check(t, func(t *rapid.T) { runSimulation(t, true, 2, 3) })
+	t.Parallel()
+	counts := logWork(t)
+	rapid.Check(t, func(t *rapid.T) { runSimulation(t, counts, true, 2, 3) })
 }
 
 func TestOneOwnerUnderPartitions(t *testing.T) {
-	logStats(t)
-	rapid.Check(t, func(t *rapid.T) { runSimulation(t, true, 3, 2, partitionActions...) })
+	t.Parallel()
+	counts := logWork(t)
+	rapid.Check(t, func(t *rapid.T) { runSimulation(t, counts, true, 3, 2, partitionActions...) })
 }
 
 // TestOneOwnerWithUnfencedUpstreams runs upstreams that do not check epochs, so that
@@ -356,6 +360,7 @@
 // may execute requests from its queue after it has lost the range, which no entry can
 // prevent.
 func TestOneOwnerWithUnfencedUpstreams(t *testing.T) {
-	logStats(t)
-	rapid.Check(t, func(t *rapid.T) { runSimulation(t, false, 3, 2) })
+	t.Parallel()
+	counts := logWork(t)
+	rapid.Check(t, func(t *rapid.T) { runSimulation(t, counts, false, 3, 2) })
 }
--- a/proof/simulation_test.go
+++ b/proof/simulation_test.go
@@ -38,6 +38,7 @@
 // simulation is the state of one run: the nodes, the network and the faults.
 type simulation struct {
 	t                 *rapid.T
+	counts            *workCounts
 	now               time.Duration
 	store             *platform.Memory
 	platformDown      bool
@@ -57,9 +58,10 @@
 	ticks      int
 }
 
-func newSimulation(t *rapid.T, fencedUpstreams bool, entries, witnesses, upstreams int) *simulation {
+func newSimulation(t *rapid.T, counts *workCounts, fencedUpstreams bool, entries, witnesses, upstreams int) *simulation {
 	sim := &simulation{
 		t:               t,
+		counts:          counts,
 		store:           platform.NewMemory(),
 		cutLinks:        make(map[string]bool),
 		fencedUpstreams: fencedUpstreams,
@@ -151,7 +153,7 @@
 // deliverOrDrop removes message i and delivers it, or drops it if lose is set or its
 // link is cut.
 func (sim *simulation) deliverOrDrop(i int, lose bool) {
-	stats.messages++
+	sim.counts.messages++
 	m := sim.messages[i]
 	sim.messages = append(sim.messages[:i], sim.messages[i+1:]...)
 	if lose || !sim.connected(m.from, m.to) {
@@ -182,7 +184,7 @@
 // tick runs the periodic work of every running entry once: heartbeats, lease
 // renewals, controller steps and one request.
 func (sim *simulation) tick() {
-	stats.ticks++
+	sim.counts.ticks++
 	sim.ticks++
 	for _, e := range sim.entries {
 		if e.dead || e.paused {
