gateway: an upstream that refuses a grant remains the owner

What callers would see: two upstreams hold the same keys (OWNER) after an upstream has refused a renewal or the grant of a move by a higher fence.

Cause: a refusal was taken for proof that the upstream holds no key of the span. It has seen a higher fence on one of them only and may hold the others by an earlier grant. The keys with the higher fence may be held by another upstream that this leader does not know of. The table named no owner, so the next plan granted the whole span to any upstream at once. Within one leader the record of holds prevents that; it does not know the grants of former leaders. A renewal that a release of a part overtakes is refused too, but was and is ignored, as its span has changed.

Change: the table continues to name the upstream. Its span is not renewed; the next plan moves it by a higher fence, to the same upstream if that is usable, which needs no release, else to another one by a release or the end of the hold. Before the grant the move waits until no grant of a former leader lasts. A new plan input, Refused, names these spans; the fence counter is raised as before.

TestRefusedRenewalGrantsKeysAgain and TestRefusedSpanIsGrantedAgain check that an owner that refuses is granted its keys again.

--- a/coordination/ownership/plan.go
+++ b/coordination/ownership/plan.go
@@ -80,6 +80,9 @@
 	// RecentlyMoved is the set of the first keys of spans that have moved recently. They are not
 	// moved again for load balancing.
 	RecentlyMoved map[uint16]bool
+	// Refused is the set of the first keys of spans whose owner has refused their grant because it has
+	// seen a higher fence. They move by a higher one: to the same owner if that may be assigned keys.
+	Refused map[uint16]bool
 }
 
 // Pin assigns keys to an upstream for as long as that upstream may be assigned keys.
@@ -141,6 +144,7 @@
 	table         *spans.Table
 	keyLoad       map[uint16]float64
 	recentlyMoved map[uint16]bool
+	refused       map[uint16]bool
 	pins          []Pin
 	sortedKeys    []uint16
 	owners        map[string]*draftOwner
@@ -200,6 +204,7 @@
 		table:         in.Table.Clone(),
 		keyLoad:       in.Load,
 		recentlyMoved: in.RecentlyMoved,
+		refused:       in.Refused,
 		pins:          in.Pins,
 		owners:        make(map[string]*draftOwner, len(in.Owners)),
 	}
@@ -332,7 +337,8 @@
 }
 
 // replaceLost reassigns the spans of lost and leaving owners, the busiest first. A restarted owner
-// gets its spans back: they can be granted without a wait, and no keys change their upstream.
+// gets its spans back: they can be granted without a wait, and no keys change their upstream. So does an
+// owner that has refused a grant.
 func (d *draft) replaceLost() {
 	var orphans []int
 	for i, s := range d.table.Spans {
@@ -343,9 +349,10 @@
 		switch {
 		case o == nil || !o.MayKeep:
 			orphans = append(orphans, i)
-		case o.restarted(s) && o.Usable:
+		case !o.restarted(s) && !d.refused[s.First]:
+		case o.Usable:
 			d.move(i, o)
-		case o.restarted(s):
+		default:
 			orphans = append(orphans, i)
 		}
 	}
--- a/coordination/ownership/plan_test.go
+++ b/coordination/ownership/plan_test.go
@@ -101,6 +101,22 @@
 	}
 }
 
+// TestRefusedSpanIsGrantedAgain checks that only the span whose owner has refused its grant moves, by a higher fence,
+// to the same owner if that is usable and to another one if not.
+func TestRefusedSpanIsGrantedAgain(t *testing.T) {
+	table, list := settledTable(3), owners(3)
+	refused := table.Spans[1]
+	for _, usable := range []bool{true, false} {
+		list[1].Usable = usable
+		next := MakePlan(PlanInput{Table: table, Owners: list, Refused: map[uint16]bool{refused.First: true}})
+		for _, s := range next.Spans {
+			if again := s.First == refused.First; again != s.Moving() || again && (s.NextFence <= table.LastFence || (s.Next == s.Owner) != usable) {
+				t.Errorf("usable %v: span %d of %s moves to %q with fence %d", usable, s.First, s.Owner, s.Next, s.NextFence)
+			}
+		}
+	}
+}
+
 // TestSuspectedOwnerKeepsItsKeysAndGetsNoOthers checks that an owner that is not usable but may
 // keep its keys neither loses nor gains any.
 func TestSuspectedOwnerKeepsItsKeysAndGetsNoOthers(t *testing.T) {
--- a/gateway/controlresponses_test.go
+++ b/gateway/controlresponses_test.go
@@ -167,7 +167,7 @@
 	for i := range list {
 		owners = append(owners, ownership.Owner{ID: list[i].ID, Usable: true, MayKeep: true, Capacity: 100, Incarnation: list[i].Incarnation()})
 	}
-	if next := ownership.MakePlan(ownership.PlanInput{Table: k.table, Owners: owners}); next != nil {
+	if next := ownership.MakePlan(ownership.PlanInput{Table: k.table, Owners: owners, Refused: k.refusedSpans()}); next != nil {
 		k.table = next
 	}
 	for _, s := range k.table.Clone().Spans {
@@ -312,3 +312,75 @@
 		})
 	})
 }
+
+// TestRefusedRenewalFreesNoKeys guards against a second owner of keys whose renewal an upstream refuses because it
+// has seen a higher fence on some of them: it may hold the others, and another upstream those.
+func TestRefusedRenewalFreesNoKeys(t *testing.T) {
+	t.Parallel()
+	b := newTestCluster(t)
+	list := b.listedUpstreams("i-s0", "i-s1", "i-s2")
+	k := newLoneAssigner(t, b, time.Now, list...)
+	part := spans.KeyRange{First: 40000, Last: spans.MaxKey}
+	b.grantAsFormerLeader(k, "i-s0", allKeys, 1)
+	if result, _, err := k.owners.Release(t.Context(), "i-s0", list[0].Address, part, 2); err != nil || result != platform.Granted {
+		t.Fatalf("release: result %v, error %v", result, err)
+	}
+	b.grantAsFormerLeader(k, "i-s1", part, 2)
+	k.table = &spans.Table{Service: "status", LastFence: 1, Spans: []spans.Span{{KeyRange: allKeys, Owner: "i-s0", Fence: 1}}}
+	k.renewGrant(t.Context(), &list[0], k.table.Spans[0])
+	if s := k.table.Spans[0]; s.Owner != "i-s0" {
+		t.Errorf("the table does not name the upstream that may hold keys: %+v", s)
+	}
+	planAndMove(t, k, list[2])
+	for _, s := range k.table.Spans {
+		if s.Owner != "i-s2" || s.Fence <= 2 {
+			t.Errorf("the keys did not move by a higher fence: %+v", s)
+		}
+	}
+}
+
+// TestRefusedRenewalGrantsKeysAgain checks that an owner that refuses a renewal is granted its keys again by a higher
+// fence.
+func TestRefusedRenewalGrantsKeysAgain(t *testing.T) {
+	t.Parallel()
+	b := newStandardCluster(t)
+	k := b.leader().assignments.assigner("status")
+	k.mu.Lock()
+	s := k.table.Spans[0]
+	k.mu.Unlock()
+	owner := b.upstreams[s.Owner]
+	key := spans.KeyRange{First: s.First, Last: s.First}
+	if result, _, err := k.owners.Release(t.Context(), owner.ID, owner.address, key, s.Fence+10); err != nil || result != platform.Granted {
+		t.Fatalf("release: result %v, error %v", result, err)
+	}
+	b.eventually("the keys are granted by a higher fence", func() bool {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		now := k.table.Find(s.First)
+		return now.Fence > s.Fence+10 && !now.Moving() && now.Owner == s.Owner && owner.Holds(s.First)
+	})
+	b.mustRequest(b.gateways[0], http.MethodGet, "/status/x", int(s.First))
+}
+
+// TestRefusedGrantFreesNoKeys guards against a second owner of keys whose next owner refuses the grant but holds some
+// of them.
+func TestRefusedGrantFreesNoKeys(t *testing.T) {
+	t.Parallel()
+	b := newTestCluster(t)
+	list := b.listedUpstreams("i-s0", "i-s1")
+	k := newLoneAssigner(t, b, time.Now, list...)
+	b.grantAsFormerLeader(k, "i-s0", allKeys, 1)
+	last := spans.KeyRange{First: spans.MaxKey, Last: spans.MaxKey}
+	if result, _, err := k.owners.Release(t.Context(), "i-s0", list[0].Address, last, 3); err != nil || result != platform.Granted {
+		t.Fatalf("release: result %v, error %v", result, err)
+	}
+	k.table = oneSpanTable("", 0, "i-s0", 2)
+	k.move(t.Context(), k.table.Spans[0])
+	if s := k.table.Spans[0]; s.Owner != "i-s0" {
+		t.Errorf("the table does not name the upstream that may hold keys: %+v", s)
+	}
+	planAndMove(t, k, list[1])
+	if s := k.table.Spans[0]; s.Owner != "i-s1" {
+		t.Errorf("the keys did not move: %+v", s)
+	}
+}
--- a/gateway/grants.go
+++ b/gateway/grants.go
@@ -56,8 +56,8 @@
 			"from", s.Owner, "warm", token != "", "release_ms", taken.Sub(began).Milliseconds(), "took_ms", k.now().Sub(began).Milliseconds())
 	case err == nil && result == platform.Fenced:
 		k.log.Warn("grant refused: the upstream has seen a higher fence", "first", s.First, "upstream", s.Next, "fence", s.NextFence)
-		k.raiseFence(fenceIncrement)
-		k.finishMove(s, "", 0, false)
+		k.finishMove(s, s.Next, k.possibleStart(s, next), cold)
+		k.recordRefusal(s.First, s.NextFence)
 	case errors.As(err, new(*ownership.HeldError)):
 		// The move is carried out again from its release on.
 		k.log.Warn("keys not granted", "first", s.First, "upstream", s.Next, "error", err)
@@ -74,12 +74,17 @@
 		// The grant may still arrive, so the upstream counts as the owner until the hold that the
 		// grant would have started has expired.
 		k.log.Warn("grant not answered", "first", s.First, "upstream", s.Next, "error", err)
-		granted := next.Incarnation()
-		if k.mayHoldAsBefore(s) {
-			granted = s.Incarnation
-		}
-		k.finishMove(s, s.Next, granted, cold)
+		k.finishMove(s, s.Next, k.possibleStart(s, next), cold)
+	}
+}
+
+// possibleStart returns the start of the next owner of a move that may hold the keys after a grant to the
+// listed one that was not accepted.
+func (k *keyAssigner) possibleStart(s spans.Span, listed *instances.Instance) instances.Incarnation {
+	if k.mayHoldAsBefore(s) {
+		return s.Incarnation
 	}
+	return listed.Incarnation()
 }
 
 // finishWithoutGrant ends a move whose grant was not sent or was rejected by another instance. The keys then
@@ -118,7 +123,7 @@
 }
 
 // takeKeys takes the keys of a move from every upstream but the next owner: from the owner, unless
-// it is the same one after a restart, and from others that may have been granted them by this leader.
+// it is the same one after a restart or a refusal, and from others that may have been granted them.
 // free reports whether none of them holds the keys any more. token is the owner's handover.
 func (k *keyAssigner) takeKeys(ctx context.Context, s spans.Span) (token string, free bool) {
 	if s.Owner != "" && s.Owner != s.Next {
@@ -126,6 +131,9 @@
 			return "", false
 		}
 	}
+	if !k.awaitUnknownHolders(ctx, s) {
+		return "", false
+	}
 	for {
 		other := k.otherHolder(s)
 		if other == "" {
@@ -406,13 +414,6 @@
 	}
 }
 
-// raiseFence raises the last assigned fence by the given amount.
-func (k *keyAssigner) raiseFence(by uint64) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.table.LastFence += by
-}
-
 // startRenewals starts the renewals that are due. Each owner has at most one run of renewals at a
 // time.
 func (k *keyAssigner) startRenewals(ctx context.Context) {
@@ -423,7 +424,7 @@
 	due := make(map[string][]spans.Span)
 	for _, s := range k.table.Spans {
 		_, failing := k.failing[s.Owner]
-		if s.Owner == "" || s.Moving() || k.callsInFlight[s.Owner] || failing && !k.controlHealthLocked(s.Owner).MayRenew() {
+		if s.Owner == "" || s.Moving() || k.isRefused(s) || k.callsInFlight[s.Owner] || failing && !k.controlHealthLocked(s.Owner).MayRenew() {
 			continue
 		}
 		late := now.Sub(k.grantRenewedAt[s.First]) >= renewInterval
@@ -520,7 +521,10 @@
 		return false
 	case result == platform.Fenced:
 		k.log.Warn("renewal refused: the upstream has seen a higher fence", "first", s.First, "upstream", owner.ID, "fence", s.Fence)
-		k.markUnowned(s)
+		// The span may have been split since, and a part released by a higher fence.
+		if k.spanUnchanged(s) {
+			k.recordRefusal(s.First, s.Fence)
+		}
 	default:
 		k.clearFailure(owner.ID)
 	}
@@ -596,16 +600,35 @@
 	return k.table.Find(s.First) == s
 }
 
-// markUnowned records that the owner no longer holds the keys of the span, and raises the last
-// assigned fence beyond the one that the owner has seen.
-func (k *keyAssigner) markUnowned(s spans.Span) {
+// recordRefusal records that the owner of a span refuses grants by the fence, as it has seen a higher one on
+// one of the keys, and raises the last assigned fence. The owner may hold the other keys, and an upstream that
+// is not known those with the higher fence, so the table continues to name the owner.
+func (k *keyAssigner) recordRefusal(first uint16, fence uint64) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	i := k.table.Index(s.First)
-	if k.table.Spans[i] == s {
-		k.table.Spans[i].Owner = ""
-		k.table.LastFence += fenceIncrement
-		k.unsaved = true
-		k.publish()
+	k.refused[first] = fence
+	k.table.LastFence += fenceIncrement
+}
+
+// isRefused reports whether the owner of the span has refused its grant. The caller holds k.mu.
+func (k *keyAssigner) isRefused(s spans.Span) bool {
+	fence, ok := k.refused[s.First]
+	return ok && fence == s.Fence
+}
+
+// awaitUnknownHolders waits, if the grant of the span was refused, until no upstream holds its keys by a grant of a
+// former leader, which this one may not know of. It reports whether that is so.
+func (k *keyAssigner) awaitUnknownHolders(ctx context.Context, s spans.Span) bool {
+	for {
+		k.mu.Lock()
+		certain := k.onlyGranter || !k.isRefused(s)
+		k.mu.Unlock()
+		if certain || k.elector.formerHoldsEnded() {
+			return true
+		}
+		if ctx.Err() != nil || !k.elector.mayAct() {
+			return false
+		}
+		pause(ctx, controlRetryInterval)
 	}
 }
--- a/gateway/keyassigner.go
+++ b/gateway/keyassigner.go
@@ -108,6 +108,8 @@
 	// inheritedMoves are the fences of moves that a former leader began: their next owner may
 	// already hold the keys.
 	inheritedMoves map[uint64]bool
+	// refused are the fences of grants that the owners of spans have refused, by the span's first key.
+	refused map[uint16]uint64
 	// callsInFlight are the upstreams to which renewals or probes are under way.
 	callsInFlight map[string]bool
 	// failing are the upstreams whose control calls fail; lastGranted is when a grant was last
@@ -136,7 +138,7 @@
 		grantRenewedAt: make(map[uint16]time.Time), movedAt: make(map[uint16]time.Time), coldSince: make(map[uint16]time.Time),
 		activeMoves: make(map[uint64]bool), inheritedMoves: make(map[uint64]bool), callsInFlight: make(map[string]bool),
 		failing: make(map[string]controlFailure), lastGranted: make(map[string]time.Time), terminated: make(map[string]upstreamStart),
-		lastStarts: make(map[string]upstreamStart),
+		lastStarts: make(map[string]upstreamStart), refused: make(map[uint16]uint64),
 	}
 }
 
--- a/gateway/keyassignerstore.go
+++ b/gateway/keyassignerstore.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 
 	"github.com/rockcroft/rockcroft/coordination/ownership"
 	"github.com/rockcroft/rockcroft/platform"
@@ -24,7 +25,7 @@
 	}
 	next := ownership.MakePlan(ownership.PlanInput{
 		BalanceDue: balance, Table: k.table, Owners: owners, Load: load, RecentlyMoved: k.recentlyMoved(), Pins: pins,
-		ControlUnreliable: unreliable,
+		ControlUnreliable: unreliable, Refused: k.refusedSpans(),
 	})
 	k.mu.Unlock()
 	k.hotKeys.set(k.service, limits)
@@ -47,6 +48,16 @@
 	return out
 }
 
+// refusedSpans returns the first keys of the spans whose owner has refused their grant. The caller holds k.mu.
+func (k *keyAssigner) refusedSpans() map[uint16]bool {
+	maps.DeleteFunc(k.refused, func(first uint16, _ uint64) bool { return !k.isRefused(k.table.Find(first)) })
+	out := make(map[uint16]bool, len(k.refused))
+	for first := range k.refused {
+		out[first] = true
+	}
+	return out
+}
+
 // commit stores a table with new moves and adopts it once it is stored.
 func (k *keyAssigner) commit(ctx context.Context, next *spans.Table) {
 	if err := next.Validate(); err != nil {
@@ -74,8 +85,8 @@
 	k.publish()
 }
 
-// inheritSplitTimes copies the recorded times of a span to the parts it was split into. The
-// caller holds k.mu.
+// inheritSplitTimes copies the recorded times of a span, and whether its grant was refused, to the parts it
+// was split into. The caller holds k.mu.
 func (k *keyAssigner) inheritSplitTimes(before, next *spans.Table) {
 	for _, s := range next.Spans {
 		from := before.Find(s.First)
@@ -84,6 +95,9 @@
 		}
 		k.grantRenewedAt[s.First] = k.grantRenewedAt[from.First]
 		k.coldSince[s.First] = k.coldSince[from.First]
+		if k.isRefused(from) {
+			k.refused[s.First] = from.Fence
+		}
 	}
 }
 
