gateway: keys of an unknown start are granted again by a higher fence

What callers would see: after a restart, an upstream takes keys by a fence that its former start had, which the platform forbids (OWNER).

Cause: a move that ended without a grant by this leader names its next owner without a start if a former leader may have granted the keys. A span without a start was taken for one of the listed start: it was renewed by the same fence, and a restart after the grant was not noticed.

Change: if the listed start is known and not the one in the span, the span is not renewed but granted by a higher fence, like those of a restarted owner. An unknown start in the span counts as another one. Where upstreams tell no starts nothing changes.

It takes a leader lost during a move and a restart of the next owner within a plan interval.

--- a/coordination/ownership/plan.go
+++ b/coordination/ownership/plan.go
@@ -58,9 +58,9 @@
 	Incarnation instances.Incarnation
 }
 
-// restarted reports whether the owner has restarted since it was granted the span. In that case no
-// process holds the keys.
-func (o *Owner) restarted(s spans.Span) bool { return o.Incarnation.DiffersFrom(s.Incarnation) }
+// restarted reports whether the owner may have restarted since it was granted the span. A grant to the new
+// start needs a higher fence.
+func (o *Owner) restarted(s spans.Span) bool { return s.GrantedToOtherStart(o.Incarnation) }
 
 // PlanInput is the input of MakePlan.
 type PlanInput struct {
--- a/gateway/controlresponses_test.go
+++ b/gateway/controlresponses_test.go
@@ -384,3 +384,22 @@
 		t.Errorf("the keys did not move: %+v", s)
 	}
 }
+
+// TestUnknownStartIsGrantedByAHigherFence guards against a renewal by the same fence to a later start of an owner, if
+// the table does not tell the start that was granted the keys.
+func TestUnknownStartIsGrantedByAHigherFence(t *testing.T) {
+	t.Parallel()
+	b := newTestCluster(t)
+	list := b.listedUpstreams("i-s0")
+	list[0].StartedMs = currentStart
+	k := newLoneAssigner(t, b, time.Now, list...)
+	k.table = &spans.Table{Service: "status", LastFence: 1, Spans: []spans.Span{{KeyRange: allKeys, Owner: "i-s0", Fence: 1}}}
+	k.renewGrant(t.Context(), &list[0], k.table.Spans[0])
+	if b.upstreams["i-s0"].Holds(0) {
+		t.Error("the keys were granted to a start that may not be the one that had them")
+	}
+	planAndMove(t, k, list...)
+	if s := k.table.Spans[0]; s.Owner != "i-s0" || s.Fence != 2 || s.Incarnation != list[0].Incarnation() {
+		t.Errorf("the keys were not granted by a higher fence: %+v", s)
+	}
+}
--- a/gateway/grants.go
+++ b/gateway/grants.go
@@ -497,8 +497,8 @@
 // renewGrant renews one grant and reports whether the owner's other grants may be renewed after
 // it.
 func (k *keyAssigner) renewGrant(ctx context.Context, owner *instances.Instance, s spans.Span) bool {
-	if !k.spanUnchanged(s) || owner.Incarnation().DiffersFrom(s.Incarnation) {
-		// The owner has other keys by now, or has restarted and holds none.
+	if !k.spanUnchanged(s) || s.GrantedToOtherStart(owner.Incarnation()) {
+		// The owner has other keys by now, or may have restarted and holds none.
 		return true
 	}
 	// The span may change while the call waits for a slot.
--- a/state/spans/spans.go
+++ b/state/spans/spans.go
@@ -52,6 +52,12 @@
 // Moving reports whether the keys are moving to another owner.
 func (s Span) Moving() bool { return s.Next != "" }
 
+// GrantedToOtherStart reports whether the keys may have been granted to another start of the owner than the
+// listed one. Where upstreams tell no starts, each start has an ID of its own.
+func (s Span) GrantedToOtherStart(listed instances.Incarnation) bool {
+	return listed != 0 && listed != s.Incarnation
+}
+
 // Table is the key assignment of one service. It must not be modified once it is shared.
 type Table struct {
 	Service string `json:"service"`
