--- a/coordination/ownership/plan.go
+++ b/coordination/ownership/plan.go
@@ -58,9 +58,9 @@
 	Incarnation instances.Incarnation
 }
 
-// restarted reports whether the owner has restarted since it was granted the span. In that case no
-// process holds the keys.
-func (o *Owner) restarted(s spans.Span) bool { return o.Incarnation.DiffersFrom(s.Incarnation) }
+// restarted reports whether the owner may have restarted since it was granted the span. A grant to the new
+// start needs a higher fence.
+func (o *Owner) restarted(s spans.Span) bool { return s.GrantedToOtherStart(o.Incarnation) }
 
 // PlanInput is the input of MakePlan.
 type PlanInput struct {
@@ -80,8 +80,8 @@
 	// RecentlyMoved is the set of the first keys of spans that have moved recently. They are not
 	// moved again for load balancing.
 	RecentlyMoved map[uint16]bool
-	// Refused is the set of the first keys of spans whose owner has refused a renewal, because it has
-	// seen a higher fence on one of the keys.
+	// Refused is the set of the first keys of spans whose owner has refused their grant because it has
+	// seen a higher fence. They move by a higher one: to the same owner if that may be assigned keys.
 	Refused map[uint16]bool
 }
 
@@ -338,7 +338,7 @@
 
 // replaceLost reassigns the spans of lost and leaving owners, the busiest first. A restarted owner
 // gets its spans back: they can be granted without a wait, and no keys change their upstream. So does an
-// owner that has seen a higher fence, as it may hold the other keys of the span.
+// owner that has refused a grant.
 func (d *draft) replaceLost() {
 	var orphans []int
 	for i, s := range d.table.Spans {
@@ -349,9 +349,10 @@
 		switch {
 		case o == nil || !o.MayKeep:
 			orphans = append(orphans, i)
-		case (o.restarted(s) || d.refused[s.First]) && o.Usable:
+		case !o.restarted(s) && !d.refused[s.First]:
+		case o.Usable:
 			d.move(i, o)
-		case o.restarted(s) || d.refused[s.First]:
+		default:
 			orphans = append(orphans, i)
 		}
 	}
--- a/gateway/keyassignerstore.go
+++ b/gateway/keyassignerstore.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 
 	"github.com/rockcroft/rockcroft/coordination/ownership"
 	"github.com/rockcroft/rockcroft/platform"
@@ -47,16 +48,12 @@
 	return out
 }
 
-// refusedSpans returns the first keys of the spans whose owner has refused a renewal by their present fence.
-// The caller holds k.mu.
+// refusedSpans returns the first keys of the spans whose owner has refused their grant. The caller holds k.mu.
 func (k *keyAssigner) refusedSpans() map[uint16]bool {
-	out := make(map[uint16]bool)
-	for first := range k.refusedFences {
-		if s := k.table.Find(first); k.refusedLocked(s) && !s.Moving() {
-			out[first] = true
-			continue
-		}
-		delete(k.refusedFences, first)
+	maps.DeleteFunc(k.refused, func(first uint16, _ uint64) bool { return !k.isRefused(k.table.Find(first)) })
+	out := make(map[uint16]bool, len(k.refused))
+	for first := range k.refused {
+		out[first] = true
 	}
 	return out
 }
@@ -88,8 +85,8 @@
 	k.publish()
 }
 
-// inheritSplitTimes copies the recorded times of a span to the parts it was split into. The
-// caller holds k.mu.
+// inheritSplitTimes copies the recorded times of a span, and whether its grant was refused, to the parts it
+// was split into. The caller holds k.mu.
 func (k *keyAssigner) inheritSplitTimes(before, next *spans.Table) {
 	for _, s := range next.Spans {
 		from := before.Find(s.First)
@@ -98,6 +95,9 @@
 		}
 		k.grantRenewedAt[s.First] = k.grantRenewedAt[from.First]
 		k.coldSince[s.First] = k.coldSince[from.First]
+		if k.isRefused(from) {
+			k.refused[s.First] = from.Fence
+		}
 	}
 }
 
