gateway: random ownership faults hit the owners that lose keys

The faults of TestRandomOwnershipFaults rarely met a move. Upstreams now also answer control calls slowly, or become silent at the first release; faults of control calls mostly strike the owner of the hot keys, which are busier and wander more often. The log line of a run counts expired holds and outdated grants.

--- a/gateway/randomfaults_test.go
+++ b/gateway/randomfaults_test.go
@@ -241,16 +241,16 @@
 }
 
 const (
-	ownershipFaultSteps = 20
+	ownershipFaultSteps = 30
 	// maxOwnershipFaultGap is the longest pause between two fault changes. Holds of 4 s outlast several of them.
 	maxOwnershipFaultGap = 500 * time.Millisecond
 	// keyedRequestTime makes the hot keys overload one upstream.
-	keyedRequestTime = 20 * time.Millisecond
+	keyedRequestTime = 40 * time.Millisecond
 	// hotKeyCount is the number of adjacent hot keys, which get hotShare of ten requests.
 	hotKeyCount = 24
 	hotShare    = 6
 	keyedCount  = 5
-	hotClients  = 12
+	hotClients  = 24
 )
 
 // controlFault tells how an upstream treats control calls. Requests are not affected.
@@ -264,9 +264,19 @@
 	controlUnanswered
 	// controlHalfUnanswered: every second response is lost.
 	controlHalfUnanswered
+	// controlSlow: calls are carried out and answered after controlDelay, so that plans are made while
+	// renewals are in flight.
+	controlSlow
+	// controlFailsOnRelease: as controlSlow, but the first release and all calls after it are ignored.
+	controlFailsOnRelease
 )
 
-var controlFaults = []controlFault{controlHealthy, controlIgnored, controlUnanswered, controlHalfUnanswered}
+// controlDelay is shorter than the timeout of a grant.
+const controlDelay = grantTimeout * 2 / 3
+
+var controlFaults = []controlFault{
+	controlHealthy, controlIgnored, controlUnanswered, controlHalfUnanswered, controlSlow, controlFailsOnRelease, controlFailsOnRelease,
+}
 
 // ownershipFaultRun is one run of TestRandomOwnershipFaults.
 type ownershipFaultRun struct {
@@ -312,7 +322,17 @@
 	p.clients.Wait()
 	p.eventually("a leader", func() bool { return p.leader() != nil })
 	table := p.leader().view.spansOf("status")
-	p.t.Logf("%d served, %d refused, %d spans, last fence %d", p.served.Load(), p.refused.Load(), len(table.Spans), table.LastFence)
+	p.t.Logf("%d served, %d refused, %d spans, last fence %d, %d expired holds, %d outdated grants", p.served.Load(), p.refused.Load(),
+		len(table.Spans), table.LastFence, p.count(ownersExpiredHolds), p.count(ownersOutdatedGrants))
+}
+
+// count returns the sum of a counter of the keyed service over all gateways.
+func (p *ownershipFaultRun) count(name string) int64 {
+	sum := int64(0)
+	for _, g := range p.gateways {
+		sum += g.meters.counter(g.meters.service(name, "status")).Count()
+	}
+	return sum
 }
 
 // client sends requests for hot keys and for others.
@@ -345,8 +365,14 @@
 	u := p.upstreamAt(r.Host)
 	p.faultMu.Lock()
 	fault := p.faults[r.Host]
+	if fault == controlFailsOnRelease && r.URL.Path == platform.ReleasePath {
+		fault = controlIgnored
+		p.faults[r.Host] = fault
+	}
 	p.faultMu.Unlock()
 	switch {
+	case fault == controlSlow, fault == controlFailsOnRelease:
+		delayCall(r)
 	case fault == controlHealthy, fault == controlHalfUnanswered && p.controlCalls.Add(1)%2 == 0:
 	case u != nil && (fault == controlUnanswered || fault == controlHalfUnanswered):
 		loseResponse(u, r)
@@ -356,6 +382,15 @@
 	}
 }
 
+// delayCall delays a call that the upstream then carries out, unless its sender has given it up.
+func delayCall(r *http.Request) {
+	select {
+	case <-time.After(controlDelay):
+	case <-r.Context().Done():
+		panic(http.ErrAbortHandler)
+	}
+}
+
 // upstreamAt returns the upstream that runs at an address, or nil.
 func (p *ownershipFaultRun) upstreamAt(address string) *upstream {
 	p.testCluster.mu.Lock()
@@ -370,9 +405,26 @@
 
 // keyed returns a random keyed upstream.
 func (p *ownershipFaultRun) keyed() *upstream {
+	return p.upstreamWith(fmt.Sprintf("i-s%d", p.rng.IntN(keyedCount)))
+}
+
+// hotOwner returns the owner of the first hot key, or any keyed upstream if it has none.
+func (p *ownershipFaultRun) hotOwner() *upstream {
+	g := p.runningGateway(0)
+	if g == nil || g.view.spansOf("status") == nil {
+		return p.keyed()
+	}
+	owner := g.view.spansOf("status").Find(uint16(p.firstHot.Load())).Owner
+	if u := p.upstreamWith(owner); u != nil {
+		return u
+	}
+	return p.keyed()
+}
+
+func (p *ownershipFaultRun) upstreamWith(id string) *upstream {
 	p.testCluster.mu.Lock()
 	defer p.testCluster.mu.Unlock()
-	return p.upstreams[fmt.Sprintf("i-s%d", p.rng.IntN(keyedCount))]
+	return p.upstreams[id]
 }
 
 func (p *ownershipFaultRun) setControlFault(u *upstream, f controlFault) {
@@ -383,11 +435,13 @@
 
 // changeFaults starts one random fault, or ends some.
 func (p *ownershipFaultRun) changeFaults() {
-	switch p.rng.IntN(14) {
-	case 0, 1, 2:
+	switch p.rng.IntN(18) {
+	case 0, 14, 15:
 		p.setControlFault(p.keyed(), controlFaults[p.rng.IntN(len(controlFaults))])
-	case 3, 4:
+	case 1, 2, 3, 4, 16, 17:
+		// The owner of the hot keys is about to lose some of them.
 		p.firstHot.Store(p.rng.Int64N(spans.MaxKey - hotKeyCount))
+		p.setControlFault(p.hotOwner(), controlFaults[p.rng.IntN(len(controlFaults))])
 	case 5, 6:
 		p.leave(p.keyed())
 	case 7:
