gateway: log when and from where a gateway learns that upstreams leave

Sight for an upstream that got requests 2.88 s after it had said in the store that it leaves: which way the news took to the gateway, and how old each was, could not be told. An entry that a gateway reads in a list, or hears of from its parent, was not logged, nor when it began to watch the store itself.

Change: lines `upstreams are leaving` (from store or gateway, age of what was known before), `watching the store`, `no longer watching the store`, at changes only. Nothing is decided from them.

--- a/gateway/leaderelector.go
+++ b/gateway/leaderelector.go
@@ -116,11 +116,13 @@
 		case wantWatch && stopWatch == nil:
 			var watchCtx context.Context
 			watchCtx, stopWatch = context.WithCancel(ctx)
+			l.log.Info("watching the store", "leading", l.cluster.isLeading(), "leader_heard_ms_ago", lost.Milliseconds())
 			watch.Go(func() { l.watcher.run(watchCtx) })
 		case !wantWatch && stopWatch != nil:
 			stopWatch()
 			stopWatch = nil
 			watch.Wait()
+			l.log.Info("no longer watching the store", "leader_heard_ms_ago", lost.Milliseconds())
 		}
 		if l.cluster.isLeading() {
 			// During a stop, resign renews the lease, within the time that the stop has left.
--- a/gateway/news.go
+++ b/gateway/news.go
@@ -36,7 +36,12 @@
 
 func (f *follower) applyUpstreams(m *syncpb.Instances) {
 	f.validator.filterInstances(m)
+	former := f.view.inst.Load()
 	f.view.applyInstances(m)
+	if next := f.view.inst.Load(); next != nil {
+		lost, _, _ := f.leaderSilence()
+		logLeaving(f.log, former, next, "from", "gateway", "parent", f.cluster.parent(), "leader_heard_ms_ago", lost.Milliseconds())
+	}
 }
 
 func (f *follower) applyOwners(m *syncpb.Spans) {
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -359,7 +359,30 @@
 	if len(leaving) > 0 {
 		v = v.Apply(v.Revision, leaving, nil)
 	}
-	w.view.setInstances(version, v)
+	former := w.view.inst.Load()
+	if w.view.setInstances(version, v) {
+		logLeaving(w.log, former, v, "from", "store", "confirmed_ms_ago", min(w.now().Sub(w.ages.confirmed(platform.InstancesKind)), maxReportedAge).Milliseconds())
+	}
+}
+
+// maxLeavingLogged bounds the upstreams that one line names.
+const maxLeavingLogged = 10
+
+// logLeaving logs the upstreams that are leaving in the next view and were not in the former one.
+func logLeaving(log *slog.Logger, former, next *instances.View, attrs ...any) {
+	leaving := instances.NewlyLeaving(former, next)
+	if len(leaving) == 0 {
+		return
+	}
+	var ids []string
+	var revision uint64
+	for _, inst := range leaving {
+		revision = max(revision, inst.Revision)
+		if len(ids) < maxLeavingLogged {
+			ids = append(ids, inst.ID)
+		}
+	}
+	log.Info("upstreams are leaving", append([]any{"upstreams", ids, "count", len(leaving), "revision", revision}, attrs...)...)
 }
 
 // markedLeaving returns the upstreams that operators drain or that have announced that they are
--- a/state/instances/instances.go
+++ b/state/instances/instances.go
@@ -142,6 +142,22 @@
 	return changed, removed
 }
 
+// NewlyLeaving returns the instances that are leaving in the next view and were not in the old one, in
+// ascending order of the IDs. Nothing is newly leaving if there is no old view.
+func NewlyLeaving(old, next *View) []*Instance {
+	if old == nil {
+		return nil
+	}
+	changed, _ := Diff(old, next)
+	var out []*Instance
+	for i := range changed {
+		if former := old.Get(changed[i].ID); changed[i].Leaving && (former == nil || !former.Leaving) {
+			out = append(out, next.Get(changed[i].ID))
+		}
+	}
+	return out
+}
+
 // Apply returns a new view with the changes applied, and then the removals. Its cost is that of
 // copying a pointer for each instance, whatever their number, and of a search for each change.
 func (v *View) Apply(revision uint64, changed []Instance, removed []string) *View {
--- a/state/instances/instances_test.go
+++ b/state/instances/instances_test.go
@@ -215,3 +215,23 @@
 		t.Errorf("changed %v, removed %v", changed, removed)
 	}
 }
+
+func TestNewlyLeavingUpstreams(t *testing.T) {
+	leaving := func(id string) Instance {
+		i := newInstance(id)
+		i.Leaving = true
+		return i
+	}
+	old := NewView(1, []Instance{newInstance("a"), leaving("b"), newInstance("c")})
+	next := NewView(2, []Instance{leaving("a"), leaving("b"), newInstance("c"), leaving("d")})
+	var got []string
+	for _, i := range NewlyLeaving(old, next) {
+		got = append(got, i.ID)
+	}
+	if diff := cmp.Diff([]string{"a", "d"}, got); diff != "" {
+		t.Error(diff)
+	}
+	if list := NewlyLeaving(nil, next); len(list) > 0 {
+		t.Errorf("newly leaving without a former view: %v", list)
+	}
+}
