dispatch: an overloaded pool stays shared until its load has fallen clearly

Cause: gateways keep to their shares of an uneven pool from 0.85 of a full pool on, and below that send whatever waits. As the requests sent in a surge are not known yet when they queue, runs looked longer than they are, and the rate estimated for the pool sank from 232 to 150 requests/s (it runs 270), which made the shares too small and the surges larger. Change: while requests are refused for lack of room, a shared pool stays shared until its load is below 0.6. TestPoolIsSharedUntilItHasEmptied fails without the change.

--- a/coordination/dispatch/poolroom.go
+++ b/coordination/dispatch/poolroom.go
@@ -16,6 +16,10 @@
 	// share. Requests come at random, so shares leave room unused that a gateway without requests has.
 	// At lower loads that costs more than the rejections that the shares prevent.
 	sharedLoad = 0.85
+	// unsharedLoad is the fraction below which gateways no longer keep to their shares while requests are
+	// refused for lack of room. It is lower than sharedLoad: else all gateways send whatever waits as soon
+	// as the load falls below that, and nothing until the surplus has drained.
+	unsharedLoad = 0.6
 	// drawLoad is the fraction of the requests in a full pool from which upstreams are drawn by their room
 	// instead of compared. Below it, the few upstreams that a gateway prefers have room, and their reported
 	// loads are worth more than a wider choice.
@@ -44,6 +48,8 @@
 	inFlight float64
 	// target is how many requests all gateways together aim to have at the upstreams of a full pool.
 	target float64
+	// shared is set while each gateway keeps to its share.
+	shared bool
 }
 
 // markUneven records that an upstream has reported its load or rejected a request.
@@ -64,7 +70,7 @@
 
 // allows reports whether this gateway may send one more request to the pool.
 func (p *poolRoom) allows(now time.Time) bool {
-	if !p.applies(now) || p.load() < sharedLoad {
+	if !p.applies(now) || !p.shared {
 		return true
 	}
 	return p.share.allows(now, p.rate, p.slots, p.shareLoad())
@@ -99,7 +105,8 @@
 		// Nothing was saved up while the room was not divided.
 		p.share.credit, p.share.creditAt = 0, now
 	}
-	p.slots, p.rate, p.inFlight, p.target = 0, 0, 0, 0
+	wasShared := p.shared
+	p.slots, p.rate, p.inFlight, p.target, p.shared = 0, 0, 0, 0, false
 	if !p.offered || !now.Before(p.unevenUntil) {
 		return
 	}
@@ -118,6 +125,7 @@
 		// One upstream that is lost or reports too much must not hold back requests for the others.
 		p.inFlight += min(inFlight, maxInFlightPerSlot*float64(l.Slots))
 	}
+	p.shared = p.load() >= sharedLoad || wasShared && p.load() >= unsharedLoad && s.room.Overloaded(now)
 	p.share.applyReport(now, shareReport{rate: p.rate, slots: p.slots, fraction: s.demandFraction, inFlight: p.shareLoad()})
 }
 
--- a/coordination/dispatch/poolroom_test.go
+++ b/coordination/dispatch/poolroom_test.go
@@ -226,3 +226,32 @@
 		s.Done(now, g, Answered)
 	}
 }
+
+// TestPoolIsSharedUntilItHasEmptied guards against gateways that send whatever waits as soon as the load of
+// an overloaded pool falls a little.
+func TestPoolIsSharedUntilItHasEmptied(t *testing.T) {
+	const gateways, upstreams, fullPerUpstream, withoutRefusals = 12, 20, targetLoad * poolSlots, 3 * time.Second
+	pool := newPool(gateways, upstreams)
+	reportLoad(pool, start)
+	now := start
+	for i, step := range []struct {
+		load            float64
+		refused, shared bool
+	}{{0.7, true, false}, {1, true, true}, {0.7, true, true}, {0.55, true, false}, {0.7, true, false}, {1, false, true}, {0.7, false, false}} {
+		now = now.Add(250 * ms)
+		if step.refused {
+			pool[0].recordNoRoom(now, &Request{})
+			pool[0].recordNoRoom(now, &Request{})
+		} else {
+			now = now.Add(withoutRefusals)
+			reportLoad(pool, now)
+		}
+		inFlight := step.load * fullPerUpstream
+		report(pool, now, loaded(upstreams, inFlight, inFlight))
+		p := &pool[0].pool
+		p.share.credit = -burst
+		if shared := !p.allows(now); shared != step.shared {
+			t.Errorf("report %d, load %.2f of a full pool: shared %v", i, step.load, shared)
+		}
+	}
+}
