gateway: holds end with the start of an upstream that was granted them

What callers saw: nothing; found by review.

Cause: a move that fails leaves the next owner as the owner if this leader's record says that it may hold a key. For a restarted upstream that is the record of the former start, whose process has ended.

Change: when the list of upstreams shows another start at another address, the holds at the former address end. A call to an address that stays the same may have reached the present start, so those holds remain.

--- a/gateway/oneowner_test.go
+++ b/gateway/oneowner_test.go
@@ -327,3 +327,30 @@
 		t.Errorf("the keys have no owner: %+v", s)
 	}
 }
+
+// TestRestartedUpstreamOutOfReachKeepsNoKeys guards against keys that wait for the hold of a start that has
+// ended, when the upstream's present start cannot be granted them.
+func TestRestartedUpstreamOutOfReachKeepsNoKeys(t *testing.T) {
+	t.Parallel()
+	b := newTestCluster(t)
+	former := b.upstream("i-s0", "status")
+	before := instances.Instance{ID: "i-s0", Service: "status", Address: former.address, StartedMs: 1}
+	k := newLoneAssigner(t, b, time.Now, before)
+	k.onlyGranter, k.workTimes = true, newWorkTimes(k.view, time.Now)
+	k.table = &spans.Table{Service: "status", LastFence: 2, Spans: []spans.Span{
+		{KeyRange: spans.KeyRange{Last: spans.MaxKey}, Owner: "i-s0", Fence: 1, Incarnation: before.Incarnation()},
+	}}
+	k.recordStart(&before)
+	k.renewGrant(t.Context(), &before, k.table.Spans[0])
+	current := b.restart(former)
+	after := instances.Instance{ID: "i-s0", Service: "status", Address: current.address, StartedMs: 2}
+	_ = current.server.Close()
+	k.view.setInstances(2, instances.NewView(2, []instances.Instance{after}))
+	k.recordStart(&after)
+	s := &k.table.Spans[0]
+	s.Next, s.NextFence = "i-s0", 2
+	k.move(t.Context(), *s)
+	if s.Owner != "" || s.Moving() {
+		t.Errorf("the keys are not free: %+v", *s)
+	}
+}
--- a/gateway/upstreamcontrol.go
+++ b/gateway/upstreamcontrol.go
@@ -60,6 +60,10 @@
 		delete(k.lastGranted, inst.ID)
 		delete(k.terminated, inst.ID)
 		k.workTimes.forget(k.service, inst.ID)
+		// A call to the same address may have reached the present start.
+		if now.incarnation.DiffersFrom(before.incarnation) && now.address != before.address {
+			k.holds.Terminated(ownership.Process{ID: inst.ID, Address: before.address})
+		}
 	}
 	k.lastStarts[inst.ID] = now
 }
