gateway: the drain time of an owner counts from when it may have begun to leave

What callers saw: nothing.

Cause: an owner that leaves gets requests for its keys for 0.6 x upstream_drain from the moment at which a gateway hears of it. 0.4 x upstream_drain, 0.8 or 1.0 s, are left for the news. While the leader is frozen no gateway hears of it sooner than after 0.7 s without the leader, up to 0.8 s of head start for gateways ranked before it, a check each 50 ms and two lists: 1.45 s by the last request (2.66 s, less 1.2 s). Meanwhile nobody moves the keys. Class: a bound from an event is counted from the arrival of its news, by a source that was behind. Ruled out: the woken leader and its old view. 56 upstreams that left from 0.3 s before to 1.3 s after the end of a freeze got their last request after 0.41 s at most, at the woken gateway too from 1.2 s on.

Change: coordination/currency tracks until when the view of the upstreams is known to have been complete, by answers of the parent and by the own watch. A change counts from the last confirmation before it arrives; within 0.5 s after a gap from the begin of the gap. news_ms, which a leader always gave as zero, tells when its upstreams may lack changes: its watch is overdue, or was answered only once its path had been silent. Followers withdraw what an earlier answer has confirmed. The share of 0.6 stands.

Why it works: the bound holds from the time that the store may have taken the change, whatever way and however late the news came, as long as a gap is noticed.

--- a/coordination/dispatch/listing.go
+++ b/coordination/dispatch/listing.go
@@ -28,10 +28,16 @@
 	generation uint64
 }
 
-// SetUpstreams replaces the list of upstreams. The state of upstreams that stay is kept, and
-// requests that wait for a removed one are refused. Lists that share the pointers to unchanged instances
-// are cheap to compare.
+// SetUpstreams replaces the list of upstreams with one whose changes have just been made.
 func (s *Service) SetUpstreams(now time.Time, list []*instances.Instance) {
+	s.SetUpstreamsChangedSince(now, now, list)
+}
+
+// SetUpstreamsChangedSince replaces the list of upstreams with one whose changes may have been made at any
+// time since the given one. The state of upstreams that stay is kept, and requests that wait for a removed
+// one are refused. Lists that share the pointers to unchanged instances are cheap to compare.
+func (s *Service) SetUpstreamsChangedSince(now, since time.Time, list []*instances.Instance) {
+	s.changedSince = since
 	s.generation++
 	former := s.ordered
 	s.ordered = make([]*listing, 0, len(list))
@@ -86,7 +92,7 @@
 		l.state = s.newState(now, l)
 	}
 	if l.state != nil {
-		s.updateLeaving(now, l.state)
+		s.updateLeaving(l.state)
 		s.updateEvacuated(now, l.state)
 	}
 }
@@ -153,7 +159,7 @@
 	}
 	s.assumeWarmUpAfterEvacuation(now, u)
 	s.applyLatestReport(u)
-	s.updateLeaving(now, u)
+	s.updateLeaving(u)
 	s.scheduleFirstSend(l.changedAt, u)
 	s.inUse = append(s.inUse, u)
 	return u
--- a/coordination/dispatch/notices.go
+++ b/coordination/dispatch/notices.go
@@ -17,7 +17,7 @@
 	}
 	c := u.notices.Apply(now, n)
 	if c.StartedLeaving {
-		s.updateLeaving(now, u)
+		s.updateLeaving(u)
 	}
 	u.probing = u.probing || n.Rest > 0
 	return c
@@ -32,9 +32,9 @@
 	return u
 }
 
-// updateLeaving records since when the upstream is known to be leaving, from any source. Its
+// updateLeaving records since when the upstream may have been leaving, from any source. Its
 // registry entry and operators can revoke that; its own notices cannot be revoked.
-func (s *Service) updateLeaving(now time.Time, u *Upstream) {
+func (s *Service) updateLeaving(u *Upstream) {
 	switch {
 	case !u.isLeaving():
 		u.leavingSince = time.Time{}
@@ -42,7 +42,7 @@
 		// The notice may date from before the upstream was missing from the list for a while.
 		u.leavingSince = u.notices.LeavingSince
 	case u.leavingSince.IsZero():
-		u.leavingSince = now
+		u.leavingSince = s.changedSince
 	}
 }
 
--- a/coordination/dispatch/service.go
+++ b/coordination/dispatch/service.go
@@ -13,8 +13,8 @@
 
 const (
 	// drainTimeShare is the fraction of the allowed drain time in which a leaving owner still gets
-	// requests for keys that have not moved yet. The rest is for the time until gateways learn that
-	// it is leaving.
+	// requests for keys that have not moved yet. It counts from the earliest time at which the upstream
+	// may have said so; the rest is for delays within which a source counts as current.
 	drainTimeShare = 0.6
 	// initialWorkTimeDivisor sets the work time assumed before the first response: the route's
 	// objective divided by this.
@@ -40,9 +40,11 @@
 	domain   string
 	// regions are the regions of the failure domains.
 	regions map[string]string
-	// drainTime is how long an owner still gets requests after it was seen to be leaving.
-	drainTime time.Duration
-	rng       *rand.Rand
+	// drainTime is how long an owner still gets requests after it began to leave. changedSince is since
+	// when the changes of the last list may have been made.
+	drainTime    time.Duration
+	changedSince time.Time
+	rng          *rand.Rand
 	// listed holds all upstreams of the service, by ID; ordered holds them as they were listed.
 	// generation counts the lists.
 	listed     map[string]*listing
--- a/coordination/dispatch/upstream.go
+++ b/coordination/dispatch/upstream.go
@@ -120,7 +120,8 @@
 	// probing is set when the upstream asked for rest and has not processed a request since. Only
 	// one request at a time is sent to it.
 	probing bool
-	// leavingSince is when the upstream was first known to be leaving; zero if it is not.
+	// leavingSince is the earliest time at which the upstream may have said that it is leaving; zero if
+	// it is not.
 	leavingSince time.Time
 	// evacuatedSince is when its failure domain was first seen to be evacuated; zero if it is not.
 	evacuatedSince time.Time
--- a/gateway/fetch.go
+++ b/gateway/fetch.go
@@ -121,6 +121,13 @@
 	return out
 }
 
+// isFetching reports whether the part is being fetched.
+func (f *fetcher) isFetching(name string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.running[name]
+}
+
 // fetch fetches one part, unless it was offered with its data, and applies it.
 func (f *fetcher) fetch(ctx context.Context, o offer) {
 	defer f.release(o.part.Name)
--- a/gateway/follower.go
+++ b/gateway/follower.go
@@ -159,7 +159,9 @@
 		}
 		return false, false
 	}
+	f.recordDoubt(resp)
 	f.applyResponse(address, resp, began)
+	f.recordCurrent(resp)
 	f.cluster.confirmFollowers(address, resp.FollowersDigest)
 	age := time.Duration(resp.HeardMs) * time.Millisecond
 	f.mu.Lock()
@@ -191,6 +193,25 @@
 	return true, true
 }
 
+// recordDoubt records, before the upstreams in a parent's response are applied, since when the parent may
+// have lacked changes.
+func (f *follower) recordDoubt(resp *syncpb.SyncResponse) {
+	if resp.HeardMs < milliseconds(leaderSilenceTimeout) {
+		now := f.now()
+		f.traffic.currency.Doubt(now, now.Add(-time.Duration(resp.NewsMs)*time.Millisecond))
+	}
+}
+
+// recordCurrent records, after a parent's response was applied, until when the view of the upstreams is
+// known to be complete. While they are fetched as a part it is not.
+func (f *follower) recordCurrent(resp *syncpb.SyncResponse) {
+	if resp.HeardMs >= milliseconds(leaderSilenceTimeout) || f.fetcher.isFetching(partUpstreams) {
+		return
+	}
+	now, age := f.now(), time.Duration(max(resp.HeardMs, resp.NewsMs))*time.Millisecond
+	f.traffic.currency.Confirm(now, now.Add(-age))
+}
+
 // applyFleet applies what the parent sent about the requests that other gateways have in flight,
 // if anything.
 func (f *follower) applyFleet(m *syncpb.Fleet) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -203,6 +203,8 @@
 	store := platform.NewStore(g.storeCalls)
 	evac := newEvacuations(g.view, g.now, log, g.meters)
 	g.watcher = newWatcher(store, g.view, evac, g.now, log, g.meters, seeds[0])
+	g.watcher.currency = &g.traffic.currency
+	g.watcher.allowedSilence = func() time.Duration { return g.storeCalls.allowedSilence(watchSilenceLimit) }
 	g.storeCalls.onRecovery = g.watcher.storeRecovered
 	g.follower = &follower{
 		view: g.view, cluster: g.cluster, traffic: g.traffic, now: g.now, log: log, meters: g.meters,
--- a/gateway/news.go
+++ b/gateway/news.go
@@ -40,7 +40,9 @@
 	f.view.applyInstances(m)
 	if next := f.view.inst.Load(); next != nil {
 		lost, _, _ := f.leaderSilence()
-		logLeaving(f.log, former, next, "from", "gateway", "parent", f.cluster.parent(), "leader_heard_ms_ago", lost.Milliseconds())
+		now := f.now()
+		logLeaving(f.log, former, next, "from", "gateway", "parent", f.cluster.parent(), "leader_heard_ms_ago", lost.Milliseconds(),
+			"earliest_ms_ago", now.Sub(f.traffic.currency.EarliestChange(now)).Milliseconds())
 	}
 }
 
--- a/gateway/peerserver.go
+++ b/gateway/peerserver.go
@@ -102,10 +102,15 @@
 	return p.follower.sinceLeaderHeard()
 }
 
-// updateAge returns how long ago this process received updates from the leader or the store.
+// updateAge returns how long ago this process received updates from the leader or the store, or how long
+// ago its view of the upstreams may have begun to lack changes.
 func (p *peerServer) updateAge() time.Duration {
-	if p.cluster.isLeading() {
-		return 0
+	now := p.follower.now()
+	switch {
+	case p.cluster.isLeading():
+		return p.traffic.currency.Age(now, maxConfirmationInterval)
+	case p.leaderAge() < leaderSilenceTimeout:
+		return now.Sub(p.traffic.currency.EarliestChange(now))
 	}
 	return p.follower.maxViewAge(p.watcher.ages.lastHeardAny())
 }
--- a/gateway/testcluster_test.go
+++ b/gateway/testcluster_test.go
@@ -34,6 +34,8 @@
 	// wrapStoreEndpoint, if set, wraps the listener and the handler of each gateway's access to the
 	// store.
 	wrapStoreEndpoint func(net.Listener, http.Handler) (net.Listener, http.Handler)
+	// wrapPeerDial, if set, wraps the function with which the named gateway connects to other gateways.
+	wrapPeerDial func(node string, dial dialFunc) dialFunc
 	// onUpstreamRequest, if set, is called with each request that reaches an upstream.
 	onUpstreamRequest func(*http.Request)
 	// changeSettings, if set, changes the settings of each gateway before it starts.
@@ -230,6 +232,9 @@
 		// By default idle connections to other gateways are closed after a while.
 		g.cluster.http.Transport.(*progressTransport).base.IdleConnTimeout = 0
 	}
+	if base := g.cluster.http.Transport.(*progressTransport).base; b.wrapPeerDial != nil {
+		base.DialContext = b.wrapPeerDial(conf.Node, base.DialContext)
+	}
 	go func() {
 		defer close(g.done)
 		_ = g.Run(ctx)
--- a/gateway/traffic.go
+++ b/gateway/traffic.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/rockcroft/rockcroft/coordination/currency"
 	"github.com/rockcroft/rockcroft/coordination/dispatch"
 	"github.com/rockcroft/rockcroft/coordination/notice"
 	"github.com/rockcroft/rockcroft/coordination/retry"
@@ -31,6 +32,8 @@
 type traffic struct {
 	conf settings.Gateway
 	now  func() time.Time
+	// currency tracks until when the view of the upstreams is known to have been complete.
+	currency currency.Tracker
 
 	mu       sync.Mutex
 	rng      *rand.Rand
@@ -89,10 +92,11 @@
 // setUpstreams applies a new view of the registered upstreams.
 func (t *traffic) setUpstreams(v *instances.View) {
 	now := t.now()
+	since := t.currency.EarliestChange(now)
 	for _, name := range v.Services() {
 		s := t.get(name)
 		s.mu.Lock()
-		s.dispatch.SetUpstreams(now, v.Service(name))
+		s.dispatch.SetUpstreamsChangedSince(now, since, v.Service(name))
 		s.mu.Unlock()
 	}
 	for name, s := range t.all() {
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/rockcroft/rockcroft/coordination/currency"
 	"github.com/rockcroft/rockcroft/platform"
 	"github.com/rockcroft/rockcroft/state/instances"
 	"github.com/rockcroft/rockcroft/transport/pool"
@@ -39,6 +40,9 @@
 	// initialBackoff and maxBackoff bound the pause after a failed call.
 	initialBackoff = 100 * time.Millisecond
 	maxBackoff     = 800 * time.Millisecond
+	// maxConfirmationInterval is the longest time between two answers to watches of the upstreams on a
+	// path that carries changes at once.
+	maxConfirmationInterval = instancesBatchDelay + watchWait + fallbackDelay
 	// settleInterval is the time between checks of upstreams whose entries are missing.
 	settleInterval = 100 * time.Millisecond
 )
@@ -73,12 +77,16 @@
 	compacted chan struct{}
 	// ages records when the store last answered for each kind.
 	ages *watchAges
+	// currency tracks until when the view of the upstreams is known to have been complete.
+	currency *currency.Tracker
+	// allowedSilence returns how long a watch may be silent after its wait before others are asked.
+	allowedSilence func() time.Duration
 }
 
 func newWatcher(store *platform.Store, v *view, evac *evacuations, now func() time.Time, log *slog.Logger, m *meters, salt uint64) *watcher {
 	return &watcher{
 		leavingShown: make(map[string]bool), salt: salt, store: store, view: v, evac: evac, now: now, log: log, meters: m,
-		ages: newWatchAges(now, log), badEntries: make(map[string]uint64), compacted: make(chan struct{}), announcedLeaving: func() map[string]bool { return nil },
+		ages: newWatchAges(now, log), currency: &currency.Tracker{}, allowedSilence: func() time.Duration { return watchSilenceLimit }, badEntries: make(map[string]uint64), compacted: make(chan struct{}), announcedLeaving: func() map[string]bool { return nil },
 		drained: func() map[string]bool { return make(map[string]bool) },
 	}
 }
@@ -125,7 +133,7 @@
 	w.ages.begin(kind)
 	defer w.ages.end(kind)
 	backoff := initialBackoff
-	known, answered := revision > 0, false
+	known, answered, continuous := revision > 0, false, false
 	for ctx.Err() == nil {
 		var err error
 		started := w.now()
@@ -135,13 +143,14 @@
 				known = true
 				w.ages.recordAnswer(kind)
 				onList(objects, revision)
-				w.ages.recordApplied(kind, started)
+				w.recordApplied(kind, started)
 			}
 		} else {
 			var changes []platform.Object
 			var next uint64
 			if changes, next, err = w.watchBacklog(ctx, kind, revision); err == nil {
 				w.ages.recordAnswer(kind)
+				w.recordWatched(kind, started, continuous)
 			}
 			if err == nil && len(changes) == 0 && w.now().Sub(started) < minWatchInterval {
 				pause(ctx, minWatchInterval)
@@ -151,12 +160,13 @@
 				onChanges(changes, revision)
 			}
 			if err == nil {
-				w.ages.recordApplied(kind, started)
+				w.recordApplied(kind, started)
 			}
 			if len(changes) > 0 {
 				pause(ctx, batchDelay)
 			}
 		}
+		continuous = err == nil
 		switch {
 		case err == nil:
 			backoff = initialBackoff
@@ -179,6 +189,28 @@
 	}
 }
 
+// recordWatched records an answer to a watch before its changes are applied. continuous is set if the call
+// before it was answered as well. Changes in an answer that took longer than the path on which the watch
+// waited is given, or came after a failed call, may have been made long before.
+func (w *watcher) recordWatched(kind string, started time.Time, continuous bool) {
+	now := w.now()
+	switch {
+	case kind != platform.InstancesKind:
+	case continuous && now.Sub(started) <= watchWait+w.allowedSilence():
+		w.currency.Extend(now)
+	default:
+		w.currency.Lapse(now)
+	}
+}
+
+// recordApplied records that the answer to a call which was started at the given time has been applied.
+func (w *watcher) recordApplied(kind string, started time.Time) {
+	w.ages.recordApplied(kind, started)
+	if kind == platform.InstancesKind {
+		w.currency.Confirm(w.now(), started)
+	}
+}
+
 // listFreshness returns how current a list must be. The first list of upstreams may be stale: the watch
 // that follows brings what has changed since. Against a view that is already known, a stale list would
 // make newer upstreams look removed.
@@ -361,7 +393,9 @@
 	}
 	former := w.view.inst.Load()
 	if w.view.setInstances(version, v) {
-		logLeaving(w.log, former, v, "from", "store", "confirmed_ms_ago", min(w.now().Sub(w.ages.confirmed(platform.InstancesKind)), maxReportedAge).Milliseconds())
+		now := w.now()
+		logLeaving(w.log, former, v, "from", "store", "confirmed_ms_ago", min(now.Sub(w.ages.confirmed(platform.InstancesKind)), maxReportedAge).Milliseconds(),
+			"earliest_ms_ago", now.Sub(w.currency.EarliestChange(now)).Milliseconds())
 	}
 }
 
--- a/gateway/watchages_test.go
+++ b/gateway/watchages_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+
+	"github.com/rockcroft/rockcroft/platform"
 )
 
 // TestSilentWatchIsLogged guards against a watch that receives nothing without being detected,
@@ -54,3 +56,27 @@
 	elapse(time.Minute)
 	expectLogged("no longer watched", 1, 1)
 }
+
+// TestChangeOfSilentWatchCountsFromItsBegin guards against counting the drain time of an upstream from when
+// a watch on a silent path was answered at last.
+func TestChangeOfSilentWatchCountsFromItsBegin(t *testing.T) {
+	began := time.Unix(1000, 0)
+	for name, c := range map[string]struct {
+		took       time.Duration
+		continuous bool
+		earliest   time.Duration
+	}{
+		"in time":              {watchWait, true, watchWait},
+		"after a silence":      {watchWait + watchSilenceLimit + 1, true, 0},
+		"after a failed watch": {watchWait, false, 0},
+	} {
+		now := began
+		w := newWatcher(nil, newView(), nil, func() time.Time { return now }, slog.New(slog.DiscardHandler), newMeters(), 1)
+		w.recordApplied(platform.InstancesKind, began)
+		now = began.Add(c.took)
+		w.recordWatched(platform.InstancesKind, began, c.continuous)
+		if got := w.currency.EarliestChange(now).Sub(began); got != c.earliest {
+			t.Errorf("%s: a change may have been made %s after the begin, want %s", name, got, c.earliest)
+		}
+	}
+}
