--- a/gateway/leaderfreeze_test.go
+++ b/gateway/leaderfreeze_test.go
@@ -62,7 +62,7 @@
 // freezableCluster is a test cluster whose gateways can be frozen.
 type freezableCluster struct {
 	*testCluster
-	// freezes are in the order of the gateways; byNode has the same by name.
+	// byNode holds the freeze of each gateway.
 	byNode map[string]*freeze
 }
 
