--- a/gateway/bench_test.go
+++ b/gateway/bench_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"testing"
@@ -42,7 +43,7 @@
 	v, log := newView(), slog.New(slog.DiscardHandler)
 	p := &peerServer{
 		view: v, cluster: c, assignments: &assignmentSupervisor{workTimes: newWorkTimes(v, time.Now), rights: &warmUpRights{view: v, now: time.Now}}, parts: &partCache{}, log: log,
-		follower: &follower{now: time.Now}, watcher: &watcher{ages: newWatchAges(time.Now, log)}, validator: newPeerValidator(v, time.Now, log, newMeters()), evac: &evacuations{view: v},
+		traffic: newTraffic(settings.DefaultGateway(), time.Now, rand.New(rand.NewPCG(1, 2))), follower: &follower{now: time.Now}, watcher: &watcher{ages: newWatchAges(time.Now, log)}, validator: newPeerValidator(v, time.Now, log, newMeters()), evac: &evacuations{view: v},
 		limits: newNamedLimits(v, time.Now, log, newMeters()), suspects: noSuspects(), quotas: noQuotas(),
 	}
 	server := &http.Server{Handler: syncpb.NewPeerServer(p)}
