gateway: a long grant is not sent after the promises that it needs have lapsed

Cause: a leader that acts by voter promises grants keys for 10 s, which a successor learns of from the voters. The duration was chosen before the connection was opened. If the promises ended meanwhile and the right from the store was back, the grant went out all the same.

Change: the duration is checked again right before the call is sent. A renewal that is not sent for a reason of this leader does not count as a failed call of the owner.

--- a/gateway/grants.go
+++ b/gateway/grants.go
@@ -296,11 +296,14 @@
 	timeout, cancel := context.WithTimeout(ctx, grantTimeout)
 	defer cancel()
 	var call *ownership.GrantCall
-	// Opening the connection may have outlasted the right to lead.
+	// Opening the connection may have outlasted the right to lead, or the promises that a long grant needs.
 	beforeSend := func() (err error) {
 		if err := k.elector.checkMayAct(); err != nil {
 			return err
 		}
+		if hold > k.grantDuration() {
+			return errPromisesLapsed
+		}
 		call, err = k.beginGrant(keys, ownership.Process{ID: to.ID, Address: to.Address}, fence, hold, check)
 		return err
 	}
@@ -360,6 +363,7 @@
 var (
 	errLeadershipExpired = errors.New("the right to lead has expired")
 	errNoCallSlot        = fmt.Errorf("%w: leadership has ended", pool.ErrNotSent)
+	errPromisesLapsed    = errors.New("the promises for a grant of this duration have lapsed")
 	errSpanChanged       = errors.New("the span was split or has begun to move")
 )
 
@@ -518,7 +522,8 @@
 	switch {
 	case errors.Is(err, errLeadershipExpired) || ctx.Err() != nil:
 		return false
-	case errors.Is(err, errSpanChanged):
+	case errors.Is(err, errSpanChanged), errors.Is(err, errPromisesLapsed), errors.As(err, new(*ownership.HeldError)):
+		// Not sent, for no fault of the owner.
 		return true
 	case err != nil:
 		k.recordFailure(owner.ID)
--- a/gateway/oneowner_test.go
+++ b/gateway/oneowner_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"log/slog"
 	"net/http"
@@ -13,6 +14,7 @@
 	"testing"
 	"time"
 
+	"github.com/rockcroft/rockcroft/coordination/leadership"
 	"github.com/rockcroft/rockcroft/coordination/ownership"
 	"github.com/rockcroft/rockcroft/platform"
 	"github.com/rockcroft/rockcroft/protocol/syncpb"
@@ -354,3 +356,26 @@
 		t.Errorf("the keys are not free: %+v", *s)
 	}
 }
+
+// TestLongGrantIsNotSentAfterPromisesLapsed guards against a grant of the longest duration that a successor
+// does not allow for, because the promises lapsed while the connection was opened.
+func TestLongGrantIsNotSentAfterPromisesLapsed(t *testing.T) {
+	t.Parallel()
+	b := newTestCluster(t)
+	u := b.upstream("i-s0", "status")
+	began := time.Now()
+	var reads atomic.Int64
+	k := newLoneAssigner(t, b, func() time.Time {
+		if reads.Add(1) == 1 {
+			return began
+		}
+		return began.Add(leadership.LeaseDuration)
+	}, instances.Instance{ID: u.ID, Service: "status", Address: u.address})
+	k.elector.promisedRight.Extend(began)
+	if _, err := k.grant(t.Context(), spans.KeyRange{Last: spans.MaxKey}, k.instance(u.ID), 1, "", nil); !errors.Is(err, pool.ErrNotSent) {
+		t.Errorf("error %v", err)
+	}
+	if held := u.RemainingLease(0); held > holdDuration {
+		t.Errorf("granted for %s without promises", held)
+	}
+}
