--- a/gateway/assignmentsupervisor.go
+++ b/gateway/assignmentsupervisor.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/rockcroft/rockcroft/coordination/callslots"
 	"github.com/rockcroft/rockcroft/coordination/dispatch"
 	"github.com/rockcroft/rockcroft/platform"
 	"github.com/rockcroft/rockcroft/protocol/syncpb"
@@ -25,7 +26,7 @@
 	calls   *storeCaller
 	owners  *platform.Owners
 	// grantSlots limits how many grant calls begin at the same time.
-	grantSlots *callSlots
+	grantSlots *callslots.Slots
 	elector    *leaderElector
 	maxHold    time.Duration
 	now        func() time.Time
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -219,7 +219,7 @@
 	g.conns = pool.New(upstreamLimits, g.now)
 	g.assignments = &assignmentSupervisor{
 		view: g.view, cluster: g.cluster, traffic: g.traffic, store: store, calls: g.storeCalls,
-		owners: platform.NewOwners(pool.New(upstreamLimits, g.now)), grantSlots: newCallSlots(maxGrantCalls, g.now), maxHold: conf.MaxGrantDuration.D(),
+		owners: platform.NewOwners(pool.New(upstreamLimits, g.now)), grantSlots: newGrantSlots(g.now), maxHold: conf.MaxGrantDuration.D(),
 		now: g.now, log: log, meters: g.meters, workTimes: newWorkTimes(g.view, g.now), limits: g.limits, quotas: g.quotas,
 		rights: &warmUpRights{view: g.view, cluster: g.cluster, traffic: g.traffic, now: g.now},
 	}
--- a/gateway/grants.go
+++ b/gateway/grants.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/rockcroft/rockcroft/coordination/callslots"
 	"github.com/rockcroft/rockcroft/coordination/ownership"
 	"github.com/rockcroft/rockcroft/platform"
 	"github.com/rockcroft/rockcroft/state/instances"
@@ -15,6 +16,16 @@
 	"github.com/rockcroft/rockcroft/transport/pool"
 )
 
+// maxGrantCalls is the number of call slots for grants. A leader renews each span once a second,
+// and all spans at once after a start. If a leader with little CPU starts more than a thousand calls
+// together, they take longer than the timeout of each: all fail, are retried together and fail again.
+const maxGrantCalls = 32
+
+// newGrantSlots returns the call slots for grants.
+func newGrantSlots(now func() time.Time) *callslots.Slots {
+	return callslots.New(maxGrantCalls, grantTimeout/2, now)
+}
+
 // startMoves starts every move in the table that is not already in progress.
 func (k *keyAssigner) startMoves(ctx context.Context) {
 	k.mu.Lock()
@@ -288,7 +299,7 @@
 // it is not nil, and the grant is recorded. The call is not sent while another upstream may hold one of
 // the keys.
 func (k *keyAssigner) grant(ctx context.Context, keys spans.KeyRange, to *instances.Instance, fence uint64, token string, check func() error) (platform.GrantResult, error) {
-	endCall, ok := k.grantSlots.acquire(ctx, k.grantDue(keys.First))
+	endCall, ok := k.grantSlots.Acquire(ctx, k.grantDue(keys.First))
 	if !ok {
 		return 0, errNoCallSlot
 	}
--- a/gateway/oneowner_test.go
+++ b/gateway/oneowner_test.go
@@ -114,7 +114,7 @@
 	lead.right.Extend(time.Now().Add(time.Minute))
 	s := &assignmentSupervisor{
 		view: newView(), cluster: c, now: time.Now, log: slog.New(slog.DiscardHandler), elector: lead, maxHold: 10 * time.Second,
-		owners: platform.NewOwners(pool.New(upstreamLimits, time.Now)), grantSlots: newCallSlots(maxGrantCalls, time.Now),
+		owners: platform.NewOwners(pool.New(upstreamLimits, time.Now)), grantSlots: newGrantSlots(time.Now),
 		meters: newMeters(),
 	}
 	s.view.setInstances(1, instances.NewView(1, list))
