ownership: the end of an upstream copies no record of holds

Cause: the loop over the record in Terminated copied it to the stack: 1.5 MB for each move that learns of a terminated upstream, and a goroutine keeps a stack that has grown.

Change: the loop goes by index; the frame of the function has 224 bytes instead of 1,573,088.

Test: TestTerminatedNeedsNoLargeStack, before: red, the stacks of 32 goroutines grow by 64 MB (16 allowed); after: green.

--- a/coordination/ownership/holds.go
+++ b/coordination/ownership/holds.go
@@ -138,9 +138,9 @@
 // run at another address.
 func (h *Holds) Terminated(p Process) {
 	upstream, address := h.number(p.ID), h.addressNumber(p.Address)
-	for key, k := range h.keys {
-		if k.upstream == upstream && k.address == address {
-			h.keys[key] = keyHold{}
+	for key := range h.keys {
+		if k := &h.keys[key]; k.upstream == upstream && k.address == address {
+			*k = keyHold{}
 		}
 	}
 	for c := range h.inFlight {
--- a/coordination/ownership/holds_test.go
+++ b/coordination/ownership/holds_test.go
@@ -3,7 +3,9 @@
 import (
 	"errors"
 	"math/rand/v2"
+	"runtime"
 	"strconv"
+	"sync"
 	"testing"
 	"time"
 
@@ -251,3 +253,34 @@
 		})
 	}
 }
+
+// TestTerminatedNeedsNoLargeStack guards against a copy of the record on the stack of each move that learns
+// of a terminated upstream.
+func TestTerminatedNeedsNoLargeStack(t *testing.T) {
+	const goroutines, maxBytes = 32, 16 << 20
+	h := NewHolds(time.Unix(1_000_000, 0))
+	stacks := func() uint64 {
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return m.StackInuse
+	}
+	var mu sync.Mutex
+	var called, ended sync.WaitGroup
+	before, end := stacks(), make(chan struct{})
+	for range goroutines {
+		called.Add(1)
+		ended.Go(func() {
+			mu.Lock()
+			h.Terminated(Process{ID: "a"})
+			mu.Unlock()
+			called.Done()
+			<-end
+		})
+	}
+	called.Wait()
+	if grown := stacks() - min(before, stacks()); grown > maxBytes {
+		t.Errorf("the stacks of %d goroutines have grown by %d MB", goroutines, grown>>20)
+	}
+	close(end)
+	ended.Wait()
+}
