--- a/gateway/fetch.go
+++ b/gateway/fetch.go
@@ -35,8 +35,8 @@
 // it: the data received so far is kept and not sent again.
 type fetcher struct {
 	client func(address string) syncpb.Peer
-	// apply applies a complete part.
-	apply  func(p *syncpb.Part, data []byte)
+	// apply applies a complete part from the gateway at an address.
+	apply  func(address string, p *syncpb.Part, data []byte)
 	now    func() time.Time
 	log    *slog.Logger
 	meters *meters
@@ -56,7 +56,7 @@
 }
 
 // newFetcher returns a fetcher that passes complete parts to apply.
-func newFetcher(client func(string) syncpb.Peer, apply func(*syncpb.Part, []byte), now func() time.Time, log *slog.Logger, m *meters) *fetcher {
+func newFetcher(client func(string) syncpb.Peer, apply func(string, *syncpb.Part, []byte), now func() time.Time, log *slog.Logger, m *meters) *fetcher {
 	return &fetcher{
 		client: client, apply: apply, now: now, log: log, meters: m, offers: make(chan offer, maxOffers),
 		running: make(map[string]bool), partial: make(map[string]*partialPart),
@@ -132,7 +132,7 @@
 func (f *fetcher) fetch(ctx context.Context, o offer) {
 	defer f.release(o.part.Name)
 	if len(o.part.Data) > 0 {
-		f.apply(o.part, o.part.Data)
+		f.apply(o.address, o.part, o.part.Data)
 		return
 	}
 	began := f.now()
@@ -144,7 +144,7 @@
 	}
 	f.meters.inc(partsFetched)
 	f.log.Info("part fetched", "part", o.part.Name, "from", o.address, "bytes", len(data), "took_ms", f.now().Sub(began).Milliseconds())
-	f.apply(o.part, data)
+	f.apply(o.address, o.part, data)
 }
 
 // fetchPieces fetches the missing pieces of a part. On an error it returns the data received so
--- a/gateway/fetch_test.go
+++ b/gateway/fetch_test.go
@@ -54,7 +54,7 @@
 func testFetcher(peer syncpb.Peer) (f *fetcher, taken chan []byte) {
 	taken = make(chan []byte, 1)
 	client := func(string) syncpb.Peer { return peer }
-	take := func(_ *syncpb.Part, data []byte) { taken <- data }
+	take := func(_ string, _ *syncpb.Part, data []byte) { taken <- data }
 	f = newFetcher(client, take, time.Now, slog.New(slog.DiscardHandler), newMeters())
 	return f, taken
 }
@@ -96,7 +96,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f, _ := testFetcher(nil)
 		decoded, taken := make(chan struct{}), 0
-		f.apply = func(*syncpb.Part, []byte) {
+		f.apply = func(string, *syncpb.Part, []byte) {
 			<-decoded
 			taken++
 		}
--- a/gateway/follower.go
+++ b/gateway/follower.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"github.com/rockcroft/rockcroft/coordination/currency"
 	"github.com/rockcroft/rockcroft/coordination/dispatch"
 	"github.com/rockcroft/rockcroft/protocol/syncpb"
 )
@@ -62,6 +63,8 @@
 	// suspects are requests suspected of crashing upstreams.
 	suspects *suspects
 	quotas   *teamQuotas
+	// lag is since when the parent has had upstreams that this gateway lacks.
+	lag currency.Lag
 
 	mu sync.Mutex
 	// startedAt is when this process began to follow. leaderHeardAt is when it last heard from a
@@ -161,6 +164,7 @@
 	}
 	f.recordDoubt(resp)
 	f.applyResponse(address, resp, began)
+	f.recordLag(address, resp)
 	f.recordCurrent(resp)
 	f.cluster.confirmFollowers(address, resp.FollowersDigest)
 	age := time.Duration(resp.HeardMs) * time.Millisecond
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -47,6 +47,7 @@
 	}
 	m.gauge(leaderHeard, lost.Milliseconds())
 	m.gauge(viewAge, age.Milliseconds())
+	m.gauge(viewUpstreamsBehind, g.follower.lag.Age(g.follower.now()).Milliseconds())
 	if t := g.view.table.Load(); t != nil {
 		m.gauge(viewVersion, int64(t.Version))
 		heard, confirmed := g.configurationAge()
--- a/gateway/meternames.go
+++ b/gateway/meternames.go
@@ -78,6 +78,8 @@
 	viewUpstreams              = "view.upstreams"
 	viewRevision               = "view.upstreams_revision"
 	viewAge                    = "view.age_ms"
+	viewUpstreamsBehind        = "view.upstreams_behind_ms"
+	viewUpstreamsIgnored       = "view.upstreams_ignored"
 	ownersUnchanged            = "owners.{service}.unchanged_ms"
 	viewConfigurationConfirmed = "view.configuration_confirmed_ms"
 	viewConfigurationAge       = "view.configuration_age_ms"
@@ -185,6 +187,8 @@
 	{viewVersion, "version", "configuration in force"},
 	{viewUpstreams, "upstreams", "registered"},
 	{viewRevision, "revision", "of the view of upstreams"},
+	{viewUpstreamsBehind, "ms", "for which the parent has had upstreams that this gateway lacks; 0 if it lacks none"},
+	{viewUpstreamsIgnored, "lists", "of upstreams from other gateways that were older than the view or could not be applied to it"},
 	{viewAge, "ms", "since this gateway last received an update of configuration, upstreams and owners, or a confirmation that there is none"},
 	{viewConfigurationAge, "ms", "since the configuration in force was last known to be current; beyond 2,200 unknown routes are refused as not run instead of not found"},
 	{viewConfigurationConfirmed, "ms", "since the configuration in force was certainly current, counted from when the store was asked; beyond the bound that `revocation_timeout` sets, requests with credentials are refused as not run"},
--- a/gateway/news.go
+++ b/gateway/news.go
@@ -27,25 +27,41 @@
 	f.recordAnnouncement(resp, asked)
 	f.fetcher.handleOffers(address, resp.Parts)
 	if resp.Instances != nil {
-		f.applyUpstreams(resp.Instances)
+		f.applyUpstreams(address, resp.Instances)
 	}
 	for _, m := range resp.Spans {
 		f.applyOwners(m)
 	}
 }
 
-func (f *follower) applyUpstreams(m *syncpb.Instances) {
+func (f *follower) applyUpstreams(address string, m *syncpb.Instances) {
 	f.validator.filterInstances(m)
 	former := f.view.inst.Load()
-	f.view.applyInstances(m)
+	if err := f.view.applyInstances(m); err != nil {
+		f.meters.inc(viewUpstreamsIgnored)
+		revision, version := f.view.upstreamsVersion()
+		f.log.Info("list of upstreams ignored", "cause", err, "from", address, "revision", m.Revision, "version", m.Version, "base", m.Base,
+			"own_revision", revision, "own_version", version)
+	}
 	if next := f.view.inst.Load(); next != nil {
 		lost, _, _ := f.leaderSilence()
 		now := f.now()
-		logLeaving(f.log, former, next, "from", "gateway", "parent", f.cluster.parent(), "leader_heard_ms_ago", lost.Milliseconds(),
+		logLeaving(f.log, former, next, "from", "gateway", "sender", address, "parent", f.cluster.parent(), "leader_heard_ms_ago", lost.Milliseconds(),
 			"earliest_ms_ago", now.Sub(f.traffic.currency.EarliestChange(now)).Milliseconds())
 	}
 }
 
+// recordLag records, after a parent's response was applied, whether the parent has upstreams that this
+// gateway lacks.
+func (f *follower) recordLag(address string, resp *syncpb.SyncResponse) {
+	revision, version := f.view.upstreamsVersion()
+	now := f.now()
+	if f.lag.Observe(now, revision, resp.InstancesRevision) {
+		f.log.Warn("upstreams are behind those of the parent", "parent", address, "behind_ms", f.lag.Age(now).Milliseconds(), "revision", revision, "version", version,
+			"parent_revision", resp.InstancesRevision, "parent_version", resp.InstancesVersion, "fetching", f.fetcher.isFetching(partUpstreams))
+	}
+}
+
 func (f *follower) applyOwners(m *syncpb.Spans) {
 	if err := f.view.applySpans(m); err != nil {
 		f.log.Error("invalid key owners from another gateway", "error", err)
@@ -53,13 +69,13 @@
 }
 
 // applyPart decodes and applies a part.
-func (f *follower) applyPart(part *syncpb.Part, data []byte) {
-	if err := f.decodePart(part, data); err != nil {
+func (f *follower) applyPart(address string, part *syncpb.Part, data []byte) {
+	if err := f.decodePart(address, part, data); err != nil {
 		f.log.Error("cannot apply part", "part", part.Name, "bytes", len(data), "error", err)
 	}
 }
 
-func (f *follower) decodePart(part *syncpb.Part, data []byte) error {
+func (f *follower) decodePart(address string, part *syncpb.Part, data []byte) error {
 	if delta.Digest(data) != part.Id {
 		return errors.New("the digest of the data does not match the part")
 	}
@@ -75,7 +91,7 @@
 		if err := proto.Unmarshal(document, m); err != nil {
 			return err
 		}
-		f.applyUpstreams(m)
+		f.applyUpstreams(address, m)
 		return nil
 	}
 	if _, ok := serviceOf(part.Name); !ok {
--- a/gateway/wire.go
+++ b/gateway/wire.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"errors"
 	"sync"
 	"time"
 
@@ -66,16 +67,35 @@
 	return m
 }
 
-// applyInstances applies a message about upstreams. It ignores a difference whose base is not
-// kept.
-func (v *view) applyInstances(m *syncpb.Instances) {
+var (
+	// errBaseNotKept means that a difference applies to a version that is not kept.
+	errBaseNotKept = errors.New("the base of the difference is not kept")
+	// errOlderUpstreams means that a message describes an older state than the view.
+	errOlderUpstreams = errors.New("the message is older than the view")
+)
+
+// applyInstances applies a message about upstreams. It returns errBaseNotKept or errOlderUpstreams if
+// the message is ignored, and nil also if the view is already of its version.
+func (v *view) applyInstances(m *syncpb.Instances) error {
+	next, err := v.decodeInstances(m)
+	if err != nil || v.setInstances(m.Version, next) {
+		return err
+	}
+	if _, version := v.upstreams(); version != m.Version {
+		return errOlderUpstreams
+	}
+	return nil
+}
+
+func (v *view) decodeInstances(m *syncpb.Instances) (*instances.View, error) {
 	if m.Base == 0 {
-		v.setInstances(m.Version, instances.NewView(m.Revision, instancesFromMessage(m)))
-		return
+		return instances.NewView(m.Revision, instancesFromMessage(m)), nil
 	}
-	if old := v.previousInstances(m.Base); old != nil {
-		v.setInstances(m.Version, old.Apply(m.Revision, instancesFromMessage(m), m.Removed))
+	base := v.previousInstances(m.Base)
+	if base == nil {
+		return nil, errBaseNotKept
 	}
+	return base.Apply(m.Revision, instancesFromMessage(m), m.Removed), nil
 }
 
 func instancesFromMessage(m *syncpb.Instances) []instances.Instance {
