gateway: a version of the upstreams that comes again stays applicable

Callers were sent to an upstream for longer than its drain timeout: a gateway in contact with its leader did not learn that the upstream left, nor of any change after that, until it got a whole list.

Cause: a gateway without contact to a leader gets the same upstreams from several others by turns, each under a version of its own. The order of kept versions then holds a version several times, and trimming its first occurrence dropped the version in use. Each difference from it was ignored, as its base was not kept, and asked for again at once.

Change: a version that is kept already moves to the end of the order.

Test: TestRepeatedVersionStaysApplicable, red before with 2 and 4 versions by turns at a gateway without receivers, with 2, 3, 4 and 6 at one with receivers.

--- a/gateway/view.go
+++ b/gateway/view.go
@@ -128,15 +128,24 @@
 	}
 	v.instVersion = version
 	v.inst.Store(next)
+	v.keepVersion(version, next)
+	v.onInstances(next)
+	v.notifyLocked()
+	return true
+}
+
+// keepVersion keeps a version of the upstreams as the newest one, also if it is kept already, and drops the
+// oldest beyond those to be kept. The lock is held.
+func (v *view) keepVersion(version uint64, next *instances.View) {
+	if i := slices.Index(v.previousOrder, version); i >= 0 {
+		v.previousOrder = slices.Delete(v.previousOrder, i, i+1)
+	}
 	v.previousInst[version] = next
 	v.previousOrder = append(v.previousOrder, version)
 	for len(v.previousOrder) > v.versionsToKeep() {
 		delete(v.previousInst, v.previousOrder[0])
 		v.previousOrder = v.previousOrder[1:]
 	}
-	v.onInstances(next)
-	v.notifyLocked()
-	return true
 }
 
 // setSpans applies a service's table of key owners if it is newer and reports whether it did.
--- a/gateway/view_test.go
+++ b/gateway/view_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"github.com/rockcroft/rockcroft/protocol/syncpb"
 	"github.com/rockcroft/rockcroft/state/instances"
 	"github.com/rockcroft/rockcroft/state/spans"
 )
@@ -46,3 +47,33 @@
 		t.Errorf("%d versions kept for others, want %d", len(v.previousInst), maxPreviousVersions)
 	}
 }
+
+// TestRepeatedVersionStaysApplicable guards against a gateway that can apply no further changes of the upstreams
+// because the version in use came before, from another source, and was dropped as the older of the two.
+func TestRepeatedVersionStaysApplicable(t *testing.T) {
+	for _, receivers := range []bool{false, true} {
+		for versions := range uint64(6) {
+			testRepeatedVersions(t, receivers, versions+1)
+		}
+	}
+}
+
+func testRepeatedVersions(t *testing.T, receivers bool, versions uint64) {
+	v := newView()
+	v.hasReceivers = func() bool { return receivers }
+	serving := instances.Instance{ID: "a", Service: "s", Address: "a:1"}
+	for n := range uint64(4 * maxPreviousVersions) {
+		version := 1 + n%versions
+		v.setInstances(version, instances.NewView(1, []instances.Instance{serving}))
+		if v.previousInstances(version) == nil {
+			t.Errorf("%d versions by turns, receivers %t: the version in use is not kept after %d views", versions, receivers, n+1)
+			return
+		}
+	}
+	_, base := v.upstreams()
+	leaving := &syncpb.Instance{Id: "a", Service: "s", Address: "a:1", Leaving: true, Revision: 2}
+	err := v.applyInstances(&syncpb.Instances{Revision: 2, Version: versions + 1, Base: base, List: []*syncpb.Instance{leaving}})
+	if err != nil || !v.inst.Load().Get("a").Leaving {
+		t.Errorf("%d versions by turns, receivers %t: a change of the version in use was not applied: %v", versions, receivers, err)
+	}
+}
