A removed upstream is not taken back by an older list of the same revision

Callers were sent to an upstream for up to 2.6 s after the store had taken its removal (2 s allowed), by gateways that had known of it before.

Cause: the revision of a list was that of its newest entry, which the end of another entry does not raise. Of two lists of one revision the one that came last won, also from a process that had heard nothing for a while. The own watch did not correct it: it knew the removal already. Besides, the same upstreams had another version at each gateway that listed them, so that gateways without a leader exchanged whole lists by turns.

Ruled out: a revision of the store for lists alone. A gateway that listed the upstreams itself would then accept none of the leader's until the next entry changes, also not one that an operator drains.

Change: a list that is not stale has the revision at which the store gave it. The version of a view is a hash of its instances: equal lists are not sent again, and confirm each other's revision. A leader to which a later revision is reported, by a gateway or through its head, lists the upstreams again, once for each such revision (new field followers_instances_revision). Entries and removals older than the known entry change nothing in the tracker.

TestListIsAsNewAsTheStore replaces TestListRevisionIsThatOfNewestEntry, whose rule was the fault; what it guarded against (a list of unchanged upstreams that looks newer than the leader's) is held by TestVersionsIdentifyContents and TestReconnectedGatewayTakesLeaderView, which now also drains an upstream and bounds the bytes. That test asked for different versions after the second list; equal upstreams have none any more. TestVersionsDiffer goes the same way: versions differ if and only if the instances do. TestOlderEntriesReplaceNoNewerOnes.

--- a/gateway/cluster.go
+++ b/gateway/cluster.go
@@ -108,6 +108,9 @@
 	followers   []*syncpb.Member
 	// followersDigest is the digest of followers as the gateway stated it; zero if it stated none.
 	followersDigest uint64
+	// upstreamsRevision is the highest revision of the upstreams at the gateway and at those that report
+	// through it.
+	upstreamsRevision uint64
 }
 
 func newCluster(self *syncpb.Member, client *http.Client, now func() time.Time, rng *rand.Rand) *cluster {
@@ -152,7 +155,7 @@
 	if !leaderHeard || r.Member.Node == c.self.Node {
 		return
 	}
-	next := &child{Member: r.Member, since: c.now(), lastReport: c.now(), loads: r.Loads, demands: r.Demands, followers: r.Followers, followersDigest: r.FollowersDigest, limitedDemand: decodeLimitedDemand(r.Limits), ownerDemand: decodeOwnerDemands(r.OwnerDemands)}
+	next := &child{Member: r.Member, since: c.now(), lastReport: c.now(), loads: r.Loads, demands: r.Demands, followers: r.Followers, followersDigest: r.FollowersDigest, limitedDemand: decodeLimitedDemand(r.Limits), ownerDemand: decodeOwnerDemands(r.OwnerDemands), upstreamsRevision: max(r.InstancesRevision, r.FollowersInstancesRevision)}
 	previous := c.children[r.Member.Node]
 	if previous != nil {
 		next.keepFrom(previous)
@@ -164,6 +167,20 @@
 	}
 }
 
+// reportedRevision returns the highest revision of the upstreams at the gateways that report to this one,
+// directly or through others.
+func (c *cluster) reportedRevision() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	newest := uint64(0)
+	for _, child := range c.children {
+		if c.now().Sub(child.lastReport) < reportExpiry {
+			newest = max(newest, child.upstreamsRevision)
+		}
+	}
+	return newest
+}
+
 // setParentLoads stores the other gateways' requests in flight, as received from the parent, and
 // the work times if the parent sent them.
 func (c *cluster) setParentLoads(loads []*syncpb.Load, workTimes map[string]worktime.Estimate) {
--- a/gateway/follower.go
+++ b/gateway/follower.go
@@ -164,6 +164,7 @@
 	}
 	f.recordDoubt(resp)
 	f.applyResponse(address, resp, began)
+	f.view.confirmRevision(resp.InstancesVersion, resp.InstancesRevision)
 	f.recordLag(address, resp)
 	f.recordCurrent(resp)
 	f.cluster.confirmFollowers(address, resp.FollowersDigest)
@@ -256,6 +257,7 @@
 	config := f.view.configuration()
 	r.ConfigRevision = config.revision
 	r.InstancesRevision, r.InstancesVersion = f.view.upstreamsVersion()
+	r.FollowersInstancesRevision = f.cluster.reportedRevision()
 	if !f.needsFullConfig() {
 		r.ConfigDigest = config.digest
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -202,8 +202,9 @@
 	unread := newUnreadHeaders(g.now, log, g.meters)
 	store := platform.NewStore(g.storeCalls)
 	evac := newEvacuations(g.view, g.now, log, g.meters)
-	g.watcher = newWatcher(store, g.view, evac, g.now, log, g.meters, seeds[0])
+	g.watcher = newWatcher(store, g.view, evac, g.now, log, g.meters)
 	g.watcher.currency = &g.traffic.currency
+	g.watcher.leading, g.watcher.reportedRevision = g.cluster.isLeading, g.cluster.reportedRevision
 	g.watcher.allowedSilence = func() time.Duration { return g.storeCalls.allowedSilence(watchSilenceLimit) }
 	g.storeCalls.onRecovery = g.watcher.storeRecovered
 	g.follower = &follower{
--- a/gateway/parts.go
+++ b/gateway/parts.go
@@ -40,11 +40,11 @@
 	partOwners        = "owners/"
 )
 
-// partKey identifies a part by its name, the version of its document and the base version that
-// its receiver has.
+// partKey identifies a part by its name, the version of its document, the revision if that is not part of
+// the version, and the base version that its receiver has.
 type partKey struct {
-	name          string
-	version, base uint64
+	name                    string
+	version, revision, base uint64
 }
 
 // encodedPart is a part with its encoded bytes.
@@ -179,7 +179,7 @@
 	case b.reserve(m):
 		b.resp.Instances = m
 	default:
-		b.addMessage(partKey{name: partUpstreams, version: m.Version, base: m.Base}, m)
+		b.addMessage(partKey{name: partUpstreams, version: m.Version, revision: m.Revision, base: m.Base}, m)
 	}
 }
 
--- a/gateway/peerserver.go
+++ b/gateway/peerserver.go
@@ -46,6 +46,7 @@
 		return nil, twirp.RequiredArgumentError("member")
 	}
 	p.evac.applyFromPeer(r.Evacuations)
+	p.view.confirmRevision(r.InstancesVersion, r.InstancesRevision)
 	if r.WaitMs > 0 {
 		r.Loads = p.validator.filterLoads(r.Loads)
 		r.Limits = p.validator.validLimits(sourceReport, r.Limits)
--- a/gateway/publish_test.go
+++ b/gateway/publish_test.go
@@ -77,14 +77,14 @@
 		made++
 		return &syncpb.Spans{}
 	}
-	first := d.get(5, 4, build)
-	if d.get(5, 4, build) != first || made != 1 {
+	first := d.get(0, 5, 4, build)
+	if d.get(0, 5, 4, build) != first || made != 1 {
 		t.Errorf("built %d times for one base", made)
 	}
-	if d.get(5, 3, build); made != 2 {
+	if d.get(0, 5, 3, build); made != 2 {
 		t.Errorf("built %d times for two bases", made)
 	}
-	if d.get(6, 4, build); made != 3 {
+	if d.get(0, 6, 4, build); made != 3 {
 		t.Errorf("built %d times after a new version", made)
 	}
 }
--- /dev/null
+++ b/gateway/removedupstreams_test.go
@@ -0,0 +1,87 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rockcroft/rockcroft/platform"
+	"github.com/rockcroft/rockcroft/state/settings"
+)
+
+// maxRefusedShare bounds the requests that are not answered while two of three upstreams go on: one in so many.
+const maxRefusedShare = 50
+
+// TestRemovedUpstreamStaysRemovedAfterLeaderFreeze guards against gateways that send to an upstream again
+// after its entry has gone, because a process that was frozen meanwhile sends them its older list.
+func TestRemovedUpstreamStaysRemovedAfterLeaderFreeze(t *testing.T) {
+	t.Parallel()
+	for _, length := range []time.Duration{1800, 2400, 2600, 3200, 4000} {
+		t.Run(fmt.Sprint("freeze of ", int64(length), " ms"), func(t *testing.T) {
+			t.Parallel()
+			testRemovalDuringLeaderFreeze(t, length*time.Millisecond)
+		})
+	}
+}
+
+func testRemovalDuringLeaderFreeze(t *testing.T, length time.Duration) {
+	const gateways, watched = 6, 6 * time.Second
+	b := newFreezableCluster(t)
+	b.changeSettings = func(conf *settings.Gateway) { conf.Domain = string('a' + rune(len(b.gateways)%2)) }
+	removed := b.upstream("i-p0", "pay")
+	b.upstream("i-p1", "pay")
+	b.upstreamIn("b", "i-p2", "pay")
+	b.upstream("i-s0", "status")
+	for i := range gateways {
+		b.freezableGateway(fmt.Sprint("g", i))
+	}
+	b.ready()
+	leader := b.leader()
+	var callers, freeze sync.WaitGroup
+	var answered, refused atomic.Int64
+	stop := make(chan struct{})
+	for _, g := range b.gateways {
+		if g == leader {
+			continue
+		}
+		callers.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				case <-time.After(10 * time.Millisecond):
+				}
+				if b.request(g, http.MethodGet, "/read/x", -1).status == http.StatusOK {
+					answered.Add(1)
+				} else {
+					refused.Add(1)
+				}
+			}
+		})
+	}
+	b.eventually("the upstream gets requests", func() bool { return len(removed.Arrivals()) > 0 })
+	freeze.Go(func() { b.freezeFor(leader, length) })
+	time.Sleep(50 * time.Millisecond)
+	b.store.Remove(platform.InstancesKind, removed.ID)
+	began := time.Now()
+	time.Sleep(watched)
+	close(stop)
+	callers.Wait()
+	freeze.Wait()
+	last := time.Duration(0)
+	for _, a := range removed.Arrivals() {
+		if b.oracle.Runs(a.RequestID) > 0 {
+			last = max(last, a.ReceivedAt.Sub(began))
+		}
+	}
+	t.Logf("last request %s after the removal, %d answered, %d not", last, answered.Load(), refused.Load())
+	if drain := leader.conf.UpstreamDrainTimeout.D(); last > drain {
+		t.Errorf("a request was sent %s after the store took the removal of its upstream, %s are allowed", last, drain)
+	}
+	if refused.Load() > answered.Load()/maxRefusedShare {
+		t.Errorf("%d requests were not answered, %d were", refused.Load(), answered.Load())
+	}
+}
--- a/gateway/slowlinks_test.go
+++ b/gateway/slowlinks_test.go
@@ -6,10 +6,12 @@
 	"math/rand/v2"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/rockcroft/rockcroft/platform"
 	"github.com/rockcroft/rockcroft/protocol/answer"
 	"github.com/rockcroft/rockcroft/protocol/header"
+	"github.com/rockcroft/rockcroft/protocol/placementpb"
 	"github.com/rockcroft/rockcroft/standin/metastore"
 	"github.com/rockcroft/rockcroft/standin/relay"
 )
@@ -278,6 +280,7 @@
 	b := newTestCluster(t)
 	b.limitLinks = true
 	b.upstream("i-s0", "status")
+	b.upstream("i-s1", "status")
 	b.upstream("i-p0", "pay")
 	for n := range registeredUpstreams {
 		var body platform.InstanceBody
@@ -294,14 +297,31 @@
 	lists := other.storeEndpoint.ListCalls()
 	leader.peersLink.SetRate(0)
 	b.eventually("the other gateway has listed the upstreams", func() bool {
-		return other.storeEndpoint.ListCalls() > lists && !sameUpstreams(other, leader)
+		own, _ := other.view.upstreamsVersion()
+		theirs, _ := leader.view.upstreamsVersion()
+		return other.storeEndpoint.ListCalls() > lists && own > theirs
 	})
 	leader.peersLink.SetRate(relay.Unlimited)
 	b.eventually("the other gateway has the leader's view", func() bool {
 		return other.follower.sinceLeaderHeard() < leaderSilenceTimeout && sameUpstreams(other, leader)
 	})
+	o := b.operatorClient()
+	b.confirmIntent(o, b.stateIntent(o, &placementpb.Intent{Kind: "drain", Service: "status", Upstream: "i-s1", By: "ops"}).Id)
+	b.eventually("the other gateway knows of the drain", func() bool {
+		return other.view.inst.Load().Get("i-s1").Leaving && sameUpstreams(other, leader)
+	})
+	bytes := b.countBytes()
+	const settled = time.Second
+	time.Sleep(settled)
+	if sent := b.bytesSince(bytes).all; sent > maxSettledBytes {
+		t.Errorf("the gateways sent each other %d bytes in %s without changes, at most %d are expected", sent, settled, maxSettledBytes)
+	}
 }
 
+// maxSettledBytes bounds what two gateways that have the same view send each other in a second: some reports
+// with loads and without lists of upstreams.
+const maxSettledBytes = 60_000
+
 // sameUpstreams reports whether two gateways have the same version of the upstreams.
 func sameUpstreams(a, b *testGateway) bool {
 	_, one := a.view.upstreams()
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -26,7 +26,7 @@
 	// its predecessors, oldest first.
 	config          configVersion
 	previousConfigs []configVersion
-	// instVersion identifies the current version of the upstreams.
+	// instVersion identifies the upstreams of inst.
 	instVersion uint64
 	changed     chan struct{}
 	// previousInst, previousOrder and previousSpans keep older versions, so that other gateways
@@ -120,10 +120,14 @@
 func (v *view) setInstances(version uint64, next *instances.View) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if old := v.inst.Load(); old != nil && (next.Revision < old.Revision || version == v.instVersion) {
-		return false
-	}
 	if old := v.inst.Load(); old != nil {
+		switch {
+		case version == v.instVersion:
+			v.raiseRevision(next.Revision)
+			return false
+		case next.Revision < old.Revision:
+			return false
+		}
 		old.ReleaseIndex()
 	}
 	v.instVersion = version
@@ -134,6 +138,23 @@
 	return true
 }
 
+// confirmRevision records that the upstreams of a version are complete up to a revision, if the view has that
+// version. Another gateway may have listed the same upstreams later.
+func (v *view) confirmRevision(version, revision uint64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.inst.Load() != nil && version == v.instVersion {
+		v.raiseRevision(revision)
+	}
+}
+
+// raiseRevision raises the revision of the upstreams. The lock is held, and there are upstreams.
+func (v *view) raiseRevision(revision uint64) {
+	if now := v.inst.Load(); revision > now.Revision {
+		v.inst.Store(now.WithRevision(revision))
+	}
+}
+
 // keepVersion keeps a version of the upstreams as the newest one, also if it is kept already, and drops the
 // oldest beyond those to be kept. The lock is held.
 func (v *view) keepVersion(version uint64, next *instances.View) {
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"log/slog"
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -62,11 +61,17 @@
 	// leavingShown are the upstreams that were draining or had announced that they are leaving in
 	// the last view.
 	leavingShown map[string]bool
-	// salt distinguishes versions of this process's view from those of other processes.
-	salt uint64
+	// leading reports whether this gateway leads; reportedRevision returns the highest revision of the
+	// upstreams at the gateways that report to it.
+	leading          func() bool
+	reportedRevision func() uint64
 
 	mu      sync.Mutex
 	tracker *instances.Tracker
+	// published is the version of the upstreams that this gateway's own lists and watches last gave.
+	published uint64
+	// listedFor is the highest revision at another gateway for which the upstreams were listed again.
+	listedFor uint64
 	// badRevision is the revision of the last configuration that could not be decoded; badEntries
 	// are those of upstream entries, by name.
 	badRevision uint64
@@ -83,9 +88,9 @@
 	allowedSilence func() time.Duration
 }
 
-func newWatcher(store *platform.Store, v *view, evac *evacuations, now func() time.Time, log *slog.Logger, m *meters, salt uint64) *watcher {
+func newWatcher(store *platform.Store, v *view, evac *evacuations, now func() time.Time, log *slog.Logger, m *meters) *watcher {
 	return &watcher{
-		leavingShown: make(map[string]bool), salt: salt, store: store, view: v, evac: evac, now: now, log: log, meters: m,
+		leavingShown: make(map[string]bool), leading: func() bool { return false }, reportedRevision: func() uint64 { return 0 }, store: store, view: v, evac: evac, now: now, log: log, meters: m,
 		ages: newWatchAges(now, log), currency: &currency.Tracker{}, allowedSilence: func() time.Duration { return watchSilenceLimit }, badEntries: make(map[string]uint64), compacted: make(chan struct{}), announcedLeaving: func() map[string]bool { return nil },
 		drained: func() map[string]bool { return make(map[string]bool) },
 	}
@@ -94,7 +99,7 @@
 // run watches until ctx ends.
 func (w *watcher) run(ctx context.Context) {
 	w.mu.Lock()
-	w.tracker = instances.NewTracker(w.view.inst.Load(), w.now(), w.salt)
+	w.tracker, w.published = instances.NewTracker(w.view.inst.Load(), w.now()), 0
 	w.mu.Unlock()
 	var all sync.WaitGroup
 	all.Go(func() {
@@ -137,12 +142,16 @@
 	for ctx.Err() == nil {
 		var err error
 		started := w.now()
+		if kind == platform.InstancesKind && w.listDue() {
+			known = false
+		}
 		if !known {
 			var objects []platform.Object
-			if objects, revision, err = w.store.List(ctx, kind, w.listFreshness(kind)); err == nil {
+			freshness := w.listFreshness(kind)
+			if objects, revision, err = w.store.List(ctx, kind, freshness); err == nil {
 				known = true
 				w.ages.recordAnswer(kind)
-				onList(objects, revision)
+				onList(objects, completeAt(freshness, revision))
 				w.recordApplied(kind, started)
 			}
 		} else {
@@ -221,6 +230,15 @@
 	return platform.Newest
 }
 
+// completeAt returns the revision at which a list was complete, or zero if it may be stale: a watch goes on
+// from its revision, but the view must not look newer than those of other gateways.
+func completeAt(freshness platform.Freshness, revision uint64) uint64 {
+	if freshness == platform.MayBeStale {
+		return 0
+	}
+	return revision
+}
+
 // answerTooLarge reports whether a call failed because of the size of its response, which would be
 // as large the next time.
 func answerTooLarge(err error) bool {
@@ -338,145 +356,3 @@
 	w.log.Info("configuration in force", "version", c.Version, "routes", len(c.Routes), "from", "store")
 	return true
 }
-
-func (w *watcher) instancesListed(objects []platform.Object, _ uint64) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	list := make([]instances.Instance, 0, len(objects))
-	for _, o := range objects {
-		if inst, ok := w.decode(o); ok {
-			list = append(list, inst)
-		}
-	}
-	w.tracker.List(w.now(), list)
-	w.tracker.ExpireAbsent(w.now())
-	w.publish()
-}
-
-func (w *watcher) instancesChanged(changes []platform.Object, revision uint64) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	for _, o := range changes {
-		if o.Removed {
-			w.log.Info("upstream entry removed", "upstream", o.Name)
-			w.tracker.Remove(w.now(), o.Name)
-			continue
-		}
-		inst, ok := w.decode(o)
-		if !ok {
-			w.tracker.Remove(w.now(), o.Name)
-			continue
-		}
-		w.log.Info("upstream entry changed", "upstream", inst.ID, "service", inst.Service, "address", inst.Address, "leaving", inst.Leaving, "born_ms", inst.StartedMs)
-		w.tracker.Put(inst)
-	}
-	w.tracker.AdvanceRevision(revision)
-	w.tracker.ExpireAbsent(w.now())
-	w.publish()
-}
-
-// publish passes the tracker's view to the rest of this process. Upstreams that an operator drains,
-// and those that announce in their responses that they are leaving, are marked as leaving, like
-// those whose entries contain that mark. The caller holds the lock.
-func (w *watcher) publish() {
-	v, version := w.tracker.View()
-	var leaving []instances.Instance
-	for id := range w.markedLeaving() {
-		if inst := v.Get(id); inst != nil && !inst.Leaving {
-			marked := *inst
-			marked.Leaving = true
-			leaving = append(leaving, marked)
-		}
-	}
-	if len(leaving) > 0 {
-		v = v.Apply(v.Revision, leaving, nil)
-	}
-	former := w.view.inst.Load()
-	if w.view.setInstances(version, v) {
-		now := w.now()
-		logLeaving(w.log, former, v, "from", "store", "confirmed_ms_ago", min(now.Sub(w.ages.confirmed(platform.InstancesKind)), maxReportedAge).Milliseconds(),
-			"earliest_ms_ago", now.Sub(w.currency.EarliestChange(now)).Milliseconds())
-	}
-}
-
-// maxLeavingLogged bounds the upstreams that one line names.
-const maxLeavingLogged = 10
-
-// logLeaving logs the upstreams that are leaving in the next view and were not in the former one.
-func logLeaving(log *slog.Logger, former, next *instances.View, attrs ...any) {
-	leaving := instances.NewlyLeaving(former, next)
-	if len(leaving) == 0 {
-		return
-	}
-	var ids []string
-	var revision uint64
-	for _, inst := range leaving {
-		revision = max(revision, inst.Revision)
-		if len(ids) < maxLeavingLogged {
-			ids = append(ids, inst.ID)
-		}
-	}
-	log.Info("upstreams are leaving", append([]any{"upstreams", ids, "count", len(leaving), "revision", revision}, attrs...)...)
-}
-
-// markedLeaving returns the upstreams that operators drain or that have announced that they are
-// leaving.
-func (w *watcher) markedLeaving() map[string]bool {
-	marked := w.drained()
-	maps.Copy(marked, w.announcedLeaving())
-	return marked
-}
-
-// leavingChanged reports whether the listed upstreams among those that are marked as leaving differ
-// from those of its last call. The caller holds the lock.
-func (w *watcher) leavingChanged() bool {
-	v := w.view.inst.Load()
-	if v == nil {
-		return false
-	}
-	marked := w.markedLeaving()
-	maps.DeleteFunc(marked, func(id string, _ bool) bool { return v.Get(id) == nil })
-	changed := !maps.Equal(marked, w.leavingShown)
-	w.leavingShown = marked
-	return changed
-}
-
-// decode decodes one entry. An invalid entry describes no upstream: the upstream counts as removed
-// until its entry is valid, and the invalid revision is counted and logged once.
-func (w *watcher) decode(o platform.Object) (instances.Instance, bool) {
-	inst, err := platform.DecodeInstance(o)
-	if err == nil && !instances.PlausibleStart(inst.StartedMs, w.now()) {
-		err = errStartInFuture
-	}
-	if err == nil {
-		return inst, true
-	}
-	if w.badEntries[o.Name] != o.Revision {
-		w.badEntries[o.Name] = o.Revision
-		w.meters.inc(fillPattern(upstreamsInvalid, sourceEntry))
-		w.log.Error("invalid upstream entry ignored", "upstream", o.Name, "error", err)
-	}
-	return instances.Instance{}, false
-}
-
-// settle marks upstreams whose entries stay missing as leaving.
-func (w *watcher) settle(ctx context.Context) {
-	for ctx.Err() == nil {
-		pause(ctx, settleInterval)
-		w.ages.check()
-		w.mu.Lock()
-		if settled, leaving := w.tracker.ExpireAbsent(w.now()), w.leavingChanged(); settled || leaving {
-			w.publish()
-		}
-		w.mu.Unlock()
-	}
-}
-
-// storeRecovered informs the watcher that the store is reachable again after an outage.
-func (w *watcher) storeRecovered() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.tracker != nil {
-		w.tracker.StoreReconnected(w.now())
-	}
-}
--- a/gateway/watch_test.go
+++ b/gateway/watch_test.go
@@ -143,7 +143,7 @@
 	}
 	log, m := slog.New(w.lines), newMeters()
 	evac := newEvacuations(w.view, time.Now, log, m)
-	watcher := newWatcher(platform.NewStore(transport), w.view, evac, time.Now, log, m, 1)
+	watcher := newWatcher(platform.NewStore(transport), w.view, evac, time.Now, log, m)
 	return watcher
 }
 
--- a/gateway/watchages_test.go
+++ b/gateway/watchages_test.go
@@ -71,7 +71,7 @@
 		"after a failed watch": {watchWait, false, 0},
 	} {
 		now := began
-		w := newWatcher(nil, newView(), nil, func() time.Time { return now }, slog.New(slog.DiscardHandler), newMeters(), 1)
+		w := newWatcher(nil, newView(), nil, func() time.Time { return now }, slog.New(slog.DiscardHandler), newMeters())
 		w.recordApplied(platform.InstancesKind, began)
 		now = began.Add(c.took)
 		w.recordWatched(platform.InstancesKind, began, c.continuous)
--- a/gateway/watchbacklog_test.go
+++ b/gateway/watchbacklog_test.go
@@ -60,7 +60,7 @@
 		"failure":   {&pagedChanges{changes: 10_003, page: 500, failAt: 4}, 1500, 4},
 	} {
 		log, v := slog.New(slog.DiscardHandler), newView()
-		w := newWatcher(platform.NewStore(c.store), v, newEvacuations(v, time.Now, log, newMeters()), time.Now, log, newMeters(), 1)
+		w := newWatcher(platform.NewStore(c.store), v, newEvacuations(v, time.Now, log, newMeters()), time.Now, log, newMeters())
 		changes, next, err := w.watchBacklog(context.Background(), platform.InstancesKind, 0)
 		if err != nil || len(changes) != c.want || c.store.calls != c.calls {
 			t.Errorf("%s: %d changes in %d calls, error %v, want %d in %d", name, len(changes), c.store.calls, err, c.want, c.calls)
--- a/gateway/wire.go
+++ b/gateway/wire.go
@@ -13,21 +13,22 @@
 
 // This file converts between the types of the state packages and the messages between gateways.
 
-// messageCache caches the messages that describe one version of a document, keyed by the version
-// that the receiver has: among a hundred gateways most have the same one. It is safe for
+// messageCache caches the messages that describe one version of a document at one revision, keyed by the
+// version that the receiver has: among a hundred gateways most have the same one. It is safe for
 // concurrent use. Cached messages must not be modified.
 type messageCache[M any] struct {
 	mu      sync.Mutex
-	version uint64
-	byBase  map[uint64]M
+	// revision is that of the document; zero if it has none besides its version.
+	revision, version uint64
+	byBase            map[uint64]M
 }
 
-// get returns the message for the version and base, building it if it is not cached.
-func (c *messageCache[M]) get(version, base uint64, build func() M) M {
+// get returns the message for the revision, version and base, building it if it is not cached.
+func (c *messageCache[M]) get(revision, version, base uint64, build func() M) M {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.version != version || c.byBase == nil {
-		c.version, c.byBase = version, make(map[uint64]M)
+	if c.revision != revision || c.version != version || c.byBase == nil {
+		c.revision, c.version, c.byBase = revision, version, make(map[uint64]M)
 	}
 	m, ok := c.byBase[base]
 	if !ok {
@@ -44,7 +45,7 @@
 	if now == nil || version == base {
 		return nil
 	}
-	return v.instancesMessages.get(version, base, func() *syncpb.Instances { return v.buildInstancesMessage(now, version, base) })
+	return v.instancesMessages.get(now.Revision, version, base, func() *syncpb.Instances { return v.buildInstancesMessage(now, version, base) })
 }
 
 func (v *view) buildInstancesMessage(now *instances.View, version, base uint64) *syncpb.Instances {
@@ -131,7 +132,7 @@
 // spansMessage returns the changes of a service's key owners since the version base, or the whole
 // table if that version is no longer kept.
 func (v *view) spansMessage(t *spans.Table, base uint64) *syncpb.Spans {
-	return v.spansMessageCache(t.Service).get(t.Version, base, func() *syncpb.Spans { return v.buildSpansMessage(t, base) })
+	return v.spansMessageCache(t.Service).get(0, t.Version, base, func() *syncpb.Spans { return v.buildSpansMessage(t, base) })
 }
 
 func (v *view) buildSpansMessage(t *spans.Table, base uint64) *syncpb.Spans {
--- a/state/instances/instances.go
+++ b/state/instances/instances.go
@@ -34,8 +34,10 @@
 // View is the set of all known upstreams. It must not be modified once it is shared. Views of
 // successive versions share the instances that have not changed.
 type View struct {
-	// Revision is the store revision up to which the view is complete.
+	// Revision is the store revision up to which the view is complete, removed entries included.
 	Revision uint64
+	// digest is the digest of all instances.
+	digest uint64
 	// all is in ascending order of the IDs.
 	all []*Instance
 	// services is built on first use.
@@ -53,6 +55,7 @@
 	}
 	slices.SortFunc(next.all, func(a, b *Instance) int { return strings.Compare(a.ID, b.ID) })
 	next.all = slices.CompactFunc(next.all, func(a, b *Instance) bool { return a.ID == b.ID })
+	next.digest = digestOf(next.all)
 	return next
 }
 
@@ -162,7 +165,7 @@
 // copying a pointer for each instance, whatever their number, and of a search for each change.
 func (v *View) Apply(revision uint64, changed []Instance, removed []string) *View {
 	changes := v.changeSet(changed, removed)
-	next := &View{Revision: revision, all: applyChanges(v.all, changes)}
+	next := &View{Revision: revision, all: applyChanges(v.all, changes), digest: v.digestAfter(changes)}
 	if known := v.services.Load(); known != nil {
 		services := v.regroup(*known, changes)
 		next.services.Store(&services)
@@ -192,6 +195,20 @@
 	return next
 }
 
+// digestAfter returns the digest of the view after the changes.
+func (v *View) digestAfter(changes []change) uint64 {
+	sum := v.digest
+	for _, c := range changes {
+		if former := v.Get(c.id); former != nil {
+			sum -= former.digest()
+		}
+		if c.instance != nil {
+			sum += c.instance.digest()
+		}
+	}
+	return sum
+}
+
 // applyChanges returns a copy of a list with the changes. Both are in ascending order of the IDs.
 func applyChanges(list []*Instance, changes []change) []*Instance {
 	next := make([]*Instance, 0, len(list)+len(changes))
--- a/state/instances/instances_test.go
+++ b/state/instances/instances_test.go
@@ -15,7 +15,7 @@
 
 func isLeaving(t *testing.T, tr *Tracker, id string) bool {
 	t.Helper()
-	v, _ := tr.View()
+	v := tr.View()
 	i := v.Get(id)
 	if i == nil {
 		t.Fatalf("%s is not in the view", id)
@@ -24,14 +24,14 @@
 }
 
 func TestRemovedEntryIsMarkedLeaving(t *testing.T) {
-	tr := NewTracker(nil, start, 0)
-	tr.List(start, []Instance{newInstance("a"), newInstance("b")})
-	tr.Remove(at(time.Second), "a")
+	tr := NewTracker(nil, start)
+	tr.List(start, []Instance{newInstance("a"), newInstance("b")}, 0)
+	tr.Remove(at(time.Second), "a", 0)
 	if !tr.ExpireAbsent(at(time.Second)) || !isLeaving(t, tr, "a") || isLeaving(t, tr, "b") {
 		t.Error("an upstream whose entry was removed is not leaving")
 	}
 	tr.ExpireAbsent(at(time.Second + removedRetention + 1))
-	if v, _ := tr.View(); v.Get("a") != nil || v.Len() != 1 {
+	if v := tr.View(); v.Get("a") != nil || v.Len() != 1 {
 		t.Error("a removed upstream is kept after its retention")
 	}
 }
@@ -39,10 +39,10 @@
 // Entries that are missing right after a store outage count as registered until reconnectGrace has
 // passed.
 func TestAbsentEntriesHaveGraceAfterReconnect(t *testing.T) {
-	tr := NewTracker(nil, start, 0)
-	tr.List(start, []Instance{newInstance("a"), newInstance("b")})
+	tr := NewTracker(nil, start)
+	tr.List(start, []Instance{newInstance("a"), newInstance("b")}, 0)
 	tr.StoreReconnected(at(10 * time.Second))
-	tr.List(at(10*time.Second), nil)
+	tr.List(at(10*time.Second), nil, 0)
 	if tr.ExpireAbsent(at(10*time.Second+reconnectGrace-1)) || isLeaving(t, tr, "a") {
 		t.Error("an absent upstream is leaving before its grace period is over")
 	}
@@ -58,50 +58,68 @@
 func TestTrackerContinuesFromView(t *testing.T) {
 	gone := newInstance("gone")
 	gone.Leaving = true
-	tr := NewTracker(NewView(7, []Instance{newInstance("a"), newInstance("b"), gone}), start, 0)
-	if v, _ := tr.View(); v.Revision != 7 {
+	tr := NewTracker(NewView(7, []Instance{newInstance("a"), newInstance("b"), gone}), start)
+	if v := tr.View(); v.Revision != 7 {
 		t.Errorf("revision %d", v.Revision)
 	}
-	tr.List(start, []Instance{newInstance("b"), newInstance("c")})
+	tr.List(start, []Instance{newInstance("b"), newInstance("c")}, 0)
 	tr.ExpireAbsent(start)
 	if !isLeaving(t, tr, "a") || isLeaving(t, tr, "b") || isLeaving(t, tr, "c") || !isLeaving(t, tr, "gone") {
 		t.Error("the view does not match the list")
 	}
 }
 
-// A list gives the view the revision of its newest entry, as watching the same entries does, and
-// never a lower revision than before.
-func TestListRevisionIsThatOfNewestEntry(t *testing.T) {
-	newest := newInstance("b")
-	newest.Revision = 4
-	listed := NewTracker(nil, start, 0)
-	listed.List(start, []Instance{newInstance("a"), newest})
-	watched := NewTracker(nil, start, 1)
-	watched.Put(newInstance("a"))
-	watched.Put(newest)
-	watched.AdvanceRevision(newest.Revision)
-	byList, _ := listed.View()
-	byWatch, _ := watched.View()
-	if byList.Revision != newest.Revision || byWatch.Revision != byList.Revision {
-		t.Errorf("revision %d from a list, %d from a watch of the same entries", byList.Revision, byWatch.Revision)
-	}
-	later := NewTracker(NewView(7, nil), start, 0)
-	later.List(start, []Instance{newest})
-	if v, _ := later.View(); v.Revision != 7 {
+// TestListIsAsNewAsTheStore checks that a list gives the view the revision at which it was complete, so that
+// it counts as newer than a list that still has an entry which was removed meanwhile, and never a lower
+// revision than before.
+func TestListIsAsNewAsTheStore(t *testing.T) {
+	removed := newInstance("b")
+	removed.Revision = 4
+	before, after := NewTracker(nil, start), NewTracker(nil, start)
+	before.List(start, []Instance{newInstance("a"), removed}, 4)
+	after.List(start, []Instance{newInstance("a")}, 6)
+	if old, next := before.View(), after.View(); next.Revision <= old.Revision {
+		t.Errorf("revision %d after a removal, %d before it", next.Revision, old.Revision)
+	}
+	later := NewTracker(NewView(7, nil), start)
+	later.List(start, []Instance{removed}, 4)
+	if v := later.View(); v.Revision != 7 {
 		t.Errorf("revision went back to %d", v.Revision)
 	}
 }
 
+// TestOlderEntriesReplaceNoNewerOnes checks that a change which a watch brings after a list with a newer entry
+// of the same upstream takes nothing back.
+func TestOlderEntriesReplaceNoNewerOnes(t *testing.T) {
+	listed, older := newInstance("a"), newInstance("a")
+	listed.Revision, listed.Leaving = 9, true
+	older.Revision = 5
+	tr := NewTracker(nil, start)
+	tr.List(start, []Instance{listed}, 4)
+	tr.Put(older)
+	if !isLeaving(t, tr, "a") {
+		t.Error("an older entry took back that the upstream is leaving")
+	}
+	listed.Leaving = false
+	tr.List(start, []Instance{listed}, 4)
+	tr.Remove(start, "a", 6)
+	tr.List(start, nil, 7)
+	tr.ExpireAbsent(start)
+	if isLeaving(t, tr, "a") {
+		t.Error("a removal before the last registration counts as one after it")
+	}
+}
+
 // A delayed entry that an earlier start of the upstream wrote changes nothing. Different starts
 // have different incarnations, and an unknown start differs from none.
 func TestEntryOfEarlierStartIsIgnored(t *testing.T) {
-	tr := NewTracker(nil, start, 0)
+	tr := NewTracker(nil, start)
 	first, second := newInstance("a"), newInstance("a")
 	first.StartedMs, second.StartedMs = 1000, 2000
 	first.Leaving = true
 	tr.Put(second)
 	tr.Put(first)
-	tr.List(start, []Instance{first})
+	tr.List(start, []Instance{first}, 0)
 	if isLeaving(t, tr, "a") {
 		t.Error("the entry of the earlier start was recorded")
 	}
@@ -131,10 +149,10 @@
 	if next.Get("a") != old.Get("a") || next.Get("b") == old.Get("b") || old.Get("b").Leaving {
 		t.Error("an unchanged instance was copied, or a changed one is shared")
 	}
-	tr := NewTracker(old, start, 0)
-	first, _ := tr.View()
+	tr := NewTracker(old, start)
+	first := tr.View()
 	tr.Put(changed)
-	if second, _ := tr.View(); second.Get("a") != first.Get("a") {
+	if second := tr.View(); second.Get("a") != first.Get("a") {
 		t.Error("the tracker copied an unchanged instance")
 	}
 }
@@ -153,15 +171,29 @@
 	}
 }
 
-func TestVersionsDiffer(t *testing.T) {
-	tr := NewTracker(nil, start, 0)
-	tr.List(start, []Instance{newInstance("a")})
-	_, first := tr.View()
-	_, second := tr.View()
-	tr.AdvanceRevision(6)
-	_, third := tr.View()
-	if first == second || third <= second {
-		t.Errorf("versions %d, %d, %d", first, second, third)
+// TestVersionsIdentifyContents checks that views of different processes have the same version if and only if
+// they have the same instances, however these became known.
+func TestVersionsIdentifyContents(t *testing.T) {
+	changed := newInstance("a")
+	changed.Revision, changed.Leaving = 5, true
+	listed, watched := NewTracker(nil, start), NewTracker(nil, start)
+	listed.List(start, []Instance{changed, newInstance("b")}, 6)
+	watched.List(start, []Instance{newInstance("a"), newInstance("b"), newInstance("c")}, 4)
+	before := watched.View().Version()
+	watched.Put(changed)
+	if watched.View().Version() == before || watched.View().Version() == listed.View().Version() {
+		t.Error("different instances have the same version")
+	}
+	watched.Remove(start, "c", 6)
+	watched.ExpireAbsent(start.Add(removedRetention + 1))
+	if a, b := listed.View().Version(), watched.View().Version(); a != b {
+		t.Errorf("versions %d and %d of the same instances", a, b)
+	}
+	if v := listed.View(); v.WithRevision(9).Version() != v.Version() || v.WithRevision(9).Revision != 9 {
+		t.Error("a later revision of the same instances has another version")
+	}
+	if (&View{}).Version() == 0 {
+		t.Error("a view without instances has no version")
 	}
 }
 
--- a/state/instances/tracker.go
+++ b/state/instances/tracker.go
@@ -20,7 +20,6 @@
 	unregistered map[string]absence
 	// reconnectedAt is when the store was last reachable again after an outage.
 	reconnectedAt time.Time
-	sequence      uint64
 	// lastView is the view that was returned last; changed are the upstreams that may differ from it.
 	lastView *View
 	changed  map[string]bool
@@ -31,10 +30,9 @@
 	graceEnd time.Time
 }
 
-// NewTracker returns a tracker that starts from the given view, which may be nil. Trackers in
-// different processes must get different salts, so that their versions differ.
-func NewTracker(v *View, now time.Time, salt uint64) *Tracker {
-	t := &Tracker{sequence: salt, lastView: &View{}, changed: make(map[string]bool), known: make(map[string]Instance), unregistered: make(map[string]absence)}
+// NewTracker returns a tracker that starts from the given view, which may be nil.
+func NewTracker(v *View, now time.Time) *Tracker {
+	t := &Tracker{lastView: &View{}, changed: make(map[string]bool), known: make(map[string]Instance), unregistered: make(map[string]absence)}
 	if v == nil {
 		return t
 	}
@@ -52,20 +50,17 @@
 // StoreReconnected records that the store is reachable again after an outage.
 func (t *Tracker) StoreReconnected(now time.Time) { t.reconnectedAt = now }
 
-// List replaces all entries by the given list. The revision of the view becomes that of the newest
-// entry and not that of the store at the time of listing: a process that watches the same entries
-// does not see the store's other changes, and its view must not look older.
-func (t *Tracker) List(now time.Time, list []Instance) {
-	for _, instance := range list {
-		t.revision = max(t.revision, instance.Revision)
-	}
+// List replaces all entries that are not newer than the given revision by a list that was complete at that
+// revision. The view then has at least that revision: no entry tells that another one has been removed.
+func (t *Tracker) List(now time.Time, list []Instance, revision uint64) {
+	t.AdvanceRevision(revision)
 	listed := make(map[string]bool, len(list))
 	for _, instance := range list {
 		listed[instance.ID] = true
 		t.put(instance)
 	}
-	for id := range t.known {
-		if !listed[id] {
+	for id, known := range t.known {
+		if !listed[id] && known.Revision <= revision {
 			t.remove(now, id)
 		}
 	}
@@ -74,9 +69,10 @@
 // Put records one entry that was added or changed.
 func (t *Tracker) Put(instance Instance) { t.put(instance) }
 
-// put records an entry. An entry of an earlier start than the known one was delayed and is ignored.
+// put records an entry. An entry of an earlier start than the known one was delayed and is ignored, and so
+// is an older entry, which a watch from the first page of a list can bring.
 func (t *Tracker) put(instance Instance) {
-	if instance.StartedMs < t.known[instance.ID].StartedMs {
+	if known := t.known[instance.ID]; instance.StartedMs < known.StartedMs || instance.Revision < known.Revision {
 		return
 	}
 	t.known[instance.ID] = instance
@@ -84,8 +80,13 @@
 	delete(t.unregistered, instance.ID)
 }
 
-// Remove records that the entry of an upstream was removed.
-func (t *Tracker) Remove(now time.Time, id string) { t.remove(now, id) }
+// Remove records that the entry of an upstream was removed. revision is that of the removal or of the entry's
+// last change; a newer entry of the upstream stays.
+func (t *Tracker) Remove(now time.Time, id string, revision uint64) {
+	if t.known[id].Revision <= revision {
+		t.remove(now, id)
+	}
+}
 
 func (t *Tracker) remove(now time.Time, id string) {
 	if _, ok := t.known[id]; !ok {
@@ -104,6 +105,9 @@
 	return a
 }
 
+// Revision returns the revision up to which changes are known.
+func (t *Tracker) Revision() uint64 { return t.revision }
+
 // AdvanceRevision records the revision up to which changes are known.
 func (t *Tracker) AdvanceRevision(revision uint64) { t.revision = max(t.revision, revision) }
 
@@ -129,9 +133,8 @@
 	return changed
 }
 
-// View returns the current view and a version that differs from the versions of earlier views of
-// the same revision.
-func (t *Tracker) View() (*View, uint64) {
+// View returns the current view.
+func (t *Tracker) View() *View {
 	var changed []Instance
 	var removed []string
 	for id := range t.changed {
@@ -142,10 +145,6 @@
 		}
 	}
 	clear(t.changed)
-	t.sequence++
 	t.lastView = t.lastView.Apply(t.revision, changed, removed)
-	return t.lastView, t.revision<<sequenceBits | t.sequence%(1<<sequenceBits)
+	return t.lastView
 }
-
-// sequenceBits is the number of low bits of a version that distinguish views of the same revision.
-const sequenceBits = 16
