gateway: upstreams that a parent has and does not send confirm nothing

Callers are sent to upstreams that have left, by a gateway in contact with its leader: each answer of a parent counted as a confirmation that the gateway's upstreams were complete, also while the parent had later ones and did not offer them. It offers no large list to a gateway that should report to another one, for up to a second after its first report, and the other one may be lost.

Change: a response that names upstreams which the gateway does not have, after it was applied, confirms nothing. A gateway that lacks some for 0.3 s says so (instances_behind_ms) and is offered them by whoever it asks; after 0.7 s without a fetch under way it looks in the store.

--- a/coordination/currency/lag.go
+++ b/coordination/currency/lag.go
@@ -9,8 +9,8 @@
 // a list take less.
 const lagNotice = 500 * time.Millisecond
 
-// Lag tracks since when a source of the view has had a later revision than the view. The zero value is that
-// of a view which lacks nothing. It is safe for concurrent use.
+// Lag tracks since when a view has lacked what its source has. The zero value is that of a view which lacks
+// nothing. It is safe for concurrent use.
 type Lag struct {
 	mu    sync.Mutex
 	since time.Time
@@ -18,13 +18,13 @@
 	noticed bool
 }
 
-// Observe records the revision of the view after a response of a source was applied, and the revision of the
-// source. It reports whether the view has begun to be behind for longer than expected.
-func (l *Lag) Observe(now time.Time, own, source uint64) (notice bool) {
+// Observe records whether the view lacks anything after a response of the source was applied. It reports
+// whether the view has now lacked something for longer than expected, once for each lag.
+func (l *Lag) Observe(now time.Time, lacks bool) (notice bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch {
-	case source <= own:
+	case !lacks:
 		l.since, l.noticed = time.Time{}, false
 		return false
 	case l.since.IsZero():
--- a/gateway/follower.go
+++ b/gateway/follower.go
@@ -208,9 +208,10 @@
 }
 
 // recordCurrent records, after a parent's response was applied, until when the view of the upstreams is
-// known to be complete. While they are fetched as a part it is not.
+// known to be complete. While they are fetched as a part, or the parent has some that it did not send, it is
+// not.
 func (f *follower) recordCurrent(resp *syncpb.SyncResponse) {
-	if resp.HeardMs >= milliseconds(leaderSilenceTimeout) || f.fetcher.isFetching(partUpstreams) {
+	if resp.HeardMs >= milliseconds(leaderSilenceTimeout) || f.fetcher.isFetching(partUpstreams) || f.lacksUpstreams(resp) {
 		return
 	}
 	now, age := f.now(), time.Duration(max(resp.HeardMs, resp.NewsMs))*time.Millisecond
@@ -257,7 +258,7 @@
 	config := f.view.configuration()
 	r.ConfigRevision = config.revision
 	r.InstancesRevision, r.InstancesVersion = f.view.upstreamsVersion()
-	r.FollowersInstancesRevision = f.cluster.reportedRevision()
+	r.FollowersInstancesRevision, r.InstancesBehindMs = f.cluster.reportedRevision(), milliseconds(f.lag.Age(f.now()))
 	if !f.needsFullConfig() {
 		r.ConfigDigest = config.digest
 	}
@@ -317,14 +318,17 @@
 }
 
 // needsStore reports whether this gateway must watch the store itself because it has received no
-// cluster state for a while. Gateways that know of peers ranked before them in their failure domain
+// cluster state for a while, or not the upstreams that its parent has. Gateways that know of peers ranked before them in their failure domain
 // give these a head start and then receive the state from them, so that the loss of a leader does
 // not send all gateways to the store at once. watched is when this gateway's own watch last had a
 // response.
 func (f *follower) needsStore(watched time.Time) bool {
+	now := f.now()
+	if f.lag.Age(now) > leaderSilenceTimeout && !f.fetcher.isFetching(partUpstreams) {
+		return true
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now := f.now()
 	wait := leaderSilenceTimeout + time.Duration(min(f.domainPeersAhead, maxDomainPeersAsked))*headStartPerPeer
 	if f.view.table.Load() == nil && f.updatedAt.IsZero() {
 		// This process has just started, and none of the gateways asked has state to offer.
--- a/gateway/leaderfreeze_test.go
+++ b/gateway/leaderfreeze_test.go
@@ -189,7 +189,7 @@
 	} {
 		now := time.Unix(1000, 0)
 		clock := func() time.Time { return now }
-		f := &follower{now: clock, traffic: newTraffic(settings.DefaultGateway(), clock, rand.New(rand.NewPCG(1, 1))), fetcher: newFetcher(nil, nil, clock, nil, newMeters())}
+		f := &follower{view: newView(), now: clock, traffic: newTraffic(settings.DefaultGateway(), clock, rand.New(rand.NewPCG(1, 1))), fetcher: newFetcher(nil, nil, clock, nil, newMeters())}
 		for range 10 {
 			now = now.Add(minReportInterval)
 			f.recordDoubt(&syncpb.SyncResponse{})
--- a/gateway/news.go
+++ b/gateway/news.go
@@ -51,12 +51,19 @@
 	}
 }
 
-// recordLag records, after a parent's response was applied, whether the parent has upstreams that this
-// gateway lacks.
+// lacksUpstreams reports whether this gateway, after a response was applied, lacks upstreams that the sender
+// has.
+func (f *follower) lacksUpstreams(resp *syncpb.SyncResponse) bool {
+	revision, version := f.view.upstreamsVersion()
+	return resp.InstancesVersion != 0 && resp.InstancesVersion != version && resp.InstancesRevision >= revision
+}
+
+// recordLag records, after a parent's response was applied, whether this gateway lacks upstreams that the
+// parent has. A gateway that has just started and has none is not behind.
 func (f *follower) recordLag(address string, resp *syncpb.SyncResponse) {
 	revision, version := f.view.upstreamsVersion()
 	now := f.now()
-	if f.lag.Observe(now, revision, resp.InstancesRevision) {
+	if f.lag.Observe(now, version != 0 && f.lacksUpstreams(resp)) {
 		f.log.Warn("upstreams are behind those of the parent", "parent", address, "behind_ms", f.lag.Age(now).Milliseconds(), "revision", revision, "version", version,
 			"parent_revision", resp.InstancesRevision, "parent_version", resp.InstancesVersion, "fetching", f.fetcher.isFetching(partUpstreams))
 	}
--- a/gateway/parts.go
+++ b/gateway/parts.go
@@ -4,6 +4,7 @@
 	"context"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/twitchtv/twirp"
 	"google.golang.org/protobuf/proto"
@@ -25,6 +26,9 @@
 	// fetch a piece at the same time occupy a link of 10 Mbit/s for 0.4 s, which is within
 	// pieceTimeout.
 	pieceSize = 16 << 10
+	// maxWithheld is how long a gateway that should get large parts from another one is not offered them.
+	// Learning of its parent and reporting to it takes two reports.
+	maxWithheld = 300 * time.Millisecond
 	// maxCachedParts and maxCachedBytes bound the number and the total size of the parts kept for
 	// fetching. They allow for some versions of each document, each encoded against a few base
 	// versions.
@@ -147,7 +151,11 @@
 // servesParts reports whether the sender of the report is offered large parts here. A gateway that only
 // asks for the leader is not, once there are heads: it gets them from its parent, and the few gateways
 // that all others ask after a start would have to send everything to everyone.
+// One that has lacked upstreams for a while is served by whoever it asks.
 func (p *peerServer) servesParts(r *syncpb.SyncRequest) bool {
+	if r.InstancesBehindMs >= milliseconds(maxWithheld) {
+		return true
+	}
 	if r.WaitMs == 0 {
 		return p.cluster.gatewayCount() < reporttree.MinGateways || p.leaderAge() >= leaderSilenceTimeout
 	}
--- a/gateway/wire.go
+++ b/gateway/wire.go
@@ -17,7 +17,7 @@
 // version that the receiver has: among a hundred gateways most have the same one. It is safe for
 // concurrent use. Cached messages must not be modified.
 type messageCache[M any] struct {
-	mu      sync.Mutex
+	mu sync.Mutex
 	// revision is that of the document; zero if it has none besides its version.
 	revision, version uint64
 	byBase            map[uint64]M
