gateway: all upstreams are asked for after a difference that cannot be applied

A configuration is asked for in full after a difference that cannot be decoded; upstreams now are too. Key owners need no such step: the version in use, from which their differences start, is always kept.

Test: TestDifferenceFromUnknownBaseIsReplacedByAll, red without the flag (the same version is asked for again).

--- a/gateway/follower.go
+++ b/gateway/follower.go
@@ -89,6 +89,8 @@
 	announcedConfig announcedConfiguration
 	// wantFullConfig is set when the last configuration difference could not be decoded.
 	wantFullConfig bool
+	// wantAllUpstreams is set when the last difference of the upstreams could not be applied.
+	wantAllUpstreams bool
 }
 
 // reportInterval returns the time between reports for the given number of gateways.
@@ -236,6 +238,13 @@
 	return f.wantFullConfig
 }
 
+// needsAllUpstreams reports whether the next upstreams must be sent in full.
+func (f *follower) needsAllUpstreams() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.wantAllUpstreams
+}
+
 // shareLoads passes to request dispatch what all other gateways have in flight: those above this
 // one in the reporting tree and those that report to it.
 func (f *follower) shareLoads(gateways int) {
@@ -259,6 +268,9 @@
 	r.ConfigRevision = config.revision
 	r.InstancesRevision, r.InstancesVersion = f.view.upstreamsVersion()
 	r.FollowersInstancesRevision, r.InstancesBehindMs = f.cluster.reportedRevision(), milliseconds(f.lag.Age(f.now()))
+	if f.needsAllUpstreams() {
+		r.InstancesVersion = 0
+	}
 	if !f.needsFullConfig() {
 		r.ConfigDigest = config.digest
 	}
--- a/gateway/news.go
+++ b/gateway/news.go
@@ -37,7 +37,11 @@
 func (f *follower) applyUpstreams(address string, m *syncpb.Instances) {
 	f.validator.filterInstances(m)
 	former := f.view.inst.Load()
-	if err := f.view.applyInstances(m); err != nil {
+	err := f.view.applyInstances(m)
+	f.mu.Lock()
+	f.wantAllUpstreams = errors.Is(err, errBaseNotKept)
+	f.mu.Unlock()
+	if err != nil {
 		f.meters.inc(viewUpstreamsIgnored)
 		revision, version := f.view.upstreamsVersion()
 		f.log.Info("list of upstreams ignored", "cause", err, "from", address, "revision", m.Revision, "version", m.Version, "base", m.Base,
--- a/gateway/upstreamlag_test.go
+++ b/gateway/upstreamlag_test.go
@@ -73,3 +73,23 @@
 		t.Error("the gateway does not watch the store")
 	}
 }
+
+// TestDifferenceFromUnknownBaseIsReplacedByAll guards against a gateway that is sent, again and again, a
+// difference which it cannot apply.
+func TestDifferenceFromUnknownBaseIsReplacedByAll(t *testing.T) {
+	f := newLaggingFollower()
+	_, version := f.view.upstreamsVersion()
+	if asked := f.request(0).InstancesVersion; asked != version {
+		t.Errorf("asked for the changes since version %d, want %d", asked, version)
+	}
+	const unknown = 3
+	f.answered(&syncpb.SyncResponse{InstancesRevision: 7, InstancesVersion: 4, Instances: &syncpb.Instances{Revision: 7, Version: 4, Base: unknown}})
+	if asked := f.request(0).InstancesVersion; asked != 0 {
+		t.Errorf("asked for the changes since version %d after a difference that could not be applied", asked)
+	}
+	all := &syncpb.Instances{Revision: 7, Version: 4, List: []*syncpb.Instance{{Id: "a", Service: "s", Address: "a:1", Leaving: true}}}
+	f.answered(&syncpb.SyncResponse{InstancesRevision: 7, InstancesVersion: 4, Instances: all})
+	if asked := f.request(0).InstancesVersion; asked != 4 || !f.view.inst.Load().Get("a").Leaving {
+		t.Errorf("asked for the changes since version %d after all upstreams were applied", asked)
+	}
+}
