soak: entries are removed without a notice while the leader is suspended

The soak had no step in which the leader is lost at the moment at which an upstream leaves, and no check of requests after the end of an entry; the incident's faults could not show in it.

New step 'vanish': the gateway that holds the lease gets SIGSTOP, the entry of an upstream is removed at once, and the upstream serves on and says nothing. A gateway whose process and path to the store had no fault for 3 s must not send to it later than upstream_drain after the removal. Kind and name of the lease are in package leadership.

TestLateRequestsAfterRemovalAreFound.

--- a/bench/soak/deployment.go
+++ b/bench/soak/deployment.go
@@ -65,6 +65,8 @@
 	// allUpstreams lists all upstreams that were ever started, including those that have
 	// ended.
 	allUpstreams []*upstream
+	// storeFaults records when the store served no gateway.
+	storeFaults faultIntervals
 	// restartErrs collects the errors of restarting upstreams that harmful requests
 	// crashed.
 	restartErrs []error
@@ -89,6 +91,8 @@
 	pathFaults faultIntervals
 	// changing is set while it is being replaced or restarted.
 	changing atomic.Bool
+	// removedAt is when its entry was removed without a notice; zero if it was not. It is read after the run.
+	removedAt time.Time
 }
 
 // newDeployment starts the store and the upstreams, chooses the addresses of the gateways
@@ -267,6 +271,12 @@
 	announce()
 	time.Sleep(leaveDuration)
 	d.store.Remove(platform.InstancesKind, u.ID)
+	return d.endRemoved(u, leaveDuration)
+}
+
+// endRemoved starts another upstream in place of one whose entry has been removed, and ends that one after a
+// duration in which it serves on.
+func (d *deployment) endRemoved(u *upstream, serves time.Duration) error {
 	d.mu.Lock()
 	for i, other := range d.upstreams {
 		if other == u {
@@ -278,7 +288,7 @@
 	if err := d.addUpstream(u.service, u.domain); err != nil {
 		return err
 	}
-	time.Sleep(leaveDuration)
+	time.Sleep(serves)
 	u.relay.Close()
 	u.Terminate()
 	return u.server.Close()
--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -33,13 +33,19 @@
 	case Kill, Stop, Pause:
 		return d.applyToProcess(g, step)
 	case StorePath:
-		holdFault(step.Duration, func() { g.relay.SetFault(pick(relayFaults, step.Variant)) }, func() { g.relay.SetFault(relay.None) })
+		g.storeFaults.record(func() {
+			holdFault(step.Duration, func() { g.relay.SetFault(pick(relayFaults, step.Variant)) }, func() { g.relay.SetFault(relay.None) })
+		})
 	case StoreSilent:
-		g.relay.SilenceAll()
+		g.storeFaults.record(g.relay.SilenceAll)
 	case StoreMode:
-		holdFault(step.Duration, func() { g.endpoint.SetMode(pick(storeModes, step.Variant)) }, func() { g.endpoint.SetMode(metastore.Healthy) })
+		g.storeFaults.record(func() {
+			holdFault(step.Duration, func() { g.endpoint.SetMode(pick(storeModes, step.Variant)) }, func() { g.endpoint.SetMode(metastore.Healthy) })
+		})
 	case StoreModeAll:
-		holdFault(step.Duration, func() { d.store.SetAllModes(pick(storeModes, step.Variant)) }, func() { d.store.SetAllModes(metastore.Healthy) })
+		d.storeFaults.record(func() {
+			holdFault(step.Duration, func() { d.store.SetAllModes(pick(storeModes, step.Variant)) }, func() { d.store.SetAllModes(metastore.Healthy) })
+		})
 	case Compact:
 		d.store.Compact()
 	case UpstreamPath:
@@ -64,6 +70,8 @@
 		return d.replaceUpstream(u, func() { d.register(u, "draining") })
 	case LeaveByResponses:
 		return d.replaceUpstream(u, func() {})
+	case SilentRemoval:
+		return d.removeWithoutLeader(u, step.Duration)
 	case Restart:
 		return d.restartUpstream(u, step.Duration/2)
 	case Evacuate:
--- a/bench/soak/notices.go
+++ b/bench/soak/notices.go
@@ -83,7 +83,7 @@
 }
 
 // violations returns the violations of what gateways guarantee to an upstream.
-func (l *requestLog) violations(u *upstream) []string {
+func (l *requestLog) violations(u *upstream, store *faultIntervals) []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	byGateway := make(map[*gateway][]instance.Arrival)
@@ -95,6 +95,7 @@
 	var out []string
 	for g, arrivals := range byGateway {
 		out = append(out, l.requestsAfterLeaving(u, g, arrivals)...)
+		out = append(out, l.requestsAfterRemoval(u, g, arrivals, store)...)
 		out = append(out, requestsDuringRest(u, g, arrivals)...)
 	}
 	return out
--- a/bench/soak/plan.go
+++ b/bench/soak/plan.go
@@ -37,6 +37,7 @@
 	LeaveByResponses Kind = "depart"         // an upstream announces only in its responses that it leaves, and is replaced
 	HarmfulRequest   Kind = "harm"           // a request that crashes upstreams is repeated at all gateways
 	LateCalls        Kind = "late_calls"     // all upstreams leave every second control call unanswered and apply it later
+	SilentRemoval    Kind = "vanish"         // an upstream's entry is removed, without a notice, while the leader is suspended
 )
 
 // weightedKinds lists the kinds that NewPlan draws at random. A kind that is listed twice is
@@ -95,9 +96,12 @@
 // stepsPerHarm is the same for requests that crash upstreams.
 const stepsPerHarm = 10
 
+// stepsPerRemoval is the same for upstreams whose entry is removed while the leader is suspended.
+const stepsPerRemoval = 5
+
 // NewPlan returns the plan of a seed. It has the given number of random steps and, in
 // addition to them, the kinds that are added at fixed intervals: restarts, rate limits,
-// rests, departures, late control calls, harmful requests and evacuations.
+// rests, departures, late control calls, harmful requests, evacuations and removals.
 func NewPlan(seed uint64, steps int) Plan {
 	rng, restarts := rand.New(rand.NewPCG(seed, seed)), rand.New(rand.NewPCG(seed, seed+1))
 	evacuations := rand.New(rand.NewPCG(seed, seed+2))
@@ -105,6 +109,7 @@
 	lateCalls := rand.New(rand.NewPCG(seed, seed+4))
 	harmful := rand.New(rand.NewPCG(seed, seed+5))
 	notices := rand.New(rand.NewPCG(seed, seed+6))
+	removals := rand.New(rand.NewPCG(seed, seed+7))
 	p := Plan{Seed: seed}
 	for i := range steps {
 		p.Steps = append(p.Steps, Step{
@@ -135,6 +140,11 @@
 		if i%stepsPerHarm == stepsPerHarm-1 {
 			p.Steps = append(p.Steps, Step{Kind: HarmfulRequest, Duration: time.Duration(harmful.Int64N(int64(maxFaultDuration)))})
 		}
+		if i%stepsPerRemoval == stepsPerRemoval-1 {
+			p.Steps = append(p.Steps, Step{
+				Kind: SilentRemoval, Duration: time.Duration(removals.Int64N(int64(maxFaultDuration))), Target: removals.IntN(1 << 16),
+			})
+		}
 		if i%stepsPerEvacuation == stepsPerEvacuation-1 {
 			p.Steps = append(p.Steps, Step{
 				Kind: Evacuate, Duration: time.Duration(evacuations.Int64N(int64(maxFaultDuration))), Target: evacuations.IntN(1 << 16),
--- a/bench/soak/process.go
+++ b/bench/soak/process.go
@@ -27,8 +27,9 @@
 	endpoint                       *metastore.Endpoint
 	relay                          *relay.Relay
 
-	// faults records when the process was killed, stopped or paused.
-	faults faultIntervals
+	// faults records when the process was killed, stopped or paused; storeFaults when its path to the store
+	// had a fault or the store did not serve it.
+	faults, storeFaults faultIntervals
 
 	mu sync.Mutex
 	// faultActive is set while a fault of the process is in progress.
--- a/bench/soak/run.go
+++ b/bench/soak/run.go
@@ -60,7 +60,7 @@
 	callers.Wait()
 	m.checkRefused()
 	for _, u := range d.allUpstreams {
-		for _, v := range m.requests.violations(u) {
+		for _, v := range m.requests.violations(u, &d.storeFaults) {
 			m.addViolation("%s", v)
 		}
 	}
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -144,3 +144,32 @@
 		}
 	}
 }
+
+// TestLateRequestsAfterRemovalAreFound guards against a soak test that misses requests to upstreams whose entry
+// has been removed, or blames gateways that could not know of it.
+func TestLateRequestsAfterRemovalAreFound(t *testing.T) {
+	removed := time.Unix(1000, 0)
+	unstable := []interval{{removed.Add(-stableTime / 2), removed}}
+	for name, c := range map[string]struct {
+		after time.Duration
+		// gateway, path and store are the faults of the gateway, of its path to the store and of the store.
+		gateway, path, store []interval
+		want                 int
+	}{
+		"in time":                         {after: upstreamDrain},
+		"late":                            {after: upstreamDrain + 1, want: 1},
+		"late after a fault of a gateway": {after: upstreamDrain + 1, gateway: unstable},
+		"late after a fault of its path":  {after: upstreamDrain + 1, path: unstable},
+		"late after a fault of the store": {after: upstreamDrain + 1, store: unstable},
+	} {
+		g, store := &gateway{}, &faultIntervals{intervals: c.store}
+		g.faults.intervals, g.storeFaults.intervals = c.gateway, c.path
+		l := newRequestLog()
+		l.add("r", sentRequest{gateway: g, sent: removed.Add(c.after)})
+		u := &upstream{Instance: instance.New("i", false, 0, instance.NewOracle()), removedAt: removed}
+		arrivals := []instance.Arrival{{RequestID: "r", ReceivedAt: removed.Add(c.after)}}
+		if got := l.requestsAfterRemoval(u, g, arrivals, store); len(got) != c.want {
+			t.Errorf("%s: %v", name, got)
+		}
+	}
+}
--- a/coordination/leadership/leadership.go
+++ b/coordination/leadership/leadership.go
@@ -29,6 +29,12 @@
 	missedRenewalMargin = 350 * time.Millisecond
 )
 
+// StoreKind and StoreName are the kind and the name of the lease in the store.
+const (
+	StoreKind = "rockcroft-leases"
+	StoreName = "leader"
+)
+
 // Lease is the lease document in the store.
 type Lease struct {
 	Node        string `json:"node"`
--- a/gateway/leaderelector.go
+++ b/gateway/leaderelector.go
@@ -17,8 +17,8 @@
 
 // Kind and name of the leader's lease in the store.
 const (
-	leaseKind = "rockcroft-leases"
-	leaseName = "leader"
+	leaseKind = leadership.StoreKind
+	leaseName = leadership.StoreName
 )
 
 const (
