Responses leave out the revision of the upstreams that the receiver has

Steady reports name the same revision and version on both sides, and some deployments pay for each byte between failure domains. A zero already meant that nothing is known to lack.

--- a/gateway/peerserver.go
+++ b/gateway/peerserver.go
@@ -158,13 +158,14 @@
 	// Read the age before the revision. If a configuration arrives in between, this order reports
 	// an age that is too high, never one that is too low.
 	heard, confirmed := configurationAge(p.follower, p.watcher)
-	revision, version := p.view.upstreamsVersion()
 	resp := &syncpb.SyncResponse{
-		InstancesRevision: revision, InstancesVersion: version,
 		Leader: p.cluster.knownLeader(), Leading: p.cluster.isLeading(),
 		HeardMs: milliseconds(p.leaderAge()), NewsMs: milliseconds(p.updateAge()),
 		ConfigMs: milliseconds(heard), ConfigConfirmedMs: milliseconds(confirmed) + 1, ConfigRevision: p.view.configuration().revision,
 	}
+	if revision, version := p.view.upstreamsVersion(); revision != r.InstancesRevision || version != r.InstancesVersion {
+		resp.InstancesRevision, resp.InstancesVersion = revision, version
+	}
 	if p.hasNewerEvacuations(r) {
 		resp.Evacuations = evacuationMessages(p.view.evac.Load())
 	}
