gateway: a whole list is asked for only while the gateway lacks upstreams

After a difference that could not be applied, a parent that then fell behind sends no list, so the gateway went on to name no version in its reports and was sent no loads of other gateways meanwhile. The flag now ends with a response after which nothing is lacking.

TestDifferenceFromUnknownBaseIsReplacedByAll has the case, red before.

--- a/gateway/follower.go
+++ b/gateway/follower.go
@@ -245,6 +245,12 @@
 	return f.wantAllUpstreams
 }
 
+func (f *follower) setWantAllUpstreams(want bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.wantAllUpstreams = want
+}
+
 // shareLoads passes to request dispatch what all other gateways have in flight: those above this
 // one in the reporting tree and those that report to it.
 func (f *follower) shareLoads(gateways int) {
@@ -330,10 +336,10 @@
 }
 
 // needsStore reports whether this gateway must watch the store itself because it has received no
-// cluster state for a while, or not the upstreams that its parent has. Gateways that know of peers ranked before them in their failure domain
-// give these a head start and then receive the state from them, so that the loss of a leader does
-// not send all gateways to the store at once. watched is when this gateway's own watch last had a
-// response.
+// cluster state for a while, or not the upstreams that its parent has. Gateways that know of peers
+// ranked before them in their failure domain give these a head start and then receive the state from
+// them, so that the loss of a leader does not send all gateways to the store at once. watched is when
+// this gateway's own watch last had a response.
 func (f *follower) needsStore(watched time.Time) bool {
 	now := f.now()
 	if f.lag.Age(now) > leaderSilenceTimeout && !f.fetcher.isFetching(partUpstreams) {
--- a/gateway/news.go
+++ b/gateway/news.go
@@ -38,9 +38,7 @@
 	f.validator.filterInstances(m)
 	former := f.view.inst.Load()
 	err := f.view.applyInstances(m)
-	f.mu.Lock()
-	f.wantAllUpstreams = errors.Is(err, errBaseNotKept)
-	f.mu.Unlock()
+	f.setWantAllUpstreams(errors.Is(err, errBaseNotKept))
 	if err != nil {
 		f.meters.inc(viewUpstreamsIgnored)
 		revision, version := f.view.upstreamsVersion()
@@ -63,11 +61,15 @@
 }
 
 // recordLag records, after a parent's response was applied, whether this gateway lacks upstreams that the
-// parent has. A gateway that has just started and has none is not behind.
+// parent has. A gateway that has just started and has none is not behind, and one that lacks none needs no
+// whole list.
 func (f *follower) recordLag(address string, resp *syncpb.SyncResponse) {
 	revision, version := f.view.upstreamsVersion()
-	now := f.now()
-	if f.lag.Observe(now, version != 0 && f.lacksUpstreams(resp)) {
+	now, lacks := f.now(), f.lacksUpstreams(resp)
+	if !lacks {
+		f.setWantAllUpstreams(false)
+	}
+	if f.lag.Observe(now, version != 0 && lacks) {
 		f.log.Warn("upstreams are behind those of the parent", "parent", address, "behind_ms", f.lag.Age(now).Milliseconds(), "revision", revision, "version", version,
 			"parent_revision", resp.InstancesRevision, "parent_version", resp.InstancesVersion, "fetching", f.fetcher.isFetching(partUpstreams))
 	}
--- a/gateway/upstreamlag_test.go
+++ b/gateway/upstreamlag_test.go
@@ -87,6 +87,10 @@
 	if asked := f.request(0).InstancesVersion; asked != 0 {
 		t.Errorf("asked for the changes since version %d after a difference that could not be applied", asked)
 	}
+	f.answered(&syncpb.SyncResponse{InstancesRevision: 4, InstancesVersion: 2})
+	if asked := f.request(0).InstancesVersion; asked != version {
+		t.Errorf("asked for the changes since version %d of a parent that has none to send, want %d", asked, version)
+	}
 	all := &syncpb.Instances{Revision: 7, Version: 4, List: []*syncpb.Instance{{Id: "a", Service: "s", Address: "a:1", Leaving: true}}}
 	f.answered(&syncpb.SyncResponse{InstancesRevision: 7, InstancesVersion: 4, Instances: all})
 	if asked := f.request(0).InstancesVersion; asked != 4 || !f.view.inst.Load().Get("a").Leaving {
--- a/gateway/upstreamwatch.go
+++ b/gateway/upstreamwatch.go
@@ -11,6 +11,7 @@
 
 // This file turns the entries of upstreams, as listed and watched, into the view of the upstreams.
 
+// instancesListed applies a list of all entries as of a revision, which is zero if the list may be stale.
 func (w *watcher) instancesListed(objects []platform.Object, revision uint64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -37,6 +38,7 @@
 	return newest
 }
 
+// instancesChanged applies changed and removed entries. The revision is the one up to which they are complete.
 func (w *watcher) instancesChanged(changes []platform.Object, revision uint64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
