--- a/gateway/heldbytes_test.go
+++ b/gateway/heldbytes_test.go
@@ -220,8 +220,9 @@
 			for range 10 {
 				g.sendSlow("/read/x", size)
 			}
-			if status, _, _ := g.ask("/read/x", size, ""); status != http.StatusOK || g.proxy.bytes.Stats().RefusedLink > 0 {
-				t.Errorf("the link is not known: status %d", status)
+			status, _, retryAfter := g.ask("/read/x", size, "")
+			if stats := g.proxy.bytes.Stats(); status != http.StatusOK || stats.RefusedLink > 0 {
+				t.Errorf("the link is not known: status %d, Retry-After %q, %+v", status, retryAfter, stats)
 			}
 			continue
 		}
