--- a/bench/soak/plan.go
+++ b/bench/soak/plan.go
@@ -37,7 +37,7 @@
 	LeaveByResponses Kind = "depart"         // an upstream announces only in its responses that it leaves, and is replaced
 	HarmfulRequest   Kind = "harm"           // a request that crashes upstreams is repeated at all gateways
 	LateCalls        Kind = "late_calls"     // all upstreams leave every second control call unanswered and apply it later
-	SilentRemoval    Kind = "vanish"         // an upstream's entry is removed, without a notice, while the leader is suspended
+	SilentRemoval    Kind = "removal"        // an upstream's entry is removed, without a notice, while the leader is suspended
 )
 
 // weightedKinds lists the kinds that NewPlan draws at random. A kind that is listed twice is
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -145,8 +145,7 @@
 	}
 }
 
-// TestLateRequestsAfterRemovalAreFound guards against a soak test that misses requests to upstreams whose entry
-// has been removed, or blames gateways that could not know of it.
+// TestLateRequestsAfterRemovalAreFound guards against missed late requests and against blaming gateways with faults.
 func TestLateRequestsAfterRemovalAreFound(t *testing.T) {
 	removed := time.Unix(1000, 0)
 	unstable := []interval{{removed.Add(-stableTime / 2), removed}}
--- a/coordination/currency/lag_test.go
+++ b/coordination/currency/lag_test.go
@@ -5,8 +5,7 @@
 	"time"
 )
 
-// TestLagCountsFromItsBegin checks that a lag counts from its begin, is reported once, and ends when
-// nothing is lacking.
+// TestLagCountsFromItsBegin checks that a lag counts from its begin, is reported once and ends.
 func TestLagCountsFromItsBegin(t *testing.T) {
 	var l Lag
 	now := time.Unix(1000, 0)
--- a/gateway/follower.go
+++ b/gateway/follower.go
@@ -273,7 +273,8 @@
 	config := f.view.configuration()
 	r.ConfigRevision = config.revision
 	r.InstancesRevision, r.InstancesVersion = f.view.upstreamsVersion()
-	r.FollowersInstancesRevision, r.InstancesBehindMs = f.cluster.reportedRevision(), milliseconds(f.lag.Age(f.now()))
+	r.FollowersInstancesRevision = f.cluster.reportedRevision()
+	r.InstancesBehindMs = milliseconds(f.lag.Age(f.now()))
 	if f.needsAllUpstreams() {
 		r.InstancesVersion = 0
 	}
--- a/gateway/removedupstreams_test.go
+++ b/gateway/removedupstreams_test.go
@@ -41,8 +41,7 @@
 	return w
 }
 
-// TestRemovedUpstreamStaysRemovedAfterLeaderFreeze guards against gateways that send to an upstream again
-// after its entry has gone, because a process that was frozen meanwhile sends them its older list.
+// TestRemovedUpstreamStaysRemovedAfterLeaderFreeze guards against going back to the list of a process that was frozen.
 func TestRemovedUpstreamStaysRemovedAfterLeaderFreeze(t *testing.T) {
 	t.Parallel()
 	for _, length := range []time.Duration{1800, 2400, 2600, 3200, 4000} {
--- a/gateway/upstreamlag_test.go
+++ b/gateway/upstreamlag_test.go
@@ -45,8 +45,7 @@
 	l.now = l.now.Add(maxReportInterval)
 }
 
-// TestWithheldUpstreamsConfirmNothing guards against a gateway that takes its upstreams for complete, and waits for
-// later ones as long as it takes, because a parent answers that has later ones and does not send them.
+// TestWithheldUpstreamsConfirmNothing guards against taking upstreams for complete that a parent has later ones of.
 func TestWithheldUpstreamsConfirmNothing(t *testing.T) {
 	f := newLaggingFollower()
 	_, version := f.view.upstreamsVersion()
@@ -74,8 +73,7 @@
 	}
 }
 
-// TestDifferenceFromUnknownBaseIsReplacedByAll guards against a gateway that is sent, again and again, a
-// difference which it cannot apply.
+// TestDifferenceFromUnknownBaseIsReplacedByAll guards against being sent again a difference that cannot be applied.
 func TestDifferenceFromUnknownBaseIsReplacedByAll(t *testing.T) {
 	f := newLaggingFollower()
 	_, version := f.view.upstreamsVersion()
--- a/gateway/upstreamwatch.go
+++ b/gateway/upstreamwatch.go
@@ -152,11 +152,7 @@
 func (w *watcher) listDue() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	inForce, version := w.view.upstreamsVersion()
-	if version == w.published {
-		w.tracker.AdvanceRevision(inForce)
-	}
-	newest := max(inForce, w.reportedRevision())
+	newest := max(w.adoptRevision(), w.reportedRevision())
 	if !w.leading() || newest <= max(w.tracker.Revision(), w.listedFor) {
 		return false
 	}
@@ -165,6 +161,17 @@
 	return true
 }
 
+// adoptRevision returns the revision of the view in force. If the view is the one that was published last,
+// other gateways may have confirmed it up to a later revision, which the tracker then has too. The caller
+// holds the lock.
+func (w *watcher) adoptRevision() uint64 {
+	revision, version := w.view.upstreamsVersion()
+	if version == w.published {
+		w.tracker.AdvanceRevision(revision)
+	}
+	return revision
+}
+
 // settle marks upstreams whose entries stay missing as leaving.
 func (w *watcher) settle(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/gateway/view_test.go
+++ b/gateway/view_test.go
@@ -48,8 +48,7 @@
 	}
 }
 
-// TestRepeatedVersionStaysApplicable guards against a gateway that can apply no further changes of the upstreams
-// because the version in use came before, from another source, and was dropped as the older of the two.
+// TestRepeatedVersionStaysApplicable guards against dropping the version in use, which came before from another gateway.
 func TestRepeatedVersionStaysApplicable(t *testing.T) {
 	for _, receivers := range []bool{false, true} {
 		for versions := range uint64(6) {
--- a/state/instances/instances_test.go
+++ b/state/instances/instances_test.go
@@ -69,9 +69,7 @@
 	}
 }
 
-// TestListIsAsNewAsTheStore checks that a list gives the view the revision at which it was complete, so that
-// it counts as newer than a list that still has an entry which was removed meanwhile, and never a lower
-// revision than before.
+// TestListIsAsNewAsTheStore checks that a list after a removal is newer than one before it, and none lowers the revision.
 func TestListIsAsNewAsTheStore(t *testing.T) {
 	removed := newInstance("b")
 	removed.Revision = 4
@@ -88,8 +86,7 @@
 	}
 }
 
-// TestOlderEntriesReplaceNoNewerOnes checks that a change which a watch brings after a list with a newer entry
-// of the same upstream takes nothing back.
+// TestOlderEntriesReplaceNoNewerOnes checks that a watch takes back nothing of a list with newer entries.
 func TestOlderEntriesReplaceNoNewerOnes(t *testing.T) {
 	listed, older := newInstance("a"), newInstance("a")
 	listed.Revision, listed.Leaving = 9, true
@@ -171,8 +168,7 @@
 	}
 }
 
-// TestVersionsIdentifyContents checks that views of different processes have the same version if and only if
-// they have the same instances, however these became known.
+// TestVersionsIdentifyContents checks that views have the same version if and only if they have the same instances.
 func TestVersionsIdentifyContents(t *testing.T) {
 	changed := newInstance("a")
 	changed.Revision, changed.Leaving = 5, true
