--- a/gateway/slowlinks_test.go
+++ b/gateway/slowlinks_test.go
@@ -318,9 +318,9 @@
 	}
 }
 
-// maxSettledBytes bounds what two gateways that have the same view send each other in a second: some reports
-// with loads and without lists of upstreams.
-const maxSettledBytes = 60_000
+// maxSettledBytes bounds what two gateways that have the same view send each other in a second: 24 KB each,
+// which is what a node may use for control.
+const maxSettledBytes = 2 * 24 << 10
 
 // sameUpstreams reports whether two gateways have the same version of the upstreams.
 func sameUpstreams(a, b *testGateway) bool {
