suspects: what showed an end, and ends that a later answer contradicts

Each end of an upstream incarnation keeps its source (refused dial, entry, other gateway).

The pools of upstream connections take their dialer from the gateway, so that tests can cut the links of one gateway (reset, hang, refuse new ones) while others keep theirs. A pool applies its dial timeout itself.

--- a/coordination/poison/poison.go
+++ b/coordination/poison/poison.go
@@ -96,6 +96,27 @@
 	at     time.Time
 }
 
+// ending is what showed that an incarnation has ended, and when.
+type ending struct {
+	at     time.Time
+	source Source
+	// contradicted is set once the incarnation has answered a request that was sent later.
+	contradicted bool
+}
+
+// Source is what showed the end of an upstream incarnation to a gateway.
+type Source string
+
+// The sources.
+const (
+	// RefusedDial: the address refused a connection of this gateway.
+	RefusedDial Source = "refused_dial"
+	// ChangedEntry: the entry of the upstream is gone or tells a later start.
+	ChangedEntry Source = "entry"
+	// OtherGateway: another gateway has reported the end.
+	OtherGateway Source = "gateway"
+)
+
 // process identifies one incarnation of an upstream.
 type process struct {
 	upstream    string
@@ -109,7 +130,7 @@
 	// holds when incarnations were seen to have ended.
 	aborted      map[process][]abortedRun
 	abortedCount int
-	ended        map[process]time.Time
+	ended        map[process]*ending
 	// ends holds every end of an upstream that a suspect was present at.
 	ends map[Event]*end
 }
@@ -119,7 +140,7 @@
 	return &Tracker{
 		suspects: make(map[Digest]*suspect),
 		aborted:  make(map[process][]abortedRun),
-		ended:    make(map[process]time.Time),
+		ended:    make(map[process]*ending),
 		ends:     make(map[Event]*end),
 	}
 }
@@ -151,7 +172,7 @@
 // if that incarnation of the upstream is already known to have ended.
 func (t *Tracker) RequestAborted(now time.Time, d Digest, upstream string, incarnation instances.Incarnation) []Crash {
 	p, run := process{upstream, incarnation}, abortedRun{digest: d, at: now}
-	if ended, ok := t.ended[p]; ok && now.Sub(ended) < priorEndWindow {
+	if e := t.ended[p]; e != nil && now.Sub(e.at) < priorEndWindow {
 		return t.add(run.crash(p))
 	}
 	if t.abortedCount < maxAbortedRuns {
@@ -167,14 +188,19 @@
 }
 
 // RequestAnswered records that an upstream incarnation answered a request sent at the given time.
-// The incarnation was therefore still running then, and earlier aborted runs did not end it.
-func (t *Tracker) RequestAnswered(upstream string, incarnation instances.Incarnation, sent time.Time) {
+// The incarnation was therefore still running then, and earlier aborted runs did not end it. If it
+// was considered as ended before, RequestAnswered returns that end, once.
+func (t *Tracker) RequestAnswered(upstream string, incarnation instances.Incarnation, sent time.Time) (contradicted End, ok bool) {
 	p := process{upstream, incarnation}
-	list := t.aborted[p]
-	if len(list) == 0 {
-		return
+	if list := t.aborted[p]; len(list) > 0 {
+		t.setAborted(p, slices.DeleteFunc(list, func(run abortedRun) bool { return run.at.Before(sent) }))
+	}
+	e := t.ended[p]
+	if e == nil || e.contradicted || !sent.After(e.at) {
+		return End{}, false
 	}
-	t.setAborted(p, slices.DeleteFunc(list, func(run abortedRun) bool { return run.at.Before(sent) }))
+	e.contradicted = true
+	return End{Upstream: upstream, Incarnation: incarnation, At: e.at, Source: e.source}, true
 }
 
 // setAborted replaces the aborted runs of an incarnation by a subset of them.
@@ -189,10 +215,12 @@
 
 // UpstreamEnded records that an upstream incarnation has ended, and returns the crashes that follow
 // from it.
-func (t *Tracker) UpstreamEnded(now time.Time, upstream string, incarnation instances.Incarnation) []Crash {
+func (t *Tracker) UpstreamEnded(now time.Time, upstream string, incarnation instances.Incarnation, source Source) []Crash {
 	p := process{upstream, incarnation}
-	if known, ok := t.ended[p]; !ok || now.Before(known) {
-		t.ended[p] = now
+	if known := t.ended[p]; known == nil {
+		t.ended[p] = &ending{at: now, source: source}
+	} else if now.Before(known.at) {
+		known.at = now
 	}
 	list := slices.Clone(t.aborted[p])
 	t.abortedCount -= len(t.aborted[p])
@@ -212,6 +240,7 @@
 	Upstream    string
 	Incarnation instances.Incarnation
 	At          time.Time
+	Source      Source
 }
 
 // UnconfirmedEnds returns the upstream incarnations that have aborted runs and may have ended.
@@ -226,9 +255,9 @@
 // RecentEnds returns the ends of upstreams to report to other gateways.
 func (t *Tracker) RecentEnds(now time.Time) []End {
 	var out []End
-	for p, ended := range t.ended {
-		if now.Sub(ended) < endReportPeriod && len(out) < maxReported {
-			out = append(out, End{Upstream: p.upstream, Incarnation: p.incarnation, At: ended})
+	for p, e := range t.ended {
+		if now.Sub(e.at) < endReportPeriod && len(out) < maxReported {
+			out = append(out, End{Upstream: p.upstream, Incarnation: p.incarnation, At: e.at, Source: e.source})
 		}
 	}
 	return out
@@ -350,8 +379,8 @@
 	for p, list := range t.aborted {
 		t.setAborted(p, slices.DeleteFunc(list, func(run abortedRun) bool { return now.Sub(run.at) >= crashWindow }))
 	}
-	for p, ended := range t.ended {
-		if now.Sub(ended) >= crashWindow {
+	for p, e := range t.ended {
+		if now.Sub(e.at) >= crashWindow {
 			delete(t.ended, p)
 		}
 	}
--- a/coordination/poison/poison_test.go
+++ b/coordination/poison/poison_test.go
@@ -18,7 +18,7 @@
 // crash records that a request ended an incarnation of an upstream, as seen by one gateway.
 func crash(tr *Tracker, now time.Duration, d Digest, upstream string, incarnation instances.Incarnation) []Crash {
 	tr.RequestAborted(at(now), d, upstream, incarnation)
-	return tr.UpstreamEnded(at(now+100*ms), upstream, incarnation)
+	return tr.UpstreamEnded(at(now+100*ms), upstream, incarnation, RefusedDial)
 }
 
 // A request is refused after three upstreams have ended while running it.
@@ -67,11 +67,11 @@
 		tr.RequestAborted(at(now), d, "u", 1)
 		tr.RequestAnswered("u", 1, at(now+ms))
 	}
-	if got := tr.UpstreamEnded(at(3*time.Second), "u", 1); len(got) != 0 || tr.CrashCount(d) != 0 {
+	if got := tr.UpstreamEnded(at(3*time.Second), "u", 1, RefusedDial); len(got) != 0 || tr.CrashCount(d) != 0 {
 		t.Errorf("crashes: %v", got)
 	}
 	tr.RequestAborted(at(4*time.Second), d, "u", 1)
-	if got := tr.UpstreamEnded(at(4*time.Second+crashWindow), "u", 1); len(got) != 0 {
+	if got := tr.UpstreamEnded(at(4*time.Second+crashWindow), "u", 1, RefusedDial); len(got) != 0 {
 		t.Errorf("an end long after the aborted run counts as a crash: %v", got)
 	}
 }
@@ -82,7 +82,7 @@
 	tr := NewTracker()
 	tr.RequestAborted(at(100*ms), 7, "u", 1)
 	tr.RequestAnswered("u", 1, at(50*ms))
-	if got := tr.UpstreamEnded(at(200*ms), "u", 1); len(got) != 1 {
+	if got := tr.UpstreamEnded(at(200*ms), "u", 1, RefusedDial); len(got) != 1 {
 		t.Errorf("crashes: %v", got)
 	}
 }
@@ -90,7 +90,7 @@
 // The report of the end by another gateway may arrive before the run is aborted at this gateway.
 func TestEndReportedBeforeAbort(t *testing.T) {
 	tr := NewTracker()
-	tr.UpstreamEnded(at(0), "u", 1)
+	tr.UpstreamEnded(at(0), "u", 1, RefusedDial)
 	if got := tr.RequestAborted(at(20*ms), 7, "u", 1); len(got) != 1 {
 		t.Errorf("crashes: %v", got)
 	}
@@ -154,7 +154,7 @@
 	for i := range 3 * maxSuspects {
 		tr.RequestAborted(at(0), Digest(i), "u", 1)
 	}
-	tr.UpstreamEnded(at(ms), "u", 1)
+	tr.UpstreamEnded(at(ms), "u", 1, RefusedDial)
 	if tr.abortedCount != 0 || len(tr.suspects) > maxSuspects {
 		t.Errorf("%d aborted runs and %d suspects are kept", tr.abortedCount, len(tr.suspects))
 	}
@@ -235,7 +235,7 @@
 				trackers[rng.IntN(gateways)].RequestAborted(at(now), harmless(rng, now), name, incarnation[u])
 			}
 			for _, tr := range trackers {
-				tr.UpstreamEnded(at(now+50*ms), name, incarnation[u])
+				tr.UpstreamEnded(at(now+50*ms), name, incarnation[u], RefusedDial)
 			}
 			incarnation[u]++
 		}
--- a/coordination/poison/refusal_test.go
+++ b/coordination/poison/refusal_test.go
@@ -17,7 +17,7 @@
 	for _, d := range suspects {
 		tr.RequestAborted(now, d, "u", instances.Incarnation(n))
 	}
-	tr.UpstreamEnded(now, "u", instances.Incarnation(n))
+	tr.UpstreamEnded(now, "u", instances.Incarnation(n), RefusedDial)
 }
 
 func refused(tr *Tracker, d Digest) bool { return tr.Refused(at(59*time.Second), d, 1, 0) }
@@ -156,7 +156,7 @@
 		for range 4 {
 			tr.RequestAborted(at(now), Digest(2+rng.IntN(callers)), name, incarnation[u])
 		}
-		tr.UpstreamEnded(at(now+50*ms), name, incarnation[u])
+		tr.UpstreamEnded(at(now+50*ms), name, incarnation[u], RefusedDial)
 		incarnation[u]++
 	}
 	if reached > certainThreshold || refusals > 0 {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -119,6 +119,8 @@
 	quotas      *teamQuotas
 	draining    atomic.Bool
 	listeners   Listeners
+	// upstreamDialer opens the connections to upstreams. Tests replace it before Run.
+	upstreamDialer pool.DialFunc
 	// killed is closed to end Run without a graceful stop, in tests of lost processes.
 	killed chan struct{}
 }
@@ -217,10 +219,11 @@
 		g.follower.seeds = append(g.follower.seeds, s.String())
 		g.follower.isSeed = g.follower.isSeed || s == conf.Peers
 	}
-	g.conns = pool.New(upstreamLimits, g.now)
+	g.upstreamDialer = (&net.Dialer{KeepAlive: -1}).DialContext
+	g.conns = g.newUpstreamPool()
 	g.assignments = &assignmentSupervisor{
 		view: g.view, cluster: g.cluster, traffic: g.traffic, store: store, calls: g.storeCalls,
-		owners: platform.NewOwners(pool.New(upstreamLimits, g.now)), grantSlots: newGrantSlots(g.now), maxHold: conf.MaxGrantDuration.D(),
+		owners: platform.NewOwners(g.newUpstreamPool()), grantSlots: newGrantSlots(g.now), maxHold: conf.MaxGrantDuration.D(),
 		now: g.now, log: log, meters: g.meters, workTimes: newWorkTimes(g.view, g.now), limits: g.limits, quotas: g.quotas,
 		rights: &warmUpRights{view: g.view, cluster: g.cluster, traffic: g.traffic, now: g.now},
 	}
@@ -249,6 +252,13 @@
 	return g
 }
 
+// newUpstreamPool returns a pool of connections to upstreams.
+func (g *Gateway) newUpstreamPool() *pool.Pool {
+	return pool.NewWithDialer(upstreamLimits, g.now, func(ctx context.Context, network, addr string) (net.Conn, error) {
+		return g.upstreamDialer(ctx, network, addr)
+	})
+}
+
 // limitsChanged applies a change of an upstream's announced limit here at once, and passes it
 // on to the gateways that report to this one.
 func (g *Gateway) limitsChanged() {
--- a/gateway/meternames.go
+++ b/gateway/meternames.go
@@ -102,6 +102,7 @@
 	suspectsKnown              = "suspects.known"
 	suspectsStopped            = "suspects.stopped"
 	suspectsCrashes            = "suspects.crashes"
+	suspectsContradicted       = "suspects.ends_contradicted"
 	suspectsRefused            = "suspects.refused"
 	suspectsInvalid            = "suspects.unsound"
 	limitsAnnounced            = "limits.{service}.named"
@@ -212,6 +213,7 @@
 	{suspectsKnown, "requests", "suspect requests remembered by this gateway: in progress at an upstream when it crashed"},
 	{suspectsStopped, "requests", "suspect requests that are no longer sent"},
 	{suspectsCrashes, "crashes", "crashes of upstreams with requests in progress, as seen by this gateway, counted once per request"},
+	{suspectsContradicted, "ends", "of upstreams, concluded here or reported by another gateway, after which the same incarnation has answered"},
 	{suspectsRefused, "requests", "refused by this gateway because they have crashed too many upstreams"},
 	{suspectsInvalid, "messages", "of other gateways about suspect requests that were beyond the bound and dropped"},
 	{limitsAnnounced, "upstreams", "that announce a limit on the requests from all gateways together, according to this gateway's view"},
--- a/gateway/suspectnews.go
+++ b/gateway/suspectnews.go
@@ -74,8 +74,8 @@
 	}
 	s.book.Merge(crashes)
 	for _, e := range m.Ends {
-		ownCrashes = append(ownCrashes, s.book.UpstreamEnded(ago(e.AgeMs), e.Upstream, instances.Incarnation(e.Incarnation))...)
+		ownCrashes = append(ownCrashes, s.book.UpstreamEnded(ago(e.AgeMs), e.Upstream, instances.Incarnation(e.Incarnation), poison.OtherGateway)...)
 	}
 	s.mu.Unlock()
-	s.logCrashes(ownCrashes, "", "gateway")
+	s.logCrashes(ownCrashes, "", poison.OtherGateway)
 }
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -122,15 +122,17 @@
 	case dispatch.ConnectionBroken:
 		crashes = s.book.RequestAborted(s.now(), q.digest(), inst.ID, inst.Incarnation())
 	case dispatch.ConnectionRefused:
-		crashes = s.book.UpstreamEnded(s.now(), inst.ID, inst.Incarnation())
+		crashes = s.book.UpstreamEnded(s.now(), inst.ID, inst.Incarnation(), poison.RefusedDial)
 	case dispatch.Answered, dispatch.Failed, dispatch.Overloaded:
-		s.book.RequestAnswered(inst.ID, inst.Incarnation(), g.GrantedAt)
+		if end, ok := s.book.RequestAnswered(inst.ID, inst.Incarnation(), g.GrantedAt); ok {
+			defer s.logContradicted(end)
+		}
 		if o == dispatch.Answered && !s.book.Empty() && s.book.CrashCount(q.digest()) > 0 {
 			s.book.Clear(poison.Clearing{Digest: q.digest(), At: s.now()})
 		}
 	}
 	s.mu.Unlock()
-	s.logCrashes(crashes, inst.ID, "try")
+	s.logCrashes(crashes, inst.ID, poison.RefusedDial)
 }
 
 // onViewChanged compares the incarnations of upstreams on which runs were cut off with the current
@@ -140,17 +142,17 @@
 	s.mu.Lock()
 	for _, end := range s.book.UnconfirmedEnds() {
 		if inst := v.Get(end.Upstream); inst == nil || inst.Incarnation().DiffersFrom(end.Incarnation) {
-			crashes = append(crashes, s.book.UpstreamEnded(s.now(), end.Upstream, end.Incarnation)...)
+			crashes = append(crashes, s.book.UpstreamEnded(s.now(), end.Upstream, end.Incarnation, poison.ChangedEntry)...)
 		}
 	}
 	s.book.Prune(s.now())
 	s.mu.Unlock()
-	s.logCrashes(crashes, "", "entry")
+	s.logCrashes(crashes, "", poison.ChangedEntry)
 }
 
 // logCrashes logs and counts crashes of upstreams with requests on them. from names what revealed
 // the crash.
-func (s *suspects) logCrashes(crashes []poison.Crash, upstream, from string) {
+func (s *suspects) logCrashes(crashes []poison.Crash, upstream string, from poison.Source) {
 	for _, c := range crashes {
 		s.meters.inc(suspectsCrashes)
 		s.mu.Lock()
@@ -161,6 +163,13 @@
 	}
 }
 
+// logContradicted logs and counts an upstream that has answered after its end was concluded.
+func (s *suspects) logContradicted(end poison.End) {
+	s.meters.inc(suspectsContradicted)
+	s.log.Warn("upstream answers after its end was concluded", "upstream", end.Upstream, "from", end.Source,
+		"after_ms", s.now().Sub(end.At).Milliseconds())
+}
+
 // clear lets a request through again at an operator's request.
 func (s *suspects) clear(d poison.Digest, by string) {
 	s.mu.Lock()
--- a/gateway/suspects_test.go
+++ b/gateway/suspects_test.go
@@ -224,7 +224,7 @@
 	first.mu.Lock()
 	for i := range crashes {
 		first.book.RequestAborted(first.now(), d, "i-p0", instances.Incarnation(i+1))
-		first.book.UpstreamEnded(first.now(), "i-p0", instances.Incarnation(i+1))
+		first.book.UpstreamEnded(first.now(), "i-p0", instances.Incarnation(i+1), poison.RefusedDial)
 	}
 	first.mu.Unlock()
 	// Send the request only once all gateways know of it: a successful response before that would
--- a/gateway/testcluster_test.go
+++ b/gateway/testcluster_test.go
@@ -63,9 +63,11 @@
 	// peersLink carries this gateway's responses to other gateways, storeLink the store's
 	// responses to it. Both are nil unless limitLinks is set.
 	peersLink, storeLink *relay.Link
-	stop                 context.CancelFunc
-	done                 chan struct{}
-	ports                gatewayPorts
+	// upstreamLinks are the links to all upstreams.
+	upstreamLinks *upstreamLinks
+	stop          context.CancelFunc
+	done          chan struct{}
+	ports         gatewayPorts
 }
 
 // upstream is a stand-in instance with its server.
@@ -228,6 +230,7 @@
 		Gateway: newGateway(conf, listeners, eventLog, clock), suspendedNs: asleep, eventLog: eventLog, storeEndpoint: endpoint, callers: listeners.Callers.Addr().String(),
 		peersLink: peersLink, storeLink: storeLink, stop: cancel, done: make(chan struct{}), ports: ports,
 	}
+	g.upstreamLinks = cuttableLinks(g.Gateway)
 	if b.keepIdle {
 		// By default idle connections to other gateways are closed after a while.
 		g.cluster.http.Transport.(*progressTransport).base.IdleConnTimeout = 0
--- a/transport/pool/conn.go
+++ b/transport/pool/conn.go
@@ -66,7 +66,7 @@
 
 // reset closes the connection with a TCP reset, which discards unsent and unread bytes.
 func (c *conn) reset() {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+	if tcp, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
 		// If the option cannot be set, the connection is closed normally, which is safe too.
 		_ = tcp.SetLinger(0)
 	}
--- a/transport/pool/pool.go
+++ b/transport/pool/pool.go
@@ -28,6 +28,9 @@
 	MaxBodyBytes int64
 }
 
+// DialFunc opens a connection, like net.Dialer.DialContext.
+type DialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+
 // Request is a request that is sent at most once.
 type Request struct {
 	Method string
@@ -89,6 +92,7 @@
 type Pool struct {
 	limits Limits
 	now    func() time.Time
+	dialer DialFunc
 
 	mu    sync.Mutex
 	idle  map[string][]*conn
@@ -108,9 +112,15 @@
 	ClosedAfterSilence uint64
 }
 
-// New returns a pool without connections.
+// New returns a pool without connections. Idle connections are not probed: each request has a
+// deadline of its own.
 func New(limits Limits, now func() time.Time) *Pool {
-	return &Pool{limits: limits, now: now, idle: make(map[string][]*conn)}
+	return NewWithDialer(limits, now, (&net.Dialer{KeepAlive: -1}).DialContext)
+}
+
+// NewWithDialer is New with a given function that opens connections.
+func NewWithDialer(limits Limits, now func() time.Time, dialer DialFunc) *Pool {
+	return &Pool{limits: limits, now: now, dialer: dialer, idle: make(map[string][]*conn)}
 }
 
 // Stats returns the current counters.
@@ -288,8 +298,9 @@
 }
 
 func (p *Pool) dial(ctx context.Context, addr string) (*conn, error) {
-	dialer := net.Dialer{Timeout: p.limits.DialTimeout, KeepAlive: -1}
-	nc, err := dialer.DialContext(ctx, "tcp", addr)
+	dialCtx, cancel := context.WithTimeout(ctx, p.limits.DialTimeout)
+	defer cancel()
+	nc, err := p.dialer(dialCtx, "tcp", addr)
 	if err != nil {
 		return nil, dialError(ctx, err)
 	}
