--- /dev/null
+++ b/coordination/poison/cut_test.go
@@ -0,0 +1,243 @@
+package poison
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/rockcroft/rockcroft/state/instances"
+)
+
+// cutModel is a deployment of gateways and upstreams whose callers repeat their requests. One
+// request ends each upstream that runs it, and some gateways are cut off from all upstreams.
+type cutModel struct {
+	rng       *rand.Rand
+	now       time.Duration
+	trackers  []*Tracker
+	upstreams []modelUpstream
+	// running holds the run of each caller; caller zero sends the harmful request.
+	running     map[int]*modelRun
+	cut         []bool
+	harmfulRuns int
+	refusals    int
+}
+
+// modelUpstream is an upstream; it is down until backAt.
+type modelUpstream struct {
+	incarnation instances.Incarnation
+	backAt      time.Duration
+}
+
+// modelRun is a run of a request at an upstream.
+type modelRun struct {
+	gateway, upstream int
+	sent, until       time.Duration
+}
+
+const (
+	modelGateways  = 8
+	modelUpstreams = 9
+	modelTick      = 10 * ms
+	modelDuration  = 20 * time.Second
+	modelDowntime  = 700 * ms
+	modelHarmful   = Digest(1)
+	// callersPerDigest is the number of callers behind one address that ask for the same.
+	callersPerDigest = 4
+)
+
+// digestOf returns the digest of a caller's request.
+func digestOf(caller int) Digest {
+	if caller == 0 {
+		return modelHarmful
+	}
+	return modelHarmful + 1 + Digest((caller-1)/callersPerDigest)
+}
+
+func newCutModel(seed uint64) *cutModel {
+	m := &cutModel{
+		rng: rand.New(rand.NewPCG(seed, 7)), running: make(map[int]*modelRun),
+		upstreams: make([]modelUpstream, modelUpstreams), cut: make([]bool, modelGateways),
+	}
+	for range modelGateways {
+		m.trackers = append(m.trackers, NewTracker())
+	}
+	return m
+}
+
+func (m *cutModel) name(u int) string { return fmt.Sprint("u", u) }
+
+// send sends a caller's request at a random gateway, which tries up to three upstreams.
+func (m *cutModel) send(caller int) {
+	d, g := digestOf(caller), m.rng.IntN(modelGateways)
+	tr := m.trackers[g]
+	if tr.Refused(at(m.now), d, modelGateways, 1) {
+		if d != modelHarmful {
+			m.refusals++
+		}
+		return
+	}
+	for range 3 {
+		u := m.rng.IntN(modelUpstreams)
+		if m.cut[g] || m.upstreams[u].backAt > m.now {
+			dialRefused(tr, at(m.now), m.name(u), m.upstreams[u].incarnation)
+			continue
+		}
+		const minRun, maxRun = 20, 150
+		m.running[caller] = &modelRun{gateway: g, upstream: u, sent: m.now, until: m.now + time.Duration(minRun+m.rng.IntN(maxRun-minRun))*ms}
+		return
+	}
+}
+
+// end ends the runs that are due.
+func (m *cutModel) end() {
+	for _, caller := range m.callers() {
+		r := m.running[caller]
+		if r == nil || r.until > m.now {
+			continue
+		}
+		d := digestOf(caller)
+		if d == modelHarmful {
+			m.crash(r.upstream)
+			continue
+		}
+		delete(m.running, caller)
+		tr := m.trackers[r.gateway]
+		answered(tr, at(m.now), m.name(r.upstream), m.upstreams[r.upstream].incarnation, at(r.sent))
+		if tr.CrashCount(d) > 0 {
+			tr.Clear(Clearing{Digest: d, At: at(m.now)})
+		}
+	}
+}
+
+// crash ends an upstream with all its runs.
+func (m *cutModel) crash(u int) {
+	m.harmfulRuns++
+	m.abort(func(r *modelRun) bool { return r.upstream == u })
+	m.upstreams[u].backAt = m.now + modelDowntime
+}
+
+// abort aborts the runs that match.
+func (m *cutModel) abort(match func(*modelRun) bool) {
+	for _, caller := range m.callers() {
+		if r := m.running[caller]; match(r) {
+			m.trackers[r.gateway].RequestAborted(at(m.now), digestOf(caller), m.name(r.upstream), m.upstreams[r.upstream].incarnation)
+			delete(m.running, caller)
+		}
+	}
+}
+
+// callers returns the callers with a run in order.
+func (m *cutModel) callers() []int { return slices.Sorted(maps.Keys(m.running)) }
+
+// restart starts upstreams again, which their entries tell all gateways.
+func (m *cutModel) restart() {
+	for u := range m.upstreams {
+		up := &m.upstreams[u]
+		if up.backAt == 0 || up.backAt > m.now {
+			continue
+		}
+		for _, tr := range m.trackers {
+			tr.UpstreamEnded(at(m.now), m.name(u), up.incarnation, ChangedEntry)
+		}
+		up.incarnation, up.backAt = up.incarnation+1, 0
+	}
+}
+
+// report makes all gateways exchange their findings.
+func (m *cutModel) report() {
+	for _, from := range m.trackers {
+		crashes, clearings := from.Export(at(m.now))
+		ends := from.RecentEnds(at(m.now))
+		for _, to := range m.trackers {
+			if to != from {
+				exchange(to, at(m.now), crashes, clearings, ends)
+			}
+		}
+	}
+}
+
+// cutSome cuts some gateways off from all upstreams; their connections are reset.
+func (m *cutModel) cutSome(n int) {
+	for _, g := range m.rng.Perm(modelGateways)[:n] {
+		m.cut[g] = true
+		m.abort(func(r *modelRun) bool { return r.gateway == g })
+	}
+}
+
+// run plays the model. From 2 s on the given number of gateways is cut off for 5 s; with repeated
+// set again each 2 s, for 2 s.
+func (m *cutModel) run(callers, cutGateways int, repeated bool) {
+	for ; m.now < modelDuration; m.now += modelTick {
+		m.end()
+		m.restart()
+		switch phase := m.now - 2*time.Second; {
+		case phase >= 0 && repeated && phase%(4*time.Second) == 0, phase == 0:
+			m.cutSome(cutGateways)
+		case phase > 0 && repeated && phase%(4*time.Second) == 2*time.Second, !repeated && phase == 5*time.Second:
+			clear(m.cut)
+		}
+		for i := range callers {
+			if m.running[1+i] == nil && m.rng.IntN(20) == 0 {
+				m.send(1 + i)
+			}
+		}
+		if m.now%(500*ms) == 0 {
+			m.send(0)
+		}
+		if m.now%(100*ms) == 0 {
+			m.report()
+		}
+	}
+}
+
+// A gateway that is cut off from upstreams must not make harmless requests look harmful, nor hide
+// the harmful one among ends that did not happen.
+func TestCutGatewaysReportNoEnds(t *testing.T) {
+	t.Parallel()
+	for _, tt := range []struct {
+		name     string
+		cut      int
+		repeated bool
+	}{{"none cut", 0, false}, {"three cut once", 3, false}, {"three cut again and again", 3, true}} {
+		for _, callers := range []int{20, 60} {
+			t.Run(fmt.Sprintf("%s, %d callers", tt.name, callers), func(t *testing.T) {
+				t.Parallel()
+				most, refusals := 0, 0
+				for seed := range uint64(200) {
+					m := newCutModel(seed)
+					m.run(callers, tt.cut, tt.repeated)
+					most, refusals = max(most, m.harmfulRuns), refusals+m.refusals
+				}
+				if most > maxHarmfulRuns || refusals > 0 {
+					t.Errorf("the harmful request ended up to %d upstreams, harmless ones were refused %d times", most, refusals)
+				}
+			})
+		}
+	}
+}
+
+// maxHarmfulRuns is three ends, or four beside others, and what is under way until the last one is
+// known everywhere: a restart of the upstream (0.7 s) at a run each half second.
+const maxHarmfulRuns = certainThreshold + 2
+
+// dialRefused records that the address of an upstream refused a connection.
+func dialRefused(tr *Tracker, now time.Time, upstream string, incarnation instances.Incarnation) {
+	tr.UpstreamEnded(now, upstream, incarnation, RefusedDial)
+}
+
+// answered records an answer to a request that was sent at the given time.
+func answered(tr *Tracker, _ time.Time, upstream string, incarnation instances.Incarnation, sent time.Time) {
+	tr.RequestAnswered(upstream, incarnation, sent)
+}
+
+// exchange applies a report of another gateway.
+func exchange(tr *Tracker, _ time.Time, crashes []Crash, clearings []Clearing, ends []End) {
+	tr.Clear(clearings...)
+	tr.Merge(crashes)
+	for _, e := range ends {
+		tr.UpstreamEnded(e.At, e.Upstream, e.Incarnation, OtherGateway)
+	}
+}
--- a/gateway/suspects_test.go
+++ b/gateway/suspects_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -262,3 +263,46 @@
 		return true
 	})
 }
+
+// TestCutGatewayStopsNoHarmlessRequest guards against a gateway that takes its own cut links for
+// ends of upstreams: the requests that ran there were refused as harmful by all gateways.
+func TestCutGatewayStopsNoHarmlessRequest(t *testing.T) {
+	t.Parallel()
+	b := newTestCluster(t)
+	for i := range 6 {
+		b.upstream(fmt.Sprintf("i-p%d", i), "pay").ServiceTime = 30 * time.Millisecond
+	}
+	for i := range 3 {
+		b.upstream(fmt.Sprintf("i-s%d", i), "status")
+		b.gateway(fmt.Sprintf("g%d", i))
+	}
+	b.ready()
+	var all sync.WaitGroup
+	var ended atomic.Bool
+	for _, g := range b.gateways {
+		for range 20 {
+			all.Go(func() {
+				for !ended.Load() {
+					if a := b.request(g, http.MethodGet, "/read/"+g.conf.Node, -1); a.status != http.StatusOK {
+						time.Sleep(10 * time.Millisecond)
+					}
+				}
+			})
+		}
+	}
+	for range 4 {
+		for _, state := range []linkState{linksReset, linksUp} {
+			time.Sleep(500 * time.Millisecond)
+			b.gateways[1].upstreamLinks.set(state)
+		}
+	}
+	time.Sleep(500 * time.Millisecond)
+	ended.Store(true)
+	all.Wait()
+	for _, g := range b.gateways {
+		m := metricsOf(g)
+		if n := m["suspects.refused"]; n != "" && n != "0" {
+			t.Errorf("%s refused %s harmless requests, %s ends were contradicted", g.conf.Node, n, m["suspects.ends_contradicted"])
+		}
+	}
+}
