poison: a refused connection is the end of an upstream only if others are reached, and until it answers

Callers saw: while a gateway was cut off from upstreams, requests that do no harm were refused as harmful everywhere, for a minute, and a harmful one was counted less, as ends that did not happen lay between its own.

Cause: a gateway took a refused connection for the end of the upstream, told all others so, and all that had been running there got a crash. An end was never taken back, and the earliest time stood, so that the real end of the same incarnation was not told later.

Change: the gateway first connects to up to three other upstreams of the same failure domain; if one refuses, nothing is concluded. An answer to a request that was sent after the end contradicts it at all gateways (new field contradicted_ends of reports). A later start in the entry is final, as answers of the next start are attributed to the former one until the entry is known.

--- a/coordination/poison/cut_test.go
+++ b/coordination/poison/cut_test.go
@@ -19,10 +19,12 @@
 	trackers  []*Tracker
 	upstreams []modelUpstream
 	// running holds the run of each caller; caller zero sends the harmful request.
-	running     map[int]*modelRun
-	cut         []bool
-	harmfulRuns int
-	refusals    int
+	running map[int]*modelRun
+	cut     []bool
+	// cutUpstreams is the number of upstreams that the cut gateways do not reach.
+	cutUpstreams int
+	harmfulRuns  int
+	refusals     int
 }
 
 // modelUpstream is an upstream; it is down until backAt.
@@ -59,7 +61,7 @@
 func newCutModel(seed uint64) *cutModel {
 	m := &cutModel{
 		rng: rand.New(rand.NewPCG(seed, 7)), running: make(map[int]*modelRun),
-		upstreams: make([]modelUpstream, modelUpstreams), cut: make([]bool, modelGateways),
+		upstreams: make([]modelUpstream, modelUpstreams), cutUpstreams: modelUpstreams, cut: make([]bool, modelGateways),
 	}
 	for range modelGateways {
 		m.trackers = append(m.trackers, NewTracker())
@@ -81,8 +83,10 @@
 	}
 	for range 3 {
 		u := m.rng.IntN(modelUpstreams)
-		if m.cut[g] || m.upstreams[u].backAt > m.now {
-			dialRefused(tr, at(m.now), m.name(u), m.upstreams[u].incarnation)
+		if m.isCut(g, u) || m.upstreams[u].backAt > m.now {
+			if m.reachesOthers(g, u) {
+				tr.UpstreamEnded(at(m.now), m.name(u), m.upstreams[u].incarnation, RefusedDial)
+			}
 			continue
 		}
 		const minRun, maxRun = 20, 150
@@ -91,6 +95,21 @@
 	}
 }
 
+// reachesOthers reports whether three other upstreams take connections from a gateway.
+func (m *cutModel) reachesOthers(gateway, upstream int) bool {
+	others := slices.DeleteFunc(m.rng.Perm(modelUpstreams), func(u int) bool { return u == upstream })[:3]
+	for _, u := range others {
+		if m.isCut(gateway, u) || m.upstreams[u].backAt > m.now {
+			return false
+		}
+	}
+	return true
+}
+
+func (m *cutModel) isCut(gateway, upstream int) bool {
+	return m.cut[gateway] && upstream < m.cutUpstreams
+}
+
 // end ends the runs that are due.
 func (m *cutModel) end() {
 	for _, caller := range m.callers() {
@@ -141,6 +160,7 @@
 		}
 		for _, tr := range m.trackers {
 			tr.UpstreamEnded(at(m.now), m.name(u), up.incarnation, ChangedEntry)
+			tr.Restarted(m.name(u), up.incarnation)
 		}
 		up.incarnation, up.backAt = up.incarnation+1, 0
 	}
@@ -150,10 +170,10 @@
 func (m *cutModel) report() {
 	for _, from := range m.trackers {
 		crashes, clearings := from.Export(at(m.now))
-		ends := from.RecentEnds(at(m.now))
+		ends, contradictions := from.RecentEnds(at(m.now)), from.RecentContradictions(at(m.now))
 		for _, to := range m.trackers {
 			if to != from {
-				exchange(to, at(m.now), crashes, clearings, ends)
+				exchange(to, at(m.now), crashes, clearings, ends, contradictions)
 			}
 		}
 	}
@@ -163,7 +183,7 @@
 func (m *cutModel) cutSome(n int) {
 	for _, g := range m.rng.Perm(modelGateways)[:n] {
 		m.cut[g] = true
-		m.abort(func(r *modelRun) bool { return r.gateway == g })
+		m.abort(func(r *modelRun) bool { return r.gateway == g && m.isCut(g, r.upstream) })
 	}
 }
 
@@ -198,16 +218,21 @@
 func TestCutGatewaysReportNoEnds(t *testing.T) {
 	t.Parallel()
 	for _, tt := range []struct {
-		name     string
-		cut      int
-		repeated bool
-	}{{"none cut", 0, false}, {"three cut once", 3, false}, {"three cut again and again", 3, true}} {
+		name         string
+		cut          int
+		cutUpstreams int
+		repeated     bool
+	}{
+		{"none cut", 0, 0, false}, {"three cut once", 3, modelUpstreams, false}, {"three cut again and again", 3, modelUpstreams, true},
+		{"three cut off from two thirds", 3, 2 * modelUpstreams / 3, true},
+	} {
 		for _, callers := range []int{20, 60} {
 			t.Run(fmt.Sprintf("%s, %d callers", tt.name, callers), func(t *testing.T) {
 				t.Parallel()
 				most, refusals := 0, 0
 				for seed := range uint64(200) {
 					m := newCutModel(seed)
+					m.cutUpstreams = tt.cutUpstreams
 					m.run(callers, tt.cut, tt.repeated)
 					most, refusals = max(most, m.harmfulRuns), refusals+m.refusals
 				}
@@ -223,21 +248,19 @@
 // known everywhere: a restart of the upstream (0.7 s) at a run each half second.
 const maxHarmfulRuns = certainThreshold + 2
 
-// dialRefused records that the address of an upstream refused a connection.
-func dialRefused(tr *Tracker, now time.Time, upstream string, incarnation instances.Incarnation) {
-	tr.UpstreamEnded(now, upstream, incarnation, RefusedDial)
-}
-
 // answered records an answer to a request that was sent at the given time.
-func answered(tr *Tracker, _ time.Time, upstream string, incarnation instances.Incarnation, sent time.Time) {
-	tr.RequestAnswered(upstream, incarnation, sent)
+func answered(tr *Tracker, now time.Time, upstream string, incarnation instances.Incarnation, sent time.Time) {
+	tr.RequestAnswered(now, upstream, incarnation, sent)
 }
 
 // exchange applies a report of another gateway.
-func exchange(tr *Tracker, _ time.Time, crashes []Crash, clearings []Clearing, ends []End) {
+func exchange(tr *Tracker, now time.Time, crashes []Crash, clearings []Clearing, ends, contradictions []End) {
 	tr.Clear(clearings...)
 	tr.Merge(crashes)
 	for _, e := range ends {
 		tr.UpstreamEnded(e.At, e.Upstream, e.Incarnation, OtherGateway)
 	}
+	for _, e := range contradictions {
+		tr.Contradict(now, e)
+	}
 }
--- a/coordination/poison/poison.go
+++ b/coordination/poison/poison.go
@@ -74,6 +74,8 @@
 	Digest Digest
 	Event  Event
 	At     time.Time
+	// Upstream is empty in crashes that another gateway reported.
+	Upstream string
 }
 
 // Clearing states that a request is harmless; it cancels all crashes up to its time.
@@ -96,33 +98,6 @@
 	at     time.Time
 }
 
-// ending is what showed that an incarnation has ended, and when.
-type ending struct {
-	at     time.Time
-	source Source
-	// contradicted is set once the incarnation has answered a request that was sent later.
-	contradicted bool
-}
-
-// Source is what showed the end of an upstream incarnation to a gateway.
-type Source string
-
-// The sources.
-const (
-	// RefusedDial: the address refused a connection of this gateway.
-	RefusedDial Source = "refused_dial"
-	// ChangedEntry: the entry of the upstream is gone or tells a later start.
-	ChangedEntry Source = "entry"
-	// OtherGateway: another gateway has reported the end.
-	OtherGateway Source = "gateway"
-)
-
-// process identifies one incarnation of an upstream.
-type process struct {
-	upstream    string
-	incarnation instances.Incarnation
-}
-
 // Tracker holds the findings of one gateway. It is not safe for concurrent use.
 type Tracker struct {
 	suspects map[Digest]*suspect
@@ -131,7 +106,8 @@
 	aborted      map[process][]abortedRun
 	abortedCount int
 	ended        map[process]*ending
-	// ends holds every end of an upstream that a suspect was present at.
+	// ends holds every end of an upstream that a suspect was present at, and those that an answer
+	// contradicts.
 	ends map[Event]*end
 }
 
@@ -154,7 +130,18 @@
 	if s == nil {
 		return 0
 	}
-	return len(s.crashes)
+	return t.count(s)
+}
+
+// count returns the number of a suspect's crashes that no answer contradicts.
+func (t *Tracker) count(s *suspect) int {
+	n := 0
+	for event, at := range s.crashes {
+		if !t.ends[event].contradicts(at) {
+			n++
+		}
+	}
+	return n
 }
 
 // Refused reports whether the request must not be sent. chance is a random number in [0, 1): once
@@ -184,23 +171,7 @@
 
 // crash returns the crash to record for the run once the incarnation has ended.
 func (r abortedRun) crash(p process) Crash {
-	return Crash{Digest: r.digest, Event: eventOf(p.upstream, p.incarnation), At: r.at}
-}
-
-// RequestAnswered records that an upstream incarnation answered a request sent at the given time.
-// The incarnation was therefore still running then, and earlier aborted runs did not end it. If it
-// was considered as ended before, RequestAnswered returns that end, once.
-func (t *Tracker) RequestAnswered(upstream string, incarnation instances.Incarnation, sent time.Time) (contradicted End, ok bool) {
-	p := process{upstream, incarnation}
-	if list := t.aborted[p]; len(list) > 0 {
-		t.setAborted(p, slices.DeleteFunc(list, func(run abortedRun) bool { return run.at.Before(sent) }))
-	}
-	e := t.ended[p]
-	if e == nil || e.contradicted || !sent.After(e.at) {
-		return End{}, false
-	}
-	e.contradicted = true
-	return End{Upstream: upstream, Incarnation: incarnation, At: e.at, Source: e.source}, true
+	return Crash{Digest: r.digest, Event: eventOf(p.upstream, p.incarnation), At: r.at, Upstream: p.upstream}
 }
 
 // setAborted replaces the aborted runs of an incarnation by a subset of them.
@@ -213,56 +184,6 @@
 	t.aborted[p] = list
 }
 
-// UpstreamEnded records that an upstream incarnation has ended, and returns the crashes that follow
-// from it.
-func (t *Tracker) UpstreamEnded(now time.Time, upstream string, incarnation instances.Incarnation, source Source) []Crash {
-	p := process{upstream, incarnation}
-	if known := t.ended[p]; known == nil {
-		t.ended[p] = &ending{at: now, source: source}
-	} else if now.Before(known.at) {
-		known.at = now
-	}
-	list := slices.Clone(t.aborted[p])
-	t.abortedCount -= len(t.aborted[p])
-	delete(t.aborted, p)
-	var out []Crash
-	for _, run := range list {
-		if now.Sub(run.at) < crashWindow {
-			out = append(out, t.add(run.crash(p))...)
-		}
-	}
-	return out
-}
-
-// End is the end of an upstream incarnation. At is zero if the incarnation is not known to have
-// ended.
-type End struct {
-	Upstream    string
-	Incarnation instances.Incarnation
-	At          time.Time
-	Source      Source
-}
-
-// UnconfirmedEnds returns the upstream incarnations that have aborted runs and may have ended.
-func (t *Tracker) UnconfirmedEnds() []End {
-	out := make([]End, 0, len(t.aborted))
-	for p := range t.aborted {
-		out = append(out, End{Upstream: p.upstream, Incarnation: p.incarnation})
-	}
-	return out
-}
-
-// RecentEnds returns the ends of upstreams to report to other gateways.
-func (t *Tracker) RecentEnds(now time.Time) []End {
-	var out []End
-	for p, e := range t.ended {
-		if now.Sub(e.at) < endReportPeriod && len(out) < maxReported {
-			out = append(out, End{Upstream: p.upstream, Incarnation: p.incarnation, At: e.at, Source: e.source})
-		}
-	}
-	return out
-}
-
 // add records a crash and returns it if it was not known before.
 func (t *Tracker) add(c Crash) []Crash {
 	s := t.suspects[c.Digest]
@@ -273,19 +194,40 @@
 		s = &suspect{crashes: make(map[Event]time.Time)}
 		t.suspects[c.Digest] = s
 	}
-	_, known := s.crashes[c.Event]
-	if known || !c.At.After(s.clearedAt) || len(s.crashes) >= maxEventsPerSuspect {
+	known, isKnown := s.crashes[c.Event]
+	if isKnown && !t.ends[c.Event].contradicts(known) || !c.At.After(s.clearedAt) {
+		return nil
+	}
+	if !isKnown && !t.hasRoom(s) {
+		return nil
+	}
+	e := t.endAt(c.Event, c.At)
+	if e.contradicts(c.At) {
 		return nil
 	}
+	if !isKnown {
+		e.add(s.refused)
+	}
 	s.crashes[c.Event] = c.At
-	t.addToEnd(c, s.refused)
 	s.lastCrash = later(s.lastCrash, c.At)
-	if !s.refused && t.shouldRefuse(s) {
-		t.refuse(s)
-	}
+	t.refuseIfDue(s)
 	return []Crash{c}
 }
 
+// hasRoom reports whether one more crash of a suspect can be remembered. Contradicted ones give way.
+func (t *Tracker) hasRoom(s *suspect) bool {
+	if len(s.crashes) < maxEventsPerSuspect {
+		return true
+	}
+	for event, at := range s.crashes {
+		if e := t.ends[event]; e.contradicts(at) {
+			e.remove(s.refused)
+			delete(s.crashes, event)
+		}
+	}
+	return len(s.crashes) < maxEventsPerSuspect
+}
+
 // Merge records crashes reported by another gateway and returns those that were not known.
 func (t *Tracker) Merge(list []Crash) []Crash {
 	var out []Crash
@@ -311,7 +253,7 @@
 		for event, at := range s.crashes {
 			if !at.After(c.At) {
 				delete(s.crashes, event)
-				t.removeFromEnd(event, s.refused)
+				t.ends[event].remove(s.refused)
 			}
 		}
 		t.reinstate(s)
@@ -329,7 +271,7 @@
 			clearings = append(clearings, Clearing{Digest: d, At: s.clearedAt})
 		}
 		for event, at := range s.crashes {
-			if len(crashes) < maxReported {
+			if len(crashes) < maxReported && !t.ends[event].contradicts(at) {
 				crashes = append(crashes, Crash{Digest: d, Event: event, At: at})
 			}
 		}
@@ -346,7 +288,7 @@
 		}
 	}
 	slices.SortFunc(out, func(x, y Digest) int {
-		if n := cmp.Compare(len(t.suspects[y].crashes), len(t.suspects[x].crashes)); n != 0 {
+		if n := cmp.Compare(t.count(t.suspects[y]), t.count(t.suspects[x])); n != 0 {
 			return n
 		}
 		return cmp.Compare(x, y)
@@ -366,9 +308,9 @@
 // Suspects returns the requests with crashes, those with the most crashes first.
 func (t *Tracker) Suspects() []Suspect {
 	var out []Suspect
-	for _, d := range t.selectSuspects(func(s *suspect) bool { return len(s.crashes) > 0 }) {
+	for _, d := range t.selectSuspects(func(s *suspect) bool { return t.count(s) > 0 }) {
 		s := t.suspects[d]
-		out = append(out, Suspect{Digest: d, Crashes: len(s.crashes), Last: s.lastCrash, Refused: s.refused})
+		out = append(out, Suspect{Digest: d, Crashes: t.count(s), Last: s.lastCrash, Refused: s.refused})
 	}
 	return out
 }
@@ -379,16 +321,12 @@
 	for p, list := range t.aborted {
 		t.setAborted(p, slices.DeleteFunc(list, func(run abortedRun) bool { return now.Sub(run.at) >= crashWindow }))
 	}
-	for p, e := range t.ended {
-		if now.Sub(e.at) >= crashWindow {
-			delete(t.ended, p)
-		}
-	}
+	t.pruneEnded(now)
 	t.pruneEnds(now)
 	for d, s := range t.suspects {
 		if now.Sub(s.lastCrash) >= 2*refusalPeriod && now.Sub(s.clearedAt) >= refusalPeriod {
 			for event := range s.crashes {
-				t.removeFromEnd(event, s.refused)
+				t.ends[event].remove(s.refused)
 			}
 			delete(t.suspects, d)
 		}
--- a/coordination/poison/refusal.go
+++ b/coordination/poison/refusal.go
@@ -22,52 +22,8 @@
 	// isolationThreshold is the number of ends from which a request is only sent to upstreams that
 	// run no other suspect.
 	isolationThreshold = refusalThreshold - 1
-	// endRetention is how long an end is kept after its last suspect is gone.
-	endRetention = 30 * time.Second
 )
 
-// end is the end of one upstream incarnation with requests running on it.
-type end struct {
-	at time.Time
-	// suspects is the number of suspects that were present, refusedSuspects the number of those
-	// that are refused.
-	suspects, refusedSuspects int
-}
-
-// addToEnd adds a suspect to an end.
-func (t *Tracker) addToEnd(c Crash, refused bool) {
-	e := t.ends[c.Event]
-	if e == nil {
-		e = &end{at: c.At}
-		t.ends[c.Event] = e
-	}
-	if c.At.Before(e.at) {
-		e.at = c.At
-	}
-	e.suspects++
-	if refused {
-		e.refusedSuspects++
-	}
-}
-
-// removeFromEnd removes a suspect from an end.
-func (t *Tracker) removeFromEnd(event Event, refused bool) {
-	e := t.ends[event]
-	e.suspects--
-	if refused {
-		e.refusedSuspects--
-	}
-}
-
-// pruneEnds discards expired ends.
-func (t *Tracker) pruneEnds(now time.Time) {
-	for event, e := range t.ends {
-		if e.suspects == 0 && now.Sub(e.at) >= endRetention {
-			delete(t.ends, event)
-		}
-	}
-}
-
 // refuse marks a suspect as refused, which explains the ends it was present at.
 func (t *Tracker) refuse(s *suspect) {
 	s.refused = true
@@ -76,9 +32,16 @@
 	}
 }
 
+// refuseIfDue refuses a suspect that has to be.
+func (t *Tracker) refuseIfDue(s *suspect) {
+	if !s.refused && t.shouldRefuse(s) {
+		t.refuse(s)
+	}
+}
+
 // reinstate lifts the refusal of a suspect that has fewer crashes left than refusalThreshold.
 func (t *Tracker) reinstate(s *suspect) {
-	if !s.refused || len(s.crashes) >= refusalThreshold {
+	if !s.refused || t.count(s) >= refusalThreshold {
 		return
 	}
 	s.refused = false
@@ -92,7 +55,7 @@
 	count := 0
 	var first, last time.Time
 	for event, at := range s.crashes {
-		if t.ends[event].refusedSuspects > 0 {
+		if e := t.ends[event]; e.refusedSuspects > 0 || e.contradicts(at) {
 			continue
 		}
 		count++
@@ -113,7 +76,7 @@
 func (t *Tracker) likelyCoincidence(s *suspect, first, last time.Time) bool {
 	others := 0
 	for event, e := range t.ends {
-		if _, present := s.crashes[event]; present || e.refusedSuspects > 0 || !e.at.Before(last) {
+		if _, present := s.crashes[event]; present || e.refusedSuspects > 0 || e.contradicts(e.at) || !e.at.Before(last) {
 			continue
 		}
 		if e.at.After(first) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -221,6 +221,7 @@
 	}
 	g.upstreamDialer = (&net.Dialer{KeepAlive: -1}).DialContext
 	g.conns = g.newUpstreamPool()
+	g.suspects.connect = g.conns.Connect
 	g.assignments = &assignmentSupervisor{
 		view: g.view, cluster: g.cluster, traffic: g.traffic, store: store, calls: g.storeCalls,
 		owners: platform.NewOwners(g.newUpstreamPool()), grantSlots: newGrantSlots(g.now), maxHold: conf.MaxGrantDuration.D(),
--- a/gateway/meternames.go
+++ b/gateway/meternames.go
@@ -102,6 +102,7 @@
 	suspectsKnown              = "suspects.known"
 	suspectsStopped            = "suspects.stopped"
 	suspectsCrashes            = "suspects.crashes"
+	suspectsUnconfirmed        = "suspects.ends_unconfirmed"
 	suspectsContradicted       = "suspects.ends_contradicted"
 	suspectsRefused            = "suspects.refused"
 	suspectsInvalid            = "suspects.unsound"
@@ -213,6 +214,7 @@
 	{suspectsKnown, "requests", "suspect requests remembered by this gateway: in progress at an upstream when it crashed"},
 	{suspectsStopped, "requests", "suspect requests that are no longer sent"},
 	{suspectsCrashes, "crashes", "crashes of upstreams with requests in progress, as seen by this gateway, counted once per request"},
+	{suspectsUnconfirmed, "connections", "that an upstream refused without counting as its end, because no comparable upstream took one"},
 	{suspectsContradicted, "ends", "of upstreams, concluded here or reported by another gateway, after which the same incarnation has answered"},
 	{suspectsRefused, "requests", "refused by this gateway because they have crashed too many upstreams"},
 	{suspectsInvalid, "messages", "of other gateways about suspect requests that were beyond the bound and dropped"},
--- a/gateway/suspectnews.go
+++ b/gateway/suspectnews.go
@@ -35,7 +35,8 @@
 func (s *suspects) buildMessage(now time.Time) *syncpb.Suspects {
 	crashes, clearings := s.book.Export(now)
 	ends := s.book.RecentEnds(now)
-	if len(crashes) == 0 && len(clearings) == 0 && len(ends) == 0 {
+	contradictions := s.book.RecentContradictions(now)
+	if len(crashes) == 0 && len(clearings) == 0 && len(ends) == 0 && len(contradictions) == 0 {
 		return nil
 	}
 	m := &syncpb.Suspects{}
@@ -45,10 +46,16 @@
 	for _, c := range clearings {
 		m.Clearings = append(m.Clearings, &syncpb.Clearing{Digest: uint64(c.Digest), AgeMs: milliseconds(now.Sub(c.At))})
 	}
+	m.Ends, m.ContradictedEnds = endMessages(now, ends), endMessages(now, contradictions)
+	return m
+}
+
+func endMessages(now time.Time, ends []poison.End) []*syncpb.UpstreamEnd {
+	var out []*syncpb.UpstreamEnd
 	for _, e := range ends {
-		m.Ends = append(m.Ends, &syncpb.UpstreamEnd{Upstream: e.Upstream, Incarnation: uint32(e.Incarnation), AgeMs: milliseconds(now.Sub(e.At))})
+		out = append(out, &syncpb.UpstreamEnd{Upstream: e.Upstream, Incarnation: uint32(e.Incarnation), AgeMs: milliseconds(now.Sub(e.At))})
 	}
-	return m
+	return out
 }
 
 // applyMessage applies a message of another gateway. A message that exceeds the bound is counted
@@ -57,7 +64,7 @@
 	if m == nil {
 		return
 	}
-	if len(m.Crashes) > maxSuspectsPerMessage || len(m.Clearings) > maxSuspectsPerMessage || len(m.Ends) > maxSuspectsPerMessage {
+	if max(len(m.Crashes), len(m.Clearings), len(m.Ends), len(m.ContradictedEnds)) > maxSuspectsPerMessage {
 		s.meters.inc(suspectsInvalid)
 		return
 	}
@@ -76,6 +83,23 @@
 	for _, e := range m.Ends {
 		ownCrashes = append(ownCrashes, s.book.UpstreamEnded(ago(e.AgeMs), e.Upstream, instances.Incarnation(e.Incarnation), poison.OtherGateway)...)
 	}
+	for _, e := range m.ContradictedEnds {
+		incarnation := instances.Incarnation(e.Incarnation)
+		if !s.hasRestarted(e.Upstream, incarnation) {
+			s.book.Contradict(now, poison.End{Upstream: e.Upstream, Incarnation: incarnation, At: ago(e.AgeMs)})
+		}
+	}
 	s.mu.Unlock()
-	s.logCrashes(ownCrashes, "", poison.OtherGateway)
+	s.logCrashes(ownCrashes, poison.OtherGateway)
+}
+
+// hasRestarted reports whether the entry of an upstream tells another start than that of the
+// incarnation.
+func (s *suspects) hasRestarted(upstream string, incarnation instances.Incarnation) bool {
+	v := s.view.inst.Load()
+	if v == nil {
+		return false
+	}
+	inst := v.Get(upstream)
+	return inst != nil && inst.Incarnation().DiffersFrom(incarnation)
 }
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -8,6 +9,7 @@
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rockcroft/rockcroft/coordination/dispatch"
@@ -27,6 +29,10 @@
 	meters *meters
 	// gateways returns the number of gateways.
 	gateways func() int
+	// connect opens a connection to an upstream for later use; nil if ends need no confirmation by
+	// others. confirming is set while it is used.
+	connect    func(ctx context.Context, addr string) error
+	confirming atomic.Bool
 
 	mu   sync.Mutex
 	book *poison.Tracker
@@ -122,9 +128,11 @@
 	case dispatch.ConnectionBroken:
 		crashes = s.book.RequestAborted(s.now(), q.digest(), inst.ID, inst.Incarnation())
 	case dispatch.ConnectionRefused:
-		crashes = s.book.UpstreamEnded(s.now(), inst.ID, inst.Incarnation(), poison.RefusedDial)
+		if !s.book.EndKnown(inst.ID, inst.Incarnation()) {
+			defer s.confirmEnd(*inst, s.now())
+		}
 	case dispatch.Answered, dispatch.Failed, dispatch.Overloaded:
-		if end, ok := s.book.RequestAnswered(inst.ID, inst.Incarnation(), g.GrantedAt); ok {
+		if end, ok := s.book.RequestAnswered(s.now(), inst.ID, inst.Incarnation(), g.GrantedAt); ok {
 			defer s.logContradicted(end)
 		}
 		if o == dispatch.Answered && !s.book.Empty() && s.book.CrashCount(q.digest()) > 0 {
@@ -132,34 +140,99 @@
 		}
 	}
 	s.mu.Unlock()
-	s.logCrashes(crashes, inst.ID, poison.RefusedDial)
+	s.logCrashes(crashes, poison.RefusedDial)
+}
+
+// confirmEnd checks in the background whether the end of an upstream whose address refused a connection
+// at the given time is likely: a few other upstreams, of its failure domain if there are any, all take
+// connections from here. Otherwise this gateway may be cut off from some of them. It does nothing
+// while another such check is in progress.
+func (s *suspects) confirmEnd(refused instances.Instance, at time.Time) {
+	if s.connect == nil || !s.confirming.CompareAndSwap(false, true) {
+		return
+	}
+	candidates := s.comparable(refused)
+	if len(candidates) == 0 {
+		s.confirming.Store(false)
+		return
+	}
+	go func() {
+		defer s.confirming.Store(false)
+		for _, inst := range candidates {
+			if s.connect(context.Background(), inst.Address) != nil {
+				s.meters.inc(suspectsUnconfirmed)
+				return
+			}
+		}
+		s.mu.Lock()
+		crashes := s.book.UpstreamEnded(at, refused.ID, refused.Incarnation(), poison.RefusedDial)
+		s.mu.Unlock()
+		s.logCrashes(crashes, poison.RefusedDial)
+	}()
 }
 
+// comparable returns a few other upstreams to which this gateway should be able to connect if it can
+// connect to the given one, in random order.
+func (s *suspects) comparable(refused instances.Instance) []*instances.Instance {
+	v := s.view.inst.Load()
+	if v == nil {
+		return nil
+	}
+	var same, others []*instances.Instance
+	for _, name := range v.Services() {
+		for _, inst := range v.Service(name) {
+			switch {
+			case inst.ID == refused.ID:
+			case inst.Domain == refused.Domain:
+				same = append(same, inst)
+			default:
+				others = append(others, inst)
+			}
+		}
+	}
+	if len(same) == 0 {
+		same = others
+	}
+	s.mu.Lock()
+	s.rng.Shuffle(len(same), func(i, j int) { same[i], same[j] = same[j], same[i] })
+	s.mu.Unlock()
+	return same[:min(len(same), maxConfirmations)]
+}
+
+// maxConfirmations is the number of upstreams that must take a connection to confirm the end of
+// another one.
+const maxConfirmations = 3
+
 // onViewChanged compares the incarnations of upstreams on which runs were cut off with the current
 // ones.
 func (s *suspects) onViewChanged(v *instances.View) {
 	var crashes []poison.Crash
 	s.mu.Lock()
 	for _, end := range s.book.UnconfirmedEnds() {
-		if inst := v.Get(end.Upstream); inst == nil || inst.Incarnation().DiffersFrom(end.Incarnation) {
+		inst := v.Get(end.Upstream)
+		restarted := inst != nil && inst.Incarnation().DiffersFrom(end.Incarnation)
+		if restarted {
+			s.book.Restarted(end.Upstream, end.Incarnation)
+		}
+		if inst == nil || restarted {
 			crashes = append(crashes, s.book.UpstreamEnded(s.now(), end.Upstream, end.Incarnation, poison.ChangedEntry)...)
 		}
 	}
 	s.book.Prune(s.now())
 	s.mu.Unlock()
-	s.logCrashes(crashes, "", poison.ChangedEntry)
+	s.logCrashes(crashes, poison.ChangedEntry)
 }
 
 // logCrashes logs and counts crashes of upstreams with requests on them. from names what revealed
 // the crash.
-func (s *suspects) logCrashes(crashes []poison.Crash, upstream string, from poison.Source) {
+func (s *suspects) logCrashes(crashes []poison.Crash, from poison.Source) {
 	for _, c := range crashes {
 		s.meters.inc(suspectsCrashes)
 		s.mu.Lock()
 		count := s.book.CrashCount(c.Digest)
 		s.mu.Unlock()
 		s.log.Warn("upstream crashed while running a request", "digest", digestText(c.Digest), "crashes", count,
-			"upstream", upstream, "from", from, "after_ms", s.now().Sub(c.At).Milliseconds())
+			"upstream", c.Upstream, "from", from, "after_ms", s.now().Sub(c.At).Milliseconds())
 	}
 }
 
--- a/transport/pool/pool.go
+++ b/transport/pool/pool.go
@@ -297,6 +297,16 @@
 	}
 }
 
+// Connect opens a connection to an address and keeps it as idle.
+func (p *Pool) Connect(ctx context.Context, addr string) error {
+	c, err := p.dial(ctx, addr)
+	if err != nil {
+		return err
+	}
+	p.putIdle(addr, c)
+	return nil
+}
+
 func (p *Pool) dial(ctx context.Context, addr string) (*conn, error) {
 	dialCtx, cancel := context.WithTimeout(ctx, p.limits.DialTimeout)
 	defer cancel()
