poison: crashes are reported again to gateways that have missed them

Callers saw: a harmful request was sent on by gateways that had not heard of its former crashes.

Cause: a crash of a request that is not refused yet, and a clearing, was told for 3 s. A gateway that was cut off from the others for longer, had no leader to hear from, or started later, counted to three by itself.

--- a/coordination/poison/poison.go
+++ b/coordination/poison/poison.go
@@ -33,8 +33,12 @@
 	// that, on average one gateway lets it through as a probe.
 	refusalPeriod = 60 * time.Second
 	// reportPeriod is how long a crash of a request that is not refused is reported to other
-	// gateways: long enough for several reports when they are relayed by a domain head.
-	reportPeriod = 3 * time.Second
+	// gateways: long enough for several reports when they are relayed by a domain head. After that
+	// it is reported for repeatedReportPeriod in each reportInterval, to gateways that were cut off
+	// or have started since.
+	reportPeriod         = 3 * time.Second
+	reportInterval       = 10 * time.Second
+	repeatedReportPeriod = time.Second
 	// endReportPeriod is the corresponding period for ends of upstreams.
 	endReportPeriod = time.Second
 	// maxSuspects and maxAbortedRuns bound the memory of a Tracker, maxReported the size of one
@@ -260,14 +264,20 @@
 	}
 }
 
-// Export returns what to report to other gateways: recent crashes, crashes of refused requests, and
-// recent clearings. Requests with the most crashes come first, up to the size of one message.
+// reportDue reports whether something that happened at the given time, if it did, is reported now.
+func reportDue(now, at time.Time) bool {
+	age := now.Sub(at)
+	return !at.IsZero() && (age < reportPeriod || age%reportInterval < repeatedReportPeriod)
+}
+
+// Export returns what to report to other gateways: crashes and clearings that are due, and the crashes
+// of refused requests. Requests with the most crashes come first, up to the size of one message.
 func (t *Tracker) Export(now time.Time) (crashes []Crash, clearings []Clearing) {
 	for _, d := range t.selectSuspects(func(s *suspect) bool {
-		return s.refused || now.Sub(s.lastCrash) < reportPeriod || now.Sub(s.clearedAt) < reportPeriod
+		return s.refused || reportDue(now, s.lastCrash) || reportDue(now, s.clearedAt)
 	}) {
 		s := t.suspects[d]
-		if now.Sub(s.clearedAt) < reportPeriod {
+		if reportDue(now, s.clearedAt) {
 			clearings = append(clearings, Clearing{Digest: d, At: s.clearedAt})
 		}
 		for event, at := range s.crashes {
--- a/coordination/poison/poison_test.go
+++ b/coordination/poison/poison_test.go
@@ -120,6 +120,25 @@
 	}
 }
 
+// A gateway that was cut off from the others, or has just started, must learn of crashes and
+// clearings it has missed: otherwise it counts to three by itself.
+func TestMissedCrashesAreReportedAgain(t *testing.T) {
+	knows, missed := NewTracker(), NewTracker()
+	crash(knows, 0, 1, "u", 1)
+	crash(knows, 0, 2, "v", 1)
+	crash(knows, time.Second, 1, "v", 1)
+	knows.Clear(Clearing{Digest: 2, At: at(time.Second)})
+	crash(missed, 0, 2, "v", 1)
+	for now := 6 * time.Second; now < 20*time.Second; now += 200 * ms {
+		crashes, clearings := knows.Export(at(now))
+		missed.Clear(clearings...)
+		missed.Merge(crashes)
+	}
+	if missed.CrashCount(1) != 2 || missed.CrashCount(2) != 0 {
+		t.Errorf("%d of 2 crashes are known, %d of a cleared request", missed.CrashCount(1), missed.CrashCount(2))
+	}
+}
+
 // Once refusalPeriod has passed since the last crash, on average one gateway lets the request
 // through.
 func TestOneGatewayProbesRefusedRequest(t *testing.T) {
@@ -206,7 +225,7 @@
 	for i := range trackers {
 		trackers[i] = NewTracker()
 	}
-	const upstreams, reportInterval = 11, 200 * ms
+	const upstreams, interval = 11, 200 * ms
 	incarnation := make([]instances.Incarnation, upstreams)
 	crashes, after := 0, 0
 	var third time.Duration
@@ -239,7 +258,7 @@
 			}
 			incarnation[u]++
 		}
-		if now%reportInterval == 0 {
+		if now%interval == 0 {
 			var all []Crash
 			for _, tr := range trackers {
 				crashes, _ := tr.Export(at(now))
