poison: upstreams that have just refused connections are not asked to confirm an end

Change: upstreams that refused a connection within the last second are left out; if they are more than a quarter of those comparable, nothing is concluded, as this gateway is more likely cut off.

--- a/coordination/poison/cut_test.go
+++ b/coordination/poison/cut_test.go
@@ -84,6 +84,7 @@
 	for range 3 {
 		u := m.rng.IntN(modelUpstreams)
 		if m.isCut(g, u) || m.upstreams[u].backAt > m.now {
+			tr.DialRefused(at(m.now), m.name(u))
 			if m.reachesOthers(g, u) {
 				tr.UpstreamEnded(at(m.now), m.name(u), m.upstreams[u].incarnation, RefusedDial)
 			}
@@ -95,15 +96,22 @@
 	}
 }
 
-// reachesOthers reports whether three other upstreams take connections from a gateway.
+// reachesOthers reports whether the upstreams that confirm an end take connections from a gateway.
 func (m *cutModel) reachesOthers(gateway, upstream int) bool {
-	others := slices.DeleteFunc(m.rng.Perm(modelUpstreams), func(u int) bool { return u == upstream })[:3]
-	for _, u := range others {
-		if m.isCut(gateway, u) || m.upstreams[u].backAt > m.now {
+	var others []string
+	numbers := make(map[string]int)
+	for _, u := range m.rng.Perm(modelUpstreams) {
+		if numbers[m.name(u)] = u; u != upstream {
+			others = append(others, m.name(u))
+		}
+	}
+	confirming := m.trackers[gateway].Confirming(at(m.now), others)
+	for _, name := range confirming {
+		if u := numbers[name]; m.isCut(gateway, u) || m.upstreams[u].backAt > m.now {
 			return false
 		}
 	}
-	return true
+	return len(confirming) > 0
 }
 
 func (m *cutModel) isCut(gateway, upstream int) bool {
--- a/coordination/poison/ends.go
+++ b/coordination/poison/ends.go
@@ -14,8 +14,16 @@
 // upstreams, and no longer once the incarnation itself has answered any gateway. A later start in the
 // upstream's entry is final.
 
-// endRetention is how long an end is kept after its last suspect is gone.
-const endRetention = 30 * time.Second
+const (
+	// endRetention is how long an end is kept after its last suspect is gone.
+	endRetention = 30 * time.Second
+	// maxConfirming is the number of upstreams that must take a connection to confirm the end of
+	// another one.
+	maxConfirming = 3
+	// refusedDialPeriod is for how long an upstream that refused a connection is not asked to confirm
+	// the end of another one.
+	refusedDialPeriod = time.Second
+)
 
 // Source is what showed the end of an upstream incarnation to a gateway.
 type Source string
@@ -101,6 +109,26 @@
 	Source      Source
 }
 
+// DialRefused records that the address of an upstream refused a connection of this gateway.
+func (t *Tracker) DialRefused(now time.Time, upstream string) { t.refusedDials[upstream] = now }
+
+// Confirming returns the upstreams that must all take a connection from this gateway for a refused
+// connection to count as the end of an upstream, from the others that should be as reachable, in
+// order of preference. Those that have refused connections themselves are left out, as they may have
+// ended as well; if they are more than a quarter, this gateway is more likely cut off from them.
+func (t *Tracker) Confirming(now time.Time, others []string) []string {
+	var out []string
+	for _, upstream := range others {
+		if at, ok := t.refusedDials[upstream]; !ok || now.Sub(at) >= refusedDialPeriod {
+			out = append(out, upstream)
+		}
+	}
+	if 4*len(out) < 3*len(others) {
+		return nil
+	}
+	return out[:min(len(out), maxConfirming)]
+}
+
 // EndKnown reports whether the incarnation is known to have ended.
 func (t *Tracker) EndKnown(upstream string, incarnation instances.Incarnation) bool {
 	return t.ended[process{upstream, incarnation}] != nil
@@ -226,13 +254,18 @@
 	return out
 }
 
-// pruneEnded discards expired ends.
+// pruneEnded discards expired ends and refused connections.
 func (t *Tracker) pruneEnded(now time.Time) {
 	for p, e := range t.ended {
 		if now.Sub(e.at) >= crashWindow {
 			delete(t.ended, p)
 		}
 	}
+	for upstream, at := range t.refusedDials {
+		if now.Sub(at) >= refusedDialPeriod {
+			delete(t.refusedDials, upstream)
+		}
+	}
 }
 
 // pruneEnds discards ends without suspects.
--- a/coordination/poison/poison.go
+++ b/coordination/poison/poison.go
@@ -110,6 +110,8 @@
 	aborted      map[process][]abortedRun
 	abortedCount int
 	ended        map[process]*ending
+	// refusedDials holds when the address of an upstream last refused a connection of this gateway.
+	refusedDials map[string]time.Time
 	// ends holds every end of an upstream that a suspect was present at, and those that an answer
 	// contradicts.
 	ends map[Event]*end
@@ -118,10 +120,11 @@
 // NewTracker returns a tracker without suspects.
 func NewTracker() *Tracker {
 	return &Tracker{
-		suspects: make(map[Digest]*suspect),
-		aborted:  make(map[process][]abortedRun),
-		ended:    make(map[process]*ending),
-		ends:     make(map[Event]*end),
+		suspects:     make(map[Digest]*suspect),
+		aborted:      make(map[process][]abortedRun),
+		ended:        make(map[process]*ending),
+		refusedDials: make(map[string]time.Time),
+		ends:         make(map[Event]*end),
 	}
 }
 
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -128,6 +128,7 @@
 	case dispatch.ConnectionBroken:
 		crashes = s.book.RequestAborted(s.now(), q.digest(), inst.ID, inst.Incarnation())
 	case dispatch.ConnectionRefused:
+		s.book.DialRefused(s.now(), inst.ID)
 		if !s.book.EndKnown(inst.ID, inst.Incarnation()) {
 			defer s.confirmEnd(*inst, s.now())
 		}
@@ -151,19 +152,18 @@
 	if s.connect == nil || !s.confirming.CompareAndSwap(false, true) {
 		return
 	}
-	candidates := s.comparable(refused)
-	if len(candidates) == 0 {
-		s.confirming.Store(false)
-		return
-	}
+	addresses := s.confirmingAddresses(refused)
 	go func() {
 		defer s.confirming.Store(false)
-		for _, inst := range candidates {
-			if s.connect(context.Background(), inst.Address) != nil {
-				s.meters.inc(suspectsUnconfirmed)
-				return
+		for _, addr := range addresses {
+			if s.connect(context.Background(), addr) != nil {
+				addresses = nil
 			}
 		}
+		if len(addresses) == 0 {
+			s.meters.inc(suspectsUnconfirmed)
+			return
+		}
 		s.mu.Lock()
 		crashes := s.book.UpstreamEnded(at, refused.ID, refused.Incarnation(), poison.RefusedDial)
 		s.mu.Unlock()
@@ -171,38 +171,36 @@
 	}()
 }
 
-// comparable returns a few other upstreams to which this gateway should be able to connect if it can
-// connect to the given one, in random order.
-func (s *suspects) comparable(refused instances.Instance) []*instances.Instance {
+// confirmingAddresses returns the addresses of the upstreams that must take a connection to confirm the
+// end of the given one.
+func (s *suspects) confirmingAddresses(refused instances.Instance) []string {
 	v := s.view.inst.Load()
 	if v == nil {
 		return nil
 	}
-	var same, others []*instances.Instance
-	for _, name := range v.Services() {
-		for _, inst := range v.Service(name) {
-			switch {
-			case inst.ID == refused.ID:
-			case inst.Domain == refused.Domain:
-				same = append(same, inst)
-			default:
-				others = append(others, inst)
-			}
+	var same, others []string
+	for inst := range v.All() {
+		switch {
+		case inst.ID == refused.ID:
+		case inst.Domain == refused.Domain:
+			same = append(same, inst.ID)
+		default:
+			others = append(others, inst.ID)
 		}
 	}
 	if len(same) == 0 {
 		same = others
 	}
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.rng.Shuffle(len(same), func(i, j int) { same[i], same[j] = same[j], same[i] })
-	s.mu.Unlock()
-	return same[:min(len(same), maxConfirmations)]
+	var out []string
+	for _, id := range s.book.Confirming(s.now(), same) {
+		out = append(out, v.Get(id).Address)
+	}
+	return out
 }
 
-// maxConfirmations is the number of upstreams that must take a connection to confirm the end of
-// another one.
-const maxConfirmations = 3
-
 // onViewChanged compares the incarnations of upstreams on which runs were cut off with the current
 // ones.
 func (s *suspects) onViewChanged(v *instances.View) {
