gateway: whether a gateway reaches any upstream, as log lines and gauges

Pools report connections and responses that succeed or do not; package reach concludes from them that no upstream answers this gateway (three different ones have failed and none has answered for 0.3 s), or that none accepts connections. New lines 'no upstream answers this gateway' and 'upstreams answer this gateway again', gauges reach.*.

--- /dev/null
+++ b/coordination/reach/reach.go
@@ -0,0 +1,116 @@
+// Package reach decides from the outcomes of a gateway's own connections whether the gateway is cut
+// off from all upstreams. Upstreams that are down look the same from one gateway, so the result says
+// only what this gateway cannot do, and nothing of the upstreams.
+package reach
+
+import "time"
+
+const (
+	// minFailing is the number of different upstreams that must fail, unless there are fewer: one or
+	// two may be down.
+	minFailing = 3
+	// minSilence is how long no upstream may have answered. It is longer than the time between two
+	// answers at a gateway with little traffic, and far shorter than a grant of keys.
+	minSilence = 300 * time.Millisecond
+	// minWait is how long a connection or a response must have been waited for to count as missing.
+	minWait = 200 * time.Millisecond
+)
+
+// Outcome is the outcome of an attempt to connect to an upstream or to get a response from it.
+type Outcome int
+
+// The outcomes.
+const (
+	// Connected: the upstream accepted a connection.
+	Connected Outcome = iota
+	// Refused: the address refused a connection.
+	Refused
+	// NotConnected: no connection was opened in the time that was waited.
+	NotConnected
+	// Answered: the upstream sent a response.
+	Answered
+	// NotAnswered: it sent none in the time that was waited.
+	NotAnswered
+)
+
+// State is what a gateway can do at present.
+type State struct {
+	// CutOff is set if no upstream answers.
+	CutOff bool
+	// NoNewConnections is set if no upstream accepts connections; open ones may still work.
+	NoNewConnections bool
+}
+
+// Tracker holds the outcomes since the last success. It is not safe for concurrent use.
+type Tracker struct {
+	answers, connections run
+}
+
+// run is a run of failures.
+type run struct {
+	// since is the time of the last success, or of the first failure before any.
+	since time.Time
+	// failing holds the addresses that have failed since.
+	failing map[string]bool
+}
+
+// NewTracker returns a tracker without outcomes.
+func NewTracker() *Tracker {
+	return &Tracker{answers: run{failing: make(map[string]bool)}, connections: run{failing: make(map[string]bool)}}
+}
+
+// Record records an outcome at the given address. waited is how long it took.
+func (t *Tracker) Record(now time.Time, addr string, o Outcome, waited time.Duration) {
+	switch o {
+	case Connected:
+		t.connections.succeed(now)
+	case Answered:
+		t.answers.succeed(now)
+	case Refused:
+		t.connections.fail(now, addr)
+		t.answers.fail(now, addr)
+	case NotConnected:
+		if waited >= minWait {
+			t.connections.fail(now, addr)
+			t.answers.fail(now, addr)
+		}
+	case NotAnswered:
+		if waited >= minWait {
+			t.answers.fail(now, addr)
+		}
+	}
+}
+
+// Restored records that upstreams accept connections again. While a gateway is cut off it sends
+// nothing that could be answered.
+func (t *Tracker) Restored(now time.Time) {
+	t.connections.succeed(now)
+	t.answers.succeed(now)
+}
+
+// State returns the state of a gateway that knows the given number of upstreams.
+func (t *Tracker) State(now time.Time, upstreams int) State {
+	need := min(minFailing, upstreams)
+	if need == 0 {
+		return State{}
+	}
+	return State{CutOff: t.answers.lost(now, need), NoNewConnections: t.connections.lost(now, need)}
+}
+
+func (r *run) succeed(now time.Time) {
+	r.since = now
+	if len(r.failing) > 0 {
+		clear(r.failing)
+	}
+}
+
+func (r *run) fail(now time.Time, addr string) {
+	if r.since.IsZero() {
+		r.since = now
+	}
+	r.failing[addr] = true
+}
+
+func (r *run) lost(now time.Time, need int) bool {
+	return len(r.failing) >= need && now.Sub(r.since) >= minSilence
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -116,6 +116,7 @@
 	ownerGaps   *ownerGaps
 	limits      *namedLimits
 	suspects    *suspects
+	reach       *upstreamReach
 	quotas      *teamQuotas
 	draining    atomic.Bool
 	listeners   Listeners
@@ -219,9 +220,10 @@
 		g.follower.seeds = append(g.follower.seeds, s.String())
 		g.follower.isSeed = g.follower.isSeed || s == conf.Peers
 	}
+	g.reach = newUpstreamReach(g.view, g.now, log, g.meters, mathrand.New(mathrand.NewPCG(seeds[0]+2, seeds[1])))
 	g.upstreamDialer = (&net.Dialer{KeepAlive: -1}).DialContext
 	g.conns = g.newUpstreamPool()
-	g.suspects.connect = g.conns.Connect
+	g.suspects.connect, g.reach.connect = g.conns.Connect, g.conns.Connect
 	g.assignments = &assignmentSupervisor{
 		view: g.view, cluster: g.cluster, traffic: g.traffic, store: store, calls: g.storeCalls,
 		owners: platform.NewOwners(g.newUpstreamPool()), grantSlots: newGrantSlots(g.now), maxHold: conf.MaxGrantDuration.D(),
@@ -255,9 +257,11 @@
 
 // newUpstreamPool returns a pool of connections to upstreams.
 func (g *Gateway) newUpstreamPool() *pool.Pool {
-	return pool.NewWithDialer(upstreamLimits, g.now, func(ctx context.Context, network, addr string) (net.Conn, error) {
+	p := pool.NewWithDialer(upstreamLimits, g.now, func(ctx context.Context, network, addr string) (net.Conn, error) {
 		return g.upstreamDialer(ctx, network, addr)
 	})
+	p.Observe(g.reach.record)
+	return p
 }
 
 // limitsChanged applies a change of an upstream's announced limit here at once, and passes it
@@ -336,6 +340,7 @@
 	loops.Go(func() { g.elector.runExtensions(work) })
 	loops.Go(func() { g.traffic.run(work) })
 	loops.Go(func() { g.closeIdleConnections(work) })
+	loops.Go(func() { g.reach.run(work) })
 	loops.Go(func() { g.logHangups(work, hangups) })
 	loops.Go(func() { g.proxy.startup.logReady(work, g.ready) })
 	server := &callerServer{handler: g.proxy, listener: g.listeners.Callers, log: g.log}
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -24,6 +24,7 @@
 	g.traffic.updateNoticeGauges(g.meters)
 	g.traffic.updateColdKeyGauges(g.meters)
 	g.suspects.updateGauges()
+	g.reach.updateGauges()
 	g.assignments.updateOwnerGauges()
 	held := g.proxy.bytes.Stats()
 	m.gauge(bytesHeld, held.Held)
--- a/gateway/meternames.go
+++ b/gateway/meternames.go
@@ -102,6 +102,9 @@
 	suspectsKnown              = "suspects.known"
 	suspectsStopped            = "suspects.stopped"
 	suspectsCrashes            = "suspects.crashes"
+	reachCuts                  = "reach.cuts"
+	reachCutOff                = "reach.cut_off"
+	reachNoNewConnections      = "reach.no_new_connections"
 	suspectsUnconfirmed        = "suspects.ends_unconfirmed"
 	suspectsContradicted       = "suspects.ends_contradicted"
 	suspectsRefused            = "suspects.refused"
@@ -214,6 +217,9 @@
 	{suspectsKnown, "requests", "suspect requests remembered by this gateway: in progress at an upstream when it crashed"},
 	{suspectsStopped, "requests", "suspect requests that are no longer sent"},
 	{suspectsCrashes, "crashes", "crashes of upstreams with requests in progress, as seen by this gateway, counted once per request"},
+	{reachCuts, "times", "at which no upstream answered this gateway any more"},
+	{reachCutOff, "0 or 1", "whether no upstream answers this gateway"},
+	{reachNoNewConnections, "0 or 1", "whether no upstream accepts connections from this gateway; open ones may work"},
 	{suspectsUnconfirmed, "connections", "that an upstream refused without counting as its end, because no comparable upstream took one"},
 	{suspectsContradicted, "ends", "of upstreams, concluded here or reported by another gateway, after which the same incarnation has answered"},
 	{suspectsRefused, "requests", "refused by this gateway because they have crashed too many upstreams"},
--- a/transport/pool/pool.go
+++ b/transport/pool/pool.go
@@ -11,6 +11,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/rockcroft/rockcroft/coordination/reach"
 )
 
 // Limits are the timeouts and size limits of a pool.
@@ -90,9 +92,10 @@
 
 // Pool keeps idle connections to any number of addresses. It is safe for concurrent use.
 type Pool struct {
-	limits Limits
-	now    func() time.Time
-	dialer DialFunc
+	limits  Limits
+	now     func() time.Time
+	dialer  DialFunc
+	observe func(addr string, o reach.Outcome, waited time.Duration)
 
 	mu    sync.Mutex
 	idle  map[string][]*conn
@@ -120,7 +123,13 @@
 
 // NewWithDialer is New with a given function that opens connections.
 func NewWithDialer(limits Limits, now func() time.Time, dialer DialFunc) *Pool {
-	return &Pool{limits: limits, now: now, dialer: dialer, idle: make(map[string][]*conn)}
+	return &Pool{limits: limits, now: now, dialer: dialer, idle: make(map[string][]*conn), observe: func(string, reach.Outcome, time.Duration) {}}
+}
+
+// Observe sets the function that is told whether addresses accept connections and answer. It must be
+// called before the pool is used.
+func (p *Pool) Observe(observe func(addr string, o reach.Outcome, waited time.Duration)) {
+	p.observe = observe
 }
 
 // Stats returns the current counters.
@@ -149,6 +158,7 @@
 	}
 	start := p.now()
 	resp, reusable, err := c.roundTrip(ctx, r, p.limits.MaxBodyBytes)
+	p.observeResponse(addr, err, p.now().Sub(start))
 	if errors.Is(err, ErrMismatchedResponse) || c.mismatched > 0 {
 		p.updateStats(func(s *Stats) { s.Mismatched++ })
 	}
@@ -167,6 +177,16 @@
 	return resp, nil
 }
 
+// observeResponse reports whether an address has answered. A broken connection does not tell.
+func (p *Pool) observeResponse(addr string, err error, waited time.Duration) {
+	switch {
+	case err == nil:
+		p.observe(addr, reach.Answered, waited)
+	case errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled):
+		p.observe(addr, reach.NotAnswered, waited)
+	}
+}
+
 // minSilence is how long a request on a reused connection must have waited for the connection to
 // count as silent, if the request was cancelled rather than reaching its deadline. It is longer
 // than upstreams and the store usually take to respond.
@@ -308,12 +328,20 @@
 }
 
 func (p *Pool) dial(ctx context.Context, addr string) (*conn, error) {
+	start := p.now()
 	dialCtx, cancel := context.WithTimeout(ctx, p.limits.DialTimeout)
 	defer cancel()
 	nc, err := p.dialer(dialCtx, "tcp", addr)
 	if err != nil {
-		return nil, dialError(ctx, err)
+		err = dialError(ctx, err)
+		outcome := reach.NotConnected
+		if errors.Is(err, ErrRefused) {
+			outcome = reach.Refused
+		}
+		p.observe(addr, outcome, p.now().Sub(start))
+		return nil, err
 	}
+	p.observe(addr, reach.Connected, p.now().Sub(start))
 	p.updateStats(func(s *Stats) { s.Opened++ })
 	return newConn(nc), nil
 }
