--- /dev/null
+++ b/gateway/cutgateways_test.go
@@ -0,0 +1,120 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rockcroft/rockcroft/state/spans"
+)
+
+// cutStates are the ways in which a gateway can lose its links to upstreams.
+var cutStates = map[string]linkState{"reset": linksReset, "hang": linksHang, "refuse new": linksRefuseNew}
+
+const (
+	// cutSettleTime is how long after the begin of a cut requests may fail.
+	cutSettleTime = 3 * time.Second
+	// cutMeasureTime is how long requests are counted after that: longer than a grant of keys.
+	cutMeasureTime = 5 * time.Second
+)
+
+// served counts the requests of one kind at one gateway.
+type served struct{ sent, answered atomic.Int64 }
+
+// tooFew reports whether more than ten requests and one in fifty were not answered.
+func (s *served) tooFew() bool { return s.sent.Load()-s.answered.Load() > 10+s.sent.Load()/50 }
+
+func (s *served) String() string { return fmt.Sprintf("%d of %d", s.answered.Load(), s.sent.Load()) }
+
+// requestKinds are the paths of the three kinds of requests and whether they need a key.
+var requestKinds = []struct {
+	name, method, path string
+	keyed              bool
+}{{"with keys", http.MethodGet, "/status/x", true}, {"without keys", http.MethodGet, "/read/x", false}, {"not idempotent", http.MethodPost, "/pay/x", false}}
+
+// serveDuringCut cuts gateways off from all upstreams and returns what each gateway served after
+// cutSettleTime, by gateway and kind of request.
+func (b *testCluster) serveDuringCut(state linkState, cut ...*testGateway) [][]*served {
+	b.t.Helper()
+	out := make([][]*served, len(b.gateways))
+	var all sync.WaitGroup
+	began := time.Now()
+	for _, g := range cut {
+		g.upstreamLinks.set(state)
+	}
+	for i, g := range b.gateways {
+		for range requestKinds {
+			out[i] = append(out[i], &served{})
+		}
+		for n, kind := range requestKinds {
+			all.Go(func() {
+				for k := 0; time.Since(began) < cutSettleTime+cutMeasureTime; k++ {
+					key := -1
+					if kind.keyed {
+						key = (k*7919 + i*31) % (spans.MaxKey + 1)
+					}
+					counted := time.Since(began) >= cutSettleTime
+					a := b.request(g, kind.method, kind.path, key)
+					if counted {
+						out[i][n].sent.Add(1)
+					}
+					if counted && a.err == nil && a.status == http.StatusOK {
+						out[i][n].answered.Add(1)
+					}
+					time.Sleep(10 * time.Millisecond)
+				}
+			})
+		}
+	}
+	all.Wait()
+	for _, g := range cut {
+		g.upstreamLinks.set(linksUp)
+	}
+	return out
+}
+
+// requireServed fails the test if a gateway served too few requests of a kind.
+func (b *testCluster) requireServed(results [][]*served) {
+	b.t.Helper()
+	for i, kinds := range results {
+		for n, s := range kinds {
+			if s.tooFew() {
+				b.t.Errorf("%s served %s requests %s", b.gateways[i].conf.Node, s, requestKinds[n].name)
+			}
+		}
+	}
+}
+
+// TestFollowersCutOffFromUpstreamsServe guards against gateways that refuse all requests because
+// their own links to upstreams are lost, while other gateways reach these.
+func TestFollowersCutOffFromUpstreamsServe(t *testing.T) {
+	for name, state := range cutStates {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := newStandardCluster(t)
+			var cut []*testGateway
+			for _, g := range b.gateways {
+				if g != b.leader() {
+					cut = append(cut, g)
+				}
+			}
+			b.requireServed(b.serveDuringCut(state, cut...))
+		})
+	}
+}
+
+// TestLeaderCutOffFromUpstreamsHandsOver guards against a leader that leads on although it reaches no
+// upstream: all keys lapsed at all gateways.
+func TestLeaderCutOffFromUpstreamsHandsOver(t *testing.T) {
+	for name, state := range cutStates {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := newStandardCluster(t)
+			results := b.serveDuringCut(state, b.leader())
+			b.requireServed(results)
+		})
+	}
+}
