gateway: requests go by way of another gateway while this one reaches no upstream

Callers saw: a gateway that was cut off from all upstreams answered none of their requests, while other gateways reached them all.

Cause: a request had one way only, the links of the gateway to which it came.

Change: while no upstream answers a gateway, it forwards requests to another gateway, chosen at random in its region, which handles them as its own; a request that could not be sent because no upstream accepts connections follows. One hop; a gateway that stops or reaches no upstream itself refuses before anything is done. Team, quota, retry budget and demand for keys are counted where the caller is, the rest where it is sent. A stopping gateway answers forwarded requests before it ends.

--- a/gateway/cluster.go
+++ b/gateway/cluster.go
@@ -3,11 +3,14 @@
 import (
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sort"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/rockcroft/rockcroft/coordination/dispatch"
+	"github.com/rockcroft/rockcroft/coordination/reach"
 	"github.com/rockcroft/rockcroft/coordination/warmup"
 	"github.com/rockcroft/rockcroft/coordination/worktime"
 	"github.com/rockcroft/rockcroft/protocol/syncpb"
@@ -369,6 +372,18 @@
 	return out
 }
 
+// otherGateways returns all other gateways, in the order of their addresses.
+func (c *cluster) otherGateways() []reach.Peer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := make([]reach.Peer, 0, len(c.members))
+	for _, m := range c.members {
+		out = append(out, reach.Peer{Address: m.Address, Domain: m.Domain})
+	}
+	slices.SortFunc(out, func(a, b reach.Peer) int { return strings.Compare(a.Address, b.Address) })
+	return out
+}
+
 func (c *cluster) shuffle(list []*syncpb.Member) {
 	c.rng.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 }
--- a/gateway/delivery.go
+++ b/gateway/delivery.go
@@ -40,10 +40,10 @@
 	fallback *pool.Response
 }
 
-// deliver sends the request to an upstream and returns the response. An error is final and
+// deliverDirect sends the request to an upstream and returns the response. An error is final and
 // carries its kind. An idempotent request that is overdue is hedged: it is sent to an upstream
 // a second time while the first try goes on, and the first response wins.
-func (f *proxy) deliver(ctx context.Context, q *request) (*pool.Response, error) {
+func (f *proxy) deliverDirect(ctx context.Context, q *request) (*pool.Response, error) {
 	d := &delivery{proxy: f, request: q, results: make(chan tryResult, q.route.MaxAttempts+maxUnsentTries+1)}
 	a, err := d.admit(ctx, false)
 	if err != nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -249,6 +249,7 @@
 		bytes:         bytebudget.New(byteLimits(conf), mathrand.New(mathrand.NewPCG(seeds[1]+1, seeds[0]))), configurationAge: g.configurationAge,
 		revocationTimeout: conf.RevocationTimeout.D(), quotas: g.quotas,
 		leaderSilence: g.leaderSilence,
+		forward:       newForwarder(g.reach, g.cluster, g.now, log, g.meters, mathrand.New(mathrand.NewPCG(seeds[0]+3, seeds[1]))),
 		startup:       &startup{view: g.view, now: g.now, startedAt: g.now(), storeUnavailable: g.storeCalls.unavailable, log: log, meters: g.meters},
 	}
 	g.clock.OnSuspended(g.handleWakeUp)
@@ -407,6 +408,7 @@
 		g.log.Warn("requests aborted because the stop took too long", "error", err)
 		server.close()
 	}
+	g.proxy.awaitForwarded(ctx)
 	resigning.Wait()
 	g.log.Info("stopped", "took_ms", g.now().Sub(began).Milliseconds())
 }
--- a/gateway/handlers.go
+++ b/gateway/handlers.go
@@ -6,6 +6,7 @@
 	"github.com/gorilla/mux"
 
 	"github.com/rockcroft/rockcroft/platform"
+	"github.com/rockcroft/rockcroft/protocol/header"
 	"github.com/rockcroft/rockcroft/protocol/placementpb"
 	"github.com/rockcroft/rockcroft/protocol/syncpb"
 )
@@ -56,5 +57,11 @@
 	r := mux.NewRouter()
 	r.PathPrefix(syncpb.PeerPathPrefix).Handler(syncpb.NewPeerServer(server))
 	r.PathPrefix(placementpb.PlacementPathPrefix).Handler(placementpb.NewPlacementServer(g.assignments.placements))
-	return r
+	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		if req.Header.Get(header.Hops) != "" {
+			g.proxy.serveForwarded(w, req)
+			return
+		}
+		r.ServeHTTP(w, req)
+	})
 }
--- a/gateway/meternames.go
+++ b/gateway/meternames.go
@@ -105,6 +105,11 @@
 	reachCuts                  = "reach.cuts"
 	reachCutOff                = "reach.cut_off"
 	reachNoNewConnections      = "reach.no_new_connections"
+	forwardAnswered            = "forward.answered"
+	forwardNotTaken            = "forward.not_taken"
+	forwardBroken              = "forward.broken"
+	forwardServed              = "forward.served"
+	forwardRefused             = "forward.refused"
 	suspectsUnconfirmed        = "suspects.ends_unconfirmed"
 	suspectsContradicted       = "suspects.ends_contradicted"
 	suspectsRefused            = "suspects.refused"
@@ -220,6 +225,11 @@
 	{reachCuts, "times", "at which no upstream answered this gateway any more"},
 	{reachCutOff, "0 or 1", "whether no upstream answers this gateway"},
 	{reachNoNewConnections, "0 or 1", "whether no upstream accepts connections from this gateway; open ones may work"},
+	{forwardAnswered, "requests", "forwarded to another gateway and answered by it, while this one reached no upstream"},
+	{forwardNotTaken, "tries", "of forwarding a request that another gateway did not take; it has not run"},
+	{forwardBroken, "tries", "of forwarding a request that ended without a response of the other gateway"},
+	{forwardServed, "requests", "that other gateways forwarded to this one, and that it took"},
+	{forwardRefused, "requests", "that other gateways forwarded to this one, and that it refused: it is stopping or reaches no upstream either"},
 	{suspectsUnconfirmed, "connections", "that an upstream refused without counting as its end, because no comparable upstream took one"},
 	{suspectsContradicted, "ends", "of upstreams, concluded here or reported by another gateway, after which the same incarnation has answered"},
 	{suspectsRefused, "requests", "refused by this gateway because they have crashed too many upstreams"},
--- a/gateway/parse.go
+++ b/gateway/parse.go
@@ -35,7 +35,7 @@
 	if route == nil {
 		return nil, f.routeNotFound(r.Host, path)
 	}
-	q := &request{Request: r, id: platform.ID(r.Header), route: route, target: target, receivedAt: began, held: f.bytes.Begin()}
+	q := &request{Request: r, id: platform.ID(r.Header), route: route, target: target, receivedAt: began, held: f.bytes.Begin(), forwarded: isForwarded(r)}
 	left := min(route.Timeout, requested)
 	q.deadline = began.Add(left)
 	q.queueUntil = began.Add(patience.MaxQueueWait(route.Objective, left))
@@ -43,8 +43,10 @@
 		return q, err
 	}
 	q.caller = callerOf(q)
-	if err := f.quotas.check(q.team); err != nil {
-		return q, err
+	if !q.forwarded {
+		if err := f.quotas.check(q.team); err != nil {
+			return q, err
+		}
 	}
 	if err := f.readBody(q, table.Limits.MaxBody); err != nil {
 		return q, err
@@ -62,12 +64,21 @@
 			return q, answer.New(answer.NoKey, "the request has no valid key")
 		}
 		q.key = key
-		q.traffic.recordKey(key, route.Name)
 	}
-	f.traffic.recordRequest(q.traffic)
+	if !q.forwarded {
+		f.recordOffered(q)
+	}
 	return q, f.suspects.check(q)
 }
 
+// recordOffered counts a request of a caller in the retry budget and in the demand for its key.
+func (f *proxy) recordOffered(q *request) {
+	if q.service.Keyed {
+		q.traffic.recordKey(q.key, q.route.Name)
+	}
+	f.traffic.recordRequest(q.traffic)
+}
+
 // routeNotFound returns the error for a request whose route is unknown here. "Not found" is final
 // for a client, so it is returned only while the configuration is known to be current. Otherwise
 // the error states that nothing was executed and that a retry may succeed, since another gateway
--- a/gateway/proxy.go
+++ b/gateway/proxy.go
@@ -84,6 +84,8 @@
 	openRequests *openRequests
 	// leaderSilence returns for how long this gateway has not heard from a leader.
 	leaderSilence func() time.Duration
+	// forward forwards requests to other gateways.
+	forward *forwarder
 	// startup holds the requests that arrive while this gateway knows too little to send them.
 	startup *startup
 }
@@ -106,6 +108,8 @@
 	receivedAt time.Time
 	// caller identifies who sent the request; see callerOf.
 	caller uint64
+	// forwarded is set if another gateway has forwarded the request. That one has counted it.
+	forwarded bool
 	// bodyReadAt is when the body was read completely, firstSentAt when the request was first
 	// sent to an upstream.
 	bodyReadAt, firstSentAt time.Time
--- a/protocol/header/header.go
+++ b/protocol/header/header.go
@@ -32,11 +32,11 @@
 	Refused = "Rockcroft-Refused"
 )
 
-// Headers of requests to upstreams and between entries.
+// Headers of requests to upstreams, between entries and between gateways.
 const (
 	// Epoch is the fencing token of the range that the key belongs to.
 	Epoch = "Rockcroft-Epoch"
-	// Hops is the number of entries that have forwarded the request so far.
+	// Hops is the number of entries or gateways that have forwarded the request so far.
 	Hops = "Rockcroft-Hops"
 )
 
@@ -46,4 +46,6 @@
 	RefusedOverloaded = "overloaded"
 	RefusedDeadline   = "deadline"
 	RefusedStopping   = "stopping"
+	// RefusedUnreachable: the gateway asked reaches no upstream.
+	RefusedUnreachable = "unreachable"
 )
