reach: a gateway is cut off only if upstreams accept no connections either

By reading, before anything rests on it: upstreams that are overloaded or suspended may be silent and accept connections; a gateway that sees three of them silent would have forwarded all requests. While none answers, connections to three upstreams are tried at a time, so that links that hang are noticed as soon as before.

--- a/coordination/reach/reach.go
+++ b/coordination/reach/reach.go
@@ -6,9 +6,9 @@
 import "time"
 
 const (
-	// minFailing is the number of different upstreams that must fail, unless there are fewer: one or
+	// MinFailing is the number of different upstreams that must fail, unless there are fewer: one or
 	// two may be down.
-	minFailing = 3
+	MinFailing = 3
 	// minSilence is how long no upstream may have answered. It is longer than the time between two
 	// answers at a gateway with little traffic, and far shorter than a grant of keys.
 	minSilence = 300 * time.Millisecond
@@ -35,12 +35,15 @@
 
 // State is what a gateway can do at present.
 type State struct {
-	// CutOff is set if no upstream answers.
-	CutOff bool
+	// NoAnswers is set if no upstream answers. They may be overloaded.
+	NoAnswers bool
 	// NoNewConnections is set if no upstream accepts connections; open ones may still work.
 	NoNewConnections bool
 }
 
+// CutOff reports whether the gateway reaches no upstream.
+func (s State) CutOff() bool { return s.NoAnswers && s.NoNewConnections }
+
 // Tracker holds the outcomes since the last success. It is not safe for concurrent use.
 type Tracker struct {
 	answers, connections run
@@ -90,11 +93,11 @@
 
 // State returns the state of a gateway that knows the given number of upstreams.
 func (t *Tracker) State(now time.Time, upstreams int) State {
-	need := min(minFailing, upstreams)
+	need := min(MinFailing, upstreams)
 	if need == 0 {
 		return State{}
 	}
-	return State{CutOff: t.answers.lost(now, need), NoNewConnections: t.connections.lost(now, need)}
+	return State{NoAnswers: t.answers.lost(now, need), NoNewConnections: t.connections.lost(now, need)}
 }
 
 func (r *run) succeed(now time.Time) {
--- a/gateway/upstreamreach.go
+++ b/gateway/upstreamreach.go
@@ -17,7 +17,7 @@
 const (
 	// reachInterval is the time between checks of the state.
 	reachInterval = 50 * time.Millisecond
-	// reachProbeInterval is the time between attempts to connect to an upstream while none answers.
+	// reachProbeInterval is the time between attempts to connect to upstreams while none answers.
 	reachProbeInterval = 200 * time.Millisecond
 )
 
@@ -51,12 +51,12 @@
 	r.tracker.Record(r.now(), addr, o, waited)
 }
 
-// run checks the state until ctx ends. While no upstream answers it tries to connect to one at a time.
+// run checks the state until ctx ends. While no upstream answers it tries to connect to some.
 func (r *upstreamReach) run(ctx context.Context) {
 	var probed time.Time
 	for ctx.Err() == nil {
-		r.check()
-		if r.cutOff.Load() && r.now().Sub(probed) >= reachProbeInterval {
+		state := r.check()
+		if state.NoAnswers && r.now().Sub(probed) >= reachProbeInterval {
 			probed = r.now()
 			r.probe(ctx)
 		}
@@ -65,48 +65,59 @@
 }
 
 // check updates the state and logs its changes.
-func (r *upstreamReach) check() {
+func (r *upstreamReach) check() reach.State {
 	now := r.now()
 	r.mu.Lock()
 	state := r.tracker.State(now, upstreamCount(r.view.inst.Load()))
 	since := r.cutSince
-	if state.CutOff && !r.cutOff.Load() {
+	if state.CutOff() && !r.cutOff.Load() {
 		r.cutSince = now
 	}
 	r.mu.Unlock()
 	r.noNewConnections.Store(state.NoNewConnections)
-	if r.cutOff.Swap(state.CutOff) == state.CutOff {
-		return
-	}
-	if state.CutOff {
+	switch was := r.cutOff.Swap(state.CutOff()); {
+	case was == state.CutOff():
+	case was:
+		r.log.Info("upstreams can be reached again", "after_ms", now.Sub(since).Milliseconds())
+	default:
 		r.meters.inc(reachCuts)
-		r.log.Warn("no upstream answers this gateway", "no_new_connections", state.NoNewConnections)
-		return
+		r.log.Warn("no upstream can be reached")
 	}
-	r.log.Info("upstreams answer this gateway again", "after_ms", now.Sub(since).Milliseconds())
+	return state
 }
 
-// probe tries to connect to an upstream at random.
+// probe tries to connect to a few upstreams at random, all at the same time. One that accepts the
+// connection shows that this gateway is not cut off.
 func (r *upstreamReach) probe(ctx context.Context) {
-	addr := r.randomUpstream()
-	if addr == "" || r.connect(ctx, addr) != nil {
-		return
+	var all sync.WaitGroup
+	for _, addr := range r.randomUpstreams(reach.MinFailing) {
+		all.Go(func() {
+			if r.connect(ctx, addr) != nil {
+				return
+			}
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			r.tracker.Restored(r.now())
+		})
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.tracker.Restored(r.now())
+	all.Wait()
 }
 
-// randomUpstream returns the address of an upstream at random, or "" without upstreams.
-func (r *upstreamReach) randomUpstream() string {
+// randomUpstreams returns the addresses of up to n different upstreams at random.
+func (r *upstreamReach) randomUpstreams(n int) []string {
 	v := r.view.inst.Load()
-	n := upstreamCount(v)
-	if n == 0 {
-		return ""
+	count := upstreamCount(v)
+	if count == 0 {
+		return nil
 	}
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	return v.At(r.rng.IntN(n)).Address
+	first := r.rng.IntN(count)
+	r.mu.Unlock()
+	var out []string
+	for i := range min(n, count) {
+		out = append(out, v.At((first+i*count/min(n, count))%count).Address)
+	}
+	return out
 }
 
 // upstreamCount returns the number of upstreams in a view, which may be nil.
