gateway: a leader that reaches no upstream gives the lease up

Callers saw: with the leader among the gateways that were cut off, requests with keys failed at all gateways from 4 s after the cut on.

Cause: who leads was decided by the store alone. A leader that reaches no upstream renewed its lease, its grants failed, and nobody else could renew them.

Change: such a leader releases the lease as for a planned stop, at most once in ten seconds and only while the store takes its renewals; gateways that are cut off wait two seconds longer for the lease than others. Meanwhile it plans nothing, as silence then says nothing of its owners.

TestGatewaysThatAreAllCutOffServeAfterwards holds that the lease does not go round.

--- a/gateway/cutgateways_test.go
+++ b/gateway/cutgateways_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -113,8 +114,58 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			b := newStandardCluster(t)
-			results := b.serveDuringCut(state, b.leader())
-			b.requireServed(results)
+			b.requireServed(b.serveDuringCut(state, b.leader()))
 		})
 	}
 }
+
+// TestLeaderAndOthersCutOffFromUpstreamsHandOver is the same with all gateways but one.
+func TestLeaderAndOthersCutOffFromUpstreamsHandOver(t *testing.T) {
+	for name, state := range cutStates {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := newStandardCluster(t)
+			cut := []*testGateway{b.leader()}
+			for _, g := range b.gateways[:2] {
+				if g != cut[0] {
+					cut = append(cut, g)
+				}
+			}
+			b.requireServed(b.serveDuringCut(state, cut...))
+		})
+	}
+}
+
+// TestGatewaysThatAreAllCutOffServeAfterwards guards against gateways that pass the lease on and on, or
+// are left without a leader, when none of them reaches an upstream.
+func TestGatewaysThatAreAllCutOffServeAfterwards(t *testing.T) {
+	t.Parallel()
+	b := newStandardCluster(t)
+	b.cutOff(b.gateways...)
+	time.Sleep(cutSettleTime)
+	handOvers := 0
+	for _, g := range b.gateways {
+		n, _ := strconv.Atoi(metricsOf(g)["reach.hand_overs"])
+		handOvers += n
+	}
+	if handOvers > len(b.gateways) {
+		t.Errorf("the lease was given up %d times by %d gateways", handOvers, len(b.gateways))
+	}
+	for _, g := range b.gateways {
+		g.upstreamLinks.set(linksUp)
+	}
+	b.eventually("all requests are served", func() bool {
+		for _, g := range b.gateways {
+			for _, kind := range requestKinds {
+				key := -1
+				if kind.keyed {
+					key = 77
+				}
+				if b.request(g, kind.method, kind.path, key).status != http.StatusOK {
+					return false
+				}
+			}
+		}
+		return true
+	})
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -233,7 +233,7 @@
 	g.elector = &leaderElector{
 		store: store, calls: g.storeCalls, cluster: g.cluster, follower: g.follower, watcher: g.watcher,
 		assignments: g.assignments, now: g.now, log: log, initialRank: firstRank(conf),
-		promises: newPromises(g.now), maxHold: conf.MaxGrantDuration.D(),
+		promises: newPromises(g.now), maxHold: conf.MaxGrantDuration.D(), cutOff: g.reach.cutOff.Load, meters: g.meters,
 	}
 	g.assignments.elector = g.elector
 	g.assignments.placements = &placements{
--- a/gateway/keyassigner.go
+++ b/gateway/keyassigner.go
@@ -168,7 +168,8 @@
 		// owners.
 		if k.elector.mayAct() && k.view.inst.Load() != nil {
 			// Owners may have lost their keys while no gateway ran, and a plan may wait for the store.
-			planDue := k.now().Sub(planned) >= planInterval
+			// While no upstream can be reached, silence says nothing of the owners.
+			planDue := k.now().Sub(planned) >= planInterval && !k.elector.cutOff()
 			if planDue {
 				planned = k.now()
 				k.measureDemand()
--- a/gateway/leaderelector.go
+++ b/gateway/leaderelector.go
@@ -27,6 +27,8 @@
 	rankDelay = 120 * time.Millisecond
 	// leaseCheckInterval is the time between checks of the lease's state.
 	leaseCheckInterval = 50 * time.Millisecond
+	// cutOffDelay is how much longer a gateway that reaches no upstream waits for another one to lead.
+	cutOffDelay = 2 * time.Second
 	// leaseReadInterval is the time between reads of the lease by a gateway that tries to
 	// acquire it.
 	leaseReadInterval = 500 * time.Millisecond
@@ -45,12 +47,17 @@
 	assignments *assignmentSupervisor
 	now         func() time.Time
 	log         *slog.Logger
+	meters      *meters
 	// initialRank is this gateway's rank while no members are known.
 	initialRank int
 	// startedAt is when the process began to look for a leader.
 	startedAt time.Time
 	promises  *promises
 	maxHold   time.Duration
+	// cutOff reports whether this gateway reaches no upstream.
+	cutOff func() bool
+	// handedOverAt is when this process last gave the lease up because of that.
+	handedOverAt time.Time
 
 	mu    sync.Mutex
 	right leadership.Right
@@ -131,7 +138,11 @@
 		}
 		if l.cluster.isLeading() {
 			// During a stop, resign renews the lease, within the time that the stop has left.
-			if !l.resigning.Load() {
+			switch {
+			case l.resigning.Load():
+			case l.handOverDue():
+				l.handOver(ctx)
+			default:
 				l.renewIfDue(ctx)
 			}
 		} else if l.acquireDue(lost, refused || resigned) && l.leaseReadDue(lastClaim, refused) {
@@ -221,6 +232,9 @@
 	if ended {
 		wait = 0
 	}
+	if l.cutOff() {
+		wait += cutOffDelay
+	}
 	return lost > wait+time.Duration(l.cluster.rank())*rankDelay
 }
 
--- a/gateway/meternames.go
+++ b/gateway/meternames.go
@@ -103,6 +103,7 @@
 	suspectsStopped            = "suspects.stopped"
 	suspectsCrashes            = "suspects.crashes"
 	reachCuts                  = "reach.cuts"
+	reachHandOvers             = "reach.hand_overs"
 	reachCutOff                = "reach.cut_off"
 	reachNoNewConnections      = "reach.no_new_connections"
 	forwardAnswered            = "forward.answered"
@@ -223,6 +224,7 @@
 	{suspectsStopped, "requests", "suspect requests that are no longer sent"},
 	{suspectsCrashes, "crashes", "crashes of upstreams with requests in progress, as seen by this gateway, counted once per request"},
 	{reachCuts, "times", "at which this gateway reached no upstream any more"},
+	{reachHandOvers, "times", "at which this gateway gave the leader's lease up because it reached no upstream"},
 	{reachCutOff, "0 or 1", "whether this gateway reaches no upstream: none answers, and none accepts connections"},
 	{reachNoNewConnections, "0 or 1", "whether no upstream accepts connections from this gateway; open ones may work"},
 	{forwardAnswered, "requests", "forwarded to another gateway and answered by it, while this one reached no upstream"},
--- a/gateway/resign.go
+++ b/gateway/resign.go
@@ -8,6 +8,9 @@
 const (
 	// resignTimeout bounds the release of the lease at the end of a stop.
 	resignTimeout = 1000 * time.Millisecond
+	// handOverInterval is the minimum time between two releases of the lease because no upstream can be
+	// reached: if no other gateway reaches any either, nothing is gained.
+	handOverInterval = 10 * time.Second
 	// resignRetryInterval is the time between attempts to release it while the store is
 	// unavailable.
 	resignRetryInterval = 200 * time.Millisecond
@@ -25,6 +28,24 @@
 	l.releaseLease(ctx)
 }
 
+// handOverDue reports whether this leader should give the lease up because it reaches no upstream:
+// nobody renews the grants of keys. It keeps the lease if there is no other gateway, or while the
+// store is unavailable, as no gateway could acquire it.
+func (l *leaderElector) handOverDue() bool {
+	return l.cutOff() && l.cluster.gatewayCount() > 1 && !l.renewalOverdue() &&
+		(l.handedOverAt.IsZero() || l.now().Sub(l.handedOverAt) >= handOverInterval)
+}
+
+// handOver gives the lease up so that another gateway can lead.
+func (l *leaderElector) handOver(ctx context.Context) {
+	l.log.Warn("giving the lease up, no upstream can be reached", "right_left_ms", l.rightLeft().Milliseconds())
+	l.meters.inc(reachHandOvers)
+	l.handedOverAt = l.now()
+	l.releaseLease(ctx)
+	// The time in which no leader is heard counts from now, also for this gateway.
+	l.follower.recordLeaderHeard()
+}
+
 // timeLeft returns the time until the deadline of ctx; zero when it has ended or has none.
 func timeLeft(ctx context.Context) time.Duration {
 	end, ok := ctx.Deadline()
