reach: links that accept connections and reset them count as cut

Change: a connection that ends before any part of a response counts like a refused one, and a link counts as restored only if a new connection lasts for 50 ms. Silence alone still does not make a gateway cut off.

Evidence: both tests of cut gateways with links that break ('break'), red with the former rule by reading only, not run.

--- a/coordination/reach/reach.go
+++ b/coordination/reach/reach.go
@@ -31,22 +31,26 @@
 	Answered
 	// NotAnswered: it sent none in the time that was waited.
 	NotAnswered
+	// Broken: the connection ended before any part of a response.
+	Broken
 )
 
 // State is what a gateway can do at present.
 type State struct {
 	// NoAnswers is set if no upstream answers. They may be overloaded.
 	NoAnswers bool
+	// CutOff is set if no upstream can be reached: none answers, and connections are refused, broken
+	// or not opened.
+	CutOff bool
 	// NoNewConnections is set if no upstream accepts connections; open ones may still work.
 	NoNewConnections bool
 }
 
-// CutOff reports whether the gateway reaches no upstream.
-func (s State) CutOff() bool { return s.NoAnswers && s.NoNewConnections }
-
 // Tracker holds the outcomes since the last success. It is not safe for concurrent use.
 type Tracker struct {
-	answers, connections run
+	// answers, links and connections are the failures to get answers, those that show a lost link, and
+	// those to open a connection.
+	answers, links, connections run
 }
 
 // run is a run of failures.
@@ -59,35 +63,39 @@
 
 // NewTracker returns a tracker without outcomes.
 func NewTracker() *Tracker {
-	return &Tracker{answers: run{failing: make(map[string]bool)}, connections: run{failing: make(map[string]bool)}}
+	return &Tracker{answers: newRun(), links: newRun(), connections: newRun()}
 }
 
+func newRun() run { return run{failing: make(map[string]bool)} }
+
 // Record records an outcome at the given address. waited is how long it took.
 func (t *Tracker) Record(now time.Time, addr string, o Outcome, waited time.Duration) {
+	if (o == NotConnected || o == NotAnswered) && waited < minWait {
+		return
+	}
 	switch o {
 	case Connected:
 		t.connections.succeed(now)
 	case Answered:
 		t.answers.succeed(now)
-	case Refused:
+		t.links.succeed(now)
+	case Refused, NotConnected:
 		t.connections.fail(now, addr)
+		t.links.fail(now, addr)
+		t.answers.fail(now, addr)
+	case Broken:
+		t.links.fail(now, addr)
 		t.answers.fail(now, addr)
-	case NotConnected:
-		if waited >= minWait {
-			t.connections.fail(now, addr)
-			t.answers.fail(now, addr)
-		}
 	case NotAnswered:
-		if waited >= minWait {
-			t.answers.fail(now, addr)
-		}
+		t.answers.fail(now, addr)
 	}
 }
 
-// Restored records that upstreams accept connections again. While a gateway is cut off it sends
-// nothing that could be answered.
+// Restored records that a connection to an upstream was opened and has lasted. While a gateway is cut
+// off it sends nothing that could be answered.
 func (t *Tracker) Restored(now time.Time) {
 	t.connections.succeed(now)
+	t.links.succeed(now)
 	t.answers.succeed(now)
 }
 
@@ -97,7 +105,7 @@
 	if need == 0 {
 		return State{}
 	}
-	return State{NoAnswers: t.answers.lost(now, need), NoNewConnections: t.connections.lost(now, need)}
+	return State{NoAnswers: t.answers.lost(now, need), CutOff: t.links.lost(now, need), NoNewConnections: t.connections.lost(now, need)}
 }
 
 func (r *run) succeed(now time.Time) {
--- a/coordination/reach/reach_test.go
+++ b/coordination/reach/reach_test.go
@@ -32,13 +32,14 @@
 	}{
 		{"no outcome", 5, nil, State{}},
 		{"no upstreams", 0, refused(0, "a", "b", "c"), State{}},
-		{"three refuse", 5, refused(0, "a", "b", "c"), State{NoAnswers: true, NoNewConnections: true}},
+		{"three refuse", 5, refused(0, "a", "b", "c"), State{NoAnswers: true, CutOff: true, NoNewConnections: true}},
 		{"three refuse just now", 5, refused(800*ms, "a", "b", "c"), State{}},
 		{"two refuse", 5, refused(0, "a", "b", "a", "b"), State{}},
-		{"two of two refuse", 2, refused(0, "a", "b"), State{NoAnswers: true, NoNewConnections: true}},
+		{"two of two refuse", 2, refused(0, "a", "b"), State{NoAnswers: true, CutOff: true, NoNewConnections: true}},
 		{"another answers", 5, append(refused(0, "a", "b", "c"), event{100 * ms, "d", Answered, 0}), State{NoNewConnections: true}},
-		{"another connects", 5, append(refused(0, "a", "b", "c"), event{100 * ms, "d", Connected, 0}), State{NoAnswers: true}},
-		{"no connection in time", 5, []event{{0, "a", NotConnected, 250 * ms}, {0, "b", NotConnected, 250 * ms}, {0, "c", NotConnected, 250 * ms}}, State{NoAnswers: true, NoNewConnections: true}},
+		{"another connects", 5, append(refused(0, "a", "b", "c"), event{100 * ms, "d", Connected, 0}), State{NoAnswers: true, CutOff: true}},
+		{"connections break", 5, []event{{0, "a", Broken, 0}, {0, "a", Connected, 0}, {0, "b", Broken, 0}, {0, "c", Broken, 0}}, State{NoAnswers: true, CutOff: true}},
+		{"no connection in time", 5, []event{{0, "a", NotConnected, 250 * ms}, {0, "b", NotConnected, 250 * ms}, {0, "c", NotConnected, 250 * ms}}, State{NoAnswers: true, CutOff: true, NoNewConnections: true}},
 		{"no response in time", 5, []event{{0, "a", NotAnswered, 400 * ms}, {0, "b", NotAnswered, 400 * ms}, {0, "c", NotAnswered, 400 * ms}}, State{NoAnswers: true}},
 		{"too little time", 5, []event{{0, "a", NotAnswered, 20 * ms}, {0, "b", NotAnswered, 20 * ms}, {0, "c", NotConnected, 20 * ms}}, State{}},
 	} {
@@ -51,9 +52,6 @@
 			if got != tt.want {
 				t.Errorf("%+v, want %+v", got, tt.want)
 			}
-			if got.CutOff() != (tt.want.NoAnswers && tt.want.NoNewConnections) {
-				t.Errorf("cut off: %v", got.CutOff())
-			}
 			tr.Restored(begin.Add(time.Second))
 			if got := tr.State(begin.Add(2*time.Second), tt.upstreams); got != (State{}) {
 				t.Errorf("%+v after the links are restored", got)
--- a/gateway/cutgateways_test.go
+++ b/gateway/cutgateways_test.go
@@ -13,7 +13,7 @@
 )
 
 // cutStates are the ways in which a gateway can lose its links to upstreams.
-var cutStates = map[string]linkState{"reset": linksReset, "hang": linksHang, "refuse new": linksRefuseNew}
+var cutStates = map[string]linkState{"reset": linksReset, "hang": linksHang, "refuse new": linksRefuseNew, "break": linksBreak}
 
 const (
 	// cutSettleTime is how long after the begin of a cut requests may fail.
--- a/gateway/upstreamlinks_test.go
+++ b/gateway/upstreamlinks_test.go
@@ -21,6 +21,8 @@
 	linksHang
 	// linksRefuseNew: open connections live on, new ones are refused.
 	linksRefuseNew
+	// linksBreak: open connections are reset, new ones are accepted and reset.
+	linksBreak
 )
 
 // upstreamLinks are the links from one gateway to all upstreams. They can be cut.
@@ -45,7 +47,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.state = s
-	if s != linksReset {
+	if s != linksReset && s != linksBreak {
 		return
 	}
 	for c := range l.open {
@@ -67,7 +69,7 @@
 	case linksHang:
 		<-ctx.Done()
 		return nil, ctx.Err()
-	case linksUp:
+	case linksUp, linksBreak:
 	}
 	nc, err := l.dialer(ctx, network, addr)
 	if err != nil {
@@ -77,6 +79,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.open[c] = true
+	if l.state == linksBreak {
+		_ = c.SetLinger(0)
+		_ = c.TCPConn.Close()
+	}
 	return c, nil
 }
 
--- a/gateway/upstreamreach.go
+++ b/gateway/upstreamreach.go
@@ -17,6 +17,9 @@
 const (
 	// reachInterval is the time between checks of the state.
 	reachInterval = 50 * time.Millisecond
+	// reachProbeDuration is how long a connection must last to show that the link works: where links are
+	// cut, some devices accept connections and reset them.
+	reachProbeDuration = 50 * time.Millisecond
 	// reachProbeInterval is the time between attempts to connect to upstreams while none answers.
 	reachProbeInterval = 200 * time.Millisecond
 )
@@ -27,8 +30,8 @@
 	now    func() time.Time
 	log    *slog.Logger
 	meters *meters
-	// connect opens a connection to an upstream for later use.
-	connect func(ctx context.Context, addr string) error
+	// probeLink opens a connection to an upstream and checks that it lasts.
+	probeLink func(ctx context.Context, addr string) error
 
 	mu      sync.Mutex
 	tracker *reach.Tracker
@@ -70,13 +73,13 @@
 	r.mu.Lock()
 	state := r.tracker.State(now, upstreamCount(r.view.inst.Load()))
 	since := r.cutSince
-	if state.CutOff() && !r.cutOff.Load() {
+	if state.CutOff && !r.cutOff.Load() {
 		r.cutSince = now
 	}
 	r.mu.Unlock()
 	r.noNewConnections.Store(state.NoNewConnections)
-	switch was := r.cutOff.Swap(state.CutOff()); {
-	case was == state.CutOff():
+	switch was := r.cutOff.Swap(state.CutOff); {
+	case was == state.CutOff:
 	case was:
 		r.log.Info("upstreams can be reached again", "after_ms", now.Sub(since).Milliseconds())
 	default:
@@ -86,13 +89,13 @@
 	return state
 }
 
-// probe tries to connect to a few upstreams at random, all at the same time. One that accepts the
-// connection shows that this gateway is not cut off.
+// probe tries to connect to a few upstreams at random, all at the same time. One connection that lasts
+// shows that this gateway is not cut off.
 func (r *upstreamReach) probe(ctx context.Context) {
 	var all sync.WaitGroup
 	for _, addr := range r.randomUpstreams(reach.MinFailing) {
 		all.Go(func() {
-			if r.connect(ctx, addr) != nil {
+			if r.probeLink(ctx, addr) != nil {
 				return
 			}
 			r.mu.Lock()
--- a/transport/pool/conn.go
+++ b/transport/pool/conn.go
@@ -39,6 +39,8 @@
 	mismatched int
 	// echoes is set once a response has carried the echo that its request asked for.
 	echoes bool
+	// responded is set once a byte has arrived in response to the current request.
+	responded bool
 	// onRead, if set, is called with the number of bytes of each read.
 	onRead func(n int)
 }
@@ -53,6 +55,7 @@
 // not.
 func (c *conn) Read(data []byte) (int, error) {
 	n, err := c.Conn.Read(data)
+	c.responded = c.responded || n > 0
 	if n > 0 && c.onRead != nil {
 		c.onRead(n)
 	}
@@ -99,7 +102,7 @@
 // roundTrip sends the request and reads its response. reusable reports whether the connection may
 // carry another request.
 func (c *conn) roundTrip(ctx context.Context, r *Request, maxBody int64) (resp *Response, reusable bool, err error) {
-	c.onRead = r.OnRead
+	c.onRead, c.responded = r.OnRead, false
 	defer func() { c.onRead = nil }()
 	stop := context.AfterFunc(ctx, func() {
 		// A deadline in the past interrupts pending reads and writes.
--- a/transport/pool/pool.go
+++ b/transport/pool/pool.go
@@ -158,7 +158,7 @@
 	}
 	start := p.now()
 	resp, reusable, err := c.roundTrip(ctx, r, p.limits.MaxBodyBytes)
-	p.observeResponse(addr, err, p.now().Sub(start))
+	p.observeResponse(addr, c, err, p.now().Sub(start))
 	if errors.Is(err, ErrMismatchedResponse) || c.mismatched > 0 {
 		p.updateStats(func(s *Stats) { s.Mismatched++ })
 	}
@@ -177,13 +177,15 @@
 	return resp, nil
 }
 
-// observeResponse reports whether an address has answered. A broken connection does not tell.
-func (p *Pool) observeResponse(addr string, err error, waited time.Duration) {
+// observeResponse reports whether an address has answered, at least in part.
+func (p *Pool) observeResponse(addr string, c *conn, err error, waited time.Duration) {
 	switch {
-	case err == nil:
+	case c.responded:
 		p.observe(addr, reach.Answered, waited)
 	case errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled):
 		p.observe(addr, reach.NotAnswered, waited)
+	default:
+		p.observe(addr, reach.Broken, waited)
 	}
 }
 
@@ -327,6 +329,31 @@
 	return nil
 }
 
+// errClosedByPeer reports a new connection that the other end has closed.
+var errClosedByPeer = errors.New("connection closed by the other end")
+
+// Probe is Connect, but fails if the other end closes the connection within the given time.
+func (p *Pool) Probe(ctx context.Context, addr string, lasts time.Duration) error {
+	c, err := p.dial(ctx, addr)
+	if err != nil {
+		return err
+	}
+	timer := time.NewTimer(lasts)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+		c.close()
+		return ctx.Err()
+	}
+	if !c.isReusable() {
+		c.close()
+		return errClosedByPeer
+	}
+	p.putIdle(addr, c)
+	return nil
+}
+
 func (p *Pool) dial(ctx context.Context, addr string) (*conn, error) {
 	start := p.now()
 	dialCtx, cancel := context.WithTimeout(ctx, p.limits.DialTimeout)
