soak: gateways are cut off from all upstreams

A relay knows a gateway by its address, from which it connects: new setting upstream_source, which is empty by default.

SO_ATTACH_FILTER, with which links could be made to hang, is not supported here.

--- a/bench/soak/callers.go
+++ b/bench/soak/callers.go
@@ -94,8 +94,9 @@
 }
 
 // sendRequest sends one request and checks its response.
-func (m *monitor) sendRequest(ctx context.Context, g *gateway, unsafe bool, key int) outcome {
+func (m *monitor) sendRequest(ctx context.Context, g *gateway, unsafe bool, key int) (result outcome) {
 	id := fmt.Sprintf("r%d", m.next.Add(1))
+	defer func() { m.requests.setOutcome(id, result) }()
 	ctx, cancel := context.WithTimeout(ctx, callerTimeout)
 	defer cancel()
 	method, path, body := http.MethodGet, "/status/x", io.Reader(nil)
--- a/bench/soak/deployment.go
+++ b/bench/soak/deployment.go
@@ -70,6 +70,10 @@
 	// restartErrs collects the errors of restarting upstreams that harmful requests
 	// crashed.
 	restartErrs []error
+	// cutLinks counts, for each gateway's IP address, the cuts in progress; cuts are those that have
+	// ended.
+	cutLinks map[string]int
+	cuts     []cut
 }
 
 func (d *deployment) recordRestartError(err error) {
@@ -98,7 +102,7 @@
 // newDeployment starts the store and the upstreams, chooses the addresses of the gateways
 // and writes their settings.
 func newDeployment(dir string, size Size) (*deployment, error) {
-	d := &deployment{dir: dir, store: metastore.New(), oracle: instance.NewOracle()}
+	d := &deployment{dir: dir, store: metastore.New(), oracle: instance.NewOracle(), cutLinks: make(map[string]int)}
 	d.writeConfiguration()
 	for i := range size.Upstreams {
 		service := keyedService
@@ -207,6 +211,7 @@
 	d.setCrashHandler(u)
 	d.mu.Lock()
 	d.allUpstreams = append(d.allUpstreams, u)
+	d.applyLinks(u)
 	d.mu.Unlock()
 	u.server = &http.Server{Handler: u.Instance}
 	// Serve ends with the process or when the server is closed, so its error carries no
@@ -313,7 +318,7 @@
 	if err != nil {
 		return nil, err
 	}
-	g := &gateway{name: name, dir: d.dir, domain: domain, endpoint: endpoint, relay: r}
+	g := &gateway{name: name, ip: ip, dir: d.dir, domain: domain, endpoint: endpoint, relay: r}
 	addresses, err := freeAddresses(ip, 4)
 	if err != nil {
 		return nil, err
@@ -360,6 +365,7 @@
 		conf.Node, conf.Domain, conf.Seeds = g.name, g.domain, seeds
 		conf.Callers, conf.Ready, conf.Peers, conf.Metrics = parseAddress(g.callers), parseAddress(g.ready), parseAddress(g.peers), parseAddress(g.metrics)
 		conf.Store = parseAddress(g.relay.Addr())
+		conf.UpstreamSource = g.ip
 		conf.DrainNotice, conf.StopLimit = jsonc.Duration(drainNotice), jsonc.Duration(stopLimit)
 		conf.UpstreamDrainTimeout, conf.MaxGrantDuration = jsonc.Duration(upstreamDrain), jsonc.Duration(maxGrantDuration)
 		conf.RetryShare, conf.RetryAllowance, conf.RetryWindow = retryShare, retryAllowance, jsonc.Duration(retryWindow)
--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -70,6 +70,8 @@
 		return d.replaceUpstream(u, func() { d.register(u, "draining") })
 	case LeaveByResponses:
 		return d.replaceUpstream(u, func() {})
+	case CutGateways:
+		d.cutGateways(step)
 	case SilentRemoval:
 		return d.removeWithoutLeader(u, step.Duration)
 	case Restart:
--- a/bench/soak/plan.go
+++ b/bench/soak/plan.go
@@ -37,6 +37,7 @@
 	LeaveByResponses Kind = "depart"         // an upstream announces only in its responses that it leaves, and is replaced
 	HarmfulRequest   Kind = "harm"           // a request that crashes upstreams is repeated at all gateways
 	LateCalls        Kind = "late_calls"     // all upstreams leave every second control call unanswered and apply it later
+	CutGateways      Kind = "cut_gateways"   // some gateways, which may include the leader, are cut off from all upstreams
 	SilentRemoval    Kind = "removal"        // an upstream's entry is removed, without a notice, while the leader is suspended
 )
 
@@ -99,9 +100,12 @@
 // stepsPerRemoval is the same for upstreams whose entry is removed while the leader is suspended.
 const stepsPerRemoval = 5
 
+// stepsPerCut is the same for gateways that are cut off from all upstreams.
+const stepsPerCut = 5
+
 // NewPlan returns the plan of a seed. It has the given number of random steps and, in
 // addition to them, the kinds that are added at fixed intervals: restarts, rate limits,
-// rests, departures, late control calls, harmful requests, evacuations and removals.
+// rests, departures, late control calls, harmful requests, evacuations, removals and cuts.
 func NewPlan(seed uint64, steps int) Plan {
 	rng, restarts := rand.New(rand.NewPCG(seed, seed)), rand.New(rand.NewPCG(seed, seed+1))
 	evacuations := rand.New(rand.NewPCG(seed, seed+2))
@@ -110,6 +114,7 @@
 	harmful := rand.New(rand.NewPCG(seed, seed+5))
 	notices := rand.New(rand.NewPCG(seed, seed+6))
 	removals := rand.New(rand.NewPCG(seed, seed+7))
+	cuts := rand.New(rand.NewPCG(seed, seed+8))
 	p := Plan{Seed: seed}
 	for i := range steps {
 		p.Steps = append(p.Steps, Step{
@@ -145,6 +150,11 @@
 				Kind: SilentRemoval, Duration: time.Duration(removals.Int64N(int64(maxFaultDuration))), Target: removals.IntN(1 << 16),
 			})
 		}
+		if i%stepsPerCut == stepsPerCut-1 {
+			p.Steps = append(p.Steps, Step{
+				Kind: CutGateways, Duration: time.Duration(cuts.Int64N(int64(maxFaultDuration))), Target: cuts.IntN(1 << 16), Variant: cuts.IntN(1 << 16),
+			})
+		}
 		if i%stepsPerEvacuation == stepsPerEvacuation-1 {
 			p.Steps = append(p.Steps, Step{
 				Kind: Evacuate, Duration: time.Duration(evacuations.Int64N(int64(maxFaultDuration))), Target: evacuations.IntN(1 << 16),
--- a/bench/soak/process.go
+++ b/bench/soak/process.go
@@ -20,9 +20,10 @@
 
 // gateway is a gateway and its process. A script starts the process when the file NAME.start
 // appears and writes its process ID to NAME.pid. Only that ID is used to signal it.
-// callers, ready, peers and metrics are the addresses on which it listens.
+// callers, ready, peers and metrics are the addresses on which it listens, all on ip, from which it also
+// connects to upstreams.
 type gateway struct {
-	name, dir, domain              string
+	name, ip, dir, domain          string
 	callers, ready, peers, metrics string
 	endpoint                       *metastore.Endpoint
 	relay                          *relay.Relay
@@ -30,6 +31,8 @@
 	// faults records when the process was killed, stopped or paused; storeFaults when its path to the store
 	// had a fault or the store did not serve it.
 	faults, storeFaults faultIntervals
+	// cuts records when it was cut off from all upstreams.
+	cuts faultIntervals
 
 	mu sync.Mutex
 	// faultActive is set while a fault of the process is in progress.
--- a/bench/soak/run.go
+++ b/bench/soak/run.go
@@ -64,6 +64,11 @@
 			m.addViolation("%s", v)
 		}
 	}
+	for _, c := range d.cuts {
+		for _, v := range c.violations(m.requests) {
+			m.addViolation("%s", v)
+		}
+	}
 	for _, v := range d.harmfulRequests.undetected() {
 		m.addViolation("%s", v)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -221,7 +221,7 @@
 		g.follower.isSeed = g.follower.isSeed || s == conf.Peers
 	}
 	g.reach = newUpstreamReach(g.view, g.now, log, g.meters, mathrand.New(mathrand.NewPCG(seeds[0]+2, seeds[1])))
-	g.upstreamDialer = (&net.Dialer{KeepAlive: -1}).DialContext
+	g.upstreamDialer = (&net.Dialer{KeepAlive: -1, LocalAddr: localAddress(conf.UpstreamSource)}).DialContext
 	g.conns = g.newUpstreamPool()
 	g.suspects.connect = g.conns.Connect
 	g.reach.probeLink = func(ctx context.Context, addr string) error { return g.conns.Probe(ctx, addr, reachProbeDuration) }
@@ -257,6 +257,15 @@
 	return g
 }
 
+// localAddress returns the local address of connections from an IP address that the settings have
+// checked; nil if it is empty.
+func localAddress(ip string) net.Addr {
+	if ip == "" {
+		return nil
+	}
+	return &net.TCPAddr{IP: net.ParseIP(ip)}
+}
+
 // newUpstreamPool returns a pool of connections to upstreams.
 func (g *Gateway) newUpstreamPool() *pool.Pool {
 	p := pool.NewWithDialer(upstreamLimits, g.now, func(ctx context.Context, network, addr string) (net.Conn, error) {
--- a/state/settings/gateway.go
+++ b/state/settings/gateway.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/rockcroft/rockcroft/state/jsonc"
@@ -29,6 +30,9 @@
 	Store jsonc.Addr `json:"store"`
 	// Seeds are the peer addresses of some gateways to contact at startup.
 	Seeds []jsonc.Addr `json:"seeds"`
+	// UpstreamSource is the local IP address of connections to upstreams. By default the system
+	// chooses it.
+	UpstreamSource string `json:"upstream_source,omitempty"`
 	// DrainNotice is how long a stopping gateway continues to accept connections
 	// after it reports not ready. The load balancer checks once per second and
 	// stops sending connections after two failed checks. The default is 2.4s.
@@ -105,6 +109,7 @@
 	add(!g.Ready.IsValid(), "ready", "is required")
 	add(!g.Peers.IsValid(), "peers", "is required")
 	add(!g.Store.IsValid(), "store", "is required")
+	add(g.UpstreamSource != "" && !isIP(g.UpstreamSource), "upstream_source", "must be an IP address")
 	add(g.StopLimit <= g.DrainNotice, "stop_limit", "must be longer than drain_notice")
 	add(g.UpstreamDrainTimeout <= 0, "upstream_drain", "must be positive")
 	add(g.MaxGrantDuration <= 0, "longest_hold", "must be positive")
@@ -122,3 +127,8 @@
 	add(!oneOf(g.Trace.Exporter, "off", "stdout", "otlp"), "trace.exporter", `must be "off", "stdout" or "otlp"`)
 	return out
 }
+
+func isIP(text string) bool {
+	_, err := netip.ParseAddr(text)
+	return err == nil
+}
