gateway: the load of forwarded requests is bounded at each gateway

By reading: in a large deployment a gateway knows only the strongest gateways of each failure domain, so a domain that is cut off as a whole would have forwarded everything to these few.

Change: a gateway refuses a forwarded request, before anything is done, while it has more than 32 and four times its own in progress.

Evidence: TestForwardedLoadIsBounded, red without the bound (refused false with 32 in progress) by its first form, which also showed a negative count of own requests; not measured at size.

--- a/gateway/meternames.go
+++ b/gateway/meternames.go
@@ -231,7 +231,7 @@
 	{forwardNotTaken, "tries", "of forwarding a request that another gateway did not take; it has not run"},
 	{forwardBroken, "tries", "of forwarding a request that ended without a response of the other gateway"},
 	{forwardServed, "requests", "that other gateways forwarded to this one, and that it took"},
-	{forwardRefused, "requests", "that other gateways forwarded to this one, and that it refused: it is stopping or reaches no upstream either"},
+	{forwardRefused, "requests", "that other gateways forwarded to this one, and that it refused: it is stopping, reaches no upstream either, or serves too many of them"},
 	{suspectsUnconfirmed, "connections", "that an upstream refused without counting as its end, because no comparable upstream took one"},
 	{suspectsContradicted, "ends", "of upstreams, concluded here or reported by another gateway, after which the same incarnation has answered"},
 	{suspectsRefused, "requests", "refused by this gateway because they have crashed too many upstreams"},
--- a/gateway/peerforward.go
+++ b/gateway/peerforward.go
@@ -27,6 +27,11 @@
 	maxForwardTries = 3
 	// maxForwardIdleConns bounds the idle connections to one gateway.
 	maxForwardIdleConns = 16
+	// A gateway has at most forwardedPerOwn times as many forwarded requests in progress as requests of
+	// its own callers, plus forwardedFloor. In a large deployment the gateways of a domain that is cut
+	// off know only a few gateways of the other domains.
+	forwardedPerOwn = 4
+	forwardedFloor  = 32
 	// forwardedPollInterval is the time between checks for forwarded requests in progress at a stop.
 	forwardedPollInterval = 10 * time.Millisecond
 )
@@ -172,9 +177,10 @@
 func isForwarded(r *http.Request) bool { return r.Context().Value(forwardedKey{}) != nil }
 
 // serveForwarded serves a request that another gateway has forwarded. It refuses the request before
-// anything is done with it if this gateway stops or reaches no upstream itself.
+// anything is done with it if this gateway stops, reaches no upstream itself, or serves too many of
+// them.
 func (f *proxy) serveForwarded(w http.ResponseWriter, r *http.Request) {
-	f.forward.inProgress.Add(1)
+	forwarded := f.forward.inProgress.Add(1)
 	defer f.forward.inProgress.Add(-1)
 	caller := r.Header.Get(header.Caller)
 	delete(r.Header, header.Hops)
@@ -186,6 +192,9 @@
 	case f.forward.reach.cutOff.Load():
 		f.refuseForwarded(w, r, header.RefusedUnreachable, answer.New(answer.Unreachable, "this gateway reaches no upstream either"))
 		return
+	case forwarded > forwardedFloor+forwardedPerOwn*max(f.openRequests.count()-forwarded, 0):
+		f.refuseForwarded(w, r, header.RefusedOverloaded, answer.New(answer.Overloaded, "%d forwarded requests are in progress", forwarded))
+		return
 	}
 	f.meters.inc(forwardServed)
 	r = r.WithContext(context.WithValue(r.Context(), forwardedKey{}, true))
--- a/gateway/peerforward_test.go
+++ b/gateway/peerforward_test.go
@@ -184,6 +184,27 @@
 	b.eventually("the run ends", func() bool { return run.Err() != nil })
 }
 
+// TestForwardedLoadIsBounded guards against a few gateways that are given the work of a whole failure
+// domain.
+func TestForwardedLoadIsBounded(t *testing.T) {
+	t.Parallel()
+	b := newStandardCluster(t)
+	g := b.gateways[0]
+	for _, inProgress := range []int64{0, forwardedFloor, forwardedFloor - 1} {
+		g.proxy.forward.inProgress.Store(inProgress)
+		r := callerRequest(context.Background(), t, http.MethodGet, "http://"+g.listeners.Peers.Addr().String()+"/read/x", "bounded", "")
+		r.Header.Set(header.Hops, "1")
+		resp, err := b.client.Do(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = resp.Body.Close()
+		if refused := resp.Header.Get(header.Refused) == header.RefusedOverloaded; refused != (inProgress == forwardedFloor) {
+			t.Errorf("status %d, refused: %v, with %d in progress", resp.StatusCode, refused, inProgress)
+		}
+	}
+}
+
 // TestRequestsAreForwardedOnce guards against requests that go from one gateway to the next while none
 // reaches an upstream: they are refused.
 func TestRequestsAreForwardedOnce(t *testing.T) {
--- a/gateway/wakeup.go
+++ b/gateway/wakeup.go
@@ -49,6 +49,13 @@
 	}
 }
 
+// count returns the number of requests in progress.
+func (o *openRequests) count() int64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return int64(len(o.cancels))
+}
+
 // cancelOverdue cancels the requests whose deadline has passed.
 func (o *openRequests) cancelOverdue(now time.Time) {
 	o.mu.Lock()
