--- a/gateway/peerforward.go
+++ b/gateway/peerforward.go
@@ -125,7 +125,8 @@
 		tried = append(tried, peer.Address)
 		resp, err = f.sendToPeer(ctx, q, peer)
 		switch {
-		case err == nil && resp.Header.Get(header.Refused) == "":
+		case err == nil && isForwardTaken(resp):
+			delete(resp.Header, header.Hops)
 			f.meters.inc(forwardAnswered)
 			return resp, true, nil
 		case err == nil, errors.Is(err, pool.ErrNotSent):
@@ -147,6 +148,12 @@
 	return nil, false, nil
 }
 
+// isForwardTaken reports whether another gateway has handled a forwarded request. One of a version that
+// does not know such requests answers without the header.
+func isForwardTaken(resp *pool.Response) bool {
+	return resp.Header.Get(header.Hops) != "" && resp.Header.Get(header.Refused) == ""
+}
+
 // sendToPeer sends the request to another gateway.
 func (f *proxy) sendToPeer(ctx context.Context, q *request, peer reach.Peer) (*pool.Response, error) {
 	response, err := f.expectResponse(q)
@@ -158,7 +165,7 @@
 	a := admission{grant: dispatch.Grant{Instance: instances.Instance{Domain: peer.Domain}}, response: response}
 	resp, err := f.forward.conns.Do(ctx, peer.Address, &pool.Request{
 		Method: q.Method, Target: q.target, Host: q.Host, Header: h, Body: q.body,
-		EchoHeader: platform.RequestID, EchoValue: q.id, NonIdempotent: !q.route.Idempotent,
+		EchoHeader: platform.RequestID, EchoValue: q.id, EchoOptional: true, NonIdempotent: !q.route.Idempotent,
 		BeforeSend: func() error { return f.setTimeLeft(h, q) },
 		OnLength:   response.Announced, OnRead: f.countReceived(q, a),
 	})
@@ -185,6 +192,7 @@
 	caller := r.Header.Get(header.Caller)
 	delete(r.Header, header.Hops)
 	delete(r.Header, header.Caller)
+	w.Header().Set(header.Hops, "1")
 	switch {
 	case f.draining.Load():
 		f.refuseForwarded(w, r, header.RefusedStopping, answer.New(answer.Stopping, "this gateway is stopping"))
--- a/protocol/header/header.go
+++ b/protocol/header/header.go
@@ -36,7 +36,8 @@
 const (
 	// Epoch is the fencing token of the range that the key belongs to.
 	Epoch = "Rockcroft-Epoch"
-	// Hops is the number of entries or gateways that have forwarded the request so far.
+	// Hops is the number of entries or gateways that have forwarded the request so far. Responses to
+	// forwarded requests between gateways have it as well.
 	Hops = "Rockcroft-Hops"
 )
 
