--- a/coordination/poison/ends.go
+++ b/coordination/poison/ends.go
@@ -180,7 +180,7 @@
 	for _, s := range t.suspects {
 		t.reinstate(s)
 	}
-	for _, d := range t.selectSuspects(func(s *suspect) bool { return !s.refused }) {
+	for _, d := range t.selectSuspects(func(s *suspect) bool { return !s.refused && len(s.crashes) >= refusalThreshold }) {
 		t.refuseIfDue(t.suspects[d])
 	}
 }
--- a/coordination/poison/poison.go
+++ b/coordination/poison/poison.go
@@ -294,18 +294,23 @@
 
 // selectSuspects returns the suspects that match, those with the most crashes first.
 func (t *Tracker) selectSuspects(match func(*suspect) bool) []Digest {
-	var out []Digest
+	type counted struct {
+		digest  Digest
+		crashes int
+	}
+	var list []counted
 	for d, s := range t.suspects {
 		if match(s) {
-			out = append(out, d)
+			list = append(list, counted{d, t.count(s)})
 		}
 	}
-	slices.SortFunc(out, func(x, y Digest) int {
-		if n := cmp.Compare(t.count(t.suspects[y]), t.count(t.suspects[x])); n != 0 {
-			return n
-		}
-		return cmp.Compare(x, y)
+	slices.SortFunc(list, func(x, y counted) int {
+		return cmp.Or(cmp.Compare(y.crashes, x.crashes), cmp.Compare(x.digest, y.digest))
 	})
+	out := make([]Digest, 0, len(list))
+	for _, c := range list {
+		out = append(out, c.digest)
+	}
 	return out
 }
 
--- a/gateway/suspectnews.go
+++ b/gateway/suspectnews.go
@@ -1,15 +1,19 @@
 package gateway
 
 import (
+	"context"
 	"time"
 
 	"github.com/rockcroft/rockcroft/coordination/poison"
+	"github.com/rockcroft/rockcroft/protocol/answer"
+	"github.com/rockcroft/rockcroft/protocol/placementpb"
 	"github.com/rockcroft/rockcroft/protocol/syncpb"
 	"github.com/rockcroft/rockcroft/state/instances"
 )
 
-// This file exchanges information about requests that crash upstreams with other gateways: such a
-// request is sent to one gateway after the other, and each sees only one of the crashes.
+// This file exchanges information about requests that crash upstreams with other gateways, and lets
+// operators list them and let them through again. Such a request is sent to one gateway after the
+// other, and each sees only one of the crashes.
 
 // suspectsCacheTime is how long a message is reused: a leader answers hundreds of reports a second,
 // and the loss of a failure domain can produce crashes for hundreds of requests.
@@ -103,3 +107,30 @@
 	inst := v.Get(upstream)
 	return inst != nil && inst.Incarnation().DiffersFrom(incarnation)
 }
+
+// Suspects implements placementpb.Placement.
+func (p *placements) Suspects(ctx context.Context, r *placementpb.SuspectsRequest) (*placementpb.SuspectsState, error) {
+	if other, err := p.leaderClient(); err != nil || other != nil {
+		return forwardToLeader(ctx, err, r, other, placementpb.Placement.Suspects)
+	}
+	out := &placementpb.SuspectsState{}
+	for _, s := range p.suspects.list() {
+		out.List = append(out.List, &placementpb.Suspect{
+			Digest: digestText(s.Digest), Crashes: uint32(s.Crashes), Refused: s.Refused, LastMs: uint64(p.now().Sub(s.Last).Milliseconds()),
+		})
+	}
+	return out, nil
+}
+
+// LiftSuspect implements placementpb.Placement.
+func (p *placements) LiftSuspect(ctx context.Context, r *placementpb.Lift) (*placementpb.SuspectsState, error) {
+	d, err := parseDigest(r.Digest)
+	if err != nil {
+		return nil, rpcError(answer.BadRequest, err.Error())
+	}
+	if other, err := p.leaderClient(); err != nil || other != nil {
+		return forwardToLeader(ctx, err, r, other, placementpb.Placement.LiftSuspect)
+	}
+	p.suspects.clear(d, r.By)
+	return p.Suspects(ctx, &placementpb.SuspectsRequest{})
+}
