soak: gateways that are cut off are compared with the others at the same time

Trace: four cuts overlapped, one gateway was left, which had been killed; its refusals ('no upstream has room', 'all that could run it want nothing more for a while', keys without an owner) fall into the seconds in which its own requests do not count, as its process had a fault. So both counts were of different seconds.

The counts are compared over half seconds in which both have requests; the bounds are as before. TestCutGatewaysMustServe holds what counts.

--- a/bench/soak/cuts.go
+++ b/bench/soak/cuts.go
@@ -78,23 +78,29 @@
 // servedCount counts requests.
 type servedCount struct{ sent, served int }
 
+func (s *servedCount) add(other servedCount) {
+	s.sent += other.sent
+	s.served += other.served
+}
+
 func (s servedCount) share() float64 { return float64(s.served) / float64(max(s.sent, 1)) }
 
 func (s servedCount) String() string { return fmt.Sprintf("%d of %d", s.served, s.sent) }
 
+// cutPeriod is the length of the periods in which requests at gateways that are cut off are compared with
+// those at the others: other faults that make upstreams refuse requests come and go during a cut.
+const cutPeriod = 500 * time.Millisecond
+
+// comparison counts the requests of one period.
+type comparison struct{ inside, outside servedCount }
+
 // violations returns the cuts in which gateways that were cut off served too few requests. Requests at
-// gateways whose process had a fault do not count.
+// gateways whose process had a fault do not count, nor do periods in which no other gateway had requests.
 func (c cut) violations(l *requestLog) (out []string) {
-	var inside, outside servedCount
+	periods := make(map[time.Duration]*comparison)
 	l.forEach(func(r sentRequest) {
-		if r.sent.Before(c.from.Add(cutSettleTime)) || !r.sent.Before(c.to) || r.gateway.faults.overlaps(r.sent.Add(-stableTime), r.sent.Add(callerTimeout)) {
-			return
-		}
-		count := &outside
-		switch {
-		case c.gateways[r.gateway]:
-			count = &inside
-		case r.gateway.cuts.overlaps(r.sent.Add(-stableTime), r.sent):
+		count := c.countOf(periods, r)
+		if count == nil {
 			return
 		}
 		count.sent++
@@ -102,10 +108,37 @@
 			count.served++
 		}
 	})
+	var inside, outside servedCount
+	for _, p := range periods {
+		if p.inside.sent == 0 || p.outside.sent == 0 {
+			continue
+		}
+		inside.add(p.inside)
+		outside.add(p.outside)
+	}
 	failed := inside.sent - inside.served
-	if float64(failed) > toleratedFailures+toleratedShare*float64(inside.sent) && outside.sent > 0 && inside.share() < minCutShare*outside.share() {
+	if float64(failed) > toleratedFailures+toleratedShare*float64(inside.sent) && inside.share() < minCutShare*outside.share() {
 		out = append(out, fmt.Sprintf("%d gateways that were cut off from all upstreams for %s served %s requests, the others %s",
 			len(c.gateways), c.to.Sub(c.from).Round(time.Millisecond), inside, outside))
 	}
 	return out
 }
+
+// countOf returns the count to which a request belongs, or nil.
+func (c cut) countOf(periods map[time.Duration]*comparison, r sentRequest) *servedCount {
+	if r.sent.Before(c.from.Add(cutSettleTime)) || !r.sent.Before(c.to) || r.gateway.faults.overlaps(r.sent.Add(-stableTime), r.sent.Add(callerTimeout)) {
+		return nil
+	}
+	cutOff := c.gateways[r.gateway]
+	if !cutOff && r.gateway.cuts.overlaps(r.sent.Add(-stableTime), r.sent) {
+		return nil
+	}
+	period := r.sent.Sub(c.from) / cutPeriod
+	if periods[period] == nil {
+		periods[period] = &comparison{}
+	}
+	if cutOff {
+		return &periods[period].inside
+	}
+	return &periods[period].outside
+}
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
@@ -172,3 +173,41 @@
 		}
 	}
 }
+
+// TestCutGatewaysMustServe checks the comparison of gateways that are cut off with the others in the same
+// periods.
+func TestCutGatewaysMustServe(t *testing.T) {
+	began := time.Now()
+	cutOff, other := &gateway{name: "cut"}, &gateway{name: "other"}
+	c := cut{gateways: map[*gateway]bool{cutOff: true}, from: began, to: began.Add(10 * time.Second)}
+	for _, tt := range []struct {
+		name               string
+		inside, outside    outcome
+		outsideFrom, until time.Duration
+		want               int
+	}{
+		{"both serve", served, served, 0, 10 * time.Second, 0},
+		{"the cut one refuses", refused, served, 0, 10 * time.Second, 1},
+		{"both refuse", refused, refused, 0, 10 * time.Second, 0},
+		{"the cut one refuses as long as it may", refused, served, 0, cutSettleTime, 0},
+		{"the cut one refuses while there is no other", refused, served, 8 * time.Second, 8 * time.Second, 0},
+		{"the cut one refuses a few", refused, served, 0, cutSettleTime + 500*time.Millisecond, 0},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			l := newRequestLog()
+			for at, i := time.Duration(0), 0; at < 10*time.Second; at, i = at+50*time.Millisecond, i+1 {
+				inside := served
+				if at < tt.until {
+					inside = tt.inside
+				}
+				l.add(fmt.Sprint("in", i), sentRequest{gateway: cutOff, sent: began.Add(at), outcome: inside})
+				if at >= tt.outsideFrom {
+					l.add(fmt.Sprint("out", i), sentRequest{gateway: other, sent: began.Add(at), outcome: tt.outside})
+				}
+			}
+			if got := c.violations(l); len(got) != tt.want {
+				t.Errorf("%v, want %d", got, tt.want)
+			}
+		})
+	}
+}
