soak: runs beside each other have requests and upstreams of their own

Its relay's port on 127.0.0.1 was free for any process, upstreams of all runs had the same IDs, and so did their requests, so the check of the target let them through.

Upstream and request IDs contain the process ID, so that an upstream of another run answers 421 and runs nothing.

--- a/bench/soak/callers.go
+++ b/bench/soak/callers.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -95,7 +96,7 @@
 
 // sendRequest sends one request and checks its response.
 func (m *monitor) sendRequest(ctx context.Context, g *gateway, unsafe bool, key int) (result outcome) {
-	id := fmt.Sprintf("r%d", m.next.Add(1))
+	id := fmt.Sprintf("r%d-%d", os.Getpid(), m.next.Add(1))
 	defer func() { m.requests.setOutcome(id, result) }()
 	ctx, cancel := context.WithTimeout(ctx, callerTimeout)
 	defer cancel()
--- a/bench/soak/deployment.go
+++ b/bench/soak/deployment.go
@@ -178,11 +178,12 @@
 	})
 }
 
-// addUpstream starts an upstream with a new ID.
+// addUpstream starts an upstream with a new ID. The ID is unique among runs beside each other: a port that one
+// of them has given up may be taken by another one, whose upstreams must not run its requests.
 func (d *deployment) addUpstream(service, domain string) error {
 	d.mu.Lock()
 	d.upstreamsStarted++
-	id := fmt.Sprintf("i-%s-%d", service, d.upstreamsStarted)
+	id := fmt.Sprintf("i-%s-%d-%d", service, os.Getpid(), d.upstreamsStarted)
 	d.mu.Unlock()
 	u, err := d.startUpstream(id, service, domain)
 	if err != nil {
