gateway: the test of downloads sends each one after the last has arrived

TestLinkOfAGatewayBoundsDownloads (KNOWN-RED.txt) got 503 once for a request that the link must not refuse. So the test met another bound.

Each download now waits until the one before has arrived from the upstream; all ten are still held when the request is asked, and the check is the same.

--- a/gateway/heldbytes_test.go
+++ b/gateway/heldbytes_test.go
@@ -217,8 +217,12 @@
 			g.eventually("nothing is held", func() bool { return g.held() == 0 })
 		}
 		if !c.refused {
-			for range 10 {
+			for i := range 10 {
 				g.sendSlow("/read/x", size)
+				// Requests that are still at the upstream would leave no room for another one.
+				g.eventually("the response has arrived", func() bool {
+					return g.meters.counter(fillPattern(routeTries, "read")).Count() > int64(40+i) && g.traffic.explain(g.traffic.get("pay"), "").OwnInflight == 0
+				})
 			}
 			status, _, retryAfter := g.ask("/read/x", size, "")
 			if stats := g.proxy.bytes.Stats(); status != http.StatusOK || stats.RefusedLink > 0 {
