gateway: a caller that leaves does not make another gateway look broken

By reading: a request that was forwarded and whose caller left counted as a broken hop, and the other gateway was left out for a second. With callers that leave often, a cut gateway would have found no other one. The bytes of the response are counted once for all gateways asked, and their refusal is told as such.

--- a/gateway/peerforward.go
+++ b/gateway/peerforward.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rockcroft/rockcroft/coordination/bytebudget"
 	"github.com/rockcroft/rockcroft/coordination/dispatch"
 	"github.com/rockcroft/rockcroft/coordination/reach"
 	"github.com/rockcroft/rockcroft/platform"
@@ -113,6 +114,17 @@
 // forwardToPeer sends the request to another gateway and returns what that answers. handled is false if
 // no gateway took the request, which has then not run.
 func (f *proxy) forwardToPeer(ctx context.Context, q *request) (resp *pool.Response, handled bool, err error) {
+	response, err := f.expectResponse(q)
+	if err != nil {
+		return nil, true, err
+	}
+	defer func() {
+		if resp == nil {
+			response.Abandon(f.now())
+			return
+		}
+		response.Complete(f.now(), int64(len(resp.Body)), resp.Status >= http.StatusBadRequest)
+	}()
 	if q.firstSentAt.IsZero() {
 		q.firstSentAt = f.now()
 	}
@@ -123,12 +135,16 @@
 			break
 		}
 		tried = append(tried, peer.Address)
-		resp, err = f.sendToPeer(ctx, q, peer)
+		var answered *pool.Response
+		answered, err = f.sendToPeer(ctx, q, peer, response)
 		switch {
-		case err == nil && isForwardTaken(resp):
-			delete(resp.Header, header.Hops)
+		case err == nil && isForwardTaken(answered):
+			delete(answered.Header, header.Hops)
 			f.meters.inc(forwardAnswered)
-			return resp, true, nil
+			return answered, true, nil
+		case errors.Is(context.Cause(ctx), context.Canceled):
+			// The caller has left, which says nothing of the other gateway.
+			return nil, true, f.finalError(ctx, q, err)
 		case err == nil, errors.Is(err, pool.ErrNotSent):
 			f.forward.avoid(peer.Address)
 			f.meters.inc(forwardNotTaken)
@@ -155,26 +171,16 @@
 }
 
 // sendToPeer sends the request to another gateway.
-func (f *proxy) sendToPeer(ctx context.Context, q *request, peer reach.Peer) (*pool.Response, error) {
-	response, err := f.expectResponse(q)
-	if err != nil {
-		return nil, err
-	}
+func (f *proxy) sendToPeer(ctx context.Context, q *request, peer reach.Peer, response *bytebudget.Response) (*pool.Response, error) {
 	h := platform.EndToEndHeaders(q.Header)
 	h[header.Hops], h[header.Caller] = []string{"1"}, []string{q.RemoteAddr}
 	a := admission{grant: dispatch.Grant{Instance: instances.Instance{Domain: peer.Domain}}, response: response}
-	resp, err := f.forward.conns.Do(ctx, peer.Address, &pool.Request{
+	return f.forward.conns.Do(ctx, peer.Address, &pool.Request{
 		Method: q.Method, Target: q.target, Host: q.Host, Header: h, Body: q.body,
 		EchoHeader: platform.RequestID, EchoValue: q.id, EchoOptional: true, NonIdempotent: !q.route.Idempotent,
 		BeforeSend: func() error { return f.setTimeLeft(h, q) },
 		OnLength:   response.Announced, OnRead: f.countReceived(q, a),
 	})
-	if err != nil {
-		response.Abandon(f.now())
-		return nil, err
-	}
-	response.Complete(f.now(), int64(len(resp.Body)), resp.Status >= http.StatusBadRequest)
-	return resp, nil
 }
 
 // forwardedKey is the context key of requests that another gateway has forwarded.
--- a/gateway/peerforward_test.go
+++ b/gateway/peerforward_test.go
@@ -184,6 +184,12 @@
 	}
 	all.Wait()
 	b.eventually("the run ends", func() bool { return run.Err() != nil })
+	// A caller that leaves must not make the other gateway look broken.
+	for _, g := range []*testGateway{b.gateways[0], b.gateways[2]} {
+		if _, ok := b.gateways[1].proxy.forward.choose([]string{g.listeners.Peers.Addr().String()}); !ok {
+			t.Errorf("no gateway is left besides %s", g.conf.Node)
+		}
+	}
 }
 
 // TestGatewaysOfEarlierVersionsTakeNoForwardedRequests guards against callers that are told "not found" by
@@ -203,7 +209,11 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		resp, err := f.sendToPeer(context.Background(), q, reach.Peer{Address: tt.address})
+		response, err := f.expectResponse(q)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp, err := f.sendToPeer(context.Background(), q, reach.Peer{Address: tt.address}, response)
 		if err != nil || isForwardTaken(resp) != tt.want {
 			t.Errorf("%s version: %v, error %v", name, resp, err)
 		}
