gateway: a cut gateway leaves a free lease to others also after a long time without a leader

Cause: the two seconds that such a gateway waits longer counted from when a leader was last heard. After a while without one, because the store was away or others had passed the lease on, they were over already.

Change: they count from when the gateway has seen the lease as it is: two seconds after its release, or after a silent holder's right has ended.

--- a/coordination/leadership/leadership.go
+++ b/coordination/leadership/leadership.go
@@ -103,6 +103,9 @@
 	o.revision, o.since, o.known = revision, now, true
 }
 
+// UnchangedFor returns for how long this gateway has seen the lease unchanged.
+func (o *LeaseObservation) UnchangedFor(now time.Time) time.Duration { return now.Sub(o.since) }
+
 // HolderExpiry returns the time by which the right of the holder has certainly expired, unless the
 // lease is renewed again.
 func (o *LeaseObservation) HolderExpiry() time.Time { return o.since.Add(takeoverDelay) }
--- a/gateway/cutgateways_test.go
+++ b/gateway/cutgateways_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/rockcroft/rockcroft/standin/metastore"
 	"github.com/rockcroft/rockcroft/state/spans"
 )
 
@@ -136,6 +137,25 @@
 	}
 }
 
+// TestGatewayThatReachesUpstreamsLeadsFirst guards against a lease that goes from one gateway that is cut
+// off to the next while another one could lead.
+func TestGatewayThatReachesUpstreamsLeadsFirst(t *testing.T) {
+	t.Parallel()
+	b := newStandardCluster(t)
+	last := b.gateway("g9")
+	b.ready()
+	b.cutOff(b.gateways[1], b.gateways[2])
+	b.store.SetAllModes(metastore.Unavailable)
+	b.gateways[0].kill()
+	time.Sleep(cutSettleTime)
+	b.store.SetAllModes(metastore.Healthy)
+	var leader *testGateway
+	b.eventually("a gateway leads", func() bool { leader = b.leader(); return leader != nil })
+	if leader != last {
+		t.Errorf("%s leads, which is cut off", leader.conf.Node)
+	}
+}
+
 // TestGatewaysThatAreAllCutOffServeAfterwards guards against gateways that pass the lease on and on, or
 // are left without a leader, when none of them reaches an upstream.
 func TestGatewaysThatAreAllCutOffServeAfterwards(t *testing.T) {
--- a/gateway/leaderelector.go
+++ b/gateway/leaderelector.go
@@ -27,7 +27,8 @@
 	rankDelay = 120 * time.Millisecond
 	// leaseCheckInterval is the time between checks of the lease's state.
 	leaseCheckInterval = 50 * time.Millisecond
-	// cutOffDelay is how much longer a gateway that reaches no upstream waits for another one to lead.
+	// cutOffDelay is how much longer a gateway that reaches no upstream leaves a lease that may be taken to
+	// others.
 	cutOffDelay = 2 * time.Second
 	// leaseReadInterval is the time between reads of the lease by a gateway that tries to
 	// acquire it.
@@ -232,9 +233,6 @@
 	if ended {
 		wait = 0
 	}
-	if l.cutOff() {
-		wait += cutOffDelay
-	}
 	return lost > wait+time.Duration(l.cluster.rank())*rankDelay
 }
 
@@ -261,6 +259,9 @@
 	l.mu.Lock()
 	l.claim.Observe(now, object.Revision)
 	may := l.claim.CanTakeOver(now.Add(-l.startDelay()), lease, l.cluster.self.Address, refused)
+	if l.cutOff() {
+		may = l.claim.CanTakeOver(now.Add(-cutOffDelay), lease, l.cluster.self.Address, refused) && l.claim.UnchangedFor(now) >= cutOffDelay
+	}
 	holdsEnd := l.claim.HoldsEnd(now, lease, l.cluster.self.Address, normalHold)
 	l.mu.Unlock()
 	if may {
