poison: reading of the change: contradicted ends are looked up by themselves

Found by reading: an upstream whose end was contradicted and whose entry had gone counted as ended again with each list; a refused confirmation went on to ask the other upstreams.

--- a/coordination/poison/ends.go
+++ b/coordination/poison/ends.go
@@ -93,7 +93,7 @@
 		e = &end{at: at}
 		t.ends[event] = e
 	}
-	if at.Before(e.at) && !e.contradicts(at) || e.contradicts(e.at) {
+	if e.contradicts(e.at) || (at.Before(e.at) && !e.contradicts(at)) {
 		e.at = at
 	}
 	e.latest = later(e.latest, at)
@@ -216,13 +216,19 @@
 	}
 }
 
-// UnconfirmedEnds returns the upstream incarnations that have aborted runs and may have ended, and
-// those whose end is contradicted.
+// UnconfirmedEnds returns the upstream incarnations that have aborted runs and may have ended.
 func (t *Tracker) UnconfirmedEnds() []End {
 	out := make([]End, 0, len(t.aborted))
 	for p := range t.aborted {
 		out = append(out, End{Upstream: p.upstream, Incarnation: p.incarnation})
 	}
+	return out
+}
+
+// ContradictedEnds returns the upstream incarnations whose end an answer contradicts. If one of them
+// has restarted, the answer may be that of the next incarnation.
+func (t *Tracker) ContradictedEnds() []End {
+	var out []End
 	for _, e := range t.ends {
 		if e.process.upstream != "" && !e.final {
 			out = append(out, End{Upstream: e.process.upstream, Incarnation: e.process.incarnation})
--- a/coordination/poison/ends_test.go
+++ b/coordination/poison/ends_test.go
@@ -65,7 +65,7 @@
 func TestRestartConfirmsContradictedEnd(t *testing.T) {
 	tr := endedThrice()
 	tr.RequestAnswered(at(3*time.Second), "u", 1, at(2900*ms))
-	if got := tr.UnconfirmedEnds(); len(got) != 1 || got[0].Incarnation != 1 {
+	if got := tr.ContradictedEnds(); len(got) != 1 || got[0].Incarnation != 1 {
 		t.Errorf("ends to confirm: %v", got)
 	}
 	tr.Restarted("u", 1)
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -155,12 +155,7 @@
 	addresses := s.confirmingAddresses(refused)
 	go func() {
 		defer s.confirming.Store(false)
-		for _, addr := range addresses {
-			if s.connect(context.Background(), addr) != nil {
-				addresses = nil
-			}
-		}
-		if len(addresses) == 0 {
+		if !s.allAccept(addresses) {
 			s.meters.inc(suspectsUnconfirmed)
 			return
 		}
@@ -171,6 +166,16 @@
 	}()
 }
 
+// allAccept reports whether there are addresses and all of them accept a connection from here.
+func (s *suspects) allAccept(addresses []string) bool {
+	for _, addr := range addresses {
+		if s.connect(context.Background(), addr) != nil {
+			return false
+		}
+	}
+	return len(addresses) > 0
+}
+
 // confirmingAddresses returns the addresses of the upstreams that must take a connection to confirm the
 // end of the given one.
 func (s *suspects) confirmingAddresses(refused instances.Instance) []string {
@@ -206,13 +211,13 @@
 func (s *suspects) onViewChanged(v *instances.View) {
 	var crashes []poison.Crash
 	s.mu.Lock()
-	for _, end := range s.book.UnconfirmedEnds() {
-		inst := v.Get(end.Upstream)
-		restarted := inst != nil && inst.Incarnation().DiffersFrom(end.Incarnation)
-		if restarted {
+	for _, end := range s.book.ContradictedEnds() {
+		if inst := v.Get(end.Upstream); inst != nil && inst.Incarnation().DiffersFrom(end.Incarnation) {
 			s.book.Restarted(end.Upstream, end.Incarnation)
 		}
-		if inst == nil || restarted {
+	}
+	for _, end := range s.book.UnconfirmedEnds() {
+		if inst := v.Get(end.Upstream); inst == nil || inst.Incarnation().DiffersFrom(end.Incarnation) {
 			crashes = append(crashes, s.book.UpstreamEnded(s.now(), end.Upstream, end.Incarnation, poison.ChangedEntry)...)
 		}
 	}
