suspects: a connection that confirms an end must last

Cause, from the log lines by digest: two of the four ends came from gateways that were cut off, from=refused_dial, 0.2 s after the begin of a cut. The links of the soak accept connections and reset them, and a connection that was accepted confirmed the end. The other two upstreams had restarted.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -223,8 +223,8 @@
 	g.reach = newUpstreamReach(g.view, g.now, log, g.meters, mathrand.New(mathrand.NewPCG(seeds[0]+2, seeds[1])))
 	g.upstreamDialer = (&net.Dialer{KeepAlive: -1, LocalAddr: localAddress(conf.UpstreamSource)}).DialContext
 	g.conns = g.newUpstreamPool()
-	g.suspects.connect = g.conns.Connect
 	g.reach.probeLink = func(ctx context.Context, addr string) error { return g.conns.Probe(ctx, addr, reachProbeDuration) }
+	g.suspects.probeLink = g.reach.probeLink
 	g.assignments = &assignmentSupervisor{
 		view: g.view, cluster: g.cluster, traffic: g.traffic, store: store, calls: g.storeCalls,
 		owners: platform.NewOwners(g.newUpstreamPool()), grantSlots: newGrantSlots(g.now), maxHold: conf.MaxGrantDuration.D(),
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -29,9 +29,9 @@
 	meters *meters
 	// gateways returns the number of gateways.
 	gateways func() int
-	// connect opens a connection to an upstream for later use; nil if ends need no confirmation by
-	// others. confirming is set while it is used.
-	connect    func(ctx context.Context, addr string) error
+	// probeLink opens a connection to an upstream and checks that it lasts; nil if no ends are
+	// concluded from refused connections. confirming is set while it is used.
+	probeLink  func(ctx context.Context, addr string) error
 	confirming atomic.Bool
 
 	mu   sync.Mutex
@@ -149,7 +149,7 @@
 // connections from here. Otherwise this gateway may be cut off from some of them. It does nothing
 // while another such check is in progress.
 func (s *suspects) confirmEnd(refused instances.Instance, at time.Time) {
-	if s.connect == nil || !s.confirming.CompareAndSwap(false, true) {
+	if s.probeLink == nil || !s.confirming.CompareAndSwap(false, true) {
 		return
 	}
 	addresses := s.confirmingAddresses(refused)
@@ -169,7 +169,7 @@
 // allAccept reports whether there are addresses and all of them accept a connection from here.
 func (s *suspects) allAccept(addresses []string) bool {
 	for _, addr := range addresses {
-		if s.connect(context.Background(), addr) != nil {
+		if s.probeLink(context.Background(), addr) != nil {
 			return false
 		}
 	}
--- a/transport/pool/pool.go
+++ b/transport/pool/pool.go
@@ -319,20 +319,11 @@
 	}
 }
 
-// Connect opens a connection to an address and keeps it as idle.
-func (p *Pool) Connect(ctx context.Context, addr string) error {
-	c, err := p.dial(ctx, addr)
-	if err != nil {
-		return err
-	}
-	p.putIdle(addr, c)
-	return nil
-}
-
 // errClosedByPeer reports a new connection that the other end has closed.
 var errClosedByPeer = errors.New("connection closed by the other end")
 
-// Probe is Connect, but fails if the other end closes the connection within the given time.
+// Probe opens a connection to an address and keeps it as idle. It fails if the other end closes the
+// connection within the given time.
 func (p *Pool) Probe(ctx context.Context, addr string, lasts time.Duration) error {
 	c, err := p.dial(ctx, addr)
 	if err != nil {
