suspects: runs that were aborted by a cut of this gateway's own links blame no request

Change: a gateway that notices that it reaches no upstream forgets the runs that were aborted since the last answer of an upstream.

--- a/coordination/poison/poison.go
+++ b/coordination/poison/poison.go
@@ -176,6 +176,13 @@
 	return nil
 }
 
+// DiscardAborted forgets the runs that were aborted after the given time.
+func (t *Tracker) DiscardAborted(after time.Time) {
+	for p, list := range t.aborted {
+		t.setAborted(p, slices.DeleteFunc(list, func(run abortedRun) bool { return run.at.After(after) }))
+	}
+}
+
 // crash returns the crash to record for the run once the incarnation has ended.
 func (r abortedRun) crash(p process) Crash {
 	return Crash{Digest: r.digest, Event: eventOf(p.upstream, p.incarnation), At: r.at, Upstream: p.upstream}
--- a/coordination/reach/reach.go
+++ b/coordination/reach/reach.go
@@ -99,6 +99,9 @@
 	t.answers.succeed(now)
 }
 
+// LastAnswer returns when an upstream last answered, or when the first attempt failed if none ever has.
+func (t *Tracker) LastAnswer() time.Time { return t.links.since }
+
 // State returns the state of a gateway that knows the given number of upstreams.
 func (t *Tracker) State(now time.Time, upstreams int) State {
 	need := min(MinFailing, upstreams)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -224,7 +224,7 @@
 	g.upstreamDialer = (&net.Dialer{KeepAlive: -1, LocalAddr: localAddress(conf.UpstreamSource)}).DialContext
 	g.conns = g.newUpstreamPool()
 	g.reach.probeLink = func(ctx context.Context, addr string) error { return g.conns.Probe(ctx, addr, reachProbeDuration) }
-	g.suspects.probeLink = g.reach.probeLink
+	g.suspects.probeLink, g.reach.onCutOff = g.reach.probeLink, g.suspects.discardAborted
 	g.assignments = &assignmentSupervisor{
 		view: g.view, cluster: g.cluster, traffic: g.traffic, store: store, calls: g.storeCalls,
 		owners: platform.NewOwners(g.newUpstreamPool()), grantSlots: newGrantSlots(g.now), maxHold: conf.MaxGrantDuration.D(),
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -206,6 +206,14 @@
 	return out
 }
 
+// discardAborted forgets the runs that were aborted after the given time, since which this gateway has
+// reached no upstream: its links are the likely cause.
+func (s *suspects) discardAborted(after time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.book.DiscardAborted(after)
+}
+
 // onViewChanged compares the incarnations of upstreams on which runs were cut off with the current
 // ones.
 func (s *suspects) onViewChanged(v *instances.View) {
--- a/gateway/suspects_test.go
+++ b/gateway/suspects_test.go
@@ -306,3 +306,44 @@
 		}
 	}
 }
+
+// TestRunsCutOffByOwnLinksBlameNoRequest guards against requests that are blamed for the restart of an
+// upstream because this gateway's links to it were cut shortly before.
+func TestRunsCutOffByOwnLinksBlameNoRequest(t *testing.T) {
+	t.Parallel()
+	b := newTestCluster(t)
+	running := make(chan struct{}, 100)
+	b.onUpstreamRequest = func(r *http.Request) {
+		if r.URL.Path == "/read/own" {
+			running <- struct{}{}
+		}
+	}
+	for i := range 3 {
+		b.startUpstreamIn("a", fmt.Sprintf("i-p%d", i), "pay", 1).ServiceTime = 300 * time.Millisecond
+	}
+	for i := range 2 {
+		b.gateway(fmt.Sprintf("g%d", i))
+	}
+	b.upstream("i-s0", "status")
+	b.ready()
+	cut := b.gateways[1]
+	var all sync.WaitGroup
+	all.Go(func() { b.request(cut, http.MethodGet, "/read/own", -1) })
+	<-running
+	b.cutOff(cut)
+	all.Wait()
+	for i := range 3 {
+		b.restart(b.upstreams[fmt.Sprintf("i-p%d", i)])
+	}
+	b.eventually("the restarts are known", func() bool {
+		for i := range 3 {
+			if inst := cut.view.inst.Load().Get(fmt.Sprintf("i-p%d", i)); inst == nil || inst.StartedMs != 2 {
+				return false
+			}
+		}
+		return true
+	})
+	if list := cut.suspects.list(); len(list) > 0 {
+		t.Errorf("%d requests are suspected", len(list))
+	}
+}
--- a/gateway/upstreamreach.go
+++ b/gateway/upstreamreach.go
@@ -32,6 +32,9 @@
 	meters *meters
 	// probeLink opens a connection to an upstream and checks that it lasts.
 	probeLink func(ctx context.Context, addr string) error
+	// onCutOff is called when this gateway has noticed that it is cut off, with the time of the last
+	// answer of an upstream.
+	onCutOff func(lastAnswer time.Time)
 
 	mu      sync.Mutex
 	tracker *reach.Tracker
@@ -72,7 +75,7 @@
 	now := r.now()
 	r.mu.Lock()
 	state := r.tracker.State(now, upstreamCount(r.view.inst.Load()))
-	since := r.cutSince
+	since, lastAnswer := r.cutSince, r.tracker.LastAnswer()
 	if state.CutOff && !r.cutOff.Load() {
 		r.cutSince = now
 	}
@@ -85,6 +88,7 @@
 	default:
 		r.meters.inc(reachCuts)
 		r.log.Warn("no upstream can be reached")
+		r.onCutOff(lastAnswer)
 	}
 	return state
 }
