gateway: the test of slow readers ends its connections

Traced by the goroutines' stacks: a reader that was refused has read its 503 and waits for more on the open connection; the connections were closed only after the test, which waits for its readers.

The connections are closed before the readers are waited for. The checks are unchanged.

--- a/gateway/heldbytes_test.go
+++ b/gateway/heldbytes_test.go
@@ -135,8 +135,10 @@
 	}
 	end := make(chan struct{})
 	var readers sync.WaitGroup
+	var conns []net.Conn
 	for range 60 {
 		conn := g.sendSlow("/read/x", large)
+		conns = append(conns, conn)
 		readers.Go(func() {
 			buffer := make([]byte, 1<<10)
 			for {
@@ -164,6 +166,10 @@
 		t.Errorf("a large request beyond the bound: status %d, Retry-After %q", status, after)
 	}
 	close(end)
+	// A reader that was refused waits for more on its open connection.
+	for _, conn := range conns {
+		_ = conn.Close()
+	}
 	readers.Wait()
 }
 
