reach: a gateway counts as cut off only once upstreams at random cannot be reached

Cause: at a gateway with little other traffic, refused connections to three addresses and no answer for 0.3 s counted as a cut. Two upstreams that restart at new addresses are enough for that. The gateway then discarded the aborted runs, so that the ends it or others saw blamed no request, and passed the harmful request on to its peers. Class: what a gateway concludes of its own links from the outcomes of its requests alone.

Change: such outcomes make the state doubtful. It becomes cut off, or without new connections, once connections to three upstreams at random were begun after the last success and all failed. A cut whose connections hang is noticed up to one connection timeout (250 ms) later; refused ones as soon as before.

--- a/coordination/reach/reach.go
+++ b/coordination/reach/reach.go
@@ -37,10 +37,12 @@
 
 // State is what a gateway can do at present.
 type State struct {
-	// NoAnswers is set if no upstream answers. They may be overloaded.
-	NoAnswers bool
+	// Doubtful is set if no upstream has answered or accepted a connection of late. They may be
+	// overloaded, or the requests sent may end every upstream that runs them: only connections to other
+	// upstreams show whether this gateway is cut off.
+	Doubtful bool
 	// CutOff is set if no upstream can be reached: none answers, and connections are refused, broken
-	// or not opened.
+	// or not opened, also those to upstreams at random.
 	CutOff bool
 	// NoNewConnections is set if no upstream accepts connections; open ones may still work.
 	NoNewConnections bool
@@ -51,6 +53,8 @@
 	// answers, links and connections are the failures to get answers, those that show a lost link, and
 	// those to open a connection.
 	answers, links, connections run
+	// probesFailedAt is when the last connections to upstreams at random were begun, if all failed.
+	probesFailedAt time.Time
 }
 
 // run is a run of failures.
@@ -99,6 +103,10 @@
 	t.answers.succeed(now)
 }
 
+// ProbesFailed records that connections to several upstreams at random, begun at the given time, have
+// all failed.
+func (t *Tracker) ProbesFailed(began time.Time) { t.probesFailedAt = began }
+
 // LastAnswer returns when an upstream last answered, or when the first attempt failed if none ever has.
 func (t *Tracker) LastAnswer() time.Time { return t.links.since }
 
@@ -108,7 +116,11 @@
 	if need == 0 {
 		return State{}
 	}
-	return State{NoAnswers: t.answers.lost(now, need), CutOff: t.links.lost(now, need), NoNewConnections: t.connections.lost(now, need)}
+	return State{
+		Doubtful:         t.answers.lost(now, need) || t.connections.lost(now, need),
+		CutOff:           t.links.lost(now, need) && t.probesFailedAt.After(t.links.since),
+		NoNewConnections: t.connections.lost(now, need) && t.probesFailedAt.After(t.connections.since),
+	}
 }
 
 func (r *run) succeed(now time.Time) {
--- a/gateway/upstreamreach.go
+++ b/gateway/upstreamreach.go
@@ -57,12 +57,12 @@
 	r.tracker.Record(r.now(), addr, o, waited)
 }
 
-// run checks the state until ctx ends. While no upstream answers it tries to connect to some.
+// run checks the state until ctx ends. While it is doubtful it tries to connect to some upstreams.
 func (r *upstreamReach) run(ctx context.Context) {
 	var probed time.Time
 	for ctx.Err() == nil {
 		state := r.check()
-		if state.NoAnswers && r.now().Sub(probed) >= reachProbeInterval {
+		if state.Doubtful && r.now().Sub(probed) >= reachProbeInterval {
 			probed = r.now()
 			r.probe(ctx)
 		}
@@ -96,18 +96,30 @@
 // probe tries to connect to a few upstreams at random, all at the same time. One connection that lasts
 // shows that this gateway is not cut off.
 func (r *upstreamReach) probe(ctx context.Context) {
+	began := r.now()
 	var all sync.WaitGroup
+	var lasted atomic.Bool
 	for _, addr := range r.randomUpstreams(reach.MinFailing) {
 		all.Go(func() {
-			if r.probeLink(ctx, addr) != nil {
-				return
+			if r.probeLink(ctx, addr) == nil {
+				lasted.Store(true)
+				r.restored()
 			}
-			r.mu.Lock()
-			defer r.mu.Unlock()
-			r.tracker.Restored(r.now())
 		})
 	}
 	all.Wait()
+	if lasted.Load() || ctx.Err() != nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.tracker.ProbesFailed(began)
+}
+
+func (r *upstreamReach) restored() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.tracker.Restored(r.now())
 }
 
 // randomUpstreams returns the addresses of up to n different upstreams at random.
