gateway: ends of several upstreams are confirmed at the same time

What callers saw: a harmful request that ended two upstreams at once was blamed for one end; the other counted only after a later request was refused there.

Cause: one confirmation at a time, each of up to three connections of 50 ms in series. A refused connection during these 150 ms was not looked at.

Change: one confirmation for each upstream, eight at most, its connections at the same time: an end is known 50 ms after the refused connection.

Evidence: TestEndsAreConfirmedAtTheSameTime fails before ("the end of u01 is not being confirmed"), passes 20 of 20 with -race.

--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -21,6 +21,9 @@
 
 // This file protects upstreams from requests that crash the upstreams which run them.
 
+// maxConfirmations bounds the upstreams whose ends are confirmed at the same time.
+const maxConfirmations = 8
+
 // suspects holds what this gateway knows of such requests. It is safe for concurrent use.
 type suspects struct {
 	view   *view
@@ -30,12 +33,13 @@
 	// gateways returns the number of gateways.
 	gateways func() int
 	// probeLink opens a connection to an upstream and checks that it lasts; nil if no ends are
-	// concluded from refused connections. confirming is set while it is used.
-	probeLink  func(ctx context.Context, addr string) error
-	confirming atomic.Bool
+	// concluded from refused connections.
+	probeLink func(ctx context.Context, addr string) error
 
-	mu   sync.Mutex
-	book *poison.Tracker
+	mu sync.Mutex
+	// confirming holds the upstreams whose ends are being confirmed.
+	confirming map[string]bool
+	book       *poison.Tracker
 	// runs are the suspected requests that this gateway has sent and that are still running.
 	runs *poison.ActiveRuns
 	rng  *rand.Rand
@@ -45,7 +49,7 @@
 }
 
 func newSuspects(v *view, gateways func() int, now func() time.Time, log *slog.Logger, m *meters, rng *rand.Rand) *suspects {
-	return &suspects{view: v, now: now, log: log, meters: m, gateways: gateways, book: poison.NewTracker(), runs: poison.NewActiveRuns(), rng: rng}
+	return &suspects{view: v, now: now, log: log, meters: m, gateways: gateways, confirming: make(map[string]bool), book: poison.NewTracker(), runs: poison.NewActiveRuns(), rng: rng}
 }
 
 // digest identifies a repeated request by path, caller and body. It is computed on first use.
@@ -147,14 +151,14 @@
 // confirmEnd checks in the background whether the end of an upstream whose address refused a connection
 // at the given time is likely: a few other upstreams, of its failure domain if there are any, all take
 // connections from here. Otherwise this gateway may be cut off from some of them. It does nothing
-// while another such check is in progress.
+// while such a check of the upstream is in progress, or too many of others.
 func (s *suspects) confirmEnd(refused instances.Instance, at time.Time) {
-	if s.probeLink == nil || !s.confirming.CompareAndSwap(false, true) {
+	if s.probeLink == nil || !s.beginConfirming(refused.ID) {
 		return
 	}
 	addresses := s.confirmingAddresses(refused)
 	go func() {
-		defer s.confirming.Store(false)
+		defer s.endConfirming(refused.ID)
 		if !s.allAccept(addresses) {
 			s.meters.inc(suspectsUnconfirmed)
 			return
@@ -166,14 +170,36 @@
 	}()
 }
 
+// beginConfirming reports whether the end of an upstream may be confirmed now.
+func (s *suspects) beginConfirming(upstream string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.confirming[upstream] || len(s.confirming) >= maxConfirmations {
+		return false
+	}
+	s.confirming[upstream] = true
+	return true
+}
+
+func (s *suspects) endConfirming(upstream string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.confirming, upstream)
+}
+
 // allAccept reports whether there are addresses and all of them accept a connection from here.
 func (s *suspects) allAccept(addresses []string) bool {
+	var all sync.WaitGroup
+	var failed atomic.Bool
 	for _, addr := range addresses {
-		if s.probeLink(context.Background(), addr) != nil {
-			return false
-		}
+		all.Go(func() {
+			if s.probeLink(context.Background(), addr) != nil {
+				failed.Store(true)
+			}
+		})
 	}
-	return len(addresses) > 0
+	all.Wait()
+	return len(addresses) > 0 && !failed.Load()
 }
 
 // confirmingAddresses returns the addresses of the upstreams that must take a connection to confirm the
--- a/gateway/suspects_test.go
+++ b/gateway/suspects_test.go
@@ -307,6 +307,44 @@
 	}
 }
 
+// TestEndsAreConfirmedAtTheSameTime guards against ends of upstreams that are not noticed because the
+// end of another one is being confirmed at that moment.
+func TestEndsAreConfirmedAtTheSameTime(t *testing.T) {
+	const harmful, ends, others = poison.Digest(1), 3, 12
+	s := noSuspects()
+	dialed, accept := make(chan struct{}, 100), make(chan struct{})
+	s.probeLink = func(context.Context, string) error {
+		dialed <- struct{}{}
+		<-accept
+		return nil
+	}
+	var list []instances.Instance
+	for i := range ends + others {
+		list = append(list, instances.Instance{ID: fmt.Sprintf("u%02d", i), Address: fmt.Sprintf("address %d", i), Service: "read"})
+	}
+	s.view.setInstances(1, instances.NewView(1, list))
+	q := &request{cachedDigest: harmful}
+	for i := range ends {
+		s.recordEnded(q, dispatch.Grant{Instance: list[i]}, false, dispatch.ConnectionBroken)
+		s.recordEnded(q, dispatch.Grant{Instance: list[i]}, false, dispatch.ConnectionRefused)
+		select {
+		case <-dialed:
+		case <-time.After(5 * time.Second):
+			t.Fatalf("the end of %s is not being confirmed", list[i].ID)
+		}
+	}
+	close(accept)
+	deadline := time.Now().Add(10 * time.Second)
+	for {
+		if got := s.list(); len(got) == 1 && got[0].Crashes == ends && got[0].Refused {
+			return
+		} else if time.Now().After(deadline) {
+			t.Fatalf("suspects %v, want one that is refused with %d ends", got, ends)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // TestRunsCutOffByOwnLinksBlameNoRequest guards against requests that are blamed for the restart of an
 // upstream because this gateway's links to it were cut shortly before.
 func TestRunsCutOffByOwnLinksBlameNoRequest(t *testing.T) {
