gateway: an upstream on which a run was aborted is checked at once

What callers saw: a request that ends upstreams went on to more of them until requests had been refused at those that had ended. Requests avoid these, and a quiet gateway sends none there.

Cause: an end was looked for only when a request met a refused connection.

Change: the gateway connects to the upstream in the background as soon as a run is aborted there, one check for each upstream and eight at most. A refusal is confirmed as before.

--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -17,12 +17,39 @@
 	"github.com/rockcroft/rockcroft/protocol/answer"
 	"github.com/rockcroft/rockcroft/protocol/syncpb"
 	"github.com/rockcroft/rockcroft/state/instances"
+	"github.com/rockcroft/rockcroft/transport/pool"
 )
 
 // This file protects upstreams from requests that crash the upstreams which run them.
 
-// maxConfirmations bounds the upstreams whose ends are confirmed at the same time.
-const maxConfirmations = 8
+// maxEndChecks bounds the upstreams that are checked at the same time, for each kind of check.
+const maxEndChecks = 8
+
+// checks holds the upstreams that are being checked. It is safe for concurrent use.
+type checks struct {
+	mu        sync.Mutex
+	upstreams map[string]bool
+}
+
+// begin reports whether a check of an upstream may begin: none is in progress, and not too many of others.
+func (c *checks) begin(upstream string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.upstreams[upstream] || len(c.upstreams) >= maxEndChecks {
+		return false
+	}
+	if c.upstreams == nil {
+		c.upstreams = make(map[string]bool)
+	}
+	c.upstreams[upstream] = true
+	return true
+}
+
+func (c *checks) end(upstream string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.upstreams, upstream)
+}
 
 // suspects holds what this gateway knows of such requests. It is safe for concurrent use.
 type suspects struct {
@@ -36,10 +63,11 @@
 	// concluded from refused connections.
 	probeLink func(ctx context.Context, addr string) error
 
-	mu sync.Mutex
-	// confirming holds the upstreams whose ends are being confirmed.
-	confirming map[string]bool
-	book       *poison.Tracker
+	// aborted are the checks of upstreams on which a run was aborted, confirming those of ends.
+	aborted, confirming checks
+
+	mu   sync.Mutex
+	book *poison.Tracker
 	// runs are the suspected requests that this gateway has sent and that are still running.
 	runs *poison.ActiveRuns
 	rng  *rand.Rand
@@ -49,7 +77,7 @@
 }
 
 func newSuspects(v *view, gateways func() int, now func() time.Time, log *slog.Logger, m *meters, rng *rand.Rand) *suspects {
-	return &suspects{view: v, now: now, log: log, meters: m, gateways: gateways, confirming: make(map[string]bool), book: poison.NewTracker(), runs: poison.NewActiveRuns(), rng: rng}
+	return &suspects{view: v, now: now, log: log, meters: m, gateways: gateways, book: poison.NewTracker(), runs: poison.NewActiveRuns(), rng: rng}
 }
 
 // digest identifies a repeated request by path, caller and body. It is computed on first use.
@@ -131,6 +159,9 @@
 	switch o {
 	case dispatch.ConnectionBroken:
 		crashes = s.book.RequestAborted(s.now(), q.digest(), inst.ID, inst.Incarnation())
+		if len(crashes) == 0 {
+			defer s.checkAborted(*inst)
+		}
 	case dispatch.ConnectionRefused:
 		s.book.DialRefused(s.now(), inst.ID)
 		if !s.book.EndKnown(inst.ID, inst.Incarnation()) {
@@ -148,17 +179,37 @@
 	s.logCrashes(crashes, poison.RefusedDial)
 }
 
+// checkAborted connects in the background to an upstream on which a run was aborted. Requests would show
+// later that it has ended, as they avoid it now, and the aborted one may be sent elsewhere meanwhile.
+func (s *suspects) checkAborted(inst instances.Instance) {
+	if s.probeLink == nil || !s.aborted.begin(inst.ID) {
+		return
+	}
+	go func() {
+		err := s.probeLink(context.Background(), inst.Address)
+		s.aborted.end(inst.ID)
+		if !errors.Is(err, pool.ErrRefused) {
+			return
+		}
+		s.mu.Lock()
+		now := s.now()
+		s.book.DialRefused(now, inst.ID)
+		s.mu.Unlock()
+		s.confirmEnd(inst, now)
+	}()
+}
+
 // confirmEnd checks in the background whether the end of an upstream whose address refused a connection
 // at the given time is likely: a few other upstreams, of its failure domain if there are any, all take
 // connections from here. Otherwise this gateway may be cut off from some of them. It does nothing
-// while such a check of the upstream is in progress, or too many of others.
+// while such a check is in progress.
 func (s *suspects) confirmEnd(refused instances.Instance, at time.Time) {
-	if s.probeLink == nil || !s.beginConfirming(refused.ID) {
+	if s.probeLink == nil || !s.confirming.begin(refused.ID) {
 		return
 	}
 	addresses := s.confirmingAddresses(refused)
 	go func() {
-		defer s.endConfirming(refused.ID)
+		defer s.confirming.end(refused.ID)
 		if !s.allAccept(addresses) {
 			s.meters.inc(suspectsUnconfirmed)
 			return
@@ -170,23 +221,6 @@
 	}()
 }
 
-// beginConfirming reports whether the end of an upstream may be confirmed now.
-func (s *suspects) beginConfirming(upstream string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.confirming[upstream] || len(s.confirming) >= maxConfirmations {
-		return false
-	}
-	s.confirming[upstream] = true
-	return true
-}
-
-func (s *suspects) endConfirming(upstream string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.confirming, upstream)
-}
-
 // allAccept reports whether there are addresses and all of them accept a connection from here.
 func (s *suspects) allAccept(addresses []string) bool {
 	var all sync.WaitGroup
