--- a/coordination/poison/cut_test.go
+++ b/coordination/poison/cut_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"fmt"
-	"maps"
 	"math/rand/v2"
-	"slices"
 	"testing"
 	"time"
 
@@ -18,8 +16,8 @@
 	now       time.Duration
 	trackers  []*Tracker
 	upstreams []modelUpstream
-	// running holds the run of each caller; caller zero sends the harmful request.
-	running map[int]*modelRun
+	// running holds the run of each caller, or nil; caller zero sends the harmful request.
+	running []*modelRun
 	cut     []bool
 	// cutUpstreams is the number of upstreams that the cut gateways do not reach.
 	cutUpstreams int
@@ -60,7 +58,7 @@
 
 func newCutModel(seed uint64) *cutModel {
 	m := &cutModel{
-		rng: rand.New(rand.NewPCG(seed, 7)), running: make(map[int]*modelRun),
+		rng:       rand.New(rand.NewPCG(seed, 7)),
 		upstreams: make([]modelUpstream, modelUpstreams), cutUpstreams: modelUpstreams, cut: make([]bool, modelGateways),
 	}
 	for range modelGateways {
@@ -69,7 +67,15 @@
 	return m
 }
 
-func (m *cutModel) name(u int) string { return fmt.Sprint("u", u) }
+// modelNames are the names of the upstreams, modelNumbers the reverse.
+var modelNames, modelNumbers = func() (names [modelUpstreams]string, numbers map[string]int) {
+	numbers = make(map[string]int)
+	for u := range names {
+		names[u] = fmt.Sprint("u", u)
+		numbers[names[u]] = u
+	}
+	return names, numbers
+}()
 
 // send sends a caller's request at a random gateway, which tries up to three upstreams.
 func (m *cutModel) send(caller int) {
@@ -84,9 +90,9 @@
 	for range 3 {
 		u := m.rng.IntN(modelUpstreams)
 		if m.isCut(g, u) || m.upstreams[u].backAt > m.now {
-			tr.DialRefused(at(m.now), m.name(u))
+			tr.DialRefused(at(m.now), modelNames[u])
 			if m.reachesOthers(g, u) {
-				tr.UpstreamEnded(at(m.now), m.name(u), m.upstreams[u].incarnation, RefusedDial)
+				tr.UpstreamEnded(at(m.now), modelNames[u], m.upstreams[u].incarnation, RefusedDial)
 			}
 			continue
 		}
@@ -98,16 +104,15 @@
 
 // reachesOthers reports whether the upstreams that confirm an end take connections from a gateway.
 func (m *cutModel) reachesOthers(gateway, upstream int) bool {
-	var others []string
-	numbers := make(map[string]int)
+	others := make([]string, 0, modelUpstreams)
 	for _, u := range m.rng.Perm(modelUpstreams) {
-		if numbers[m.name(u)] = u; u != upstream {
-			others = append(others, m.name(u))
+		if u != upstream {
+			others = append(others, modelNames[u])
 		}
 	}
 	confirming := m.trackers[gateway].Confirming(at(m.now), others)
 	for _, name := range confirming {
-		if u := numbers[name]; m.isCut(gateway, u) || m.upstreams[u].backAt > m.now {
+		if u := modelNumbers[name]; m.isCut(gateway, u) || m.upstreams[u].backAt > m.now {
 			return false
 		}
 	}
@@ -120,8 +125,7 @@
 
 // end ends the runs that are due.
 func (m *cutModel) end() {
-	for _, caller := range m.callers() {
-		r := m.running[caller]
+	for caller, r := range m.running {
 		if r == nil || r.until > m.now {
 			continue
 		}
@@ -130,9 +134,9 @@
 			m.crash(r.upstream)
 			continue
 		}
-		delete(m.running, caller)
+		m.running[caller] = nil
 		tr := m.trackers[r.gateway]
-		answered(tr, at(m.now), m.name(r.upstream), m.upstreams[r.upstream].incarnation, at(r.sent))
+		answered(tr, at(m.now), modelNames[r.upstream], m.upstreams[r.upstream].incarnation, at(r.sent))
 		if tr.CrashCount(d) > 0 {
 			tr.Clear(Clearing{Digest: d, At: at(m.now)})
 		}
@@ -148,17 +152,14 @@
 
 // abort aborts the runs that match.
 func (m *cutModel) abort(match func(*modelRun) bool) {
-	for _, caller := range m.callers() {
-		if r := m.running[caller]; match(r) {
-			m.trackers[r.gateway].RequestAborted(at(m.now), digestOf(caller), m.name(r.upstream), m.upstreams[r.upstream].incarnation)
-			delete(m.running, caller)
+	for caller, r := range m.running {
+		if r != nil && match(r) {
+			m.trackers[r.gateway].RequestAborted(at(m.now), digestOf(caller), modelNames[r.upstream], m.upstreams[r.upstream].incarnation)
+			m.running[caller] = nil
 		}
 	}
 }
 
-// callers returns the callers with a run in order.
-func (m *cutModel) callers() []int { return slices.Sorted(maps.Keys(m.running)) }
-
 // restart starts upstreams again, which their entries tell all gateways.
 func (m *cutModel) restart() {
 	for u := range m.upstreams {
@@ -167,8 +168,8 @@
 			continue
 		}
 		for _, tr := range m.trackers {
-			tr.UpstreamEnded(at(m.now), m.name(u), up.incarnation, ChangedEntry)
-			tr.Restarted(m.name(u), up.incarnation)
+			tr.UpstreamEnded(at(m.now), modelNames[u], up.incarnation, ChangedEntry)
+			tr.Restarted(modelNames[u], up.incarnation)
 		}
 		up.incarnation, up.backAt = up.incarnation+1, 0
 	}
@@ -198,6 +199,7 @@
 // run plays the model. From 2 s on the given number of gateways is cut off for 5 s; with repeated
 // set again each 2 s, for 2 s.
 func (m *cutModel) run(callers, cutGateways int, repeated bool) {
+	m.running = make([]*modelRun, 1+callers)
 	for ; m.now < modelDuration; m.now += modelTick {
 		m.end()
 		m.restart()
