--- /dev/null
+++ b/gateway/successionpromises_test.go
@@ -0,0 +1,182 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/rockcroft/rockcroft/coordination/leadership"
+	"github.com/rockcroft/rockcroft/platform"
+)
+
+// This file tests successions of leaders that act by the promises of voters.
+
+// voters returns the voters in the stored lease.
+func (s *successions) voters() []string {
+	s.t.Helper()
+	var l leadership.Lease
+	if err := platform.Decode(platform.Object{Spec: s.store.Spec(leaseKind, leaseName)}, &l); err != nil {
+		s.t.Fatal(err)
+	}
+	return l.Voters
+}
+
+// actByPromises makes the store fail for the leader until it acts by promises.
+func (e *elector) actByPromises() {
+	e.s.t.Helper()
+	e.transport.set(storeDown)
+	e.s.advance(leadership.LeaseDuration - leadership.RenewInterval/2)
+	e.extend(context.Background())
+	e.s.advance(leadership.RenewInterval)
+	e.mustGrant(true)
+	e.transport.set(storeHealthy)
+}
+
+// TestNewVotersHideNoPromises guards against keys that a successor takes for free because the voters that
+// it asks have replaced those that promised the former leader its support.
+func TestNewVotersHideNoPromises(t *testing.T) {
+	t.Parallel()
+	s := newSuccessions(t)
+	a, b, c := s.startLeader()
+	d, e := s.gateway("d"), s.gateway("e")
+	s.advance(uptime)
+	a.renew(true)
+	a.actByPromises()
+	a.renew(true)
+	b.end()
+	c.end()
+	a.setMembers(d, e)
+	s.advance(leadership.RenewInterval)
+	a.renew(true)
+	d.observe(t.Context())
+	a.end()
+	if voters := s.voters(); slices.Contains(voters, b.cluster.self.Address) {
+		t.Errorf("lost gateways remain voters: %v", voters)
+	}
+	s.advance(missedRenewal)
+	d.lead(true)
+	d.checkWaitsFor(a)
+}
+
+// TestLatePromisesGiveNoRight guards against a right to act by promises that were requested before the
+// lease was renewed: the voters may have changed since.
+func TestLatePromisesGiveNoRight(t *testing.T) {
+	t.Parallel()
+	s := newSuccessions(t)
+	a, b, c := s.startLeader()
+	d := s.gateway("d")
+	s.advance(uptime)
+	a.renew(true)
+	s.advance(leadership.LeaseDuration - leadership.RenewInterval/2)
+	b.gate.Lock()
+	c.gate.Lock()
+	before := b.calls.Load()
+	extended := make(chan struct{})
+	go func() {
+		defer close(extended)
+		a.extend(t.Context())
+	}()
+	for b.calls.Load() == before {
+		time.Sleep(time.Millisecond)
+	}
+	a.renew(true)
+	a.setMembers(d)
+	s.advance(leadership.RenewInterval)
+	a.renew(true)
+	b.gate.Unlock()
+	c.gate.Unlock()
+	<-extended
+	if a.actsByPromises() {
+		t.Errorf("the leader acts by promises of former voters; the voters are %v", s.voters())
+	}
+}
+
+// TestLostResponseExtendsNoRight guards against a right to act that counts from the repetition of a renewal
+// whose first attempt was accepted: others have seen the lease unchanged since then.
+func TestLostResponseExtendsNoRight(t *testing.T) {
+	t.Parallel()
+	s := newSuccessions(t)
+	a, b, _ := s.startLeader()
+	s.advance(leadership.RenewInterval)
+	a.transport.set(storeLosesResponses)
+	a.renew(false)
+	b.observe(t.Context())
+	a.transport.set(storeHealthy)
+	s.advance(leadership.RenewInterval)
+	a.renewIfDue(t.Context())
+	a.transport.set(storeDown)
+	for !b.cluster.isLeading() {
+		s.advance(10 * time.Millisecond)
+		a.grant()
+		b.tryAcquire(t.Context(), false)
+	}
+	for a.grant() {
+		s.advance(10 * time.Millisecond)
+	}
+	b.checkWaitsFor(a)
+}
+
+// TestLostResponseKeepsStoredVoters guards against voters that are not those of the stored lease: a
+// successor would not ask them.
+func TestLostResponseKeepsStoredVoters(t *testing.T) {
+	t.Parallel()
+	s := newSuccessions(t)
+	a, b, c := s.startLeader()
+	s.advance(leadership.RenewInterval)
+	a.transport.set(storeLosesResponses)
+	a.setMembers(b)
+	a.renew(false)
+	a.transport.set(storeHealthy)
+	a.setMembers(c)
+	a.renewIfDue(t.Context())
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, list := range a.voterLists {
+		if slices.Equal(list, s.voters()) {
+			return
+		}
+	}
+	t.Errorf("voter lists of the leader: %v, stored: %v", a.voterLists, s.voters())
+}
+
+// TestRestartedVoterSupportsNoFormerLeader guards against a voter that has told a successor of its promises
+// and, after a restart, supports the former leader again.
+func TestRestartedVoterSupportsNoFormerLeader(t *testing.T) {
+	t.Parallel()
+	s := newSuccessions(t)
+	a, b, c := s.startLeader()
+	s.advance(leadership.RenewInterval)
+	a.renew(true)
+	c.observe(t.Context())
+	// The former leader is cut off from the store and from its successor.
+	a.transport.set(storeDown)
+	_ = a.server.Close()
+	s.advance(missedRenewal)
+	c.lead(true)
+	c.checkWaitsFor()
+	s.restart(b)
+	for range 100 {
+		s.advance(100 * time.Millisecond)
+		a.extend(t.Context())
+		a.grant()
+	}
+	c.checkWaitsFor(a)
+}
+
+// TestLapsedLeaderResumesByPromises checks that a leader whose right has lapsed leads again by promises of
+// voters that have run since before.
+func TestLapsedLeaderResumesByPromises(t *testing.T) {
+	t.Parallel()
+	s := newSuccessions(t)
+	a, _, _ := s.startLeader()
+	s.advance(leadership.RenewInterval)
+	a.renew(true)
+	a.transport.set(storeDown)
+	s.advance(holdDuration)
+	if a.mayAct() {
+		t.Fatal("the right has not lapsed")
+	}
+	a.extend(t.Context())
+	a.mustGrant(true)
+}
