--- a/coordination/dispatch/lostowner_test.go
+++ b/coordination/dispatch/lostowner_test.go
@@ -13,8 +13,8 @@
 	}
 }
 
-// Requests for a lost owner used to wait until the end of their waiting time, to be refused for want of
-// room then. Callers that could have been served elsewhere came back late.
+// Guards against requests for a lost owner that wait for room until their waiting time has ended, while
+// they could be served elsewhere.
 func TestRequestsForLostOwnersAreRefusedAtOnce(t *testing.T) {
 	const wait, longWait = 600 * ms, 3 * time.Second
 	s := serviceWithWorkTime(100 * ms)
@@ -43,8 +43,8 @@
 	mustGrant(t, s, now, ownerRequest(now, wait))
 }
 
-// An owner that could not be reached used to get many requests at a time as soon as its backoff had ended,
-// and all were lost with it.
+// Guards against many requests that are lost with an unreachable owner because they are sent together at
+// the end of its backoff.
 func TestLostOwnersGetOneRequestAtATime(t *testing.T) {
 	s := serviceWithWorkTime(100 * ms)
 	now := at(100 * ms)
--- a/gateway/coldstart_test.go
+++ b/gateway/coldstart_test.go
@@ -261,7 +261,7 @@
 
 // TestRequestsBeforeFirstConfiguration checks that a request that comes before the first configuration is
 // refused in the time that its caller has, with a time to come back, and that the configuration's limits on
-// callers apply once it is there. The gateway used to leave such requests without a response for 3 s.
+// callers apply once it is there.
 func TestRequestsBeforeFirstConfiguration(t *testing.T) {
 	t.Parallel()
 	b := newTestCluster(t)
@@ -351,8 +351,7 @@
 }
 
 // TestLoserOfLeaseRaceFollowsWinner checks that a gateway whose write of the lease is refused knows the new
-// leader at once. After a start of all gateways without the former leader it used to learn of it at its next
-// read, up to 500 ms later.
+// leader at once, not at its next read, which may be 500 ms later.
 func TestLoserOfLeaseRaceFollowsWinner(t *testing.T) {
 	t.Parallel()
 	b := newStandardCluster(t)
--- a/gateway/heldbytes.go
+++ b/gateway/heldbytes.go
@@ -25,7 +25,7 @@
 	// callerSocketBuffer bounds what the kernel holds for a caller each way, in bytes. Linux doubles it,
 	// and 128 KB for each round trip of 6 ms are 170 Mbit/s. A response up to this size is written at once.
 	callerSocketBuffer = 64 << 10
-	// responseChunk is the part of a response that is written at a time, with a time limit of its own.
+	// responseChunk is the part of a response that is written at a time, with a deadline of its own.
 	responseChunk = 16 << 10
 	// maxWriteStall is the time after which a caller that takes nothing of a response is given up. The
 	// kernel reports free space once a third of the doubled buffer is free, which takes a reader of 1 KB/s
--- a/gateway/partition_test.go
+++ b/gateway/partition_test.go
@@ -122,8 +122,7 @@
 
 // TestDomainCutOffFromLeader cuts a failure domain off from the leader, the store and the other domain.
 // Requests without keys go on, and keys of its own upstreams are served as long as these hold them.
-// Requests for owners out of reach are refused at once and told that another gateway may serve them; they
-// used to wait for the owner until no time was left.
+// Requests for owners out of reach are refused at once and told that another gateway may serve them.
 func TestDomainCutOffFromLeader(t *testing.T) {
 	t.Parallel()
 	b := newTwoDomainCluster(t)
--- a/gateway/slowlinks_test.go
+++ b/gateway/slowlinks_test.go
@@ -217,10 +217,8 @@
 // retry, not that the route does not exist.
 //
 // It guards against a 404, after which clients give up, for routes that are in force at other
-// gateways. A gateway whose links are full receives neither the new version from other gateways nor
-// from the store, and it used to answer from the configuration it had, however old that was. 239
-// requests were refused by gateways with the previous version while the new routes were in force
-// elsewhere.
+// gateways: a gateway whose links are full receives neither the new version from other gateways nor
+// from the store.
 func TestUnknownRouteWithStaleConfiguration(t *testing.T) {
 	t.Parallel()
 	b := slowLinkDeployment(t, 1, config(3))
