callslots: calls on a machine short of CPU keep their slots

What callers saw: nothing in a deployment so far.

Cause: how long a call may keep its slot was fixed when it began, by the calls answered until then, and bounded by half of the timeout. While a machine falls behind, each call takes longer than those before it: slots were released with their calls under way, more calls began, and all of them timed out.

Change: a call is examined each 20 ms, by the calls answered meanwhile, and may keep its slot as long as its timeout.

--- a/coordination/callslots/callslots.go
+++ b/coordination/callslots/callslots.go
@@ -6,6 +6,7 @@
 	"container/heap"
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -33,6 +34,13 @@
 	meanCallTime time.Duration
 }
 
+// call is a call that has got a slot.
+type call struct {
+	slots    *Slots
+	began    time.Time
+	released atomic.Bool
+}
+
 // waiter is a call that waits for a slot.
 type waiter struct {
 	due     time.Time
@@ -45,7 +53,8 @@
 
 // New returns size slots. maxHold bounds how long a call keeps its slot, and is the hold before any call was
 // answered: calls on a machine that is short of CPU take longer than minHold while they do use CPU, and
-// releasing their slots starts further calls, until all of them time out.
+// releasing their slots starts further calls, until all of them time out. It should therefore be the timeout
+// of a call.
 func New(size int, maxHold time.Duration, now func() time.Time) *Slots {
 	return &Slots{free: size, size: size, maxHold: maxHold, now: now}
 }
@@ -64,17 +73,36 @@
 	if !s.wait(ctx, due) {
 		return nil, false
 	}
-	began := s.now()
-	var once sync.Once
-	release := func() { once.Do(s.release) }
-	timer := time.AfterFunc(s.holdTime(), release)
-	return func(answered bool) {
-		timer.Stop()
-		if answered {
-			s.recordAnswered(s.now().Sub(began))
-		}
-		release()
-	}, true
+	c := &call{slots: s, began: s.now()}
+	time.AfterFunc(minHold, c.examine)
+	return c.end, true
+}
+
+// examine releases the call's slot if it has had it for holdTime, which other calls may change
+// meanwhile, and is called again otherwise.
+func (c *call) examine() {
+	left := c.slots.holdTime() - c.slots.now().Sub(c.began)
+	switch {
+	case c.released.Load():
+	case left <= 0:
+		c.release()
+	default:
+		time.AfterFunc(min(left, minHold), c.examine)
+	}
+}
+
+// end records the end of a call and releases its slot if it still has it.
+func (c *call) end(answered bool) {
+	if answered {
+		c.slots.recordAnswered(c.slots.now().Sub(c.began))
+	}
+	c.release()
+}
+
+func (c *call) release() {
+	if c.released.CompareAndSwap(false, true) {
+		c.slots.release()
+	}
 }
 
 // holdTime returns how long a call keeps its slot.
--- a/coordination/callslots/callslots_test.go
+++ b/coordination/callslots/callslots_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 )
 
@@ -80,6 +82,39 @@
 	}
 }
 
+// TestSilentUpstreamsDelayOthersLittle guards against calls that wait for a response and hold up the calls
+// which are answered, because these make the machine look short of CPU.
+func TestSilentUpstreamsDelayOthersLittle(t *testing.T) {
+	const calls, size, callTime, timeout = 500, 32, 2 * time.Millisecond, 250 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		slots, began := New(size, testMaxHold, time.Now), time.Now()
+		var all sync.WaitGroup
+		var lastAnswer atomic.Int64
+		for i := range 2 * calls {
+			all.Go(func() {
+				end, ok := slots.Acquire(t.Context(), began.Add(time.Duration(i)))
+				if !ok {
+					t.Error("no slot")
+					return
+				}
+				if silent := i%2 == 0; silent {
+					time.Sleep(timeout)
+					end(false)
+					return
+				}
+				time.Sleep(callTime)
+				end(true)
+				lastAnswer.Store(int64(time.Since(began)))
+			})
+		}
+		all.Wait()
+		t.Logf("the last answer comes after %v", time.Duration(lastAnswer.Load()))
+		if got := time.Duration(lastAnswer.Load()); got > time.Second {
+			t.Errorf("the last answer comes after %v, grants are renewed each second", got)
+		}
+	})
+}
+
 // TestCallSlotsAreGivenInOrderOfDueTimes checks that keys in demand are granted before others. Slots used
 // to be given in no particular order, so after a start of all gateways callers waited for the grants of
 // keys that nobody asked for.
--- a/gateway/grants.go
+++ b/gateway/grants.go
@@ -23,7 +23,7 @@
 
 // newGrantSlots returns the call slots for grants.
 func newGrantSlots(now func() time.Time) *callslots.Slots {
-	return callslots.New(maxGrantCalls, grantTimeout/2, now)
+	return callslots.New(maxGrantCalls, grantTimeout, now)
 }
 
 // grant makes one grant call. Right before it is sent, the right to lead is checked, check is called if
