gateway: the test of a domain that is cut off makes sure which gateway leads

TestDomainCutOffFromLeader, in KNOWN-RED, cuts a domain off from the leader. On a busy machine the gateway of that domain, which starts right after the other one, may win the lease; nothing is then cut off from its leader.

The first gateway leads now before the second one starts, and the test fails at once if it does not. Checks and bounds are the same.

--- a/gateway/partition_test.go
+++ b/gateway/partition_test.go
@@ -35,8 +35,13 @@
 	for _, domain := range []string{"a", "b"} {
 		b.changeSettings = func(conf *settings.Gateway) { conf.Domain = domain }
 		b.gateway("g-" + domain)
+		// The first one leads before the other starts, which could win the lease on a busy machine.
+		b.eventually("a leader", func() bool { return b.leader() != nil })
 	}
 	b.ready()
+	if leader := b.leader(); leader != b.gateways[0] {
+		t.Fatal("the gateway in a does not lead")
+	}
 	return b
 }
 
