leadership: half of an even number of voters tells what the former leader did

What callers saw: with two gateways, after the leader was lost for good together with owners of keys, the keys of these owners were never served again (a failure domain with its gateway; 64 s watched). Any even number of voters of which half is lost with the leader does the same.

Cause: a new leader waits until a majority of the former voters has said until when upstreams may hold keys. The lost leader is a voter itself, so with two voters that majority never answers.

Change: as many voters are asked as leave no majority without them: n minus a majority plus one. A former leader acted by the promises of a majority, at least one of which is among those, so the ends that they state bound its grants as before. For odd numbers nothing changes.

Evidence: TestHalfOfVotersLostForGood (two and four voters, leader by the store and by promises) fails before, 4 of 4 ("the end of the former leaders' grants is not known", a minute each), passes with -race.

--- a/coordination/leadership/promise.go
+++ b/coordination/leadership/promise.go
@@ -54,6 +54,10 @@
 // Majority returns the smallest number of voters for which any two groups overlap.
 func Majority(voters int) int { return voters/2 + 1 }
 
+// Blocking returns the smallest number of voters that are part of every majority: what they have not
+// promised, no majority has. With an even number of voters it is one less than a majority.
+func Blocking(voters int) int { return voters - Majority(voters) + 1 }
+
 // VoterCandidate is a gateway that can be chosen as a voter.
 type VoterCandidate struct {
 	Address string
--- a/gateway/partition_test.go
+++ b/gateway/partition_test.go
@@ -21,28 +21,32 @@
 
 const domainUpstreams = 5
 
-// newTwoDomainCluster returns a test cluster in the domains a and b with a gateway in each. The one in a
-// leads.
-func newTwoDomainCluster(t *testing.T) *testCluster {
+// newTwoDomainCluster returns a test cluster in the domains a and b with a gateway in each, of which the one
+// in the given domain leads.
+func newTwoDomainCluster(t *testing.T, leading string) (b *testCluster, a, other *testGateway) {
 	t.Helper()
-	b := newTestCluster(t)
+	b = newTestCluster(t)
 	for i := range domainUpstreams {
 		for _, domain := range []string{"a", "b"} {
 			b.upstreamIn(domain, fmt.Sprintf("i-%s%d", domain, i), "status")
 			b.upstreamIn(domain, fmt.Sprintf("i-p%s%d", domain, i), "pay")
 		}
 	}
-	for _, domain := range []string{"a", "b"} {
+	started := make(map[string]*testGateway)
+	for _, domain := range []string{leading, "a", "b"} {
+		if started[domain] != nil {
+			continue
+		}
 		b.changeSettings = func(conf *settings.Gateway) { conf.Domain = domain }
-		b.gateway("g-" + domain)
+		started[domain] = b.gateway("g-" + domain)
 		// The first one leads before the other starts, which could win the lease on a busy machine.
 		b.eventually("a leader", func() bool { return b.leader() != nil })
 	}
 	b.ready()
-	if leader := b.leader(); leader != b.gateways[0] {
-		t.Fatal("the gateway in a does not lead")
+	if b.leader() != started[leading] {
+		t.Fatalf("the gateway in %s does not lead", leading)
 	}
-	return b
+	return b, started["a"], started["b"]
 }
 
 // silence sets the mode of all upstreams of a domain.
@@ -130,9 +134,8 @@
 // Requests for owners out of reach are refused at once and told that another gateway may serve them.
 func TestDomainCutOffFromLeader(t *testing.T) {
 	t.Parallel()
-	b := newTwoDomainCluster(t)
-	g := b.gateways[1]
-	b.gateways[0].kill()
+	b, leader, g := newTwoDomainCluster(t, "a")
+	leader.kill()
 	b.store.Endpoint("g-b").SetMode(metastore.Unresponsive)
 	b.silence("a", instance.Unresponsive)
 	out := b.sample(t, g, 6*time.Second)
@@ -158,32 +161,38 @@
 	}
 }
 
-// TestDomainLost silences the upstreams of a failure domain. Their keys are given to others when their
-// holds have ended. Until then requests for them are refused at once, to come back when that is due.
+// TestDomainLost silences the upstreams of a failure domain and ends its gateway, which may be the leader.
+// Their keys are given to others when their holds have ended. Until then requests for them are refused at
+// once, to come back when that is due.
 func TestDomainLost(t *testing.T) {
 	t.Parallel()
-	b := newTwoDomainCluster(t)
-	b.gateways[1].kill()
-	b.silence("b", instance.Unresponsive)
-	out := b.sample(t, b.gateways[0], 6*time.Second)
-	for second, s := range out["a"] {
-		if s.answered < 9*s.refused {
-			t.Errorf("keys of the other domain, second %d: %d answered, %d refused", second, s.answered, s.refused)
-		}
-	}
-	for second, s := range out["b"][1:] {
-		for cause, n := range s.causes {
-			if strings.Contains(cause, "no ups") {
-				t.Errorf("keys of the lost domain, second %d: %d have waited for room: %s", second+1, n, cause)
+	for _, leading := range []string{"a", "b"} {
+		t.Run("leader in "+leading, func(t *testing.T) {
+			t.Parallel()
+			b, g, lost := newTwoDomainCluster(t, leading)
+			lost.kill()
+			b.silence("b", instance.Unresponsive)
+			out := b.sample(t, g, 6*time.Second)
+			for second, s := range out["a"] {
+				if s.answered < 9*s.refused {
+					t.Errorf("keys of the other domain, second %d: %d answered, %d refused", second, s.answered, s.refused)
+				}
 			}
-		}
-	}
-	b.eventually("the keys of the lost domain are served", func() bool {
-		for key := 0; key <= spans.MaxKey; key += 977 {
-			if b.request(b.gateways[0], http.MethodGet, "/status/x", key).status != http.StatusOK {
-				return false
+			for second, s := range out["b"][1:] {
+				for cause, n := range s.causes {
+					if strings.Contains(cause, "no ups") {
+						t.Errorf("keys of the lost domain, second %d: %d have waited for room: %s", second+1, n, cause)
+					}
+				}
 			}
-		}
-		return true
-	})
+			b.eventually("the keys of the lost domain are served", func() bool {
+				for key := 0; key <= spans.MaxKey; key += 977 {
+					if b.request(g, http.MethodGet, "/status/x", key).status != http.StatusOK {
+						return false
+					}
+				}
+				return true
+			})
+		})
+	}
 }
--- a/gateway/promises.go
+++ b/gateway/promises.go
@@ -120,8 +120,8 @@
 }
 
 // inquire asks the voters of the former lease until when upstreams may hold keys by grants of
-// former leaders: holdsEnd, or later if they acted by promises. It repeats the question until a majority
-// has answered.
+// former leaders: holdsEnd, or later if they acted by promises. It repeats the question until enough have
+// answered.
 func (l *leaderElector) inquire(ctx context.Context, former leadership.Lease, holdsEnd time.Time, longest time.Duration) {
 	term := former.Term + 1
 	if former.Term == 0 {
@@ -138,8 +138,9 @@
 	}
 }
 
-// inquireFormerHolds asks the voters once. Any majority is sufficient evidence, so it uses the
-// majority with the earliest ends.
+// inquireFormerHolds asks the voters once. A former leader had the promises of a majority, so voters that
+// are part of every majority are sufficient evidence, and it uses those with the earliest ends. More may be
+// lost for good, as a leader that is lost is a voter itself.
 func (l *leaderElector) inquireFormerHolds(ctx context.Context, former leadership.Lease, holdsEnd time.Time, longest time.Duration) (time.Time, bool) {
 	answers := l.askVoters(ctx, former.Voters, &syncpb.PromiseRequest{Term: former.Term + 1, Inquire: true})
 	now := l.now()
@@ -152,7 +153,7 @@
 		}
 		until = append(until, end)
 	}
-	need := leadership.Majority(len(former.Voters))
+	need := leadership.Blocking(len(former.Voters))
 	if len(until) < need {
 		return time.Time{}, false
 	}
--- a/gateway/successionpromises_test.go
+++ b/gateway/successionpromises_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -59,6 +60,44 @@
 	d.checkWaitsFor(a)
 }
 
+// TestHalfOfVotersLostForGood guards against a successor that never learns until when upstreams may hold
+// keys by grants of the former leader, because that one was a voter and half of the voters are lost with it.
+func TestHalfOfVotersLostForGood(t *testing.T) {
+	t.Parallel()
+	for voters := 2; voters <= 4; voters += 2 {
+		for _, byPromises := range []bool{false, true} {
+			t.Run(fmt.Sprint(voters, " voters, by promises ", byPromises), func(t *testing.T) {
+				t.Parallel()
+				s := newSuccessions(t)
+				var all []*elector
+				for i := range voters {
+					all = append(all, s.gateway(fmt.Sprint("g", i)))
+				}
+				s.advance(uptime)
+				former, next := all[0], all[voters-1]
+				former.setMembers(all[1:]...)
+				former.lead(false)
+				former.checkWaitsFor()
+				if got := len(s.voters()); got != voters {
+					t.Fatalf("%d voters", got)
+				}
+				if byPromises {
+					former.actByPromises()
+				} else {
+					former.mustGrant(false)
+				}
+				for _, e := range all[:voters/2] {
+					e.end()
+				}
+				next.observe(t.Context())
+				s.advance(missedRenewal)
+				next.lead(true)
+				next.checkWaitsFor(former)
+			})
+		}
+	}
+}
+
 // TestLatePromisesGiveNoRight guards against a right to act by promises that were requested before the
 // lease was renewed: the voters may have changed since.
 func TestLatePromisesGiveNoRight(t *testing.T) {
