--- a/coordination/poison/cut_test.go
+++ b/coordination/poison/cut_test.go
@@ -234,7 +234,8 @@
 		repeated     bool
 	}{
 		{"none cut", 0, 0, false}, {"three cut once", 3, modelUpstreams, false}, {"three cut again and again", 3, modelUpstreams, true},
-		{"three cut off from two thirds", 3, 2 * modelUpstreams / 3, true},
+		{"three cut off from two thirds", 3, 2 * modelUpstreams / 3, true}, {"three cut off from a half", 3, modelUpstreams / 2, true},
+		{"three cut off from a third", 3, modelUpstreams / 3, true},
 	} {
 		for _, callers := range []int{20, 60} {
 			t.Run(fmt.Sprintf("%s, %d callers", tt.name, callers), func(t *testing.T) {
