--- a/gateway/suspects_test.go
+++ b/gateway/suspects_test.go
@@ -314,9 +314,9 @@
 	const harmful, ends, others = poison.Digest(1), 3, 12
 	s := noSuspects()
 	dialed, accept := make(chan struct{}, 100), make(chan struct{})
-	list := upstreamsOf(s, ends+others)
+	list := addUpstreams(s, ends+others)
 	s.probeLink = func(_ context.Context, addr string) error {
-		if !isOneOf(list[:ends], addr) {
+		if !hasAddress(list[:ends], addr) {
 			dialed <- struct{}{}
 		}
 		<-accept
@@ -341,9 +341,9 @@
 func TestEndOfUnusedUpstreamIsNoticed(t *testing.T) {
 	const harmful, ends, others = poison.Digest(1), 3, 12
 	s := noSuspects()
-	list := upstreamsOf(s, ends+others)
+	list := addUpstreams(s, ends+others)
 	s.probeLink = func(_ context.Context, addr string) error {
-		if isOneOf(list[:ends], addr) {
+		if hasAddress(list[:ends], addr) {
 			return pool.ErrRefused
 		}
 		return nil
@@ -354,8 +354,8 @@
 	waitRefused(t, s, ends)
 }
 
-// upstreamsOf makes the given number of upstreams known and returns them.
-func upstreamsOf(s *suspects, n int) []instances.Instance {
+// addUpstreams makes the given number of upstreams known and returns them.
+func addUpstreams(s *suspects, n int) []instances.Instance {
 	var list []instances.Instance
 	for i := range n {
 		list = append(list, instances.Instance{ID: fmt.Sprintf("u%02d", i), Address: fmt.Sprintf("address %d", i), Service: "read"})
@@ -364,7 +364,7 @@
 	return list
 }
 
-func isOneOf(list []instances.Instance, addr string) bool {
+func hasAddress(list []instances.Instance, addr string) bool {
 	return slices.ContainsFunc(list, func(inst instances.Instance) bool { return inst.Address == addr })
 }
 
