gateway: eight upstreams decide whether a gateway is cut off

Cause: three upstreams at random are tried; all may be down.

Cost: up to eight connections each 0.2 s while no upstream answers or takes connections.

Evidence: TestUpstreamsThatAreDownAreNoCut (2 of 13 upstreams in reach, 50 seeds) fails with three, passes with eight.

--- a/gateway/cutgateways_test.go
+++ b/gateway/cutgateways_test.go
@@ -1,7 +1,10 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
+	"log/slog"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"sync"
@@ -9,8 +12,11 @@
 	"testing"
 	"time"
 
+	"github.com/rockcroft/rockcroft/coordination/reach"
 	"github.com/rockcroft/rockcroft/standin/metastore"
+	"github.com/rockcroft/rockcroft/state/instances"
 	"github.com/rockcroft/rockcroft/state/spans"
+	"github.com/rockcroft/rockcroft/transport/pool"
 )
 
 // cutStates are the ways in which a gateway can lose its links to upstreams.
@@ -189,3 +195,38 @@
 		return true
 	})
 }
+
+// TestUpstreamsThatAreDownAreNoCut guards against a gateway that takes itself for cut off because most of the
+// upstreams have ended.
+func TestUpstreamsThatAreDownAreNoCut(t *testing.T) {
+	const upstreams, up = 13, 2
+	for seed := range uint64(50) {
+		now := time.Now()
+		r := newUpstreamReach(newView(), func() time.Time { return now }, slog.New(slog.DiscardHandler), newMeters(), rand.New(rand.NewPCG(seed, 1)))
+		r.onCutOff = func(time.Time) {}
+		var list []instances.Instance
+		running := make(map[string]bool)
+		for i := range upstreams {
+			list = append(list, instances.Instance{ID: fmt.Sprintf("u%02d", i), Address: fmt.Sprint("address ", i), Service: "read"})
+			running[list[i].Address] = i < up
+		}
+		r.view.setInstances(1, instances.NewView(1, list))
+		r.probeLink = func(_ context.Context, addr string) error {
+			if running[addr] {
+				return nil
+			}
+			return pool.ErrRefused
+		}
+		for _, inst := range list[up:] {
+			r.record(inst.Address, reach.Refused, 0)
+		}
+		now = now.Add(time.Second)
+		if !r.check().Doubtful {
+			t.Fatal("refused connections are not noticed")
+		}
+		r.probe(t.Context())
+		if r.check().CutOff {
+			t.Fatalf("seed %d: cut off with %d upstreams in reach", seed, up)
+		}
+	}
+}
--- a/gateway/upstreamreach.go
+++ b/gateway/upstreamreach.go
@@ -22,6 +22,9 @@
 	reachProbeDuration = 50 * time.Millisecond
 	// reachProbeInterval is the time between attempts to connect to upstreams while none answers.
 	reachProbeInterval = 200 * time.Millisecond
+	// reachProbes is the number of upstreams that are connected to at a time. It is more than
+	// reach.MinFailing, as requests may have ended most upstreams of a service.
+	reachProbes = 8
 )
 
 // upstreamReach knows whether this gateway reaches upstreams. It is safe for concurrent use.
@@ -99,7 +102,7 @@
 	began := r.now()
 	var all sync.WaitGroup
 	var lasted atomic.Bool
-	for _, addr := range r.randomUpstreams(reach.MinFailing) {
+	for _, addr := range r.randomUpstreams(reachProbes) {
 		all.Go(func() {
 			if r.probeLink(ctx, addr) == nil {
 				lasted.Store(true)
