--- /dev/null
+++ b/review/standin/client.go
@@ -0,0 +1,62 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// attempt is one attempt of a consumer, on a new connection.
+type attempt struct {
+	method, host, path, kind string
+	key                      int
+	deadline                 time.Duration
+	body                     []byte
+}
+
+func newID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
+
+// send makes the attempt and returns the status, 0 if the connection ended or the consumer gave up, and
+// the time after which the consumer is asked to come back.
+func (a attempt) send(rec *record, g *gateway) (status int, retryAfter time.Duration) {
+	id := newID()
+	rec.sent(id, a.kind, g.name)
+	status, retryAfter = a.exchange(id, g.callers)
+	rec.answered(id, status)
+	return status, retryAfter
+}
+
+func (a attempt) exchange(id, address string) (int, time.Duration) {
+	c, err := net.DialTimeout("tcp", address, time.Second)
+	if err != nil {
+		return 0, 0
+	}
+	defer func() { _ = c.Close() }()
+	// A consumer that leaves at its time limit closes its connection; a little is left for the way.
+	_ = c.SetDeadline(time.Now().Add(a.deadline + 500*time.Millisecond))
+	head := a.method + " " + a.path + " HTTP/1.1\r\nHost: " + a.host + "\r\nX-Request-Id: " + id +
+		"\r\nX-Request-Deadline: " + strconv.FormatInt(a.deadline.Milliseconds(), 10) +
+		"\r\nX-Shard-Key: " + strconv.Itoa(a.key) + "\r\n"
+	if len(a.body) > 0 {
+		head += "Content-Length: " + strconv.Itoa(len(a.body)) + "\r\n"
+	}
+	if _, err := c.Write(append([]byte(head+"\r\n"), a.body...)); err != nil {
+		return 0, 0
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), &http.Request{Method: a.method})
+	if err != nil {
+		return 0, 0
+	}
+	_, err = io.Copy(io.Discard, resp.Body)
+	_ = resp.Body.Close()
+	if err != nil {
+		return 0, 0
+	}
+	seconds, _ := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+	return resp.StatusCode, time.Duration(seconds * float64(time.Second))
+}
