--- a/review/standin/extra.go
+++ b/review/standin/extra.go
@@ -65,7 +65,7 @@
 		instances = append(instances, i)
 		register(store.Put, i)
 	}
-	gateways, err := newGateways(dir, extraGateways, s, address)
+	gateways, err := newGateways(dir, 0, extraGateways, s, address)
 	if err != nil {
 		return exitCouldNotRun, err
 	}
--- a/review/standin/gateway.go
+++ b/review/standin/gateway.go
@@ -56,17 +56,18 @@
 
 // newGateways chooses the addresses of the gateways and writes their settings, with the names and
 // values that deploy/gateway.jsonc gives them.
-func newGateways(dir string, count int, s site, store string) ([]*gateway, error) {
+// first is the number of gateways that were there before.
+func newGateways(dir string, first, count int, s site, store string) ([]*gateway, error) {
 	var all []*gateway
 	var seeds []string
-	for n := range count {
+	for n := first; n < first+count; n++ {
 		addresses, err := freePorts(gatewayIP(n), 4)
 		if err != nil {
 			return nil, err
 		}
 		g := &gateway{name: fmt.Sprintf("edge-%d", n+1), zone: s.zones[n%len(s.zones)], dir: dir, callers: addresses[0], ready: addresses[1], peers: addresses[2], metrics: addresses[3]}
 		all = append(all, g)
-		if n < 3 {
+		if n < first+3 {
 			seeds = append(seeds, g.peers)
 		}
 	}
--- a/review/standin/instance.go
+++ b/review/standin/instance.go
@@ -54,6 +54,8 @@
 	fences  []lease
 	running map[int]int
 	idle    *sync.Cond
+	conns   map[net.Conn]bool
+	crashed bool
 }
 
 // lease is a range of keys that was granted, or a fence that was seen on it.
@@ -70,7 +72,7 @@
 	if err != nil {
 		return nil, err
 	}
-	i := &instance{id: id, address: l.Addr().String(), zone: zone, conf: conf, rec: rec, listener: l, slots: make(chan struct{}, conf.slots), running: make(map[int]int)}
+	i := &instance{id: id, address: l.Addr().String(), zone: zone, conf: conf, rec: rec, listener: l, slots: make(chan struct{}, conf.slots), running: make(map[int]int), conns: make(map[net.Conn]bool)}
 	i.idle = sync.NewCond(&i.mu)
 	go func() {
 		for {
@@ -78,12 +80,44 @@
 			if err != nil {
 				return
 			}
-			go i.serve(c)
+			if i.track(c) {
+				go i.serve(c)
+			}
 		}
 	}()
 	return i, nil
 }
 
+// track records a connection, or closes it if the instance has crashed.
+func (i *instance) track(c net.Conn) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.crashed {
+		_ = c.Close()
+		return false
+	}
+	i.conns[c] = true
+	return true
+}
+
+func (i *instance) untrack(c net.Conn) {
+	_ = c.Close()
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	delete(i.conns, c)
+}
+
+// crash ends the instance: it listens no more, and its connections end.
+func (i *instance) crash() {
+	_ = i.listener.Close()
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.crashed, i.leases = true, nil
+	for c := range i.conns {
+		_ = c.Close()
+	}
+}
+
 func (i *instance) setTrouble(t trouble) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
@@ -127,7 +161,7 @@
 
 // serve serves one connection, one request at a time.
 func (i *instance) serve(c net.Conn) {
-	defer func() { _ = c.Close() }()
+	defer i.untrack(c)
 	r := bufio.NewReader(c)
 	var extra []byte
 	for {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -16,7 +16,7 @@
 )
 
 func main() {
-	cases := map[string]func(dir, folder string, troubled bool) (int, error){"extra": playExtra}
+	cases := map[string]func(dir, folder string, troubled bool) (int, error){"extra": playExtra, "losses": playLosses}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		_, _ = fmt.Fprintln(os.Stderr, "usage: review-standin CASE FOLDER")
 		os.Exit(exitCouldNotRun)
