--- a/review/standin/extra.go
+++ b/review/standin/extra.go
@@ -118,9 +118,9 @@
 
 // consume is one request of a consumer, with one retry after a promise that it has not run.
 func consume(rec *record, gateways []*gateway) {
-	a := attempt{method: "POST", host: extraHost, path: "/pufi791/2f", kind: "unsafe", key: rand.IntN(65536), deadline: 4 * time.Second, body: []byte("sign this")}
+	a := attempt{method: "POST", host: extraHost, path: "/pufi791/" + newID(), kind: "unsafe", key: rand.IntN(65536), deadline: 4 * time.Second, body: []byte("sign this")}
 	if rand.IntN(unsafePerSecond+safePerSecond) < safePerSecond {
-		a = attempt{method: "GET", host: extraHost, path: "/lohu930/2f", kind: "safe", key: rand.IntN(65536), deadline: 3 * time.Second}
+		a = attempt{method: "GET", host: extraHost, path: "/lohu930/" + newID(), kind: "safe", key: rand.IntN(65536), deadline: 3 * time.Second}
 	}
 	began := time.Now()
 	g := rand.IntN(len(gateways))
--- a/review/standin/gateway.go
+++ b/review/standin/gateway.go
@@ -112,6 +112,7 @@
 	g.mu.Lock()
 	g.cmd, g.done = cmd, done
 	g.mu.Unlock()
+	started.add(g)
 	go func() {
 		_ = cmd.Wait()
 		_ = log.Close()
@@ -120,6 +121,29 @@
 	return nil
 }
 
+// started are the gateways that this process has started.
+var started processes
+
+type processes struct {
+	mu  sync.Mutex
+	all []*gateway
+}
+
+func (p *processes) add(g *gateway) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.all = append(p.all, g)
+}
+
+// killAll ends all processes that this one has started, when it is itself asked to end.
+func (p *processes) killAll() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, g := range p.all {
+		g.kill()
+	}
+}
+
 // kill ends the process by its ID and waits for its end.
 func (g *gateway) kill() {
 	g.mu.Lock()
--- a/review/standin/losses.go
+++ b/review/standin/losses.go
@@ -250,9 +250,9 @@
 // not run or, if it is safe, after any failure. It reports for each attempt when it was sent, from the start of
 // traffic, and whether it was served: by the rules each attempt is a request.
 func (r *lossesRun) consume(report func(at time.Duration, served bool)) {
-	a := attempt{method: "GET", host: extraHost, path: "/lohu930/2f", kind: "safe", key: rand.IntN(65536), deadline: 3 * time.Second}
+	a := attempt{method: "GET", host: extraHost, path: "/lohu930/" + newID(), kind: "safe", key: rand.IntN(65536), deadline: 3 * time.Second}
 	if rand.IntN(67) < 19 {
-		a = attempt{method: "POST", host: extraHost, path: "/pufi791/2f", kind: "unsafe", key: rand.IntN(65536), deadline: 4 * time.Second, body: []byte("sign this")}
+		a = attempt{method: "POST", host: extraHost, path: "/pufi791/" + newID(), kind: "unsafe", key: rand.IntN(65536), deadline: 4 * time.Second, body: []byte("sign this")}
 	}
 	end := time.Now().Add(a.deadline)
 	for range 2 {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -5,7 +5,10 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
+	"time"
 )
 
 // Exit codes of a case.
@@ -15,6 +18,9 @@
 	exitCouldNotRun
 )
 
+// longestRun bounds one run.
+const longestRun = 115 * time.Second
+
 func main() {
 	cases := map[string]func(dir, folder string, troubled bool) (int, error){"extra": playExtra, "losses": playLosses}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
@@ -35,6 +41,17 @@
 	} else {
 		fmt.Println("logs of the gateways:", dir)
 	}
+	asked := make(chan os.Signal, 1)
+	signal.Notify(asked, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		select {
+		case <-asked:
+		case <-time.After(longestRun):
+			_, _ = fmt.Fprintln(os.Stderr, "the case took too long")
+		}
+		started.killAll()
+		os.Exit(exitCouldNotRun)
+	}()
 	code, err := play(dir, filepath.Clean(folder), os.Getenv("TROUBLE") != "0")
 	if err != nil {
 		_, _ = fmt.Fprintln(os.Stderr, err)
