--- a/review/standin/gateway.go
+++ b/review/standin/gateway.go
@@ -156,15 +156,6 @@
 	<-done
 }
 
-func (g *gateway) pid() int {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.cmd == nil {
-		return 0
-	}
-	return g.cmd.Process.Pid
-}
-
 // isReady asks the gateway as the platform does.
 func (g *gateway) isReady() bool {
 	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
