--- a/review/standin/instance.go
+++ b/review/standin/instance.go
@@ -46,6 +46,7 @@
 	rec               *record
 	listener          net.Listener
 	slots             chan struct{}
+	link              pacer
 
 	mu      sync.Mutex
 	trouble trouble
@@ -193,7 +194,7 @@
 		t := i.currentTrouble()
 		if !control && t.flood > 0 && rand.Float64() < t.flood {
 			i.rec.add("flood", "id", id, "instance", i.id)
-			sent := flood(c, t.floodRate)
+			sent := i.flood(c, id, t.floodRate)
 			i.rec.add("flood ended", "id", id, "instance", i.id, "bytes", strconv.Itoa(sent))
 			return
 		}
@@ -208,17 +209,44 @@
 	}
 }
 
-// flood sends bytes that are no response until the other end closes.
-func flood(c net.Conn, perSecond float64) int {
-	chunk := bytes.Repeat([]byte{'x'}, 64<<10)
-	began, sent := time.Now(), 0
+// pacerSlack is how far a sender that woke up late may catch up.
+const pacerSlack = 20 * time.Millisecond
+
+// pacer spaces out bytes so that a link carries no more than its rate.
+type pacer struct {
+	mu   sync.Mutex
+	free time.Time
+}
+
+// reserve returns when so many bytes have passed at the given rate.
+func (p *pacer) reserve(n int, perSecond float64) time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if least := time.Now().Add(-pacerSlack); p.free.Before(least) {
+		p.free = least
+	}
+	p.free = p.free.Add(time.Duration(float64(n) / perSecond * float64(time.Second)))
+	return p.free
+}
+
+// flood sends bytes that are no response until the other end closes, over the links of the instance and of
+// the gateway.
+func (i *instance) flood(c net.Conn, id string, perSecond float64) int {
+	chunk, sent := bytes.Repeat([]byte{'x'}, 64<<10), 0
+	gateway := i.rec.linkTo(id)
 	for {
 		n, err := c.Write(chunk)
 		sent += n
 		if err != nil {
 			return sent
 		}
-		time.Sleep(time.Until(began.Add(time.Duration(float64(sent) / perSecond * float64(time.Second)))))
+		at := i.link.reserve(n, perSecond)
+		if other := gateway.reserve(n, perSecond); other.After(at) {
+			at = other
+		}
+		if ahead := time.Until(at); ahead > time.Millisecond {
+			time.Sleep(ahead)
+		}
 	}
 }
 
--- a/review/standin/losses.go
+++ b/review/standin/losses.go
@@ -15,23 +15,22 @@
 )
 
 // The case "losses": more than half of the machines, the leader among them, are lost for good at once and
-// replaced at other addresses. Later instances crash for good and are replaced, and at last all gateway
-// processes are killed.
+// replaced at other addresses. Later some instances crash for good, and at last all gateway processes are killed.
 const (
 	lossesGateways  = 8
 	lossesLost      = 5
-	lossesInstances = 9
+	lossesInstances = 13
 	// The times are from the start of traffic.
 	lossesAt, lossesReplacedAt = 8 * time.Second, 10 * time.Second
-	lossesCrashes              = 3
+	lossesCrashes              = 5
 	lossesCrashAt              = 16 * time.Second
-	lossesCrashGap             = 6 * time.Second
-	lossesCrashed              = 3
+	lossesCrashGap             = 4 * time.Second
+	lossesCrashed              = 2
 	lossesKillAt               = 36 * time.Second
 	lossesDown                 = 1500 * time.Millisecond
 	lossesRecover              = 15 * time.Second
 	lossesEnd                  = 72 * time.Second
-	lossesPerSecond            = 60
+	lossesPerSecond            = 24
 	// entryLasts is how long the entry of an instance that has crashed stays: three pings.
 	entryLasts = 2600 * time.Millisecond
 )
@@ -152,9 +151,7 @@
 	}
 	for n := range lossesCrashes {
 		r.sleepUntil(lossesCrashAt + time.Duration(n)*lossesCrashGap)
-		if err := r.crashInstances(); err != nil {
-			return err
-		}
+		r.crashInstances()
 	}
 	r.sleepUntil(lossesKillAt)
 	r.rec.add("all gateway processes are killed")
@@ -217,8 +214,8 @@
 	return nil
 }
 
-// crashInstances ends the instances that have run longest, for good. New ones take their places.
-func (r *lossesRun) crashInstances() error {
+// crashInstances ends instances for good, at most the share of the site's trouble { srv_crash, gone }.
+func (r *lossesRun) crashInstances() {
 	r.mu.Lock()
 	gone := r.instances[:lossesCrashed]
 	r.instances = r.instances[lossesCrashed:]
@@ -227,11 +224,7 @@
 		r.rec.add("instance crashed for good", "instance", i.id)
 		i.crash()
 		time.AfterFunc(entryLasts, func() { r.store.Remove(platform.InstancesKind, i.id) })
-		if err := r.addInstance(); err != nil {
-			return err
-		}
 	}
-	return nil
 }
 
 func (r *lossesRun) addInstance() error {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -22,7 +22,7 @@
 const longestRun = 115 * time.Second
 
 func main() {
-	cases := map[string]func(dir, folder string, troubled bool) (int, error){"extra": playExtra, "losses": playLosses}
+	cases := map[string]func(dir, folder string, troubled bool) (int, error){"extra": playExtra, "losses": playLosses, "flood": playFlood}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		_, _ = fmt.Fprintln(os.Stderr, "usage: review-standin CASE FOLDER")
 		os.Exit(exitCouldNotRun)
--- a/review/standin/record.go
+++ b/review/standin/record.go
@@ -20,6 +20,9 @@
 	answers map[string]int
 	// unsafe are the requests that may run once at most.
 	unsafe map[string]bool
+	// gateways are the gateways that requests were sent to, links those gateways' links.
+	gateways map[string]string
+	links    map[string]*pacer
 }
 
 func newRecord(path string) (*record, error) {
@@ -27,7 +30,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &record{began: time.Now(), file: f, out: bufio.NewWriter(f), runs: make(map[string][]string), answers: make(map[string]int), unsafe: make(map[string]bool)}, nil
+	return &record{began: time.Now(), file: f, out: bufio.NewWriter(f), runs: make(map[string][]string), answers: make(map[string]int), unsafe: make(map[string]bool), gateways: make(map[string]string), links: make(map[string]*pacer)}, nil
 }
 
 // add writes one line: what, and pairs of a name and a value.
@@ -49,6 +52,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.unsafe[id] = kind == "unsafe"
+	r.gateways[id] = gateway
 	r.addLocked("sent", "id", id, "kind", kind, "gateway", gateway)
 }
 
@@ -105,6 +109,17 @@
 	return v
 }
 
+// linkTo returns the link of the gateway that a request was sent to.
+func (r *record) linkTo(id string) *pacer {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	name := r.gateways[id]
+	if r.links[name] == nil {
+		r.links[name] = &pacer{}
+	}
+	return r.links[name]
+}
+
 func (r *record) close() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
