--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -99,7 +99,7 @@
 			}
 		}
 		id := newID()
-		a.path = prefix + id
+		a.path, a.key = prefix+id, rand.IntN(65536)
 		rec.sent(id, a.kind, g.name)
 		resp, err := a.exchangeOn(c, id)
 		if err == nil {
--- a/review/standin/flood.go
+++ b/review/standin/flood.go
@@ -17,33 +17,38 @@
 // The case "flood": some instances answer a few requests with bytes that are not a response. The platform
 // ends a process that exceeds its memory.
 const (
-	floodGateways = 3
+	floodGateways = 4
 	floodWarmUp   = 8 * time.Second
 	floodLength   = 84 * time.Second
-	// floodPeriod is the time from one trouble to the next; floodFor is that of the site's trouble { garble },
-	// floodShare and floodX are those that the bench's page of kinds gives for it, of the instances of kyc-svc.
-	floodPeriod                   = 6 * time.Second
-	floodFor, floodShare, floodX  = 5500 * time.Millisecond, 0.5, 0.02
-	linkBytesPerSecond            = 125e6
-	kycPerSecond, activatePerSec  = 96, 92
-	kycInstances, activateInsts   = 11, 7
-	floodHost                     = "jepu9.example"
-	bytesPerMegabyte              = 1 << 20
-	memoryInterval                = 5 * time.Millisecond
-	restartDelay                  = 500 * time.Millisecond
-	kycDeadline, activateDeadline = 1500 * time.Millisecond, 600 * time.Millisecond
+	// floodPeriod is the time from one trouble to the next; floodFor, floodShare and floodX are those of
+	// the site's trouble { garble }, of the instances of setpoint-control.
+	floodPeriod                  = 6 * time.Second
+	floodFor, floodShare, floodX = 5500 * time.Millisecond, 0.35, 0.02
+	linkBytesPerSecond           = 125e6
+	// The instances of setpoint-control and the rate of its requests are those of the site;
+	// of thermo-telemetry there is about a third.
+	zoneReadsPerSecond, setpointsPerSecond = 180, 200
+	telemetryInstances, setpointInstances  = 8, 10
+	floodHost                              = "jepu9.example"
+	bytesPerMegabyte                       = 1 << 20
+	memoryInterval                         = 5 * time.Millisecond
+	restartDelay                           = 500 * time.Millisecond
+	zoneReadDeadline, setpointDeadline     = 2500 * time.Millisecond, 3 * time.Second
 )
 
-var addisSite = site{zones: []string{"bole", "kazanchis", "megenagna"}, region: "addis", budgetSlack: 62, drain: 2, memoryMB: 284, linkMbps: 1000, cpuShare: 0.32}
+var tallowoodSite = site{
+	zones: []string{"brisbane-north", "brisbane-south", "toowoomba", "sunshine-coast"}, region: "qld", budgetSlack: 64, drain: 2,
+	memoryMB: 284, linkMbps: 1000, cpuShare: 0.32,
+}
 
 func floodConfiguration() platform.ConfigBody {
 	return platform.ConfigBody{
 		Version: 7,
 		Routes: map[string]platform.RouteBody{
-			"activate": {Host: floodHost, Path: "/puka111/", Kind: "unsafe", Timeout: 0.6, TargetLatency: 0.25, Priority: 1, Service: "activation-svc", MaxAttempts: 2},
-			"kyc":      {Host: floodHost, Path: "/kafi81/", Kind: "safe", Timeout: 1.5, TargetLatency: 0.6, Priority: 2, Service: "kyc-svc", MaxAttempts: 2},
+			"zone":     {Host: floodHost, Path: "/lepu270/", Kind: "safe", Timeout: 1.2, TargetLatency: 0.4, Priority: 2, Service: "thermo-telemetry", MaxAttempts: 2},
+			"setpoint": {Host: floodHost, Path: "/xapu221/", Kind: "unsafe", Timeout: 1.5, TargetLatency: 0.5, Priority: 1, Service: "setpoint-control", MaxAttempts: 2},
 		},
-		Services: map[string]platform.ServiceBody{"activation-svc": {MaxConns: 130}, "kyc-svc": {MaxConns: 130}},
+		Services: map[string]platform.ServiceBody{"thermo-telemetry": {MaxConns: 130, Keyed: true, WarmUp: 5}, "setpoint-control": {MaxConns: 130}},
 		Limits:   platform.LimitsBody{MaxHeader: 16384, MaxBody: 67108864, HeaderTimeout: 3, IdleTimeout: 15},
 	}
 }
@@ -121,7 +126,7 @@
 	if err != nil {
 		return exitCouldNotRun, err
 	}
-	gateways, err := newGateways(dir, 0, floodGateways, addisSite, address)
+	gateways, err := newGateways(dir, 0, floodGateways, tallowoodSite, address)
 	if err != nil {
 		return exitCouldNotRun, err
 	}
@@ -145,20 +150,20 @@
 	rec.add("all gateways ready")
 	guard := &memoryGuard{rec: rec, ends: make(map[string]int)}
 	for _, g := range gateways {
-		watches.Go(func() { guard.watch(g, int64(addisSite.memoryMB)*bytesPerMegabyte, done) })
+		watches.Go(func() { guard.watch(g, int64(tallowoodSite.memoryMB)*bytesPerMegabyte, done) })
 	}
 	began := time.Now()
 	end := began.Add(floodWarmUp + floodLength)
 	var consumers sync.WaitGroup
 	const perConsumer = 2
-	for range kycPerSecond / perConsumer {
+	for range zoneReadsPerSecond / perConsumer {
 		consumers.Go(func() {
-			consumeKept(rec, gateways, end, perConsumer, attempt{method: "GET", host: floodHost, path: "/kafi81/", kind: "safe", deadline: kycDeadline})
+			consumeKept(rec, gateways, end, perConsumer, attempt{method: "GET", host: floodHost, path: "/lepu270/", kind: "safe", deadline: zoneReadDeadline})
 		})
 	}
-	for range activatePerSec / perConsumer {
+	for range setpointsPerSecond / perConsumer {
 		consumers.Go(func() {
-			consumeKept(rec, gateways, end, perConsumer, attempt{method: "POST", host: floodHost, path: "/puka111/", kind: "unsafe", deadline: activateDeadline, body: []byte("a new line")})
+			consumeKept(rec, gateways, end, perConsumer, attempt{method: "POST", host: floodHost, path: "/xapu221/", kind: "unsafe", deadline: setpointDeadline, body: []byte("21.5 C")})
 		})
 	}
 	for time.Now().Before(end) {
@@ -166,7 +171,7 @@
 		on := troubled && at >= 0 && at%floodPeriod < floodFor
 		for n, i := range instances {
 			var t trouble
-			if on && n < kycInstances && float64(n+1) <= floodShare*kycInstances {
+			if n -= telemetryInstances; on && n >= 0 && float64(n+1) <= floodShare*setpointInstances {
 				t.flood, t.floodRate = floodX, linkBytesPerSecond
 			}
 			i.setTrouble(t)
@@ -177,12 +182,12 @@
 	return judgeFlood(rec, guard), nil
 }
 
-// startFloodInstances starts the instances, those of kyc-svc first.
+// startFloodInstances starts the instances, those of thermo-telemetry first.
 func startFloodInstances(rec *record, put func(kind, name string, spec any) uint64) ([]*instance, error) {
 	var instances []*instance
 	add := func(conf instanceConfig, count int) error {
 		for n := range count {
-			i, err := startInstance(fmt.Sprintf("i-%08x", rand.Uint32()), addisSite.zones[n%len(addisSite.zones)], conf, rec)
+			i, err := startInstance(fmt.Sprintf("i-%08x", rand.Uint32()), tallowoodSite.zones[n%len(tallowoodSite.zones)], conf, rec)
 			if err != nil {
 				return err
 			}
@@ -191,9 +196,9 @@
 		}
 		return nil
 	}
-	err := add(instanceConfig{service: "kyc-svc", slots: 4, queue: 16, work: 240 * time.Millisecond, idleClose: 10 * time.Second}, kycInstances)
+	err := add(instanceConfig{service: "thermo-telemetry", sharded: true, slots: 6, queue: 24, work: 120 * time.Millisecond, idleClose: 10 * time.Second}, telemetryInstances)
 	if err == nil {
-		err = add(instanceConfig{service: "activation-svc", slots: 4, queue: 16, work: 78 * time.Millisecond, idleClose: 10 * time.Second}, activateInsts)
+		err = add(instanceConfig{service: "setpoint-control", slots: 6, queue: 24, work: 160 * time.Millisecond, idleClose: 10 * time.Second}, setpointInstances)
 	}
 	return instances, err
 }
