gateway: log on which connection an end was seen and contradicted

Crashes of upstreams and answers after a concluded end say when the connection of the run or answer was opened, and ends that other upstreams do not confirm are logged. A connection belongs to one process, so these lines tell answers of the next process of an upstream from those of the one that was taken for ended. No change of logic.

--- a/coordination/poison/cut_test.go
+++ b/coordination/poison/cut_test.go
@@ -154,7 +154,7 @@
 func (m *cutModel) abort(match func(*modelRun) bool) {
 	for caller, r := range m.running {
 		if r != nil && match(r) {
-			m.trackers[r.gateway].RequestAborted(at(m.now), digestOf(caller), modelNames[r.upstream], m.upstreams[r.upstream].incarnation)
+			m.trackers[r.gateway].RequestAborted(at(m.now), digestOf(caller), modelNames[r.upstream], m.upstreams[r.upstream].incarnation, at(m.now))
 			m.running[caller] = nil
 		}
 	}
--- a/coordination/poison/ends_test.go
+++ b/coordination/poison/ends_test.go
@@ -51,7 +51,7 @@
 	if refused(tr, 1) || tr.EndKnown("u", 1) {
 		t.Error("the end stands")
 	}
-	tr.RequestAborted(at(4*time.Second), 1, "u", 1)
+	tr.RequestAborted(at(4*time.Second), 1, "u", 1, at(4*time.Second))
 	if got := tr.UpstreamEnded(at(4*time.Second), "u", 1, RefusedDial); len(got) != 1 || !refused(tr, 1) {
 		t.Errorf("the later end does not count: %v", got)
 	}
--- a/coordination/poison/poison.go
+++ b/coordination/poison/poison.go
@@ -78,6 +78,8 @@
 	Digest Digest
 	Event  Event
 	At     time.Time
+	// Connected is when the connection was opened on which the request was sent.
+	Connected time.Time
 	// Upstream is empty in crashes that another gateway reported.
 	Upstream string
 }
@@ -100,6 +102,8 @@
 type abortedRun struct {
 	digest Digest
 	at     time.Time
+	// connected is when the connection was opened on which the request was sent.
+	connected time.Time
 }
 
 // Tracker holds the findings of one gateway. It is not safe for concurrent use.
@@ -162,10 +166,10 @@
 	return now.Sub(s.lastCrash) < refusalPeriod || chance*float64(max(gateways, 1)) >= 1
 }
 
-// RequestAborted records that a run was aborted without a response. It returns the resulting crash
-// if that incarnation of the upstream is already known to have ended.
-func (t *Tracker) RequestAborted(now time.Time, d Digest, upstream string, incarnation instances.Incarnation) []Crash {
-	p, run := process{upstream, incarnation}, abortedRun{digest: d, at: now}
+// RequestAborted records that a run was aborted without a response, on a connection opened at the given time.
+// It returns the resulting crash if that incarnation of the upstream is already known to have ended.
+func (t *Tracker) RequestAborted(now time.Time, d Digest, upstream string, incarnation instances.Incarnation, connected time.Time) []Crash {
+	p, run := process{upstream, incarnation}, abortedRun{digest: d, at: now, connected: connected}
 	if e := t.ended[p]; e != nil && now.Sub(e.at) < priorEndWindow {
 		return t.add(run.crash(p))
 	}
@@ -185,7 +189,7 @@
 
 // crash returns the crash to record for the run once the incarnation has ended.
 func (r abortedRun) crash(p process) Crash {
-	return Crash{Digest: r.digest, Event: eventOf(p.upstream, p.incarnation), At: r.at, Upstream: p.upstream}
+	return Crash{Digest: r.digest, Event: eventOf(p.upstream, p.incarnation), At: r.at, Connected: r.connected, Upstream: p.upstream}
 }
 
 // setAborted replaces the aborted runs of an incarnation by a subset of them.
--- a/coordination/poison/poison_test.go
+++ b/coordination/poison/poison_test.go
@@ -17,7 +17,7 @@
 
 // crash records that a request ended an incarnation of an upstream, as seen by one gateway.
 func crash(tr *Tracker, now time.Duration, d Digest, upstream string, incarnation instances.Incarnation) []Crash {
-	tr.RequestAborted(at(now), d, upstream, incarnation)
+	tr.RequestAborted(at(now), d, upstream, incarnation, at(now))
 	return tr.UpstreamEnded(at(now+100*ms), upstream, incarnation, RefusedDial)
 }
 
@@ -64,13 +64,13 @@
 	const d = Digest(7)
 	for i := range 20 {
 		now := time.Duration(i) * 100 * ms
-		tr.RequestAborted(at(now), d, "u", 1)
+		tr.RequestAborted(at(now), d, "u", 1, at(now))
 		tr.RequestAnswered(at(now+2*ms), "u", 1, at(now+ms))
 	}
 	if got := tr.UpstreamEnded(at(3*time.Second), "u", 1, RefusedDial); len(got) != 0 || tr.CrashCount(d) != 0 {
 		t.Errorf("crashes: %v", got)
 	}
-	tr.RequestAborted(at(4*time.Second), d, "u", 1)
+	tr.RequestAborted(at(4*time.Second), d, "u", 1, at(4*time.Second))
 	if got := tr.UpstreamEnded(at(4*time.Second+crashWindow), "u", 1, RefusedDial); len(got) != 0 {
 		t.Errorf("an end long after the aborted run counts as a crash: %v", got)
 	}
@@ -80,7 +80,7 @@
 // survived it.
 func TestAnswerToEarlierRequestKeepsAbortedRun(t *testing.T) {
 	tr := NewTracker()
-	tr.RequestAborted(at(100*ms), 7, "u", 1)
+	tr.RequestAborted(at(100*ms), 7, "u", 1, at(100*ms))
 	tr.RequestAnswered(at(150*ms), "u", 1, at(50*ms))
 	if got := tr.UpstreamEnded(at(200*ms), "u", 1, RefusedDial); len(got) != 1 {
 		t.Errorf("crashes: %v", got)
@@ -91,10 +91,10 @@
 func TestEndReportedBeforeAbort(t *testing.T) {
 	tr := NewTracker()
 	tr.UpstreamEnded(at(0), "u", 1, RefusedDial)
-	if got := tr.RequestAborted(at(20*ms), 7, "u", 1); len(got) != 1 {
+	if got := tr.RequestAborted(at(20*ms), 7, "u", 1, at(20*ms)); len(got) != 1 {
 		t.Errorf("crashes: %v", got)
 	}
-	if got := tr.RequestAborted(at(20*ms), 7, "u", 2); len(got) != 0 {
+	if got := tr.RequestAborted(at(20*ms), 7, "u", 2, at(20*ms)); len(got) != 0 {
 		t.Errorf("the end of another incarnation counts: %v", got)
 	}
 }
@@ -171,7 +171,7 @@
 func TestBounds(t *testing.T) {
 	tr := NewTracker()
 	for i := range 3 * maxSuspects {
-		tr.RequestAborted(at(0), Digest(i), "u", 1)
+		tr.RequestAborted(at(0), Digest(i), "u", 1, at(0))
 	}
 	tr.UpstreamEnded(at(ms), "u", 1, RefusedDial)
 	if tr.abortedCount != 0 || len(tr.suspects) > maxSuspects {
@@ -245,13 +245,13 @@
 				if crashes > refusalThreshold && now > third+3*time.Second {
 					after++
 				}
-				trackers[g].RequestAborted(at(now), 1, name, incarnation[u])
+				trackers[g].RequestAborted(at(now), 1, name, incarnation[u], at(now))
 			}
 		}
 		if ends {
 			// Harmless requests on the same upstream.
 			for range 4 {
-				trackers[rng.IntN(gateways)].RequestAborted(at(now), harmless(rng, now), name, incarnation[u])
+				trackers[rng.IntN(gateways)].RequestAborted(at(now), harmless(rng, now), name, incarnation[u], at(now))
 			}
 			for _, tr := range trackers {
 				tr.UpstreamEnded(at(now+50*ms), name, incarnation[u], RefusedDial)
--- a/coordination/poison/refusal_test.go
+++ b/coordination/poison/refusal_test.go
@@ -15,7 +15,7 @@
 func endUpstream(tr *Tracker, n int, suspects ...Digest) {
 	now := at(time.Duration(n) * time.Second)
 	for _, d := range suspects {
-		tr.RequestAborted(now, d, "u", instances.Incarnation(n))
+		tr.RequestAborted(now, d, "u", instances.Incarnation(n), now)
 	}
 	tr.UpstreamEnded(now, "u", instances.Incarnation(n), RefusedDial)
 }
@@ -151,10 +151,10 @@
 		}
 		if harmful {
 			reached++
-			tr.RequestAborted(at(now), 1, name, incarnation[u])
+			tr.RequestAborted(at(now), 1, name, incarnation[u], at(now))
 		}
 		for range 4 {
-			tr.RequestAborted(at(now), Digest(2+rng.IntN(callers)), name, incarnation[u])
+			tr.RequestAborted(at(now), Digest(2+rng.IntN(callers)), name, incarnation[u], at(now))
 		}
 		tr.UpstreamEnded(at(now+50*ms), name, incarnation[u], RefusedDial)
 		incarnation[u]++
--- a/gateway/proxy.go
+++ b/gateway/proxy.go
@@ -249,7 +249,7 @@
 	} else {
 		a.response.Abandon(f.now())
 	}
-	f.suspects.recordEnded(q, grant, suspected, outcome)
+	f.suspects.recordEnded(q, grant, suspected, outcome, feedback.connected)
 	f.logNotice(grant, feedback.notice, f.traffic.endTryWithFeedback(q.traffic, grant, outcome, feedback))
 	f.meters.inc(f.meters.service(tryOutcome, q.service.Name, f.domainClass(grant), outcome.String()))
 	results <- tryResult{grant: grant, resp: resp, err: err}
@@ -276,16 +276,18 @@
 	platform.SetTeam(h, q.teamName())
 	platform.SetTarget(h, grant.Instance.ID)
 	f.limits.countSent(grant)
+	feedback := upstreamFeedback{}
 	resp, err := f.conns.Do(ctx, grant.Instance.Address, &pool.Request{
 		Method: q.Method, Target: q.target, Host: q.Host, Header: h, Body: q.body,
 		EchoHeader: platform.RequestID, EchoValue: q.id, NonIdempotent: !q.route.Idempotent,
-		BeforeSend: func() error { return f.checkBeforeSend(h, q, grant) },
-		OnLength:   a.response.Announced, OnRead: f.countReceived(q, a),
+		BeforeSend:   func() error { return f.checkBeforeSend(h, q, grant) },
+		OnConnection: func(opened time.Time) { feedback.connected = opened },
+		OnLength:     a.response.Announced, OnRead: f.countReceived(q, a),
 	})
 	if err != nil {
-		return nil, outcomeOfError(err), upstreamFeedback{}, err
+		return nil, outcomeOfError(err), feedback, err
 	}
-	feedback := upstreamFeedback{load: f.decodeLoad(resp), notice: f.decodeNotice(resp.Status, resp.Header)}
+	feedback.load, feedback.notice = f.decodeLoad(resp), f.decodeNotice(resp.Status, resp.Header)
 	f.limits.recordAnswer(grant, resp.Header)
 	f.unread.record(grant, resp.Header)
 	answer, outcome, err := classify(resp)
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -148,8 +148,9 @@
 	return true
 }
 
-// recordEnded records the outcome of a try. suspected is what recordStarted returned for it.
-func (s *suspects) recordEnded(q *request, g dispatch.Grant, suspected bool, o dispatch.Outcome) {
+// recordEnded records the outcome of a try on a connection opened at the time of connected. suspected is what
+// recordStarted returned for it.
+func (s *suspects) recordEnded(q *request, g dispatch.Grant, suspected bool, o dispatch.Outcome, connected time.Time) {
 	inst := &g.Instance
 	s.mu.Lock()
 	var crashes []poison.Crash
@@ -158,7 +159,7 @@
 	}
 	switch o {
 	case dispatch.ConnectionBroken:
-		crashes = s.book.RequestAborted(s.now(), q.digest(), inst.ID, inst.Incarnation())
+		crashes = s.book.RequestAborted(s.now(), q.digest(), inst.ID, inst.Incarnation(), connected)
 		if len(crashes) == 0 {
 			defer s.checkAborted(*inst)
 		}
@@ -169,7 +170,7 @@
 		}
 	case dispatch.Answered, dispatch.Failed, dispatch.Overloaded:
 		if end, ok := s.book.RequestAnswered(s.now(), inst.ID, inst.Incarnation(), g.GrantedAt); ok {
-			defer s.logContradicted(end)
+			defer s.logContradicted(end, connected)
 		}
 		if o == dispatch.Answered && !s.book.Empty() && s.book.CrashCount(q.digest()) > 0 {
 			s.book.Clear(poison.Clearing{Digest: q.digest(), At: s.now()})
@@ -212,6 +213,7 @@
 		defer s.confirming.end(refused.ID)
 		if !s.allAccept(addresses) {
 			s.meters.inc(suspectsUnconfirmed)
+			s.log.Info("end of an upstream is not confirmed", "upstream", refused.ID, "asked", len(addresses))
 			return
 		}
 		s.mu.Lock()
@@ -303,15 +305,17 @@
 		count := s.book.CrashCount(c.Digest)
 		s.mu.Unlock()
 		s.log.Warn("upstream crashed while running a request", "digest", digestText(c.Digest), "crashes", count,
-			"upstream", c.Upstream, "from", from, "after_ms", s.now().Sub(c.At).Milliseconds())
+			"upstream", c.Upstream, "from", from, "after_ms", s.now().Sub(c.At).Milliseconds(),
+			"connection_ms", c.At.Sub(c.Connected).Milliseconds())
 	}
 }
 
-// logContradicted logs and counts an upstream that has answered after its end was concluded.
-func (s *suspects) logContradicted(end poison.End) {
+// logContradicted logs and counts an upstream that has answered after its end was concluded, on a connection
+// opened at the time of connected.
+func (s *suspects) logContradicted(end poison.End, connected time.Time) {
 	s.meters.inc(suspectsContradicted)
 	s.log.Warn("upstream answers after its end was concluded", "upstream", end.Upstream, "from", end.Source,
-		"after_ms", s.now().Sub(end.At).Milliseconds())
+		"after_ms", s.now().Sub(end.At).Milliseconds(), "connected_after_ms", connected.Sub(end.At).Milliseconds())
 }
 
 // clear lets a request through again at an operator's request.
--- a/gateway/suspects_test.go
+++ b/gateway/suspects_test.go
@@ -166,7 +166,7 @@
 			t.Errorf("%s avoids %v", what, got)
 		}
 	}
-	s.recordEnded(ask(1, "read"), sent("u1"), first, dispatch.ConnectionBroken)
+	s.recordEnded(ask(1, "read"), sent("u1"), first, dispatch.ConnectionBroken, s.now())
 	if got := s.upstreamsToAvoid(ask(2, "read")); len(got) > 0 {
 		t.Errorf("%v still avoided after the run ended", got)
 	}
@@ -225,7 +225,7 @@
 	first := b.gateways[0].suspects
 	first.mu.Lock()
 	for i := range crashes {
-		first.book.RequestAborted(first.now(), d, "i-p0", instances.Incarnation(i+1))
+		first.book.RequestAborted(first.now(), d, "i-p0", instances.Incarnation(i+1), first.now())
 		first.book.UpstreamEnded(first.now(), "i-p0", instances.Incarnation(i+1), poison.RefusedDial)
 	}
 	first.mu.Unlock()
@@ -324,8 +324,8 @@
 	}
 	q := &request{cachedDigest: harmful}
 	for i := range ends {
-		s.recordEnded(q, dispatch.Grant{Instance: list[i]}, false, dispatch.ConnectionBroken)
-		s.recordEnded(q, dispatch.Grant{Instance: list[i]}, false, dispatch.ConnectionRefused)
+		s.recordEnded(q, dispatch.Grant{Instance: list[i]}, false, dispatch.ConnectionBroken, s.now())
+		s.recordEnded(q, dispatch.Grant{Instance: list[i]}, false, dispatch.ConnectionRefused, s.now())
 		select {
 		case <-dialed:
 		case <-time.After(5 * time.Second):
@@ -349,7 +349,7 @@
 		return nil
 	}
 	for i := range ends {
-		s.recordEnded(&request{cachedDigest: harmful}, dispatch.Grant{Instance: list[i]}, false, dispatch.ConnectionBroken)
+		s.recordEnded(&request{cachedDigest: harmful}, dispatch.Grant{Instance: list[i]}, false, dispatch.ConnectionBroken, s.now())
 	}
 	waitRefused(t, s, ends)
 }
--- a/gateway/traffic.go
+++ b/gateway/traffic.go
@@ -269,6 +269,8 @@
 
 // upstreamFeedback is what an upstream reports about itself in a response.
 type upstreamFeedback struct {
+	// connected is when the connection was opened on which the request was sent; zero if none was.
+	connected time.Time
 	// load is nil if the upstream reported none.
 	load   *instances.Load
 	notice notice.Notice
--- a/transport/pool/conn.go
+++ b/transport/pool/conn.go
@@ -31,6 +31,8 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
+	// opened is when the other end had accepted the connection.
+	opened time.Time
 	// idleSince is when the last response had been read.
 	idleSince time.Time
 	// announcedTimeout is the idle timeout announced by the server, or zero.
@@ -45,8 +47,8 @@
 	onRead func(n int)
 }
 
-func newConn(nc net.Conn) *conn {
-	c := &conn{Conn: nc}
+func newConn(nc net.Conn, opened time.Time) *conn {
+	c := &conn{Conn: nc, opened: opened}
 	c.reader = bufio.NewReaderSize(c, readBufferSize)
 	return c
 }
--- a/transport/pool/pool.go
+++ b/transport/pool/pool.go
@@ -57,6 +57,8 @@
 	// because the permission to send may have expired while the connection was opened. If it
 	// returns an error, nothing is sent.
 	BeforeSend func() error
+	// OnConnection, if set, is called before BeforeSend with the time at which the connection was opened.
+	OnConnection func(opened time.Time)
 	// OnLength, if set, is called with the length of the body that the response announces, before
 	// memory for the body is allocated, by the goroutine that called Do.
 	OnLength func(n int64)
@@ -150,6 +152,9 @@
 			return nil, err
 		}
 	}
+	if r.OnConnection != nil {
+		r.OnConnection(c.opened)
+	}
 	if r.BeforeSend != nil {
 		if err := r.BeforeSend(); err != nil {
 			p.putIdle(addr, c)
@@ -361,5 +366,5 @@
 	}
 	p.observe(addr, reach.Connected, p.now().Sub(start))
 	p.updateStats(func(s *Stats) { s.Opened++ })
-	return newConn(nc), nil
+	return newConn(nc, p.now()), nil
 }
