--- a/gateway/ports_test.go
+++ b/gateway/ports_test.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/netip"
 	"os"
+	"slices"
 	"syscall"
 	"testing"
 
@@ -114,6 +115,22 @@
 	return l
 }
 
+// listenAgain opens a listener on a port of the test cluster whose former listener is closed.
+func (b *testCluster) listenAgain(address string) net.Listener {
+	b.t.Helper()
+	b.mu.Lock()
+	i := slices.IndexFunc(b.ports, func(p *port) bool { return p.address.String() == address })
+	p := b.ports[i]
+	b.mu.Unlock()
+	b.reopenPorts(p)
+	defer b.claimPorts(p)
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	return l
+}
+
 // releasePorts returns all ports to the kernel.
 func (b *testCluster) releasePorts() {
 	b.mu.Lock()
--- a/gateway/testcluster_test.go
+++ b/gateway/testcluster_test.go
@@ -148,7 +148,20 @@
 
 func (b *testCluster) startUpstreamIn(domain, id, service string, born uint64) *upstream {
 	b.t.Helper()
-	l := b.listen()
+	u := b.serveUpstream(b.listen(), domain, id, service, born)
+	b.register(u, "ready")
+	return u
+}
+
+// restartAtSameAddress starts the next process of an upstream at the address of the former one, which has
+// ended. Its entry is not written.
+func (b *testCluster) restartAtSameAddress(former *upstream) *upstream {
+	l := b.listenAgain(former.address)
+	return b.serveUpstream(l, former.domain, former.ID, former.service, former.born+1)
+}
+
+// serveUpstream starts an upstream without an entry.
+func (b *testCluster) serveUpstream(l net.Listener, domain, id, service string, born uint64) *upstream {
 	u := &upstream{
 		Instance: instance.New(id, service == "status", 5*time.Millisecond, b.oracle),
 		service:  service, domain: domain, address: l.Addr().String(), born: born,
@@ -163,7 +176,6 @@
 	b.mu.Lock()
 	b.upstreams[id] = u
 	b.mu.Unlock()
-	b.register(u, "ready")
 	return u
 }
 
