poison: tell the processes of an upstream apart by their connections

What callers saw: a request under which three upstreams had ended was sent to upstreams on and on while the entries of the restarted ones were late or the store was away.

Cause: ends and answers were attributed to the start that the gateway's list of upstreams names. An upstream that starts again at its address and under its ID answers 0.7 s after its end, and until its entry is known that answer was taken for one of the ended process: it took back the end at all gateways and lifted the refusal. For the same reason the second and third end of an upstream before its next entry were merged with the first.

Change: a connection belongs to one process. A run on a connection that was opened after an end was aborted by another end, and an answer contradicts an end only if its connection was opened before it. Crashes and contradictions carry the age of the connection; those of older gateways count as unknown. An entry that tells a later start need not confirm contradicted ends any more, as only the process itself can contradict: Restarted is gone. An end that is shown later aborts only runs of the latest process.

TestRestartConfirmsContradictedEnd asserted that an answer of the next process takes the end back until its entry is known. It is replaced by TestAnswerOfNextProcessKeepsEnd: the end stands all the while. The model of TestCutGatewaysReportNoEnds has connections and late entries now. In TestClearedRequestDoesNotExplainEnds the tracker is asked after its last end instead of before it.

--- a/coordination/poison/cut_test.go
+++ b/coordination/poison/cut_test.go
@@ -16,25 +16,35 @@
 	now       time.Duration
 	trackers  []*Tracker
 	upstreams []modelUpstream
+	// connected is when each gateway opened its connection to each upstream, or noConnection.
+	connected [modelGateways][modelUpstreams]time.Duration
 	// running holds the run of each caller, or nil; caller zero sends the harmful request.
 	running []*modelRun
 	cut     []bool
 	// cutUpstreams is the number of upstreams that the cut gateways do not reach.
 	cutUpstreams int
-	harmfulRuns  int
-	refusals     int
+	// entryDelay is how long after the restart of an upstream its entry is known to all gateways.
+	entryDelay  time.Duration
+	harmfulRuns int
+	refusals    int
 }
 
 // modelUpstream is an upstream; it is down until backAt.
 type modelUpstream struct {
-	incarnation instances.Incarnation
-	backAt      time.Duration
+	// incarnation is the one of the entry, starts the number of starts.
+	incarnation, starts instances.Incarnation
+	backAt              time.Duration
+	// entryAt is when the next entry is known.
+	entryAt time.Duration
 }
 
+// noConnection marks connections that are not open.
+const noConnection = -time.Second
+
 // modelRun is a run of a request at an upstream.
 type modelRun struct {
-	gateway, upstream int
-	sent, until       time.Duration
+	gateway, upstream      int
+	connected, sent, until time.Duration
 }
 
 const (
@@ -64,6 +74,9 @@
 	for range modelGateways {
 		m.trackers = append(m.trackers, NewTracker())
 	}
+	for g := range m.connected {
+		m.disconnect(g, func(int) bool { return true })
+	}
 	return m
 }
 
@@ -90,24 +103,41 @@
 	for range 3 {
 		u := m.rng.IntN(modelUpstreams)
 		if m.isCut(g, u) || m.upstreams[u].backAt > m.now {
-			tr.DialRefused(at(m.now), modelNames[u])
-			if m.reachesOthers(g, u) {
-				tr.UpstreamEnded(at(m.now), modelNames[u], m.upstreams[u].incarnation, RefusedDial)
-			}
+			m.dialRefused(g, u)
 			continue
 		}
+		if m.connected[g][u] == noConnection {
+			m.connected[g][u] = m.now
+		}
 		const minRun, maxRun = 20, 150
-		m.running[caller] = &modelRun{gateway: g, upstream: u, sent: m.now, until: m.now + time.Duration(minRun+m.rng.IntN(maxRun-minRun))*ms}
+		m.running[caller] = &modelRun{gateway: g, upstream: u, connected: m.connected[g][u], sent: m.now, until: m.now + time.Duration(minRun+m.rng.IntN(maxRun-minRun))*ms}
 		return
 	}
 }
 
+// dialRefused records that an upstream refused a connection of a gateway.
+func (m *cutModel) dialRefused(g, u int) {
+	m.trackers[g].DialRefused(at(m.now), modelNames[u])
+	if m.reachesOthers(g, u) {
+		m.trackers[g].UpstreamEnded(at(m.now), modelNames[u], m.upstreams[u].incarnation, RefusedDial)
+	}
+}
+
+// disconnect closes the connections of a gateway to the upstreams that match.
+func (m *cutModel) disconnect(g int, match func(u int) bool) {
+	for u := range m.connected[g] {
+		if match(u) {
+			m.connected[g][u] = noConnection
+		}
+	}
+}
+
 // reachesOthers reports whether the upstreams that confirm an end take connections from a gateway.
 func (m *cutModel) reachesOthers(gateway, upstream int) bool {
-	others := make([]string, 0, modelUpstreams)
+	others := make([]End, 0, modelUpstreams)
 	for _, u := range m.rng.Perm(modelUpstreams) {
 		if u != upstream {
-			others = append(others, modelNames[u])
+			others = append(others, End{Upstream: modelNames[u], Incarnation: m.upstreams[u].incarnation})
 		}
 	}
 	confirming := m.trackers[gateway].Confirming(at(m.now), others)
@@ -136,7 +166,9 @@
 		}
 		m.running[caller] = nil
 		tr := m.trackers[r.gateway]
-		answered(tr, at(m.now), modelNames[r.upstream], m.upstreams[r.upstream].incarnation, at(r.sent))
+		tr.RequestAnswered(at(m.now), Answer{
+			Upstream: modelNames[r.upstream], Incarnation: m.upstreams[r.upstream].incarnation, Connected: at(r.connected), Sent: at(r.sent),
+		})
 		if tr.CrashCount(d) > 0 {
 			tr.Clear(Clearing{Digest: d, At: at(m.now)})
 		}
@@ -146,32 +178,37 @@
 // crash ends an upstream with all its runs.
 func (m *cutModel) crash(u int) {
 	m.harmfulRuns++
-	m.abort(func(r *modelRun) bool { return r.upstream == u })
 	m.upstreams[u].backAt = m.now + modelDowntime
+	m.abort(func(r *modelRun) bool { return r.upstream == u })
+	for g := range m.connected {
+		m.disconnect(g, func(other int) bool { return other == u })
+	}
 }
 
 // abort aborts the runs that match.
 func (m *cutModel) abort(match func(*modelRun) bool) {
 	for caller, r := range m.running {
 		if r != nil && match(r) {
-			m.trackers[r.gateway].RequestAborted(at(m.now), digestOf(caller), modelNames[r.upstream], m.upstreams[r.upstream].incarnation, at(m.now))
+			m.trackers[r.gateway].RequestAborted(at(m.now), digestOf(caller), modelNames[r.upstream], m.upstreams[r.upstream].incarnation, at(r.connected))
 			m.running[caller] = nil
 		}
 	}
 }
 
-// restart starts upstreams again, which their entries tell all gateways.
+// restart starts upstreams again, which their entries tell all gateways later.
 func (m *cutModel) restart() {
 	for u := range m.upstreams {
 		up := &m.upstreams[u]
-		if up.backAt == 0 || up.backAt > m.now {
+		if up.backAt != 0 && up.backAt <= m.now {
+			up.starts, up.backAt, up.entryAt = up.starts+1, 0, m.now+m.entryDelay
+		}
+		if up.entryAt > m.now || up.incarnation == up.starts {
 			continue
 		}
 		for _, tr := range m.trackers {
 			tr.UpstreamEnded(at(m.now), modelNames[u], up.incarnation, ChangedEntry)
-			tr.Restarted(modelNames[u], up.incarnation)
 		}
-		up.incarnation, up.backAt = up.incarnation+1, 0
+		up.incarnation = up.starts
 	}
 }
 
@@ -193,6 +230,7 @@
 	for _, g := range m.rng.Perm(modelGateways)[:n] {
 		m.cut[g] = true
 		m.abort(func(r *modelRun) bool { return r.gateway == g && m.isCut(g, r.upstream) })
+		m.disconnect(g, func(u int) bool { return m.isCut(g, u) })
 	}
 }
 
@@ -224,7 +262,7 @@
 }
 
 // A gateway that is cut off from upstreams must not make harmless requests look harmful, nor hide
-// the harmful one among ends that did not happen.
+// the harmful one among ends that did not happen. Entries of restarted upstreams may be late.
 func TestCutGatewaysReportNoEnds(t *testing.T) {
 	t.Parallel()
 	for _, tt := range []struct {
@@ -238,19 +276,24 @@
 		{"three cut off from a third", 3, modelUpstreams / 3, true},
 	} {
 		for _, callers := range []int{20, 60} {
-			t.Run(fmt.Sprintf("%s, %d callers", tt.name, callers), func(t *testing.T) {
-				t.Parallel()
-				most, refusals := 0, 0
-				for seed := range uint64(200) {
-					m := newCutModel(seed)
-					m.cutUpstreams = tt.cutUpstreams
-					m.run(callers, tt.cut, tt.repeated)
-					most, refusals = max(most, m.harmfulRuns), refusals+m.refusals
-				}
-				if most > maxHarmfulRuns || refusals > 0 {
-					t.Errorf("the harmful request ended up to %d upstreams, harmless ones were refused %d times", most, refusals)
-				}
-			})
+			for _, entryDelay := range []time.Duration{0, time.Second, 4 * time.Second, modelDuration} {
+				t.Run(fmt.Sprintf("%s, %d callers, entries %s late", tt.name, callers, entryDelay), func(t *testing.T) {
+					t.Parallel()
+					most, refusals, refusedIn := 0, 0, 0
+					for seed := range uint64(200) {
+						m := newCutModel(seed)
+						m.cutUpstreams, m.entryDelay = tt.cutUpstreams, entryDelay
+						m.run(callers, tt.cut, tt.repeated)
+						most, refusals = max(most, m.harmfulRuns), refusals+m.refusals
+						if m.refusals > 0 {
+							refusedIn++
+						}
+					}
+					if most > maxHarmfulRuns || refusals > 0 {
+						t.Errorf("the harmful request ended up to %d upstreams, harmless ones were refused %d times in %d seeds", most, refusals, refusedIn)
+					}
+				})
+			}
 		}
 	}
 }
@@ -259,13 +302,8 @@
 // known everywhere: a restart of the upstream (0.7 s) at a run each half second.
 const maxHarmfulRuns = certainThreshold + 2
 
-// answered records an answer to a request that was sent at the given time.
-func answered(tr *Tracker, now time.Time, upstream string, incarnation instances.Incarnation, sent time.Time) {
-	tr.RequestAnswered(now, upstream, incarnation, sent)
-}
-
 // exchange applies a report of another gateway.
-func exchange(tr *Tracker, now time.Time, crashes []Crash, clearings []Clearing, ends, contradictions []End) {
+func exchange(tr *Tracker, now time.Time, crashes []Crash, clearings []Clearing, ends []End, contradictions []Answer) {
 	tr.Clear(clearings...)
 	tr.Merge(crashes)
 	for _, e := range ends {
--- a/coordination/poison/ends.go
+++ b/coordination/poison/ends.go
@@ -11,8 +11,7 @@
 //
 // A refused connection does not show it by itself: the gateway may be cut off from the upstream, or
 // from all of them, while others reach it. It counts as an end if this gateway can connect to other
-// upstreams, and no longer once the incarnation itself has answered any gateway. A later start in the
-// upstream's entry is final.
+// upstreams, and no longer once the process itself has answered any gateway.
 
 const (
 	// endRetention is how long an end is kept after its last suspect is gone.
@@ -50,56 +49,6 @@
 	source Source
 }
 
-// end is the end of one upstream incarnation with requests running on it.
-type end struct {
-	// at and latest are the earliest and the latest time at which a run was aborted there.
-	at, latest time.Time
-	// suspects is the number of suspects that were present, refusedSuspects the number of those
-	// that are refused.
-	suspects, refusedSuspects int
-	// contradictedAt is when a request was sent that the incarnation has answered: it had not ended
-	// by then. process is the incarnation, contradictionKnownAt when this gateway learned of it.
-	contradictedAt       time.Time
-	process              process
-	contradictionKnownAt time.Time
-	// final is set once the upstream's entry tells a later start.
-	final bool
-}
-
-// contradicts reports whether the incarnation was still running after the given time.
-func (e *end) contradicts(at time.Time) bool { return !e.final && !at.After(e.contradictedAt) }
-
-// add counts a suspect that was present.
-func (e *end) add(refused bool) {
-	e.suspects++
-	if refused {
-		e.refusedSuspects++
-	}
-}
-
-// remove is the reverse of add.
-func (e *end) remove(refused bool) {
-	e.suspects--
-	if refused {
-		e.refusedSuspects--
-	}
-}
-
-// endAt returns the end of an event, at which a run was aborted at the given time, and creates it if
-// it is not known.
-func (t *Tracker) endAt(event Event, at time.Time) *end {
-	e := t.ends[event]
-	if e == nil {
-		e = &end{at: at}
-		t.ends[event] = e
-	}
-	if e.contradicts(e.at) || (at.Before(e.at) && !e.contradicts(at)) {
-		e.at = at
-	}
-	e.latest = later(e.latest, at)
-	return e
-}
-
 // End is the end of an upstream incarnation. At is zero if the incarnation is not known to have
 // ended.
 type End struct {
@@ -109,6 +58,14 @@
 	Source      Source
 }
 
+// Answer is an answer of an upstream to a request that was sent at the time of Sent, on a connection that was
+// opened at the time of Connected.
+type Answer struct {
+	Upstream        string
+	Incarnation     instances.Incarnation
+	Connected, Sent time.Time
+}
+
 // DialRefused records that the address of an upstream refused a connection of this gateway.
 func (t *Tracker) DialRefused(now time.Time, upstream string) { t.refusedDials[upstream] = now }
 
@@ -116,62 +73,70 @@
 // connection to count as the end of an upstream, from the others that should be as reachable, in
 // order of preference. Those that have refused connections themselves are left out, as they may have
 // ended as well; if they are more than a quarter, this gateway is more likely cut off from them.
-func (t *Tracker) Confirming(now time.Time, others []string) []string {
+func (t *Tracker) Confirming(now time.Time, others []End) []string {
 	var out []string
-	for _, upstream := range others {
-		if at, ok := t.refusedDials[upstream]; !ok || now.Sub(at) >= refusedDialPeriod {
-			out = append(out, upstream)
+	refused := 0
+	for _, o := range others {
+		at, ok := t.refusedDials[o.Upstream]
+		if !ok || now.Sub(at) >= refusedDialPeriod {
+			out = append(out, o.Upstream)
+			continue
 		}
+		refused++
 	}
-	if 4*len(out) < 3*len(others) {
+	if 3*refused > len(out) {
 		return nil
 	}
 	return out[:min(len(out), maxConfirming)]
 }
 
-// EndKnown reports whether the incarnation is known to have ended.
+// EndKnown reports whether the incarnation is known to have ended, and no run was aborted there since that
+// this end does not explain.
 func (t *Tracker) EndKnown(upstream string, incarnation instances.Incarnation) bool {
-	return t.ended[process{upstream, incarnation}] != nil
+	p := process{upstream, incarnation}
+	return t.ended[p] != nil && len(t.aborted[p]) == 0
 }
 
-// RequestAnswered records that an upstream incarnation answered a request sent at the given time.
-// It was therefore still running then: earlier aborted runs did not end it, and an earlier end that
-// was attributed to it did not happen. It returns that end, if there is one.
-func (t *Tracker) RequestAnswered(now time.Time, upstream string, incarnation instances.Incarnation, sent time.Time) (contradicted End, ok bool) {
-	p := process{upstream, incarnation}
+// RequestAnswered records an answer of an upstream to this gateway: runs that were aborted earlier did not end
+// the process that gave it, and an end that was concluded while it ran did not happen. It returns that end, if
+// there is one.
+func (t *Tracker) RequestAnswered(now time.Time, a Answer) (contradicted End, ok bool) {
+	p := process{a.Upstream, a.Incarnation}
 	if list := t.aborted[p]; len(list) > 0 {
-		t.setAborted(p, slices.DeleteFunc(list, func(run abortedRun) bool { return run.at.Before(sent) }))
+		t.setAborted(p, slices.DeleteFunc(list, func(run abortedRun) bool {
+			return run.at.Before(a.Sent) && a.Connected.Before(run.at.Add(minRestart))
+		}))
+	}
+	if known := t.ended[p]; known != nil && (life{connected: a.Connected, answered: a.Sent}).includes(known.at) {
+		contradicted, ok = End{Upstream: p.upstream, Incarnation: p.incarnation, At: known.at, Source: known.source}, true
 	}
-	contradicted, ok = t.contradictedBy(p, sent)
-	t.Contradict(now, End{Upstream: upstream, Incarnation: incarnation, At: sent})
+	t.Contradict(now, a)
 	return contradicted, ok
 }
 
-// contradictedBy returns the end of an incarnation that an answer to a request sent at the given
-// time contradicts.
-func (t *Tracker) contradictedBy(p process, sent time.Time) (End, bool) {
-	known := t.ended[p]
-	if known == nil || !sent.After(known.at) {
-		return End{}, false
-	}
-	return End{Upstream: p.upstream, Incarnation: p.incarnation, At: known.at, Source: known.source}, true
+// ConnectionAccepted records that an upstream accepted a connection of this gateway: runs that were aborted
+// right before did not end it.
+func (t *Tracker) ConnectionAccepted(at time.Time, upstream string, incarnation instances.Incarnation) {
+	p := process{upstream, incarnation}
+	t.setAborted(p, slices.DeleteFunc(t.aborted[p], func(run abortedRun) bool { return at.Before(run.at.Add(minRestart)) }))
 }
 
-// Contradict records that an incarnation answered a request sent at the time of alive, to this
-// gateway or another one: it had not ended before.
-func (t *Tracker) Contradict(now time.Time, alive End) {
-	p := process{alive.Upstream, alive.Incarnation}
-	if known := t.ended[p]; known != nil && alive.At.After(known.at) {
+// Contradict records an answer of an upstream, to this gateway or another one.
+func (t *Tracker) Contradict(now time.Time, a Answer) {
+	p := process{a.Upstream, a.Incarnation}
+	if known := t.ended[p]; known != nil && a.Sent.After(known.at) {
 		delete(t.ended, p)
 	}
-	if len(t.ends) == 0 {
+	h := t.histories[eventOf(p.upstream, p.incarnation)]
+	if h == nil {
 		return
 	}
-	e := t.ends[eventOf(p.upstream, p.incarnation)]
-	if e == nil || e.final || e.contradicts(e.latest) || e.contradicts(alive.At) || !alive.At.After(e.at) {
+	l := life{connected: a.Connected, answered: a.Sent, knownAt: now}
+	if !h.contradictedBy(l) {
 		return
 	}
-	e.contradictedAt, e.contradictionKnownAt, e.process = alive.At, now, p
+	h.process = p
+	h.addLife(l)
 	t.reconsider()
 }
 
@@ -189,31 +154,38 @@
 // from it.
 func (t *Tracker) UpstreamEnded(now time.Time, upstream string, incarnation instances.Incarnation, source Source) []Crash {
 	p := process{upstream, incarnation}
-	if known := t.ended[p]; known == nil {
+	known, last := t.ended[p], t.lastConnected(p, now)
+	switch {
+	case known == nil, now.Sub(known.at) > endReportPeriod, now.After(known.at) && last.After(known.at.Add(reportError)):
 		t.ended[p] = &ending{at: now, source: source}
-	} else if now.Before(known.at) {
+	case now.Before(known.at):
 		known.at = now
 	}
-	list := slices.Clone(t.aborted[p])
-	t.abortedCount -= len(t.aborted[p])
-	delete(t.aborted, p)
 	var out []Crash
-	for _, run := range list {
-		if now.Sub(run.at) < crashWindow {
+	var later []abortedRun
+	for _, run := range t.aborted[p] {
+		switch {
+		case run.connected.After(now.Add(reportError)):
+			later = append(later, run)
+		case now.Sub(run.at) < crashWindow && !last.After(run.at.Add(reportError)):
 			out = append(out, t.add(run.crash(p))...)
 		}
 	}
+	t.setAborted(p, later)
 	return out
 }
 
-// Restarted records that the entry of an upstream tells a later start than that of the incarnation,
-// which has therefore ended whatever answers say: those after the restart are attributed to the
-// former incarnation until the entry is known.
-func (t *Tracker) Restarted(upstream string, incarnation instances.Incarnation) {
-	if e := t.ends[eventOf(upstream, incarnation)]; e != nil && !e.final {
-		e.final = true
-		t.reconsider()
+// lastConnected returns the latest time at which a connection was opened on which a run was aborted, of those
+// that an end at the given time may have aborted. Runs that were aborted before that ran on an earlier process,
+// or their links were cut.
+func (t *Tracker) lastConnected(p process, end time.Time) time.Time {
+	var last time.Time
+	for _, run := range t.aborted[p] {
+		if !run.connected.After(end.Add(reportError)) {
+			last = later(last, run.connected)
+		}
 	}
+	return last
 }
 
 // UnconfirmedEnds returns the upstream incarnations that have aborted runs and may have ended.
@@ -225,18 +197,6 @@
 	return out
 }
 
-// ContradictedEnds returns the upstream incarnations whose end an answer contradicts. If one of them
-// has restarted, the answer may be that of the next incarnation.
-func (t *Tracker) ContradictedEnds() []End {
-	var out []End
-	for _, e := range t.ends {
-		if e.process.upstream != "" && !e.final {
-			out = append(out, End{Upstream: e.process.upstream, Incarnation: e.process.incarnation})
-		}
-	}
-	return out
-}
-
 // RecentEnds returns the ends of upstreams to report to other gateways.
 func (t *Tracker) RecentEnds(now time.Time) []End {
 	var out []End
@@ -248,13 +208,14 @@
 	return out
 }
 
-// RecentContradictions returns the incarnations to report to other gateways as running although
-// their end was reported, with the times of the requests that they have answered.
-func (t *Tracker) RecentContradictions(now time.Time) []End {
-	var out []End
-	for _, e := range t.ends {
-		if !e.final && now.Sub(e.contradictionKnownAt) < reportPeriod && len(out) < maxReported {
-			out = append(out, End{Upstream: e.process.upstream, Incarnation: e.process.incarnation, At: e.contradictedAt})
+// RecentContradictions returns the answers to report to other gateways that contradict an end.
+func (t *Tracker) RecentContradictions(now time.Time) []Answer {
+	var out []Answer
+	for _, h := range t.histories {
+		for _, l := range h.lives {
+			if now.Sub(l.knownAt) < reportPeriod && len(out) < maxReported {
+				out = append(out, Answer{Upstream: h.process.upstream, Incarnation: h.process.incarnation, Connected: l.connected, Sent: l.answered})
+			}
 		}
 	}
 	return out
@@ -274,11 +235,13 @@
 	}
 }
 
-// pruneEnds discards ends without suspects.
-func (t *Tracker) pruneEnds(now time.Time) {
-	for event, e := range t.ends {
-		if e.suspects == 0 && now.Sub(later(e.at, e.contradictionKnownAt)) >= endRetention {
-			delete(t.ends, event)
+// pruneHistories discards ends without suspects, and what contradicts them.
+func (t *Tracker) pruneHistories(now time.Time) {
+	for event, h := range t.histories {
+		if h.isStale(now) {
+			delete(t.histories, event)
+			continue
 		}
+		h.prune(now)
 	}
 }
--- a/coordination/poison/ends_test.go
+++ b/coordination/poison/ends_test.go
@@ -18,7 +18,7 @@
 
 // An upstream that answers after its end was reported has not ended, whichever of both arrives first.
 func TestAnswerContradictsEnd(t *testing.T) {
-	alive := End{Upstream: "u", Incarnation: 1, At: at(1500 * ms)}
+	alive := Answer{Upstream: "u", Incarnation: 1, Connected: at(500 * ms), Sent: at(1500 * ms)}
 	first := endedThrice()
 	reported, _ := first.Export(at(3 * time.Second))
 	first.Contradict(at(3*time.Second), alive)
@@ -38,16 +38,22 @@
 	}
 	for _, sent := range []time.Duration{500 * ms, time.Second} {
 		tr := endedThrice()
-		if tr.Contradict(at(3*time.Second), End{Upstream: "u", Incarnation: 1, At: at(sent)}); !refused(tr, 1) {
+		if tr.Contradict(at(3*time.Second), Answer{Upstream: "u", Incarnation: 1, Sent: at(sent)}); !refused(tr, 1) {
 			t.Errorf("an answer to a request sent at %s, before the end, contradicts it", sent)
 		}
 	}
+	for _, connected := range []time.Duration{time.Second - reportError, time.Second, 1700 * ms} {
+		tr := endedThrice()
+		if tr.Contradict(at(3*time.Second), Answer{Upstream: "u", Incarnation: 1, Connected: at(connected), Sent: at(2 * time.Second)}); !refused(tr, 1) {
+			t.Errorf("an answer on a connection opened at %s, which may be that of the next process, contradicts the end", connected)
+		}
+	}
 }
 
 // An incarnation whose end was contradicted may end later.
 func TestContradictedIncarnationEndsLater(t *testing.T) {
 	tr := endedThrice()
-	tr.RequestAnswered(at(3*time.Second), "u", 1, at(2900*ms))
+	tr.RequestAnswered(at(3*time.Second), Answer{Upstream: "u", Incarnation: 1, Sent: at(2900 * ms)})
 	if refused(tr, 1) || tr.EndKnown("u", 1) {
 		t.Error("the end stands")
 	}
@@ -60,21 +66,54 @@
 	}
 }
 
-// An upstream may start again under its ID. Until its entry is known here, answers of the next
-// incarnation are attributed to the former one.
-func TestRestartConfirmsContradictedEnd(t *testing.T) {
+// An upstream may start again at its address and under its ID. Until its entry is known here, answers of the next
+// process arrive under the incarnation of the former one.
+func TestAnswerOfNextProcessKeepsEnd(t *testing.T) {
 	tr := endedThrice()
-	tr.RequestAnswered(at(3*time.Second), "u", 1, at(2900*ms))
-	if got := tr.ContradictedEnds(); len(got) != 1 || got[0].Incarnation != 1 {
-		t.Errorf("ends to confirm: %v", got)
+	for _, sent := range []time.Duration{2900 * ms, 3900 * ms} {
+		if _, ok := tr.RequestAnswered(at(sent+100*ms), Answer{Upstream: "u", Incarnation: 1, Connected: at(1700 * ms), Sent: at(sent)}); ok || !refused(tr, 1) {
+			t.Errorf("the end is taken back by an answer to a request sent at %s", sent)
+		}
+	}
+	if got := tr.RecentContradictions(at(4 * time.Second)); len(got) > 0 {
+		t.Errorf("contradictions to report: %v", got)
+	}
+}
+
+// Ends of the successive processes of an upstream count one by one, also before its entry tells of them.
+func TestEndsBeforeNextEntryCountOneByOne(t *testing.T) {
+	tr, other := NewTracker(), NewTracker()
+	for i := range refusalThreshold {
+		ended := time.Duration(i) * 800 * ms
+		tr.RequestAborted(at(ended), 1, "u", 1, at(ended-50*ms))
+		if tr.EndKnown("u", 1) {
+			t.Errorf("end %d is taken for the one before", i)
+		}
+		if got := tr.UpstreamEnded(at(ended+60*ms), "u", 1, RefusedDial); len(got) != 1 || tr.CrashCount(1) != i+1 {
+			t.Errorf("end %d: %d crashes", i, tr.CrashCount(1))
+		}
+		for _, gateway := range []*Tracker{other, tr} {
+			crashes, _ := tr.Export(at(ended + 100*ms))
+			for j := range crashes {
+				crashes[j].At, crashes[j].Connected = crashes[j].At.Add(90*ms), crashes[j].Connected.Add(90*ms)
+			}
+			gateway.Merge(crashes)
+		}
 	}
-	tr.Restarted("u", 1)
-	if !refused(tr, 1) {
-		t.Error("not refused after the restart is known")
+	if tr.CrashCount(1) != refusalThreshold || !refused(other, 1) {
+		t.Errorf("%d ends, %d at another gateway", tr.CrashCount(1), other.CrashCount(1))
+	}
+}
+
+// An end that another gateway reports aborts no run that was sent on a later connection.
+func TestEndAbortsNoRunOfNextProcess(t *testing.T) {
+	tr := NewTracker()
+	tr.RequestAborted(at(time.Second), 1, "u", 1, at(900*ms))
+	if got := tr.UpstreamEnded(at(0), "u", 1, OtherGateway); len(got) > 0 {
+		t.Errorf("crashes: %v", got)
 	}
-	tr.RequestAnswered(at(4*time.Second), "u", 1, at(3900*ms))
-	if !refused(tr, 1) {
-		t.Error("an answer contradicts an end that an entry shows")
+	if got := tr.UpstreamEnded(at(1050*ms), "u", 1, RefusedDial); len(got) != 1 {
+		t.Errorf("crashes after the next end: %v", got)
 	}
 }
 
@@ -84,7 +123,7 @@
 	for i := range 2 * maxEventsPerSuspect {
 		endUpstream(tr, i, 1)
 		now := at(time.Duration(i)*time.Second + 500*ms)
-		tr.RequestAnswered(now, "u", instances.Incarnation(i), now)
+		tr.RequestAnswered(now, Answer{Upstream: "u", Incarnation: instances.Incarnation(i), Sent: now})
 	}
 	for i := range 3 {
 		endUpstream(tr, 2*maxEventsPerSuspect+i, 1)
--- a/coordination/poison/poison.go
+++ b/coordination/poison/poison.go
@@ -6,8 +6,9 @@
 // run is aborted without a response and that incarnation of the upstream turns out to have ended;
 // every request that was running there becomes one. A suspect that was present at three such ends
 // is refused, unless its presence is probably a coincidence, see shouldRefuse. Gateways exchange
-// their findings. Events are merged by upstream and incarnation, so an end seen by two gateways
-// counts once, regardless of the order in which reports arrive.
+// their findings. Events are merged by upstream, incarnation and the time for which the connection of the
+// run was open, so an end seen by two gateways counts once, regardless of the order in which reports
+// arrive.
 package poison
 
 import (
@@ -63,10 +64,11 @@
 	return Digest(h.Sum64())
 }
 
-// Event identifies the end of one upstream incarnation by a short hash.
+// Event identifies an upstream incarnation by a short hash. As entries may be late, several processes may
+// end under one.
 type Event uint32
 
-// eventOf returns the event for the end of an upstream incarnation.
+// eventOf returns the event for ends of an upstream incarnation.
 func eventOf(upstream string, incarnation instances.Incarnation) Event {
 	const shift = 32
 	sum := xxhash.Sum64String(upstream) ^ uint64(incarnation)*0x9e3779b97f4a7c15
@@ -92,7 +94,8 @@
 
 // suspect holds what is known about one request.
 type suspect struct {
-	crashes   map[Event]time.Time
+	// crashes holds when its run was aborted by each end.
+	crashes   map[*end]time.Time
 	lastCrash time.Time
 	clearedAt time.Time
 	refused   bool
@@ -116,9 +119,9 @@
 	ended        map[process]*ending
 	// refusedDials holds when the address of an upstream last refused a connection of this gateway.
 	refusedDials map[string]time.Time
-	// ends holds every end of an upstream that a suspect was present at, and those that an answer
-	// contradicts.
-	ends map[Event]*end
+	// histories holds every end of an upstream that a suspect was present at, and the answers that
+	// contradict ends.
+	histories map[Event]*history
 }
 
 // NewTracker returns a tracker without suspects.
@@ -128,7 +131,7 @@
 		aborted:      make(map[process][]abortedRun),
 		ended:        make(map[process]*ending),
 		refusedDials: make(map[string]time.Time),
-		ends:         make(map[Event]*end),
+		histories:    make(map[Event]*history),
 	}
 }
 
@@ -147,8 +150,8 @@
 // count returns the number of a suspect's crashes that no answer contradicts.
 func (t *Tracker) count(s *suspect) int {
 	n := 0
-	for event, at := range s.crashes {
-		if !t.ends[event].contradicts(at) {
+	for e, at := range s.crashes {
+		if !e.contradicts(at) {
 			n++
 		}
 	}
@@ -170,7 +173,13 @@
 // It returns the resulting crash if that incarnation of the upstream is already known to have ended.
 func (t *Tracker) RequestAborted(now time.Time, d Digest, upstream string, incarnation instances.Incarnation, connected time.Time) []Crash {
 	p, run := process{upstream, incarnation}, abortedRun{digest: d, at: now, connected: connected}
-	if e := t.ended[p]; e != nil && now.Sub(e.at) < priorEndWindow {
+	e := t.ended[p]
+	switch {
+	case e == nil:
+	case connected.After(e.at.Add(reportError)):
+		// The run was on the next process.
+		delete(t.ended, p)
+	case now.Sub(e.at) < priorEndWindow:
 		return t.add(run.crash(p))
 	}
 	if t.abortedCount < maxAbortedRuns {
@@ -209,24 +218,26 @@
 		if len(t.suspects) >= maxSuspects {
 			return nil
 		}
-		s = &suspect{crashes: make(map[Event]time.Time)}
+		s = &suspect{crashes: make(map[*end]time.Time)}
 		t.suspects[c.Digest] = s
 	}
-	known, isKnown := s.crashes[c.Event]
-	if isKnown && !t.ends[c.Event].contradicts(known) || !c.At.After(s.clearedAt) {
+	h := t.historyOf(c.Event)
+	if !c.At.After(s.clearedAt) || h.ranAfter(c.At) {
 		return nil
 	}
-	if !isKnown && !t.hasRoom(s) {
+	e := h.endOf(c)
+	known, isKnown := s.crashes[e]
+	if isKnown && !e.contradicts(known) || !isKnown && !t.hasRoom(s) {
 		return nil
 	}
-	e := t.endAt(c.Event, c.At)
-	if e.contradicts(c.At) {
-		return nil
+	if e == nil {
+		e = h.addEnd(c)
 	}
+	e.extend(c)
 	if !isKnown {
 		e.add(s.refused)
 	}
-	s.crashes[c.Event] = c.At
+	s.crashes[e] = c.At
 	s.lastCrash = later(s.lastCrash, c.At)
 	t.refuseIfDue(s)
 	return []Crash{c}
@@ -237,10 +248,10 @@
 	if len(s.crashes) < maxEventsPerSuspect {
 		return true
 	}
-	for event, at := range s.crashes {
-		if e := t.ends[event]; e.contradicts(at) {
+	for e, at := range s.crashes {
+		if e.contradicts(at) {
 			e.remove(s.refused)
-			delete(s.crashes, event)
+			delete(s.crashes, e)
 		}
 	}
 	return len(s.crashes) < maxEventsPerSuspect
@@ -261,17 +272,17 @@
 	for _, c := range list {
 		s := t.suspects[c.Digest]
 		if s == nil {
-			s = &suspect{crashes: make(map[Event]time.Time)}
+			s = &suspect{crashes: make(map[*end]time.Time)}
 			t.suspects[c.Digest] = s
 		}
 		if !c.At.After(s.clearedAt) {
 			continue
 		}
 		s.clearedAt = c.At
-		for event, at := range s.crashes {
+		for e, at := range s.crashes {
 			if !at.After(c.At) {
-				delete(s.crashes, event)
-				t.ends[event].remove(s.refused)
+				delete(s.crashes, e)
+				e.remove(s.refused)
 			}
 		}
 		t.reinstate(s)
@@ -294,9 +305,9 @@
 		if reportDue(now, s.clearedAt) {
 			clearings = append(clearings, Clearing{Digest: d, At: s.clearedAt})
 		}
-		for event, at := range s.crashes {
-			if len(crashes) < maxReported && !t.ends[event].contradicts(at) {
-				crashes = append(crashes, Crash{Digest: d, Event: event, At: at})
+		for e, at := range s.crashes {
+			if len(crashes) < maxReported && !e.contradicts(at) {
+				crashes = append(crashes, Crash{Digest: d, Event: e.event, At: at, Connected: e.connected})
 			}
 		}
 	}
@@ -351,11 +362,11 @@
 		t.setAborted(p, slices.DeleteFunc(list, func(run abortedRun) bool { return now.Sub(run.at) >= crashWindow }))
 	}
 	t.pruneEnded(now)
-	t.pruneEnds(now)
+	t.pruneHistories(now)
 	for d, s := range t.suspects {
 		if now.Sub(s.lastCrash) >= 2*refusalPeriod && now.Sub(s.clearedAt) >= refusalPeriod {
-			for event := range s.crashes {
-				t.ends[event].remove(s.refused)
+			for e := range s.crashes {
+				e.remove(s.refused)
 			}
 			delete(t.suspects, d)
 		}
--- a/coordination/poison/poison_test.go
+++ b/coordination/poison/poison_test.go
@@ -65,7 +65,7 @@
 	for i := range 20 {
 		now := time.Duration(i) * 100 * ms
 		tr.RequestAborted(at(now), d, "u", 1, at(now))
-		tr.RequestAnswered(at(now+2*ms), "u", 1, at(now+ms))
+		tr.RequestAnswered(at(now+2*ms), Answer{Upstream: "u", Incarnation: 1, Connected: at(now + ms), Sent: at(now + ms)})
 	}
 	if got := tr.UpstreamEnded(at(3*time.Second), "u", 1, RefusedDial); len(got) != 0 || tr.CrashCount(d) != 0 {
 		t.Errorf("crashes: %v", got)
@@ -81,7 +81,7 @@
 func TestAnswerToEarlierRequestKeepsAbortedRun(t *testing.T) {
 	tr := NewTracker()
 	tr.RequestAborted(at(100*ms), 7, "u", 1, at(100*ms))
-	tr.RequestAnswered(at(150*ms), "u", 1, at(50*ms))
+	tr.RequestAnswered(at(150*ms), Answer{Upstream: "u", Incarnation: 1, Sent: at(50 * ms)})
 	if got := tr.UpstreamEnded(at(200*ms), "u", 1, RefusedDial); len(got) != 1 {
 		t.Errorf("crashes: %v", got)
 	}
--- a/coordination/poison/refusal.go
+++ b/coordination/poison/refusal.go
@@ -27,8 +27,8 @@
 // refuse marks a suspect as refused, which explains the ends it was present at.
 func (t *Tracker) refuse(s *suspect) {
 	s.refused = true
-	for event := range s.crashes {
-		t.ends[event].refusedSuspects++
+	for e := range s.crashes {
+		e.refusedSuspects++
 	}
 }
 
@@ -45,8 +45,8 @@
 		return
 	}
 	s.refused = false
-	for event := range s.crashes {
-		t.ends[event].refusedSuspects--
+	for e := range s.crashes {
+		e.refusedSuspects--
 	}
 }
 
@@ -54,8 +54,8 @@
 func (t *Tracker) shouldRefuse(s *suspect) bool {
 	count := 0
 	var first, last time.Time
-	for event, at := range s.crashes {
-		if e := t.ends[event]; e.refusedSuspects > 0 || e.contradicts(at) {
+	for e, at := range s.crashes {
+		if e.refusedSuspects > 0 || e.contradicts(at) {
 			continue
 		}
 		count++
@@ -75,14 +75,16 @@
 // unexplained end.
 func (t *Tracker) likelyCoincidence(s *suspect, first, last time.Time) bool {
 	others := 0
-	for event, e := range t.ends {
-		if _, present := s.crashes[event]; present || e.refusedSuspects > 0 || e.contradicts(e.at) || !e.at.Before(last) {
-			continue
-		}
-		if e.at.After(first) {
-			return true
+	for _, h := range t.histories {
+		for _, e := range h.ends {
+			if _, present := s.crashes[e]; present || e.refusedSuspects > 0 || e.contradicts(e.at) || !e.at.Before(last) {
+				continue
+			}
+			if e.at.After(first) {
+				return true
+			}
+			others++
 		}
-		others++
 	}
 	return others >= coincidenceThreshold
 }
--- a/coordination/poison/refusal_test.go
+++ b/coordination/poison/refusal_test.go
@@ -69,19 +69,19 @@
 		t.Error("refused after it was cleared")
 	}
 	tr.Prune(at(time.Minute))
-	if len(tr.ends) != 0 {
-		t.Errorf("%d ends without suspects are kept", len(tr.ends))
+	if len(tr.histories) != 0 {
+		t.Errorf("%d histories without suspects are kept", len(tr.histories))
 	}
 	for i := range 3 {
 		endUpstream(tr, 60+i, 2)
 	}
-	if !refused(tr, 2) {
+	if !tr.Refused(at(65*time.Second), 2, 1, 0) {
 		t.Error("not refused after three ends")
 	}
 	tr.Prune(at(time.Hour))
 	tr.Prune(at(time.Hour))
-	if len(tr.ends) != 0 {
-		t.Errorf("%d ends are never discarded", len(tr.ends))
+	if len(tr.histories) != 0 {
+		t.Errorf("%d histories are never discarded", len(tr.histories))
 	}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -223,8 +223,14 @@
 	g.reach = newUpstreamReach(g.view, g.now, log, g.meters, mathrand.New(mathrand.NewPCG(seeds[0]+2, seeds[1])))
 	g.upstreamDialer = (&net.Dialer{KeepAlive: -1, LocalAddr: localAddress(conf.UpstreamSource)}).DialContext
 	g.conns = g.newUpstreamPool()
-	g.reach.probeLink = func(ctx context.Context, addr string) error { return g.conns.Probe(ctx, addr, reachProbeDuration) }
-	g.suspects.probeLink, g.reach.onCutOff = g.reach.probeLink, g.suspects.discardAborted
+	g.suspects.probeLink = func(ctx context.Context, addr string) (time.Time, error) {
+		return g.conns.Probe(ctx, addr, reachProbeDuration)
+	}
+	g.reach.probeLink = func(ctx context.Context, addr string) error {
+		_, err := g.suspects.probeLink(ctx, addr)
+		return err
+	}
+	g.reach.onCutOff = g.suspects.discardAborted
 	g.assignments = &assignmentSupervisor{
 		view: g.view, cluster: g.cluster, traffic: g.traffic, store: store, calls: g.storeCalls,
 		owners: platform.NewOwners(g.newUpstreamPool()), grantSlots: newGrantSlots(g.now), maxHold: conf.MaxGrantDuration.D(),
--- a/gateway/suspectnews.go
+++ b/gateway/suspectnews.go
@@ -45,21 +45,35 @@
 	}
 	m := &syncpb.Suspects{}
 	for _, c := range crashes {
-		m.Crashes = append(m.Crashes, &syncpb.Crash{Digest: uint64(c.Digest), Event: uint32(c.Event), AgeMs: milliseconds(now.Sub(c.At))})
+		m.Crashes = append(m.Crashes, &syncpb.Crash{
+			Digest: uint64(c.Digest), Event: uint32(c.Event), AgeMs: milliseconds(now.Sub(c.At)), ConnectionAgeMs: connectionAge(c.Connected, c.At),
+		})
 	}
 	for _, c := range clearings {
 		m.Clearings = append(m.Clearings, &syncpb.Clearing{Digest: uint64(c.Digest), AgeMs: milliseconds(now.Sub(c.At))})
 	}
-	m.Ends, m.ContradictedEnds = endMessages(now, ends), endMessages(now, contradictions)
+	for _, e := range ends {
+		m.Ends = append(m.Ends, &syncpb.UpstreamEnd{Upstream: e.Upstream, Incarnation: uint32(e.Incarnation), AgeMs: milliseconds(now.Sub(e.At))})
+	}
+	for _, a := range contradictions {
+		m.ContradictedEnds = append(m.ContradictedEnds, &syncpb.UpstreamEnd{
+			Upstream: a.Upstream, Incarnation: uint32(a.Incarnation), AgeMs: milliseconds(now.Sub(a.Sent)), ConnectionAgeMs: connectionAge(a.Connected, a.Sent),
+		})
+	}
 	return m
 }
 
-func endMessages(now time.Time, ends []poison.End) []*syncpb.UpstreamEnd {
-	var out []*syncpb.UpstreamEnd
-	for _, e := range ends {
-		out = append(out, &syncpb.UpstreamEnd{Upstream: e.Upstream, Incarnation: uint32(e.Incarnation), AgeMs: milliseconds(now.Sub(e.At))})
+// connectionAge returns the age of a connection at the given time for messages, in which zero means unknown.
+func connectionAge(connected, at time.Time) uint32 {
+	return milliseconds(max(at.Sub(connected), 0)) + 1
+}
+
+// connectedAt is the reverse of connectionAge. An unknown age counts as a long one.
+func connectedAt(at time.Time, ageMs uint32) time.Time {
+	if ageMs == 0 {
+		return time.Time{}
 	}
-	return out
+	return at.Add(-time.Duration(ageMs-1) * time.Millisecond)
 }
 
 // applyMessage applies a message of another gateway. A message that exceeds the bound is counted
@@ -81,33 +95,26 @@
 	}
 	crashes := make([]poison.Crash, 0, len(m.Crashes))
 	for _, c := range m.Crashes {
-		crashes = append(crashes, poison.Crash{Digest: poison.Digest(c.Digest), Event: poison.Event(c.Event), At: ago(c.AgeMs)})
+		at := ago(c.AgeMs)
+		crashes = append(crashes, poison.Crash{Digest: poison.Digest(c.Digest), Event: poison.Event(c.Event), At: at, Connected: connectedAt(at, c.ConnectionAgeMs)})
 	}
 	s.book.Merge(crashes)
 	for _, e := range m.Ends {
 		ownCrashes = append(ownCrashes, s.book.UpstreamEnded(ago(e.AgeMs), e.Upstream, instances.Incarnation(e.Incarnation), poison.OtherGateway)...)
 	}
-	for _, e := range m.ContradictedEnds {
-		incarnation := instances.Incarnation(e.Incarnation)
-		if !s.hasRestarted(e.Upstream, incarnation) {
-			s.book.Contradict(now, poison.End{Upstream: e.Upstream, Incarnation: incarnation, At: ago(e.AgeMs)})
+	for _, a := range m.ContradictedEnds {
+		if a.ConnectionAgeMs == 0 {
+			continue
 		}
+		sent := ago(a.AgeMs)
+		s.book.Contradict(now, poison.Answer{
+			Upstream: a.Upstream, Incarnation: instances.Incarnation(a.Incarnation), Connected: connectedAt(sent, a.ConnectionAgeMs), Sent: sent,
+		})
 	}
 	s.mu.Unlock()
 	s.logCrashes(ownCrashes, poison.OtherGateway)
 }
 
-// hasRestarted reports whether the entry of an upstream tells another start than that of the
-// incarnation.
-func (s *suspects) hasRestarted(upstream string, incarnation instances.Incarnation) bool {
-	v := s.view.inst.Load()
-	if v == nil {
-		return false
-	}
-	inst := v.Get(upstream)
-	return inst != nil && inst.Incarnation().DiffersFrom(incarnation)
-}
-
 // Suspects implements placementpb.Placement.
 func (p *placements) Suspects(ctx context.Context, r *placementpb.SuspectsRequest) (*placementpb.SuspectsState, error) {
 	if other, err := p.leaderClient(); err != nil || other != nil {
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -61,7 +61,7 @@
 	gateways func() int
 	// probeLink opens a connection to an upstream and checks that it lasts; nil if no ends are
 	// concluded from refused connections.
-	probeLink func(ctx context.Context, addr string) error
+	probeLink func(ctx context.Context, addr string) (opened time.Time, err error)
 
 	// aborted are the checks of upstreams on which a run was aborted, confirming those of ends.
 	aborted, confirming checks
@@ -169,7 +169,7 @@
 			defer s.confirmEnd(*inst, s.now())
 		}
 	case dispatch.Answered, dispatch.Failed, dispatch.Overloaded:
-		if end, ok := s.book.RequestAnswered(s.now(), inst.ID, inst.Incarnation(), g.GrantedAt); ok {
+		if end, ok := s.book.RequestAnswered(s.now(), poison.Answer{Upstream: inst.ID, Incarnation: inst.Incarnation(), Connected: connected, Sent: g.GrantedAt}); ok {
 			defer s.logContradicted(end, connected)
 		}
 		if o == dispatch.Answered && !s.book.Empty() && s.book.CrashCount(q.digest()) > 0 {
@@ -187,16 +187,20 @@
 		return
 	}
 	go func() {
-		err := s.probeLink(context.Background(), inst.Address)
+		accepted, err := s.probeLink(context.Background(), inst.Address)
 		s.aborted.end(inst.ID)
-		if !errors.Is(err, pool.ErrRefused) {
-			return
+		switch {
+		case err == nil:
+			s.mu.Lock()
+			s.book.ConnectionAccepted(accepted, inst.ID, inst.Incarnation())
+			s.mu.Unlock()
+		case errors.Is(err, pool.ErrRefused):
+			s.mu.Lock()
+			now := s.now()
+			s.book.DialRefused(now, inst.ID)
+			s.mu.Unlock()
+			s.confirmEnd(inst, now)
 		}
-		s.mu.Lock()
-		now := s.now()
-		s.book.DialRefused(now, inst.ID)
-		s.mu.Unlock()
-		s.confirmEnd(inst, now)
 	}()
 }
 
@@ -229,7 +233,7 @@
 	var failed atomic.Bool
 	for _, addr := range addresses {
 		all.Go(func() {
-			if s.probeLink(context.Background(), addr) != nil {
+			if _, err := s.probeLink(context.Background(), addr); err != nil {
 				failed.Store(true)
 			}
 		})
@@ -245,14 +249,15 @@
 	if v == nil {
 		return nil
 	}
-	var same, others []string
+	var same, others []poison.End
 	for inst := range v.All() {
+		process := poison.End{Upstream: inst.ID, Incarnation: inst.Incarnation()}
 		switch {
 		case inst.ID == refused.ID:
 		case inst.Domain == refused.Domain:
-			same = append(same, inst.ID)
+			same = append(same, process)
 		default:
-			others = append(others, inst.ID)
+			others = append(others, process)
 		}
 	}
 	if len(same) == 0 {
@@ -281,11 +286,6 @@
 func (s *suspects) onViewChanged(v *instances.View) {
 	var crashes []poison.Crash
 	s.mu.Lock()
-	for _, end := range s.book.ContradictedEnds() {
-		if inst := v.Get(end.Upstream); inst != nil && inst.Incarnation().DiffersFrom(end.Incarnation) {
-			s.book.Restarted(end.Upstream, end.Incarnation)
-		}
-	}
 	for _, end := range s.book.UnconfirmedEnds() {
 		if inst := v.Get(end.Upstream); inst == nil || inst.Incarnation().DiffersFrom(end.Incarnation) {
 			crashes = append(crashes, s.book.UpstreamEnded(s.now(), end.Upstream, end.Incarnation, poison.ChangedEntry)...)
--- a/gateway/suspects_test.go
+++ b/gateway/suspects_test.go
@@ -315,12 +315,14 @@
 	s := noSuspects()
 	dialed, accept := make(chan struct{}, 100), make(chan struct{})
 	list := addUpstreams(s, ends+others)
-	s.probeLink = func(_ context.Context, addr string) error {
-		if !hasAddress(list[:ends], addr) {
-			dialed <- struct{}{}
+	s.probeLink = func(_ context.Context, addr string) (time.Time, error) {
+		if hasAddress(list[:ends], addr) {
+			<-accept
+			return time.Time{}, pool.ErrRefused
 		}
+		dialed <- struct{}{}
 		<-accept
-		return nil
+		return s.now(), nil
 	}
 	q := &request{cachedDigest: harmful}
 	for i := range ends {
@@ -342,11 +344,11 @@
 	const harmful, ends, others = poison.Digest(1), 3, 12
 	s := noSuspects()
 	list := addUpstreams(s, ends+others)
-	s.probeLink = func(_ context.Context, addr string) error {
+	s.probeLink = func(_ context.Context, addr string) (time.Time, error) {
 		if hasAddress(list[:ends], addr) {
-			return pool.ErrRefused
+			return time.Time{}, pool.ErrRefused
 		}
-		return nil
+		return s.now(), nil
 	}
 	for i := range ends {
 		s.recordEnded(&request{cachedDigest: harmful}, dispatch.Grant{Instance: list[i]}, false, dispatch.ConnectionBroken, s.now())
--- a/transport/pool/pool.go
+++ b/transport/pool/pool.go
@@ -327,12 +327,12 @@
 // errClosedByPeer reports a new connection that the other end has closed.
 var errClosedByPeer = errors.New("connection closed by the other end")
 
-// Probe opens a connection to an address and keeps it as idle. It fails if the other end closes the
-// connection within the given time.
-func (p *Pool) Probe(ctx context.Context, addr string, lasts time.Duration) error {
+// Probe opens a connection to an address, keeps it as idle and returns when it was opened. It fails if the
+// other end closes the connection within the given time.
+func (p *Pool) Probe(ctx context.Context, addr string, lasts time.Duration) (opened time.Time, err error) {
 	c, err := p.dial(ctx, addr)
 	if err != nil {
-		return err
+		return time.Time{}, err
 	}
 	timer := time.NewTimer(lasts)
 	defer timer.Stop()
@@ -340,14 +340,15 @@
 	case <-timer.C:
 	case <-ctx.Done():
 		c.close()
-		return ctx.Err()
+		return time.Time{}, ctx.Err()
 	}
 	if !c.isReusable() {
 		c.close()
-		return errClosedByPeer
+		return time.Time{}, errClosedByPeer
 	}
+	opened = c.opened
 	p.putIdle(addr, c)
-	return nil
+	return opened, nil
 }
 
 func (p *Pool) dial(ctx context.Context, addr string) (*conn, error) {
