suspects: hold a request while its last end is not known, and let others confirm ends

What callers saw: a request under which three upstreams had ended was sent on, once or more in nearly every play with nothing cut and the store well, and for as long as no upstream's new entry arrived where others were down or new connections were refused.

Cause: an end was told only once the gateway that saw it had confirmed it by three other upstreams, 50 ms later or, where it could not reach them, never. A retry sends the request to a second upstream within a millisecond, so two ends were under way at once, each counting against the confirmation of the other. Upstreams known to have ended counted as well.

Change: an aborted run whose upstream refuses a connection is a possible end. It is told at once, reports that wait for news end for it, and three of the gateways that hear of it check the upstream themselves. A request that would be refused with its possible ends is held, for 0.4 s after its last run at most, and neither sent nor refused meanwhile; a refusal takes effect after that time too, in which an answer that contradicts an end comes back. Upstreams known to have ended are not asked to confirm others.

--- a/coordination/poison/ends.go
+++ b/coordination/poison/ends.go
@@ -72,19 +72,21 @@
 // Confirming returns the upstreams that must all take a connection from this gateway for a refused
 // connection to count as the end of an upstream, from the others that should be as reachable, in
 // order of preference. Those that have refused connections themselves are left out, as they may have
-// ended as well; if they are more than a quarter, this gateway is more likely cut off from them.
+// ended as well; if they are more than one and more than a quarter of those that are not known to have ended,
+// this gateway is more likely cut off from them.
 func (t *Tracker) Confirming(now time.Time, others []End) []string {
 	var out []string
 	refused := 0
 	for _, o := range others {
 		at, ok := t.refusedDials[o.Upstream]
-		if !ok || now.Sub(at) >= refusedDialPeriod {
+		switch {
+		case !ok || now.Sub(at) >= refusedDialPeriod:
 			out = append(out, o.Upstream)
-			continue
+		case t.ended[process{o.Upstream, o.Incarnation}] == nil:
+			refused++
 		}
-		refused++
 	}
-	if 3*refused > len(out) {
+	if refused > 1 && 3*refused > len(out) {
 		return nil
 	}
 	return out[:min(len(out), maxConfirming)]
--- a/coordination/poison/poison.go
+++ b/coordination/poison/poison.go
@@ -119,6 +119,8 @@
 	ended        map[process]*ending
 	// refusedDials holds when the address of an upstream last refused a connection of this gateway.
 	refusedDials map[string]time.Time
+	// possible are the ends that may have happened.
+	possible []PossibleEnd
 	// histories holds every end of an upstream that a suspect was present at, and the answers that
 	// contradict ends.
 	histories map[Event]*history
@@ -136,7 +138,7 @@
 }
 
 // Empty reports whether there are no suspects.
-func (t *Tracker) Empty() bool { return len(t.suspects) == 0 }
+func (t *Tracker) Empty() bool { return len(t.suspects) == 0 && len(t.possible) == 0 }
 
 // CrashCount returns how many upstreams have ended while running the request.
 func (t *Tracker) CrashCount(d Digest) int {
@@ -158,15 +160,16 @@
 	return n
 }
 
-// Refused reports whether the request must not be sent. chance is a random number in [0, 1): once
-// refusalPeriod has passed since its last crash, on average one of the gateways lets the request
-// through as a probe.
+// Refused reports whether the request must not be sent. Right after its last crash that is undecided, see
+// Undecided. chance is a random number in [0, 1): once refusalPeriod has passed since its last crash, on
+// average one of the gateways lets the request through as a probe.
 func (t *Tracker) Refused(now time.Time, d Digest, gateways int, chance float64) bool {
 	s := t.suspects[d]
 	if s == nil || !s.refused {
 		return false
 	}
-	return now.Sub(s.lastCrash) < refusalPeriod || chance*float64(max(gateways, 1)) >= 1
+	age := now.Sub(s.lastCrash)
+	return age >= settleTime && (age < refusalPeriod || chance*float64(max(gateways, 1)) >= 1)
 }
 
 // RequestAborted records that a run was aborted without a response, on a connection opened at the given time.
@@ -362,6 +365,7 @@
 		t.setAborted(p, slices.DeleteFunc(list, func(run abortedRun) bool { return now.Sub(run.at) >= crashWindow }))
 	}
 	t.pruneEnded(now)
+	t.prunePossible(now)
 	t.pruneHistories(now)
 	for d, s := range t.suspects {
 		if now.Sub(s.lastCrash) >= 2*refusalPeriod && now.Sub(s.clearedAt) >= refusalPeriod {
--- a/gateway/meternames.go
+++ b/gateway/meternames.go
@@ -114,6 +114,7 @@
 	suspectsUnconfirmed        = "suspects.ends_unconfirmed"
 	suspectsContradicted       = "suspects.ends_contradicted"
 	suspectsRefused            = "suspects.refused"
+	suspectsHeld               = "suspects.held"
 	suspectsInvalid            = "suspects.unsound"
 	limitsAnnounced            = "limits.{service}.named"
 	limitedTries               = "limits.{service}.sent"
--- a/gateway/peerserver.go
+++ b/gateway/peerserver.go
@@ -47,12 +47,14 @@
 	}
 	p.evac.applyFromPeer(r.Evacuations)
 	p.view.confirmRevision(r.InstancesVersion, r.InstancesRevision)
+	var suspectsVersion uint64
 	if r.WaitMs > 0 {
 		r.Loads = p.validator.filterLoads(r.Loads)
 		r.Limits = p.validator.validLimits(sourceReport, r.Limits)
 		r.OwnerDemands = p.validator.validOwnerDemands(sourceReport, r.OwnerDemands)
 		p.limits.recordFromGateway(r.Limits)
 		p.suspects.applyMessage(r.Suspects)
+		suspectsVersion = p.suspects.version.Load()
 		p.quotas.recordUses(r.TeamUses)
 		p.cluster.handleReport(r, p.leaderAge() < leaderSilenceTimeout)
 		if p.cluster.isLeading() {
@@ -63,7 +65,7 @@
 			p.cluster.addRuns(r.Loads)
 		}
 	}
-	p.waitForUpdates(ctx, r)
+	p.waitForUpdates(ctx, r, suspectsVersion)
 	return p.buildResponse(r), nil
 }
 
@@ -76,13 +78,13 @@
 }
 
 // waitForUpdates waits until this process knows something that the sender of the report does not,
-// but no longer than the sender asks for.
-func (p *peerServer) waitForUpdates(ctx context.Context, r *syncpb.SyncRequest) {
+// but no longer than the sender asks for. suspectsVersion is that of the suspects after those of the report.
+func (p *peerServer) waitForUpdates(ctx context.Context, r *syncpb.SyncRequest, suspectsVersion uint64) {
 	timer := time.NewTimer(min(time.Duration(r.WaitMs)*time.Millisecond, maxWait))
 	defer timer.Stop()
 	for {
 		changed := p.view.nextChange()
-		if p.leaderAge() > leaderSilenceTimeout || p.hasUpdates(r) {
+		if p.leaderAge() > leaderSilenceTimeout || p.hasUpdates(r) || r.WaitMs > 0 && p.suspects.version.Load() != suspectsVersion {
 			return
 		}
 		select {
--- a/gateway/proxy.go
+++ b/gateway/proxy.go
@@ -198,6 +198,9 @@
 		return dispatch.Grant{}, err
 	}
 	for {
+		if err := f.suspects.awaitDecision(ctx, q); err != nil {
+			return dispatch.Grant{}, err
+		}
 		req := &dispatch.Request{
 			Route: q.route.Name, ReceivedAt: q.receivedAt, Priority: q.priority(), Objective: q.route.Objective, Deadline: q.deadline,
 			QueueUntil: q.queueUntil, Exclude: slices.Concat(q.excluded, f.suspects.upstreamsToAvoid(q)),
@@ -231,6 +234,10 @@
 			f.traffic.endTry(q.traffic, grant, dispatch.Canceled)
 			return dispatch.Grant{}, err
 		}
+		if f.suspects.undecided(q) {
+			f.traffic.endTry(q.traffic, grant, dispatch.Canceled)
+			continue
+		}
 		if !q.service.Keyed || f.currentOwner(q) == grant.Instance.ID {
 			return grant, nil
 		}
--- a/gateway/suspectnews.go
+++ b/gateway/suspectnews.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/rockcroft/rockcroft/coordination/poison"
@@ -40,7 +41,8 @@
 	crashes, clearings := s.book.Export(now)
 	ends := s.book.RecentEnds(now)
 	contradictions := s.book.RecentContradictions(now)
-	if len(crashes) == 0 && len(clearings) == 0 && len(ends) == 0 && len(contradictions) == 0 {
+	possible := s.book.Possible(now)
+	if len(crashes) == 0 && len(clearings) == 0 && len(ends) == 0 && len(contradictions) == 0 && len(possible) == 0 {
 		return nil
 	}
 	m := &syncpb.Suspects{}
@@ -60,6 +62,12 @@
 			Upstream: a.Upstream, Incarnation: uint32(a.Incarnation), AgeMs: milliseconds(now.Sub(a.Sent)), ConnectionAgeMs: connectionAge(a.Connected, a.Sent),
 		})
 	}
+	for _, p := range possible {
+		m.PossibleEnds = append(m.PossibleEnds, &syncpb.PossibleEnd{
+			Digest: uint64(p.Digest), Upstream: p.Upstream, Incarnation: uint32(p.Incarnation), AgeMs: milliseconds(now.Sub(p.At)),
+			ConnectionAgeMs: connectionAge(p.Connected, p.At),
+		})
+	}
 	return m
 }
 
@@ -82,7 +90,7 @@
 	if m == nil {
 		return
 	}
-	if max(len(m.Crashes), len(m.Clearings), len(m.Ends), len(m.ContradictedEnds)) > maxSuspectsPerMessage {
+	if max(len(m.Crashes), len(m.Clearings), len(m.Ends), len(m.ContradictedEnds), len(m.PossibleEnds)) > maxSuspectsPerMessage {
 		s.meters.inc(suspectsInvalid)
 		return
 	}
@@ -98,7 +106,7 @@
 		at := ago(c.AgeMs)
 		crashes = append(crashes, poison.Crash{Digest: poison.Digest(c.Digest), Event: poison.Event(c.Event), At: at, Connected: connectedAt(at, c.ConnectionAgeMs)})
 	}
-	s.book.Merge(crashes)
+	urgent := s.isUrgent(s.book.Merge(crashes))
 	for _, e := range m.Ends {
 		ownCrashes = append(ownCrashes, s.book.UpstreamEnded(ago(e.AgeMs), e.Upstream, instances.Incarnation(e.Incarnation), poison.OtherGateway)...)
 	}
@@ -111,10 +119,39 @@
 			Upstream: a.Upstream, Incarnation: instances.Incarnation(a.Incarnation), Connected: connectedAt(sent, a.ConnectionAgeMs), Sent: sent,
 		})
 	}
+	for _, e := range m.PossibleEnds {
+		at := ago(e.AgeMs)
+		p := poison.PossibleEnd{
+			Digest: poison.Digest(e.Digest), Upstream: e.Upstream, Incarnation: instances.Incarnation(e.Incarnation), At: at, Connected: connectedAt(at, e.ConnectionAgeMs),
+		}
+		if s.book.AddPossible(now, p) {
+			urgent = true
+			defer s.checkForOther(p)
+		}
+	}
 	s.mu.Unlock()
+	if urgent {
+		s.reportNow()
+	}
 	s.logCrashes(ownCrashes, poison.OtherGateway)
 }
 
+// isUrgent reports whether other gateways must learn of crashes without delay: one of the requests was present
+// at others before. The caller holds the lock.
+func (s *suspects) isUrgent(crashes []poison.Crash) bool {
+	return slices.ContainsFunc(crashes, func(c poison.Crash) bool { return s.book.CrashCount(c.Digest) > 1 })
+}
+
+// reportNow makes reports that wait for updates end. The caller does not hold the lock, as changes of the view
+// are applied with the view locked.
+func (s *suspects) reportNow() {
+	s.mu.Lock()
+	s.cachedAt = time.Time{}
+	s.mu.Unlock()
+	s.version.Add(1)
+	s.view.notify()
+}
+
 // Suspects implements placementpb.Placement.
 func (p *placements) Suspects(ctx context.Context, r *placementpb.SuspectsRequest) (*placementpb.SuspectsState, error) {
 	if other, err := p.leaderClient(); err != nil || other != nil {
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -66,6 +66,9 @@
 	// aborted are the checks of upstreams on which a run was aborted, confirming those of ends.
 	aborted, confirming checks
 
+	// version grows when other gateways must learn of a change without delay.
+	version atomic.Uint64
+
 	mu   sync.Mutex
 	book *poison.Tracker
 	// runs are the suspected requests that this gateway has sent and that are still running.
@@ -113,6 +116,29 @@
 	return err
 }
 
+// undecidedPoll is the time between looks at whether a request is refused.
+const undecidedPoll = 5 * time.Millisecond
+
+// awaitDecision waits while it is undecided whether the request is refused, until ctx ends at the latest, and
+// then checks the request.
+func (s *suspects) awaitDecision(ctx context.Context, q *request) error {
+	if !s.undecided(q) {
+		return nil
+	}
+	s.meters.inc(suspectsHeld)
+	for ctx.Err() == nil && s.undecided(q) {
+		pause(ctx, undecidedPoll)
+	}
+	return s.check(q)
+}
+
+// undecided reports whether it is still open if the request is refused.
+func (s *suspects) undecided(q *request) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.book.Empty() && s.book.Undecided(s.now(), q.digest())
+}
+
 // isSuspected reports whether an upstream has crashed while running the request. Such a request is
 // not retried by the gateway.
 func (s *suspects) isSuspected(q *request) bool {
@@ -195,15 +221,47 @@
 			s.book.ConnectionAccepted(accepted, inst.ID, inst.Incarnation())
 			s.mu.Unlock()
 		case errors.Is(err, pool.ErrRefused):
-			s.mu.Lock()
-			now := s.now()
-			s.book.DialRefused(now, inst.ID)
-			s.mu.Unlock()
-			s.confirmEnd(inst, now)
+			s.dialRefused(inst)
 		}
 	}()
 }
 
+// dialRefused records that an upstream on which a run was aborted, here or at another gateway, refused a
+// connection, and checks whether it has ended.
+func (s *suspects) dialRefused(inst instances.Instance) {
+	s.mu.Lock()
+	now := s.now()
+	s.book.DialRefused(now, inst.ID)
+	possible := s.book.EndPossible(now, inst.ID, inst.Incarnation())
+	s.mu.Unlock()
+	if possible {
+		s.reportNow()
+	}
+	s.confirmEnd(inst, now)
+}
+
+// endCheckers is the number of gateways that check an end which another one has reported as possible.
+const endCheckers = 3
+
+// checkForOther checks an end that another gateway has reported as possible. That one may be unable to confirm
+// it, as it is cut off from other upstreams.
+func (s *suspects) checkForOther(p poison.PossibleEnd) {
+	v := s.view.inst.Load()
+	if v == nil {
+		return
+	}
+	inst := v.Get(p.Upstream)
+	if inst == nil || inst.Incarnation() != p.Incarnation {
+		return
+	}
+	s.mu.Lock()
+	chosen := s.rng.Float64()*float64(s.gateways()) < endCheckers
+	s.mu.Unlock()
+	if chosen {
+		s.checkAborted(*inst)
+	}
+}
+
 // confirmEnd checks in the background whether the end of an upstream whose address refused a connection
 // at the given time is likely: a few other upstreams, of its failure domain if there are any, all take
 // connections from here. Otherwise this gateway may be cut off from some of them. It does nothing
@@ -222,7 +280,11 @@
 		}
 		s.mu.Lock()
 		crashes := s.book.UpstreamEnded(at, refused.ID, refused.Incarnation(), poison.RefusedDial)
+		urgent := s.isUrgent(crashes)
 		s.mu.Unlock()
+		if urgent {
+			s.reportNow()
+		}
 		s.logCrashes(crashes, poison.RefusedDial)
 	}()
 }
--- a/gateway/suspects_test.go
+++ b/gateway/suspects_test.go
@@ -17,6 +17,7 @@
 	"github.com/rockcroft/rockcroft/platform"
 	"github.com/rockcroft/rockcroft/protocol/answer"
 	"github.com/rockcroft/rockcroft/protocol/placementpb"
+	"github.com/rockcroft/rockcroft/protocol/syncpb"
 	"github.com/rockcroft/rockcroft/standin/instance"
 	"github.com/rockcroft/rockcroft/state/instances"
 	"github.com/rockcroft/rockcroft/state/routing"
@@ -203,6 +204,66 @@
 	}
 }
 
+// TestUndecidedRequestIsHeld guards against a request that is sent to further upstreams while it is not known
+// yet whether it has ended a third one.
+func TestUndecidedRequestIsHeld(t *testing.T) {
+	t.Parallel()
+	b := newStandardCluster(t)
+	f := b.gateways[0].proxy
+	r := httptest.NewRequestWithContext(context.Background(), http.MethodGet, "http://h.example/read/undecided", http.NoBody)
+	r.Header.Set(platform.RequestID, "undecided")
+	r.Header.Set(platform.Deadline, "2000")
+	q, err := f.parse(r, f.now())
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := f.suspects
+	s.mu.Lock()
+	for i := range 2 {
+		s.book.Merge([]poison.Crash{{Digest: q.digest(), Event: poison.Event(i), At: s.now()}})
+	}
+	// The time lies ahead, so that the end stays possible however slow the test is.
+	s.book.AddPossible(s.now(), poison.PossibleEnd{Digest: q.digest(), Upstream: "gone", At: s.now().Add(time.Hour)})
+	s.mu.Unlock()
+	held := make(chan error, 1)
+	go func() {
+		_, err := f.deliver(r.Context(), q)
+		held <- err
+	}()
+	b.eventually("the request is held", func() bool { return metricsOf(b.gateways[0])["suspects.held"] == "1" })
+	s.mu.Lock()
+	s.book.Merge([]poison.Crash{{Digest: q.digest(), Event: 2, At: s.now()}})
+	s.mu.Unlock()
+	if err := <-held; answer.KindOf(err) != answer.Harmful {
+		t.Errorf("error %v, want a refusal", err)
+	}
+	if n := b.oracle.Runs("undecided"); n > 0 {
+		t.Errorf("the request ran %d times", n)
+	}
+}
+
+// TestPossibleEndOfOtherGatewayIsChecked guards against ends that nobody confirms because the gateway which saw
+// them cannot open connections.
+func TestPossibleEndOfOtherGatewayIsChecked(t *testing.T) {
+	const others = 12
+	s := noSuspects()
+	list := addUpstreams(s, 1+others)
+	s.probeLink = func(_ context.Context, addr string) (time.Time, error) {
+		if addr == list[0].Address {
+			return time.Time{}, pool.ErrRefused
+		}
+		return s.now(), nil
+	}
+	s.applyMessage(&syncpb.Suspects{PossibleEnds: []*syncpb.PossibleEnd{{Digest: 1, Upstream: list[0].ID}}})
+	deadline := time.Now().Add(10 * time.Second)
+	for s.message() == nil || len(s.message().Ends) == 0 {
+		if time.Now().After(deadline) {
+			t.Fatal("the end is not reported")
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // TestDigestText checks the form of digests that operators read and write.
 func TestDigestText(t *testing.T) {
 	if d, err := parseDigest(digestText(0xab12)); err != nil || d != 0xab12 {
