poison: an answer clears crashes that are reported afterwards

What callers saw: in one play of a harmful request among few upstreams (4, store away, race detector, the whole package beside it), 11 requests of other callers were refused as harmful.

Cause, by reading: a request that is answered is harmless, but the answer cleared only crashes known to that gateway at that moment. A request that is repeated every few milliseconds is answered at another gateway long before its crash is reported there, and the crash counted afterwards.

Evidence: TestAnswerBeforeReportOfCrashClears (new functions, not run on the code before).

--- a/coordination/poison/cut_test.go
+++ b/coordination/poison/cut_test.go
@@ -173,8 +173,8 @@
 		tr.RequestAnswered(at(m.now), Answer{
 			Upstream: modelNames[r.upstream], Incarnation: m.upstreams[r.upstream].incarnation, Connected: at(r.connected), Sent: at(r.sent),
 		})
-		if tr.CrashCount(d) > 0 {
-			tr.Clear(Clearing{Digest: d, At: at(m.now)})
+		if !tr.Empty() {
+			tr.Succeeded(at(m.now), d)
 		}
 	}
 }
--- a/coordination/poison/poison.go
+++ b/coordination/poison/poison.go
@@ -13,6 +13,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -119,6 +120,9 @@
 	ended        map[process]*ending
 	// refusedDials holds when the address of an upstream last refused a connection of this gateway.
 	refusedDials map[string]time.Time
+	// answered holds when requests were last answered, while there are suspects: a crash of theirs may be
+	// reported later.
+	answered map[Digest]time.Time
 	// possible are the ends that may have happened.
 	possible []PossibleEnd
 	// histories holds every end of an upstream that a suspect was present at, and the answers that
@@ -133,6 +137,7 @@
 		aborted:      make(map[process][]abortedRun),
 		ended:        make(map[process]*ending),
 		refusedDials: make(map[string]time.Time),
+		answered:     make(map[Digest]time.Time),
 		histories:    make(map[Event]*history),
 	}
 }
@@ -216,6 +221,10 @@
 
 // add records a crash and returns it if it was not known before.
 func (t *Tracker) add(c Crash) []Crash {
+	if t.answeredAfter(c.Digest, c.At) {
+		t.Clear(Clearing{Digest: c.Digest, At: t.answered[c.Digest]})
+		return nil
+	}
 	s := t.suspects[c.Digest]
 	if s == nil {
 		if len(t.suspects) >= maxSuspects {
@@ -292,6 +301,23 @@
 	}
 }
 
+// Succeeded records that a request was answered, which shows that it is harmless. It is called while the
+// tracker is not empty.
+func (t *Tracker) Succeeded(now time.Time, d Digest) {
+	if t.CrashCount(d) > 0 {
+		t.Clear(Clearing{Digest: d, At: now})
+	}
+	if _, known := t.answered[d]; known || len(t.answered) < maxSuspects {
+		t.answered[d] = now
+	}
+}
+
+// answeredAfter reports whether a request was answered after the given time.
+func (t *Tracker) answeredAfter(d Digest, at time.Time) bool {
+	last, ok := t.answered[d]
+	return ok && last.After(at)
+}
+
 // reportDue reports whether something that happened at the given time, if it did, is reported now.
 func reportDue(now, at time.Time) bool {
 	age := now.Sub(at)
@@ -366,6 +392,7 @@
 	}
 	t.pruneEnded(now)
 	t.prunePossible(now)
+	maps.DeleteFunc(t.answered, func(_ Digest, at time.Time) bool { return now.Sub(at) >= reportPeriod })
 	t.pruneHistories(now)
 	for d, s := range t.suspects {
 		if now.Sub(s.lastCrash) >= 2*refusalPeriod && now.Sub(s.clearedAt) >= refusalPeriod {
--- a/coordination/poison/poison_test.go
+++ b/coordination/poison/poison_test.go
@@ -120,6 +120,26 @@
 	}
 }
 
+// A request that was answered meanwhile is harmless, though its crash is reported only afterwards.
+func TestAnswerBeforeReportOfCrashClears(t *testing.T) {
+	tr := NewTracker()
+	crash(tr, 0, 2, "u", 1)
+	tr.Succeeded(at(300*ms), 1)
+	tr.Merge([]Crash{{Digest: 1, Event: 7, At: at(100 * ms)}})
+	if tr.AddPossible(at(400*ms), PossibleEnd{Digest: 1, Upstream: "v", At: at(200 * ms)}) || tr.CrashCount(1) != 0 {
+		t.Error("a crash from before the answer counts")
+	}
+	if _, clearings := tr.Export(at(500 * ms)); len(clearings) != 1 {
+		t.Errorf("clearings reported: %v", clearings)
+	}
+	if tr.Merge([]Crash{{Digest: 1, Event: 8, At: at(400 * ms)}}); tr.CrashCount(1) != 1 {
+		t.Error("a crash after the answer does not count")
+	}
+	if tr.Prune(at(time.Minute)); len(tr.answered) > 0 {
+		t.Error("answers are never discarded")
+	}
+}
+
 // A gateway that was cut off from the others, or has just started, must learn of crashes and
 // clearings it has missed: otherwise it counts to three by itself.
 func TestMissedCrashesAreReportedAgain(t *testing.T) {
--- a/coordination/poison/possible.go
+++ b/coordination/poison/possible.go
@@ -80,8 +80,12 @@
 	return true
 }
 
-// isDecided reports whether the end is known to have happened, or not to have happened.
+// isDecided reports whether the end is known to have happened, or not to have happened, or the request to be
+// harmless.
 func (t *Tracker) isDecided(p PossibleEnd) bool {
+	if t.answeredAfter(p.Digest, p.At) {
+		return true
+	}
 	c := p.crash()
 	h, s := t.histories[c.Event], t.suspects[c.Digest]
 	if h == nil {
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -198,8 +198,8 @@
 		if end, ok := s.book.RequestAnswered(s.now(), poison.Answer{Upstream: inst.ID, Incarnation: inst.Incarnation(), Connected: connected, Sent: g.GrantedAt}); ok {
 			defer s.logContradicted(end, connected)
 		}
-		if o == dispatch.Answered && !s.book.Empty() && s.book.CrashCount(q.digest()) > 0 {
-			s.book.Clear(poison.Clearing{Digest: q.digest(), At: s.now()})
+		if o == dispatch.Answered && !s.book.Empty() {
+			s.book.Succeeded(s.now(), q.digest())
 		}
 	}
 	s.mu.Unlock()
