poison: confirm an end while most upstreams of a small service are down

Cause: a request and its retry end two upstreams at once, so all four were down together. An end was not confirmed while more than a quarter of the other upstreams refused connections, so none was.

Change: up to three quarters may refuse. The quarter protected harmless requests at gateways that are cut off from most upstreams; the time in which an answer on an older connection can contradict an end does that now.

--- a/coordination/poison/ends.go
+++ b/coordination/poison/ends.go
@@ -19,6 +19,9 @@
 	// maxConfirming is the number of upstreams that must take a connection to confirm the end of
 	// another one.
 	maxConfirming = 3
+	// maxRefusing is the share of the other upstreams that may refuse connections while an end is confirmed. A
+	// harmful request may have ended most upstreams of a small service at the same time.
+	maxRefusing = 0.75
 	// refusedDialPeriod is for how long an upstream that refused a connection is not asked to confirm
 	// the end of another one.
 	refusedDialPeriod = time.Second
@@ -72,8 +75,8 @@
 // Confirming returns the upstreams that must all take a connection from this gateway for a refused
 // connection to count as the end of an upstream, from the others that should be as reachable, in
 // order of preference. Those that have refused connections themselves are left out, as they may have
-// ended as well; if they are more than one and more than a quarter of those that are not known to have ended,
-// this gateway is more likely cut off from them.
+// ended as well; if they are more than maxRefusing of those that are not known to have ended, this gateway is
+// more likely cut off from them.
 func (t *Tracker) Confirming(now time.Time, others []End) []string {
 	var out []string
 	refused := 0
@@ -86,7 +89,7 @@
 			refused++
 		}
 	}
-	if refused > 1 && 3*refused > len(out) {
+	if float64(refused) > maxRefusing*float64(refused+len(out)) {
 		return nil
 	}
 	return out[:min(len(out), maxConfirming)]
