poison: refuse the suspect that was present at most ends

Cause: two requests were present at the first three ends, and the harmless one was refused first. That explained the three ends, so the harmful one needed three more (all gateways: 8 ends of the harmful one, 3 of the other), and the harmless one remained refused for 60 s.

Change: a refused suspect does not explain ends for one that was present at more, and when that one is refused, suspects whose ends it explains and that were present at fewer are let through again.

Evidence: TestRequestWithMostEndsIsRefused; on the code before "order [2 1]: the harmful request is refused: false, the harmless one: true". The models of many callers, of unrelated ends and of cut gateways pass.

--- a/coordination/poison/refusal.go
+++ b/coordination/poison/refusal.go
@@ -7,7 +7,7 @@
 // A harmful request ends every upstream that runs it. A harmless one is present at such ends by
 // coincidence, and the more ends there are, the sooner it was present at three. Two rules separate
 // them. An end at which a refused request was present is explained by that request and does not
-// count against others. A recent end at which a request was not present counts in favor of that
+// count against others, unless they were present at more ends than that request. A recent end at which a request was not present counts in favor of that
 // request, most of all if it occurred between ends at which the request was present.
 
 const (
@@ -24,12 +24,42 @@
 	isolationThreshold = refusalThreshold - 1
 )
 
-// refuse marks a suspect as refused, which explains the ends it was present at.
+// refuse marks a suspect as refused, which explains the ends it was present at. Those refused before that were
+// present at fewer ends, all of them explained now, were there by coincidence.
 func (t *Tracker) refuse(s *suspect) {
 	s.refused = true
 	for e := range s.crashes {
 		e.refusedSuspects++
 	}
+	count := t.count(s)
+	for _, other := range t.suspects {
+		if other != s && other.refused && t.count(other) < count && t.unexplained(other).count < refusalThreshold {
+			other.lift()
+		}
+	}
+}
+
+// lift ends the refusal of a suspect.
+func (s *suspect) lift() {
+	s.refused = false
+	for e := range s.crashes {
+		e.refusedSuspects--
+	}
+}
+
+// isExplained reports whether a refused suspect that was present at an end explains it. It does not for one that
+// was present at more ends: then that one is the likelier cause.
+func (t *Tracker) isExplained(e *end, s *suspect) bool {
+	if e.refusedSuspects == 0 {
+		return false
+	}
+	count := t.count(s)
+	for _, other := range t.suspects {
+		if _, present := other.crashes[e]; present && other != s && other.refused && t.count(other) >= count {
+			return true
+		}
+	}
+	return false
 }
 
 // refuseIfDue refuses a suspect that has to be.
@@ -44,30 +74,41 @@
 	if !s.refused || t.count(s) >= refusalThreshold {
 		return
 	}
-	s.refused = false
-	for e := range s.crashes {
-		e.refusedSuspects--
-	}
+	s.lift()
 }
 
-// shouldRefuse reports whether a suspect that is not refused yet has to be.
-func (t *Tracker) shouldRefuse(s *suspect) bool {
-	count := 0
-	var first, last time.Time
+// unexplainedEnds are the ends of a suspect that no other one explains, with the times of the first and the
+// last.
+type unexplainedEnds struct {
+	count       int
+	first, last time.Time
+}
+
+func (t *Tracker) unexplained(s *suspect) unexplainedEnds {
+	var u unexplainedEnds
 	for e, at := range s.crashes {
-		if e.refusedSuspects > 0 || e.contradicts(at) {
+		if e.contradicts(at) || t.isExplained(e, s) {
 			continue
 		}
-		count++
-		if first.IsZero() || at.Before(first) {
-			first = at
+		u.count++
+		if u.first.IsZero() || at.Before(u.first) {
+			u.first = at
 		}
-		last = later(last, at)
+		u.last = later(u.last, at)
+	}
+	return u
+}
+
+// shouldRefuse reports whether a suspect that is not refused yet has to be.
+func (t *Tracker) shouldRefuse(s *suspect) bool {
+	if len(s.crashes) < refusalThreshold {
+		return false
 	}
-	if count < refusalThreshold {
+	u := t.unexplained(s)
+	if u.count < refusalThreshold {
 		return false
 	}
-	return count >= certainThreshold || !t.likelyCoincidence(s, first, last)
+	return u.count >= certainThreshold || !t.likelyCoincidence(s, u.first, u.last)
 }
 
 // likelyCoincidence reports whether a suspect was probably present at its ends by coincidence,
--- a/coordination/poison/refusal_test.go
+++ b/coordination/poison/refusal_test.go
@@ -57,6 +57,27 @@
 	}
 }
 
+// A harmless request that was present at the first three ends must not explain those of the harmful one, which
+// was present at all, nor remain refused.
+func TestRequestWithMostEndsIsRefused(t *testing.T) {
+	const harmful, harmless = 1, 2
+	for _, order := range [][]Digest{{harmful, harmless}, {harmless, harmful}} {
+		tr := NewTracker()
+		for i := range refusalThreshold {
+			endUpstream(tr, i, order...)
+		}
+		if refused(tr, harmful) && refused(tr, harmless) {
+			t.Error("both are refused for the same ends")
+		}
+		if !refused(tr, harmful) {
+			endUpstream(tr, refusalThreshold, harmful)
+		}
+		if !refused(tr, harmful) || refused(tr, harmless) {
+			t.Errorf("order %v: the harmful request is refused: %v, the harmless one: %v", order, refused(tr, harmful), refused(tr, harmless))
+		}
+	}
+}
+
 // If a request turns out to be harmless, the ends that it explained count against other requests
 // again. Nothing may be kept of discarded suspects.
 func TestClearedRequestDoesNotExplainEnds(t *testing.T) {
