pool: never take a late copy of an answer for that to the next attempt

Cause: a request for a key is tried again at the same owner, on the same idle connection and under the same ID. Responses are told apart by the ID, so a late copy of the refusal of the first try, which upstreams may send, was taken for the answer to the second one.

Class: an answer is matched to an attempt by something that two attempts have in common.

Change: a request remembers the connections on which its attempts were sent, and none of them is used again for it; a copy can only arrive there. Where no other connection is idle a new one is opened, which happens only after a try that an upstream refused or that broke.

Evidence: TestLateCopyOfResponseIsNotTakenForNextAttempt; on the code before the second attempt gets "refused", want "ran".

--- a/gateway/proxy.go
+++ b/gateway/proxy.go
@@ -122,6 +122,8 @@
 	// those that certainly did not.
 	arrivedTries int
 	unsentTries  int
+	// attempts are those sent to upstreams.
+	attempts pool.Attempts
 	// refusedFence is the fencing token of the owner that answered that it does not hold the
 	// key.
 	refusedFence uint64
@@ -286,7 +288,7 @@
 	feedback := upstreamFeedback{}
 	resp, err := f.conns.Do(ctx, grant.Instance.Address, &pool.Request{
 		Method: q.Method, Target: q.target, Host: q.Host, Header: h, Body: q.body,
-		EchoHeader: platform.RequestID, EchoValue: q.id, NonIdempotent: !q.route.Idempotent,
+		EchoHeader: platform.RequestID, EchoValue: q.id, NonIdempotent: !q.route.Idempotent, Attempts: &q.attempts,
 		BeforeSend:   func() error { return f.checkBeforeSend(h, q, grant) },
 		OnConnection: func(opened time.Time) { feedback.connected = opened },
 		OnLength:     a.response.Announced, OnRead: f.countReceived(q, a),
--- a/transport/pool/pool.go
+++ b/transport/pool/pool.go
@@ -9,6 +9,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -53,6 +54,10 @@
 	EchoOrNewConn bool
 	// NonIdempotent marks a request that must not run twice.
 	NonIdempotent bool
+	// Attempts, if set, are the former attempts of the same request. All have the same EchoValue, so a late
+	// copy of the response to one of them could not be told from the response to this one: none of their
+	// connections is used again. This attempt is added.
+	Attempts *Attempts
 	// BeforeSend, if set, is called once a connection is open, right before anything is sent,
 	// because the permission to send may have expired while the connection was opened. If it
 	// returns an error, nothing is sent.
@@ -68,6 +73,32 @@
 	OnRead func(n int)
 }
 
+// Attempts holds the connections on which attempts of one request were sent. It is safe for concurrent use.
+type Attempts struct {
+	mu    sync.Mutex
+	conns []*conn
+}
+
+// add records the connection of an attempt. The receiver may be nil.
+func (a *Attempts) add(c *conn) {
+	if a == nil {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.conns = append(a.conns, c)
+}
+
+// used reports whether an attempt was sent on the connection. The receiver may be nil.
+func (a *Attempts) used(c *conn) bool {
+	if a == nil {
+		return false
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return slices.Contains(a.conns, c)
+}
+
 // Response is a complete response.
 type Response struct {
 	Status int
@@ -161,6 +192,7 @@
 			return nil, &classifiedError{kinds: []error{ErrNotSent}, cause: err}
 		}
 	}
+	r.Attempts.add(c)
 	start := p.now()
 	resp, reusable, err := c.roundTrip(ctx, r, p.limits.MaxBodyBytes)
 	p.observeResponse(addr, c, err, p.now().Sub(start))
@@ -251,12 +283,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.now()
-	for {
-		list := p.idle[addr]
-		if len(list) == 0 {
-			return nil
+	for i := len(p.idle[addr]) - 1; i >= 0; i-- {
+		c := p.idle[addr][i]
+		if r.Attempts.used(c) {
+			continue
 		}
-		c := list[len(list)-1]
 		age := now.Sub(c.idleSince)
 		if r.EchoOrNewConn && !c.echoes {
 			return nil
@@ -264,7 +295,7 @@
 		if r.NonIdempotent && age > p.limits.MaxIdleTimeNonIdempotent && age <= p.maxIdleTime(c) {
 			return nil
 		}
-		p.idle[addr] = list[:len(list)-1]
+		p.idle[addr] = slices.Delete(p.idle[addr], i, i+1)
 		if age <= p.maxIdleTime(c) && c.isReusable() {
 			p.stats.Reused++
 			return c
@@ -272,6 +303,7 @@
 		p.stats.Stale++
 		c.close()
 	}
+	return nil
 }
 
 // maxIdleTime returns how long the connection may be idle: the limit of the pool, or less if the
--- a/transport/pool/pool_test.go
+++ b/transport/pool/pool_test.go
@@ -503,3 +503,43 @@
 		t.Errorf("%d connections were opened", n)
 	}
 }
+
+// TestLateCopyOfResponseIsNotTakenForNextAttempt guards against a refusal of the first attempt of a request that
+// is taken for the answer to the second one, which has run.
+func TestLateCopyOfResponseIsNotTakenForNextAttempt(t *testing.T) {
+	var first atomic.Int32
+	s := serve(t, func(n, _ int, r *http.Request, c net.Conn) bool {
+		id := r.Header.Get("Id")
+		if id == "a" && first.CompareAndSwap(0, int32(n)) {
+			respond(c, id, "refused")
+			return true
+		}
+		if id == "a" && first.Load() == int32(n) {
+			// The copy arrives where the next response is expected.
+			respond(c, id, "refused")
+		}
+		respond(c, id, "ran")
+		return true
+	})
+	for name, idle := range map[string][]string{"no other connection": nil, "another connection is idle": {"b", "c"}} {
+		t.Run(name, func(t *testing.T) {
+			first.Store(0)
+			p := New(testLimits, time.Now)
+			var all sync.WaitGroup
+			for _, id := range idle {
+				all.Go(func() { mustDo(t, p, s.addr, id, "ran") })
+			}
+			all.Wait()
+			attempts := &Attempts{}
+			for _, want := range []string{"refused", "ran"} {
+				r := newRequest("a")
+				r.Attempts = attempts
+				resp, err := p.Do(context.Background(), s.addr, r)
+				if err != nil || string(resp.Body) != want {
+					t.Fatalf("response %v, error %v, want %s", resp, err, want)
+				}
+			}
+			mustDo(t, p, s.addr, "d", "ran")
+		})
+	}
+}
