poison: no hash for each answer while there is no end to contradict

Reading the changes again: an answer cost a hash of the upstream's name also while nothing is suspected, as before the processes were told apart it did not; the search for runs aborted elsewhere ends with the second upstream; a hedge is not started for a request that would be held.

--- a/coordination/poison/ends.go
+++ b/coordination/poison/ends.go
@@ -132,12 +132,12 @@
 	if known := t.ended[p]; known != nil && a.Sent.After(known.at) {
 		delete(t.ended, p)
 	}
-	h := t.histories[eventOf(p.upstream, p.incarnation)]
-	if h == nil {
+	if len(t.histories) == 0 {
 		return
 	}
+	h := t.histories[eventOf(p.upstream, p.incarnation)]
 	l := life{connected: a.Connected, answered: a.Sent, knownAt: now}
-	if !h.contradictedBy(l) {
+	if h == nil || !h.contradictedBy(l) {
 		return
 	}
 	h.process = p
@@ -167,16 +167,16 @@
 		known.at = now
 	}
 	var out []Crash
-	var later []abortedRun
+	var ofNextProcess []abortedRun
 	for _, run := range t.aborted[p] {
 		switch {
 		case run.connected.After(now.Add(reportError)):
-			later = append(later, run)
+			ofNextProcess = append(ofNextProcess, run)
 		case now.Sub(run.at) < crashWindow && !last.After(run.at.Add(reportError)):
 			out = append(out, t.add(run.crash(p))...)
 		}
 	}
-	t.setAborted(p, later)
+	t.setAborted(p, ofNextProcess)
 	return out
 }
 
--- a/coordination/poison/possible.go
+++ b/coordination/poison/possible.go
@@ -66,8 +66,11 @@
 		if other.upstream != p.upstream && slices.ContainsFunc(list, func(run abortedRun) bool { return run.at.Sub(at).Abs() < cutTime }) {
 			n++
 		}
+		if n >= cutUpstreams {
+			return true
+		}
 	}
-	return n >= cutUpstreams
+	return false
 }
 
 // AddPossible records an end that may have happened, as seen by this gateway or another one. It reports
--- a/gateway/delivery.go
+++ b/gateway/delivery.go
@@ -133,7 +133,7 @@
 // and the retry budget allows it. It is attempted once per request.
 func (d *delivery) hedge(ctx context.Context) {
 	d.hedged = true
-	if d.draining.Load() || d.deadline.Sub(d.now()) < d.lastGrant.ExpectedLatency || d.suspects.isSuspected(d.request) {
+	if d.draining.Load() || d.deadline.Sub(d.now()) < d.lastGrant.ExpectedLatency || d.suspects.isSuspected(d.request) || d.suspects.undecided(d.request) {
 		return
 	}
 	if !d.service.Keyed {
