--- a/coordination/poison/ends.go
+++ b/coordination/poison/ends.go
@@ -112,7 +112,7 @@
 			return run.at.Before(a.Sent) && a.Connected.Before(run.at.Add(minRestart))
 		}))
 	}
-	if known := t.ended[p]; known != nil && (life{connected: a.Connected, answered: a.Sent}).includes(known.at) {
+	if known := t.ended[p]; known != nil && (uptime{connected: a.Connected, answered: a.Sent}).includes(known.at) {
 		contradicted, ok = End{Upstream: p.upstream, Incarnation: p.incarnation, At: known.at, Source: known.source}, true
 	}
 	t.Contradict(now, a)
@@ -136,12 +136,12 @@
 		return
 	}
 	h := t.histories[eventOf(p.upstream, p.incarnation)]
-	l := life{connected: a.Connected, answered: a.Sent, knownAt: now}
-	if h == nil || !h.contradictedBy(l) {
+	u := uptime{connected: a.Connected, answered: a.Sent, knownAt: now}
+	if h == nil || !h.contradictedBy(u) {
 		return
 	}
 	h.process = p
-	h.addLife(l)
+	h.addUptime(u)
 	t.reconsider()
 }
 
@@ -217,9 +217,9 @@
 func (t *Tracker) RecentContradictions(now time.Time) []Answer {
 	var out []Answer
 	for _, h := range t.histories {
-		for _, l := range h.lives {
-			if now.Sub(l.knownAt) < reportPeriod && len(out) < maxReported {
-				out = append(out, Answer{Upstream: h.process.upstream, Incarnation: h.process.incarnation, Connected: l.connected, Sent: l.answered})
+		for _, u := range h.uptimes {
+			if now.Sub(u.knownAt) < reportPeriod && len(out) < maxReported {
+				out = append(out, Answer{Upstream: h.process.upstream, Incarnation: h.process.incarnation, Connected: u.connected, Sent: u.answered})
 			}
 		}
 	}
--- a/coordination/poison/history.go
+++ b/coordination/poison/history.go
@@ -16,25 +16,25 @@
 	reportError = 200 * time.Millisecond
 	// minRestart is the shortest time after which the next process of an upstream accepts connections.
 	minRestart = 50 * time.Millisecond
-	// maxLives bounds the lives that are remembered of one upstream.
-	maxLives = 4
+	// maxUptimes bounds the uptimes that are remembered of one upstream.
+	maxUptimes = 4
 )
 
 // history is what is known of the processes of an upstream since the start that its entry tells.
 type history struct {
 	process process
 	ends    []*end
-	// lives are the times during which a process is known to have run, as it answered.
-	lives []life
+	// uptimes are the times during which a process is known to have run, as it answered.
+	uptimes []uptime
 }
 
-// life is a time during which one process ran: it accepted a connection at the time of connected and answered
+// uptime is a time during which one process ran: it accepted a connection at the time of connected and answered
 // a request on it that was sent at the time of answered. knownAt is when this gateway learned of it.
-type life struct{ connected, answered, knownAt time.Time }
+type uptime struct{ connected, answered, knownAt time.Time }
 
 // includes reports whether the process certainly ran on after the given time, before which it had started.
-func (l life) includes(at time.Time) bool {
-	return l.connected.Add(reportError).Before(at) && l.answered.After(at)
+func (u uptime) includes(at time.Time) bool {
+	return u.connected.Add(reportError).Before(at) && u.answered.After(at)
 }
 
 // end is the end of one process of an upstream with requests running on it.
@@ -54,7 +54,7 @@
 
 // ranAfter reports whether a process of the upstream is known to have run on after the given time.
 func (h *history) ranAfter(at time.Time) bool {
-	return slices.ContainsFunc(h.lives, func(l life) bool { return l.includes(at) })
+	return slices.ContainsFunc(h.uptimes, func(u uptime) bool { return u.includes(at) })
 }
 
 // aborts reports whether this end is likely the one that aborted a run.
@@ -114,19 +114,19 @@
 	return e
 }
 
-// contradictedBy reports whether a life contradicts an end that nothing contradicts yet.
-func (h *history) contradictedBy(l life) bool {
+// contradictedBy reports whether an uptime contradicts an end that nothing contradicts yet.
+func (h *history) contradictedBy(u uptime) bool {
 	return slices.ContainsFunc(h.ends, func(e *end) bool {
-		return l.includes(e.at) && !h.ranAfter(e.at) || l.includes(e.latest) && !h.ranAfter(e.latest)
+		return u.includes(e.at) && !h.ranAfter(e.at) || u.includes(e.latest) && !h.ranAfter(e.latest)
 	})
 }
 
-// addLife records a life. The oldest one gives way.
-func (h *history) addLife(l life) {
-	if len(h.lives) >= maxLives {
-		h.lives = slices.Delete(h.lives, 0, 1)
+// addUptime records an uptime. The oldest one gives way.
+func (h *history) addUptime(u uptime) {
+	if len(h.uptimes) >= maxUptimes {
+		h.uptimes = slices.Delete(h.uptimes, 0, 1)
 	}
-	h.lives = append(h.lives, l)
+	h.uptimes = append(h.uptimes, u)
 }
 
 // isStale reports whether nothing in the history matters any more.
@@ -136,7 +136,7 @@
 			return false
 		}
 	}
-	return !slices.ContainsFunc(h.lives, func(l life) bool { return now.Sub(l.knownAt) < endRetention })
+	return !slices.ContainsFunc(h.uptimes, func(u uptime) bool { return now.Sub(u.knownAt) < endRetention })
 }
 
 // prune discards ends without suspects.
