bytebudget: count an announced length as it arrives

Cause: the announced length counted whole, and five of them fill the share of the memory.

Change: a length counts up to four times the usual size of its route before it arrives; what goes beyond that counts as it arrives.

Evidence: TestAnnouncedSizeIsCountedAsItArrives, and the case "announced" of TestUselessResponsesLeaveRoomForOthers, both red on the code before.

--- a/coordination/bytebudget/bytebudget.go
+++ b/coordination/bytebudget/bytebudget.go
@@ -26,6 +26,9 @@
 	maxRetryAfter = 600 * time.Millisecond
 	// spread is the part of the time to come back that is drawn at random.
 	spread = 0.25
+	// claimedSizes is the number of expected sizes of its route up to which the length that a response announces
+	// is counted before it arrives. An upstream may announce any length and send nothing of it.
+	claimedSizes = 4
 	// largeShare is the part of what the link carries within the objective of a route from which on the
 	// route's responses are large: sixteen of them then take half of the objective.
 	largeShare = 1.0 / 32
@@ -319,12 +322,13 @@
 	return 0
 }
 
-// Announced applies the size of the body that the head of the response announces. It is never refused.
+// Announced applies the size of the body that the head of the response announces. It is never refused. What
+// goes beyond the usual sizes of the route is counted as it arrives.
 func (r *Response) Announced(size int64) {
 	b := r.hold.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	r.setCounted(max(size, r.arrived))
+	r.setCounted(max(min(size, claimedSizes*b.expected(r.route)), r.arrived))
 }
 
 // Received counts bytes of the response as they arrive. They are never refused.
--- a/coordination/bytebudget/bytebudget_test.go
+++ b/coordination/bytebudget/bytebudget_test.go
@@ -260,3 +260,34 @@
 		t.Errorf("%d responses larger than the link carries in time are admitted on the idle link", n)
 	}
 }
+
+// TestAnnouncedSizeIsCountedAsItArrives guards against upstreams that announce long responses, send next to
+// nothing of them, and so keep all other requests from being admitted.
+func TestAnnouncedSizeIsCountedAsItArrives(t *testing.T) {
+	b := newBudget(8 << 20)
+	learn(t, b, "small", 2<<10)
+	var responses []*Response
+	for range 20 {
+		r, refusal := b.Begin().Expect(start, "small", time.Second)
+		if refusal != nil {
+			t.Fatal("refused for what was announced")
+		}
+		r.Announced(16 << 20)
+		r.Received(500)
+		responses = append(responses, r)
+	}
+	if held := b.Stats().Held; held > 20*16<<10 {
+		t.Errorf("%d bytes are held for 20 responses of which 500 have arrived", held)
+	}
+	responses[0].Received(6 << 20)
+	responses[1].Received(2 << 20)
+	if _, refusal := b.Begin().Expect(start, "small", time.Second); refusal == nil {
+		t.Error("admitted although more than the bound has arrived")
+	}
+	for _, r := range responses {
+		r.Abandon(start)
+	}
+	if held := b.Stats().Held; held != 0 {
+		t.Errorf("held %d", held)
+	}
+}
--- a/gateway/heldbytes_test.go
+++ b/gateway/heldbytes_test.go
@@ -20,7 +20,8 @@
 )
 
 // sizedUpstream returns an upstream whose responses have as many bytes as the header X-Size says. It ends
-// the connection midway through a response if X-Broken is set.
+// the connection midway through a response if X-Broken is set. If X-Endless is set, it sends bytes until the
+// gateway closes the connection; if X-Claim is set, it announces as many bytes as X-Claim says and sends none.
 func sizedUpstream(t *testing.T) string {
 	t.Helper()
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -34,6 +35,16 @@
 		id := r.Header.Get(platform.RequestID)
 		w.Header().Set(platform.RequestID, id)
 		w.Header().Set(platform.Signature, "sig-"+id)
+		if r.Header.Get("X-Endless") != "" {
+			sendUntilClosed(w)
+			return
+		}
+		if claim := r.Header.Get("X-Claim"); claim != "" {
+			w.Header().Set("Content-Length", claim)
+			w.(http.Flusher).Flush()
+			<-r.Context().Done()
+			return
+		}
 		w.Header().Set("Content-Length", strconv.Itoa(size))
 		body := bytes.Repeat([]byte("x"), size)
 		if r.Header.Get("X-Broken") != "" {
@@ -46,6 +57,16 @@
 	return strings.TrimPrefix(server.URL, "http://")
 }
 
+// sendUntilClosed sends a body until the other end closes the connection.
+func sendUntilClosed(w http.ResponseWriter) {
+	block := bytes.Repeat([]byte("x"), 32<<10)
+	for {
+		if _, err := w.Write(block); err != nil {
+			return
+		}
+	}
+}
+
 // byteGateway is a gateway with one upstream of sized responses.
 type byteGateway struct {
 	*Gateway
@@ -261,3 +282,34 @@
 		}
 	}
 }
+
+// TestUselessResponsesLeaveRoomForOthers guards against upstreams that take the room of ordinary requests with
+// bodies that do not end, or with announced lengths of which nothing arrives.
+func TestUselessResponsesLeaveRoomForOthers(t *testing.T) {
+	t.Parallel()
+	for name, header := range map[string]string{"without an end": "X-Endless: 1\r\n", "announced": "X-Claim: 16000000\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			// 16 MB allow 4 MB of requests and responses.
+			g := newByteGateway(t, 16, 0)
+			go g.traffic.run(t.Context())
+			var useless []net.Conn
+			for range 2 {
+				useless = append(useless, g.send("/read/x", 0, header))
+			}
+			g.eventually("bodies are being read", func() bool { return g.responses.Stats().Used > 0 })
+			for range 100 {
+				g.ask("/pay/x", 100, "Content-Length: 0\r\n")
+				if refused := g.proxy.bytes.Stats().Refused; refused > 0 {
+					t.Fatal("refused for the bytes held")
+				}
+				if used := g.responses.Stats().Used; used > 16*megabyte/responsesDivisor {
+					t.Fatalf("%d bytes of memory", used)
+				}
+			}
+			for _, conn := range useless {
+				_ = conn.Close()
+			}
+		})
+	}
+}
