gateway: send requests without an ID on a connection of their own

What callers saw: a request without X-Request-Id got the response to another caller's earlier request when the upstream sent that a second time. Found by going through what tells one attempt's response from another's; no user has reported it, and each caller is to send an ID.

Cause: without an ID the first response on the connection was taken.

Change: such a request is sent on a new connection, on which no response to an earlier request can arrive.

--- /dev/null
+++ b/gateway/latecopies_test.go
@@ -0,0 +1,187 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/rockcroft/rockcroft/platform"
+	"github.com/rockcroft/rockcroft/standin/instance"
+)
+
+// repeatingUpstream holds all keys. It refuses the first attempts of some requests and executes the next one. On
+// every connection it sends its previous response to a request again, where the next response is expected.
+type repeatingUpstream struct {
+	// refusals returns how many attempts of a request are refused.
+	refusals func(id string) int
+
+	mu       sync.Mutex
+	attempts map[string]int
+	ran      map[string]int
+}
+
+// listen serves on a loopback address and returns it.
+func (u *repeatingUpstream) listen(t *testing.T) string {
+	t.Helper()
+	u.attempts, u.ran = make(map[string]int), make(map[string]int)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go u.serve(c)
+		}
+	}()
+	return l.Addr().String()
+}
+
+func (u *repeatingUpstream) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	r := bufio.NewReader(c)
+	previous := ""
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+			return
+		}
+		id := req.Header.Get(platform.RequestID)
+		if req.URL.Path == platform.GrantPath || req.URL.Path == platform.ReleasePath {
+			respondToControlCall(c, id)
+			continue
+		}
+		response := u.respond(id)
+		if _, err := io.WriteString(c, previous+response); err != nil {
+			return
+		}
+		previous = response
+	}
+}
+
+func respondToControlCall(c net.Conn, id string) {
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", platform.RequestID, id)
+}
+
+// respond refuses or executes a request and returns the response.
+func (u *repeatingUpstream) respond(id string) string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.attempts[id]++
+	echo := ""
+	if id != "" {
+		echo = platform.RequestID + ": " + id + "\r\n"
+	}
+	if u.attempts[id] <= u.refusals(id) {
+		return "HTTP/1.1 503 Service Unavailable\r\n" + echo + platform.NotExecuted + ": 1\r\nContent-Length: 0\r\n\r\n"
+	}
+	u.ran[id]++
+	body := fmt.Sprintf("run %d of %q", u.ran[id], id)
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s%s: sig-%s\r\nContent-Length: %d\r\n\r\n%s", echo, platform.Signature, id, len(body), body)
+}
+
+func (u *repeatingUpstream) runs(id string) int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.ran[id]
+}
+
+// startKeyedGateway starts a gateway with one upstream that owns all keys of the service status, and returns its
+// address. Requests for the route at /status/ must run once at most, and are sent up to maxAttempts times.
+func startKeyedGateway(t *testing.T, u *repeatingUpstream, maxAttempts int) string {
+	t.Helper()
+	b := newTestCluster(t)
+	next := config(3)
+	route := next.Routes["status"]
+	route.Kind, route.MaxAttempts = "unsafe", maxAttempts
+	next.Routes["status"] = route
+	b.store.Put(platform.ConfigKind, platform.ConfigName, next)
+	b.register(&upstream{Instance: instance.New("i-1", true, 0, b.oracle), service: "status", domain: "a", address: u.listen(t)}, "ready")
+	g := b.gateway("g0")
+	b.ready()
+	return g.callers
+}
+
+// postWithKey sends a request for key 0 and returns the status and the body of the response.
+func postWithKey(t *testing.T, addr, id string) (status int, body string) {
+	t.Helper()
+	r, err := http.NewRequest(http.MethodPost, "http://"+addr+"/status/x", strings.NewReader("x"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Host = "h.example"
+	r.Header.Set(platform.ShardKey, "0")
+	r.Header.Set(platform.Deadline, "2000")
+	if id != "" {
+		r.Header.Set(platform.RequestID, id)
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp.StatusCode, string(data)
+}
+
+// TestLateCopyOfRefusalIsNoPromise guards against a request that is answered "not run" because of a late copy of
+// the refusal of an earlier attempt, and has run.
+func TestLateCopyOfRefusalIsNoPromise(t *testing.T) {
+	t.Parallel()
+	for maxAttempts := 2; maxAttempts <= 3; maxAttempts++ {
+		u := &repeatingUpstream{refusals: func(id string) int {
+			if strings.HasSuffix(id, "0") {
+				return maxAttempts - 1
+			}
+			return 0
+		}}
+		addr := startKeyedGateway(t, u, maxAttempts)
+		repeated := 0
+		for n := range 60 {
+			id := fmt.Sprintf("r%d", n)
+			status, body := postWithKey(t, addr, id)
+			ran := u.runs(id)
+			switch {
+			case status == http.StatusOK && body == fmt.Sprintf("run 1 of %q", id) && ran == 1:
+				if u.refusals(id) > 0 {
+					repeated++
+				}
+			case status == http.StatusServiceUnavailable && ran == 0:
+			default:
+				t.Errorf("%d attempts: status %d, %q, request %s ran %d times", maxAttempts, status, body, id, ran)
+			}
+		}
+		if repeated == 0 {
+			t.Errorf("%d attempts: no request was answered after a refusal", maxAttempts)
+		}
+	}
+}
+
+// TestRequestWithoutIDGetsItsOwnResponse guards against a response to an earlier request that is taken for that
+// to a request without an ID, by which responses are told apart.
+func TestRequestWithoutIDGetsItsOwnResponse(t *testing.T) {
+	t.Parallel()
+	u := &repeatingUpstream{refusals: func(string) int { return 0 }}
+	addr := startKeyedGateway(t, u, 2)
+	for n := range 5 {
+		postWithKey(t, addr, fmt.Sprintf("other%d", n))
+		if _, body := postWithKey(t, addr, ""); body != fmt.Sprintf("run %d of %q", n+1, "") {
+			t.Errorf("request %d without an ID got %q", n, body)
+		}
+	}
+}
--- a/gateway/proxy.go
+++ b/gateway/proxy.go
@@ -289,9 +289,11 @@
 	resp, err := f.conns.Do(ctx, grant.Instance.Address, &pool.Request{
 		Method: q.Method, Target: q.target, Host: q.Host, Header: h, Body: q.body,
 		EchoHeader: platform.RequestID, EchoValue: q.id, NonIdempotent: !q.route.Idempotent, Attempts: &q.attempts,
-		BeforeSend:   func() error { return f.checkBeforeSend(h, q, grant) },
-		OnConnection: func(opened time.Time) { feedback.connected = opened },
-		OnLength:     a.response.Announced, OnRead: f.countReceived(q, a),
+		// Nothing tells the response to a request without an ID from one to an earlier request.
+		EchoOrNewConn: q.id == "",
+		BeforeSend:    func() error { return f.checkBeforeSend(h, q, grant) },
+		OnConnection:  func(opened time.Time) { feedback.connected = opened },
+		OnLength:      a.response.Announced, OnRead: f.countReceived(q, a),
 	})
 	if err != nil {
 		return nil, outcomeOfError(err), feedback, err
