grants: check a refusal that carries no ID instead of opening connections

The same fault, seen at the leader: keys were granted to a second upstream while the first held them, after the copy of a refusal had been taken for the response to the grant of them.

Change: grants reuse connections again. A refusal that carries no ID and arrived on a connection with earlier calls leaves the outcome open, so that the keys count as held, and the grant is made again on a new connection, whose response is believed. A copy of a success can hide a refusal until the next renewal, a second later; nothing is granted to another upstream for it.

Evidence: TestExtraRefusalIsNoRefusal; on the code before both changes "keys 10-65535 granted to i-s1 while i-s0 holds 10-65535" without IDs.

--- a/gateway/controlresponses_test.go
+++ b/gateway/controlresponses_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"slices"
@@ -15,6 +16,7 @@
 	"github.com/rockcroft/rockcroft/standin/instance"
 	"github.com/rockcroft/rockcroft/state/instances"
 	"github.com/rockcroft/rockcroft/state/spans"
+	"github.com/rockcroft/rockcroft/transport/pool"
 )
 
 // This file tests what the leader concludes from the responses to control calls.
@@ -91,6 +93,38 @@
 	}
 }
 
+// TestExtraRefusalIsNoRefusal guards against keys that are granted to a second upstream because an extra response
+// to an earlier grant, which was refused, was taken for the response to the grant of them.
+func TestExtraRefusalIsNoRefusal(t *testing.T) {
+	t.Parallel()
+	for name, omitsIDs := range map[string]bool{"with IDs": false, "without IDs": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := newTestCluster(t)
+			list := b.listedUpstreams("i-s0", "i-s1")
+			first := b.upstreams["i-s0"]
+			first.OmitsControlIDs = omitsIDs
+			first.SetMode(instance.ExtraResponses)
+			refused, granted := spans.KeyRange{First: 0, Last: 9}, spans.KeyRange{First: 10, Last: spans.MaxKey}
+			other := platform.NewOwners(pool.New(upstreamLimits, time.Now))
+			if _, _, err := other.Release(t.Context(), "i-s0", list[0].Address, refused, 9); err != nil {
+				t.Fatal(err)
+			}
+			k := newLoneAssigner(t, b, time.Now, list...)
+			k.table = oneSpanTable("i-s0", 5, "", 0)
+			if result, err := k.grant(t.Context(), refused, &list[0], 5, "", nil); err != nil || result != platform.Fenced {
+				t.Fatalf("grant below a fence: result %v, error %v", result, err)
+			}
+			if result, err := k.grant(t.Context(), granted, &list[0], 5, "", nil); err != nil || result != platform.Granted {
+				t.Errorf("grant after a refused one: result %v, error %v", result, err)
+			}
+			if _, err := k.grant(t.Context(), granted, &list[1], 6, "", nil); !errors.As(err, new(*ownership.HeldError)) {
+				t.Errorf("grant of the same keys to another upstream: error %v", err)
+			}
+		})
+	}
+}
+
 // Starts of an upstream in Unix milliseconds, and how long a former leader's grant lasts in these tests.
 const (
 	formerStart  = 1_000_000
--- a/gateway/grants.go
+++ b/gateway/grants.go
@@ -26,10 +26,25 @@
 	return callslots.New(maxGrantCalls, grantTimeout, now)
 }
 
-// grant makes one grant call. Right before it is sent, the right to lead is checked, check is called if
+// grant grants keys to an upstream. A refusal that may belong to an earlier call is checked by a second call. A
+// copy of a success is not told from it: what it hides shows at the next renewal, and nothing is granted to another
+// upstream before then.
+func (k *keyAssigner) grant(ctx context.Context, keys spans.KeyRange, to *instances.Instance, fence uint64, token string, check func() error) (platform.GrantResult, error) {
+	result, err := k.callGrant(ctx, k.owners, keys, to, fence, token, check)
+	if !errors.Is(err, platform.ErrUnidentified) {
+		return result, err
+	}
+	again, errAgain := k.callGrant(ctx, k.owners.OnNewConnections(), keys, to, fence, token, check)
+	if errors.Is(errAgain, pool.ErrNotSent) {
+		return result, err
+	}
+	return again, errAgain
+}
+
+// callGrant makes one grant call. Right before it is sent, the right to lead is checked, check is called if
 // it is not nil, and the grant is recorded. The call is not sent while another upstream may hold one of
 // the keys.
-func (k *keyAssigner) grant(ctx context.Context, keys spans.KeyRange, to *instances.Instance, fence uint64, token string, check func() error) (platform.GrantResult, error) {
+func (k *keyAssigner) callGrant(ctx context.Context, owners *platform.Owners, keys spans.KeyRange, to *instances.Instance, fence uint64, token string, check func() error) (platform.GrantResult, error) {
 	endCall, ok := k.grantSlots.Acquire(ctx, k.grantDue(keys.First))
 	if !ok {
 		return 0, errNoCallSlot
@@ -49,7 +64,7 @@
 		call, err = k.beginGrant(keys, ownership.Process{ID: to.ID, Address: to.Address}, fence, hold, check)
 		return err
 	}
-	result, err := k.owners.Grant(timeout, to.ID, to.Address, keys, fence, hold, token, beforeSend)
+	result, err := owners.Grant(timeout, to.ID, to.Address, keys, fence, hold, token, beforeSend)
 	endCall(err == nil)
 	if call != nil {
 		k.endGrant(call, keys, to.ID, result, err)
--- a/transport/pool/pool.go
+++ b/transport/pool/pool.go
@@ -107,6 +107,8 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// Reused is true if an earlier request was sent on the same connection.
+	Reused bool
 }
 
 // Sentinel errors, to be tested with errors.Is.
@@ -220,6 +222,7 @@
 		}
 		return nil, err
 	}
+	resp.Reused = reused
 	if reusable {
 		p.putIdle(addr, c)
 	} else {
