gateway: bound the messages of other gateways

What callers saw: nothing; found by going through all readers of the wire. Requests and responses between gateways were read to their end, however long, and decoded.

Change: a message has at most 17 MB, which is a relayed response of the store with its frame, and all that are being received have at most an eighth of the allowed memory. What exceeds this fails as a call without a response.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -135,6 +135,7 @@
 	// from them.
 	pools                       []*pool.Pool
 	responses, controlResponses *pool.Memory
+	peerMessages                *peerMessages
 	ownerGaps                   *ownerGaps
 	limits                      *namedLimits
 	suspects                    *suspects
@@ -209,10 +210,11 @@
 		Node: conf.Node, Address: listeners.Peers.Addr().String(), Domain: conf.Domain, Incarnation: incarnation(),
 		Strength: uint32(strengthUnits * conf.CPUCores),
 	}
+	g.peerMessages = newPeerMessages(allowed)
 	client := &http.Client{Transport: &progressTransport{base: &http.Transport{
 		DialContext:         countReads((&net.Dialer{Timeout: reportTimeout}).DialContext, g.meters.counter(newsBytesIn)),
 		MaxIdleConnsPerHost: 4, IdleConnTimeout: defaultIdleTimeout, MaxResponseHeaderBytes: maxResponseHead,
-	}}}
+	}, messages: g.peerMessages}}
 	g.cluster = newCluster(self, client, g.now, mathrand.New(mathrand.NewPCG(seeds[1], seeds[0])))
 	g.cluster.regions = conf.Regions
 	g.view.hasReceivers = g.cluster.hasChildren
--- a/gateway/handlers.go
+++ b/gateway/handlers.go
@@ -57,11 +57,12 @@
 	r := mux.NewRouter()
 	r.PathPrefix(syncpb.PeerPathPrefix).Handler(syncpb.NewPeerServer(server))
 	r.PathPrefix(placementpb.PlacementPathPrefix).Handler(placementpb.NewPlacementServer(g.assignments.placements))
+	messages := g.peerMessages.limitRequests(r)
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		if req.Header.Get(header.Hops) != "" {
 			g.proxy.serveForwarded(w, req)
 			return
 		}
-		r.ServeHTTP(w, req)
+		messages.ServeHTTP(w, req)
 	})
 }
--- a/gateway/peerconns.go
+++ b/gateway/peerconns.go
@@ -84,8 +84,11 @@
 }
 
 // progressTransport is a transport that reports the progress of response bodies to the function
-// that withProgress has put into the request's context, if any.
-type progressTransport struct{ base *http.Transport }
+// that withProgress has put into the request's context, if any. It bounds their size if messages is set.
+type progressTransport struct {
+	base     *http.Transport
+	messages *peerMessages
+}
 
 // RoundTrip implements http.RoundTripper. Errors of the base transport are returned unchanged.
 func (a *progressTransport) RoundTrip(r *http.Request) (*http.Response, error) {
@@ -93,6 +96,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if a.messages != nil {
+		resp.Body = a.messages.receive(resp.Body)
+	}
 	if onRead, ok := r.Context().Value(progressKey{}).(func()); ok {
 		resp.Body = &progressBody{ReadCloser: resp.Body, onRead: onRead}
 	}
--- a/gateway/peerconns_test.go
+++ b/gateway/peerconns_test.go
@@ -29,7 +29,7 @@
 		_, _ = io.WriteString(w, "two")
 	}))
 	t.Cleanup(server.Close)
-	client := &http.Client{Transport: &progressTransport{&http.Transport{}}}
+	client := &http.Client{Transport: &progressTransport{base: &http.Transport{}}}
 	t.Cleanup(client.CloseIdleConnections)
 	progress := make(chan struct{}, 100)
 	get := func(ctx context.Context) {
@@ -68,7 +68,7 @@
 // through a progressTransport.
 func TestProgressTransportClosesIdleConnections(t *testing.T) {
 	t.Parallel()
-	var client any = (&http.Client{Transport: &progressTransport{&http.Transport{}}}).Transport
+	var client any = (&http.Client{Transport: &progressTransport{base: &http.Transport{}}}).Transport
 	if _, ok := client.(interface{ CloseIdleConnections() }); !ok {
 		t.Error("progressTransport does not offer CloseIdleConnections")
 	}
