entry: bound heads and messages that entries read

What callers saw: nothing; found by going through all readers of the wire. Heads of responses of upstreams, the platform and other entries had the library's limit of 10 MB; messages of other entries and of operators had none.

Change: heads have at most 64 KB, messages at most 16 MB.

--- a/entry/operator.go
+++ b/entry/operator.go
@@ -19,6 +19,7 @@
 	"github.com/rockcroft/rockcroft/state/intent"
 	"github.com/rockcroft/rockcroft/state/keyspace"
 	"github.com/rockcroft/rockcroft/state/service"
+	"github.com/rockcroft/rockcroft/transport/peers"
 	"github.com/rockcroft/rockcroft/transport/platform"
 	"github.com/rockcroft/rockcroft/transport/telemetry"
 )
@@ -28,7 +29,7 @@
 func (e *Entry) adminHandler() http.Handler {
 	r := mux.NewRouter()
 	rpc := operatorpb.NewOperatorServer(operator{e})
-	r.PathPrefix(rpc.PathPrefix()).Handler(rpc)
+	r.PathPrefix(rpc.PathPrefix()).Handler(http.MaxBytesHandler(rpc, peers.MaxMessageBytes))
 	r.Handle("/metrics", telemetry.Handler(e.registry)).Methods(http.MethodGet)
 	r.HandleFunc("/health", func(http.ResponseWriter, *http.Request) {}).Methods(http.MethodGet)
 	r.HandleFunc("/ready", e.serveReady).Methods(http.MethodGet)
--- a/entry/peerserver.go
+++ b/entry/peerserver.go
@@ -23,7 +23,7 @@
 func (e *Entry) peerHandler() http.Handler {
 	r := mux.NewRouter().SkipClean(true).UseEncodedPath()
 	rpc := peerpb.NewPeerServer(peerServer{e})
-	r.PathPrefix(rpc.PathPrefix()).Handler(rpc)
+	r.PathPrefix(rpc.PathPrefix()).Handler(http.MaxBytesHandler(rpc, peers.MaxMessageBytes))
 	r.PathPrefix(peers.ForwardPrefix + "/").Handler(e.proxy.Forwarded())
 	return r
 }
--- a/transport/peers/peers.go
+++ b/transport/peers/peers.go
@@ -18,6 +18,10 @@
 	idleTimeout         = 30 * time.Second
 	maxIdleForwardConns = 64
 	maxIdleControlConns = 2
+	// maxHeadBytes bounds the status line and the headers of a response.
+	maxHeadBytes = 64 << 10
+	// MaxMessageBytes bounds the body of a control message between entries, or from an operator.
+	MaxMessageBytes = 16 << 20
 )
 
 // ForwardPrefix is the path under which an entry accepts forwarded requests.
@@ -47,18 +51,22 @@
 	}
 	return &Pool{
 		scheme: scheme,
-		control: &http.Client{Transport: &http.Transport{
+		control: &http.Client{Transport: limitedTransport{&http.Transport{
 			DialContext:         dialer.DialContext,
 			TLSClientConfig:     config,
 			MaxIdleConnsPerHost: maxIdleControlConns,
 			IdleConnTimeout:     idleTimeout,
-		}},
+
+			MaxResponseHeaderBytes: maxHeadBytes,
+		}}},
 		data: &http.Transport{
 			DialContext:         dialer.DialContext,
 			TLSClientConfig:     config,
 			MaxIdleConnsPerHost: maxIdleForwardConns,
 			IdleConnTimeout:     idleTimeout,
 			DisableCompression:  true,
+
+			MaxResponseHeaderBytes: maxHeadBytes,
 		},
 		clients:     make(map[string]peerpb.Peer),
 		failedUntil: make(map[string]time.Time),
@@ -66,6 +74,18 @@
 	}
 }
 
+// limitedTransport bounds the bodies of responses to MaxMessageBytes.
+type limitedTransport struct{ http.RoundTripper }
+
+// RoundTrip implements http.RoundTripper.
+func (t limitedTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	resp, err := t.RoundTripper.RoundTrip(r)
+	if err == nil {
+		resp.Body = http.MaxBytesReader(nil, resp.Body, MaxMessageBytes)
+	}
+	return resp, err
+}
+
 // Client returns the control client for the entry at addr.
 func (p *Pool) Client(addr string) peerpb.Peer {
 	p.mu.Lock()
--- a/transport/platform/client.go
+++ b/transport/platform/client.go
@@ -16,6 +16,9 @@
 // one megabyte, but lists hold several values.
 const maxResponseBytes = 64 << 20
 
+// maxHeadBytes is the maximum size of the status line and the headers of a response.
+const maxHeadBytes = 64 << 10
+
 // Client is a Store that accesses the platform over HTTP.
 type Client struct {
 	base    string
@@ -29,7 +32,7 @@
 	return &Client{
 		base:    "http://" + addr,
 		timeout: timeout,
-		http:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}},
+		http:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, MaxResponseHeaderBytes: maxHeadBytes}},
 	}
 }
 
--- a/transport/upstreams/upstreams.go
+++ b/transport/upstreams/upstreams.go
@@ -28,6 +28,8 @@
 	// connection that is being closed.
 	idleTimeout    = 20 * time.Second
 	maxStatusBytes = 64 << 10
+	// maxHeadBytes bounds the status line and the headers of a response.
+	maxHeadBytes = 64 << 10
 )
 
 // Options bound the use of one upstream.
@@ -103,10 +105,12 @@
 			MaxIdleConnsPerHost: o.Connections,
 			IdleConnTimeout:     idleTimeout,
 			DisableCompression:  true,
+
+			MaxResponseHeaderBytes: maxHeadBytes,
 		},
 		control: &http.Client{
 			Timeout:   controlTimeout,
-			Transport: &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: idleTimeout},
+			Transport: &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: maxHeadBytes},
 		},
 	}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
