gateway: give the electors of the succession tests a memory limit

Settings without one are invalid; since messages of other gateways are bounded by it, TestHalfOfVotersLostForGood failed with the voters' answers refused.

--- a/gateway/successionharness_test.go
+++ b/gateway/successionharness_test.go
@@ -155,6 +155,7 @@
 
 func (s *successions) process(node string, l net.Listener) *elector {
 	conf := settings.DefaultGateway()
+	conf.MemoryMB = 200
 	conf.Node, conf.Domain, conf.MaxGrantDuration = node, "a", jsonc.Duration(10*time.Second)
 	clock := bootclock.NewFromSources(bootclock.Sources{
 		Monotonic: s.clock, Wall: time.Time.UnixNano,
