leadership: bound what silent voters can have promised

Cause: a new leader asks the voters of the former lease until when promises bind, and needs as many as leave no majority without them. It asked lost ones for ever; until it knows, no key of a silent owner is free, and the lease keeps naming the lost gateways.

Class: a wait for the word of a machine that may never come back, with no time after which its silence is an answer.

Change: a leader that cannot renew its lease acts by the promises of a majority for 15 s after its last renewal, and then only by those of all its voters. 15 s after a successor has its lease no majority binds any more, and the word of one former voter is sufficient. The lease states until when keys may be held and names live voters at once. It also states the 15 s, so that a successor of a leader of an earlier version waits as before. The price: with the store away for over 15 s and a voter missing, nobody leads until one of them is back, and keys are served for 10 s more; before, until a majority of voters was missing.

Evidence: TestMostVotersLostForGood, red before ("the end of the former leaders' grants is not known").

--- a/coordination/leadership/leadership.go
+++ b/coordination/leadership/leadership.go
@@ -9,9 +9,10 @@
 // and the successor takes that into account.
 //
 // While the store is unavailable, no gateway can renew the lease. The holder then continues with
-// promises from a majority of the voters named in the lease. A successor that has written the lease
-// queries a majority of the same voters before it assumes that the former holder has stopped: at
-// least one of them knows the last promise.
+// promises from a majority of the voters named in the lease, and after MajorityPeriod from all of them.
+// A successor that has written the lease queries a majority of the same voters before it assumes that
+// the former holder has stopped: at least one of them knows the last promise. If only fewer answer, it
+// waits for MajorityPeriod, after which the word of one voter is sufficient.
 package leadership
 
 import "time"
@@ -56,6 +57,9 @@
 	// FormerHoldsMs is for how many milliseconds after this write upstreams may hold keys by grants
 	// that the end of the holder's own right does not bound; zero if there are none.
 	FormerHoldsMs int64 `json:"former_holds_ms,omitempty"`
+	// MajorityPeriodMs is the longest MajorityPeriod, in milliseconds, of the holder and of the former ones that
+	// may still act; zero if one of them may act by the promises of a majority without a limit.
+	MajorityPeriodMs int64 `json:"majority_period_ms,omitempty"`
 }
 
 // Same reports whether two leases come from the same write.
--- a/coordination/leadership/promise.go
+++ b/coordination/leadership/promise.go
@@ -9,6 +9,29 @@
 // failure domain, and few enough to query in a cluster of any size.
 const MaxVoters = 7
 
+// MajorityPeriod is how long after its last renewal of the lease a holder may act by the promises of a majority of
+// its voters. After that it needs the promises of all of them, so that a successor that reaches only a few voters,
+// because the others may be lost for good, needs the word of one. While the store is away for longer and a voter is
+// missing, nobody leads.
+const MajorityPeriod = 15 * time.Second
+
+// NeededPromises returns how many of a number of voters must support a holder, for an extension that is requested
+// the given time after the end of the right that its last renewal gave.
+func NeededPromises(voters int, lapsed time.Duration) int {
+	if lapsed+2*LeaseDuration <= MajorityPeriod {
+		return Majority(voters)
+	}
+	return voters
+}
+
+// MajorityPeriodEnd returns the time by which no former holder acts by the promises of a majority any more, for a
+// successor that has acquired the lease at the given time. period is the longest MajorityPeriod of the holders. The
+// word of one voter counts from then on: what it says earlier, its next process does not know, and may make up a
+// majority with others that support the former holder again.
+func MajorityPeriodEnd(acquired time.Time, period time.Duration) time.Time {
+	return acquired.Add(period + period*clockDriftPercent/100 + takeoverMargin)
+}
+
 // Promises records what one gateway has promised. It is kept in memory only, so a new process is
 // treated as having promised at its start, because the previous process may have done so. A new process
 // does not know either which later terms the previous one has heard of.
--- a/coordination/leadership/promise_test.go
+++ b/coordination/leadership/promise_test.go
@@ -87,6 +87,80 @@
 	}
 }
 
+// modelCluster is a holder that is cut off from the store, with its voters.
+type modelCluster struct {
+	rng    *rand.Rand
+	voters []*Promises
+	// lease is the holder's right by its last renewal, promised that by promises.
+	lease, promised Right
+}
+
+// extend asks a random part of the voters for promises.
+func (c *modelCluster) extend(now time.Time) {
+	sinceLease := c.lease.Lapsed(now)
+	lapsed, given := min(sinceLease, c.promised.Lapsed(now)), 0
+	missing := 0
+	if c.rng.IntN(3) == 0 {
+		missing = c.rng.IntN(len(c.voters) + 1)
+	}
+	for _, i := range c.rng.Perm(len(c.voters))[missing:] {
+		if v := c.voters[i]; v.Grant(now, 1) && PromiseCounts(lapsed, v.Uptime(now)) {
+			given++
+		}
+	}
+	if given >= NeededPromises(len(c.voters), sinceLease) {
+		c.promised.Extend(now)
+	}
+}
+
+// TestFewVotersKnowTheEndOfPromises guards against a successor that takes a former holder for ended while that one
+// acts by promises, of which the only voter that answers may know nothing. Voters restart, the others never answer.
+func TestFewVotersKnowTheEndOfPromises(t *testing.T) {
+	rng := rand.New(rand.NewPCG(15, 16))
+	const step = 300 * time.Millisecond
+	for round := range 10000 {
+		c := &modelCluster{rng: rng, voters: make([]*Promises, 1+rng.IntN(MaxVoters))}
+		for i := range c.voters {
+			c.voters[i] = NewPromises(at(-time.Hour))
+		}
+		c.lease.Extend(start)
+		acquired := time.Duration(rng.IntN(int(MajorityPeriod)))
+		answers := acquired + time.Duration(rng.IntN(int(2*MajorityPeriod)))
+		var ends time.Time
+		for now := time.Duration(0); now < 5*MajorityPeriod; now += step {
+			if rng.IntN(20) == 0 {
+				c.voters[rng.IntN(len(c.voters))] = NewPromises(at(now))
+			}
+			c.extend(at(now))
+			if now < answers || at(now).Before(MajorityPeriodEnd(at(acquired), MajorityPeriod)) || !ends.IsZero() {
+				continue
+			}
+			ends = MajorityPeriodEnd(at(acquired), MajorityPeriod)
+			if given, age := c.voters[rng.IntN(len(c.voters))].Inquire(at(now), 2); given {
+				ends = laterTime(ends, at(now-age).Add(LeaseDuration))
+			}
+		}
+		if c.promised.until.After(ends) {
+			t.Fatalf("round %d: the holder may act until %s, its successor assumes %s", round, c.promised.until.Sub(start), ends.Sub(start))
+		}
+	}
+}
+
+// TestMajorityPeriodEndsBeforeSuccessorsAssumeIt guards against a right that a majority gives and that ends after the
+// period.
+func TestMajorityPeriodEndsBeforeSuccessorsAssumeIt(t *testing.T) {
+	var lease, promised Right
+	lease.Extend(start)
+	for now := time.Duration(0); now < 2*MajorityPeriod; now += 10 * time.Millisecond {
+		if NeededPromises(MaxVoters, lease.Lapsed(at(now))) < MaxVoters {
+			promised.Extend(at(now))
+		}
+	}
+	if left := at(MajorityPeriod).Sub(promised.until); left < 0 || left > 10*time.Millisecond {
+		t.Errorf("the right by a majority ends %s before the period", left)
+	}
+}
+
 func TestChooseVoters(t *testing.T) {
 	live := []VoterCandidate{{"a1", "a"}, {"a2", "a"}, {"a3", "a"}, {"a4", "a"}, {"b1", "b"}, {"b2", "b"}, {"c1", "c"}, {"c2", "c"}}
 	got := ChooseVoters(live, nil)
--- a/gateway/leaderelector.go
+++ b/gateway/leaderelector.go
@@ -287,6 +287,7 @@
 	newLease := leadership.Lease{
 		Node: self.Node, Address: self.Address, Domain: self.Domain, Incarnation: self.Incarnation,
 		Term: former.Term + 1, Voters: l.initialVoters(former), Gateways: max(former.Gateways, l.cluster.gatewayCount()),
+		MajorityPeriodMs: majorityPeriodAfter(former),
 	}
 	var holds leadership.FormerHolds
 	holds.Extend(holdsEnd)
@@ -320,6 +321,15 @@
 	l.assignments.start(newLease.Term, func(ctx context.Context) { l.inquire(ctx, former, holdsEnd, l.maxHold) })
 }
 
+// majorityPeriodAfter returns Lease.MajorityPeriodMs for the successor of a lease, as long as its holder may act.
+func majorityPeriodAfter(former leadership.Lease) int64 {
+	own := leadership.MajorityPeriod.Milliseconds()
+	if former.Term > 0 && former.MajorityPeriodMs == 0 {
+		return 0
+	}
+	return max(own, former.MajorityPeriodMs)
+}
+
 // followHolder takes note of the holder of a lease that a refused write returned. An earlier attempt of
 // this process is acquired again when the lease is read next.
 func (l *leaderElector) followHolder(o platform.Object) {
@@ -383,6 +393,9 @@
 	next.Renewals = l.writes.Begin(now)
 	next.Gateways = gateways
 	next.FormerHoldsMs = l.formerHolds.Milliseconds(now, normalHold)
+	if l.formerHoldKnown {
+		next.MajorityPeriodMs = leadership.MajorityPeriod.Milliseconds()
+	}
 	if voters := l.chooseVoters(next.Voters); mayChange && !slices.Equal(voters, next.Voters) {
 		next.Voters = voters
 		l.voterLists = append(l.voterLists, voters)
--- a/gateway/promises.go
+++ b/gateway/promises.go
@@ -74,11 +74,12 @@
 }
 
 // extend asks the voters for promises that let this leader continue without the store. It
-// needs a majority of each voter list that may be in force.
+// needs a majority, or later all, of each voter list that may be in force.
 func (l *leaderElector) extend(ctx context.Context) {
 	l.mu.Lock()
 	sent, term, lists := l.now(), l.lease.Term, l.voterLists
-	lapsed := min(l.right.Lapsed(sent), l.promisedRight.Lapsed(sent))
+	sinceLease := l.right.Lapsed(sent)
+	lapsed := min(sinceLease, l.promisedRight.Lapsed(sent))
 	l.mu.Unlock()
 	if len(lists) == 0 {
 		return
@@ -101,8 +102,8 @@
 				given++
 			}
 		}
-		if given < leadership.Majority(len(list)) {
-			l.log.Warn("too few voter promises to keep leading without the store", "given", given, "voters", len(list))
+		if needed := leadership.NeededPromises(len(list), sinceLease); given < needed {
+			l.log.Warn("too few voter promises to keep leading without the store", "given", given, "needed", needed, "voters", len(list))
 			return
 		}
 	}
@@ -119,46 +120,84 @@
 	l.formerHolds.Extend(sent.Add(leadership.LeaseDuration + ownership.HoldWithMargin(l.maxHold)))
 }
 
-// inquire asks the voters of the former lease until when upstreams may hold keys by grants of
-// former leaders: holdsEnd, or later if they acted by promises. It repeats the question until enough have
-// answered.
+// formerHoldsInquiry asks the voters of the former lease until when upstreams may hold keys by grants of former
+// leaders.
+type formerHoldsInquiry struct {
+	former leadership.Lease
+	// acquired is a time at which this leader had acquired its lease.
+	acquired time.Time
+	// holdsEnd is when upstreams have ceased to hold keys by grants of leaders that did not act by promises.
+	holdsEnd time.Time
+	// longest is the longest duration of a grant.
+	longest time.Duration
+}
+
+// inquire learns until when upstreams may hold keys by grants of former leaders: holdsEnd, or later if they acted
+// by promises. It repeats the question until enough voters have answered, which are fewer once the former leaders
+// need the promises of all.
 func (l *leaderElector) inquire(ctx context.Context, former leadership.Lease, holdsEnd time.Time, longest time.Duration) {
 	term := former.Term + 1
 	if former.Term == 0 {
 		l.setFormerHoldDeadline(term, l.now().Add(ownership.HoldWithMargin(longest)), false)
 		return
 	}
+	q := formerHoldsInquiry{former: former, acquired: l.now(), holdsEnd: holdsEnd, longest: longest}
 	for ctx.Err() == nil && l.cluster.isLeading() {
-		if until, ok := l.inquireFormerHolds(ctx, former, holdsEnd, longest); ok {
+		asked := l.now()
+		ends := l.inquireFormerHolds(ctx, q)
+		if until, ok := q.end(ends); ok {
 			l.log.Info("end of the former leader's grants is known", "term", former.Term, "in_ms", until.Sub(l.now()).Milliseconds())
 			l.setFormerHoldDeadline(term, until, until.After(holdsEnd))
 			return
 		}
+		if until, ok := q.latestEnd(asked, ends); ok {
+			l.log.Warn("most voters of the former leader do not answer", "term", former.Term, "answers", len(ends), "voters", len(former.Voters),
+				"in_ms", until.Sub(l.now()).Milliseconds())
+			l.boundFormerHolds(term, until)
+			return
+		}
 		pause(ctx, inquiryRetryInterval)
 	}
 }
 
-// inquireFormerHolds asks the voters once. A former leader had the promises of a majority, so voters that
-// are part of every majority are sufficient evidence, and it uses those with the earliest ends. More may be
-// lost for good, as a leader that is lost is a voter itself.
-func (l *leaderElector) inquireFormerHolds(ctx context.Context, former leadership.Lease, holdsEnd time.Time, longest time.Duration) (time.Time, bool) {
-	answers := l.askVoters(ctx, former.Voters, &syncpb.PromiseRequest{Term: former.Term + 1, Inquire: true})
+// inquireFormerHolds asks the voters once. For each that answers it returns when upstreams have ceased to hold keys
+// by grants for which that voter's promise was needed, the earliest first.
+func (l *leaderElector) inquireFormerHolds(ctx context.Context, q formerHoldsInquiry) []time.Time {
+	answers := l.askVoters(ctx, q.former.Voters, &syncpb.PromiseRequest{Term: q.former.Term + 1, Inquire: true})
 	now := l.now()
-	var until []time.Time
+	var ends []time.Time
 	for _, a := range answers {
-		end := holdsEnd
+		end := q.holdsEnd
 		if a.Asked {
 			age := time.Duration(a.AgeMs) * time.Millisecond
-			end = laterOf(end, now.Add(-age).Add(leadership.LeaseDuration).Add(ownership.HoldWithMargin(longest)))
+			end = laterOf(end, now.Add(-age).Add(leadership.LeaseDuration).Add(ownership.HoldWithMargin(q.longest)))
 		}
-		until = append(until, end)
+		ends = append(ends, end)
+	}
+	sort.Slice(ends, func(i, j int) bool { return ends[i].Before(ends[j]) })
+	return ends
+}
+
+// end returns until when upstreams may hold keys. A former leader had the promises of a majority, so voters that
+// are part of every majority are sufficient evidence, and those with the earliest ends are used. More may be lost
+// for good, as a leader that is lost is a voter itself.
+func (q formerHoldsInquiry) end(ends []time.Time) (time.Time, bool) {
+	need := leadership.Blocking(len(q.former.Voters))
+	if len(ends) < need {
+		return time.Time{}, false
 	}
-	need := leadership.Blocking(len(former.Voters))
-	if len(until) < need {
+	return ends[need-1], true
+}
+
+// latestEnd is end for fewer voters, which were asked at the given time: after its majority period a former leader
+// had the promises of all, so the word of one voter is sufficient from then on.
+func (q formerHoldsInquiry) latestEnd(asked time.Time, ends []time.Time) (time.Time, bool) {
+	period := time.Duration(q.former.MajorityPeriodMs) * time.Millisecond
+	majorityEnd := leadership.MajorityPeriodEnd(q.acquired, period)
+	if period <= 0 || len(ends) == 0 || asked.Before(majorityEnd) {
 		return time.Time{}, false
 	}
-	sort.Slice(until, func(i, j int) bool { return until[i].Before(until[j]) })
-	return until[need-1], true
+	return laterOf(ends[0], majorityEnd.Add(ownership.HoldWithMargin(q.longest))), true
 }
 
 func laterOf(a, b time.Time) time.Time {
@@ -182,6 +221,17 @@
 	}
 }
 
+// boundFormerHolds records until when upstreams may hold keys at the latest. The lease states it from the next
+// renewal on, so that a successor need not ask the voters of former leases.
+func (l *leaderElector) boundFormerHolds(term uint64, until time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.lease.Term == term {
+		l.formerHoldDeadline, l.formerHoldKnown, l.formerActedByPromises = until, true, false
+		l.formerHolds.Extend(until)
+	}
+}
+
 // latestFormerHold returns until when upstreams may hold keys by grants of former leaders,
 // once that is known.
 func (l *leaderElector) latestFormerHold() (until time.Time, known bool) {
--- a/gateway/randomsuccessions_test.go
+++ b/gateway/randomsuccessions_test.go
@@ -7,6 +7,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/rockcroft/rockcroft/coordination/leadership"
 )
 
 // This file tests random series of successions of leaders.
@@ -153,3 +155,86 @@
 	successionSeeds    = 100
 	stepsPerSuccession = 300
 )
+
+// lossySuccession is a randomSuccession in which gateways are lost for good, and in which time passes in which the
+// inquiries go on.
+type lossySuccession struct{ *randomSuccession }
+
+func (r *lossySuccession) step() string {
+	switch r.rng.IntN(24) {
+	case 0:
+		return r.lose(1 + r.rng.IntN(4))
+	case 1, 2, 3:
+		return r.pass()
+	}
+	return r.randomSuccession.step()
+}
+
+// lose ends gateways for good, but not the last one.
+func (r *lossySuccession) lose(count int) string {
+	lost := ""
+	for range min(count, len(r.live)-1) {
+		i := r.rng.IntN(len(r.live))
+		r.live[i].end()
+		lost += " " + r.live[i].cluster.self.Node
+		r.ended = append(r.ended, r.live[i])
+		r.live = slices.Delete(r.live, i, i+1)
+	}
+	return "loss of" + lost
+}
+
+// pass ends some faults of the store and advances the time by up to 12 s, in which leaders renew their leases, ask voters and make grants, and then
+// lets inquiries repeat their question.
+func (r *lossySuccession) pass() string {
+	seconds := 1 + r.rng.IntN(12)
+	for _, e := range r.live {
+		if r.rng.IntN(2) == 0 {
+			e.transport.deliver()
+		}
+	}
+	for range 4 * seconds {
+		r.advance(250 * time.Millisecond)
+		for _, e := range r.live {
+			if !e.cluster.isLeading() {
+				continue
+			}
+			e.renewIfDue(r.t.Context())
+			if e.renewalOverdue() {
+				e.extend(r.t.Context())
+			}
+			e.grant()
+		}
+	}
+	time.Sleep(inquiryRetryInterval + inquiryRetryInterval/10)
+	return fmt.Sprint("pass ", seconds, " s")
+}
+
+// TestRandomSuccessionsWithLosses is TestRandomSuccessions with seven gateways, most of which are lost for good.
+// ROCKCROFT_SUCCESSIONS=FROM-TO runs other seeds.
+func TestRandomSuccessionsWithLosses(t *testing.T) {
+	t.Parallel()
+	for _, seed := range faultSeeds(t, "ROCKCROFT_SUCCESSIONS", 1, 2, 3, 4, 5, 6, 7, 8) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			s := newSuccessions(t)
+			r := &lossySuccession{&randomSuccession{successions: s, rng: rand.New(rand.NewPCG(seed, 2))}}
+			for i := range leadership.MaxVoters {
+				r.live = append(r.live, s.gateway(fmt.Sprint("g", i)))
+			}
+			s.advance(uptime)
+			r.live[0].setMembers(r.live[1:]...)
+			r.live[0].lead(false)
+			var steps []string
+			for range stepsPerSuccession {
+				steps = append(steps, r.step())
+				if early, by := r.check(); early > 0 {
+					t.Errorf("%s: keys are taken for free %s early; last steps: %s", by, early, strings.Join(steps[max(0, len(steps)-40):], "; "))
+					break
+				}
+			}
+			for _, e := range r.live {
+				e.end()
+			}
+		})
+	}
+}
--- a/gateway/successionpromises_test.go
+++ b/gateway/successionpromises_test.go
@@ -98,6 +98,117 @@
 	}
 }
 
+// startLeaderOf starts gateways, of which the first leads, and returns them. All are voters of its lease.
+func (s *successions) startLeaderOf(gateways int) []*elector {
+	s.t.Helper()
+	var all []*elector
+	for i := range gateways {
+		all = append(all, s.gateway(fmt.Sprint("g", i)))
+	}
+	s.advance(uptime)
+	all[0].setMembers(all[1:]...)
+	all[0].lead(false)
+	all[0].checkWaitsFor()
+	return all
+}
+
+// awaitBound renews the lease until the leader relies on the period after which few voters are sufficient.
+func (e *elector) awaitBound() {
+	e.s.t.Helper()
+	limit := time.Now().Add(time.Minute)
+	for {
+		if _, known := e.latestFormerHold(); known {
+			return
+		}
+		if time.Now().After(limit) {
+			e.s.t.Fatal("the end of the former leaders' grants is not known")
+		}
+		e.s.advance(100 * time.Millisecond)
+		e.renewIfDue(e.s.t.Context())
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// TestMostVotersLostForGood guards against a successor that waits without an end for voters that are lost: the keys
+// of owners that crash later were never served again.
+func TestMostVotersLostForGood(t *testing.T) {
+	t.Parallel()
+	for _, byPromises := range []bool{false, true} {
+		t.Run(fmt.Sprint("by promises ", byPromises), func(t *testing.T) {
+			t.Parallel()
+			s := newSuccessions(t)
+			all := s.startLeaderOf(leadership.MaxVoters)
+			former, next, last := all[0], all[5], all[6]
+			if byPromises {
+				former.actByPromises()
+			} else {
+				former.mustGrant(false)
+			}
+			for _, e := range all[:5] {
+				e.end()
+			}
+			next.observe(t.Context())
+			s.advance(missedRenewal)
+			next.lead(true)
+			led := s.clock()
+			next.awaitBound()
+			next.checkWaitsFor(former)
+			if until, _ := next.latestFormerHold(); until.Sub(led) > leadership.MajorityPeriod+11*time.Second {
+				t.Errorf("the keys of silent owners are free after %s", until.Sub(led))
+			}
+			next.setMembers(last)
+			s.advance(leadership.RenewInterval)
+			next.renew(true)
+			if voters := s.voters(); len(voters) != 2 {
+				t.Errorf("the lost gateways are voters of the next lease: %v", voters)
+			}
+			// The next leader knows from the lease what the present voters do not.
+			last.observe(t.Context())
+			next.end()
+			s.advance(missedRenewal)
+			last.lead(true)
+			last.awaitBound()
+			last.checkWaitsFor(former, next)
+		})
+	}
+}
+
+// TestSilentVotersOfALeaderThatActs guards against keys that are taken for free while a former leader, which
+// reaches most voters but not its successor, acts by their promises.
+func TestSilentVotersOfALeaderThatActs(t *testing.T) {
+	t.Parallel()
+	s := newSuccessions(t)
+	all := s.startLeaderOf(leadership.MaxVoters)
+	former, next := all[0], all[6]
+	next.observe(t.Context())
+	// Five of seven are cut off from the store and from the successor. The sixth hears both leaders.
+	former.transport.set(storeDown)
+	former.unreachable.Store(true)
+	s.advance(leadership.LeaseDuration + missedRenewal)
+	former.extend(t.Context())
+	for _, e := range all[1:5] {
+		e.unreachable.Store(true)
+	}
+	next.lead(true)
+	waited := time.Duration(0)
+	for ; waited < 2*leadership.MajorityPeriod; waited += 500 * time.Millisecond {
+		s.advance(500 * time.Millisecond)
+		for _, e := range all[1:5] {
+			e.unreachable.Store(false)
+		}
+		former.extend(t.Context())
+		for _, e := range all[1:5] {
+			e.unreachable.Store(true)
+		}
+		former.grant()
+	}
+	next.awaitBound()
+	next.checkWaitsFor(former)
+	if former.mayAct() {
+		t.Error("the former leader acts by a majority after its period")
+	}
+}
+
 // TestLatePromisesGiveNoRight guards against a right to act by promises that were requested before the
 // lease was renewed: the voters may have changed since.
 func TestLatePromisesGiveNoRight(t *testing.T) {
