gateway: a file of its own for pools of connections; names of the inquiry

The limits of all pools and how they share memory stand in pools.go. end and latestEnd of the inquiry are endByMajority and endByAll.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -61,56 +61,6 @@
 	idleCheckInterval = time.Second
 )
 
-const (
-	// upstreamDialTimeout bounds opening a connection to an upstream. It is a few round trips
-	// long but shorter than the delay of a lost packet, so that another upstream is tried.
-	upstreamDialTimeout = 250 * time.Millisecond
-	// upstreamIdleTimeout is how long idle connections to upstreams are kept. Upstreams close
-	// theirs after ten seconds or after the time that their responses announce.
-	upstreamIdleTimeout = 6 * time.Second
-	// upstreamIdleTimeoutOnce is the same for requests that are not idempotent: if a connection
-	// ends while it is used, their outcome is unknown.
-	upstreamIdleTimeoutOnce = 3 * time.Second
-	// maxUpstreamIdleConns bounds the idle connections to one upstream. An upstream allows 110
-	// to 130 connections from all gateways together; this is the share of one gateway.
-	maxUpstreamIdleConns = 8
-	// storeDialTimeout, storeIdleTimeout and maxStoreIdleConns are the same for the store.
-	storeDialTimeout  = 300 * time.Millisecond
-	storeIdleTimeout  = 5 * time.Second
-	maxStoreIdleConns = 4
-	// maxResponseHead bounds the status lines and headers that are read for one request, in bytes.
-	maxResponseHead = 64 << 10
-	// maxResponseBody bounds the body of a response, in bytes.
-	maxResponseBody = 16 * megabyte
-	// maxControlBody bounds the body of a response to a control call, in bytes. Nothing in it is used.
-	maxControlBody = 64 << 10
-	// responsesDivisor bounds the memory of all responses to requests of callers that are being read to the
-	// allowed memory divided by this number. That is less than the share of heldBytesDivisor, so that responses
-	// without an end do not keep the requests of other callers from being admitted.
-	responsesDivisor = 6
-	// controlResponsesDivisor is the same for the responses of the store and to control calls, which are not
-	// ended for those to requests.
-	controlResponsesDivisor = 8
-)
-
-// upstreamLimits are the limits of connections to upstreams.
-var upstreamLimits = pool.Limits{
-	DialTimeout: upstreamDialTimeout, MaxIdleTime: upstreamIdleTimeout, MaxIdleTimeNonIdempotent: upstreamIdleTimeoutOnce,
-	MaxIdleConnsPerAddr: maxUpstreamIdleConns, MaxHeadBytes: maxResponseHead, MaxBodyBytes: maxResponseBody,
-}
-
-// controlLimits are the limits of connections for control calls to upstreams.
-var controlLimits = func() pool.Limits {
-	limits := upstreamLimits
-	limits.MaxBodyBytes = maxControlBody
-	return limits
-}()
-
-// storeLimits are the limits of connections to the platform's store.
-var storeLimits = pool.Limits{
-	DialTimeout: storeDialTimeout, MaxIdleTime: storeIdleTimeout, MaxIdleTimeNonIdempotent: storeIdleTimeout, MaxIdleConnsPerAddr: maxStoreIdleConns, MaxHeadBytes: maxResponseHead, MaxBodyBytes: maxResponseBody,
-}
-
 // Gateway is one gateway process.
 type Gateway struct {
 	conf     settings.Gateway
@@ -206,11 +156,11 @@
 	g.limits.onChange = g.limitsChanged
 	allowed := int64(conf.MemoryMB) * megabyte
 	g.responses, g.controlResponses = pool.NewMemory(allowed/responsesDivisor), pool.NewMemory(allowed/controlResponsesDivisor)
+	g.peerMessages = newPeerMessages(allowed)
 	self := &syncpb.Member{
 		Node: conf.Node, Address: listeners.Peers.Addr().String(), Domain: conf.Domain, Incarnation: incarnation(),
 		Strength: uint32(strengthUnits * conf.CPUCores),
 	}
-	g.peerMessages = newPeerMessages(allowed)
 	client := &http.Client{Transport: &progressTransport{base: &http.Transport{
 		DialContext:         countReads((&net.Dialer{Timeout: reportTimeout}).DialContext, g.meters.counter(newsBytesIn)),
 		MaxIdleConnsPerHost: 4, IdleConnTimeout: defaultIdleTimeout, MaxResponseHeaderBytes: maxResponseHead,
@@ -219,7 +169,7 @@
 	g.cluster.regions = conf.Regions
 	g.view.hasReceivers = g.cluster.hasChildren
 	g.storeCalls = &storeCaller{
-		conns: g.newPool(storeLimits, g.controlResponses, (&net.Dialer{KeepAlive: -1}).DialContext), address: conf.Store.String(), relayPeers: g.cluster.relayCandidates, isLeader: g.cluster.isLeading,
+		conns: g.newPool(storeLimits, g.controlResponses), address: conf.Store.String(), relayPeers: g.cluster.relayCandidates, isLeader: g.cluster.isLeading,
 		now: g.now, log: log, meters: g.meters, lastSuccess: g.now(),
 	}
 	g.quotas = newTeamQuotas(g.view, g.cluster.gatewayCount, conf.QuotaSlack, g.now, mathrand.New(mathrand.NewPCG(seeds[0]+1, seeds[1])))
@@ -282,7 +232,7 @@
 		bytes:         bytebudget.New(byteLimits(conf), mathrand.New(mathrand.NewPCG(seeds[1]+1, seeds[0]))), configurationAge: g.configurationAge,
 		revocationTimeout: conf.RevocationTimeout.D(), quotas: g.quotas,
 		leaderSilence: g.leaderSilence,
-		forward:       newForwarder(g.reach, g.cluster, g.newPool(forwardLimits, g.responses, (&net.Dialer{KeepAlive: -1}).DialContext), g.now, log, g.meters, mathrand.New(mathrand.NewPCG(seeds[0]+3, seeds[1]))),
+		forward:       newForwarder(g.reach, g.cluster, g.newPool(forwardLimits, g.responses), g.now, log, g.meters, mathrand.New(mathrand.NewPCG(seeds[0]+3, seeds[1]))),
 		startup:       &startup{view: g.view, now: g.now, startedAt: g.now(), storeUnavailable: g.storeCalls.unavailable, log: log, meters: g.meters},
 	}
 	g.clock.OnSuspended(g.handleWakeUp)
@@ -298,23 +248,6 @@
 	return &net.TCPAddr{IP: net.ParseIP(ip)}
 }
 
-// newPool returns a pool whose responses are bounded by the given limits and memory.
-func (g *Gateway) newPool(limits pool.Limits, memory *pool.Memory, dial pool.DialFunc) *pool.Pool {
-	p := pool.NewWithDialer(limits, g.now, dial)
-	p.ShareMemory(memory)
-	g.pools = append(g.pools, p)
-	return p
-}
-
-// newUpstreamPool returns a pool of connections to upstreams.
-func (g *Gateway) newUpstreamPool(limits pool.Limits, memory *pool.Memory) *pool.Pool {
-	p := g.newPool(limits, memory, func(ctx context.Context, network, addr string) (net.Conn, error) {
-		return g.upstreamDialer(ctx, network, addr)
-	})
-	p.Observe(g.reach.record)
-	return p
-}
-
 // limitsChanged applies a change of an upstream's announced limit here at once, and passes it
 // on to the gateways that report to this one.
 func (g *Gateway) limitsChanged() {
--- a/gateway/promises.go
+++ b/gateway/promises.go
@@ -145,12 +145,12 @@
 	for ctx.Err() == nil && l.cluster.isLeading() {
 		asked := l.now()
 		ends := l.inquireFormerHolds(ctx, q)
-		if until, ok := q.end(ends); ok {
+		if until, ok := q.endByMajority(ends); ok {
 			l.log.Info("end of the former leader's grants is known", "term", former.Term, "in_ms", until.Sub(l.now()).Milliseconds())
 			l.setFormerHoldDeadline(term, until, until.After(holdsEnd))
 			return
 		}
-		if until, ok := q.latestEnd(asked, ends); ok {
+		if until, ok := q.endByAll(asked, ends); ok {
 			l.log.Warn("most voters of the former leader do not answer", "term", former.Term, "answers", len(ends), "voters", len(former.Voters),
 				"in_ms", until.Sub(l.now()).Milliseconds())
 			l.boundFormerHolds(term, until)
@@ -178,10 +178,10 @@
 	return ends
 }
 
-// end returns until when upstreams may hold keys. A former leader had the promises of a majority, so voters that
+// endByMajority returns until when upstreams may hold keys. A former leader had the promises of a majority, so voters that
 // are part of every majority are sufficient evidence, and those with the earliest ends are used. More may be lost
 // for good, as a leader that is lost is a voter itself.
-func (q formerHoldsInquiry) end(ends []time.Time) (time.Time, bool) {
+func (q formerHoldsInquiry) endByMajority(ends []time.Time) (time.Time, bool) {
 	need := leadership.Blocking(len(q.former.Voters))
 	if len(ends) < need {
 		return time.Time{}, false
@@ -189,9 +189,9 @@
 	return ends[need-1], true
 }
 
-// latestEnd is end for fewer voters, which were asked at the given time: after its majority period a former leader
-// had the promises of all, so the word of one voter is sufficient from then on.
-func (q formerHoldsInquiry) latestEnd(asked time.Time, ends []time.Time) (time.Time, bool) {
+// endByAll is endByMajority for fewer voters, which were asked at the given time: after its majority period a former
+// leader needed the promises of all, so the word of one voter is sufficient from then on.
+func (q formerHoldsInquiry) endByAll(asked time.Time, ends []time.Time) (time.Time, bool) {
 	period := time.Duration(q.former.MajorityPeriodMs) * time.Millisecond
 	majorityEnd := leadership.MajorityPeriodEnd(q.acquired, period)
 	if period <= 0 || len(ends) == 0 || asked.Before(majorityEnd) {
