standin: tell with two owners of a key when their grants arrived

TestRandomOwnershipFaults and TestDomainLost have shown two owners of a key once, untraced. A call that a starved upstream carries out after its timeout was suspected: the stand-in counts a lease from when it carries the grant out, the users' pages from its arrival. Nothing told the two apart. A violation now names the fences, when each grant was carried out and how long after its arrival; the check itself is unchanged.

--- a/gateway/testcluster_test.go
+++ b/gateway/testcluster_test.go
@@ -49,6 +49,8 @@
 	mu             sync.Mutex
 	upstreams      map[string]*upstream
 	ports          []*port
+	// written holds when gateways last wrote to upstreams, by the local address of the connection.
+	written sync.Map
 }
 
 // testGateway is a gateway that can be stopped or killed.
@@ -166,6 +168,7 @@
 		Instance: instance.New(id, service == "status", 5*time.Millisecond, b.oracle),
 		service:  service, domain: domain, address: l.Addr().String(), born: born,
 	}
+	u.ArrivedAt = b.arrivedAt
 	u.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if b.onUpstreamRequest != nil {
 			b.onUpstreamRequest(r)
@@ -179,6 +182,14 @@
 	return u
 }
 
+// arrivedAt returns when a gateway last wrote to an upstream on the connection from an address: on the loopback
+// interface the bytes have arrived then.
+func (b *testCluster) arrivedAt(remote string) time.Time {
+	at, _ := b.written.Load(remote)
+	arrived, _ := at.(time.Time)
+	return arrived
+}
+
 func (b *testCluster) register(u *upstream, state string) {
 	var body platform.InstanceBody
 	body.Address, body.StartedMs = u.address, u.born
@@ -243,6 +254,7 @@
 		peersLink: peersLink, storeLink: storeLink, stop: cancel, done: make(chan struct{}), ports: ports,
 	}
 	g.upstreamLinks = cuttableLinks(g.Gateway)
+	g.upstreamLinks.written = &b.written
 	if b.keepIdle {
 		// By default idle connections to other gateways are closed after a while.
 		g.cluster.http.Transport.(*progressTransport).base.IdleConnTimeout = 0
--- a/gateway/upstreamlinks_test.go
+++ b/gateway/upstreamlinks_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/rockcroft/rockcroft/transport/pool"
 )
@@ -32,6 +33,8 @@
 	mu    sync.Mutex
 	state linkState
 	open  map[*linkedConn]bool
+	// written, if set, holds when bytes were last written, by local address.
+	written *sync.Map
 }
 
 // cuttableLinks makes the links from a gateway to its upstreams cuttable. It must be called before
@@ -105,12 +108,19 @@
 	if c.links.current() == linksHang {
 		return len(b), nil
 	}
-	return c.TCPConn.Write(b)
+	n, err := c.TCPConn.Write(b)
+	if c.links.written != nil {
+		c.links.written.Store(c.LocalAddr().String(), time.Now())
+	}
+	return n, err
 }
 
 func (c *linkedConn) Close() error {
 	c.links.mu.Lock()
 	delete(c.links.open, c)
 	c.links.mu.Unlock()
+	if c.links.written != nil {
+		c.links.written.Delete(c.LocalAddr().String())
+	}
 	return c.TCPConn.Close()
 }
--- a/standin/instance/extraresponses.go
+++ b/standin/instance/extraresponses.go
@@ -27,7 +27,7 @@
 	current := &controlResponse{header: w.Header().Clone(), status: http.StatusOK}
 	former := i.takeFormerResponse(r.RemoteAddr)
 	if former == nil {
-		i.serveControl(current, r.URL.Path, body)
+		i.serveControl(current, r.URL.Path, body, i.delayOf(r))
 		i.keepResponse(r.RemoteAddr, current)
 		for name, values := range current.header {
 			w.Header()[name] = values
@@ -42,7 +42,7 @@
 	defer func() { _ = conn.Close() }()
 	for _, response := range []*controlResponse{former, current} {
 		if response == current {
-			i.serveControl(current, r.URL.Path, body)
+			i.serveControl(current, r.URL.Path, body, i.delayOf(r))
 		}
 		encoded := http.Response{StatusCode: response.status, ProtoMajor: 1, ProtoMinor: 1, Header: response.header}
 		if encoded.Write(conn) != nil {
--- a/standin/instance/grants.go
+++ b/standin/instance/grants.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"strconv"
 	"time"
@@ -17,6 +18,13 @@
 	spans.KeyRange
 	fence   uint64
 	expires time.Time
+	// carriedOut is when the grant was carried out, delay the time from its arrival to that.
+	carriedOut time.Time
+	delay      time.Duration
+}
+
+func (l lease) String() string {
+	return fmt.Sprintf("%d-%d with fence %d, carried out %s ago and %s after its arrival", l.First, l.Last, l.fence, time.Since(l.carriedOut).Round(time.Millisecond), l.delay.Round(time.Millisecond))
 }
 
 // fenceRecord is the fence of one grant or release.
@@ -77,7 +85,7 @@
 	expires := time.Now().Add(time.Duration(c.Hold * float64(time.Second)))
 	time.AfterFunc(delay, func() {
 		if path == platform.GrantPath {
-			i.grant(c, expires)
+			i.grant(c, expires, delay)
 			return
 		}
 		i.mu.Lock()
@@ -107,7 +115,7 @@
 	return out
 }
 
-func (i *Instance) serveGrant(w http.ResponseWriter, body []byte) {
+func (i *Instance) serveGrant(w http.ResponseWriter, body []byte, delay time.Duration) {
 	var c platform.GrantRequest
 	if json.Unmarshal(body, &c) != nil {
 		w.WriteHeader(http.StatusBadRequest)
@@ -115,13 +123,13 @@
 	}
 	expires := time.Now().Add(time.Duration(c.Hold * float64(time.Second)))
 	if i.currentMode() == LateGrants {
-		time.AfterFunc(LateGrantDelay, func() { i.grant(c, expires) })
+		time.AfterFunc(LateGrantDelay, func() { i.grant(c, expires, delay+LateGrantDelay) })
 		panic(http.ErrAbortHandler)
 	}
-	w.WriteHeader(i.grant(c, expires))
+	w.WriteHeader(i.grant(c, expires, delay))
 }
 
-func (i *Instance) grant(c platform.GrantRequest, expires time.Time) int {
+func (i *Instance) grant(c platform.GrantRequest, expires time.Time, delay time.Duration) int {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	if i.terminated {
@@ -135,8 +143,9 @@
 	}
 	i.cutLeases(keys)
 	i.fences = append(i.fences, fenceRecord{keys, c.Fence})
-	i.leases = append(i.leases, lease{keys, c.Fence, expires})
-	i.Oracle.recordGrant(i.ID, keys, c.Fence, expires)
+	l := lease{KeyRange: keys, fence: c.Fence, expires: expires, carriedOut: time.Now(), delay: delay}
+	i.leases = append(i.leases, l)
+	i.Oracle.recordGrant(i.ID, l)
 	return http.StatusOK
 }
 
--- a/standin/instance/instance.go
+++ b/standin/instance/instance.go
@@ -72,6 +72,9 @@
 	incarnation string
 	// OmitsControlIDs is set if responses to control calls do not carry the ID of the call.
 	OmitsControlIDs bool
+	// ArrivedAt, if set, returns when the latest bytes on the connection from an address arrived, or the zero time.
+	// It is only reported with violations.
+	ArrivedAt func(remote string) time.Time
 	// formerResponses are the latest responses to control calls in mode ExtraResponses, by the address of
 	// the caller.
 	formerResponses map[string]*controlResponse
@@ -186,13 +189,25 @@
 		i.serveWithExtraResponse(w, r, body)
 		return
 	}
-	i.serveControl(w, r.URL.Path, body)
+	i.serveControl(w, r.URL.Path, body, i.delayOf(r))
+}
+
+// delayOf returns the time since a request arrived; zero if that is not known.
+func (i *Instance) delayOf(r *http.Request) time.Duration {
+	if i.ArrivedAt == nil {
+		return 0
+	}
+	arrived := i.ArrivedAt(r.RemoteAddr)
+	if arrived.IsZero() {
+		return 0
+	}
+	return time.Since(arrived)
 }
 
 // serveControl serves a grant or release call.
-func (i *Instance) serveControl(w http.ResponseWriter, path string, body []byte) {
+func (i *Instance) serveControl(w http.ResponseWriter, path string, body []byte, delay time.Duration) {
 	if path == platform.GrantPath {
-		i.serveGrant(w, body)
+		i.serveGrant(w, body, delay)
 		return
 	}
 	i.serveRelease(w, body)
--- a/standin/instance/oracle.go
+++ b/standin/instance/oracle.go
@@ -39,14 +39,16 @@
 	return &Oracle{leases: make(map[string][]lease), finishing: make(map[string]map[uint16]time.Time), runs: make(map[string]int), runsByInstance: make(map[string]int)}
 }
 
-func (o *Oracle) recordGrant(id string, keys spans.KeyRange, fence uint64, expires time.Time) {
+func (o *Oracle) recordGrant(id string, granted lease) {
+	keys, fence := granted.KeyRange, granted.fence
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := time.Now()
 	for other, leases := range o.leases {
 		for _, l := range leases {
 			if other != id && overlap(l.KeyRange, keys) && now.Before(l.expires) {
-				o.addViolation("keys %d-%d granted to %s while %s holds %d-%d", keys.First, keys.Last, id, other, l.First, l.Last)
+				o.addViolation("keys %d-%d granted to %s while %s holds %d-%d for %s more: %s; the other is %s", keys.First, keys.Last, id, other, l.First, l.Last,
+					l.expires.Sub(now).Round(time.Millisecond), granted, l)
 			}
 		}
 	}
@@ -63,7 +65,7 @@
 		}
 	}
 	o.cutLeases(id, keys)
-	o.leases[id] = append(o.leases[id], lease{keys, fence, expires})
+	o.leases[id] = append(o.leases[id], granted)
 	o.grants = append(o.grants, grantRecord{keys, id, fence})
 }
 
