--- a/coordination/bytebudget/bytebudget_test.go
+++ b/coordination/bytebudget/bytebudget_test.go
@@ -261,8 +261,7 @@
 	}
 }
 
-// TestAnnouncedSizeIsCountedAsItArrives guards against upstreams that announce long responses, send next to
-// nothing of them, and so keep all other requests from being admitted.
+// TestAnnouncedSizeIsCountedAsItArrives guards against announced lengths of which next to nothing arrives, and for which other requests are refused.
 func TestAnnouncedSizeIsCountedAsItArrives(t *testing.T) {
 	b := newBudget(8 << 20)
 	learn(t, b, "small", 2<<10)
--- a/coordination/leadership/promise_test.go
+++ b/coordination/leadership/promise_test.go
@@ -113,8 +113,7 @@
 	}
 }
 
-// TestFewVotersKnowTheEndOfPromises guards against a successor that takes a former holder for ended while that one
-// acts by promises, of which the only voter that answers may know nothing. Voters restart, the others never answer.
+// TestFewVotersKnowTheEndOfPromises guards against a successor that takes a holder for ended while most voters, which it cannot ask, support that one.
 func TestFewVotersKnowTheEndOfPromises(t *testing.T) {
 	rng := rand.New(rand.NewPCG(15, 16))
 	const step = 300 * time.Millisecond
@@ -146,8 +145,7 @@
 	}
 }
 
-// TestMajorityPeriodEndsBeforeSuccessorsAssumeIt guards against a right that a majority gives and that ends after the
-// period.
+// TestMajorityPeriodEndsBeforeSuccessorsAssumeIt guards against a right that a majority gives and that ends after the period.
 func TestMajorityPeriodEndsBeforeSuccessorsAssumeIt(t *testing.T) {
 	var lease, promised Right
 	lease.Extend(start)
--- a/entry/endless_test.go
+++ b/entry/endless_test.go
@@ -47,8 +47,7 @@
 	return l.Addr().String(), sent
 }
 
-// TestResponsesWithoutEndAreNotRead guards against responses that fill the memory of an entry, in their head or
-// their body.
+// TestResponsesWithoutEndAreNotRead guards against responses that fill the memory of an entry, in their head or their body.
 func TestResponsesWithoutEndAreNotRead(t *testing.T) {
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 	defer cancel()
--- a/gateway/controlresponses_test.go
+++ b/gateway/controlresponses_test.go
@@ -93,8 +93,7 @@
 	}
 }
 
-// TestExtraRefusalIsNoRefusal guards against keys that are granted to a second upstream because an extra response
-// to an earlier grant, which was refused, was taken for the response to the grant of them.
+// TestExtraRefusalIsNoRefusal guards against a second owner of keys after an extra refusal was taken for the response to the grant of them.
 func TestExtraRefusalIsNoRefusal(t *testing.T) {
 	t.Parallel()
 	for name, omitsIDs := range map[string]bool{"with IDs": false, "without IDs": true} {
--- a/gateway/heldbytes_test.go
+++ b/gateway/heldbytes_test.go
@@ -283,8 +283,7 @@
 	}
 }
 
-// TestUselessResponsesLeaveRoomForOthers guards against upstreams that take the room of ordinary requests with
-// bodies that do not end, or with announced lengths of which nothing arrives.
+// TestUselessResponsesLeaveRoomForOthers guards against requests that are refused for the bytes of endless or announced bodies of others.
 func TestUselessResponsesLeaveRoomForOthers(t *testing.T) {
 	t.Parallel()
 	for name, header := range map[string]string{"without an end": "X-Endless: 1\r\n", "announced": "X-Claim: 16000000\r\n"} {
--- a/gateway/latecopies_test.go
+++ b/gateway/latecopies_test.go
@@ -139,8 +139,7 @@
 	return resp.StatusCode, string(data)
 }
 
-// TestLateCopyOfRefusalIsNoPromise guards against a request that is answered "not run" because of a late copy of
-// the refusal of an earlier attempt, and has run.
+// TestLateCopyOfRefusalIsNoPromise guards against a request that is answered "not run" by a copy of an earlier refusal, and has run.
 func TestLateCopyOfRefusalIsNoPromise(t *testing.T) {
 	t.Parallel()
 	for maxAttempts := 2; maxAttempts <= 3; maxAttempts++ {
@@ -172,8 +171,7 @@
 	}
 }
 
-// TestRequestWithoutIDGetsItsOwnResponse guards against a response to an earlier request that is taken for that
-// to a request without an ID, by which responses are told apart.
+// TestRequestWithoutIDGetsItsOwnResponse guards against the response to another request, which no ID tells from that to a request without one.
 func TestRequestWithoutIDGetsItsOwnResponse(t *testing.T) {
 	t.Parallel()
 	u := &repeatingUpstream{refusals: func(string) int { return 0 }}
--- a/gateway/peermessages_test.go
+++ b/gateway/peermessages_test.go
@@ -22,7 +22,7 @@
 	return len(data), nil
 }
 
-// TestPeerResponseWithoutEndIsNotRead guards against a message of another gateway that fills the memory.
+// TestPeerResponseWithoutEndIsNotRead guards against a response of another gateway that fills the memory.
 func TestPeerResponseWithoutEndIsNotRead(t *testing.T) {
 	t.Parallel()
 	var written atomic.Int64
@@ -54,7 +54,7 @@
 	}
 }
 
-// TestPeerRequestWithoutEndIsNotRead guards against the same at the receiver of requests.
+// TestPeerRequestWithoutEndIsNotRead guards against the same in requests of other gateways.
 func TestPeerRequestWithoutEndIsNotRead(t *testing.T) {
 	t.Parallel()
 	messages := newPeerMessages(256 * megabyte)
--- a/gateway/randomsuccessions_test.go
+++ b/gateway/randomsuccessions_test.go
@@ -210,8 +210,8 @@
 	return "isolation of" + isolated
 }
 
-// pass ends some faults of the store and advances the time by up to 12 s, in which leaders renew their leases, ask voters and make grants, and then
-// lets inquiries repeat their question.
+// pass ends some faults of the store, advances the time by up to 12 s, in which leaders renew their leases, ask
+// voters and make grants, and lets inquiries repeat their question.
 func (r *lossySuccession) pass() string {
 	seconds := 1 + r.rng.IntN(12)
 	for _, e := range r.live {
@@ -239,8 +239,7 @@
 	return fmt.Sprint("pass ", seconds, " s")
 }
 
-// TestRandomSuccessionsWithLosses is TestRandomSuccessions with seven gateways, most of which are lost for good.
-// ROCKCROFT_SUCCESSIONS=FROM-TO runs other seeds.
+// TestRandomSuccessionsWithLosses loses most of seven gateways for good in random successions. ROCKCROFT_SUCCESSIONS=FROM-TO runs other seeds.
 func TestRandomSuccessionsWithLosses(t *testing.T) {
 	t.Parallel()
 	for _, seed := range faultSeeds(t, "ROCKCROFT_SUCCESSIONS", 1, 2, 3, 4, 5, 6, 7, 8) {
--- a/gateway/successionpromises_test.go
+++ b/gateway/successionpromises_test.go
@@ -129,8 +129,7 @@
 	}
 }
 
-// TestMostVotersLostForGood guards against a successor that waits without an end for voters that are lost: the keys
-// of owners that crash later were never served again.
+// TestMostVotersLostForGood guards against a successor that waits for lost voters without an end, and with it the keys of silent owners.
 func TestMostVotersLostForGood(t *testing.T) {
 	t.Parallel()
 	for _, byPromises := range []bool{false, true} {
@@ -173,8 +172,7 @@
 	}
 }
 
-// TestSilentVotersOfALeaderThatActs guards against keys that are taken for free while a former leader, which
-// reaches most voters but not its successor, acts by their promises.
+// TestSilentVotersOfALeaderThatActs guards against keys that are free while a former leader acts by voters that its successor cannot ask.
 func TestSilentVotersOfALeaderThatActs(t *testing.T) {
 	t.Parallel()
 	s := newSuccessions(t)
--- a/transport/pool/fuzz_test.go
+++ b/transport/pool/fuzz_test.go
@@ -10,8 +10,7 @@
 	"time"
 )
 
-// FuzzResponse guards against bytes of an upstream that are taken for the response to another request, that exceed
-// a limit, or whose memory stays counted.
+// FuzzResponse guards against foreign responses, reads beyond a limit, and memory that stays counted.
 func FuzzResponse(f *testing.F) {
 	for _, form := range endlessForms {
 		f.Add([]byte(form.start+form.repeated), uint16(3))
--- a/transport/pool/memory_test.go
+++ b/transport/pool/memory_test.go
@@ -43,8 +43,7 @@
 	}
 }
 
-// TestBytesWithoutEndEndTheConnection guards against responses that are read for as long as the upstream sends,
-// in their head or their body.
+// TestBytesWithoutEndEndTheConnection guards against heads and bodies that are read for as long as the upstream sends.
 func TestBytesWithoutEndEndTheConnection(t *testing.T) {
 	for name, form := range endlessForms {
 		t.Run(name, func(t *testing.T) {
@@ -68,8 +67,7 @@
 	}
 }
 
-// TestAnnouncedLengthIsGivenNoMemory guards against upstreams that announce long bodies and send next to nothing
-// of them.
+// TestAnnouncedLengthIsGivenNoMemory guards against memory for long bodies that are announced and do not come.
 func TestAnnouncedLengthIsGivenNoMemory(t *testing.T) {
 	const requests, sent, mostEach = 20, 1000, 128 << 10
 	var arrived sync.WaitGroup
@@ -109,8 +107,7 @@
 	}
 }
 
-// TestSumOfResponsesIsBounded guards against many responses that fill the memory together, each of them within
-// the limits of one. An ordinary response must not be ended for them.
+// TestSumOfResponsesIsBounded guards against responses that fill the memory together, each within the limits of one.
 func TestSumOfResponsesIsBounded(t *testing.T) {
 	const limit, requests, ordinary = 3 << 20, 30, 200
 	for name, form := range endlessForms {
