Comments and one error after reading the diff as a newcomer

"Word of a voter" is its answer, "nobody" names who; the bound of idle connections is not explained by a figure of the deployments; the error for messages of other gateways has the limit in it. No behaviour changes but the error's text.

--- a/coordination/callers/shares.go
+++ b/coordination/callers/shares.go
@@ -27,7 +27,7 @@
 	// within it.
 	minGrants = 1
 	// soleFraction is the fraction of all requests from which on a caller counts as the only one.
-	// Refusing its requests would protect nobody.
+	// Refusing its requests would make room for no other caller.
 	soleFraction = 0.95
 	// curveInterval is how long a computed curve is used, curveSteps the number of its levels, by
 	// quarters of a power of two.
--- a/coordination/dispatch/service.go
+++ b/coordination/dispatch/service.go
@@ -177,7 +177,7 @@
 func (s *Service) Offer(now time.Time, req *Request) (Decision, bool) {
 	d, decided := s.decide(now, req)
 	if decided && !d.Granted() && now.Before(req.QueueUntil) {
-		// A hedge may not wait, and nobody comes back for it.
+		// A hedge may not wait, and its refusal is not returned to the caller.
 		d.RetryAfter = s.retryAfter(now, req, d.Refusal)
 	}
 	return d, decided
--- a/coordination/leadership/leadership.go
+++ b/coordination/leadership/leadership.go
@@ -12,7 +12,7 @@
 // promises from a majority of the voters named in the lease, and after MajorityPeriod from all of them.
 // A successor that has written the lease queries a majority of the same voters before it assumes that
 // the former holder has stopped: at least one of them knows the last promise. If only fewer answer, it
-// waits for MajorityPeriod, after which the word of one voter is sufficient.
+// waits for MajorityPeriod, after which the answer of a single voter is sufficient.
 package leadership
 
 import "time"
--- a/coordination/leadership/promise.go
+++ b/coordination/leadership/promise.go
@@ -10,9 +10,9 @@
 const MaxVoters = 7
 
 // MajorityPeriod is how long after its last renewal of the lease a holder may act by the promises of a majority of
-// its voters. After that it needs the promises of all of them, so that a successor that reaches only a few voters,
-// because the others may be lost for good, needs the word of one. While the store is away for longer and a voter is
-// missing, nobody leads.
+// its voters. After that it needs the promises of all of them: then the answer of a single voter tells a successor
+// until when the holder may act, even if the other voters are lost for good. While the store is unavailable for longer
+// and a voter does not answer, no gateway leads.
 const MajorityPeriod = 15 * time.Second
 
 // NeededPromises returns how many of a number of voters must support a holder, for an extension that is requested
@@ -26,8 +26,8 @@
 
 // MajorityPeriodEnd returns the time by which no former holder acts by the promises of a majority any more, for a
 // successor that has acquired the lease at the given time. period is the longest MajorityPeriod of the holders. The
-// word of one voter counts from then on: what it says earlier, its next process does not know, and may make up a
-// majority with others that support the former holder again.
+// answer of a single voter is sufficient only if it was asked after that time: if it is asked earlier and restarts, its
+// next process does not know of the question and may be part of a majority that supports the former holder again.
 func MajorityPeriodEnd(acquired time.Time, period time.Duration) time.Time {
 	return acquired.Add(period + period*clockDriftPercent/100 + takeoverMargin)
 }
--- a/gateway/peermessages.go
+++ b/gateway/peermessages.go
@@ -1,7 +1,7 @@
 package gateway
 
 import (
-	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"sync/atomic"
@@ -16,9 +16,6 @@
 	peerMessagesDivisor = 8
 )
 
-// errTooManyMessages is returned for a message that does not fit with the others that are being received.
-var errTooManyMessages = errors.New("the messages of other gateways are too large together")
-
 // peerMessages bounds the bytes of the messages of other gateways that are being received. It is safe for
 // concurrent use.
 type peerMessages struct {
@@ -59,7 +56,7 @@
 	n, err := m.ReadCloser.Read(data)
 	m.held += int64(n)
 	if m.all.held.Add(int64(n)) > m.all.limit {
-		return n, errTooManyMessages
+		return n, fmt.Errorf("messages of other gateways that are being received exceed %d bytes", m.all.limit)
 	}
 	return n, err
 }
--- a/gateway/pools.go
+++ b/gateway/pools.go
@@ -20,8 +20,8 @@
 	// upstreamIdleTimeoutOnce is the same for requests that are not idempotent: if a connection
 	// ends while it is used, their outcome is unknown.
 	upstreamIdleTimeoutOnce = 3 * time.Second
-	// maxUpstreamIdleConns bounds the idle connections to one upstream. An upstream allows 110
-	// to 130 connections from all gateways together; this is the share of one gateway.
+	// maxUpstreamIdleConns bounds the idle connections to one upstream, whose limit on connections all
+	// gateways share.
 	maxUpstreamIdleConns = 8
 	// storeDialTimeout, storeIdleTimeout and maxStoreIdleConns are the same for the store.
 	storeDialTimeout  = 300 * time.Millisecond
--- a/gateway/promises.go
+++ b/gateway/promises.go
@@ -190,7 +190,7 @@
 }
 
 // endByAll is endByMajority for fewer voters, which were asked at the given time: after its majority period a former
-// leader needed the promises of all, so the word of one voter is sufficient from then on.
+// leader needed the promises of all, so the answer of a single voter is sufficient from then on.
 func (q formerHoldsInquiry) endByAll(asked time.Time, ends []time.Time) (time.Time, bool) {
 	period := time.Duration(q.former.MajorityPeriodMs) * time.Millisecond
 	majorityEnd := leadership.MajorityPeriodEnd(q.acquired, period)
--- a/transport/pool/memory.go
+++ b/transport/pool/memory.go
@@ -6,8 +6,7 @@
 	"time"
 )
 
-// trackedSize is the memory in bytes from which on the response on a connection can be chosen as the largest
-// one. Smaller ones are not tracked, so that an ordinary response takes no lock.
+// trackedSize is the memory in bytes from which on a response can be chosen as the largest one. Smaller ones are not tracked, so that an ordinary response takes no lock.
 const trackedSize = 64 << 10
 
 // Memory bounds the memory of all responses that are being read, over any number of pools. The bound holds
@@ -89,8 +88,8 @@
 	}
 }
 
-// largest returns the tracked connection with the largest response, where that on asking would have n bytes
-// more. The lock is held and no response is ending.
+// largest returns the tracked connection with the largest response. The response on the connection asking counts
+// with the n bytes that it asks for. The lock is held and no response is ending.
 func (m *Memory) largest(asking *conn, n int64) *conn {
 	largest, most := asking, asking.memory.Load()+n
 	for c := range m.tracked {
--- a/transport/pool/pool.go
+++ b/transport/pool/pool.go
@@ -30,7 +30,8 @@
 	// MaxHeadBytes bounds what is read for a request besides bodies: status lines and headers, also those of
 	// informational responses and of responses to other requests.
 	MaxHeadBytes int64
-	// MaxBodyBytes bounds what is read for a request of bodies, also those of responses to other requests.
+	// MaxBodyBytes bounds the bytes of bodies that are read for one request, including the bodies of responses to
+	// other requests.
 	MaxBodyBytes int64
 }
 
