soak, stand-in: refusals beside late copies of responses; known red

What callers saw: something ran that had been refused with a promise. No run of ours could see it: no upstream of the soak sends a second answer to a request or refuses only a part of them, non-idempotent requests with a key are not sent, and promises to idempotent ones are not judged.

Change: instance.Disorder refuses a share of the requests and sends copies of responses, on their own connection or on any. The soak has the step "refusals" for it, with a random generator of its own, callers that send non-idempotent requests with a key, and judges every refused request at the end of the run. Requests name the connections of their tries in the log.

TestLateCopyOnAnotherConnection- IsNoPromise fails on this code in each case with two attempts.

--- a/bench/soak/callers.go
+++ b/bench/soak/callers.go
@@ -20,8 +20,10 @@
 const (
 	// callerCount is the number of callers. Each has one request in flight at a time.
 	callerCount = 12
+	// bookerCount is the number of callers besides, which send nothing but requests of kind book.
+	bookerCount = 4
 	// callerInterval is the pause of a caller between two requests. All callers together
-	// send about 200 requests per second.
+	// send about 300 requests per second.
 	callerInterval = 40 * time.Millisecond
 	// callerTimeout is how long a caller waits for a response: twice the timeout of the
 	// routes.
@@ -30,6 +32,19 @@
 	deadlineMs = "2000"
 )
 
+// requestKind is one of the kinds of requests that callers send.
+type requestKind struct {
+	method, path string
+	keyed        bool
+}
+
+// The kinds of requests: idempotent with a key, not idempotent without one, and not idempotent with a key.
+var (
+	status = requestKind{method: http.MethodGet, path: "/status/x", keyed: true}
+	pay    = requestKind{method: http.MethodPost, path: "/pay/x"}
+	book   = requestKind{method: http.MethodPost, path: "/book/x", keyed: true}
+)
+
 // outcome is the result of a request from its caller's point of view.
 type outcome string
 
@@ -53,10 +68,9 @@
 	mu         sync.Mutex
 	violations []string
 	counts     map[int]map[outcome]int
-	// refusedIDs lists the requests that were refused as not run and must never run.
-	refusedIDs []string
 	versions   map[string]uint64
 	requests   *requestLog
+	promises   promises
 }
 
 func newMonitor(d *deployment) *monitor {
@@ -84,27 +98,26 @@
 }
 
 // runCaller sends requests until ctx ends. A caller keeps using its connections until the
-// gateway closes them. It changes the gateway after every 8 requests, and every third
-// request is unsafe.
-func (m *monitor) runCaller(ctx context.Context, n int) {
+// gateway closes them. It changes the gateway after every 8 requests. The kinds are those of its requests in turn.
+func (m *monitor) runCaller(ctx context.Context, n int, kinds ...requestKind) {
 	for i := 0; ctx.Err() == nil; i++ {
 		g := pick(m.deployment.gateways, n+i/8)
-		m.count(m.sendRequest(ctx, g, i%3 == 2, (i*7919+n*131)%(spans.MaxKey+1)))
+		m.count(m.sendRequest(ctx, g, pick(kinds, i), (i*7919+n*131)%(spans.MaxKey+1)))
 		time.Sleep(callerInterval)
 	}
 }
 
 // sendRequest sends one request and checks its response.
-func (m *monitor) sendRequest(ctx context.Context, g *gateway, unsafe bool, key int) (result outcome) {
+func (m *monitor) sendRequest(ctx context.Context, g *gateway, kind requestKind, key int) (result outcome) {
 	id := fmt.Sprintf("r%d-%d", os.Getpid(), m.next.Add(1))
 	defer func() { m.requests.setOutcome(id, result) }()
 	ctx, cancel := context.WithTimeout(ctx, callerTimeout)
 	defer cancel()
-	method, path, body := http.MethodGet, "/status/x", io.Reader(nil)
-	if unsafe {
-		method, path, body = http.MethodPost, "/pay/x", strings.NewReader("body of "+id)
+	var body io.Reader
+	if kind.method == http.MethodPost {
+		body = strings.NewReader("body of " + id)
 	}
-	r, err := http.NewRequestWithContext(ctx, method, "http://"+g.callers+path, body)
+	r, err := http.NewRequestWithContext(ctx, kind.method, "http://"+g.callers+kind.path, body)
 	if err != nil {
 		m.addViolation("request %s cannot be made: %v", id, err)
 		return failed
@@ -112,7 +125,7 @@
 	r.Host = host
 	r.Header.Set(platform.RequestID, id)
 	r.Header.Set(platform.Deadline, deadlineMs)
-	if !unsafe {
+	if kind.keyed {
 		r.Header.Set(platform.ShardKey, fmt.Sprint(key))
 	}
 	kills := g.killCount()
@@ -130,7 +143,7 @@
 	if closeErr := resp.Body.Close(); err != nil || closeErr != nil {
 		return m.checkUnanswered(ctx, g, id, kills, errors.Join(err, closeErr))
 	}
-	return m.checkResponse(id, unsafe, resp.StatusCode, string(data))
+	return m.checkResponse(id, resp.StatusCode, string(data))
 }
 
 // checkUnanswered checks a request whose connection ended without a response. It is a
@@ -142,9 +155,9 @@
 	return noConnection
 }
 
-// checkResponse compares a response with the runs that the upstreams recorded.
-func (m *monitor) checkResponse(id string, unsafe bool, status int, body string) outcome {
-	runs := m.deployment.oracle.Runs(id)
+// checkResponse compares a response with the request. Whether a refused request has run is judged at the end of the
+// run, as it must not run later either.
+func (m *monitor) checkResponse(id string, status int, body string) outcome {
 	switch {
 	case status == http.StatusOK:
 		if !strings.HasPrefix(body, "done "+id+" by ") {
@@ -152,14 +165,7 @@
 		}
 		return served
 	case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
-		if unsafe {
-			m.mu.Lock()
-			m.refusedIDs = append(m.refusedIDs, id)
-			m.mu.Unlock()
-		}
-		if unsafe && runs > 0 {
-			m.addViolation("request %s was refused as not run and ran", id)
-		}
+		m.promises.add(id)
 		return refused
 	case status < http.StatusInternalServerError:
 		m.addViolation("request %s got status %d", id, status)
@@ -167,18 +173,6 @@
 	return failed
 }
 
-// checkRefused checks at the end of a run whether a refused request ran later.
-func (m *monitor) checkRefused() {
-	m.mu.Lock()
-	ids := m.refusedIDs
-	m.mu.Unlock()
-	for _, id := range ids {
-		if m.deployment.oracle.Runs(id) > 0 {
-			m.addViolation("request %s was refused as not run and ran later", id)
-		}
-	}
-}
-
 // versionPollInterval is the interval at which the configuration in force is read.
 const versionPollInterval = 300 * time.Millisecond
 
--- a/bench/soak/deployment.go
+++ b/bench/soak/deployment.go
@@ -166,6 +166,7 @@
 	routes := map[string]platform.RouteBody{
 		"status": route("/status/", "safe", keyedService, 2),
 		"pay":    route("/pay/", "unsafe", unkeyedService, 0),
+		"book":   route("/book/", "unsafe", keyedService, 1),
 	}
 	addRoutes(routes, route("", "safe", unkeyedService, 2), d.version)
 	d.store.Put(platform.ConfigKind, platform.ConfigName, platform.ConfigBody{
@@ -214,7 +215,7 @@
 	d.allUpstreams = append(d.allUpstreams, u)
 	d.applyLinks(u)
 	d.mu.Unlock()
-	u.server = &http.Server{Handler: u.Instance}
+	u.server = &http.Server{Handler: u.Instance, ConnContext: instance.WithConn}
 	// Serve ends with the process or when the server is closed, so its error carries no
 	// information.
 	go func() { _ = u.server.Serve(l) }()
--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -72,6 +72,8 @@
 		return d.replaceUpstream(u, func() {})
 	case CutGateways:
 		d.cutGateways(step)
+	case Refusals:
+		d.refuseAndCopy(step)
 	case SilentRemoval:
 		return d.removeWithoutLeader(u, step.Duration)
 	case Restart:
--- a/bench/soak/run.go
+++ b/bench/soak/run.go
@@ -58,7 +58,9 @@
 	}
 	stop()
 	callers.Wait()
-	m.checkRefused()
+	for _, v := range m.promises.broken(d.oracle) {
+		m.addViolation("%s", v)
+	}
 	for _, u := range d.allUpstreams {
 		for _, v := range m.requests.violations(u, &d.storeFaults) {
 			m.addViolation("%s", v)
@@ -92,7 +94,10 @@
 	ctx, stop := context.WithCancel(ctx)
 	var all sync.WaitGroup
 	for n := range callerCount {
-		all.Go(func() { m.runCaller(ctx, n) })
+		all.Go(func() { m.runCaller(ctx, n, status, status, pay) })
+	}
+	for n := range bookerCount {
+		all.Go(func() { m.runCaller(ctx, callerCount+n, book) })
 	}
 	all.Go(func() { m.checkVersions(ctx) })
 	return &all, stop
@@ -129,6 +134,7 @@
 	for _, g := range d.gateways {
 		g.relay.SetFault(relay.None)
 	}
+	d.setDisorder(instance.Disorder{})
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, u := range d.upstreams {
@@ -152,7 +158,7 @@
 func (m *monitor) allServed(ctx context.Context) bool {
 	for i := 0; i*keyStride <= spans.MaxKey; i++ {
 		g := pick(m.deployment.gateways, i)
-		if m.sendRequest(ctx, g, false, i*keyStride) != served || m.sendRequest(ctx, g, true, 0) != served {
+		if m.sendRequest(ctx, g, status, i*keyStride) != served || m.sendRequest(ctx, g, pay, 0) != served {
 			return false
 		}
 	}
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -26,7 +26,7 @@
 			t.Errorf("step is out of bounds: %+v", step)
 		}
 	}
-	for _, k := range append([]Kind{Restart, Evacuate, Rest, LeaveByResponses}, weightedKinds...) {
+	for _, k := range append([]Kind{Restart, Evacuate, Rest, LeaveByResponses, Refusals}, weightedKinds...) {
 		if !seen[k] {
 			t.Errorf("kind %s does not occur", k)
 		}
@@ -78,9 +78,9 @@
 		"unknown outcome":                {502, "", true, 0},
 	} {
 		m := newMonitor(&deployment{oracle: oracleWith(c.run)})
-		m.checkResponse("r", true, c.status, c.body)
-		if len(m.violations) != c.want {
-			t.Errorf("%s: %v", name, m.violations)
+		m.checkResponse("r", c.status, c.body)
+		if got := append(m.violations, m.promises.broken(m.deployment.oracle)...); len(got) != c.want {
+			t.Errorf("%s: %v", name, got)
 		}
 	}
 }
--- a/gateway/latecopies_test.go
+++ b/gateway/latecopies_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
 	"io"
 	"net"
@@ -17,12 +18,16 @@
 // repeatingUpstream holds all keys. It refuses the first attempts of some requests and executes the next one. On
 // every connection it sends its previous response to a request again, where the next response is expected.
 type repeatingUpstream struct {
-	// refusals returns how many attempts of a request are refused.
-	refusals func(id string) int
+	// refusals returns how many attempts of a request are refused, with refusalStatus or, if that is zero, 503.
+	refusals      func(id string) int
+	refusalStatus int
+	// anyConnection sends a response again on whichever connection the next request arrives.
+	anyConnection bool
 
 	mu       sync.Mutex
 	attempts map[string]int
 	ran      map[string]int
+	previous string
 }
 
 // listen serves on a loopback address and returns it.
@@ -64,13 +69,26 @@
 			continue
 		}
 		response := u.respond(id)
-		if _, err := io.WriteString(c, previous+response); err != nil {
+		copied := previous
+		if u.anyConnection {
+			copied = u.swapPrevious(response)
+		}
+		if _, err := io.WriteString(c, copied+response); err != nil {
 			return
 		}
 		previous = response
 	}
 }
 
+// swapPrevious returns the previous response on any connection and records the next one.
+func (u *repeatingUpstream) swapPrevious(response string) string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	previous := u.previous
+	u.previous = response
+	return previous
+}
+
 func respondToControlCall(c net.Conn, id string) {
 	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", platform.RequestID, id)
 }
@@ -85,7 +103,8 @@
 		echo = platform.RequestID + ": " + id + "\r\n"
 	}
 	if u.attempts[id] <= u.refusals(id) {
-		return "HTTP/1.1 503 Service Unavailable\r\n" + echo + platform.NotExecuted + ": 1\r\nContent-Length: 0\r\n\r\n"
+		status := cmp.Or(u.refusalStatus, http.StatusServiceUnavailable)
+		return fmt.Sprintf("HTTP/1.1 %d refused\r\n%s%s: 1\r\nContent-Length: 0\r\n\r\n", status, echo, platform.NotExecuted)
 	}
 	u.ran[id]++
 	body := fmt.Sprintf("run %d of %q", u.ran[id], id)
@@ -101,11 +120,17 @@
 // startKeyedGateway starts a gateway with one upstream that owns all keys of the service status, and returns its
 // address. Requests for the route at /status/ must run once at most, and are sent up to maxAttempts times.
 func startKeyedGateway(t *testing.T, u *repeatingUpstream, maxAttempts int) string {
+	t.Helper()
+	return startKeyedGatewayOfKind(t, u, maxAttempts, "unsafe")
+}
+
+// startKeyedGatewayOfKind is startKeyedGateway with a route of the given kind.
+func startKeyedGatewayOfKind(t *testing.T, u *repeatingUpstream, maxAttempts int, kind string) string {
 	t.Helper()
 	b := newTestCluster(t)
 	next := config(3)
 	route := next.Routes["status"]
-	route.Kind, route.MaxAttempts = "unsafe", maxAttempts
+	route.Kind, route.MaxAttempts = kind, maxAttempts
 	next.Routes["status"] = route
 	b.store.Put(platform.ConfigKind, platform.ConfigName, next)
 	b.register(&upstream{Instance: instance.New("i-1", true, 0, b.oracle), service: "status", domain: "a", address: u.listen(t)}, "ready")
@@ -183,3 +208,38 @@
 		}
 	}
 }
+
+// TestLateCopyOnAnotherConnectionIsNoPromise guards against a request that is answered "not run" by a copy of a refusal on the connection of its next attempt, and runs.
+func TestLateCopyOnAnotherConnectionIsNoPromise(t *testing.T) {
+	t.Parallel()
+	for _, kind := range []string{"unsafe", "safe"} {
+		for _, refusalStatus := range []int{http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusMisdirectedRequest} {
+			for maxAttempts := 2; maxAttempts <= 3; maxAttempts++ {
+				t.Run(fmt.Sprintf("%s, refused with %d, %d attempts", kind, refusalStatus, maxAttempts), func(t *testing.T) {
+					t.Parallel()
+					checkCopiesOnAnyConnection(t, kind, refusalStatus, maxAttempts)
+				})
+			}
+		}
+	}
+}
+
+// checkCopiesOnAnyConnection sends requests, some of which are refused at the first attempt, to an upstream that sends
+// each response again on any connection.
+func checkCopiesOnAnyConnection(t *testing.T, kind string, refusalStatus, maxAttempts int) {
+	t.Helper()
+	u := &repeatingUpstream{anyConnection: true, refusalStatus: refusalStatus, refusals: func(id string) int {
+		if strings.HasSuffix(id, "0") {
+			return 1
+		}
+		return 0
+	}}
+	addr := startKeyedGatewayOfKind(t, u, maxAttempts, kind)
+	for n := range 40 {
+		id := fmt.Sprintf("r%d", n)
+		status, body := postWithKey(t, addr, id)
+		if ran := u.runs(id); statusImpliesNotRun(status) && ran > 0 {
+			t.Errorf("status %d, %q, request %s ran %d times", status, body, id, ran)
+		}
+	}
+}
--- a/gateway/requestlog.go
+++ b/gateway/requestlog.go
@@ -23,7 +23,7 @@
 		return
 	}
 	attrs = append(attrs, "route", q.route.Name, "arrivals", q.arrivedTries, "unsent", q.unsentTries,
-		"tried", q.excluded, "after_ms", f.now().Sub(q.receivedAt).Milliseconds(), "allowed_ms", q.deadline.Sub(q.receivedAt).Milliseconds())
+		"tried", q.excluded, "connections", q.attempts.Connections(), "after_ms", f.now().Sub(q.receivedAt).Milliseconds(), "allowed_ms", q.deadline.Sub(q.receivedAt).Milliseconds())
 	if q.service == nil {
 		f.log.Warn("request not answered", attrs...)
 		return
@@ -54,7 +54,7 @@
 	}
 	f.log.Info("request answered", "request", q.id, "route", q.route.Name, "service", q.service.Name,
 		"upstream", d.lastGrant.Instance.ID, "status", status, "arrivals", q.arrivedTries, "unsent", q.unsentTries, "tried", q.excluded,
-		"hedged", d.hedged, "expected_ms", d.lastGrant.ExpectedLatency.Milliseconds(), "ahead", d.lastGrant.InFlight,
+		"connections", q.attempts.Connections(), "hedged", d.hedged, "expected_ms", d.lastGrant.ExpectedLatency.Milliseconds(), "ahead", d.lastGrant.InFlight,
 		"after_ms", f.now().Sub(q.receivedAt).Milliseconds())
 }
 
--- a/standin/instance/instance.go
+++ b/standin/instance/instance.go
@@ -80,6 +80,8 @@
 	formerResponses map[string]*controlResponse
 	// leaving is set if its responses announce that it is leaving.
 	leaving bool
+	// disorder refuses requests and sends copies of responses.
+	disorder disorder
 	// retryAfter holds the header values with which an overloaded instance asks senders to pause.
 	retryAfter []string
 
@@ -168,6 +170,7 @@
 		<-r.Context().Done()
 		return
 	}
+	i.sendCopy(r)
 	isControl := r.URL.Path == platform.GrantPath || r.URL.Path == platform.ReleasePath
 	if id := r.Header.Get(platform.RequestID); id != "" && !(isControl && i.OmitsControlIDs) {
 		w.Header().Set(platform.RequestID, id)
@@ -177,7 +180,7 @@
 		return
 	}
 	if !isControl {
-		i.serveRequest(w, r)
+		i.serveRequestInDisorder(w, r)
 		return
 	}
 	if delay, late := i.nextLateDelay(); late {
@@ -221,9 +224,8 @@
 	}
 	i.recordArrival(id, w.Header())
 	key, hasKey := platform.RequestKey(r.Header)
-	if i.currentMode() == Overloaded {
-		w.Header().Set(platform.NotExecuted, "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
+	if i.currentMode() == Overloaded || i.refusesNext() {
+		refuse(w)
 		return
 	}
 	if i.Keyed && (!hasKey || !i.beginRequest(key)) {
--- /dev/null
+++ b/standin/instance/latecopies.go
@@ -0,0 +1,144 @@
+package instance
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+
+	"github.com/rockcroft/rockcroft/platform"
+)
+
+// This file refuses a part of the requests and sends copies of responses late, as the platform's instances may.
+
+// Disorder makes an instance refuse some requests and send some responses a second time. Other requests are handled
+// as usual.
+type Disorder struct {
+	// Refused is the share of requests that are rejected as not executed.
+	Refused float64
+	// Copied is the share of responses to requests that are sent again, once the next request has arrived and
+	// before the response to it.
+	Copied float64
+	// AnyConnection sends a copy on whichever connection the next request arrives. Otherwise it is sent on the
+	// connection of the first one.
+	AnyConnection bool
+	// Seed is the seed of the random choices.
+	Seed uint64
+}
+
+// disorder is the state of a Disorder. The zero value refuses and copies nothing.
+type disorder struct {
+	Disorder
+	rng *rand.Rand
+	// copies are encoded responses to be sent again, by the address of the caller's end of the connection, or
+	// under anyConnection.
+	copies map[string][]byte
+}
+
+const anyConnection = ""
+
+// SetDisorder begins a disorder, or ends it if it is the zero value.
+func (i *Instance) SetDisorder(d Disorder) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.disorder = disorder{Disorder: d, rng: rand.New(rand.NewPCG(d.Seed, d.Seed)), copies: make(map[string][]byte)}
+}
+
+// connKey is the context key of the connection of a request.
+type connKey struct{}
+
+// WithConn adds the connection to the context of its requests. It is the ConnContext of a server whose instance
+// sends copies of responses.
+func WithConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// refusesNext decides whether the next request is rejected.
+func (i *Instance) refusesNext() bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.disorder.Refused > 0 && i.disorder.rng.Float64() < i.disorder.Refused
+}
+
+// sendCopy sends the copy that is due on the connection of a request, if there is one.
+func (i *Instance) sendCopy(r *http.Request) {
+	c, ok := r.Context().Value(connKey{}).(net.Conn)
+	if !ok {
+		return
+	}
+	if data := i.takeCopy(r.RemoteAddr); data != nil {
+		// The server notices a connection that has ended when it writes the response.
+		_, _ = c.Write(data)
+	}
+}
+
+func (i *Instance) takeCopy(remote string) []byte {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.disorder.AnyConnection {
+		remote = anyConnection
+	}
+	data := i.disorder.copies[remote]
+	delete(i.disorder.copies, remote)
+	return data
+}
+
+// keepCopy keeps a response to be sent again, if that is due.
+func (i *Instance) keepCopy(remote string, resp *recordedResponse) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.disorder.Copied == 0 || i.disorder.rng.Float64() >= i.disorder.Copied {
+		return
+	}
+	if i.disorder.AnyConnection {
+		remote = anyConnection
+	}
+	i.disorder.copies[remote] = resp.encode()
+}
+
+// recordedResponse passes a response on and records it.
+type recordedResponse struct {
+	http.ResponseWriter
+	status int
+	body   bytes.Buffer
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *recordedResponse) WriteHeader(status int) {
+	w.status = status
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (w *recordedResponse) Write(data []byte) (int, error) {
+	w.body.Write(data)
+	return w.ResponseWriter.Write(data)
+}
+
+// encode returns the response as it is sent.
+func (w *recordedResponse) encode() []byte {
+	encoded := http.Response{
+		StatusCode: w.status, ProtoMajor: 1, ProtoMinor: 1, Header: w.Header(),
+		Body: io.NopCloser(strings.NewReader(w.body.String())), ContentLength: int64(w.body.Len()),
+	}
+	var out bytes.Buffer
+	// Writing to a buffer does not fail.
+	_ = encoded.Write(&out)
+	return out.Bytes()
+}
+
+// serveRequestInDisorder serves a request and keeps a copy of the response if that is due.
+func (i *Instance) serveRequestInDisorder(w http.ResponseWriter, r *http.Request) {
+	resp := &recordedResponse{ResponseWriter: w, status: http.StatusOK}
+	i.serveRequest(resp, r)
+	i.keepCopy(r.RemoteAddr, resp)
+}
+
+// refuse rejects a request as not executed.
+func refuse(w http.ResponseWriter) {
+	w.Header().Set(platform.NotExecuted, "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
--- a/transport/pool/pool.go
+++ b/transport/pool/pool.go
@@ -93,6 +93,17 @@
 	a.conns = append(a.conns, c)
 }
 
+// Connections returns the two ends of the connection of each attempt, in the order of the attempts.
+func (a *Attempts) Connections() []string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	out := make([]string, 0, len(a.conns))
+	for _, c := range a.conns {
+		out = append(out, c.LocalAddr().String()+" "+c.RemoteAddr().String())
+	}
+	return out
+}
+
 // used reports whether an attempt was sent on the connection. The receiver may be nil.
 func (a *Attempts) used(c *conn) bool {
 	if a == nil {
