gateway: a refusal promises nothing after a second try at one upstream

What callers saw: requests were answered 503 (429 and 421 of the upstream as well), which promises that they have not run and never will, and ran.

Cause: an upstream may send a response a second time, late, at the point where the next response is expected. The former mend kept the second try off the connections of the first one, and holds only while a copy stays on its own connection. A second try at the same owner of a key then got the copy of the first refusal while it ran. The same after a new start at an address, where the second try goes to the same process under its new ID.

Class: as before, a response is matched to a try by something that two tries have in common; here the promise rests on the connection.

Change: pool.Attempts counts the attempts at each address. A refusal is a promise only if its address got no other try; otherwise the outcome is unknown (502, answers.refusals_doubtful). A request that is not idempotent is not sent to an address twice: its caller is told at once that it has not run and may come back under a new ID. An idempotent one still gets its second try.

--- a/gateway/delivery.go
+++ b/gateway/delivery.go
@@ -171,8 +171,10 @@
 	if errors.Is(err, errNotOwner) && q.service.Keyed {
 		q.refusedFence = f.span(q).Fence
 	}
-	notRun := errors.Is(err, errNotRun) || errors.Is(err, errNotOwner)
-	q.mayHaveRun = q.mayHaveRun || !notRun
+	if errors.Is(err, errDoubtfulRefusal) {
+		f.meters.inc(refusalsDoubtful)
+	}
+	q.mayHaveRun = q.mayHaveRun || !isRefusal(err) || errors.Is(err, errDoubtfulRefusal)
 	switch {
 	case ctx.Err() != nil || q.deadline.Sub(f.now()) < 2*deadlineMargin:
 		return false
@@ -181,6 +183,9 @@
 	case errors.Is(err, errNotOwner) && f.leaderSilence() > ownership.HoldWithMargin(holdDuration):
 		// Without a leader in reach the grants have ended, and no update of the owner will come.
 		return false
+	case errors.Is(err, errNotRun) && q.service.Keyed && !q.maySendTo(grant.Instance.Address) && f.currentOwner(q) == grant.Instance.ID:
+		// No other upstream may run the request.
+		return false
 	case f.suspects.isSuspected(q):
 		// A harmless request only loses a retry, while a harmful one would crash another
 		// upstream.
--- a/gateway/proxy.go
+++ b/gateway/proxy.go
@@ -222,6 +222,9 @@
 			if err != nil {
 				return dispatch.Grant{}, err
 			}
+			if err := f.checkOwner(q, owner); err != nil {
+				return dispatch.Grant{}, err
+			}
 			req.Owner, req.Key, req.Exclude = owner, q.key, nil
 			req.Retry = !atOnce && q.arrivedTries+q.unsentTries > 0
 			span := f.span(q)
@@ -240,11 +243,17 @@
 			f.traffic.endTry(q.traffic, grant, dispatch.Canceled)
 			continue
 		}
-		if !q.service.Keyed || f.currentOwner(q) == grant.Instance.ID {
+		moved := q.service.Keyed && f.currentOwner(q) != grant.Instance.ID
+		if !moved && q.maySendTo(grant.Instance.Address) {
 			return grant, nil
 		}
-		// The key moved to another owner while the request waited.
 		f.traffic.endTry(q.traffic, grant, dispatch.Canceled)
+		switch {
+		case !q.service.Keyed:
+			q.excluded = append(q.excluded, grant.Instance.ID)
+		case !moved:
+			return dispatch.Grant{}, ownerRefusedError()
+		}
 	}
 }
 
@@ -302,7 +311,7 @@
 	f.limits.recordAnswer(grant, resp.Header)
 	f.unread.record(grant, resp.Header)
 	answer, outcome, err := classify(resp)
-	return answer, outcome, feedback, err
+	return answer, outcome, feedback, q.checkRefusal(grant.Instance.Address, err)
 }
 
 // checkBeforeSend is called when a connection is available. It returns an error if the request
--- a/transport/pool/pool.go
+++ b/transport/pool/pool.go
@@ -60,7 +60,8 @@
 	NonIdempotent bool
 	// Attempts, if set, are the former attempts of the same request. All have the same EchoValue, so a late
 	// copy of the response to one of them could not be told from the response to this one: none of their
-	// connections is used again. This attempt is added.
+	// connections is used again. This attempt is added. A copy that arrives on another connection to the
+	// same address is not recognized; see Attempts.SentTo.
 	Attempts *Attempts
 	// BeforeSend, if set, is called once a connection is open, right before anything is sent,
 	// because the permission to send may have expired while the connection was opened. If it
@@ -77,31 +78,37 @@
 	OnRead func(n int)
 }
 
-// Attempts holds the connections on which attempts of one request were sent. It is safe for concurrent use.
+// Attempts holds the addresses and connections to which attempts of one request were sent. It is safe for concurrent
+// use.
 type Attempts struct {
-	mu    sync.Mutex
-	conns []*conn
+	mu   sync.Mutex
+	sent []attempt
+}
+
+// attempt is one attempt that was sent or is being sent.
+type attempt struct {
+	addr string
+	conn *conn
 }
 
-// add records the connection of an attempt. The receiver may be nil.
-func (a *Attempts) add(c *conn) {
+// add records an attempt. The receiver may be nil.
+func (a *Attempts) add(addr string, c *conn) {
 	if a == nil {
 		return
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.conns = append(a.conns, c)
+	a.sent = append(a.sent, attempt{addr: addr, conn: c})
 }
 
-// Connections returns the two ends of the connection of each attempt, in the order of the attempts.
-func (a *Attempts) Connections() []string {
+// remove withdraws an attempt of which nothing was sent. The receiver may be nil.
+func (a *Attempts) remove(c *conn) {
+	if a == nil {
+		return
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	out := make([]string, 0, len(a.conns))
-	for _, c := range a.conns {
-		out = append(out, c.LocalAddr().String()+" "+c.RemoteAddr().String())
-	}
-	return out
+	a.sent = slices.DeleteFunc(a.sent, func(s attempt) bool { return s.conn == c })
 }
 
 // used reports whether an attempt was sent on the connection. The receiver may be nil.
@@ -111,7 +118,31 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return slices.Contains(a.conns, c)
+	return slices.ContainsFunc(a.sent, func(s attempt) bool { return s.conn == c })
+}
+
+// SentTo returns how many attempts were sent to the address, including those that may only have been sent in part.
+func (a *Attempts) SentTo(addr string) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	n := 0
+	for _, s := range a.sent {
+		if s.addr == addr {
+			n++
+		}
+	}
+	return n
+}
+
+// Connections returns the two ends of the connection of each attempt, in the order of the attempts.
+func (a *Attempts) Connections() []string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	out := make([]string, 0, len(a.sent))
+	for _, s := range a.sent {
+		out = append(out, s.conn.LocalAddr().String()+" "+s.conn.RemoteAddr().String())
+	}
+	return out
 }
 
 // Response is a complete response.
@@ -217,7 +248,7 @@
 			return nil, &classifiedError{kinds: []error{ErrNotSent}, cause: err}
 		}
 	}
-	r.Attempts.add(c)
+	r.Attempts.add(addr, c)
 	start := p.now()
 	resp, reusable, err := c.roundTrip(ctx, r, p.limits)
 	p.observeResponse(addr, c, err, p.now().Sub(start))
@@ -227,6 +258,9 @@
 	if errors.Is(err, ErrTooLarge) {
 		p.updateStats(func(s *Stats) { s.TooLarge++ })
 	}
+	if errors.Is(err, ErrNotSent) {
+		r.Attempts.remove(c)
+	}
 	if err != nil {
 		c.reset()
 		if reused && p.wasSilent(err, start) {
