pool: a response with an ID is none to a request without one

Cause: a request without an ID took the first response on a new connection. An upstream may send a copy of any earlier response there.

Change: a request without an ID accepts only a response without one.

Evidence: TestCopyIsNoResponseToRequestWithoutID, red before with copies of refusals and of good responses.

--- a/gateway/latecopies_test.go
+++ b/gateway/latecopies_test.go
@@ -303,3 +303,19 @@
 		t.Errorf("status %d, %d arrivals, %d runs", resp.StatusCode, u.arrivals("r"), u.runs("r"))
 	}
 }
+
+// TestCopyIsNoResponseToRequestWithoutID guards against a request without an ID that is answered with a copy of the response to another one.
+func TestCopyIsNoResponseToRequestWithoutID(t *testing.T) {
+	t.Parallel()
+	for refusals := range 2 {
+		u := &repeatingUpstream{anyConnection: true, refusals: func(id string) int { return refusals * min(len(id), 1) }}
+		addr := startKeyedGateway(t, u, 2)
+		for n := range 10 {
+			postWithKey(t, addr, fmt.Sprintf("other%d", n))
+			before := u.runs("")
+			if status, body := postWithKey(t, addr, ""); statusImpliesNotRun(status) || status == http.StatusOK && body != fmt.Sprintf("run %d of %q", before+1, "") {
+				t.Errorf("%d refusals: status %d, %q, %d runs", refusals, status, body, u.runs("")-before)
+			}
+		}
+	}
+}
--- a/transport/pool/conn.go
+++ b/transport/pool/conn.go
@@ -245,12 +245,16 @@
 	return http.ReadResponse(c.reader, r)
 }
 
-// isResponseTo reports whether a response with the given headers belongs to the request.
+// isResponseTo reports whether a response with the given headers belongs to the request. A response with an echo
+// belongs to a request that asked for it.
 func (c *conn) isResponseTo(r *Request, h http.Header) bool {
-	if r.EchoValue == "" {
+	if r.EchoHeader == "" {
 		return true
 	}
 	echo := h.Get(r.EchoHeader)
+	if r.EchoValue == "" {
+		return echo == ""
+	}
 	if echo == "" && r.EchoOptional && !c.echoes {
 		return true
 	}
--- a/transport/pool/pool.go
+++ b/transport/pool/pool.go
@@ -46,8 +46,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// EchoHeader and EchoValue: if EchoValue is set, only a response with this value in the header
-	// EchoHeader is accepted as the response to the request.
+	// EchoHeader and EchoValue: only a response with this value in the header EchoHeader is accepted as the
+	// response to the request. If EchoValue is empty, only one without the header is accepted.
 	EchoHeader string
 	EchoValue  string
 	// EchoOptional also accepts a response without EchoHeader, unless the server has sent one with it
