gateway: no promise by one gateway for what another one may have run

What callers saw, in a test: an idempotent request whose first forward broke while it may have run was answered 503 by the gateway asked next, which promises that it has not run.

Cause: the gateway asked next knows of its own tries only, and its answer was passed on without a look at the former forward.

Change: such a 503, 429, 408 or 421 becomes 502.

Evidence: TestRefusalAfterBrokenForwardPromisesNothing, red before for each of the four.

--- a/gateway/peerforward.go
+++ b/gateway/peerforward.go
@@ -138,6 +138,10 @@
 		var answered *pool.Response
 		answered, err = f.sendToPeer(ctx, q, peer, response)
 		switch {
+		case err == nil && isForwardTaken(answered) && q.mayHaveRun && statusImpliesNotRun(answered.Status):
+			// The other gateway knows of its own tries only.
+			f.meters.inc(forwardAnswered)
+			return nil, true, f.finalError(ctx, q, errDoubtfulRefusal)
 		case err == nil && isForwardTaken(answered):
 			delete(answered.Header, header.Hops)
 			f.meters.inc(forwardAnswered)
--- a/gateway/peerforward_test.go
+++ b/gateway/peerforward_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
+	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -17,6 +20,7 @@
 	"github.com/rockcroft/rockcroft/platform"
 	"github.com/rockcroft/rockcroft/protocol/answer"
 	"github.com/rockcroft/rockcroft/protocol/header"
+	"github.com/rockcroft/rockcroft/transport/pool"
 )
 
 // cutOff cuts gateways off from all upstreams and waits until they have noticed it.
@@ -300,3 +304,36 @@
 		t.Errorf("%d requests failed", failed.Load())
 	}
 }
+
+// TestRefusalAfterBrokenForwardPromisesNothing guards against a request that is said not to have run by one gateway after another one may have run it.
+func TestRefusalAfterBrokenForwardPromisesNothing(t *testing.T) {
+	t.Parallel()
+	b := newStandardCluster(t)
+	f := b.gateways[0].proxy
+	breaks := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
+	defer breaks.Close()
+	for _, status := range []int{http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest} {
+		refuses := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(header.Hops, "1")
+			w.Header().Set(platform.RequestID, platform.ID(r.Header))
+			w.WriteHeader(status)
+		}))
+		next := []string{breaks.Listener.Addr().String(), refuses.Listener.Addr().String()}
+		f.forward.conns = pool.NewWithDialer(forwardLimits, time.Now, func(ctx context.Context, network, _ string) (net.Conn, error) {
+			address := next[0]
+			next = next[1:]
+			return (&net.Dialer{}).DialContext(ctx, network, address)
+		})
+		r := callerRequest(context.Background(), t, http.MethodGet, "http://h.example/read/x", fmt.Sprint("refused-", status), "")
+		q, err := f.parse(r, f.now())
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.forward.peers = reach.NewPeers("a", nil, rand.New(rand.NewPCG(1, 1)))
+		resp, handled, err := f.forwardToPeer(context.Background(), q)
+		if !handled || len(next) != 0 || answer.KindOf(err) != answer.Broken {
+			t.Errorf("second gateway answers %d: %v, error %v, handled: %v, %d gateways not asked", status, resp, err, handled, len(next))
+		}
+		refuses.Close()
+	}
+}
