gateway: name the target of a forwarded request

What callers could see: a request forwarded to an address that an upstream has taken over ran there, at whatever service, and was then taken for not run, as the answer lacks the header of a gateway.

Cause: a forwarded request names no target, so an upstream runs it; that no gateway answered was taken for proof that nothing ran.

Change: it names the address of the gateway as its target.

--- a/gateway/peerforward.go
+++ b/gateway/peerforward.go
@@ -169,7 +169,7 @@
 }
 
 // isForwardTaken reports whether another gateway has handled a forwarded request. One of a version that
-// does not know such requests answers without the header.
+// does not know such requests answers without the header, and so does an upstream, which has not run it.
 func isForwardTaken(resp *pool.Response) bool {
 	return resp.Header.Get(header.Hops) != "" && resp.Header.Get(header.Refused) == ""
 }
@@ -178,6 +178,8 @@
 func (f *proxy) sendToPeer(ctx context.Context, q *request, peer reach.Peer, response *bytebudget.Response) (*pool.Response, error) {
 	h := platform.EndToEndHeaders(q.Header)
 	h[header.Hops], h[header.Caller] = []string{"1"}, []string{q.RemoteAddr}
+	// An upstream that has taken over the address of a gateway rejects a request for another target.
+	platform.SetTarget(h, peer.Address)
 	a := admission{grant: dispatch.Grant{Instance: instances.Instance{Domain: peer.Domain}}, response: response}
 	return f.forward.conns.Do(ctx, peer.Address, &pool.Request{
 		Method: q.Method, Target: q.target, Host: q.Host, Header: h, Body: q.body,
@@ -202,6 +204,7 @@
 	caller := r.Header.Get(header.Caller)
 	delete(r.Header, header.Hops)
 	delete(r.Header, header.Caller)
+	delete(r.Header, platform.TargetInstance)
 	w.Header().Set(header.Hops, "1")
 	switch {
 	case f.draining.Load():
--- a/gateway/peerforward_test.go
+++ b/gateway/peerforward_test.go
@@ -337,3 +337,23 @@
 		refuses.Close()
 	}
 }
+
+// TestUpstreamAtGatewayAddressRunsNoForwardedRequest guards against a request that runs at an upstream which has taken over the address of a gateway, and is then sent on as not run.
+func TestUpstreamAtGatewayAddressRunsNoForwardedRequest(t *testing.T) {
+	t.Parallel()
+	b := newStandardCluster(t)
+	f := b.gateways[0].proxy
+	r := callerRequest(context.Background(), t, http.MethodPost, "http://h.example/pay/x", "astray", "")
+	q, err := f.parse(r, f.now())
+	if err != nil {
+		t.Fatal(err)
+	}
+	response, err := f.expectResponse(q)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := f.sendToPeer(context.Background(), q, reach.Peer{Address: b.upstreams["i-p0"].address}, response)
+	if err != nil || isForwardTaken(resp) || b.oracle.Runs("astray") != 0 {
+		t.Errorf("response %v, error %v, %d runs", resp, err, b.oracle.Runs("astray"))
+	}
+}
