soak: upstreams that take over the address of another one

An upstream ends and another one starts at its address, under an ID of its own, while the entry of the former one is still there for up to three seconds: between two tries of a request the same address may be another process, or the same process under another ID. Upstreams that start during refusals take part in them.

--- a/bench/soak/deployment.go
+++ b/bench/soak/deployment.go
@@ -72,6 +72,8 @@
 	// ended.
 	cutLinks map[string]int
 	cuts     []cut
+	// disorder is the disorder of upstreams in progress.
+	disorder instance.Disorder
 }
 
 // newDeployment starts the store and the upstreams, chooses the addresses of the gateways
--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -72,6 +72,8 @@
 		return d.replaceUpstream(u, func() {})
 	case CutGateways:
 		d.cutGateways(step)
+	case TakeOver:
+		return d.takeOverAddress(u, step.Duration)
 	case Refusals:
 		d.refuseAndCopy(step)
 	case SilentRemoval:
--- a/bench/soak/plan.go
+++ b/bench/soak/plan.go
@@ -39,6 +39,7 @@
 	LateCalls        Kind = "late_calls"     // all upstreams leave every second control call unanswered and apply it later
 	CutGateways      Kind = "cut_gateways"   // some gateways, which may include the leader, are cut off from all upstreams
 	SilentRemoval    Kind = "removal"        // an upstream's entry is removed, without a notice, while the leader is suspended
+	TakeOver         Kind = "take_over"      // an upstream ends and another one starts at its address
 	Refusals         Kind = "refusals"       // all upstreams refuse a part of the requests and send late copies of responses
 )
 
@@ -106,7 +107,8 @@
 
 // NewPlan returns the plan of a seed. It has the given number of random steps and, in
 // addition to them, the kinds that are added at fixed intervals: restarts, rate limits,
-// rests, departures, late control calls, harmful requests, evacuations, removals, cuts and refusals.
+// rests, departures, late control calls, harmful requests, evacuations, removals, cuts, and refusals with upstreams
+// that take over an address.
 func NewPlan(seed uint64, steps int) Plan {
 	rng, restarts := rand.New(rand.NewPCG(seed, seed)), rand.New(rand.NewPCG(seed, seed+1))
 	evacuations := rand.New(rand.NewPCG(seed, seed+2))
@@ -157,9 +159,7 @@
 				Kind: CutGateways, Duration: time.Duration(cuts.Int64N(int64(maxFaultDuration))), Target: cuts.IntN(1 << 16), Variant: cuts.IntN(1 << 16),
 			})
 		}
-		if step, due := refusalStep(refusals, i); due {
-			p.Steps = append(p.Steps, step)
-		}
+		p.Steps = append(p.Steps, refusalSteps(refusals, i)...)
 		if i%stepsPerEvacuation == stepsPerEvacuation-1 {
 			p.Steps = append(p.Steps, Step{
 				Kind: Evacuate, Duration: time.Duration(evacuations.Int64N(int64(maxFaultDuration))), Target: evacuations.IntN(1 << 16),
--- a/bench/soak/refusals.go
+++ b/bench/soak/refusals.go
@@ -20,17 +20,24 @@
 	copiedShare  = 0.5
 	// stepsPerRefusals is the number of random steps after which the fault is added.
 	stepsPerRefusals = 4
+	// maxEntryDuration bounds how long the store lists an upstream that has ended. The platform removes its entry
+	// after three missed heartbeats.
+	maxEntryDuration = 3 * time.Second
 )
 
-// refusalStep returns the step of the fault that begins together with random step i, if there is one.
-func refusalStep(rng *rand.Rand, i int) (Step, bool) {
+// refusalSteps returns the steps that begin together with random step i: none, or the fault and an upstream that takes
+// over an address meanwhile.
+func refusalSteps(rng *rand.Rand, i int) []Step {
 	if i%stepsPerRefusals != stepsPerRefusals-1 {
-		return Step{}, false
+		return nil
+	}
+	return []Step{
+		{Kind: Refusals, Duration: time.Duration(rng.Int64N(int64(maxFaultDuration))), Target: rng.IntN(1 << 16), Variant: rng.IntN(1 << 16)},
+		{Kind: TakeOver, Duration: time.Duration(rng.Int64N(int64(maxEntryDuration))), Target: rng.IntN(1 << 16)},
 	}
-	return Step{Kind: Refusals, Duration: time.Duration(rng.Int64N(int64(maxFaultDuration))), Target: rng.IntN(1 << 16), Variant: rng.IntN(1 << 16)}, true
 }
 
-// refuseAndCopy makes all current upstreams refuse requests and send copies of responses, for the duration of the
+// refuseAndCopy makes all upstreams refuse requests and send copies of responses, for the duration of the
 // step plus minRefusalDuration. Of overlapping faults, the one that ends first ends all.
 func (d *deployment) refuseAndCopy(step Step) {
 	holdFault(minRefusalDuration+step.Duration, func() {
@@ -38,10 +45,11 @@
 	}, func() { d.setDisorder(instance.Disorder{}) })
 }
 
-// setDisorder sets the disorder of all current upstreams.
+// setDisorder sets the disorder of all current upstreams and of those that start later.
 func (d *deployment) setDisorder(disorder instance.Disorder) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.disorder = disorder
 	for _, u := range d.upstreams {
 		u.SetDisorder(disorder)
 	}
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -26,7 +26,7 @@
 			t.Errorf("step is out of bounds: %+v", step)
 		}
 	}
-	for _, k := range append([]Kind{Restart, Evacuate, Rest, LeaveByResponses, Refusals}, weightedKinds...) {
+	for _, k := range append([]Kind{Restart, Evacuate, Rest, LeaveByResponses, Refusals, TakeOver}, weightedKinds...) {
 		if !seen[k] {
 			t.Errorf("kind %s does not occur", k)
 		}
--- a/bench/soak/upstreams.go
+++ b/bench/soak/upstreams.go
@@ -34,14 +34,18 @@
 	removedAt time.Time
 }
 
-// addUpstream starts an upstream with a new ID. The ID is unique among runs beside each other: a port that one
-// of them has given up may be taken by another one, whose upstreams must not run its requests.
-func (d *deployment) addUpstream(service, domain string) error {
+// newUpstreamID returns an ID that is unique among runs beside each other: a port that one of them has given up may be
+// taken by another one, whose upstreams must not run its requests.
+func (d *deployment) newUpstreamID(service string) string {
 	d.mu.Lock()
+	defer d.mu.Unlock()
 	d.upstreamsStarted++
-	id := fmt.Sprintf("i-%s-%d-%d", service, os.Getpid(), d.upstreamsStarted)
-	d.mu.Unlock()
-	u, err := d.startUpstream(id, service, domain)
+	return fmt.Sprintf("i-%s-%d-%d", service, os.Getpid(), d.upstreamsStarted)
+}
+
+// addUpstream starts an upstream with a new ID.
+func (d *deployment) addUpstream(service, domain string) error {
+	u, err := d.startUpstream(d.newUpstreamID(service), service, domain, nil)
 	if err != nil {
 		return err
 	}
@@ -51,14 +55,16 @@
 	return nil
 }
 
-// startUpstream starts the process of an upstream behind a relay and registers it.
-func (d *deployment) startUpstream(id, service, domain string) (*upstream, error) {
+// startUpstream starts the process of an upstream and registers it. It is behind the given relay, that of an upstream
+// whose address it takes over, or behind one of its own if that is nil.
+func (d *deployment) startUpstream(id, service, domain string, r *relay.Relay) (*upstream, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	r, err := relay.New(l.Addr().String())
-	if err != nil {
+	if r != nil {
+		r.Retarget(l.Addr().String())
+	} else if r, err = relay.New(l.Addr().String()); err != nil {
 		return nil, err
 	}
 	u := &upstream{
@@ -69,6 +75,7 @@
 	d.mu.Lock()
 	d.allUpstreams = append(d.allUpstreams, u)
 	d.applyLinks(u)
+	u.SetDisorder(d.disorder)
 	d.mu.Unlock()
 	u.server = &http.Server{Handler: u.Instance, ConnContext: instance.WithConn}
 	// Serve ends with the process or when the server is closed, so its error carries no
@@ -94,15 +101,39 @@
 	err := u.server.Close()
 	u.Terminate()
 	time.Sleep(downtime)
-	next, startErr := d.startUpstream(u.ID, u.service, u.domain)
+	next, startErr := d.startUpstream(u.ID, u.service, u.domain, nil)
 	if startErr != nil {
 		return errors.Join(err, startErr)
 	}
+	d.replaceInList(u, next)
+	return err
+}
+
+// replaceInList puts an upstream into the place of another one in the list of the current ones.
+func (d *deployment) replaceInList(former, next *upstream) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if i := slices.Index(d.upstreams, u); i >= 0 {
+	if i := slices.Index(d.upstreams, former); i >= 0 {
 		d.upstreams[i] = next
 	}
+}
+
+// takeOverAddress ends the process of an upstream and starts another one, with an ID of its own, at the same address.
+// The entry of the former one is removed after a duration. It does nothing if the upstream is already being replaced
+// or restarted.
+func (d *deployment) takeOverAddress(u *upstream, entryLasts time.Duration) error {
+	if !u.changing.CompareAndSwap(false, true) {
+		return nil
+	}
+	u.Terminate()
+	next, startErr := d.startUpstream(d.newUpstreamID(u.service), u.service, u.domain, u.relay)
+	err := u.server.Close()
+	if startErr != nil {
+		return errors.Join(err, startErr)
+	}
+	d.replaceInList(u, next)
+	time.Sleep(entryLasts)
+	d.store.Remove(platform.InstancesKind, u.ID)
 	return err
 }
 
--- a/standin/relay/relay.go
+++ b/standin/relay/relay.go
@@ -37,11 +37,11 @@
 
 // Relay forwards connections to a target address. It is safe for concurrent use.
 type Relay struct {
-	listener   net.Listener
-	targetAddr string
+	listener net.Listener
 
-	mu    sync.Mutex
-	fault Fault
+	mu         sync.Mutex
+	targetAddr string
+	fault      Fault
 	// cutOff are the IP addresses of the clients that are cut off.
 	cutOff      map[string]bool
 	connections map[*connection]bool
@@ -123,6 +123,20 @@
 	}
 }
 
+// Retarget resets all open connections and forwards new ones to another address.
+func (r *Relay) Retarget(addr string) {
+	r.mu.Lock()
+	r.targetAddr = addr
+	r.mu.Unlock()
+	r.ResetAll()
+}
+
+func (r *Relay) currentTarget() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.targetAddr
+}
+
 // SilenceAll makes all open connections discard data from now on, without resetting
 // them. New connections work.
 func (r *Relay) SilenceAll() {
@@ -166,7 +180,7 @@
 		abort(client)
 		return
 	}
-	target, err := net.Dial("tcp", r.targetAddr)
+	target, err := net.Dial("tcp", r.currentTarget())
 	if err != nil {
 		abort(client)
 		return
