poison: count an aborted run once, however late a report of it is

Cause: reports of aborted runs carry ages. A report that is more than 0.2 s late puts the connection of the run behind the end that is already known, which is the mark of the next process, so that the same run counts as a further end, and each run is reported for seconds by every gateway. After four ends of upstreams the harmful request had eight, a harmless one as well, and the one refused first explains the ends of the other.

Change: a run has an identity that its reports carry, and is recorded once per request.

Evidence: TestDelayedReportOfOneRunIsNoFurtherEnd and TestDelayedReportDoesNotRestoreClearedRun fail without the identity.

--- a/coordination/poison/ends_test.go
+++ b/coordination/poison/ends_test.go
@@ -132,3 +132,40 @@
 		t.Errorf("%d ends", tr.CrashCount(1))
 	}
 }
+
+// TestDelayedReportOfOneRunIsNoFurtherEnd guards against one end that is counted several times because reports of it arrive later than reportError.
+func TestDelayedReportOfOneRunIsNoFurtherEnd(t *testing.T) {
+	origin := NewTracker()
+	origin.RequestAborted(at(time.Second), 1, "u", 1, at(900*ms))
+	origin.UpstreamEnded(at(time.Second), "u", 1, RefusedDial)
+	for _, delays := range [][]time.Duration{{0, 300 * ms, 900 * ms, 2 * time.Second}, {2 * time.Second, 0}} {
+		receiver := NewTracker()
+		for _, delay := range delays {
+			reported, _ := origin.Export(at(time.Second))
+			for _, c := range reported {
+				c.At, c.Connected = c.At.Add(delay), c.Connected.Add(delay)
+				receiver.Merge([]Crash{c})
+			}
+		}
+		if n := receiver.CrashCount(1); n != 1 {
+			t.Errorf("reports late by %v: %d ends", delays, n)
+		}
+	}
+}
+
+// TestDelayedReportDoesNotRestoreClearedRun guards against a harmless request whose run counts again, though a later one was answered, because a report of it is late.
+func TestDelayedReportDoesNotRestoreClearedRun(t *testing.T) {
+	origin := NewTracker()
+	origin.RequestAborted(at(time.Second), 1, "u", 1, at(900*ms))
+	origin.UpstreamEnded(at(time.Second), "u", 1, RefusedDial)
+	reported, _ := origin.Export(at(time.Second))
+	receiver := NewTracker()
+	receiver.Merge(reported)
+	receiver.Clear(Clearing{Digest: 1, At: at(1500 * ms)})
+	late := reported[0]
+	late.At, late.Connected = late.At.Add(time.Second), late.Connected.Add(time.Second)
+	receiver.Merge([]Crash{late})
+	if n := receiver.CrashCount(1); n != 0 {
+		t.Errorf("%d ends count after the request was cleared", n)
+	}
+}
--- a/coordination/poison/poison.go
+++ b/coordination/poison/poison.go
@@ -48,8 +48,10 @@
 	maxSuspects    = 4096
 	maxAbortedRuns = 4096
 	maxReported    = 256
-	// maxEventsPerSuspect bounds the ends of upstreams that are remembered for one request.
+	// maxEventsPerSuspect bounds the ends of upstreams that are remembered for one request, maxRunsPerSuspect
+	// its aborted runs.
 	maxEventsPerSuspect = 8
+	maxRunsPerSuspect   = 4 * maxEventsPerSuspect
 )
 
 // Digest identifies a request across retries.
@@ -76,10 +78,23 @@
 	return Event(sum ^ sum>>shift)
 }
 
+// Run identifies an aborted run among those of the same request. Zero is an unknown one. The times of a run are only
+// estimated by gateways that it is reported to, and each report estimates them anew.
+type Run uint32
+
+// runOf returns the identity of a run that this gateway has sent, from the upstream and from its times on this
+// gateway's clock.
+func runOf(e Event, r abortedRun) Run {
+	const shift = 32
+	sum := uint64(e) ^ uint64(r.connected.UnixNano())*0x9e3779b97f4a7c15 ^ uint64(r.at.UnixNano())*0xc2b2ae3d27d4eb4f
+	return Run(sum^sum>>shift) | 1
+}
+
 // Crash records that an upstream ended while a request was running on it.
 type Crash struct {
 	Digest Digest
 	Event  Event
+	Run    Run
 	At     time.Time
 	// Connected is when the connection was opened on which the request was sent.
 	Connected time.Time
@@ -95,13 +110,36 @@
 
 // suspect holds what is known about one request.
 type suspect struct {
-	// crashes holds when its run was aborted by each end.
-	crashes   map[*end]time.Time
+	// crashes holds the run that each end has aborted.
+	crashes map[*end]crashedRun
+	// runs are the runs that were recorded, the latest last. Those of them that count are in crashes.
+	runs      []Run
 	lastCrash time.Time
 	clearedAt time.Time
 	refused   bool
 }
 
+// crashedRun is a run that was aborted by the end of its upstream.
+type crashedRun struct {
+	at  time.Time
+	run Run
+}
+
+// record records a run and reports whether it is new.
+func (s *suspect) record(r Run) bool {
+	if r == 0 {
+		return true
+	}
+	if slices.Contains(s.runs, r) {
+		return false
+	}
+	if len(s.runs) >= maxRunsPerSuspect {
+		s.runs = slices.Delete(s.runs, 0, 1)
+	}
+	s.runs = append(s.runs, r)
+	return true
+}
+
 // abortedRun is a run that ended without a response.
 type abortedRun struct {
 	digest Digest
@@ -157,8 +195,8 @@
 // count returns the number of a suspect's crashes that no answer contradicts.
 func (t *Tracker) count(s *suspect) int {
 	n := 0
-	for e, at := range s.crashes {
-		if !e.contradicts(at) {
+	for e, c := range s.crashes {
+		if !e.contradicts(c.at) {
 			n++
 		}
 	}
@@ -206,7 +244,8 @@
 
 // crash returns the crash to record for the run once the incarnation has ended.
 func (r abortedRun) crash(p process) Crash {
-	return Crash{Digest: r.digest, Event: eventOf(p.upstream, p.incarnation), At: r.at, Connected: r.connected, Upstream: p.upstream}
+	e := eventOf(p.upstream, p.incarnation)
+	return Crash{Digest: r.digest, Event: e, Run: runOf(e, r), At: r.at, Connected: r.connected, Upstream: p.upstream}
 }
 
 // setAborted replaces the aborted runs of an incarnation by a subset of them.
@@ -221,25 +260,28 @@
 
 // add records a crash and returns it if it was not known before.
 func (t *Tracker) add(c Crash) []Crash {
-	if t.answeredAfter(c.Digest, c.At) {
-		t.Clear(Clearing{Digest: c.Digest, At: t.answered[c.Digest]})
-		return nil
-	}
 	s := t.suspects[c.Digest]
 	if s == nil {
 		if len(t.suspects) >= maxSuspects {
 			return nil
 		}
-		s = &suspect{crashes: make(map[*end]time.Time)}
+		s = &suspect{crashes: make(map[*end]crashedRun)}
 		t.suspects[c.Digest] = s
 	}
+	if !s.record(c.Run) {
+		return nil
+	}
+	if t.answeredAfter(c.Digest, c.At) {
+		t.Clear(Clearing{Digest: c.Digest, At: t.answered[c.Digest]})
+		return nil
+	}
 	h := t.historyOf(c.Event)
 	if !c.At.After(s.clearedAt) || h.ranAfter(c.At) {
 		return nil
 	}
 	e := h.endOf(c)
 	known, isKnown := s.crashes[e]
-	if isKnown && !e.contradicts(known) || !isKnown && !t.hasRoom(s) {
+	if isKnown && !e.contradicts(known.at) || !isKnown && !t.hasRoom(s) {
 		return nil
 	}
 	if e == nil {
@@ -249,7 +291,7 @@
 	if !isKnown {
 		e.add(s.refused)
 	}
-	s.crashes[e] = c.At
+	s.crashes[e] = crashedRun{at: c.At, run: c.Run}
 	s.lastCrash = later(s.lastCrash, c.At)
 	t.refuseIfDue(s)
 	return []Crash{c}
@@ -260,8 +302,8 @@
 	if len(s.crashes) < maxEventsPerSuspect {
 		return true
 	}
-	for e, at := range s.crashes {
-		if e.contradicts(at) {
+	for e, c := range s.crashes {
+		if e.contradicts(c.at) {
 			e.remove(s.refused)
 			delete(s.crashes, e)
 		}
@@ -284,15 +326,15 @@
 	for _, c := range list {
 		s := t.suspects[c.Digest]
 		if s == nil {
-			s = &suspect{crashes: make(map[*end]time.Time)}
+			s = &suspect{crashes: make(map[*end]crashedRun)}
 			t.suspects[c.Digest] = s
 		}
 		if !c.At.After(s.clearedAt) {
 			continue
 		}
 		s.clearedAt = c.At
-		for e, at := range s.crashes {
-			if !at.After(c.At) {
+		for e, crashed := range s.crashes {
+			if !crashed.at.After(c.At) {
 				delete(s.crashes, e)
 				e.remove(s.refused)
 			}
@@ -334,9 +376,9 @@
 		if reportDue(now, s.clearedAt) {
 			clearings = append(clearings, Clearing{Digest: d, At: s.clearedAt})
 		}
-		for e, at := range s.crashes {
-			if len(crashes) < maxReported && !e.contradicts(at) {
-				crashes = append(crashes, Crash{Digest: d, Event: e.event, At: at, Connected: e.connected})
+		for e, c := range s.crashes {
+			if len(crashes) < maxReported && !e.contradicts(c.at) {
+				crashes = append(crashes, Crash{Digest: d, Event: e.event, Run: c.run, At: c.at, Connected: e.connected})
 			}
 		}
 	}
--- a/coordination/poison/possible.go
+++ b/coordination/poison/possible.go
@@ -26,6 +26,7 @@
 // PossibleEnd is a run that may have ended its upstream.
 type PossibleEnd struct {
 	Digest      Digest
+	Run         Run
 	Upstream    string
 	Incarnation instances.Incarnation
 	// Connected is when the connection of the run was opened, At when the run was aborted.
@@ -34,14 +35,17 @@
 
 // crash returns the crash if the upstream has ended.
 func (p *PossibleEnd) crash() Crash {
-	return Crash{Digest: p.Digest, Event: eventOf(p.Upstream, p.Incarnation), At: p.At, Connected: p.Connected, Upstream: p.Upstream}
+	return Crash{Digest: p.Digest, Event: eventOf(p.Upstream, p.Incarnation), Run: p.Run, At: p.At, Connected: p.Connected, Upstream: p.Upstream}
 }
 
 // settled reports whether the end no longer counts as possible.
 func (p *PossibleEnd) settled(now time.Time) bool { return now.Sub(p.At) >= settleTime }
 
-// same reports whether two gateways may have reported the same run.
+// same reports whether two gateways have reported the same run, or may have.
 func (p *PossibleEnd) same(other PossibleEnd) bool {
+	if p.Run != 0 && p.Run == other.Run {
+		return p.Digest == other.Digest
+	}
 	return p.Digest == other.Digest && p.Upstream == other.Upstream && p.At.Sub(other.At).Abs() < reportError
 }
 
@@ -52,7 +56,7 @@
 	added := false
 	for _, run := range t.aborted[p] {
 		if !t.abortedElsewhere(p, run.at) {
-			possible := PossibleEnd{Digest: run.digest, Upstream: upstream, Incarnation: incarnation, Connected: run.connected, At: run.at}
+			possible := PossibleEnd{Digest: run.digest, Run: runOf(eventOf(upstream, incarnation), run), Upstream: upstream, Incarnation: incarnation, Connected: run.connected, At: run.at}
 			added = t.AddPossible(now, possible) || added
 		}
 	}
@@ -91,6 +95,9 @@
 	}
 	c := p.crash()
 	h, s := t.histories[c.Event], t.suspects[c.Digest]
+	if s != nil && c.Run != 0 && slices.Contains(s.runs, c.Run) {
+		return true
+	}
 	if h == nil {
 		return false
 	}
--- a/coordination/poison/refusal.go
+++ b/coordination/poison/refusal.go
@@ -86,15 +86,15 @@
 
 func (t *Tracker) unexplained(s *suspect) unexplainedEnds {
 	var u unexplainedEnds
-	for e, at := range s.crashes {
-		if e.contradicts(at) || t.isExplained(e, s) {
+	for e, c := range s.crashes {
+		if e.contradicts(c.at) || t.isExplained(e, s) {
 			continue
 		}
 		u.count++
-		if u.first.IsZero() || at.Before(u.first) {
-			u.first = at
+		if u.first.IsZero() || c.at.Before(u.first) {
+			u.first = c.at
 		}
-		u.last = later(u.last, at)
+		u.last = later(u.last, c.at)
 	}
 	return u
 }
--- a/gateway/suspectnews.go
+++ b/gateway/suspectnews.go
@@ -48,7 +48,7 @@
 	m := &syncpb.Suspects{}
 	for _, c := range crashes {
 		m.Crashes = append(m.Crashes, &syncpb.Crash{
-			Digest: uint64(c.Digest), Event: uint32(c.Event), AgeMs: milliseconds(now.Sub(c.At)), ConnectionAgeMs: connectionAge(c.Connected, c.At),
+			Digest: uint64(c.Digest), Event: uint32(c.Event), Run: uint32(c.Run), AgeMs: milliseconds(now.Sub(c.At)), ConnectionAgeMs: connectionAge(c.Connected, c.At),
 		})
 	}
 	for _, c := range clearings {
@@ -65,7 +65,7 @@
 	for _, p := range possible {
 		m.PossibleEnds = append(m.PossibleEnds, &syncpb.PossibleEnd{
 			Digest: uint64(p.Digest), Upstream: p.Upstream, Incarnation: uint32(p.Incarnation), AgeMs: milliseconds(now.Sub(p.At)),
-			ConnectionAgeMs: connectionAge(p.Connected, p.At),
+			ConnectionAgeMs: connectionAge(p.Connected, p.At), Run: uint32(p.Run),
 		})
 	}
 	return m
@@ -104,7 +104,7 @@
 	crashes := make([]poison.Crash, 0, len(m.Crashes))
 	for _, c := range m.Crashes {
 		at := ago(c.AgeMs)
-		crashes = append(crashes, poison.Crash{Digest: poison.Digest(c.Digest), Event: poison.Event(c.Event), At: at, Connected: connectedAt(at, c.ConnectionAgeMs)})
+		crashes = append(crashes, poison.Crash{Digest: poison.Digest(c.Digest), Event: poison.Event(c.Event), Run: poison.Run(c.Run), At: at, Connected: connectedAt(at, c.ConnectionAgeMs)})
 	}
 	urgent := s.isUrgent(s.book.Merge(crashes))
 	for _, e := range m.Ends {
@@ -122,7 +122,7 @@
 	for _, e := range m.PossibleEnds {
 		at := ago(e.AgeMs)
 		p := poison.PossibleEnd{
-			Digest: poison.Digest(e.Digest), Upstream: e.Upstream, Incarnation: instances.Incarnation(e.Incarnation), At: at, Connected: connectedAt(at, e.ConnectionAgeMs),
+			Digest: poison.Digest(e.Digest), Run: poison.Run(e.Run), Upstream: e.Upstream, Incarnation: instances.Incarnation(e.Incarnation), At: at, Connected: connectedAt(at, e.ConnectionAgeMs),
 		}
 		if s.book.AddPossible(now, p) {
 			urgent = true
