--- a/gateway/upstreamreach.go
+++ b/gateway/upstreamreach.go
@@ -44,6 +44,8 @@
 	rng     *rand.Rand
 	// cutSince is when the present cut was noticed.
 	cutSince time.Time
+	// reached is the address that was reached last, by a response or by a connection that lasted.
+	reached string
 
 	// cutOff and noNewConnections are the state at the last check.
 	cutOff, noNewConnections atomic.Bool
@@ -58,6 +60,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.tracker.Record(r.now(), addr, o, waited)
+	if o == reach.Answered {
+		r.reached = addr
+	}
 }
 
 // run checks the state until ctx ends. While it is doubtful it tries to connect to some upstreams.
@@ -78,7 +83,7 @@
 	now := r.now()
 	r.mu.Lock()
 	state := r.tracker.State(now, upstreamCount(r.view.inst.Load()))
-	since, lastAnswer := r.cutSince, r.tracker.LastAnswer()
+	since, lastAnswer, reached := r.cutSince, r.tracker.LastAnswer(), r.reached
 	if state.CutOff && !r.cutOff.Load() {
 		r.cutSince = now
 	}
@@ -87,7 +92,7 @@
 	switch was := r.cutOff.Swap(state.CutOff); {
 	case was == state.CutOff:
 	case was:
-		r.log.Info("upstreams can be reached again", "after_ms", now.Sub(since).Milliseconds())
+		r.log.Info("upstreams can be reached again", "after_ms", now.Sub(since).Milliseconds(), "address", reached)
 	default:
 		r.meters.inc(reachCuts)
 		r.log.Warn("no upstream can be reached")
@@ -106,7 +111,7 @@
 		all.Go(func() {
 			if r.probeLink(ctx, addr) == nil {
 				lasted.Store(true)
-				r.restored()
+				r.restored(addr)
 			}
 		})
 	}
@@ -119,9 +124,11 @@
 	r.tracker.ProbesFailed(began)
 }
 
-func (r *upstreamReach) restored() {
+// restored records that a connection to an address has lasted.
+func (r *upstreamReach) restored(addr string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.reached = addr
 	r.tracker.Restored(r.now())
 }
 
