soak: relays on a loopback address of the run

Cause: the port of a relay that was closed stays in the lists of gateways until the entry of its upstream changes. On 127.0.0.1 another listener takes it over, of the same run behind its relay or of another run: no cut applies to that, and a connection to it lasts.

Change: relays to upstreams listen on an address of the run alone.

--- a/bench/soak/upstreams.go
+++ b/bench/soak/upstreams.go
@@ -64,7 +64,7 @@
 	}
 	if r != nil {
 		r.Retarget(l.Addr().String())
-	} else if r, err = relay.New(l.Addr().String()); err != nil {
+	} else if r, err = relay.NewAt(relayIP(), l.Addr().String()); err != nil {
 		return nil, err
 	}
 	u := &upstream{
@@ -85,6 +85,14 @@
 	return u, nil
 }
 
+// relayIP returns the loopback address of the relays to upstreams. It is that of this run alone: the port of a relay
+// that was closed is still known to gateways for a while, and on a common address something that no cut applies to
+// could take it over.
+func relayIP() string {
+	const octet = 256
+	return fmt.Sprintf("127.78.%d.%d", os.Getpid()/octet%octet, os.Getpid()%octet)
+}
+
 // restartUpstream ends the process of an upstream and, after the downtime, starts it again
 // with the same ID at another address. It does nothing if the upstream is already being
 // replaced or restarted.
--- a/standin/relay/relay.go
+++ b/standin/relay/relay.go
@@ -54,9 +54,12 @@
 	silenced chan struct{}
 }
 
-// New starts a relay on a free loopback port.
-func New(targetAddr string) (*Relay, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// New starts a relay on a free port of 127.0.0.1.
+func New(targetAddr string) (*Relay, error) { return NewAt("127.0.0.1", targetAddr) }
+
+// NewAt starts a relay on a free port of a loopback address.
+func NewAt(ip, targetAddr string) (*Relay, error) {
+	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
 	if err != nil {
 		return nil, err
 	}
