--- a/gateway/peerforward_test.go
+++ b/gateway/peerforward_test.go
@@ -196,6 +196,21 @@
 	}
 }
 
+// forwardTo sends a request to an address as to another gateway.
+func forwardTo(t *testing.T, f *proxy, address, id string) (*pool.Response, error) {
+	t.Helper()
+	r := callerRequest(context.Background(), t, http.MethodPost, "http://h.example/pay/x", id, "")
+	q, err := f.parse(r, f.now())
+	if err != nil {
+		t.Fatal(err)
+	}
+	response, err := f.expectResponse(q)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return f.sendToPeer(context.Background(), q, reach.Peer{Address: address}, response)
+}
+
 // TestGatewaysOfEarlierVersionsTakeNoForwardedRequests guards against callers that are told "not found" by
 // a gateway that does not know forwarded requests.
 func TestGatewaysOfEarlierVersionsTakeNoForwardedRequests(t *testing.T) {
@@ -208,16 +223,7 @@
 		address string
 		want    bool
 	}{"earlier": {earlier.Listener.Addr().String(), false}, "present": {b.gateways[1].listeners.Peers.Addr().String(), true}} {
-		r := callerRequest(context.Background(), t, http.MethodPost, "http://h.example/pay/x", "version-"+name, "")
-		q, err := f.parse(r, f.now())
-		if err != nil {
-			t.Fatal(err)
-		}
-		response, err := f.expectResponse(q)
-		if err != nil {
-			t.Fatal(err)
-		}
-		resp, err := f.sendToPeer(context.Background(), q, reach.Peer{Address: tt.address}, response)
+		resp, err := forwardTo(t, f, tt.address, "version-"+name)
 		if err != nil || isForwardTaken(resp) != tt.want {
 			t.Errorf("%s version: %v, error %v", name, resp, err)
 		}
@@ -343,16 +349,7 @@
 	t.Parallel()
 	b := newStandardCluster(t)
 	f := b.gateways[0].proxy
-	r := callerRequest(context.Background(), t, http.MethodPost, "http://h.example/pay/x", "astray", "")
-	q, err := f.parse(r, f.now())
-	if err != nil {
-		t.Fatal(err)
-	}
-	response, err := f.expectResponse(q)
-	if err != nil {
-		t.Fatal(err)
-	}
-	resp, err := f.sendToPeer(context.Background(), q, reach.Peer{Address: b.upstreams["i-p0"].address}, response)
+	resp, err := forwardTo(t, f, b.upstreams["i-p0"].address, "astray")
 	if err != nil || isForwardTaken(resp) || b.oracle.Runs("astray") != 0 {
 		t.Errorf("response %v, error %v, %d runs", resp, err, b.oracle.Runs("astray"))
 	}
