--- a/bench/soak/plan.go
+++ b/bench/soak/plan.go
@@ -8,6 +8,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -169,6 +170,26 @@
 	return p
 }
 
+// Only returns the plan without the steps of other kinds. The others begin when they would otherwise. If no kinds are
+// given, it returns the whole plan.
+func (p Plan) Only(kinds []Kind) Plan {
+	if len(kinds) == 0 {
+		return p
+	}
+	out := Plan{Seed: p.Seed}
+	skipped := time.Duration(0)
+	for _, step := range p.Steps {
+		if !slices.Contains(kinds, step.Kind) {
+			skipped += step.Delay
+			continue
+		}
+		step.Delay += skipped
+		skipped = 0
+		out.Steps = append(out.Steps, step)
+	}
+	return out
+}
+
 // String returns the kind and duration of the step.
 func (s Step) String() string {
 	return fmt.Sprintf("%s for %s", s.Kind, s.Duration.Round(time.Millisecond))
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -33,6 +33,28 @@
 	}
 }
 
+// TestPlanOfSomeKindsKeepsItsTimes guards against steps that begin at other times because others are left out.
+func TestPlanOfSomeKindsKeepsItsTimes(t *testing.T) {
+	plan := NewPlan(7, 50)
+	begins := func(p Plan) (out []string) {
+		at := time.Duration(0)
+		for _, step := range p.Steps {
+			at += step.Delay
+			if step.Kind == Refusals || step.Kind == Kill {
+				out = append(out, fmt.Sprint(at, step.Kind, step.Duration, step.Target, step.Variant))
+			}
+		}
+		return out
+	}
+	some := plan.Only([]Kind{Refusals, Kill})
+	if diff := cmp.Diff(begins(plan), begins(some)); diff != "" || len(some.Steps) != len(begins(some)) {
+		t.Errorf("%d steps: %s", len(some.Steps), diff)
+	}
+	if diff := cmp.Diff(plan, plan.Only(nil)); diff != "" {
+		t.Error(diff)
+	}
+}
+
 func TestInvalidSizesAreRejectedBeforeAnyFileIsWritten(t *testing.T) {
 	good := Size{Gateways: 5, Upstreams: 8, Steps: 20}
 	if err := good.Check(4096); err != nil {
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -1,11 +1,12 @@
 #!/usr/bin/env bash
-# soak.sh FROM TO [GATEWAYS [UPSTREAMS [STEPS]]]: run the soak test for the seeds FROM
-# to TO, one after the other. Starts the gateway processes that rocksoak requests and
-# kills them by their process IDs.
+# soak.sh FROM TO [GATEWAYS [UPSTREAMS [STEPS [KINDS]]]]: run the soak test for the seeds FROM
+# to TO, one after the other. KINDS are the kinds of faults to inject, separated by commas; all if
+# it is empty. Starts the gateway processes that rocksoak requests and kills them by their process
+# IDs.
 set -u
 cd "$(dirname "$0")/.." || exit 1
 FROM=${1:?the first seed} TO=${2:?the last seed}
-GATEWAYS=${3:-5} UPSTREAMS=${4:-8} STEPS=${5:-20}
+GATEWAYS=${3:-5} UPSTREAMS=${4:-8} STEPS=${5:-20} KINDS=${6:-}
 BIN=$PWD/bin
 OUT=${SOAK_OUT:-$PWD/out/soak}
 . scripts/lib.sh
@@ -40,7 +41,7 @@
 	mkdir -p "$DIR"
 	serve_starts &
 	STARTER=$!
-	"$BIN/rocksoak" run --seed "$seed" --dir "$DIR" --gateways "$GATEWAYS" --upstreams "$UPSTREAMS" --steps "$STEPS" \
+	"$BIN/rocksoak" run --seed "$seed" --dir "$DIR" --gateways "$GATEWAYS" --upstreams "$UPSTREAMS" --steps "$STEPS" --kinds "$KINDS" \
 		>"$DIR/progress.txt" 2>&1 || failed=$((failed + 1))
 	tail -n 1 "$DIR/progress.txt"
 	kill "$STARTER" 2>/dev/null
