suspects: runs aborted while cut off blame no request

Cause: runs that were aborted before a gateway notices that it is cut off from all upstreams are forgotten, those after that are not. Their connections are accepted and reset within the millisecond. Entries that change within eight seconds, as after an outage of the store, made crashes of them, several at a time.

Change: a run that is aborted while this gateway is cut off is not recorded.

TestRunsAbortedWhileCutOffBlameNoRequest, three crashes before.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -206,7 +206,7 @@
 		_, err := g.suspects.probeLink(ctx, addr)
 		return err
 	}
-	g.reach.onCutOff = g.suspects.discardAborted
+	g.reach.onCutOff, g.suspects.cutOff = g.suspects.discardAborted, g.reach.cutOff.Load
 	g.assignments = &assignmentSupervisor{
 		view: g.view, cluster: g.cluster, traffic: g.traffic, store: store, calls: g.storeCalls,
 		owners: platform.NewOwners(g.newUpstreamPool(controlLimits, g.controlResponses)), grantSlots: newGrantSlots(g.now), maxHold: conf.MaxGrantDuration.D(),
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -32,6 +32,8 @@
 	// probeLink opens a connection to an upstream and checks that it lasts; nil if no ends are
 	// concluded from refused connections.
 	probeLink func(ctx context.Context, addr string) (opened time.Time, err error)
+	// cutOff reports whether this gateway reaches no upstream.
+	cutOff func() bool
 
 	// aborted are the checks of upstreams on which a run was aborted, confirming those of ends.
 	aborted, confirming checks
@@ -50,7 +52,7 @@
 }
 
 func newSuspects(v *view, gateways func() int, now func() time.Time, log *slog.Logger, m *meters, rng *rand.Rand) *suspects {
-	return &suspects{view: v, now: now, log: log, meters: m, gateways: gateways, book: poison.NewTracker(), runs: poison.NewActiveRuns(), rng: rng}
+	return &suspects{cutOff: func() bool { return false }, view: v, now: now, log: log, meters: m, gateways: gateways, book: poison.NewTracker(), runs: poison.NewActiveRuns(), rng: rng}
 }
 
 // digest identifies a repeated request by path, caller and body. It is computed on first use.
@@ -155,6 +157,10 @@
 	}
 	switch o {
 	case dispatch.ConnectionBroken:
+		if s.cutOff() {
+			// The links of this gateway are the likely cause.
+			break
+		}
 		crashes = s.book.RequestAborted(s.now(), q.digest(), inst.ID, inst.Incarnation(), connected)
 		if len(crashes) == 0 {
 			defer s.checkAborted(*inst)
--- a/gateway/suspects_test.go
+++ b/gateway/suspects_test.go
@@ -417,6 +417,22 @@
 	waitRefused(t, s, ends)
 }
 
+// TestRunsAbortedWhileCutOffBlameNoRequest guards against a harmless request that is refused because its runs were aborted by cut links, and their upstreams ended later for other reasons.
+func TestRunsAbortedWhileCutOffBlameNoRequest(t *testing.T) {
+	s := noSuspects()
+	list := addUpstreams(s, 3)
+	cut := true
+	s.cutOff = func() bool { return cut }
+	for i := range list {
+		s.recordEnded(&request{cachedDigest: 1}, dispatch.Grant{Instance: list[i]}, false, dispatch.ConnectionBroken, s.now())
+	}
+	cut = false
+	s.onViewChanged(instances.NewView(2, nil))
+	if suspected := s.list(); len(suspected) > 0 {
+		t.Errorf("suspected: %+v", suspected)
+	}
+}
+
 // addUpstreams makes the given number of upstreams known and returns them.
 func addUpstreams(s *suspects, n int) []instances.Instance {
 	var list []instances.Instance
