poison: remember answers from the first aborted run on

Cause: an answer clears earlier aborted runs of a request.

Change: answers are recorded while runs wait, for as long as these do, also when no more requests can be remembered otherwise.

Evidence: TestAnsweredRequestIsNotBlamedForEndsFoundLater, three crashes and a refusal before.

--- a/coordination/poison/cut_test.go
+++ b/coordination/poison/cut_test.go
@@ -173,7 +173,7 @@
 		tr.RequestAnswered(at(m.now), Answer{
 			Upstream: modelNames[r.upstream], Incarnation: m.upstreams[r.upstream].incarnation, Connected: at(r.connected), Sent: at(r.sent),
 		})
-		if !tr.Empty() {
+		if tr.AnswersMatter() {
 			tr.Succeeded(at(m.now), d)
 		}
 	}
--- a/coordination/poison/poison.go
+++ b/coordination/poison/poison.go
@@ -158,7 +158,7 @@
 	ended        map[process]*ending
 	// refusedDials holds when the address of an upstream last refused a connection of this gateway.
 	refusedDials map[string]time.Time
-	// answered holds when requests were last answered, while there are suspects: a crash of theirs may be
+	// answered holds when requests were last answered, while AnswersMatter: a crash of theirs may be found or
 	// reported later.
 	answered map[Digest]time.Time
 	// possible are the ends that may have happened.
@@ -183,6 +183,10 @@
 // Empty reports whether there are no suspects.
 func (t *Tracker) Empty() bool { return len(t.suspects) == 0 && len(t.possible) == 0 }
 
+// AnswersMatter reports whether answers to requests must be recorded: there are suspects, or runs that were aborted
+// may make some.
+func (t *Tracker) AnswersMatter() bool { return !t.Empty() || t.abortedCount > 0 }
+
 // CrashCount returns how many upstreams have ended while running the request.
 func (t *Tracker) CrashCount(d Digest) int {
 	s := t.suspects[d]
@@ -343,17 +347,27 @@
 	}
 }
 
-// Succeeded records that a request was answered, which shows that it is harmless. It is called while the
-// tracker is not empty.
+// Succeeded records that a request was answered, which shows that it is harmless. It is called while
+// AnswersMatter.
 func (t *Tracker) Succeeded(now time.Time, d Digest) {
 	if t.CrashCount(d) > 0 {
 		t.Clear(Clearing{Digest: d, At: now})
 	}
-	if _, known := t.answered[d]; known || len(t.answered) < maxSuspects {
+	if _, known := t.answered[d]; known || len(t.answered) < maxSuspects || t.wasAborted(d) {
 		t.answered[d] = now
 	}
 }
 
+// wasAborted reports whether a run of the request was aborted on an upstream that may have ended.
+func (t *Tracker) wasAborted(d Digest) bool {
+	for _, list := range t.aborted {
+		if slices.ContainsFunc(list, func(run abortedRun) bool { return run.digest == d }) {
+			return true
+		}
+	}
+	return false
+}
+
 // answeredAfter reports whether a request was answered after the given time.
 func (t *Tracker) answeredAfter(d Digest, at time.Time) bool {
 	last, ok := t.answered[d]
@@ -434,7 +448,7 @@
 	}
 	t.pruneEnded(now)
 	t.prunePossible(now)
-	maps.DeleteFunc(t.answered, func(_ Digest, at time.Time) bool { return now.Sub(at) >= reportPeriod })
+	maps.DeleteFunc(t.answered, func(_ Digest, at time.Time) bool { return now.Sub(at) >= crashWindow })
 	t.pruneHistories(now)
 	for d, s := range t.suspects {
 		if now.Sub(s.lastCrash) >= 2*refusalPeriod && now.Sub(s.clearedAt) >= refusalPeriod {
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -174,7 +174,7 @@
 		if end, ok := s.book.RequestAnswered(s.now(), poison.Answer{Upstream: inst.ID, Incarnation: inst.Incarnation(), Connected: connected, Sent: g.GrantedAt}); ok {
 			defer s.logContradicted(end, connected)
 		}
-		if o == dispatch.Answered && !s.book.Empty() {
+		if o == dispatch.Answered && s.book.AnswersMatter() {
 			s.book.Succeeded(s.now(), q.digest())
 		}
 	}
--- a/gateway/suspects_test.go
+++ b/gateway/suspects_test.go
@@ -433,6 +433,21 @@
 	}
 }
 
+// TestAnsweredRequestIsNotBlamedForEndsFoundLater guards against a harmless request that is refused because the ends of several upstreams are found at once, after it was answered.
+func TestAnsweredRequestIsNotBlamedForEndsFoundLater(t *testing.T) {
+	s := noSuspects()
+	list := addUpstreams(s, 4)
+	q := &request{cachedDigest: 1}
+	for i := range 3 {
+		s.recordEnded(q, dispatch.Grant{Instance: list[i]}, false, dispatch.ConnectionBroken, s.now())
+	}
+	s.recordEnded(q, dispatch.Grant{Instance: list[3]}, false, dispatch.Answered, s.now())
+	s.onViewChanged(instances.NewView(2, nil))
+	if suspected := s.list(); len(suspected) > 0 {
+		t.Errorf("suspected: %+v", suspected)
+	}
+}
+
 // addUpstreams makes the given number of upstreams known and returns them.
 func addUpstreams(s *suspects, n int) []instances.Instance {
 	var list []instances.Instance
