soak: responses without an end, and the memory of gateways

No run of real processes had an upstream that sends bytes without an end in place of a response, and none looked at the memory of gateways.

Change: the step "endless": 3 % of the requests run and get a header line without an end, 25 MB a second for 5 s at most. A gateway process that takes more memory than its limit is a violation.

--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -72,6 +72,8 @@
 		return d.replaceUpstream(u, func() {})
 	case CutGateways:
 		d.cutGateways(step)
+	case Endless:
+		d.respondWithoutEnd(step)
 	case TakeOver:
 		return d.takeOverAddress(u, step.Duration)
 	case Refusals:
--- a/bench/soak/plan.go
+++ b/bench/soak/plan.go
@@ -40,6 +40,7 @@
 	LateCalls        Kind = "late_calls"     // all upstreams leave every second control call unanswered and apply it later
 	CutGateways      Kind = "cut_gateways"   // some gateways, which may include the leader, are cut off from all upstreams
 	SilentRemoval    Kind = "removal"        // an upstream's entry is removed, without a notice, while the leader is suspended
+	Endless          Kind = "endless"        // some responses of all upstreams have no end
 	TakeOver         Kind = "take_over"      // an upstream ends and another one starts at its address
 	Refusals         Kind = "refusals"       // all upstreams refuse a part of the requests and send late copies of responses
 )
@@ -108,8 +109,8 @@
 
 // NewPlan returns the plan of a seed. It has the given number of random steps and, in
 // addition to them, the kinds that are added at fixed intervals: restarts, rate limits,
-// rests, departures, late control calls, harmful requests, evacuations, removals, cuts, and refusals with upstreams
-// that take over an address.
+// rests, departures, late control calls, harmful requests, evacuations, removals, cuts, refusals with upstreams
+// that take over an address, and responses without an end.
 func NewPlan(seed uint64, steps int) Plan {
 	rng, restarts := rand.New(rand.NewPCG(seed, seed)), rand.New(rand.NewPCG(seed, seed+1))
 	evacuations := rand.New(rand.NewPCG(seed, seed+2))
@@ -120,6 +121,7 @@
 	removals := rand.New(rand.NewPCG(seed, seed+7))
 	cuts := rand.New(rand.NewPCG(seed, seed+8))
 	refusals := rand.New(rand.NewPCG(seed, seed+9))
+	endless := rand.New(rand.NewPCG(seed, seed+10))
 	p := Plan{Seed: seed}
 	for i := range steps {
 		p.Steps = append(p.Steps, Step{
@@ -161,6 +163,7 @@
 			})
 		}
 		p.Steps = append(p.Steps, refusalSteps(refusals, i)...)
+		p.Steps = append(p.Steps, endlessSteps(endless, i)...)
 		if i%stepsPerEvacuation == stepsPerEvacuation-1 {
 			p.Steps = append(p.Steps, Step{
 				Kind: Evacuate, Duration: time.Duration(evacuations.Int64N(int64(maxFaultDuration))), Target: evacuations.IntN(1 << 16),
--- a/bench/soak/refusals.go
+++ b/bench/soak/refusals.go
@@ -41,17 +41,21 @@
 // step plus minRefusalDuration. Of overlapping faults, the one that ends first ends all.
 func (d *deployment) refuseAndCopy(step Step) {
 	holdFault(minRefusalDuration+step.Duration, func() {
-		d.setDisorder(instance.Disorder{Refused: refusedShare, Copied: copiedShare, AnyConnection: step.Variant%2 == 0, Seed: uint64(step.Target)})
-	}, func() { d.setDisorder(instance.Disorder{}) })
+		d.changeDisorder(func(i *instance.Disorder) {
+			i.Refused, i.Copied, i.AnyConnection, i.Seed = refusedShare, copiedShare, step.Variant%2 == 0, uint64(step.Target)
+		})
+	}, func() {
+		d.changeDisorder(func(i *instance.Disorder) { i.Refused, i.Copied = 0, 0 })
+	})
 }
 
-// setDisorder sets the disorder of all current upstreams and of those that start later.
-func (d *deployment) setDisorder(disorder instance.Disorder) {
+// changeDisorder changes the disorder of all current upstreams and of those that start later.
+func (d *deployment) changeDisorder(change func(*instance.Disorder)) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.disorder = disorder
+	change(&d.disorder)
 	for _, u := range d.upstreams {
-		u.SetDisorder(disorder)
+		u.SetDisorder(d.disorder)
 	}
 }
 
--- a/bench/soak/run.go
+++ b/bench/soak/run.go
@@ -100,6 +100,7 @@
 		all.Go(func() { m.runCaller(ctx, callerCount+n, book) })
 	}
 	all.Go(func() { m.checkVersions(ctx) })
+	all.Go(func() { m.checkMemory(ctx) })
 	return &all, stop
 }
 
@@ -134,7 +135,7 @@
 	for _, g := range d.gateways {
 		g.relay.SetFault(relay.None)
 	}
-	d.setDisorder(instance.Disorder{})
+	d.changeDisorder(func(i *instance.Disorder) { *i = instance.Disorder{} })
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, u := range d.upstreams {
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -26,7 +26,7 @@
 			t.Errorf("step is out of bounds: %+v", step)
 		}
 	}
-	for _, k := range append([]Kind{Restart, Evacuate, Rest, LeaveByResponses, Refusals, TakeOver}, weightedKinds...) {
+	for _, k := range append([]Kind{Restart, Evacuate, Rest, LeaveByResponses, Refusals, TakeOver, Endless}, weightedKinds...) {
 		if !seen[k] {
 			t.Errorf("kind %s does not occur", k)
 		}
@@ -233,3 +233,10 @@
 		})
 	}
 }
+
+// TestPeakMemoryIsRead guards against a check of memory that reads nothing.
+func TestPeakMemoryIsRead(t *testing.T) {
+	if mb := peakMemoryMB(os.Getpid()); mb < 1 || mb > 4096 {
+		t.Errorf("this process took %d MB", mb)
+	}
+}
--- a/standin/instance/extraresponses.go
+++ b/standin/instance/extraresponses.go
@@ -6,7 +6,7 @@
 
 // This file sends additional responses to control calls.
 
-// controlResponse is a response to a control call.
+// controlResponse is a response whose body is discarded, as to a control call.
 type controlResponse struct {
 	header http.Header
 	status int
@@ -15,7 +15,7 @@
 // Header implements http.ResponseWriter.
 func (c *controlResponse) Header() http.Header { return c.header }
 
-// Write implements http.ResponseWriter. Responses to control calls have no body.
+// Write implements http.ResponseWriter.
 func (c *controlResponse) Write(data []byte) (int, error) { return len(data), nil }
 
 // WriteHeader implements http.ResponseWriter.
--- a/standin/instance/latecopies.go
+++ b/standin/instance/latecopies.go
@@ -8,14 +8,16 @@
 	"net"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/rockcroft/rockcroft/platform"
 )
 
-// This file refuses a part of the requests and sends copies of responses late, as the platform's instances may.
+// This file refuses a part of the requests, sends copies of responses late and sends responses without an end, as the
+// platform's instances may.
 
-// Disorder makes an instance refuse some requests and send some responses a second time. Other requests are handled
-// as usual.
+// Disorder makes an instance refuse some requests, send some responses a second time, and others without an end. Other
+// requests are handled as usual.
 type Disorder struct {
 	// Refused is the share of requests that are rejected as not executed.
 	Refused float64
@@ -25,6 +27,8 @@
 	// AnyConnection sends a copy on whichever connection the next request arrives. Otherwise it is sent on the
 	// connection of the first one.
 	AnyConnection bool
+	// Endless is the share of requests that are executed and then get bytes without an end in place of a response.
+	Endless float64
 	// Seed is the seed of the random choices.
 	Seed uint64
 }
@@ -60,7 +64,19 @@
 func (i *Instance) refusesNext() bool {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	return i.disorder.Refused > 0 && i.disorder.rng.Float64() < i.disorder.Refused
+	return i.disorder.draw(i.disorder.Refused)
+}
+
+// isNextEndless decides whether the next response has no end.
+func (i *Instance) isNextEndless() bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.disorder.draw(i.disorder.Endless)
+}
+
+// draw returns true with the given probability.
+func (d *disorder) draw(probability float64) bool {
+	return probability > 0 && d.rng.Float64() < probability
 }
 
 // sendCopy sends the copy that is due on the connection of a request, if there is one.
@@ -90,7 +106,7 @@
 func (i *Instance) keepCopy(remote string, resp *recordedResponse) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if i.disorder.Copied == 0 || i.disorder.rng.Float64() >= i.disorder.Copied {
+	if !i.disorder.draw(i.disorder.Copied) {
 		return
 	}
 	if i.disorder.AnyConnection {
@@ -130,8 +146,30 @@
 	return out.Bytes()
 }
 
+// An endless response sends endlessChunk bytes each endlessInterval, until the other end closes the connection or
+// endlessLimit has passed: 25 MB a second, for as long as a request may last.
+const (
+	endlessChunk    = 256 << 10
+	endlessInterval = 10 * time.Millisecond
+	endlessLimit    = 5 * time.Second
+)
+
+// sendWithoutEnd sends a header line without an end.
+func sendWithoutEnd(c net.Conn) {
+	chunk := bytes.Repeat([]byte{'x'}, endlessChunk)
+	_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Filler: ")
+	for began := time.Now(); err == nil && time.Since(began) < endlessLimit; time.Sleep(endlessInterval) {
+		_, err = c.Write(chunk)
+	}
+}
+
 // serveRequestInDisorder serves a request and keeps a copy of the response if that is due.
 func (i *Instance) serveRequestInDisorder(w http.ResponseWriter, r *http.Request) {
+	if c, ok := r.Context().Value(connKey{}).(net.Conn); ok && i.isNextEndless() {
+		i.serveRequest(&controlResponse{header: make(http.Header)}, r)
+		sendWithoutEnd(c)
+		panic(http.ErrAbortHandler)
+	}
 	resp := &recordedResponse{ResponseWriter: w, status: http.StatusOK}
 	i.serveRequest(resp, r)
 	i.keepCopy(r.RemoteAddr, resp)
--- a/standin/instance/latecopies_test.go
+++ b/standin/instance/latecopies_test.go
@@ -83,3 +83,27 @@
 		t.Errorf("%s: %s", name, diff)
 	}
 }
+
+// TestEndlessResponseFollowsRun guards against a disorder that sends a response with an end, or none, or without a run.
+func TestEndlessResponseFollowsRun(t *testing.T) {
+	i := New("i", false, 0, NewOracle())
+	i.SetDisorder(Disorder{Endless: 1})
+	server := httptest.NewUnstartedServer(i)
+	server.Config.ConnContext = WithConn
+	server.Start()
+	c := dialInstance(t, server)
+	c.send(t, "r")
+	read := 0
+	for buffer := make([]byte, endlessChunk); read < 3*endlessChunk; {
+		n, err := c.reader.Read(buffer)
+		if err != nil {
+			t.Fatalf("the response ends after %d bytes: %v", read, err)
+		}
+		read += n
+	}
+	if runs := i.Oracle.Runs("r"); runs != 1 {
+		t.Errorf("%d runs", runs)
+	}
+	_ = c.Close()
+	server.Close()
+}
