--- a/gateway/testcluster_test.go
+++ b/gateway/testcluster_test.go
@@ -169,7 +169,7 @@
 		service:  service, domain: domain, address: l.Addr().String(), born: born,
 	}
 	u.ArrivedAt = b.arrivedAt
-	u.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	u.server = &http.Server{ConnContext: instance.WithConn, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if b.onUpstreamRequest != nil {
 			b.onUpstreamRequest(r)
 		}
