--- a/bench/soak/deployment.go
+++ b/bench/soak/deployment.go
@@ -72,8 +72,8 @@
 	// ended.
 	cutLinks map[string]int
 	cuts     []cut
-	// disorder is the disorder of upstreams in progress.
-	disorder instance.Disorder
+	// responseFaults are the faults of the upstreams' responses in progress.
+	responseFaults instance.ResponseFaults
 }
 
 // newDeployment starts the store and the upstreams, chooses the addresses of the gateways
--- a/bench/soak/memory.go
+++ b/bench/soak/memory.go
@@ -34,9 +34,9 @@
 // faults, the one that ends first ends all.
 func (d *deployment) respondWithoutEnd(step Step) {
 	holdFault(step.Duration, func() {
-		d.changeDisorder(func(i *instance.Disorder) { i.Endless, i.Seed = endlessShare, uint64(step.Target) })
+		d.changeResponseFaults(func(f *instance.ResponseFaults) { f.Endless, f.Seed = endlessShare, uint64(step.Target) })
 	}, func() {
-		d.changeDisorder(func(i *instance.Disorder) { i.Endless = 0 })
+		d.changeResponseFaults(func(f *instance.ResponseFaults) { f.Endless = 0 })
 	})
 }
 
--- a/bench/soak/refusals.go
+++ b/bench/soak/refusals.go
@@ -41,21 +41,21 @@
 // step plus minRefusalDuration. Of overlapping faults, the one that ends first ends all.
 func (d *deployment) refuseAndCopy(step Step) {
 	holdFault(minRefusalDuration+step.Duration, func() {
-		d.changeDisorder(func(i *instance.Disorder) {
-			i.Refused, i.Copied, i.AnyConnection, i.Seed = refusedShare, copiedShare, step.Variant%2 == 0, uint64(step.Target)
+		d.changeResponseFaults(func(f *instance.ResponseFaults) {
+			f.Refused, f.Copied, f.AnyConnection, f.Seed = refusedShare, copiedShare, step.Variant%2 == 0, uint64(step.Target)
 		})
 	}, func() {
-		d.changeDisorder(func(i *instance.Disorder) { i.Refused, i.Copied = 0, 0 })
+		d.changeResponseFaults(func(f *instance.ResponseFaults) { f.Refused, f.Copied = 0, 0 })
 	})
 }
 
-// changeDisorder changes the disorder of all current upstreams and of those that start later.
-func (d *deployment) changeDisorder(change func(*instance.Disorder)) {
+// changeResponseFaults changes the faults of the responses of all current upstreams and of those that start later.
+func (d *deployment) changeResponseFaults(change func(*instance.ResponseFaults)) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	change(&d.disorder)
+	change(&d.responseFaults)
 	for _, u := range d.upstreams {
-		u.SetDisorder(d.disorder)
+		u.SetResponseFaults(d.responseFaults)
 	}
 }
 
--- a/bench/soak/run.go
+++ b/bench/soak/run.go
@@ -135,7 +135,7 @@
 	for _, g := range d.gateways {
 		g.relay.SetFault(relay.None)
 	}
-	d.changeDisorder(func(i *instance.Disorder) { *i = instance.Disorder{} })
+	d.changeResponseFaults(func(f *instance.ResponseFaults) { *f = instance.ResponseFaults{} })
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, u := range d.upstreams {
--- a/bench/soak/upstreams.go
+++ b/bench/soak/upstreams.go
@@ -75,7 +75,7 @@
 	d.mu.Lock()
 	d.allUpstreams = append(d.allUpstreams, u)
 	d.applyLinks(u)
-	u.SetDisorder(d.disorder)
+	u.SetResponseFaults(d.responseFaults)
 	d.mu.Unlock()
 	u.server = &http.Server{Handler: u.Instance, ConnContext: instance.WithConn}
 	// Serve ends with the process or when the server is closed, so its error carries no
--- a/gateway/delivery.go
+++ b/gateway/delivery.go
@@ -171,10 +171,10 @@
 	if errors.Is(err, errNotOwner) && q.service.Keyed {
 		q.refusedFence = f.span(q).Fence
 	}
-	if errors.Is(err, errDoubtfulRefusal) {
-		f.meters.inc(refusalsDoubtful)
+	if errors.Is(err, errAmbiguousRefusal) {
+		f.meters.inc(refusalsAmbiguous)
 	}
-	q.mayHaveRun = q.mayHaveRun || !isRefusal(err) || errors.Is(err, errDoubtfulRefusal)
+	q.mayHaveRun = q.mayHaveRun || !isRefusal(err) || errors.Is(err, errAmbiguousRefusal)
 	switch {
 	case ctx.Err() != nil || q.deadline.Sub(f.now()) < 2*deadlineMargin:
 		return false
--- a/gateway/meternames.go
+++ b/gateway/meternames.go
@@ -99,7 +99,7 @@
 	connEndedForMemory         = "connections.ended_for_memory"
 	connDistrusted             = "connections.distrusted"
 	responsesNotWritten        = "answers.not_taken"
-	refusalsDoubtful           = "answers.refusals_doubtful"
+	refusalsAmbiguous          = "answers.refusals_ambiguous"
 	loadsInvalid               = "answers.load_unsound"
 	limitsInvalid              = "answers.limit_unsound"
 	suspectsKnown              = "suspects.known"
@@ -224,7 +224,7 @@
 	{connEndedForMemory, "answers", "that were given up as the largest one while all that were being read exceeded their share of the memory"},
 	{connDistrusted, "connections", "idle ones closed after another connection to the same address stopped responding"},
 	{responsesNotWritten, "answers", "that could not be written to the client"},
-	{refusalsDoubtful, "tries", "refused by an upstream to which the request was sent more than once, so that the refusal may be a copy of an earlier one; the outcome is unknown"},
+	{refusalsAmbiguous, "tries", "refused by an upstream to which the request was sent more than once, so that the refusal may be a copy of an earlier one; the outcome is unknown"},
 	{loadsInvalid, "answers", "that reported an invalid load of the upstream; it was dropped"},
 	{limitsInvalid, "answers", "that announced an invalid limit of the upstream; it was dropped"},
 	{suspectsKnown, "requests", "suspect requests remembered by this gateway: in progress at an upstream when it crashed"},
--- a/gateway/peerforward.go
+++ b/gateway/peerforward.go
@@ -141,7 +141,7 @@
 		case err == nil && isForwardTaken(answered) && q.mayHaveRun && statusImpliesNotRun(answered.Status):
 			// The other gateway knows of its own tries only.
 			f.meters.inc(forwardAnswered)
-			return nil, true, f.finalError(ctx, q, errDoubtfulRefusal)
+			return nil, true, f.finalError(ctx, q, errAmbiguousRefusal)
 		case err == nil && isForwardTaken(answered):
 			delete(answered.Header, header.Hops)
 			f.meters.inc(forwardAnswered)
--- a/gateway/promisedrefusals_test.go
+++ b/gateway/promisedrefusals_test.go
@@ -80,7 +80,7 @@
 				p.startStandard()
 				for _, u := range p.upstreams {
 					u.ServiceTime = 30 * time.Millisecond
-					u.SetDisorder(instance.Disorder{Refused: 0.4, Copied: 0.5, AnyConnection: anyConnection, Seed: uint64(seed)})
+					u.SetResponseFaults(instance.ResponseFaults{Refused: 0.4, Copied: 0.5, AnyConnection: anyConnection, Seed: uint64(seed)})
 				}
 				if cut {
 					p.cutOff(p.gateways[1])
--- a/gateway/secondtries.go
+++ b/gateway/retrytargets.go
@@ -8,15 +8,15 @@
 	"github.com/rockcroft/rockcroft/protocol/answer"
 )
 
-// This file decides where a request may be sent a second time, and what the refusal of a second try promises.
+// This file decides where a request may be retried, and what the refusal of a retry promises.
 //
 // Upstreams may send a response a second time, late and on any connection. It is recognized by the ID of the request,
 // which all tries of a request have in common. A refusal therefore identifies a try only if the upstream received no
 // other one. Upstreams are told apart by their addresses here: one that was started anew at an address may be known
 // under its former ID for a while, so that a process can receive two tries under two IDs.
 
-// errDoubtfulRefusal is a refusal of one try while another one may have run.
-var errDoubtfulRefusal = errors.New("the request was refused, but another try of it may have run")
+// errAmbiguousRefusal is a refusal of one try while another one may have run.
+var errAmbiguousRefusal = errors.New("the request was refused, but another try of it may have run")
 
 // isRefusal reports whether an upstream has stated that it has not run the request and never will.
 func isRefusal(err error) bool {
@@ -29,13 +29,13 @@
 	return q.route.Idempotent || q.attempts.SentTo(address) == 0
 }
 
-// checkRefusal returns the error of a try at an address. A refusal is marked as doubtful if it may be the response to
+// checkRefusal returns the error of a try at an address. A refusal is marked as ambiguous if it may be the response to
 // another try of the request, or to another request without an ID.
 func (q *request) checkRefusal(address string, err error) error {
 	if !isRefusal(err) || q.id != "" && q.attempts.SentTo(address) <= 1 {
 		return err
 	}
-	return fmt.Errorf("%w: %w", errDoubtfulRefusal, err)
+	return fmt.Errorf("%w: %w", errAmbiguousRefusal, err)
 }
 
 // checkOwner returns an error if the request must not be sent to the owner of its key because it was sent there
--- a/standin/instance/instance.go
+++ b/standin/instance/instance.go
@@ -80,8 +80,8 @@
 	formerResponses map[string]*controlResponse
 	// leaving is set if its responses announce that it is leaving.
 	leaving bool
-	// disorder refuses requests and sends copies of responses.
-	disorder disorder
+	// responseFaults are the faults of responses to requests.
+	responseFaults responseFaults
 	// retryAfter holds the header values with which an overloaded instance asks senders to pause.
 	retryAfter []string
 
@@ -180,7 +180,7 @@
 		return
 	}
 	if !isControl {
-		i.serveRequestInDisorder(w, r)
+		i.serveRequestWithFaults(w, r)
 		return
 	}
 	if delay, late := i.nextLateDelay(); late {
--- a/standin/instance/latecopies.go
+++ b/standin/instance/responsefaults.go
@@ -16,9 +16,9 @@
 // This file refuses a part of the requests, sends copies of responses late and sends responses without an end, as the
 // platform's instances may.
 
-// Disorder makes an instance refuse some requests, send some responses a second time, and others without an end. Other
-// requests are handled as usual.
-type Disorder struct {
+// ResponseFaults make an instance refuse some requests, send some responses a second time, and others without an end.
+// Other requests are handled as usual.
+type ResponseFaults struct {
 	// Refused is the share of requests that are rejected as not executed.
 	Refused float64
 	// Copied is the share of responses to requests that are sent again, once the next request has arrived and
@@ -33,9 +33,9 @@
 	Seed uint64
 }
 
-// disorder is the state of a Disorder. The zero value refuses and copies nothing.
-type disorder struct {
-	Disorder
+// responseFaults is the state of ResponseFaults. The zero value refuses and copies nothing.
+type responseFaults struct {
+	ResponseFaults
 	rng *rand.Rand
 	// copies are encoded responses to be sent again, by the address of the caller's end of the connection, or
 	// under anyConnection.
@@ -44,11 +44,11 @@
 
 const anyConnection = ""
 
-// SetDisorder begins a disorder, or ends it if it is the zero value.
-func (i *Instance) SetDisorder(d Disorder) {
+// SetResponseFaults begins faults of responses, or ends them if f is the zero value.
+func (i *Instance) SetResponseFaults(f ResponseFaults) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	i.disorder = disorder{Disorder: d, rng: rand.New(rand.NewPCG(d.Seed, d.Seed)), copies: make(map[string][]byte)}
+	i.responseFaults = responseFaults{ResponseFaults: f, rng: rand.New(rand.NewPCG(f.Seed, f.Seed)), copies: make(map[string][]byte)}
 }
 
 // connKey is the context key of the connection of a request.
@@ -64,19 +64,19 @@
 func (i *Instance) refusesNext() bool {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	return i.disorder.draw(i.disorder.Refused)
+	return i.responseFaults.draw(i.responseFaults.Refused)
 }
 
 // isNextEndless decides whether the next response has no end.
 func (i *Instance) isNextEndless() bool {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	return i.disorder.draw(i.disorder.Endless)
+	return i.responseFaults.draw(i.responseFaults.Endless)
 }
 
 // draw returns true with the given probability.
-func (d *disorder) draw(probability float64) bool {
-	return probability > 0 && d.rng.Float64() < probability
+func (f *responseFaults) draw(probability float64) bool {
+	return probability > 0 && f.rng.Float64() < probability
 }
 
 // sendCopy sends the copy that is due on the connection of a request, if there is one.
@@ -94,11 +94,11 @@
 func (i *Instance) takeCopy(remote string) []byte {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if i.disorder.AnyConnection {
+	if i.responseFaults.AnyConnection {
 		remote = anyConnection
 	}
-	data := i.disorder.copies[remote]
-	delete(i.disorder.copies, remote)
+	data := i.responseFaults.copies[remote]
+	delete(i.responseFaults.copies, remote)
 	return data
 }
 
@@ -106,13 +106,13 @@
 func (i *Instance) keepCopy(remote string, resp *recordedResponse) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if !i.disorder.draw(i.disorder.Copied) {
+	if !i.responseFaults.draw(i.responseFaults.Copied) {
 		return
 	}
-	if i.disorder.AnyConnection {
+	if i.responseFaults.AnyConnection {
 		remote = anyConnection
 	}
-	i.disorder.copies[remote] = resp.encode()
+	i.responseFaults.copies[remote] = resp.encode()
 }
 
 // recordedResponse passes a response on and records it.
@@ -163,8 +163,8 @@
 	}
 }
 
-// serveRequestInDisorder serves a request and keeps a copy of the response if that is due.
-func (i *Instance) serveRequestInDisorder(w http.ResponseWriter, r *http.Request) {
+// serveRequestWithFaults serves a request and keeps a copy of the response if that is due.
+func (i *Instance) serveRequestWithFaults(w http.ResponseWriter, r *http.Request) {
 	if c, ok := r.Context().Value(connKey{}).(net.Conn); ok && i.isNextEndless() {
 		i.serveRequest(&controlResponse{header: make(http.Header)}, r)
 		sendWithoutEnd(c)
--- a/standin/instance/latecopies_test.go
+++ b/standin/instance/responsefaults_test.go
@@ -13,7 +13,7 @@
 	"github.com/rockcroft/rockcroft/platform"
 )
 
-// TestCopiesAreSentBeforeTheNextResponse guards against a stand-in whose disorder cannot be seen: copies that do not arrive, or arrive elsewhere.
+// TestCopiesAreSentBeforeTheNextResponse guards against a stand-in without faults: copies that do not arrive, or arrive elsewhere.
 func TestCopiesAreSentBeforeTheNextResponse(t *testing.T) {
 	for name, c := range map[string]struct {
 		anyConnection bool
@@ -24,7 +24,7 @@
 		"any connection": {true, []string{"r1", "r2"}, []string{"r2", "r3"}},
 	} {
 		i := New("i", false, 0, NewOracle())
-		i.SetDisorder(Disorder{Refused: 1, Copied: 1, AnyConnection: c.anyConnection})
+		i.SetResponseFaults(ResponseFaults{Refused: 1, Copied: 1, AnyConnection: c.anyConnection})
 		server := httptest.NewUnstartedServer(i)
 		server.Config.ConnContext = WithConn
 		server.Start()
@@ -84,10 +84,10 @@
 	}
 }
 
-// TestEndlessResponseFollowsRun guards against a disorder that sends a response with an end, or none, or without a run.
+// TestEndlessResponseFollowsRun guards against a stand-in that sends a response with an end, or none, or without a run.
 func TestEndlessResponseFollowsRun(t *testing.T) {
 	i := New("i", false, 0, NewOracle())
-	i.SetDisorder(Disorder{Endless: 1})
+	i.SetResponseFaults(ResponseFaults{Endless: 1})
 	server := httptest.NewUnstartedServer(i)
 	server.Config.ConnContext = WithConn
 	server.Start()
