tests: an upstream that runs the harmful request twice at once ends once

Cause: two gateways send the harmful request to one upstream within its 5 ms. Each run ended the process and scheduled a start at its address, and the second start found the listener of the first.

Change: the process ends once; both runs are still counted.

--- a/gateway/harmfulrestarts_test.go
+++ b/gateway/harmfulrestarts_test.go
@@ -63,15 +63,19 @@
 	return p
 }
 
-// arm makes an upstream end when it runs the harmful request, and start again later.
+// arm makes an upstream end when it runs the harmful request, and start again later. A second run beside the first
+// one counts as another end, but the process ends once.
 func (p *harmfulPlay) arm(u *upstream) {
+	var end sync.Once
 	u.OnCrash(func(string) {
 		p.mu.Lock()
 		p.ends = append(p.ends, time.Now())
 		p.mu.Unlock()
-		_ = u.server.Close()
-		u.Terminate()
-		p.after(p.restartTime, func() { p.startAgain(u) })
+		end.Do(func() {
+			_ = u.server.Close()
+			u.Terminate()
+			p.after(p.restartTime, func() { p.startAgain(u) })
+		})
 	})
 }
 
