reach: ask a gateway that was late if there is no other

What callers saw: while all gateways but one were cut off from the upstreams, those answered for a second that the owner of the key does not answer, though the other one serves.

Cause: a forwarded request without an answer in its time made the gateway that was asked one to avoid for a second, like one that is unreachable.

Change: gateways that were late are chosen last, not never.

Evidence: TestLateForwardKeepsOnlyGateway, red before.

--- a/coordination/reach/peers.go
+++ b/coordination/reach/peers.go
@@ -1,6 +1,7 @@
 package reach
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -24,22 +25,34 @@
 	domain  string
 	regions map[string]string
 	rng     *rand.Rand
-	// avoidUntil holds the gateways that could not take a request, by address.
-	avoidUntil map[string]time.Time
+	// avoidUntil holds the gateways that could not take a request, lateUntil those that have not answered one
+	// in time, by address.
+	avoidUntil, lateUntil map[string]time.Time
 }
 
 // NewPeers returns a chooser for a gateway in the given failure domain. regions are the regions of the
 // failure domains.
 func NewPeers(domain string, regions map[string]string, rng *rand.Rand) *Peers {
-	return &Peers{domain: domain, regions: regions, rng: rng, avoidUntil: make(map[string]time.Time)}
+	return &Peers{domain: domain, regions: regions, rng: rng, avoidUntil: make(map[string]time.Time), lateUntil: make(map[string]time.Time)}
 }
 
 // Avoid records that a gateway could not take a request.
 func (p *Peers) Avoid(now time.Time, address string) { p.avoidUntil[address] = now.Add(avoidPeriod) }
 
+// Late records that a gateway has not answered a request in time. The upstream that ran it may be the cause.
+func (p *Peers) Late(now time.Time, address string) { p.lateUntil[address] = now.Add(avoidPeriod) }
+
 // Choose returns one of the gateways at random, except those in tried and those to avoid. Gateways of
-// other regions are chosen only if there is none in this one.
+// other regions are chosen only if there is none in this one, and gateways that were late only if there is no other.
 func (p *Peers) Choose(now time.Time, all []Peer, tried []string) (Peer, bool) {
+	inTime := slices.DeleteFunc(slices.Clone(all), func(peer Peer) bool { return now.Before(p.lateUntil[peer.Address]) })
+	if peer, ok := p.choose(now, inTime, tried); ok {
+		return peer, true
+	}
+	return p.choose(now, all, tried)
+}
+
+func (p *Peers) choose(now time.Time, all []Peer, tried []string) (Peer, bool) {
 	var near, far []Peer
 	for _, peer := range all {
 		switch {
@@ -83,9 +96,7 @@
 
 // Prune discards expired entries.
 func (p *Peers) Prune(now time.Time) {
-	for address, until := range p.avoidUntil {
-		if !now.Before(until) {
-			delete(p.avoidUntil, address)
-		}
-	}
+	expired := func(_ string, until time.Time) bool { return !now.Before(until) }
+	maps.DeleteFunc(p.avoidUntil, expired)
+	maps.DeleteFunc(p.lateUntil, expired)
 }
--- a/coordination/reach/peers_test.go
+++ b/coordination/reach/peers_test.go
@@ -38,7 +38,15 @@
 	if peer, _ := p.Choose(now, all, []string{"b1", "b2"}); peer.Address != "a1" {
 		t.Errorf("%s chosen after a1 is no longer avoided", peer.Address)
 	}
-	if p.Prune(now); len(p.avoidUntil) > 0 {
+	p.Late(now, "a1")
+	if peer, _ := p.Choose(now, all, []string{"b1"}); peer.Address != "b2" {
+		t.Errorf("%s chosen, only b2 was not late", peer.Address)
+	}
+	if peer, _ := p.Choose(now, all, []string{"b1", "b2", "c1"}); peer.Address != "a1" {
+		t.Errorf("%s chosen, only a1 is left", peer.Address)
+	}
+	now = now.Add(avoidPeriod)
+	if p.Prune(now); len(p.avoidUntil) > 0 || len(p.lateUntil) > 0 {
 		t.Error("expired entries are kept")
 	}
 }
--- a/gateway/peerforward.go
+++ b/gateway/peerforward.go
@@ -94,6 +94,14 @@
 	f.peers.Avoid(f.now(), address)
 }
 
+// late records that a gateway has not answered a request in time.
+func (f *forwarder) late(address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.peers.Prune(f.now())
+	f.peers.Late(f.now(), address)
+}
+
 // deliver sends the request to an upstream, by way of another gateway if this one reaches none, and
 // returns the response. An error is final and carries its kind.
 func (f *proxy) deliver(ctx context.Context, q *request) (*pool.Response, error) {
@@ -154,7 +162,11 @@
 			f.meters.inc(forwardNotTaken)
 			continue
 		}
-		f.forward.avoid(peer.Address)
+		if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+			f.forward.late(peer.Address)
+		} else {
+			f.forward.avoid(peer.Address)
+		}
 		f.meters.inc(forwardBroken)
 		q.arrivedTries++
 		q.mayHaveRun = true
--- a/gateway/peerforward_test.go
+++ b/gateway/peerforward_test.go
@@ -354,3 +354,33 @@
 		t.Errorf("response %v, error %v, %d runs", resp, err, b.oracle.Runs("astray"))
 	}
 }
+
+// TestLateForwardKeepsOnlyGateway guards against requests that are refused because one before them, forwarded to the only other gateway, got no answer in its time.
+func TestLateForwardKeepsOnlyGateway(t *testing.T) {
+	t.Parallel()
+	b := newTestCluster(t)
+	b.upstream("i-s0", "status")
+	b.upstream("i-p0", "pay")
+	for i := range 2 {
+		b.gateway(fmt.Sprintf("g%d", i))
+	}
+	b.ready()
+	f := b.gateways[0].proxy
+	silent := b.listen()
+	f.forward.conns = pool.NewWithDialer(forwardLimits, time.Now, func(ctx context.Context, network, _ string) (net.Conn, error) {
+		return (&net.Dialer{}).DialContext(ctx, network, silent.Addr().String())
+	})
+	b.eventually("the other gateway is known", func() bool { return len(b.gateways[0].cluster.otherGateways()) == 1 })
+	q, err := f.parse(callerRequest(t.Context(), t, http.MethodPost, "http://h.example/pay/x", "late", ""), f.now())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	if resp, handled, err := f.forwardToPeer(ctx, q); !handled || answer.KindOf(err) != answer.TimedOut {
+		t.Errorf("response %v, handled: %v, error %v", resp, handled, err)
+	}
+	if _, ok := f.forward.choose(nil); !ok {
+		t.Error("the only other gateway is not asked any more")
+	}
+}
