--- a/bench/soak/callers.go
+++ b/bench/soak/callers.go
@@ -20,7 +20,7 @@
 const (
 	// callerCount is the number of callers. Each has one request in flight at a time.
 	callerCount = 12
-	// bookerCount is the number of callers besides, which send nothing but requests of kind book.
+	// bookerCount is the number of callers besides, which send nothing but bookRequests.
 	bookerCount = 4
 	// callerInterval is the pause of a caller between two requests. All callers together
 	// send about 300 requests per second.
@@ -40,9 +40,9 @@
 
 // The kinds of requests: idempotent with a key, not idempotent without one, and not idempotent with a key.
 var (
-	status = requestKind{method: http.MethodGet, path: "/status/x", keyed: true}
-	pay    = requestKind{method: http.MethodPost, path: "/pay/x"}
-	book   = requestKind{method: http.MethodPost, path: "/book/x", keyed: true}
+	statusRequest = requestKind{method: http.MethodGet, path: "/status/x", keyed: true}
+	payRequest    = requestKind{method: http.MethodPost, path: "/pay/x"}
+	bookRequest   = requestKind{method: http.MethodPost, path: "/book/x", keyed: true}
 )
 
 // outcome is the result of a request from its caller's point of view.
--- a/bench/soak/run.go
+++ b/bench/soak/run.go
@@ -94,10 +94,10 @@
 	ctx, stop := context.WithCancel(ctx)
 	var all sync.WaitGroup
 	for n := range callerCount {
-		all.Go(func() { m.runCaller(ctx, n, status, status, pay) })
+		all.Go(func() { m.runCaller(ctx, n, statusRequest, statusRequest, payRequest) })
 	}
 	for n := range bookerCount {
-		all.Go(func() { m.runCaller(ctx, callerCount+n, book) })
+		all.Go(func() { m.runCaller(ctx, callerCount+n, bookRequest) })
 	}
 	all.Go(func() { m.checkVersions(ctx) })
 	all.Go(func() { m.checkMemory(ctx) })
@@ -159,7 +159,7 @@
 func (m *monitor) allServed(ctx context.Context) bool {
 	for i := 0; i*keyStride <= spans.MaxKey; i++ {
 		g := pick(m.deployment.gateways, i)
-		if m.sendRequest(ctx, g, status, i*keyStride) != served || m.sendRequest(ctx, g, pay, 0) != served {
+		if m.sendRequest(ctx, g, statusRequest, i*keyStride) != served || m.sendRequest(ctx, g, payRequest, 0) != served {
 			return false
 		}
 	}
