--- a/review/standins-2/deployment.go
+++ b/review/standins-2/deployment.go
@@ -12,7 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strings"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -46,8 +46,10 @@
 	name, ip, zone                 string
 	callers, ready, peers, metrics string
 	settings, log                  string
-	cmd                            *exec.Cmd
-	exited                         chan struct{}
+
+	mu     sync.Mutex
+	cmd    *exec.Cmd
+	exited chan struct{}
 }
 
 // deployment is the store, and the gateways that use it.
@@ -56,7 +58,11 @@
 	rec          *record
 	store        *metastore.Store
 	storeAddr    string
-	gateways     []*gateway
+	// named counts the machines that there ever were.
+	named int
+
+	mu       sync.Mutex
+	gateways []*gateway
 }
 
 // serve serves a handler on a loopback address that the kernel chooses a port for.
@@ -91,18 +97,24 @@
 	return out, nil
 }
 
-// addGateways chooses the addresses of gateways in the given zones and writes their settings.
-func (d *deployment) addGateways(zones ...string) error {
-	for i, zone := range zones {
-		g := &gateway{name: fmt.Sprintf("edge-%s-%d", zone, i+1), zone: zone, ip: fmt.Sprintf("127.66.%d.%d", os.Getpid()%250+1, i+1)}
+// addGateways chooses the addresses of new gateways in the given zones and writes their settings. Their seeds are
+// three of the machines that there are then.
+func (d *deployment) addGateways(zones ...string) ([]*gateway, error) {
+	var added []*gateway
+	for _, zone := range zones {
+		d.named++
+		g := &gateway{name: fmt.Sprintf("edge-%s-%d", zone, d.named), zone: zone, ip: fmt.Sprintf("127.66.%d.%d", os.Getpid()%250+1, d.named)}
 		ports, err := freePorts(g.ip, 4)
 		if err != nil {
-			return err
+			return nil, err
 		}
 		g.callers, g.ready, g.peers, g.metrics = ports[0], ports[1], ports[2], ports[3]
 		g.settings, g.log = filepath.Join(d.dir, g.name+".json"), filepath.Join(d.dir, g.name+".log")
-		d.gateways = append(d.gateways, g)
+		added = append(added, g)
 	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.gateways = append(d.gateways, added...)
 	var seeds []string
 	regions := map[string]string{}
 	for i, g := range d.gateways {
@@ -111,20 +123,38 @@
 		}
 		regions[g.zone] = "addis"
 	}
-	for _, g := range d.gateways {
+	for _, g := range added {
 		data, err := json.MarshalIndent(map[string]any{
 			"node": g.name, "domain": g.zone, "regions": regions, "callers": g.callers, "ready": g.ready, "peers": g.peers,
 			"metrics": g.metrics, "store": d.storeAddr, "seeds": seeds, "stop_limit": "6s", "upstream_drain": "2s", "longest_hold": "10s",
 			"retry_share": 0.2, "retry_allowance": 62, "retry_window": "10s", "strength": 0.32, "memory_mb": memoryMB, "link_mbps": 1000.0,
 		}, "", "  ")
 		if err != nil {
-			return err
+			return nil, err
 		}
 		if err := os.WriteFile(g.settings, data, 0o600); err != nil {
-			return err
+			return nil, err
 		}
 	}
-	return nil
+	return added, nil
+}
+
+// current returns the gateways that are not lost for good.
+func (d *deployment) current() []*gateway {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Clone(d.gateways)
+}
+
+// lose ends gateways for good.
+func (d *deployment) lose(lost []*gateway) {
+	d.mu.Lock()
+	d.gateways = slices.DeleteFunc(d.gateways, func(g *gateway) bool { return slices.Contains(lost, g) })
+	d.mu.Unlock()
+	for _, g := range lost {
+		d.kill(g)
+		d.rec.printf("%s is lost for good", g.name)
+	}
 }
 
 // start starts the process of a gateway.
@@ -141,7 +171,9 @@
 		return err
 	}
 	exited := make(chan struct{})
+	g.mu.Lock()
 	g.cmd, g.exited = cmd, exited
+	g.mu.Unlock()
 	go func() {
 		// The exit code is not needed: the record has what ended the process.
 		_ = cmd.Wait()
@@ -152,7 +184,7 @@
 }
 
 func (d *deployment) startAll() error {
-	for _, g := range d.gateways {
+	for _, g := range d.current() {
 		if err := d.start(g); err != nil {
 			return err
 		}
@@ -162,9 +194,12 @@
 
 // kill ends the process of a gateway at once.
 func (d *deployment) kill(g *gateway) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	if g.cmd == nil {
 		return
 	}
+	// The process may have ended already.
 	_ = g.cmd.Process.Signal(syscall.SIGKILL)
 	<-g.exited
 	g.cmd = nil
@@ -172,7 +207,7 @@
 
 // stopAll ends all processes.
 func (d *deployment) stopAll() {
-	for _, g := range d.gateways {
+	for _, g := range d.current() {
 		d.kill(g)
 	}
 }
@@ -199,7 +234,7 @@
 }
 
 func (d *deployment) awaitAllReady() error {
-	for _, g := range d.gateways {
+	for _, g := range d.current() {
 		if err := d.awaitReady(g); err != nil {
 			return err
 		}
@@ -207,21 +242,6 @@
 	return nil
 }
 
-// residentMB returns the memory of a gateway's process in MB, as the platform would count it at least.
-func (g *gateway) residentMB() int {
-	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", g.cmd.Process.Pid))
-	if err != nil {
-		return 0
-	}
-	for line := range strings.SplitSeq(string(data), "\n") {
-		var kb int
-		if n, _ := fmt.Sscanf(line, "VmRSS: %d kB", &kb); n == 1 {
-			return kb / 1024
-		}
-	}
-	return 0
-}
-
 // register writes the entry of an instance.
 func (d *deployment) register(id, service, zone, address, state string, slots int) {
 	var body platform.InstanceBody
--- a/review/standins-2/limits.go
+++ b/review/standins-2/limits.go
@@ -44,7 +44,7 @@
 	if trouble {
 		first = formerHeaderBytes
 	}
-	if err := d.addGateways("bole", "kazanchis", "megenagna"); err != nil {
+	if _, err := d.addGateways("bole", "kazanchis", "megenagna"); err != nil {
 		return false, err
 	}
 	d.store.Put(platform.ConfigKind, platform.ConfigName, limitsConfiguration(1, first))
