--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -18,7 +18,7 @@
 // scenario plays a case and reports whether the rule was broken.
 type scenario func(d *deployment, trouble bool) (broken bool, err error)
 
-var scenarios = map[string]scenario{"limits": playLimits, "voters": playVoters}
+var scenarios = map[string]scenario{"limits": playLimits, "voters": playVoters, "first": playFirst}
 
 func main() {
 	const arguments = 4
--- a/review/standins-2/voters.go
+++ b/review/standins-2/voters.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -11,7 +10,6 @@
 	"net/http"
 	"slices"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -62,25 +60,17 @@
 	*deployment
 	began     time.Time
 	instances []*keyedInstance
+	// killAt is when the final fault comes, down how long it lasts.
+	killAt, down time.Duration
 	// before are the requests before the final fault, after those that were sent later than recover_s after it.
 	before, after tally
 }
 
 func playVoters(d *deployment, trouble bool) (broken bool, err error) {
-	r := &votersRun{deployment: d}
-	zones := []string{"bole", "bole", "bole", "bole", "bole", "kazanchis", "kazanchis", "kazanchis", "megenagna", "megenagna", "megenagna"}
-	if _, err := d.addGateways(zones...); err != nil {
+	r := &votersRun{deployment: d, killAt: votersKillAt, down: votersDown}
+	if err := r.prepare(); err != nil {
 		return false, err
 	}
-	d.store.Put(platform.ConfigKind, platform.ConfigName, votersConfiguration())
-	for n := range votersInstances {
-		i, err := startKeyedInstance(fmt.Sprintf("i-%08x", rand.Uint32()), "status-svc", zones[n], votersSlots, votersWork, d.rec)
-		if err != nil {
-			return false, err
-		}
-		r.instances = append(r.instances, i)
-		d.register(i.id, i.service, i.zone, i.address, "ready", votersSlots)
-	}
 	if err := d.startAll(); err != nil {
 		return false, err
 	}
@@ -91,20 +81,7 @@
 	d.rec.printf("all gateways are ready, traffic starts")
 	steps := make(chan error, 1)
 	go func() { steps <- r.steps(trouble) }()
-	var consumers sync.WaitGroup
-	for time.Since(r.began) < votersEnd {
-		consumers.Go(r.consume)
-		time.Sleep(time.Second / votersPerSecond)
-	}
-	consumers.Wait()
-	if err := <-steps; err != nil {
-		return false, err
-	}
-	d.rec.printf("before the final fault %s; later than recover_s after it %s", r.before.String(), r.after.String())
-	if r.before.served.Load()*4 < r.before.sent.Load() || r.after.sent.Load() == 0 {
-		return false, errors.New("too little was served before the final fault for a verdict")
-	}
-	return r.after.served.Load()*4 < r.after.sent.Load(), nil
+	return r.traffic(votersEnd, steps)
 }
 
 func (r *votersRun) sleepUntil(at time.Duration) { time.Sleep(time.Until(r.began.Add(at))) }
@@ -119,10 +96,7 @@
 	}
 	for n := range votersCrashes {
 		r.sleepUntil(votersCrashAt + time.Duration(n)*votersCrashGap)
-		i := r.instances[n]
-		i.crash()
-		r.rec.printf("%s crashes for good", i.id)
-		time.AfterFunc(votersEntryLasts, func() { r.store.Remove(platform.InstancesKind, i.id) })
+		r.crash(n)
 	}
 	r.sleepUntil(votersKillAt)
 	r.rec.printf("the final fault: all processes of the system are killed")
@@ -194,9 +168,9 @@
 		status, retryAfter := sendKeyed(g.callers, id, key, left)
 		r.rec.printf("%s with key %d at %s is answered %d", id, key, g.name, status)
 		switch served := status == http.StatusOK; {
-		case at < votersKillAt:
+		case at < r.killAt:
 			r.before.add(served)
-		case at > votersKillAt+votersDown+votersRecover:
+		case at > r.killAt+r.down+votersRecover:
 			r.after.add(served)
 		}
 		if status == http.StatusOK || status >= 400 && status < 500 && status != http.StatusTooManyRequests {
