upstreams: a control call has failed if its response is cut

What callers saw, in a test: an entry took a grant or renewal for done whose response ended before its announced length, and a status that was followed by other bytes.

Cause: the status was decoded from the body, and a JSON decoder stops after the first value. The end of the body, where net/http tells that it is cut, was not read.

Change: the whole body is read, then decoded.

--- a/transport/upstreams/upstreams.go
+++ b/transport/upstreams/upstreams.go
@@ -197,11 +197,15 @@
 		return status, fmt.Errorf("upstream %s: %w", u.ID, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
+	// A decoder that reads from the body would stop after the first value, before the response has arrived whole.
+	data, err = io.ReadAll(http.MaxBytesReader(nil, resp.Body, maxStatusBytes))
+	if err != nil {
+		return status, fmt.Errorf("upstream %s: %w", u.ID, err)
+	}
 	if resp.StatusCode != http.StatusOK {
-		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxStatusBytes))
 		return status, fmt.Errorf("upstream %s answered %d to %s", u.ID, resp.StatusCode, path)
 	}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxStatusBytes)).Decode(&status); err != nil {
+	if err := json.Unmarshal(data, &status); err != nil {
 		return status, fmt.Errorf("upstream %s: %w", u.ID, err)
 	}
 	return status, nil
