transport: a response with a status below 100 is invalid

What callers saw: an upstream answered with status 000 and a length, and its body was itself a response of status 200 with the same ID. Callers got that. Entries handed the status 000 on, which net/http's server cannot write.

Cause: any status below 200 counted as that of an informational response, after which the next response follows, and net/http's reader takes any three characters that make a number, "+20" too. Its transport hands a status below 100 on as that of a final response.

Change: framing.CheckHead refuses statuses below 100 in the pool and in framing.Transport. The request has then an unknown outcome, like after a broken connection. Statuses from 600 on are valid for net/http and stay so: a caller treats them as 5xx.

--- a/standin/rawhttp/rawhttp.go
+++ b/standin/rawhttp/rawhttp.go
@@ -52,10 +52,17 @@
 // Broken returns forms of a response that is not whole. fields are header lines, each with its line end.
 func Broken(fields, body string) []Form {
 	ok := "HTTP/1.1 200 OK\r\n" + fields
+	length := fmt.Sprintf("Content-Length: %d\r\n\r\n", len(body))
+	whole := ok + length + body
+	wholeAsBody := fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(whole), whole)
 	return []Form{
 		{"no length, half of the body, reset at once", []string{ok + "\r\n" + half(body)}, Reset},
 		{"no length, half of the body, reset later", []string{ok + "\r\n", half(body), ""}, Reset},
 		{"no length, no body, reset", []string{ok + "\r\n", ""}, Reset},
+		{"status 000", []string{"HTTP/1.1 000 x\r\n" + fields + length + body}, Close},
+		{"status 000, a response in its body", []string{"HTTP/1.1 000 x\r\n" + fields + wholeAsBody}, Close},
+		{"status 099, a response in its body", []string{"HTTP/1.1 099 x\r\n" + fields + wholeAsBody}, Close},
+		{"status with a sign, a response in its body", []string{"HTTP/1.1 +20 x\r\n" + fields + wholeAsBody}, Close},
 	}
 }
 
--- a/transport/framing/conn.go
+++ b/transport/framing/conn.go
@@ -1,5 +1,5 @@
 // Package framing tells whether an HTTP response has arrived whole where net/http does not: it keeps a reset apart
-// from the end of a connection.
+// from the end of a connection, and refuses heads that do not tell how the response is to be read.
 package framing
 
 import (
--- /dev/null
+++ b/transport/framing/head.go
@@ -0,0 +1,19 @@
+package framing
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+)
+
+// ErrInvalidHead reports a response whose head does not tell how the response is to be read. What follows it may be
+// anything. Test for it with errors.Is.
+var ErrInvalidHead = errors.New("invalid head of a response")
+
+// CheckHead returns ErrInvalidHead if net/http has read a head that is not valid: a status below 100.
+func CheckHead(resp *http.Response) error {
+	if resp.StatusCode < http.StatusContinue {
+		return fmt.Errorf("%w: status %q", ErrInvalidHead, resp.Status)
+	}
+	return nil
+}
--- a/transport/framing/transport.go
+++ b/transport/framing/transport.go
@@ -5,7 +5,7 @@
 	"net/http"
 )
 
-// Transport is an http.Transport whose connections are of the type Conn.
+// Transport is an http.Transport whose connections are of the type Conn, and which refuses invalid heads.
 type Transport struct{ *http.Transport }
 
 // NewTransport returns a Transport that uses t, which must not be used otherwise.
@@ -17,3 +17,17 @@
 	t.DialContext = Dial(dial)
 	return &Transport{Transport: t}
 }
+
+// RoundTrip implements http.RoundTripper. It returns ErrInvalidHead if CheckHead does; the request may then have been
+// executed.
+func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	resp, err := t.Transport.RoundTrip(r)
+	if err != nil {
+		return nil, err
+	}
+	if err := CheckHead(resp); err != nil {
+		_ = resp.Body.Close()
+		return nil, err
+	}
+	return resp, nil
+}
--- a/transport/pool/conn.go
+++ b/transport/pool/conn.go
@@ -244,7 +244,11 @@
 func (c *conn) readHead(r *http.Request) (*http.Response, error) {
 	c.readingHead = true
 	defer func() { c.readingHead = false }()
-	return http.ReadResponse(c.reader, r)
+	resp, err := http.ReadResponse(c.reader, r)
+	if err != nil {
+		return nil, err
+	}
+	return resp, framing.CheckHead(resp)
 }
 
 // isResponseTo reports whether a response with the given headers belongs to the request. A response with an echo
