transport: a response that switches protocols is invalid

What callers saw, in a test: an upstream answered 101, and callers got as a 200 what followed; entries handed the 101 on.

Cause: in the pool 101 counted as informational, after which the next response follows. The connection carries another protocol after it. No request asks for one: Upgrade is not forwarded.

--- a/standin/rawhttp/rawhttp.go
+++ b/standin/rawhttp/rawhttp.go
@@ -62,6 +62,7 @@
 		{"status 000", []string{"HTTP/1.1 000 x\r\n" + fields + length + body}, Close},
 		{"status 000, a response in its body", []string{"HTTP/1.1 000 x\r\n" + fields + wholeAsBody}, Close},
 		{"status 099, a response in its body", []string{"HTTP/1.1 099 x\r\n" + fields + wholeAsBody}, Close},
+		{"status 101, a response after it", []string{"HTTP/1.1 101 x\r\n" + fields + "\r\n" + whole}, Close},
 		{"status with a sign, a response in its body", []string{"HTTP/1.1 +20 x\r\n" + fields + wholeAsBody}, Close},
 	}
 }
