transport: a header name that is no token makes a response invalid

What callers saw: an upstream sent "Content-Length : 46", the body, and more bytes. Callers got a 200 with all of them. A line with a blank in its name was passed on.

Cause: net/http's reader accepts blanks in the name of a header, and keeps it under that name: "Content-Length " says nothing of the body, which then ends with the connection. Chunks and every other header likewise.

Evidence: four forms, with a blank before the colon of Content-Length and of Transfer-Encoding, in a name, and in one of an informational response.

--- a/standin/rawhttp/rawhttp.go
+++ b/standin/rawhttp/rawhttp.go
@@ -63,6 +63,10 @@
 		{"status 000, a response in its body", []string{"HTTP/1.1 000 x\r\n" + fields + wholeAsBody}, Close},
 		{"status 099, a response in its body", []string{"HTTP/1.1 099 x\r\n" + fields + wholeAsBody}, Close},
 		{"status 101, a response after it", []string{"HTTP/1.1 101 x\r\n" + fields + "\r\n" + whole}, Close},
+		{"blank after a name, more bytes than the length", []string{"HTTP/1.1 200 OK\r\n" + fields + fmt.Sprintf("Content-Length : %d\r\n\r\n", len(body)) + body + body}, Close},
+		{"blank after the name of chunks", []string{ok + "Transfer-Encoding : chunked\r\n" + length + body}, Close},
+		{"blank in a name", []string{ok + "X Name: 1\r\n" + length + body}, Close},
+		{"blank in a name of an interim response", []string{"HTTP/1.1 103 Early Hints\r\nX Name: 1\r\n\r\n" + whole}, Close},
 		{"status with a sign, a response in its body", []string{"HTTP/1.1 +20 x\r\n" + fields + wholeAsBody}, Close},
 	}
 }
