tests: heads that are cut, and control bytes in heads, reach no caller

Reported by operators of other systems: an upstream stopped in the middle of its head, and callers got a 200 with an empty or short body; a control byte in a name or value of a header, and callers got the response.

Neither happens here, and nothing is changed for it: net/http's reader refuses both. Kept as forms of standin/rawhttp: 14 cuts of a head, in the status line, in and after header lines and in the empty line; the bytes 0, 1, tab, CR and 0x7f in a name, 0, 1 and 0x7f in a value.

--- a/standin/rawhttp/rawhttp.go
+++ b/standin/rawhttp/rawhttp.go
@@ -46,6 +46,10 @@
 	end   End
 }
 
+// ReachesWriter reports whether the form ends such that the error may be reported to the writer of the request, which
+// takes a request that is still being written.
+func (f Form) ReachesWriter() bool { return f.end != Close }
+
 // half returns the first half of a body.
 func half(body string) string { return body[:len(body)/2] }
 
@@ -55,7 +59,7 @@
 	length := fmt.Sprintf("Content-Length: %d\r\n\r\n", len(body))
 	whole := ok + length + body
 	wholeAsBody := fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(whole), whole)
-	return []Form{
+	forms := []Form{
 		{"no length, half of the body, reset at once", []string{ok + "\r\n" + half(body)}, Reset},
 		{"no length, half of the body, reset later", []string{ok + "\r\n", half(body), ""}, Reset},
 		{"no length, no body, reset", []string{ok + "\r\n", ""}, Reset},
@@ -69,6 +73,31 @@
 		{"blank in a name of an interim response", []string{"HTTP/1.1 103 Early Hints\r\nX Name: 1\r\n\r\n" + whole}, Close},
 		{"status with a sign, a response in its body", []string{"HTTP/1.1 +20 x\r\n" + fields + wholeAsBody}, Close},
 	}
+	return slices.Concat(forms, controlBytes(ok, length+body), cutHeads(whole, len(ok+length)))
+}
+
+// controlBytes returns forms with a control byte in a header line.
+func controlBytes(start, rest string) (out []Form) {
+	for _, b := range []byte{0, 1, '\t', '\r', 0x7f} {
+		out = append(out, Form{fmt.Sprintf("byte %#x in a name", b), []string{start + "X" + string(b) + "Name: 1\r\n" + rest}, Close})
+	}
+	for _, b := range []byte{0, 1, 0x7f} {
+		out = append(out, Form{fmt.Sprintf("byte %#x in a value", b), []string{start + "X-Name: a" + string(b) + "b\r\n" + rest}, Close})
+	}
+	return out
+}
+
+// cutHeads returns forms that end within the head, which has the given length: in the status line, in header lines, after
+// them, and in the empty line.
+func cutHeads(whole string, headLength int) (out []Form) {
+	const parts = 12
+	for n := range parts {
+		out = append(out, Form{fmt.Sprintf("cut after %d of %d parts of the head", n, parts), []string{whole[:headLength*n/parts]}, Close})
+	}
+	for n := 1; n <= len("\r\n"); n++ {
+		out = append(out, Form{fmt.Sprintf("cut %d bytes before the end of the head", n), []string{whole[:headLength-n]}, Close})
+	}
+	return out
 }
 
 // Whole returns forms of a response that is whole.
