front: a refusal that has not arrived whole is no promise

What callers saw, in a test: an upstream ran a request, sent the head of a refusal and broke off. Entries answered 503 "not-run", and passed the same on from other entries.

Cause: entries believed a refusal by its head and closed its body unread.

Change: the body of a refusal or of another entry's error is read to its end, at most 64 KB, before it counts. Otherwise the connection broke and the outcome is unknown. Gateways read each response whole before they look at it.

Evidence: TestCutRefusalIsNoPromise, red before with both messages.

--- a/entry/brokenresponses_test.go
+++ b/entry/brokenresponses_test.go
@@ -10,9 +10,12 @@
 	"testing"
 	"time"
 
+	"github.com/rockcroft/rockcroft/protocol/answer"
 	"github.com/rockcroft/rockcroft/protocol/control"
+	"github.com/rockcroft/rockcroft/protocol/header"
 	"github.com/rockcroft/rockcroft/protocol/peerpb"
 	"github.com/rockcroft/rockcroft/standin/rawhttp"
+	"github.com/rockcroft/rockcroft/standin/upstream"
 	"github.com/rockcroft/rockcroft/state/cell"
 	"github.com/rockcroft/rockcroft/transport/peers"
 	"github.com/rockcroft/rockcroft/transport/platform"
@@ -143,3 +146,21 @@
 		}
 	}
 }
+
+// TestCutRefusalIsNoPromise guards against the promise that a request has not run because of the head of a refusal that
+// did not arrive whole, from an upstream and from another entry.
+func TestCutRefusalIsNoPromise(t *testing.T) {
+	cluster := twoCells(t, true)
+	for _, u := range cluster.upstreams {
+		u.SetFaults(upstream.Faults{CutRefusals: true})
+	}
+	for k := range 16 {
+		for _, e := range cluster.entries {
+			id := fmt.Sprintf("cut-%d-%s", k, e.self.ID)
+			resp := cluster.send(e.callers, http.MethodPost, "svc", fmt.Sprintf("key-%d", k), nil, header.RequestID, id)
+			if got := answer.Execution(resp.header.Get(header.Ran)); got != answer.ExecutionUnknown {
+				t.Errorf("status %d, %q: %s", resp.status, got, resp.body)
+			}
+		}
+	}
+}
--- a/standin/upstream/server.go
+++ b/standin/upstream/server.go
@@ -37,6 +37,8 @@
 	// BreakEvery, if positive, aborts the response to every n-th request after the request
 	// was executed.
 	BreakEvery int `json:"break_every"`
+	// CutRefusals makes it send the head of a refusal after a request was executed, and abort before the body.
+	CutRefusals bool `json:"cut_refusals"`
 }
 
 // Counts are the event counters of the upstream since its start.
@@ -315,6 +317,13 @@
 	if s.shouldAbort() {
 		panic(http.ErrAbortHandler)
 	}
+	if s.cutsRefusals() {
+		w.Header().Set("Content-Length", strconv.Itoa(len(cutRefusal)+1))
+		refuse(w, http.StatusServiceUnavailable, header.RefusedOverloaded)
+		_, _ = io.WriteString(w, cutRefusal)
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set(header.Ran, "ran")
 	_ = json.NewEncoder(w).Encode(ResponseBody{
@@ -322,6 +331,15 @@
 	})
 }
 
+// cutRefusal is what arrives of the body of a refusal that is cut.
+const cutRefusal = "overloa"
+
+func (s *Server) cutsRefusals() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults.CutRefusals
+}
+
 func (s *Server) trackRequest(req *request, h keyspace.Hash) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/transport/front/attempts.go
+++ b/transport/front/attempts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -150,6 +151,17 @@
 	return answer.New(answer.Unreachable, "%s cannot be reached: %v", slot.Owner, err)
 }
 
+// maxRefusalBytes bounds the body of a refusal or an error, in bytes. Nothing in it is used.
+const maxRefusalBytes = 64 << 10
+
+// readRefusal reads the body of a response whose head says that the request was refused. A refusal that has not arrived
+// whole is an error: it is no evidence that the request was not executed.
+func readRefusal(resp *http.Response) error {
+	defer func() { _ = resp.Body.Close() }()
+	_, err := io.Copy(io.Discard, http.MaxBytesReader(nil, resp.Body, maxRefusalBytes))
+	return err
+}
+
 // refusalError returns the error for the reason with which an upstream refused a request before any
 // work.
 func refusalError(reason string) error {
--- a/transport/front/forward.go
+++ b/transport/front/forward.go
@@ -76,6 +76,9 @@
 	}
 	if kind := answer.Kind(resp.Header.Get(header.Kind)); kind.Valid() {
 		span.End()
+		if err := readRefusal(resp); err != nil {
+			return nil, p.forwardError(ctx, m, true, err)
+		}
 		return nil, p.relayedError(resp, kind, h)
 	}
 	return &response{Response: resp, done: func() {
@@ -97,7 +100,6 @@
 // relayedError returns the error of another entry as an error of the same kind, so that this entry
 // decides whether to retry.
 func (p *Proxy) relayedError(resp *http.Response, kind answer.Kind, h http.Header) error {
-	_ = resp.Body.Close()
 	if epoch := resp.Header.Get(header.Epoch); epoch != "" {
 		h.Set(header.Epoch, epoch)
 	}
--- a/transport/front/proxy.go
+++ b/transport/front/proxy.go
@@ -288,7 +288,11 @@
 		return nil, p.sendError(ctx, q, slot, sent, err, h)
 	}
 	if reason := resp.Header.Get(header.Refused); reason != "" {
-		_ = resp.Body.Close()
+		if err := readRefusal(resp); err != nil {
+			p.leaveGateAfterError(q, slot, true)
+			finish(admission.Outcome{})
+			return nil, p.sendError(ctx, q, slot, true, err, h)
+		}
 		p.gate.Leave(slot)
 		finish(admission.Outcome{Shed: reason == header.RefusedOverloaded})
 		return nil, refusalError(reason)
