standin: a reset of a target is no clean end at the relay's client

What was seen, in a test: behind a relay, a part of the connections on which a target reset a response while the client was writing ended cleanly at the client. A soak test would blame the gateway for taking such a response for whole.

Cause: as in the product, the direction that writes to the target was told of the reset, and the one that reads saw an end.

Change: the relay uses framing.Conn. Its buffers in the kernel are small, so that a long upload to a target which reads nothing waits at its client. rawhttp's responses in a body differ from the response of the request.

--- a/standin/rawhttp/rawhttp.go
+++ b/standin/rawhttp/rawhttp.go
@@ -58,20 +58,22 @@
 	ok := "HTTP/1.1 200 OK\r\n" + fields
 	length := fmt.Sprintf("Content-Length: %d\r\n\r\n", len(body))
 	whole := ok + length + body
-	wholeAsBody := fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(whole), whole)
+	// inner is a whole response with another body.
+	inner := ok + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(half(body)), half(body))
+	innerAsBody := fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(inner), inner)
 	forms := []Form{
 		{"no length, half of the body, reset at once", []string{ok + "\r\n" + half(body)}, Reset},
 		{"no length, half of the body, reset later", []string{ok + "\r\n", half(body), ""}, Reset},
 		{"no length, no body, reset", []string{ok + "\r\n", ""}, Reset},
 		{"status 000", []string{"HTTP/1.1 000 x\r\n" + fields + length + body}, Close},
-		{"status 000, a response in its body", []string{"HTTP/1.1 000 x\r\n" + fields + wholeAsBody}, Close},
-		{"status 099, a response in its body", []string{"HTTP/1.1 099 x\r\n" + fields + wholeAsBody}, Close},
-		{"status 101, a response after it", []string{"HTTP/1.1 101 x\r\n" + fields + "\r\n" + whole}, Close},
+		{"status 000, a response in its body", []string{"HTTP/1.1 000 x\r\n" + fields + innerAsBody}, Close},
+		{"status 099, a response in its body", []string{"HTTP/1.1 099 x\r\n" + fields + innerAsBody}, Close},
+		{"status 101, a response after it", []string{"HTTP/1.1 101 x\r\n" + fields + "\r\n" + inner}, Close},
 		{"blank after a name, more bytes than the length", []string{"HTTP/1.1 200 OK\r\n" + fields + fmt.Sprintf("Content-Length : %d\r\n\r\n", len(body)) + body + body}, Close},
 		{"blank after the name of chunks", []string{ok + "Transfer-Encoding : chunked\r\n" + length + body}, Close},
 		{"blank in a name", []string{ok + "X Name: 1\r\n" + length + body}, Close},
 		{"blank in a name of an interim response", []string{"HTTP/1.1 103 Early Hints\r\nX Name: 1\r\n\r\n" + whole}, Close},
-		{"status with a sign, a response in its body", []string{"HTTP/1.1 +20 x\r\n" + fields + wholeAsBody}, Close},
+		{"status with a sign, a response in its body", []string{"HTTP/1.1 +20 x\r\n" + fields + innerAsBody}, Close},
 	}
 	return slices.Concat(forms, controlBytes(ok, length+body), cutHeads(whole, len(ok+length)))
 }
--- a/standin/relay/relay.go
+++ b/standin/relay/relay.go
@@ -7,8 +7,11 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"time"
+
+	"github.com/rockcroft/rockcroft/transport/framing"
 )
 
 // Fault tells how a relay handles connections and their data.
@@ -32,8 +35,13 @@
 // SlowDelay is the delay that the fault Slow adds to each forwarded buffer.
 const SlowDelay = 150 * time.Millisecond
 
-// bufferSize is the maximum number of bytes forwarded at once.
-const bufferSize = 16 << 10
+const (
+	// bufferSize is the maximum number of bytes forwarded at once.
+	bufferSize = 16 << 10
+	// kernelBuffer bounds in bytes what the kernel keeps of the data from the client to the target, so that a client
+	// that sends more to a target which reads nothing must wait.
+	kernelBuffer = 64 << 10
+)
 
 // Relay forwards connections to a target address. It is safe for concurrent use.
 type Relay struct {
@@ -49,7 +57,7 @@
 
 // connection is one connection through the relay.
 type connection struct {
-	client, target net.Conn
+	client, target *framing.Conn
 	// silenced is closed when the connection must not carry data any longer.
 	silenced chan struct{}
 }
@@ -188,7 +196,8 @@
 		abort(client)
 		return
 	}
-	c := &connection{client: client, target: target, silenced: make(chan struct{})}
+	limitBuffers(client, target)
+	c := &connection{client: framing.NewConn(client), target: framing.NewConn(target), silenced: make(chan struct{})}
 	r.mu.Lock()
 	r.connections[c] = true
 	r.mu.Unlock()
@@ -202,8 +211,18 @@
 	c.reset()
 }
 
+// limitBuffers limits the buffers of the kernel. If that fails, they are larger.
+func limitBuffers(client, target net.Conn) {
+	if tcp, ok := client.(*net.TCPConn); ok {
+		_ = tcp.SetReadBuffer(kernelBuffer)
+	}
+	if tcp, ok := target.(*net.TCPConn); ok {
+		_ = tcp.SetWriteBuffer(kernelBuffer)
+	}
+}
+
 // copyDirection forwards data in one direction, which the fault drop discards.
-func (r *Relay) copyDirection(c *connection, to, from net.Conn, drop Fault) {
+func (r *Relay) copyDirection(c *connection, to, from *framing.Conn, drop Fault) {
 	buffer := make([]byte, bufferSize)
 	for {
 		n, err := from.Read(buffer)
@@ -223,7 +242,7 @@
 
 // write forwards or discards data according to the fault. It returns false if the
 // connection has failed.
-func (r *Relay) write(c *connection, to net.Conn, data []byte, drop Fault) bool {
+func (r *Relay) write(c *connection, to *framing.Conn, data []byte, drop Fault) bool {
 	fault := r.currentFault()
 	select {
 	case <-c.silenced:
@@ -236,23 +255,37 @@
 	if fault == Slow {
 		time.Sleep(SlowDelay)
 	}
-	if _, err := to.Write(data); err != nil {
+	if err := writeAll(to, data); err != nil {
 		c.reset()
 		return false
 	}
 	return true
 }
 
-func closeWrite(c net.Conn) {
-	if tcp, ok := c.(*net.TCPConn); ok {
+// writeAll writes all data. A write is interrupted when the other end closes its side, and then goes on.
+func writeAll(to *framing.Conn, data []byte) error {
+	for {
+		n, err := to.Write(data)
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return err
+		}
+		data = data[n:]
+		if err := to.SetWriteDeadline(time.Time{}); err != nil {
+			return err
+		}
+	}
+}
+
+func closeWrite(c *framing.Conn) {
+	if tcp, ok := c.NetConn().(*net.TCPConn); ok {
 		// An error means that the other side is already gone, which also ends the connection.
 		_ = tcp.CloseWrite()
 	}
 }
 
 func (c *connection) reset() {
-	abort(c.client)
-	abort(c.target)
+	abort(c.client.NetConn())
+	abort(c.target.NetConn())
 }
 
 // abort closes a connection so that the peer sees a reset.
--- a/standin/relay/relay_test.go
+++ b/standin/relay/relay_test.go
@@ -4,10 +4,14 @@
 	"bufio"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"testing"
 	"time"
+
+	"github.com/rockcroft/rockcroft/standin/rawhttp"
+	"github.com/rockcroft/rockcroft/transport/framing"
 )
 
 // echoServer starts a server that sends each line back and returns its address.
@@ -102,3 +106,33 @@
 		}
 	}
 }
+
+// TestResetWhileClientWritesIsNoEnd guards against a relay that turns the reset of a target into a clean end, because the
+// direction from the client is told of it.
+func TestResetWhileClientWritesIsNoEnd(t *testing.T) {
+	const plays, upload = 20, 8 << 20
+	for _, form := range rawhttp.Broken("", "body") {
+		if !form.ReachesWriter() {
+			continue
+		}
+		s, err := rawhttp.Serve(form)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(s.Close)
+		r, err := New(s.Addr())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(r.Close)
+		for range plays {
+			c := framing.NewConn(dial(t, r).Conn)
+			go func() {
+				_, _ = fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", upload, make([]byte, upload))
+			}()
+			if data, err := io.ReadAll(c); err == nil {
+				t.Errorf("%s: the connection ended cleanly after %d bytes", form.Name, len(data))
+			}
+		}
+	}
+}
