soak: broken responses, also to long uploads

What was seen: the soak had no upstream that answers before it has read a request, and no long uploads, and took any body that begins with the request's ID for whole. It could not see the broken responses that reached callers.

Change: a step "broken". The body that a caller gets must be that of an upstream to the byte.

--- a/bench/soak/callers.go
+++ b/bench/soak/callers.go
@@ -36,12 +36,16 @@
 type requestKind struct {
 	method, path string
 	keyed        bool
+	// padding is the number of bytes by which the body is longer than it needs to be.
+	padding int
 }
 
-// The kinds of requests: idempotent with a key, not idempotent without one, and not idempotent with a key.
+// The kinds of requests: idempotent with a key, not idempotent without one, the same with a long body, and not idempotent
+// with a key.
 var (
 	statusRequest = requestKind{method: http.MethodGet, path: "/status/x", keyed: true}
 	payRequest    = requestKind{method: http.MethodPost, path: "/pay/x"}
+	uploadRequest = requestKind{method: http.MethodPost, path: "/pay/x", padding: uploadSize}
 	bookRequest   = requestKind{method: http.MethodPost, path: "/book/x", keyed: true}
 )
 
@@ -115,7 +119,7 @@
 	defer cancel()
 	var body io.Reader
 	if kind.method == http.MethodPost {
-		body = strings.NewReader("body of " + id)
+		body = strings.NewReader("body of " + id + strings.Repeat(" ", kind.padding))
 	}
 	r, err := http.NewRequestWithContext(ctx, kind.method, "http://"+g.callers+kind.path, body)
 	if err != nil {
@@ -160,7 +164,7 @@
 func (m *monitor) checkResponse(id string, status int, body string) outcome {
 	switch {
 	case status == http.StatusOK:
-		if !strings.HasPrefix(body, "done "+id+" by ") {
+		if !m.deployment.isWholeBody(id, body) {
 			m.addViolation("request %s got the answer %q", id, body)
 		}
 		return served
--- a/bench/soak/deployment.go
+++ b/bench/soak/deployment.go
@@ -31,6 +31,8 @@
 	slots = 4
 	// domains is the number of failure domains, the same as in the Addis deployment.
 	domains = 3
+	// maxBodyBytes is the maximum size of a request's body.
+	maxBodyBytes = 2 * instance.LongBody
 	// gatewayMemory is the memory limit of a gateway, in MB.
 	gatewayMemory = 100
 	// Limits that the users of the platform require: the time for a stop, the time in
@@ -152,7 +154,7 @@
 		Services: map[string]platform.ServiceBody{
 			keyedService: {MaxConns: 1000, Keyed: true, WarmUp: 1}, unkeyedService: {MaxConns: 1000},
 		},
-		Limits: platform.LimitsBody{MaxHeader: 16384, MaxBody: 100000, HeaderTimeout: 3, IdleTimeout: 15},
+		Limits: platform.LimitsBody{MaxHeader: 16384, MaxBody: maxBodyBytes, HeaderTimeout: 3, IdleTimeout: 15},
 	})
 }
 
--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -74,6 +74,8 @@
 		d.cutGateways(step)
 	case Endless:
 		d.respondWithoutEnd(step)
+	case Broken:
+		d.respondBroken(step)
 	case TakeOver:
 		return d.takeOverAddress(u, step.Duration)
 	case Refusals:
--- a/bench/soak/plan.go
+++ b/bench/soak/plan.go
@@ -43,6 +43,7 @@
 	Endless          Kind = "endless"        // some responses of all upstreams have no end
 	TakeOver         Kind = "take_over"      // an upstream ends and another one starts at its address
 	Refusals         Kind = "refusals"       // all upstreams refuse a part of the requests and send late copies of responses
+	Broken           Kind = "broken"         // some responses of all upstreams are broken, others whole in unusual forms, also to long uploads
 )
 
 // weightedKinds lists the kinds that NewPlan draws at random. A kind that is listed twice is
@@ -110,7 +111,7 @@
 // NewPlan returns the plan of a seed. It has the given number of random steps and, in
 // addition to them, the kinds that are added at fixed intervals: restarts, rate limits,
 // rests, departures, late control calls, harmful requests, evacuations, removals, cuts, refusals with upstreams
-// that take over an address, and responses without an end.
+// that take over an address, responses without an end, and broken ones.
 func NewPlan(seed uint64, steps int) Plan {
 	rng, restarts := rand.New(rand.NewPCG(seed, seed)), rand.New(rand.NewPCG(seed, seed+1))
 	evacuations := rand.New(rand.NewPCG(seed, seed+2))
@@ -122,6 +123,7 @@
 	cuts := rand.New(rand.NewPCG(seed, seed+8))
 	refusals := rand.New(rand.NewPCG(seed, seed+9))
 	endless := rand.New(rand.NewPCG(seed, seed+10))
+	broken := rand.New(rand.NewPCG(seed, seed+11))
 	p := Plan{Seed: seed}
 	for i := range steps {
 		p.Steps = append(p.Steps, Step{
@@ -164,6 +166,7 @@
 		}
 		p.Steps = append(p.Steps, refusalSteps(refusals, i)...)
 		p.Steps = append(p.Steps, endlessSteps(endless, i)...)
+		p.Steps = append(p.Steps, brokenSteps(broken, i)...)
 		if i%stepsPerEvacuation == stepsPerEvacuation-1 {
 			p.Steps = append(p.Steps, Step{
 				Kind: Evacuate, Duration: time.Duration(evacuations.Int64N(int64(maxFaultDuration))), Target: evacuations.IntN(1 << 16),
--- a/bench/soak/run.go
+++ b/bench/soak/run.go
@@ -99,6 +99,7 @@
 	for n := range bookerCount {
 		all.Go(func() { m.runCaller(ctx, callerCount+n, bookRequest) })
 	}
+	all.Go(func() { m.runUploader(ctx) })
 	all.Go(func() { m.checkVersions(ctx) })
 	all.Go(func() { m.checkMemory(ctx) })
 	return &all, stop
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -26,7 +26,7 @@
 			t.Errorf("step is out of bounds: %+v", step)
 		}
 	}
-	for _, k := range append([]Kind{Restart, Evacuate, Rest, LeaveByResponses, Refusals, TakeOver, Endless}, weightedKinds...) {
+	for _, k := range append([]Kind{Restart, Evacuate, Rest, LeaveByResponses, Refusals, TakeOver, Endless, Broken}, weightedKinds...) {
 		if !seen[k] {
 			t.Errorf("kind %s does not occur", k)
 		}
@@ -94,12 +94,15 @@
 	}{
 		"answered":                       {200, "done r by i", true, 0},
 		"answer to another request":      {200, "done x by i", true, 1},
+		"part of an answer":              {200, "done r b", true, 1},
+		"part of an upstream's ID":       {200, "done r by ", true, 1},
+		"more than an answer":            {200, "done r by idone r by i", true, 1},
 		"refused and ran":                {503, "", true, 1},
 		"refused and never ran":          {503, "", false, 0},
 		"unexpected client error status": {404, "", false, 1},
 		"unknown outcome":                {502, "", true, 0},
 	} {
-		m := newMonitor(&deployment{oracle: oracleWith(c.run)})
+		m := newMonitor(&deployment{oracle: oracleWith(c.run), allUpstreams: []*upstream{{Instance: &instance.Instance{ID: "i"}}}})
 		m.checkResponse("r", c.status, c.body)
 		if got := append(m.violations, m.promises.broken(m.deployment.oracle)...); len(got) != c.want {
 			t.Errorf("%s: %v", name, got)
