front: a response that ends early is reset, not closed

What callers saw, in a test: an upstream broke off a response in chunks, and a caller of HTTP/1.0 at an entry got its first 64 KB as a complete 200.

Cause: the entry aborted its response by closing the connection. Callers of HTTP/1.1 miss the last chunk then, but those of HTTP/1.0 get neither a length nor chunks: the end of the connection is that of the response.

Change: the connection to the caller is reset. framing.Reset serves this and the pool. Gateways return each response with its length and are not affected.

Evidence: TestCutResponseIsCutForCaller, red before at 4 of 4 entries with HTTP/1.0, never with 1.1.

--- a/entry/brokenresponses_test.go
+++ b/entry/brokenresponses_test.go
@@ -1,10 +1,12 @@
 package entry
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -164,3 +166,32 @@
 		}
 	}
 }
+
+// TestCutResponseIsCutForCaller guards against a response that ended early and looks complete to a caller, also to one
+// whose version of HTTP has no chunks.
+func TestCutResponseIsCutForCaller(t *testing.T) {
+	cluster := twoCells(t, true)
+	for _, u := range cluster.upstreams {
+		u.SetFaults(upstream.Faults{CutResponses: true})
+	}
+	for _, version := range []string{"1.0", "1.1"} {
+		for _, e := range cluster.entries {
+			c, err := net.Dial("tcp", e.callers)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = c.Close() }()
+			_, err = fmt.Fprintf(c, "POST /svc/op HTTP/%s\r\nHost: h\r\nRockcroft-Key: key-1\r\nContent-Length: 0\r\n\r\n", version)
+			if err != nil {
+				t.Fatal(err)
+			}
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if err != nil {
+				continue
+			}
+			if data, err := io.ReadAll(resp.Body); err == nil && resp.StatusCode == http.StatusOK {
+				t.Errorf("HTTP/%s, %s: the response %q looks complete", version, e.self.ID, data)
+			}
+		}
+	}
+}
--- a/standin/upstream/server.go
+++ b/standin/upstream/server.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -39,6 +40,8 @@
 	BreakEvery int `json:"break_every"`
 	// CutRefusals makes it send the head of a refusal after a request was executed, and abort before the body.
 	CutRefusals bool `json:"cut_refusals"`
+	// CutResponses makes it send a part of each response, in chunks, and abort.
+	CutResponses bool `json:"cut_responses"`
 }
 
 // Counts are the event counters of the upstream since its start.
@@ -326,14 +329,28 @@
 	}
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set(header.Ran, "ran")
+	if s.cutsResponses() {
+		_, _ = io.WriteString(w, cutResponse)
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
 	_ = json.NewEncoder(w).Encode(ResponseBody{
 		Upstream: s.settings.ID, Key: req.key, RequestID: req.id, Epoch: req.epoch, Seq: seq,
 	})
 }
 
-// cutRefusal is what arrives of the body of a refusal that is cut.
+// cutRefusal and cutResponse are what arrives of the body of a refusal and of a response that is cut.
 const cutRefusal = "overloa"
 
+// cutResponse is longer than the buffers on its way to the caller.
+var cutResponse = strings.Repeat("x", 64<<10)
+
+func (s *Server) cutsResponses() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults.CutResponses
+}
+
 func (s *Server) cutsRefusals() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/transport/framing/conn.go
+++ b/transport/framing/conn.go
@@ -74,6 +74,23 @@
 	return errors.As(err, &number) && number != syscall.EPIPE
 }
 
+// Reset closes a connection with a TCP reset, which discards unsent and unread bytes. Over TLS it sends no notice of a
+// clean end.
+func Reset(c net.Conn) {
+	for {
+		outer, ok := c.(interface{ NetConn() net.Conn })
+		if !ok {
+			break
+		}
+		c = outer.NetConn()
+	}
+	if tcp, ok := c.(interface{ SetLinger(seconds int) error }); ok {
+		// If the option cannot be set, the connection is closed normally.
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 // DialFunc opens a connection, like net.Dialer.DialContext.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
--- a/transport/front/proxy.go
+++ b/transport/front/proxy.go
@@ -24,6 +24,7 @@
 	"github.com/rockcroft/rockcroft/protocol/header"
 	"github.com/rockcroft/rockcroft/state/cell"
 	"github.com/rockcroft/rockcroft/state/docstore"
+	"github.com/rockcroft/rockcroft/transport/framing"
 	"github.com/rockcroft/rockcroft/transport/peers"
 	"github.com/rockcroft/rockcroft/transport/telemetry"
 	"github.com/rockcroft/rockcroft/transport/upstreams"
@@ -335,10 +336,19 @@
 	buf := copyBuffers.Get().(*[]byte)
 	defer copyBuffers.Put(buf)
 	if _, err := io.CopyBuffer(onlyWriter{w}, onlyReader{resp.Body}, *buf); err != nil {
-		panic(http.ErrAbortHandler)
+		abortResponse(w)
 	}
 }
 
+// abortResponse ends a response midway. It resets the connection, as closing it would complete a response that has
+// neither a length nor chunks, which callers of HTTP/1.0 get.
+func abortResponse(w http.ResponseWriter) {
+	if c, _, err := http.NewResponseController(w).Hijack(); err == nil {
+		framing.Reset(c)
+	}
+	panic(http.ErrAbortHandler)
+}
+
 const copyBufferSize = 16 << 10
 
 var copyBuffers = sync.Pool{New: func() any {
--- a/transport/pool/conn.go
+++ b/transport/pool/conn.go
@@ -104,15 +104,6 @@
 	_ = c.Close()
 }
 
-// reset closes the connection with a TCP reset, which discards unsent and unread bytes.
-func (c *conn) reset() {
-	if tcp, ok := c.NetConn().(interface{ SetLinger(seconds int) error }); ok {
-		// If the option cannot be set, the connection is closed normally, which is safe too.
-		_ = tcp.SetLinger(0)
-	}
-	c.close()
-}
-
 // isReusable reports whether the idle connection is still open and has no unread bytes.
 func (c *conn) isReusable() bool {
 	if c.reader.Buffered() > 0 {
--- a/transport/pool/pool.go
+++ b/transport/pool/pool.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/rockcroft/rockcroft/coordination/reach"
+	"github.com/rockcroft/rockcroft/transport/framing"
 )
 
 // Limits are the timeouts and size limits of a pool.
@@ -262,7 +263,7 @@
 		r.Attempts.remove(c)
 	}
 	if err != nil {
-		c.reset()
+		framing.Reset(c)
 		if reused && p.wasSilent(err, start) {
 			p.closeUnusedSince(addr, start)
 		}
