--- a/gateway/brokenresponses_test.go
+++ b/gateway/brokenresponses_test.go
@@ -49,6 +49,8 @@
 			t.Run(form.Name+"/"+name, func(t *testing.T) {
 				for range plays {
 					check(t, b, b.upload(g, "/pay/x", body))
+					// The upstream ends each connection after one response.
+					g.conns.CloseIdle()
 				}
 			})
 		}
@@ -103,6 +105,7 @@
 				ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 				_, err := g.cluster.client(s.Addr()).Relay(ctx, &syncpb.RelayRequest{Body: make([]byte, size)})
 				cancel()
+				g.cluster.http.CloseIdleConnections()
 				check(t, err)
 			}
 		})
--- a/standin/rawhttp/rawhttp.go
+++ b/standin/rawhttp/rawhttp.go
@@ -146,7 +146,12 @@
 		{"HTTP/1.0, no length", []string{"HTTP/1.0 200 OK\r\n" + fields + "\r\n" + body}, Close},
 		{"chunks", []string{ok + chunked + chunks(body)}, Close},
 		{"chunks, in pieces", slices.Collect(bytesOf(ok + chunked + chunks(body))), Close},
+		{"chunks and a length", []string{ok + "Content-Length: 1\r\n" + chunked + chunks(body)}, Close},
+		{"length twice", []string{ok + strings.TrimSuffix(length, "\r\n") + length + body}, Close},
+		{"folded header line", []string{ok + "X-Name: a\r\n b\r\n" + length + body}, Close},
 		{"interim response before", []string{"HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n", ok + length + body}, Close},
+		{"interim response with a length before", []string{"HTTP/1.1 103 Early Hints\r\nContent-Length: 5\r\n\r\n" + ok + length + body}, Close},
+		{"ten interim responses before", []string{strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 10) + ok + length + body}, Close},
 	}
 }
 
